Lay the skeleton: module borders, errors, settings, schema

Cause: nothing stood yet; parts need borders before several people can work on them. Change: units, configuration objects and catalog, Store and Engine traits, runner state, settings with all faults at once, logs, metric names, capnp schema with generated code.

--- /dev/null
+++ b/src/admission/mod.rs
@@ -0,0 +1,1 @@
+//! Decides which requests wait, run or are refused.
--- /dev/null
+++ b/src/bin/ggt-entry.rs
@@ -0,0 +1,3 @@
+//! The entry daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/ggt-keeper.rs
@@ -0,0 +1,3 @@
+//! The keeper daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/ggt.rs
@@ -0,0 +1,3 @@
+//! The operators' program.
+
+fn main() {}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,5 @@
+//! The entry: callers' HTTP, routing and streams.
+
+mod settings;
+
+pub use settings::*;
--- /dev/null
+++ b/src/entry/settings.rs
@@ -0,0 +1,86 @@
+//! Settings of an entry.
+
+use {
+    crate::{
+        settings::Fault,
+        settings_struct,
+        telemetry::{LogFormat, LogLevel},
+        units::{DataCentreName, VmName},
+    },
+    std::net::SocketAddr,
+};
+
+settings_struct! {
+    /// Settings of an entry.
+    pub struct EntrySettings check check {
+        #[doc = " The name of this VM."]
+        vm: VmName,
+        #[doc = " The data centre of this VM."]
+        data_centre: DataCentreName,
+        #[doc = " Where callers reach this entry."]
+        callers_address: SocketAddr,
+        #[doc = " Where other entries reach this entry."]
+        peer_address: SocketAddr,
+        #[doc = " Where health and metrics are served."]
+        operations_address: SocketAddr,
+        #[doc = " Where the keeper of this VM listens."]
+        keeper_address: SocketAddr,
+        #[doc = " The key-value service's addresses, tried in turn."]
+        store_addresses: Vec<SocketAddr>,
+        #[doc = " The shared key of the system's processes."]
+        peer_key: String,
+        #[doc = " Worker threads."]
+        threads: usize = "2",
+        #[doc = " The largest request body, in bytes."]
+        body_max_bytes: usize = "4194304",
+        #[doc = " The longest wait for a caller's request head or body, in milliseconds."]
+        read_timeout_ms: u64 = "10000",
+        #[doc = " The longest wait for a connection to a backend server, in milliseconds."]
+        connect_timeout_ms: u64 = "500",
+        #[doc = " The longest silence before the first token, in milliseconds."]
+        first_token_timeout_ms: u64 = "5000",
+        #[doc = " The longest silence between two tokens, in milliseconds."]
+        between_tokens_timeout_ms: u64 = "2000",
+        #[doc = " Requests that may be open at once."]
+        open_requests_max: usize = "8192",
+        #[doc = " Retries allowed per hundred requests of a service."]
+        retry_budget_percent: u32 = "10",
+        #[doc = " The wait between failing readiness and closing the listener, in milliseconds."]
+        drain_delay_ms: u64 = "1000",
+        #[doc = " The longest that a planned stop waits for open requests, in milliseconds."]
+        drain_max_ms: u64 = "120000",
+        #[doc = " How often demand is reported to the keeper, in milliseconds."]
+        report_interval_ms: u64 = "1000",
+        #[doc = " The least severe log messages: error, warn, info or debug."]
+        log_level: LogLevel = "\"info\"",
+        #[doc = " The shape of log lines: text or json."]
+        log_format: LogFormat = "\"text\"",
+    }
+}
+
+fn check(settings: &EntrySettings, faults: &mut Vec<Fault>) {
+    let mut require = |holds: bool, field: &str, problem: &str| {
+        if !holds {
+            faults.push(Fault {
+                field: field.to_owned(),
+                problem: problem.to_owned(),
+            });
+        }
+    };
+    require(settings.threads > 0, "threads", "must be at least 1");
+    require(
+        !settings.store_addresses.is_empty(),
+        "store_addresses",
+        "must name an address",
+    );
+    require(
+        settings.peer_key.len() >= 16,
+        "peer_key",
+        "must have at least 16 bytes",
+    );
+    require(
+        settings.report_interval_ms > 0,
+        "report_interval_ms",
+        "must be at least 1",
+    );
+}
--- /dev/null
+++ b/src/history/mod.rs
@@ -0,0 +1,1 @@
+//! Records of concurrent runs, and the checkers that judge them.
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP helpers that the listeners and clients share.
--- /dev/null
+++ b/src/keeper/mod.rs
@@ -0,0 +1,5 @@
+//! The keeper: configuration, membership, ownership and orders.
+
+mod settings;
+
+pub use settings::*;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,28 @@
+//! greengagetrail serves many models from fewer accelerators.
+//!
+//! The library holds every part of the system; the programs in `src/bin` only read their
+//! settings and call into it.
+
+pub mod admission;
+pub mod cli;
+pub mod config;
+pub mod engine;
+pub mod entry;
+pub mod fleet;
+pub mod history;
+pub mod http;
+pub mod keeper;
+pub mod load;
+pub mod membership;
+pub mod peer;
+pub mod placement;
+pub mod proto;
+pub mod routing;
+pub mod settings;
+pub mod standin;
+pub mod store;
+pub mod telemetry;
+pub mod units;
+
+#[doc(hidden)]
+pub use proto::peer_capnp;
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! Open-loop load and its report.
--- /dev/null
+++ b/src/membership/mod.rs
@@ -0,0 +1,5 @@
+//! Which entry VMs are alive.
+
+mod member;
+
+pub use member::*;
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! The protocol between the system's own processes.
--- /dev/null
+++ b/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! Decides which models and adapters live on which runner.
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,1 @@
+//! Decides which runner a request goes to.
--- /dev/null
+++ b/src/settings/load.rs
@@ -0,0 +1,106 @@
+//! Reads settings from a file and the command line.
+
+use {
+    super::{Settings, SettingsError},
+    lexopt::prelude::*,
+    serde_json::{Map, Value},
+    std::path::{Path, PathBuf},
+};
+
+/// What the command line of a daemon asks for.
+#[derive(Debug)]
+pub enum Invocation<S> {
+    /// Run with these settings.
+    Run(S),
+    /// Only check the settings.
+    CheckOnly,
+    /// Print the help text.
+    Help(String),
+}
+
+/// Reads the command line and the settings file of a daemon.
+///
+/// `--settings FILE` names the file, `--FIELD VALUE` overrides one field, `--check` only checks.
+///
+/// # Errors
+///
+/// Fails on a wrong command line, an unreadable file, or wrong settings (all faults at once).
+pub fn load_settings<S: Settings>(
+    program: &str,
+    args: impl IntoIterator<Item = std::ffi::OsString>,
+) -> Result<Invocation<S>, SettingsError> {
+    let usage = |cause: lexopt::Error| SettingsError::Usage(cause.to_string());
+    let mut parser = lexopt::Parser::from_args(args);
+    let mut file = None;
+    let mut check_only = false;
+    let mut overrides = Map::new();
+    while let Some(arg) = parser.next().map_err(usage)? {
+        match arg {
+            Long("help") | Short('h') => return Ok(Invocation::Help(help_text::<S>(program))),
+            Long("check") => check_only = true,
+            Long("settings") => file = Some(PathBuf::from(parser.value().map_err(usage)?)),
+            Long(name) if is_field::<S>(name) => {
+                let field = name.replace('-', "_");
+                let text = parser.value().map_err(usage)?.string().map_err(usage)?;
+                overrides.insert(field, json_or_text(&text));
+            }
+            other => return Err(usage(other.unexpected())),
+        }
+    }
+    let mut object = match file {
+        Some(path) => read_object(&path)?,
+        None => Map::new(),
+    };
+    object.extend(overrides);
+    let settings = S::from_object(&object).map_err(SettingsError::Faults)?;
+    if check_only {
+        return Ok(Invocation::CheckOnly);
+    }
+    Ok(Invocation::Run(settings))
+}
+
+/// Returns the help text of a daemon, made from its settings.
+pub fn help_text<S: Settings>(program: &str) -> String {
+    let mut text = format!(
+        "Usage: {program} --settings FILE [--check] [--FIELD VALUE]...\n\n\
+         Each field of the settings file can be overridden by an argument:\n\n"
+    );
+    for field in S::FIELDS {
+        let default = field.default.unwrap_or("must be given");
+        let name = field.name.replace('_', "-");
+        text += &format!("  --{name}\n     {} [{default}]\n", field.doc.trim());
+    }
+    text
+}
+
+/// Returns a Markdown table of the fields, for `docs/settings.md`.
+pub fn markdown_table<S: Settings>() -> String {
+    let mut text = String::from("| field | default | meaning |\n|---|---|---|\n");
+    for field in S::FIELDS {
+        let default = field
+            .default
+            .map_or("must be given".to_owned(), |default| format!("`{default}`"));
+        text += &format!("| `{}` | {default} | {} |\n", field.name, field.doc.trim());
+    }
+    text
+}
+
+fn is_field<S: Settings>(name: &str) -> bool {
+    let name = name.replace('-', "_");
+    S::FIELDS.iter().any(|field| field.name == name)
+}
+
+fn json_or_text(text: &str) -> Value {
+    serde_json::from_str(text).unwrap_or_else(|_| Value::String(text.to_owned()))
+}
+
+fn read_object(path: &Path) -> Result<Map<String, Value>, SettingsError> {
+    let text = std::fs::read_to_string(path).map_err(|cause| SettingsError::Unreadable {
+        path: path.to_owned(),
+        cause,
+    })?;
+    serde_json::from_str(&text).map_err(|cause| SettingsError::NotJson {
+        path: path.to_owned(),
+        cause: cause.to_string(),
+    })
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,1 @@
+//! Small fakes of the platform and the backend servers, with fault switches.
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,6 @@
+//! The platform's key-value service, as this system uses it.
+
+mod error;
+mod kv;
+
+pub use {error::*, kv::*};
--- /dev/null
+++ b/src/telemetry/metric.rs
@@ -0,0 +1,34 @@
+//! The names of metrics, and the recorder that renders them.
+
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+
+/// Histogram: seconds from a request's arrival to its first token.
+pub const FIRST_TOKEN_S: &str = "ggt_first_token_seconds";
+/// Histogram: seconds between two tokens of an answer.
+pub const BETWEEN_TOKENS_S: &str = "ggt_between_tokens_seconds";
+/// Histogram: seconds that a request waited for a place.
+pub const QUEUE_S: &str = "ggt_queue_seconds";
+/// Counter: requests by `model`, `outcome`.
+pub const REQUESTS: &str = "ggt_requests_total";
+/// Counter: calls to the key-value service by `kind`.
+pub const STORE_CALLS: &str = "ggt_store_calls_total";
+/// Counter: seconds of processor time spent on control.
+pub const CONTROL_CPU_S: &str = "ggt_control_cpu_seconds_total";
+/// Gauge: the revision of the configuration in force.
+pub const REVISION: &str = "ggt_configuration_revision";
+
+/// The upper bounds of histogram buckets, in seconds.
+const BUCKETS_S: [f64; 14] = [
+    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.036, 0.05, 0.1, 0.25, 0.54, 1.0, 2.5, 10.0,
+];
+
+/// Installs the metrics recorder of this process and returns its renderer.
+///
+/// # Errors
+///
+/// Fails when a recorder is already installed.
+pub fn init_metrics() -> Result<PrometheusHandle, BuildError> {
+    PrometheusBuilder::new()
+        .set_buckets(&BUCKETS_S)?
+        .install_recorder()
+}
