Add the protocol between processes: connections, login and conversions

Cause: entries, keepers and operators need one way to talk, closed to strangers. Change: capnp-rpc listener with a connection cap, a login deadline and a byte limit before login (a stranger costs at most 4 KiB); clients per role; conversions. Keys of the store move below /ggt/live/ where a keeper's one watch must see them, so that claims and audit never wake it.

--- /dev/null
+++ b/src/peer/connect.rs
@@ -0,0 +1,131 @@
+//! The calling side.
+
+use {
+    super::{PeerError, SharedKey, serve::reader_options},
+    crate::peer_capnp::{entry_link, forward, gate, operator, peer},
+    capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
+    futures::io::BufReader,
+    std::{future::Future, net::SocketAddr, time::Duration},
+    tokio::{net::TcpStream, task::JoinHandle},
+    tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt},
+};
+
+/// The longest wait for a connection and a login.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// A connection to another process; dropping it closes the connection.
+#[derive(Debug)]
+pub struct Connection {
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Runs a call with a deadline.
+///
+/// # Errors
+///
+/// Fails with [`PeerError::Timeout`] when no answer comes in time.
+pub async fn with_timeout<T, E: Into<PeerError>>(
+    limit: Duration,
+    call: impl Future<Output = Result<T, E>>,
+) -> Result<T, PeerError> {
+    match tokio::time::timeout(limit, call).await {
+        Ok(answer) => answer.map_err(Into::into),
+        Err(_) => Err(PeerError::Timeout),
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<(Connection, gate::Client), PeerError> {
+    let connecting = async {
+        TcpStream::connect(address)
+            .await
+            .map_err(PeerError::Connect)
+    };
+    let stream = with_timeout(CONNECT_TIMEOUT, connecting).await?;
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let reader = BufReader::new(reader.compat());
+    let network = VatNetwork::new(
+        reader,
+        writer.compat_write(),
+        Side::Client,
+        reader_options(),
+    );
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let gate = system.bootstrap(Side::Server);
+    let driver = tokio::task::spawn_local(async move {
+        if let Err(error) = system.await {
+            log::debug!("peer: connection ended: {error}");
+        }
+    });
+    Ok((Connection { driver }, gate))
+}
+
+/// Connects to a keeper as a peer. Needs a `LocalSet`.
+///
+/// # Errors
+///
+/// Fails when there is no connection in time or the key is refused.
+pub async fn connect_peer(
+    address: SocketAddr,
+    key: &SharedKey,
+) -> Result<(Connection, peer::Client), PeerError> {
+    let (connection, gate) = connect(address).await?;
+    let mut request = gate.peer_request();
+    request.get().set_key(key.as_bytes());
+    let answer = with_timeout(CONNECT_TIMEOUT, request.send().promise).await?;
+    Ok((connection, answer.get()?.get_peer()?))
+}
+
+/// Connects to the keeper of this VM as its entry. Needs a `LocalSet`.
+///
+/// # Errors
+///
+/// Fails when there is no connection in time or the key is refused.
+pub async fn connect_entry_link(
+    address: SocketAddr,
+    key: &SharedKey,
+) -> Result<(Connection, entry_link::Client), PeerError> {
+    let (connection, gate) = connect(address).await?;
+    let mut request = gate.entry_request();
+    request.get().set_key(key.as_bytes());
+    let answer = with_timeout(CONNECT_TIMEOUT, request.send().promise).await?;
+    Ok((connection, answer.get()?.get_link()?))
+}
+
+/// Connects to a keeper as an operator. Needs a `LocalSet`.
+///
+/// # Errors
+///
+/// Fails when there is no connection in time or the key is refused.
+pub async fn connect_operator(
+    address: SocketAddr,
+    key: &SharedKey,
+) -> Result<(Connection, operator::Client), PeerError> {
+    let (connection, gate) = connect(address).await?;
+    let mut request = gate.operator_request();
+    request.get().set_key(key.as_bytes());
+    let answer = with_timeout(CONNECT_TIMEOUT, request.send().promise).await?;
+    Ok((connection, answer.get()?.get_operator()?))
+}
+
+/// Connects to another entry. Needs a `LocalSet`.
+///
+/// # Errors
+///
+/// Fails when there is no connection in time or the key is refused.
+pub async fn connect_forward(
+    address: SocketAddr,
+    key: &SharedKey,
+) -> Result<(Connection, forward::Client), PeerError> {
+    let (connection, gate) = connect(address).await?;
+    let mut request = gate.forward_request();
+    request.get().set_key(key.as_bytes());
+    let answer = with_timeout(CONNECT_TIMEOUT, request.send().promise).await?;
+    Ok((connection, answer.get()?.get_forward()?))
+}
--- /dev/null
+++ b/src/peer/limited_reader.rs
@@ -0,0 +1,56 @@
+//! A reader that stops a caller who sends much before logging in.
+
+use {
+    futures::io::AsyncRead,
+    std::{
+        cell::Cell,
+        io,
+        pin::Pin,
+        rc::Rc,
+        task::{Context, Poll},
+    },
+};
+
+/// The most that a connection may send before it has logged in, in bytes.
+const BEFORE_LOGIN_MAX_BYTES: usize = 4096;
+
+/// A reader that stops a caller who sends much before logging in.
+#[derive(Debug)]
+pub(super) struct LimitedReader<R> {
+    inner: R,
+    logged_in: Rc<Cell<bool>>,
+    read_bytes: usize,
+}
+
+impl<R> LimitedReader<R> {
+    /// Wraps a reader; `logged_in` lifts the limit.
+    pub(super) fn new(inner: R, logged_in: Rc<Cell<bool>>) -> Self {
+        Self {
+            inner,
+            logged_in,
+            read_bytes: 0,
+        }
+    }
+}
+
+impl<R: AsyncRead + Unpin> AsyncRead for LimitedReader<R> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.logged_in.get() {
+            return Pin::new(&mut self.inner).poll_read(context, buffer);
+        }
+        let left_bytes = BEFORE_LOGIN_MAX_BYTES.saturating_sub(self.read_bytes);
+        if left_bytes == 0 {
+            return Poll::Ready(Err(io::Error::other("too much was sent before login")));
+        }
+        let end = buffer.len().min(left_bytes);
+        let poll = Pin::new(&mut self.inner).poll_read(context, &mut buffer[..end]);
+        if let Poll::Ready(Ok(count)) = poll {
+            self.read_bytes += count;
+        }
+        poll
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,1 +1,13 @@
-//! The protocol between the system's own processes.
+//! The protocol between the system's own processes: capnp-rpc over TCP.
+//!
+//! A connection starts with a [`Gate`](crate::peer_capnp::gate): it hands out a capability only
+//! to a caller with the right key.
+
+mod connect;
+mod convert;
+mod error;
+mod key;
+mod limited_reader;
+mod serve;
+
+pub use {connect::*, convert::*, error::*, key::*, serve::*};
--- /dev/null
+++ b/src/store/keys.rs
@@ -0,0 +1,37 @@
+//! The keys that this system uses in the key-value service.
+
+use crate::units::{Revision, RunnerName, VmName};
+
+/// What every keeper watches: the head, the members and the runner records.
+pub const LIVE_PREFIX: &str = "/ggt/live/";
+/// The newest revision.
+pub const HEAD_KEY: &str = "/ggt/live/head";
+/// The live members.
+pub const MEMBERS_PREFIX: &str = "/ggt/live/members/";
+/// The runner records.
+pub const RUNNERS_PREFIX: &str = "/ggt/live/runners/";
+/// The chain of published revisions.
+pub const CHAIN_PREFIX: &str = "/ggt/chain/";
+/// The parts of snapshots, by digest.
+pub const BLOB_PREFIX: &str = "/ggt/blob/";
+/// Claimed idempotency keys.
+pub const CLAIMS_PREFIX: &str = "/ggt/claims/";
+/// Permits of the weight store.
+pub const PERMITS_PREFIX: &str = "/ggt/permits/";
+/// The audit trail of orders.
+pub const AUDIT_PREFIX: &str = "/ggt/audit/";
+
+/// Returns the key of a member.
+pub fn member_key(vm: &VmName) -> String {
+    format!("{MEMBERS_PREFIX}{vm}")
+}
+
+/// Returns the key of a runner record.
+pub fn runner_key(runner: &RunnerName) -> String {
+    format!("{RUNNERS_PREFIX}{runner}")
+}
+
+/// Returns the key of a revision in the chain.
+pub fn chain_key(revision: Revision) -> String {
+    format!("{CHAIN_PREFIX}{:020}", revision.0)
+}
