--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! The entry: callers' HTTP, routing and streams.
 
 mod settings;
+mod view;
 
-pub use settings::*;
+pub use {settings::*, view::*};
