Add membership, the keeper's state and its services for entries

Cause: entries need the configuration, the members and the runners from their keeper. Ruled out: holding the watch channel's guard over a pause (it would block its sender).

--- /dev/null
+++ b/src/keeper/entry_service.rs
@@ -0,0 +1,101 @@
+//! What the entry of this VM asks of its keeper.
+
+use {
+    super::KeeperState,
+    crate::{
+        entry::Report,
+        peer::{
+            LONG_POLL_MAX, list_len, read_demands, read_texts, write_head, write_member,
+            write_runner,
+        },
+        peer_capnp::entry_link,
+        units::Revision,
+    },
+    capnp::Error,
+    std::{rc::Rc, time::Duration},
+    tokio::{sync::mpsc, time::timeout},
+};
+
+/// How long changes of runners are gathered into one answer.
+const GATHER: Duration = Duration::from_millis(50);
+
+/// What the entry of this VM asks of its keeper.
+pub struct EntryService {
+    state: KeeperState,
+    reports: mpsc::Sender<Report>,
+}
+
+impl EntryService {
+    /// Makes the service; what entries report goes to `reports`.
+    pub fn client(state: KeeperState, reports: mpsc::Sender<Report>) -> entry_link::Client {
+        capnp_rpc::new_client(Self { state, reports })
+    }
+}
+
+impl entry_link::Server for EntryService {
+    async fn configuration(
+        self: Rc<Self>,
+        params: entry_link::ConfigurationParams,
+        mut results: entry_link::ConfigurationResults,
+    ) -> Result<(), Error> {
+        let known = Revision(params.get()?.get_known());
+        let mut revisions = self.state.watch_revision();
+        let _ = timeout(
+            LONG_POLL_MAX,
+            revisions.wait_for(|revision| *revision > known),
+        )
+        .await;
+        let Some(in_force) = self.state.in_force() else {
+            return Ok(());
+        };
+        let mut answer = results.get();
+        write_head(&in_force.head, answer.reborrow().init_head());
+        if in_force.head.revision > known {
+            answer.set_snapshot(&in_force.objects_json);
+        }
+        Ok(())
+    }
+
+    async fn runners(
+        self: Rc<Self>,
+        params: entry_link::RunnersParams,
+        mut results: entry_link::RunnersResults,
+    ) -> Result<(), Error> {
+        let known = params.get()?.get_known();
+        let mut versions = self.state.watch_version();
+        let waited = timeout(LONG_POLL_MAX, versions.wait_for(|version| *version > known));
+        let changed = waited.await.is_ok();
+        if changed && known > 0 {
+            tokio::time::sleep(GATHER).await;
+        }
+        let news = self.state.news_since(known);
+        let mut answer = results.get();
+        answer.set_version(news.version);
+        answer.set_draining(news.draining);
+        let mut runners = answer.reborrow().init_runners(list_len(news.runners.len()));
+        for (index, state) in (0..).zip(&news.runners) {
+            write_runner(state, runners.reborrow().get(index));
+        }
+        let mut members = answer.init_members(list_len(news.members.len()));
+        for (index, member) in (0..).zip(&news.members) {
+            write_member(member, members.reborrow().get(index));
+        }
+        Ok(())
+    }
+
+    async fn report(
+        self: Rc<Self>,
+        params: entry_link::ReportParams,
+        _results: entry_link::ReportResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let report = Report {
+            demand: read_demands(params.get_demand()?)?,
+            suspects: read_texts(params.get_suspects()?)?,
+        };
+        if self.reports.try_send(report).is_err() {
+            log::warn!("keeper: too many reports, one was dropped.");
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/keeper/live_feed.rs
@@ -0,0 +1,171 @@
+//! Reads and watches the live keys of the key-value service.
+
+use {
+    crate::{
+        config::Head,
+        membership::{Backoff, Member},
+        store::{
+            Change, Entry, SharedStore, StoreError, StoreVersion,
+            keys::{HEAD_KEY, LIVE_PREFIX, MEMBERS_PREFIX, RUNNERS_PREFIX},
+            prefix_end,
+        },
+        units::{RunnerName, VmName},
+    },
+    bytes::Bytes,
+    futures::StreamExt,
+    std::time::Duration,
+    tokio::{sync::mpsc, time::timeout},
+};
+
+/// Entries read at once.
+const PAGE_ENTRIES: usize = 200;
+/// The longest that a watch may stay without a word before it is opened anew.
+const WATCH_SILENCE_MAX: Duration = Duration::from_secs(8);
+/// The first pause after a failure.
+const BACKOFF_FIRST: Duration = Duration::from_millis(300);
+/// The longest pause after failures.
+const BACKOFF_LONGEST: Duration = Duration::from_secs(4);
+
+/// What the live keys say.
+#[derive(Debug, Clone, PartialEq)]
+pub enum LiveEvent {
+    /// Everything was read.
+    Listed {
+        /// The head, if one was published.
+        head: Option<Head>,
+        /// All members.
+        members: Vec<Member>,
+        /// All runner records, undecoded.
+        records: Vec<(RunnerName, Bytes)>,
+    },
+    /// The head was written.
+    Head(Head),
+    /// A member joined or renewed its entry.
+    Joined(Member),
+    /// A member's entry went.
+    Left(VmName),
+    /// A runner record was written.
+    Record(RunnerName, Bytes),
+}
+
+/// Feeds the live keys to `events` until its receiver is gone.
+pub async fn feed_live_keys(store: SharedStore, events: mpsc::Sender<LiveEvent>) {
+    let mut backoff = Backoff::new(BACKOFF_FIRST, BACKOFF_LONGEST);
+    let mut since = None;
+    while !events.is_closed() {
+        let ended = feed_once(&store, &events, &mut since, &mut backoff).await;
+        if let Err(error) = ended {
+            if error == StoreError::Compacted {
+                since = None;
+            }
+            log::warn!("keeper: the key-value service is away: {error}");
+            tokio::time::sleep(backoff.next_pause()).await;
+        }
+    }
+}
+
+async fn feed_once(
+    store: &SharedStore,
+    events: &mpsc::Sender<LiveEvent>,
+    since: &mut Option<StoreVersion>,
+    backoff: &mut Backoff,
+) -> Result<(), StoreError> {
+    let start = match *since {
+        Some(version) => version,
+        None => list(store, events).await?,
+    };
+    *since = Some(start);
+    let mut watch = store.watch(LIVE_PREFIX, start);
+    loop {
+        let Ok(batch) = timeout(WATCH_SILENCE_MAX, watch.next()).await else {
+            return Ok(());
+        };
+        let Some(batch) = batch else {
+            return Err(StoreError::Unknown("the watch ended".to_owned()));
+        };
+        let batch = batch?;
+        backoff.reset();
+        for change in batch.changes {
+            send_change(change, events).await;
+        }
+        *since = (*since).max(Some(batch.version));
+    }
+}
+
+async fn list(
+    store: &SharedStore,
+    events: &mpsc::Sender<LiveEvent>,
+) -> Result<StoreVersion, StoreError> {
+    let end = prefix_end(LIVE_PREFIX);
+    let mut start = LIVE_PREFIX.to_owned();
+    let mut entries = Vec::new();
+    let mut first_version = None;
+    loop {
+        let page = store.range_between(&start, &end, PAGE_ENTRIES).await?;
+        first_version.get_or_insert(page.version);
+        entries.extend(page.entries);
+        match entries.last() {
+            Some(last) if page.more => start = format!("{}\0", last.key),
+            _ => break,
+        }
+    }
+    let _ = events.send(listed(entries)).await;
+    Ok(first_version.unwrap_or_default())
+}
+
+fn listed(entries: Vec<Entry>) -> LiveEvent {
+    let mut head = None;
+    let mut members = Vec::new();
+    let mut records = Vec::new();
+    for entry in entries {
+        match decode(entry) {
+            Some(LiveEvent::Head(found)) => head = Some(found),
+            Some(LiveEvent::Joined(member)) => members.push(member),
+            Some(LiveEvent::Record(runner, record)) => records.push((runner, record)),
+            _ => {}
+        }
+    }
+    LiveEvent::Listed {
+        head,
+        members,
+        records,
+    }
+}
+
+async fn send_change(change: Change, events: &mpsc::Sender<LiveEvent>) {
+    let event = match change {
+        Change::Put(entry) => decode(entry),
+        Change::Delete { key, .. } => left(&key),
+    };
+    if let Some(event) = event {
+        let _ = events.send(event).await;
+    }
+}
+
+fn left(key: &str) -> Option<LiveEvent> {
+    let vm = key.strip_prefix(MEMBERS_PREFIX)?;
+    Some(LiveEvent::Left(vm.parse().ok()?))
+}
+
+fn decode(entry: Entry) -> Option<LiveEvent> {
+    let event = decode_known(&entry);
+    if event.is_none() {
+        log::error!("keeper: the value of {} cannot be read.", entry.key);
+    }
+    event
+}
+
+fn decode_known(entry: &Entry) -> Option<LiveEvent> {
+    if entry.key == HEAD_KEY {
+        return serde_json::from_slice(&entry.value)
+            .ok()
+            .map(LiveEvent::Head);
+    }
+    if entry.key.starts_with(MEMBERS_PREFIX) {
+        return serde_json::from_slice(&entry.value)
+            .ok()
+            .map(LiveEvent::Joined);
+    }
+    let runner = entry.key.strip_prefix(RUNNERS_PREFIX)?;
+    Some(LiveEvent::Record(runner.parse().ok()?, entry.value.clone()))
+}
--- /dev/null
+++ b/src/keeper/state.rs
@@ -0,0 +1,217 @@
+//! What a keeper knows, shared by its tasks on one thread.
+
+use {
+    crate::{
+        config::{Catalog, Head},
+        fleet::RunnerState,
+        membership::{Member, Roster},
+        units::{Revision, RunnerName},
+    },
+    bytes::Bytes,
+    std::{cell::RefCell, rc::Rc, sync::Arc},
+    tokio::sync::watch,
+};
+
+/// A configuration in force.
+#[derive(Debug, Clone)]
+pub struct InForce {
+    /// Its record.
+    pub head: Head,
+    /// Its objects.
+    pub catalog: Arc<Catalog>,
+    /// Its objects as a JSON array, as sent to entries and operators.
+    pub objects_json: Bytes,
+}
+
+/// The state of a runner with the version at which it last changed.
+#[derive(Debug, Clone)]
+struct Versioned {
+    state: RunnerState,
+    changed: u64,
+}
+
+/// What an entry must be told since a version.
+#[derive(Debug)]
+pub struct RunnerNews {
+    /// The version reached.
+    pub version: u64,
+    /// Whether the VM drains.
+    pub draining: bool,
+    /// The runners that changed.
+    pub runners: Vec<RunnerState>,
+    /// All live members, or none if they did not change.
+    pub members: Vec<Member>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    in_force: Option<InForce>,
+    roster: Roster,
+    members_changed: u64,
+    runners: Vec<Versioned>,
+    draining: bool,
+}
+
+/// What a keeper knows, shared by its tasks on one thread.
+#[derive(Debug, Clone)]
+pub struct KeeperState {
+    inner: Rc<RefCell<Inner>>,
+    version: Rc<watch::Sender<u64>>,
+    revision: Rc<watch::Sender<Revision>>,
+}
+
+impl Default for KeeperState {
+    fn default() -> Self {
+        Self {
+            inner: Rc::default(),
+            version: Rc::new(watch::channel(1).0),
+            revision: Rc::new(watch::channel(Revision(0)).0),
+        }
+    }
+}
+
+impl KeeperState {
+    /// Returns the configuration in force, if there is one.
+    pub fn in_force(&self) -> Option<InForce> {
+        self.inner.borrow().in_force.clone()
+    }
+
+    /// Puts a configuration in force; a lower or equal revision is ignored.
+    ///
+    /// Returns whether it was taken.
+    pub fn set_in_force(&self, next: InForce) -> bool {
+        let revision = next.head.revision;
+        if revision <= *self.revision.borrow() {
+            return false;
+        }
+        self.inner.borrow_mut().in_force = Some(next);
+        self.revision.send_replace(revision);
+        true
+    }
+
+    /// Returns a receiver of the revision in force.
+    pub fn watch_revision(&self) -> watch::Receiver<Revision> {
+        self.revision.subscribe()
+    }
+
+    /// Returns a receiver of the version of runners, members and draining.
+    pub fn watch_version(&self) -> watch::Receiver<u64> {
+        self.version.subscribe()
+    }
+
+    /// Returns the live members, sorted by name.
+    pub fn members(&self) -> Vec<Member> {
+        self.inner.borrow().roster.members()
+    }
+
+    /// Changes the roster; `change` returns whether the live members changed.
+    pub fn change_roster(&self, change: impl FnOnce(&mut Roster) -> bool) {
+        if change(&mut self.inner.borrow_mut().roster) {
+            let version = self.raise_version();
+            self.inner.borrow_mut().members_changed = version;
+            self.announce(version);
+        }
+    }
+
+    /// Returns the state of a runner.
+    pub fn runner(&self, name: &RunnerName) -> Option<RunnerState> {
+        let inner = self.inner.borrow();
+        let position = find(&inner.runners, name).ok()?;
+        Some(inner.runners[position].state.clone())
+    }
+
+    /// Returns the states of all runners, sorted by name.
+    pub fn runners(&self) -> Vec<RunnerState> {
+        self.inner
+            .borrow()
+            .runners
+            .iter()
+            .map(|known| known.state.clone())
+            .collect()
+    }
+
+    /// Takes newer states of runners; equal ones and those of an earlier owner are ignored.
+    ///
+    /// Returns those that were news.
+    pub fn update_runners(&self, states: Vec<RunnerState>) -> Vec<RunnerState> {
+        let version = self.raise_version();
+        let mut news = Vec::new();
+        for state in states {
+            if self.update_runner(&state, version) {
+                news.push(state);
+            }
+        }
+        if !news.is_empty() {
+            self.announce(version);
+        }
+        news
+    }
+
+    fn update_runner(&self, state: &RunnerState, version: u64) -> bool {
+        let mut inner = self.inner.borrow_mut();
+        let next = Versioned {
+            state: state.clone(),
+            changed: version,
+        };
+        match find(&inner.runners, &state.name) {
+            Ok(position) => {
+                let known = &mut inner.runners[position];
+                if known.state == *state || is_older(state, &known.state) {
+                    return false;
+                }
+                *known = next;
+            }
+            Err(position) => inner.runners.insert(position, next),
+        }
+        true
+    }
+
+    /// Returns whether this VM drains.
+    pub fn draining(&self) -> bool {
+        self.inner.borrow().draining
+    }
+
+    /// Starts draining this VM.
+    pub fn start_draining(&self) {
+        self.inner.borrow_mut().draining = true;
+        let version = self.raise_version();
+        self.announce(version);
+    }
+
+    /// Collects what changed after `known`.
+    pub fn news_since(&self, known: u64) -> RunnerNews {
+        let inner = self.inner.borrow();
+        let changed = inner.runners.iter().filter(|runner| runner.changed > known);
+        let members_changed = inner.members_changed > known;
+        RunnerNews {
+            version: *self.version.borrow(),
+            draining: inner.draining,
+            runners: changed.map(|runner| runner.state.clone()).collect(),
+            members: if members_changed {
+                inner.roster.members()
+            } else {
+                Vec::new()
+            },
+        }
+    }
+
+    fn raise_version(&self) -> u64 {
+        *self.version.borrow() + 1
+    }
+
+    fn announce(&self, version: u64) {
+        self.version.send_replace(version);
+    }
+}
+
+fn find(runners: &[Versioned], name: &RunnerName) -> Result<usize, usize> {
+    runners.binary_search_by(|known| known.state.name.cmp(name))
+}
+
+/// A leaving runner stays leaving for its start, whoever said so first.
+fn is_older(state: &RunnerState, known: &RunnerState) -> bool {
+    if state.incarnation != known.incarnation {
+        return (state.epoch, state.incarnation) < (known.epoch, known.incarnation);
+    }
+    state.epoch < known.epoch || (known.leaving && !state.leaving)
+}
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,5 +1,8 @@
 //! Which entry VMs are alive.
 
+mod backoff;
+mod heartbeat;
 mod member;
+mod roster;
 
-pub use member::*;
+pub use {backoff::*, heartbeat::*, member::*, roster::*};
--- /dev/null
+++ b/src/peer/entry_link.rs
@@ -0,0 +1,188 @@
+//! The entry's side of the link to the keeper of its VM.
+
+use {
+    super::{PeerError, SharedKey, connect_entry_link, convert, with_timeout},
+    crate::{
+        config::{Catalog, Object},
+        entry::{EntryView, Report},
+        fleet::RunnerState,
+        peer_capnp::entry_link,
+        units::Revision,
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        sync::{mpsc, watch},
+        task::LocalSet,
+    },
+};
+
+/// How long a keeper may hold a call that waits for news.
+pub const LONG_POLL_MAX: Duration = Duration::from_secs(5);
+/// The longest wait for any answer of the keeper.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
+/// The pause before connecting again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(250);
+/// Reports that may wait while the keeper is away; older ones are kept, newer ones dropped.
+const REPORTS_MAX: usize = 64;
+
+/// The entry's ends of the link.
+#[derive(Debug)]
+pub struct EntryLink {
+    /// The newest view; it keeps its last value while the keeper is away.
+    pub views: watch::Receiver<Arc<EntryView>>,
+    /// Takes reports for the keeper.
+    pub reports: mpsc::Sender<Report>,
+}
+
+/// Starts the link on a thread of its own, since capnp-rpc is bound to one thread.
+///
+/// # Errors
+///
+/// Fails when no thread or runtime can be had.
+pub fn spawn_entry_link(address: SocketAddr, key: SharedKey) -> std::io::Result<EntryLink> {
+    let (view_sender, views) = watch::channel(Arc::new(EntryView::default()));
+    let (reports, report_receiver) = mpsc::channel(REPORTS_MAX);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    std::thread::Builder::new()
+        .name("entry-link".to_owned())
+        .spawn(move || {
+            let link = run_link(address, key, view_sender, report_receiver);
+            LocalSet::new().block_on(&runtime, link);
+        })?;
+    Ok(EntryLink { views, reports })
+}
+
+async fn run_link(
+    address: SocketAddr,
+    key: SharedKey,
+    views: watch::Sender<Arc<EntryView>>,
+    mut reports: mpsc::Receiver<Report>,
+) {
+    loop {
+        tokio::select! {
+            () = views.closed() => return,
+            ended = follow(address, &key, &views, &mut reports) => {
+                if let Err(error) = ended {
+                    log::warn!("entry-link: keeper is away: {error}");
+                }
+            }
+        }
+        tokio::time::sleep(RECONNECT_PAUSE).await;
+    }
+}
+
+async fn follow(
+    address: SocketAddr,
+    key: &SharedKey,
+    views: &watch::Sender<Arc<EntryView>>,
+    reports: &mut mpsc::Receiver<Report>,
+) -> Result<(), PeerError> {
+    let (_connection, link) = connect_entry_link(address, key).await?;
+    log::info!("entry-link: connected to the keeper.");
+    let configuration = follow_configuration(&link, views);
+    let runners = follow_runners(&link, views);
+    let reporting = send_reports(&link, reports);
+    futures::try_join!(configuration, runners, reporting)?;
+    Ok(())
+}
+
+async fn follow_configuration(
+    link: &entry_link::Client,
+    views: &watch::Sender<Arc<EntryView>>,
+) -> Result<(), PeerError> {
+    loop {
+        let known = views
+            .borrow()
+            .head
+            .as_ref()
+            .map_or(Revision(0), |head| head.revision);
+        let mut request = link.configuration_request();
+        request.get().set_known(known.0);
+        let answer = with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
+        let answer = answer.get()?;
+        let Some(head) = convert::read_head(answer.get_head()?)? else {
+            continue;
+        };
+        if head.revision <= known {
+            continue;
+        }
+        let objects: Vec<Object> = serde_json::from_slice(answer.get_snapshot()?)
+            .map_err(|error| capnp::Error::failed(error.to_string()))?;
+        let catalog = Arc::new(Catalog::from_objects(objects));
+        log::info!("entry-link: revision {} is in force.", head.revision);
+        update(views, |view| {
+            view.head = Some(head);
+            view.catalog = catalog;
+        });
+    }
+}
+
+async fn follow_runners(
+    link: &entry_link::Client,
+    views: &watch::Sender<Arc<EntryView>>,
+) -> Result<(), PeerError> {
+    let mut known = 0;
+    loop {
+        let mut request = link.runners_request();
+        request.get().set_known(known);
+        let answer = with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
+        let answer = answer.get()?;
+        let changed = convert::read_runners(answer.get_runners()?)?;
+        let members = convert::read_members(answer.get_members()?)?;
+        let draining = answer.get_draining();
+        let unchanged = answer.get_version() == known;
+        known = answer.get_version();
+        if unchanged {
+            continue;
+        }
+        update(views, |view| {
+            merge_runners(&mut view.runners, changed);
+            view.draining = draining;
+            if !members.is_empty() {
+                view.members = members;
+            }
+        });
+    }
+}
+
+async fn send_reports(
+    link: &entry_link::Client,
+    reports: &mut mpsc::Receiver<Report>,
+) -> Result<(), PeerError> {
+    while let Some(report) = reports.recv().await {
+        let mut request = link.report_request();
+        let mut demand = request
+            .get()
+            .init_demand(convert::list_len(report.demand.len()));
+        for (index, count) in (0..).zip(&report.demand) {
+            convert::write_demand(count, demand.reborrow().get(index));
+        }
+        let suspects: Vec<_> = report
+            .suspects
+            .iter()
+            .map(|runner| runner.as_str())
+            .collect();
+        let slots = request
+            .get()
+            .init_suspects(convert::list_len(suspects.len()));
+        convert::write_texts(&suspects, slots);
+        with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
+    }
+    futures::future::pending().await
+}
+
+fn update(views: &watch::Sender<Arc<EntryView>>, change: impl FnOnce(&mut EntryView)) {
+    views.send_modify(|view| change(Arc::make_mut(view)));
+}
+
+/// Puts changed states in place, keeping the list sorted by name.
+fn merge_runners(runners: &mut Vec<RunnerState>, changed: Vec<RunnerState>) {
+    for state in changed {
+        match runners.binary_search_by(|known| known.name.cmp(&state.name)) {
+            Ok(position) => runners[position] = state,
+            Err(position) => runners.insert(position, state),
+        }
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,9 +5,10 @@
 
 mod connect;
 mod convert;
+mod entry_link;
 mod error;
 mod key;
 mod limited_reader;
 mod serve;
 
-pub use {connect::*, convert::*, error::*, key::*, serve::*};
+pub use {connect::*, convert::*, entry_link::*, error::*, key::*, serve::*};
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -3,8 +3,9 @@
 mod id;
 mod name;
 mod size;
+mod wall_clock;
 
-pub use {id::*, name::*, size::*};
+pub use {id::*, name::*, size::*, wall_clock::*};
 
 /// The text of a value could not be read as the wanted unit.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
