Add the key-value stand-in in memory

Tests in one process need a key-value service with versions, leases, watches and compaction on the paused clock, and its faults: down, silent, slow, answer lost after effect, call lost before it, watch silent or stale, older copy restored. MemoryStore::link gives each client fault switches of its own.

--- /dev/null
+++ b/src/standin/kv/mod.rs
@@ -0,0 +1,10 @@
+//! A stand-in of the key-value service.
+
+mod counts;
+mod faults;
+mod lease;
+mod memory_store;
+mod state;
+mod watch;
+
+pub use {counts::*, faults::*, lease::*, memory_store::*, state::*};
