--- /dev/null
+++ b/src/routing/choice.rs
@@ -0,0 +1,165 @@
+//! Picks the runner for one request.
+
+use {
+    super::{LoadBoard, RouteRunner, RouteTable, rendezvous::rendezvous_of_hash},
+    crate::units::{AdapterName, ModelName, RunnerName},
+    rand::{Rng, RngExt},
+    std::net::SocketAddr,
+    tokio::time::Instant,
+};
+
+/// Requests per accelerator above which a runner counts as overloaded, and a copy in another
+/// data centre is tried.
+pub const OVERLOAD_REQUESTS_PER_ACCELERATOR: f64 = 24.0;
+/// How far the load of a prefix-affine runner may exceed the mean.
+const AFFINE_LOAD_FACTOR: f64 = 1.25;
+/// Requests per accelerator by which a prefix-affine runner may exceed that bound besides.
+const AFFINE_SLACK: f64 = 2.0;
+
+/// What a decision needs to know of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteRequest<'a> {
+    /// The model that is to answer.
+    pub model: &'a ModelName,
+    /// The adapter, if one is named.
+    pub adapter: Option<&'a AdapterName>,
+    /// Hashes of the prompt's prefixes, the shortest first.
+    pub prefix_hashes: &'a [u64],
+    /// Runners that were tried already.
+    pub excluded: &'a [RunnerName],
+}
+
+/// The runner that was picked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// Its name.
+    pub runner: RunnerName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether the request's adapter, if it names one, is in its memory.
+    pub adapter_resident: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Candidate<'a> {
+    runner: &'a RouteRunner,
+    requests_per_accelerator: f64,
+    suspect: bool,
+    adapter_resident: bool,
+}
+
+/// Picks the runner for a request, or `None` when no copy takes requests.
+///
+/// Runners that failed of late come last. Among the rest, those that hold the adapter go before
+/// the others and those in this data centre before those elsewhere, unless all of them are
+/// overloaded. Of what remains, the prefix-affine runner is taken while its load is within a
+/// bound of the mean; else the less loaded of two.
+pub fn choose(
+    table: &RouteTable,
+    board: &LoadBoard,
+    request: &RouteRequest<'_>,
+    now: Instant,
+    rng: &mut impl Rng,
+) -> Option<Choice> {
+    let mut candidates: Vec<_> = table
+        .candidates(request.model)
+        .filter(|runner| !request.excluded.contains(&runner.name))
+        .map(|runner| Candidate::new(runner, board, request, now))
+        .collect();
+    narrow(&mut candidates, |candidate| !candidate.suspect);
+    narrow_unless_overloaded(&mut candidates, |candidate| candidate.adapter_resident);
+    narrow_unless_overloaded(&mut candidates, |candidate| candidate.runner.local);
+    let picked = match request.prefix_hashes.first() {
+        Some(&prefix) => pick_affine(&candidates, prefix),
+        None => pick_random(&candidates, rng),
+    };
+    picked.map(Candidate::into_choice)
+}
+
+impl<'a> Candidate<'a> {
+    fn new(
+        runner: &'a RouteRunner,
+        board: &LoadBoard,
+        request: &RouteRequest<'_>,
+        now: Instant,
+    ) -> Self {
+        let pressure = board.pressure(&runner.name, now);
+        Self {
+            runner,
+            requests_per_accelerator: f64::from(pressure.requests) / f64::from(runner.accelerators),
+            suspect: pressure.suspect,
+            adapter_resident: request.adapter.is_none_or(|adapter| runner.holds(adapter)),
+        }
+    }
+
+    fn into_choice(self) -> Choice {
+        Choice {
+            runner: self.runner.name.clone(),
+            address: self.runner.address,
+            adapter_resident: self.adapter_resident,
+        }
+    }
+
+    fn overloaded(&self) -> bool {
+        self.requests_per_accelerator >= OVERLOAD_REQUESTS_PER_ACCELERATOR
+    }
+}
+
+/// Keeps the preferred candidates if there are any.
+fn narrow(candidates: &mut Vec<Candidate<'_>>, preferred: impl Fn(&Candidate<'_>) -> bool) {
+    if candidates.iter().any(&preferred) {
+        candidates.retain(preferred);
+    }
+}
+
+/// Keeps the preferred candidates unless all of them are overloaded.
+fn narrow_unless_overloaded(
+    candidates: &mut Vec<Candidate<'_>>,
+    preferred: impl Fn(&Candidate<'_>) -> bool,
+) {
+    let usable = |candidate: &Candidate<'_>| preferred(candidate) && !candidate.overloaded();
+    if candidates.iter().any(usable) {
+        candidates.retain(preferred);
+    }
+}
+
+/// Takes the first or second runner in the prefix's rendezvous order whose load is within the
+/// bound, else the less loaded of the two.
+fn pick_affine<'a>(candidates: &[Candidate<'a>], prefix: u64) -> Option<Candidate<'a>> {
+    let weight = |candidate: &Candidate<'_>| rendezvous_of_hash(prefix, candidate.runner.name_hash);
+    let first = candidates
+        .iter()
+        .max_by_key(|candidate| weight(candidate))?;
+    let others = candidates
+        .iter()
+        .filter(|candidate| candidate.runner.name != first.runner.name);
+    let Some(second) = others.max_by_key(|candidate| weight(candidate)) else {
+        return Some(*first);
+    };
+    let total: f64 = candidates.iter().map(|c| c.requests_per_accelerator).sum();
+    let mean = total / candidates.len() as f64;
+    let bound = mean * AFFINE_LOAD_FACTOR + AFFINE_SLACK;
+    if first.requests_per_accelerator <= bound {
+        return Some(*first);
+    }
+    Some(less_loaded(*first, *second))
+}
+
+/// Takes the less loaded of two candidates drawn at random.
+fn pick_random<'a>(candidates: &[Candidate<'a>], rng: &mut impl Rng) -> Option<Candidate<'a>> {
+    if candidates.len() < 2 {
+        return candidates.first().copied();
+    }
+    let first = rng.random_range(0..candidates.len());
+    let step = rng.random_range(1..candidates.len());
+    let second = (first + step) % candidates.len();
+    Some(less_loaded(candidates[first], candidates[second]))
+}
+
+fn less_loaded<'a>(first: Candidate<'a>, second: Candidate<'a>) -> Candidate<'a> {
+    if second.requests_per_accelerator < first.requests_per_accelerator {
+        second
+    } else {
+        first
+    }
+}
--- /dev/null
+++ b/src/routing/route_table.rs
@@ -0,0 +1,135 @@
+//! Which runners can serve each model.
+
+use {
+    super::stable_hash,
+    crate::{
+        config::{Catalog, Runner},
+        fleet::RunnerState,
+        units::{AdapterName, DataCentreName, ModelName, RunnerName},
+    },
+    std::net::SocketAddr,
+};
+
+/// A runner that takes requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouteRunner {
+    /// Its name.
+    pub name: RunnerName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether it is in the data centre of this process.
+    pub local: bool,
+    /// The number of its accelerators, at least one.
+    pub accelerators: u32,
+    /// The adapters in its memory, sorted by name.
+    pub adapters: Vec<AdapterName>,
+    /// The hash of its name.
+    pub(super) name_hash: u64,
+}
+
+/// The runners that hold a ready copy of one model.
+#[derive(Debug, Clone, PartialEq)]
+struct ModelRoute {
+    model: ModelName,
+    runners: Vec<usize>,
+}
+
+/// Which runners can serve each model, from one view of the fleet.
+///
+/// Only runners that are configured, reachable and not leaving appear in it.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct RouteTable {
+    runners: Vec<RouteRunner>,
+    models: Vec<ModelRoute>,
+}
+
+impl RouteTable {
+    /// Builds the table that a process in data centre `home` routes by.
+    pub fn new(catalog: &Catalog, home: &DataCentreName, states: &[RunnerState]) -> Self {
+        let mut runners = Vec::with_capacity(states.len());
+        let mut copies = Vec::new();
+        for state in sorted_by_name(states) {
+            let Some(runner) = catalog.runner(&state.name) else {
+                continue;
+            };
+            if state.leaving || !state.reachable {
+                continue;
+            }
+            let ready = state.models.iter().filter(|resident| resident.ready);
+            copies.extend(ready.map(|resident| (resident.model.clone(), runners.len())));
+            runners.push(RouteRunner::new(runner, state, home));
+        }
+        copies.sort();
+        let models = copies
+            .chunk_by(|a, b| a.0 == b.0)
+            .map(ModelRoute::new)
+            .collect();
+        Self { runners, models }
+    }
+
+    /// Returns the runners that hold a ready copy of a model, sorted by name.
+    pub fn candidates(&self, model: &ModelName) -> impl Iterator<Item = &RouteRunner> + Clone {
+        let route = self
+            .models
+            .binary_search_by(|route| route.model.cmp(model))
+            .map(|position| self.models[position].runners.as_slice())
+            .unwrap_or_default();
+        route.iter().map(|&index| &self.runners[index])
+    }
+
+    /// Returns the number of accelerators of the runners that hold a ready copy of a model.
+    pub fn accelerators(&self, model: &ModelName) -> u32 {
+        self.candidates(model)
+            .map(|runner| runner.accelerators)
+            .sum()
+    }
+
+    /// Finds a runner that takes requests.
+    pub fn runner(&self, name: &RunnerName) -> Option<&RouteRunner> {
+        let position = self
+            .runners
+            .binary_search_by(|runner| runner.name.cmp(name));
+        position.ok().map(|position| &self.runners[position])
+    }
+
+    /// Returns all models with a ready copy, sorted by name.
+    pub fn models(&self) -> impl Iterator<Item = &ModelName> {
+        self.models.iter().map(|route| &route.model)
+    }
+}
+
+impl RouteRunner {
+    fn new(runner: &Runner, state: &RunnerState, home: &DataCentreName) -> Self {
+        let mut adapters = state.adapters.clone();
+        adapters.sort();
+        Self {
+            name: runner.name.clone(),
+            address: runner.address,
+            local: runner.data_centre == *home,
+            accelerators: runner.accelerators.max(1),
+            adapters,
+            name_hash: stable_hash(runner.name.as_str()),
+        }
+    }
+
+    /// Tells whether an adapter is in memory.
+    pub fn holds(&self, adapter: &AdapterName) -> bool {
+        self.adapters.binary_search(adapter).is_ok()
+    }
+}
+
+impl ModelRoute {
+    fn new(copies: &[(ModelName, usize)]) -> Self {
+        Self {
+            model: copies[0].0.clone(),
+            runners: copies.iter().map(|(_, index)| *index).collect(),
+        }
+    }
+}
+
+fn sorted_by_name(states: &[RunnerState]) -> Vec<&RunnerState> {
+    let mut sorted: Vec<_> = states.iter().collect();
+    sorted.sort_by(|a, b| a.name.cmp(&b.name));
+    sorted.dedup_by(|a, b| a.name == b.name);
+    sorted
+}
