Add the calls between keepers and notice a store that went back

Cause: a watch from a version that the service has not reached yet stays silent for ever, so a service restored from an older copy would never be heard again. Change: on reopening the watch the head is read; a lower version leads to a full read. Calls between keepers have typed clients with deadlines.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -66,7 +66,7 @@
 
 interface Peer {
   # Between keepers.
-  exchangeHead @0 (head :Head) -> (head :Head);
+  exchangeHead @0 (head :Head, sender :Text) -> (head :Head);
   fetch @1 (digests :List(Text)) -> (blobs :List(Blob));
   reportDemand @2 (sender :Text, demand :List(Demand));
   propose @3 (moves :List(Move)) -> (taken :UInt32);
--- a/src/keeper/live_feed.rs
+++ b/src/keeper/live_feed.rs
@@ -71,8 +71,8 @@
     backoff: &mut Backoff,
 ) -> Result<(), StoreError> {
     let start = match *since {
-        Some(version) => version,
-        None => list(store, events).await?,
+        Some(version) if !went_back(store, events, version).await? => version,
+        _ => list(store, events).await?,
     };
     *since = Some(start);
     let mut watch = store.watch(LIVE_PREFIX, start);
@@ -92,6 +92,24 @@
     }
 }
 
+/// Reads the head, in case the watch missed it, and tells whether the service went back to an
+/// older copy of its data.
+async fn went_back(
+    store: &SharedStore,
+    events: &mpsc::Sender<LiveEvent>,
+    since: StoreVersion,
+) -> Result<bool, StoreError> {
+    let read = store.range(HEAD_KEY, 1).await?;
+    if read.version < since {
+        log::warn!("keeper: the key-value service went back to an older copy.");
+        return Ok(true);
+    }
+    if let Some(event) = read.entries.into_iter().next().and_then(decode) {
+        let _ = events.send(event).await;
+    }
+    Ok(false)
+}
+
 async fn list(
     store: &SharedStore,
     events: &mpsc::Sender<LiveEvent>,
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -9,6 +9,7 @@
 mod error;
 mod key;
 mod limited_reader;
+mod peer_client;
 mod serve;
 
-pub use {connect::*, convert::*, entry_link::*, error::*, key::*, serve::*};
+pub use {connect::*, convert::*, entry_link::*, error::*, key::*, peer_client::*, serve::*};
--- /dev/null
+++ b/src/peer/peer_client.rs
@@ -0,0 +1,169 @@
+//! Calls from one keeper to another.
+
+use {
+    super::{
+        Connection, PeerError, SharedKey, connect_peer, list_len, read_head, read_members,
+        with_timeout, write_demand, write_head, write_move, write_runner, write_texts,
+    },
+    crate::{
+        config::{Digest, Head},
+        fleet::{Demand, Move, RunnerState},
+        membership::Member,
+        peer_capnp::peer,
+        units::{RunnerName, VmName},
+    },
+    bytes::Bytes,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// The longest wait for another keeper's answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(2000);
+
+/// A logged-in connection to another keeper; each call has a deadline.
+pub struct PeerClient {
+    _connection: Connection,
+    client: peer::Client,
+}
+
+impl PeerClient {
+    /// Connects to a keeper. Needs a `LocalSet`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no connection in time or the key is refused.
+    pub async fn connect(address: SocketAddr, key: &SharedKey) -> Result<Self, PeerError> {
+        let (connection, client) = connect_peer(address, key).await?;
+        Ok(Self {
+            _connection: connection,
+            client,
+        })
+    }
+
+    /// Tells the newest head known here and returns the newest known there.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no good answer comes in time.
+    pub async fn exchange_head(
+        &self,
+        head: Option<&Head>,
+        sender: SocketAddr,
+    ) -> Result<Option<Head>, PeerError> {
+        let mut request = self.client.exchange_head_request();
+        if let Some(head) = head {
+            write_head(head, request.get().init_head());
+        }
+        request.get().set_sender(sender.to_string());
+        let answer = with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
+        read_head(answer.get()?.get_head()?)
+    }
+
+    /// Fetches the blobs that the other keeper has.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no good answer comes in time.
+    pub async fn fetch(&self, digests: &[Digest]) -> Result<Vec<(Digest, Bytes)>, PeerError> {
+        let mut request = self.client.fetch_request();
+        let texts: Vec<_> = digests.iter().map(Digest::to_string).collect();
+        write_texts(&texts, request.get().init_digests(list_len(texts.len())));
+        let answer = with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
+        let mut blobs = Vec::new();
+        for blob in answer.get()?.get_blobs()? {
+            let digest = blob.get_digest()?.to_str()?.parse()?;
+            blobs.push((digest, Bytes::copy_from_slice(blob.get_data()?)));
+        }
+        Ok(blobs)
+    }
+
+    /// Returns the members that the other keeper counts as live.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no good answer comes in time.
+    pub async fn members(&self) -> Result<Vec<Member>, PeerError> {
+        let request = self.client.members_request();
+        let answer = with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
+        read_members(answer.get()?.get_members()?)
+    }
+
+    /// Proposes moves to the owner of their runners; returns how many it took.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no good answer comes in time.
+    pub async fn propose(&self, moves: &[Move]) -> Result<u32, PeerError> {
+        let mut request = self.client.propose_request();
+        let mut slots = request.get().init_moves(list_len(moves.len()));
+        for (index, wanted) in (0..).zip(moves) {
+            write_move(wanted, slots.reborrow().get(index));
+        }
+        let answer = with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
+        Ok(answer.get()?.get_taken())
+    }
+
+    /// Reports what callers asked for at `sender`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no good answer comes in time.
+    pub async fn report_demand(&self, sender: &VmName, demand: &[Demand]) -> Result<(), PeerError> {
+        let mut request = self.client.report_demand_request();
+        request.get().set_sender(sender.as_str());
+        let mut slots = request.get().init_demand(list_len(demand.len()));
+        for (index, count) in (0..).zip(demand) {
+            write_demand(count, slots.reborrow().get(index));
+        }
+        with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
+        Ok(())
+    }
+
+    /// Passes on changed runner states.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no good answer comes in time.
+    pub async fn report_runners(&self, states: &[RunnerState]) -> Result<(), PeerError> {
+        let mut request = self.client.report_runners_request();
+        let mut slots = request.get().init_runners(list_len(states.len()));
+        for (index, state) in (0..).zip(states) {
+            write_runner(state, slots.reborrow().get(index));
+        }
+        with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
+        Ok(())
+    }
+
+    /// Asks for adapter loads; returns how many were lent and for how long.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no good answer comes in time.
+    pub async fn borrow_adapter_loads(
+        &self,
+        sender: &VmName,
+        wanted: u32,
+    ) -> Result<(u32, Duration), PeerError> {
+        let mut request = self.client.borrow_adapter_loads_request();
+        request.get().set_sender(sender.as_str());
+        request.get().set_wanted(wanted);
+        let answer = with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
+        let answer = answer.get()?;
+        Ok((
+            answer.get_granted(),
+            Duration::from_millis(answer.get_expires_ms().into()),
+        ))
+    }
+
+    /// Tells that runners have been given up by their owner.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no good answer comes in time.
+    pub async fn hand_over(&self, runners: &[RunnerName]) -> Result<(), PeerError> {
+        let mut request = self.client.hand_over_request();
+        let texts: Vec<_> = runners.iter().map(RunnerName::as_str).collect();
+        write_texts(&texts, request.get().init_runners(list_len(texts.len())));
+        with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
+        Ok(())
+    }
+}
--- a/src/proto/peer_capnp.rs
+++ b/src/proto/peer_capnp.rs
@@ -4113,11 +4113,19 @@
             pub fn has_head(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_sender(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_sender(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4183,6 +4191,22 @@
             pub fn has_head(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_sender(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_sender(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_sender(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_sender(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4197,17 +4221,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(181, 251, 212, 67, 235, 169, 187, 207),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -4215,14 +4239,21 @@
                 ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
                 ::capnp::word(72, 101, 97, 100, 36, 80, 97, 114),
                 ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(104, 101, 97, 100, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(11, 111, 155, 247, 130, 248, 10, 245),
@@ -4231,10 +4262,19 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <crate::peer_capnp::head::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4248,9 +4288,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xcfbb_a9eb_43d4_fbb5;
         }
     }
