Add gossip between keepers and their service for each other

Cause: an accepted revision must reach every VM while the key-value service is down. Change: each keeper compares heads with one random peer per interval, pushes each new revision to three, passes on changed runner states likewise, and learns the members from a seed when it knows none.

--- /dev/null
+++ b/src/keeper/gossip.rs
@@ -0,0 +1,155 @@
+//! Spreads heads and runner states among keepers, and finds members while the key-value
+//! service is away.
+
+use {
+    super::{HeadOffer, KeeperState},
+    crate::{
+        config::Head,
+        fleet::RunnerState,
+        membership::{Member, jittered},
+        peer::{PeerClient, PeerError, SharedKey},
+        units::VmName,
+    },
+    rand::seq::{IndexedRandom, IteratorRandom},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::sync::mpsc,
+};
+
+/// Keepers that are told at once of news.
+const FANOUT: usize = 3;
+
+/// Spreads news among keepers.
+#[derive(Debug)]
+pub struct Gossip {
+    vm: VmName,
+    address: SocketAddr,
+    key: SharedKey,
+    seeds: Vec<SocketAddr>,
+    state: KeeperState,
+    offers: mpsc::Sender<HeadOffer>,
+}
+
+impl Gossip {
+    /// Prepares the gossip of one keeper.
+    pub fn new(
+        vm: VmName,
+        address: SocketAddr,
+        key: SharedKey,
+        seeds: Vec<SocketAddr>,
+        state: KeeperState,
+        offers: mpsc::Sender<HeadOffer>,
+    ) -> Self {
+        Self {
+            vm,
+            address,
+            key,
+            seeds,
+            state,
+            offers,
+        }
+    }
+
+    /// Compares heads with a random keeper again and again. Needs a `LocalSet`.
+    pub async fn exchange_for_ever(&self, interval: Duration) {
+        loop {
+            if let Some(address) = self.pick_one()
+                && let Err(error) = self.exchange_with(address).await
+            {
+                log::debug!("gossip: exchange with {address} failed: {error}");
+            }
+            tokio::time::sleep(jittered(interval)).await;
+        }
+    }
+
+    /// Tells some keepers of each new revision in force. Needs a `LocalSet`.
+    pub async fn push_revisions(self: Rc<Self>) {
+        let mut revisions = self.state.watch_revision();
+        while revisions.changed().await.is_ok() {
+            let Some(in_force) = self.state.in_force() else {
+                continue;
+            };
+            for address in self.pick_some() {
+                let gossip = self.clone();
+                let head = in_force.head.clone();
+                tokio::task::spawn_local(async move { gossip.push_head(address, head).await });
+            }
+        }
+    }
+
+    /// Tells some keepers of changed runner states. Needs a `LocalSet`.
+    pub fn push_runners(self: &Rc<Self>, states: Vec<RunnerState>) {
+        let states = Rc::new(states);
+        for address in self.pick_some() {
+            let gossip = self.clone();
+            let states = states.clone();
+            tokio::task::spawn_local(async move {
+                let told = async {
+                    let peer = PeerClient::connect(address, &gossip.key).await?;
+                    peer.report_runners(&states).await
+                };
+                if let Err(error) = told.await {
+                    log::debug!("gossip: {address} was not told: {error}");
+                }
+            });
+        }
+    }
+
+    async fn push_head(&self, address: SocketAddr, head: Head) {
+        let told = async {
+            let peer = PeerClient::connect(address, &self.key).await?;
+            peer.exchange_head(Some(&head), self.address).await
+        };
+        if let Err(error) = told.await {
+            log::debug!("gossip: {address} was not told: {error}");
+        }
+    }
+
+    async fn exchange_with(&self, address: SocketAddr) -> Result<(), PeerError> {
+        let peer = PeerClient::connect(address, &self.key).await?;
+        let own = self.state.in_force().map(|in_force| in_force.head);
+        let theirs = peer.exchange_head(own.as_ref(), self.address).await?;
+        if let Some(head) = theirs {
+            self.offer(head, address);
+        }
+        if self.others().is_empty() {
+            let members = peer.members().await?;
+            self.state.change_roster(|roster| {
+                let joined = members.into_iter().map(|member| roster.join(member));
+                joined.fold(false, |changed, joined| changed | joined)
+            });
+        }
+        Ok(())
+    }
+
+    fn offer(&self, head: Head, address: SocketAddr) {
+        let known = self.state.in_force().map(|in_force| in_force.head.revision);
+        if known >= Some(head.revision) {
+            return;
+        }
+        let offer = HeadOffer {
+            head,
+            peer: Some(address),
+        };
+        let _ = self.offers.try_send(offer);
+    }
+
+    fn others(&self) -> Vec<Member> {
+        let mut members = self.state.members();
+        members.retain(|member| member.vm != self.vm);
+        members
+    }
+
+    fn pick_one(&self) -> Option<SocketAddr> {
+        let others = self.others();
+        match others.choose(&mut rand::rng()) {
+            Some(member) => Some(member.address),
+            None => self.seeds.choose(&mut rand::rng()).copied(),
+        }
+    }
+
+    fn pick_some(&self) -> Vec<SocketAddr> {
+        let others = self.others();
+        let addresses = others.iter().map(|member| member.address);
+        addresses.sample(&mut rand::rng(), FANOUT)
+    }
+}
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -2,8 +2,13 @@
 
 mod entry_service;
 mod gate_service;
+mod gossip;
 mod live_feed;
+mod peer_service;
 mod settings;
 mod state;
 
-pub use {entry_service::*, gate_service::*, live_feed::*, settings::*, state::*};
+pub use {
+    entry_service::*, gate_service::*, gossip::*, live_feed::*, peer_service::*, settings::*,
+    state::*,
+};
--- /dev/null
+++ b/src/keeper/peer_service.rs
@@ -0,0 +1,163 @@
+//! What other keepers ask of this one.
+
+use {
+    super::{Gossip, HeadOffer, KeeperState},
+    crate::{
+        config::Digest,
+        fleet::{Demand, Move},
+        peer::{
+            list_len, read_demands, read_head, read_moves, read_runners, read_texts, write_head,
+            write_member,
+        },
+        peer_capnp::peer,
+    },
+    capnp::Error,
+    std::{net::SocketAddr, rc::Rc},
+    tokio::sync::{mpsc, oneshot},
+};
+
+/// Blobs that one call may fetch.
+const FETCH_MAX: u32 = 64;
+
+/// Moves that another keeper proposes.
+#[derive(Debug)]
+pub struct Proposal {
+    /// The moves.
+    pub moves: Vec<Move>,
+    /// Takes the number of moves that this keeper carries out.
+    pub taken: oneshot::Sender<u32>,
+}
+
+/// Where the calls of other keepers go.
+#[derive(Debug, Clone)]
+pub struct PeerInbox {
+    /// Heads to follow.
+    pub offers: mpsc::Sender<HeadOffer>,
+    /// Demand counts for the planner.
+    pub demand: mpsc::Sender<Vec<Demand>>,
+    /// Moves for owned runners.
+    pub proposals: mpsc::Sender<Proposal>,
+    /// Wakes the ownership check after a hand-over.
+    pub handed_over: mpsc::Sender<()>,
+}
+
+/// What other keepers ask of this one.
+pub struct PeerService {
+    state: KeeperState,
+    gossip: Rc<Gossip>,
+    inbox: PeerInbox,
+}
+
+impl PeerService {
+    /// Makes the service.
+    pub fn client(state: KeeperState, gossip: Rc<Gossip>, inbox: PeerInbox) -> peer::Client {
+        capnp_rpc::new_client(Self {
+            state,
+            gossip,
+            inbox,
+        })
+    }
+}
+
+impl peer::Server for PeerService {
+    async fn exchange_head(
+        self: Rc<Self>,
+        params: peer::ExchangeHeadParams,
+        mut results: peer::ExchangeHeadResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let sender: Option<SocketAddr> = params.get_sender()?.to_str()?.parse().ok();
+        if let Some(head) = read_head(params.get_head()?)? {
+            let _ = self.inbox.offers.try_send(HeadOffer { head, peer: sender });
+        }
+        if let Some(in_force) = self.state.in_force() {
+            write_head(&in_force.head, results.get().init_head());
+        }
+        Ok(())
+    }
+
+    async fn fetch(
+        self: Rc<Self>,
+        params: peer::FetchParams,
+        mut results: peer::FetchResults,
+    ) -> Result<(), Error> {
+        let digests = params.get()?.get_digests()?;
+        if digests.len() > FETCH_MAX {
+            return Err(Error::failed("too many digests at once".to_owned()));
+        }
+        let wanted: Vec<Digest> = read_texts(digests)?;
+        let blobs = self.state.blobs(&wanted);
+        let mut slots = results.get().init_blobs(list_len(blobs.len()));
+        for (index, (digest, data)) in (0..).zip(&blobs) {
+            let mut slot = slots.reborrow().get(index);
+            slot.set_digest(digest.to_string());
+            slot.set_data(data);
+        }
+        Ok(())
+    }
+
+    async fn report_demand(
+        self: Rc<Self>,
+        params: peer::ReportDemandParams,
+        _results: peer::ReportDemandResults,
+    ) -> Result<(), Error> {
+        let demand = read_demands(params.get()?.get_demand()?)?;
+        self.inbox.demand.send(demand).await.map_err(stopping)
+    }
+
+    async fn propose(
+        self: Rc<Self>,
+        params: peer::ProposeParams,
+        mut results: peer::ProposeResults,
+    ) -> Result<(), Error> {
+        let moves = read_moves(params.get()?.get_moves()?)?;
+        let (taken, answer) = oneshot::channel();
+        let proposal = Proposal { moves, taken };
+        self.inbox
+            .proposals
+            .send(proposal)
+            .await
+            .map_err(stopping)?;
+        results.get().set_taken(answer.await.map_err(stopping)?);
+        Ok(())
+    }
+
+    async fn hand_over(
+        self: Rc<Self>,
+        _params: peer::HandOverParams,
+        _results: peer::HandOverResults,
+    ) -> Result<(), Error> {
+        let _ = self.inbox.handed_over.try_send(());
+        Ok(())
+    }
+
+    async fn report_runners(
+        self: Rc<Self>,
+        params: peer::ReportRunnersParams,
+        _results: peer::ReportRunnersResults,
+    ) -> Result<(), Error> {
+        let states = read_runners(params.get()?.get_runners()?)?;
+        let news = self.state.update_runners(states);
+        if !news.is_empty() {
+            self.gossip.push_runners(news);
+        }
+        Ok(())
+    }
+
+    async fn members(
+        self: Rc<Self>,
+        _params: peer::MembersParams,
+        mut results: peer::MembersResults,
+    ) -> Result<(), Error> {
+        let members = self.state.members();
+        let mut slots = results.get().init_members(list_len(members.len()));
+        for (index, member) in (0..).zip(&members) {
+            write_member(member, slots.reborrow().get(index));
+        }
+        Ok(())
+    }
+}
+
+fn stopping(_: impl std::error::Error) -> Error {
+    Error::overloaded("this keeper is stopping".to_owned())
+}
--- a/src/keeper/state.rs
+++ b/src/keeper/state.rs
@@ -2,16 +2,25 @@
 
 use {
     crate::{
-        config::{Catalog, Head},
+        config::{Catalog, Digest, Head},
         fleet::RunnerState,
         membership::{Member, Roster},
         units::{Revision, RunnerName},
     },
     bytes::Bytes,
-    std::{cell::RefCell, rc::Rc, sync::Arc},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc},
     tokio::sync::watch,
 };
 
+/// A head that was heard of, and who has its content.
+#[derive(Debug, Clone)]
+pub struct HeadOffer {
+    /// The head.
+    pub head: Head,
+    /// The keeper that has its content, or `None` for the key-value service.
+    pub peer: Option<SocketAddr>,
+}
+
 /// A configuration in force.
 #[derive(Debug, Clone)]
 pub struct InForce {
@@ -21,6 +30,8 @@
     pub catalog: Arc<Catalog>,
     /// Its objects as a JSON array, as sent to entries and operators.
     pub objects_json: Bytes,
+    /// Its encoded parts, sorted by digest, as sent to other keepers.
+    pub blobs: Arc<Vec<(Digest, Bytes)>>,
 }
 
 /// The state of a runner with the version at which it last changed.
@@ -89,6 +100,17 @@
         true
     }
 
+    /// Returns the parts of the configuration in force that are among `wanted`.
+    pub fn blobs(&self, wanted: &[Digest]) -> Vec<(Digest, Bytes)> {
+        let Some(in_force) = self.in_force() else {
+            return Vec::new();
+        };
+        let blobs = &in_force.blobs;
+        let find = |digest: &Digest| blobs.binary_search_by(|(known, _)| known.cmp(digest)).ok();
+        let positions = wanted.iter().filter_map(find);
+        positions.map(|position| blobs[position].clone()).collect()
+    }
+
     /// Returns a receiver of the revision in force.
     pub fn watch_revision(&self) -> watch::Receiver<Revision> {
         self.revision.subscribe()
