--- /dev/null
+++ b/examples/settings_page.rs
@@ -0,0 +1,17 @@
+//! Prints `docs/settings.md` from the settings themselves.
+
+use greengagetrail::{entry::EntrySettings, keeper::KeeperSettings, settings::markdown_table};
+
+fn main() {
+    println!("# Settings\n");
+    println!(
+        "Each process reads one JSON file: `--settings FILE`. A field can be overridden by an"
+    );
+    println!(
+        "argument of its name with dashes, such as `--log-level debug`. `--check` only checks;"
+    );
+    println!("all faults are told at once and the exit code is 2.\n");
+    println!("This page is made by `cargo run --example settings_page > docs/settings.md`.\n");
+    println!("## ggt-entry\n\n{}", markdown_table::<EntrySettings>());
+    print!("## ggt-keeper\n\n{}", markdown_table::<KeeperSettings>());
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,8 +1,9 @@
 //! Settings of a process: one JSON file, checked whole, with overrides by argument.
 
+mod daemon;
 mod error;
 mod field;
 mod load;
 mod macros;
 
-pub use {error::*, field::*, load::*};
+pub use {daemon::*, error::*, field::*, load::*};
