Admit by class and deadline under an adaptive limit, retry within a budget

Cause: an entry must refuse at once what can't make its target, and retries must not multiply an outage. Chosen: per model a queue by priority and latest start, a limit of running requests that shrinks on congested answers; a token bucket of retries per service with full jitter. Seen: the 17 tests of policy_routing and policy_admission pass. Not yet measured under load.

--- /dev/null
+++ b/src/admission/retry_budget.rs
@@ -0,0 +1,87 @@
+//! A budget for retries, so that they never multiply an outage.
+
+use {
+    crate::{routing::stable_hash, units::ServiceName},
+    rand::{Rng, RngExt},
+    std::{
+        sync::{Mutex, PoisonError},
+        time::Duration,
+    },
+};
+
+/// Shards of the budgets, each under its own lock.
+const SHARDS: usize = 16;
+/// Retries that a service may make before it made any requests.
+const RETRIES_INITIAL: f64 = 10.0;
+/// Retries that a service may save up.
+const RETRIES_SAVED_MAX: f64 = 100.0;
+/// The longest backoff before the first retry.
+const BACKOFF_FIRST_MAX_MS: u64 = 20;
+/// The longest backoff before any retry.
+const BACKOFF_MAX_MS: u64 = 1_000;
+/// Doublings after which the backoff is bounded anyway.
+const BACKOFF_DOUBLINGS_MAX: u32 = 10;
+
+/// Token buckets of retries, one per service: each request earns a share of a retry.
+#[derive(Debug)]
+pub struct RetryBudget {
+    retries_per_request: f64,
+    shards: Vec<Mutex<Vec<(ServiceName, f64)>>>,
+}
+
+impl RetryBudget {
+    /// Creates budgets that allow `percent` retries per hundred requests.
+    pub fn new(percent: u32) -> Self {
+        Self {
+            retries_per_request: f64::from(percent) / 100.0,
+            shards: (0..SHARDS).map(|_| Mutex::default()).collect(),
+        }
+    }
+
+    /// Records a first try.
+    pub fn record_request(&self, service: &ServiceName) {
+        self.with_retries(service, |retries| {
+            *retries = (*retries + self.retries_per_request).min(RETRIES_SAVED_MAX);
+        });
+    }
+
+    /// Takes a retry from the budget and returns the backoff before it, or `None` when the
+    /// budget is used up. The first retry has `attempt` 1.
+    pub fn try_retry(
+        &self,
+        service: &ServiceName,
+        attempt: u32,
+        rng: &mut impl Rng,
+    ) -> Option<Duration> {
+        self.with_retries(service, |retries| {
+            if *retries < 1.0 {
+                return None;
+            }
+            *retries -= 1.0;
+            Some(())
+        })?;
+        Some(backoff(attempt, rng))
+    }
+
+    fn with_retries<T>(&self, service: &ServiceName, act: impl FnOnce(&mut f64) -> T) -> T {
+        let index = stable_hash(service.as_str()) as usize % SHARDS;
+        let mut shard = self.shards[index]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let position = match shard.binary_search_by(|(name, _)| name.cmp(service)) {
+            Ok(position) => position,
+            Err(position) => {
+                shard.insert(position, (service.clone(), RETRIES_INITIAL));
+                position
+            }
+        };
+        act(&mut shard[position].1)
+    }
+}
+
+/// Draws an exponential backoff with full jitter.
+fn backoff(attempt: u32, rng: &mut impl Rng) -> Duration {
+    let doublings = attempt.saturating_sub(1).min(BACKOFF_DOUBLINGS_MAX);
+    let max_ms = (BACKOFF_FIRST_MAX_MS << doublings).min(BACKOFF_MAX_MS);
+    Duration::from_millis(rng.random_range(0..=max_ms))
+}
--- /dev/null
+++ b/tests/policy_admission.rs
@@ -0,0 +1,203 @@
+//! Which requests wait, run or are refused, and how often one is retried.
+
+use {
+    greengagetrail::{
+        admission::{
+            Admission, Admit, ClassTargets, Permit, Refusal, RefusalReason, RetryBudget, Waiter,
+        },
+        units::{ModelName, ServiceName},
+    },
+    rand::{SeedableRng, rngs::StdRng},
+    std::{sync::Arc, time::Duration},
+    tokio::time::{Instant, advance},
+};
+
+const PHONE: ClassTargets = ClassTargets {
+    priority: 0,
+    first_token_target_ms: 1_000,
+    between_tokens_target_ms: 100,
+};
+const CRITIQUE: ClassTargets = ClassTargets {
+    priority: 2,
+    first_token_target_ms: 30_000,
+    between_tokens_target_ms: 500,
+};
+
+fn model() -> ModelName {
+    "m".parse().unwrap()
+}
+
+fn admission(slots: u32) -> Arc<Admission> {
+    let admission = Arc::new(Admission::new());
+    admission.set_capacity(&model(), slots);
+    admission
+}
+
+fn run(admission: &Arc<Admission>, class: &ClassTargets) -> Permit {
+    match admission.admit(&model(), class, Instant::now()) {
+        Admit::Now(permit) => permit,
+        other => panic!("not run: {other:?}"),
+    }
+}
+
+fn wait(admission: &Arc<Admission>, class: &ClassTargets) -> Waiter {
+    match admission.admit(&model(), class, Instant::now()) {
+        Admit::Wait(waiter) => waiter,
+        other => panic!("not queued: {other:?}"),
+    }
+}
+
+fn refused(admission: &Arc<Admission>, class: &ClassTargets) -> Refusal {
+    match admission.admit(&model(), class, Instant::now()) {
+        Admit::Refuse(refusal) => refusal,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+/// Runs one request for `held`, so that the gate knows how long a slot is held.
+async fn teach_hold_time(admission: &Arc<Admission>, held: Duration) {
+    let permit = run(admission, &PHONE);
+    advance(held).await;
+    drop(permit);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_freed_slot_goes_to_the_highest_class_then_the_earliest_deadline() {
+    let admission = admission(1);
+    let running = run(&admission, &PHONE);
+    let late = wait(&admission, &CRITIQUE);
+    let first = wait(&admission, &PHONE);
+    advance(Duration::from_millis(10)).await;
+    let second = wait(&admission, &PHONE);
+    drop(running);
+    let first = first.wait().await.expect("the first runs");
+    assert_eq!(admission.queued(&model()), 2);
+    drop(first);
+    let second = second.wait().await.expect("the second runs");
+    drop(second);
+    assert!(late.wait().await.is_ok());
+    assert_eq!(
+        (admission.queued(&model()), admission.running(&model())),
+        (0, 0)
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_cannot_make_its_target_is_refused_at_once_and_told_when_to_come_back() {
+    let admission = admission(1);
+    teach_hold_time(&admission, Duration::from_millis(3_000)).await;
+    let _running = run(&admission, &PHONE);
+    let refusal = refused(&admission, &PHONE);
+    assert_eq!(refusal.reason, RefusalReason::CannotMakeTarget);
+    assert!((2_000..=3_000).contains(&refusal.retry_after_ms));
+    drop(wait(&admission, &CRITIQUE));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_waits_past_its_target_is_refused_and_leaves_the_queue() {
+    let admission = admission(1);
+    let _running = run(&admission, &PHONE);
+    let waited = Instant::now();
+    let refusal = wait(&admission, &PHONE)
+        .wait()
+        .await
+        .expect_err("no slot came");
+    assert_eq!(refusal.reason, RefusalReason::WaitedTooLong);
+    assert!(waited.elapsed() <= PHONE.first_token_target() + Duration::from_millis(5));
+    assert_eq!(admission.queued(&model()), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_goes_away_gives_its_place_or_its_slot_up() {
+    let admission = admission(1);
+    let running = run(&admission, &PHONE);
+    drop(wait(&admission, &PHONE));
+    assert_eq!(admission.queued(&model()), 0);
+    let granted = wait(&admission, &PHONE);
+    drop(running);
+    assert_eq!(admission.running(&model()), 1);
+    drop(granted);
+    assert_eq!(admission.running(&model()), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn congested_answers_shrink_the_limit_and_good_ones_restore_it() {
+    let admission = admission(16);
+    let probe = run(&admission, &PHONE);
+    for _ in 0..20 {
+        advance(Duration::from_millis(950)).await;
+        probe.record_token_gap(&PHONE, Duration::from_millis(101), Instant::now());
+    }
+    drop(probe);
+    let mut held = Vec::new();
+    while let Admit::Now(permit) = admission.admit(&model(), &PHONE, Instant::now()) {
+        held.push(permit);
+    }
+    assert!(held.len() < 8, "{} still run at once", held.len());
+    for _ in 0..1_000 {
+        held[0].record_first_token(&PHONE, Instant::now());
+        while let Admit::Now(permit) = admission.admit(&model(), &PHONE, Instant::now()) {
+            held.push(permit);
+        }
+    }
+    assert_eq!(held.len(), 16);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_last_slots_are_kept_for_the_highest_class() {
+    let admission = admission(20);
+    drop(run(&admission, &PHONE));
+    let critiques: Vec<_> = (0..18).map(|_| run(&admission, &CRITIQUE)).collect();
+    let waiting = wait(&admission, &CRITIQUE);
+    let phone = run(&admission, &PHONE);
+    drop((critiques, phone, waiting));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn permits_of_many_threads_never_exceed_the_slots() {
+    let admission = admission(4);
+    let tasks = (0..64).map(|_| {
+        let admission = Arc::clone(&admission);
+        tokio::spawn(async move {
+            let permit = match admission.admit(&model(), &CRITIQUE, Instant::now()) {
+                Admit::Now(permit) => permit,
+                Admit::Wait(waiter) => waiter.wait().await.expect("a slot comes"),
+                Admit::Refuse(refusal) => panic!("{refusal}"),
+            };
+            assert!(admission.running(&model()) <= 4);
+            tokio::task::yield_now().await;
+            drop(permit);
+        })
+    });
+    for task in futures::future::join_all(tasks).await {
+        task.expect("no task panics");
+    }
+    assert_eq!(
+        (admission.queued(&model()), admission.running(&model())),
+        (0, 0)
+    );
+}
+
+#[test]
+fn retries_never_exceed_the_budget_and_back_off_with_jitter() {
+    let budget = RetryBudget::new(10);
+    let desk: ServiceName = "desk".parse().unwrap();
+    let other: ServiceName = "other".parse().unwrap();
+    let mut rng = StdRng::seed_from_u64(7);
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.record_request(&desk);
+        retries += u32::from(budget.try_retry(&desk, 1, &mut rng).is_some());
+    }
+    assert!((100..=110).contains(&retries), "{retries} retries");
+    let backoffs: Vec<_> = (0..10)
+        .filter_map(|_| budget.try_retry(&other, 9, &mut rng))
+        .collect();
+    assert_eq!(backoffs.len(), 10);
+    assert!(
+        backoffs
+            .iter()
+            .all(|wait| *wait <= Duration::from_millis(1_000))
+    );
+    assert!(backoffs.windows(2).any(|pair| pair[0] != pair[1]));
+}
--- /dev/null
+++ b/tests/policy_routing.rs
@@ -0,0 +1,211 @@
+//! Which runner a request goes to.
+
+mod common {
+    pub mod policy;
+}
+
+use {
+    common::policy::{catalog_of, runner, state},
+    greengagetrail::{
+        engine::Load,
+        routing::{LoadBoard, LoadReport, RouteRequest, RouteTable, choose},
+        units::{DataCentreName, Incarnation, ModelName, RunnerName},
+    },
+    rand::{SeedableRng, rngs::StdRng},
+    std::{sync::Arc, time::Duration},
+    tokio::time::Instant,
+};
+
+const REPORT_AGE_MAX: Duration = Duration::from_millis(2_000);
+
+fn table() -> RouteTable {
+    let runners = [("r0", "east"), ("r1", "east"), ("r2", "west")].map(|(n, dc)| runner(n, dc));
+    let mut states = ["r0", "r1", "r2"].map(|name| state(name, &["m"]));
+    states[2].models.extend(state("r2", &["n"]).models);
+    states[1].adapters.push("a".parse().unwrap());
+    RouteTable::new(&catalog_of(&runners, &["m", "n"]), &home(), &states)
+}
+
+fn home() -> DataCentreName {
+    "east".parse().unwrap()
+}
+
+struct Fixture {
+    table: RouteTable,
+    board: Arc<LoadBoard>,
+    rng: StdRng,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        Self {
+            table: table(),
+            board: Arc::new(LoadBoard::with_report_age_max(REPORT_AGE_MAX)),
+            rng: StdRng::seed_from_u64(1),
+        }
+    }
+
+    fn pick(
+        &mut self,
+        prefixes: &[u64],
+        adapter: Option<&str>,
+        excluded: &[&str],
+    ) -> Option<String> {
+        let model: ModelName = "m".parse().unwrap();
+        let adapter = adapter.map(|name| name.parse().unwrap());
+        let excluded: Vec<RunnerName> = excluded.iter().map(|n| n.parse().unwrap()).collect();
+        let request = RouteRequest {
+            model: &model,
+            adapter: adapter.as_ref(),
+            prefix_hashes: prefixes,
+            excluded: &excluded,
+        };
+        let now = Instant::now();
+        let choice = choose(&self.table, &self.board, &request, now, &mut self.rng)?;
+        Some(choice.runner.to_string())
+    }
+
+    fn report(&self, runner: &str, incarnation: u64, running: u32) {
+        let load = Load {
+            running,
+            ..Load::default()
+        };
+        let incarnation = Incarnation(incarnation);
+        let report = LoadReport { incarnation, load };
+        self.board
+            .record_report(&runner.parse().unwrap(), report, Instant::now());
+    }
+
+    fn requests(&self, runner: &str) -> u32 {
+        let pressure = self
+            .board
+            .pressure(&runner.parse().unwrap(), Instant::now());
+        pressure.requests
+    }
+}
+
+#[test]
+fn leaving_unreachable_loading_and_unknown_runners_are_not_candidates() {
+    let runners = ["r0", "r1", "r2", "r3"].map(|name| runner(name, "east"));
+    let mut states = ["r0", "r1", "r2", "r3", "r4"].map(|name| state(name, &["m"]));
+    states[0].leaving = true;
+    states[1].reachable = false;
+    states[2].models[0].ready = false;
+    let table = RouteTable::new(&catalog_of(&runners, &["m"]), &home(), &states);
+    let names: Vec<_> = table
+        .candidates(&"m".parse().unwrap())
+        .map(|runner| runner.name.to_string())
+        .collect();
+    assert_eq!(names, ["r3"]);
+    assert_eq!(table.accelerators(&"m".parse().unwrap()), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_own_data_centre_goes_first_until_it_is_overloaded() {
+    let mut fixture = Fixture::new();
+    for _ in 0..50 {
+        assert_ne!(fixture.pick(&[], None, &[]).as_deref(), Some("r2"));
+    }
+    fixture.report("r0", 1, 500);
+    fixture.report("r1", 1, 500);
+    let picks: Vec<_> = (0..50)
+        .filter_map(|_| fixture.pick(&[], None, &[]))
+        .collect();
+    assert!(picks.iter().any(|name| name == "r2"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn adapters_and_exclusions_are_followed_while_a_copy_is_left() {
+    let mut fixture = Fixture::new();
+    assert_eq!(fixture.pick(&[7], Some("a"), &[]).as_deref(), Some("r1"));
+    assert_ne!(
+        fixture.pick(&[7], Some("a"), &["r1"]).as_deref(),
+        Some("r1")
+    );
+    assert_eq!(
+        fixture.pick(&[], None, &["r0", "r1"]).as_deref(),
+        Some("r2")
+    );
+    assert_eq!(fixture.pick(&[], None, &["r0", "r1", "r2"]), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_prefix_stays_on_its_runner_until_that_exceeds_the_bound() {
+    let mut fixture = Fixture::new();
+    let first = fixture.pick(&[42], None, &[]).unwrap();
+    for _ in 0..20 {
+        assert_eq!(fixture.pick(&[42], None, &[]), Some(first.clone()));
+    }
+    fixture.report(&first, 1, 20);
+    assert_ne!(fixture.pick(&[42], None, &[]), Some(first));
+}
+
+#[tokio::test(start_paused = true)]
+async fn old_reports_and_reports_of_earlier_starts_are_not_used() {
+    let fixture = Fixture::new();
+    fixture.report("r0", 2, 9);
+    fixture.report("r0", 1, 1);
+    assert_eq!(fixture.requests("r0"), 9);
+    tokio::time::advance(REPORT_AGE_MAX + Duration::from_millis(1)).await;
+    assert_eq!(fixture.requests("r0"), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn requests_since_the_report_correct_it() {
+    let fixture = Fixture::new();
+    let runner: RunnerName = "r0".parse().unwrap();
+    let before = fixture.board.begin(&runner);
+    fixture.report("r0", 1, 5);
+    let after = [fixture.board.begin(&runner), fixture.board.begin(&runner)];
+    assert_eq!(fixture.requests("r0"), 7);
+    drop(before);
+    assert_eq!(fixture.requests("r0"), 6);
+    drop(after);
+    assert_eq!(fixture.board.in_flight(&runner), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_failing_runner_is_passed_over_then_tried_with_one_request() {
+    let mut fixture = Fixture::new();
+    let failing: RunnerName = "r0".parse().unwrap();
+    fixture.board.record_failure(&failing, Instant::now());
+    let passed_over = |f: &mut Fixture| (0..50).all(|_| f.pick(&[], None, &[]).unwrap() != "r0");
+    assert!(passed_over(&mut fixture));
+    tokio::time::advance(Duration::from_secs(10)).await;
+    assert!(!passed_over(&mut fixture));
+    let probe = fixture.board.begin(&failing);
+    assert!(passed_over(&mut fixture));
+    let elsewhere = fixture.board.begin(&"r1".parse().unwrap());
+    fixture.board.record_success(&failing);
+    assert!(!passed_over(&mut fixture));
+    drop((probe, elsewhere));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_that_failed_still_serves_what_only_it_holds() {
+    let mut fixture = Fixture::new();
+    fixture
+        .board
+        .record_failure(&"r2".parse().unwrap(), Instant::now());
+    let picked = fixture.pick(&[], None, &["r0", "r1"]);
+    assert_eq!(picked.as_deref(), Some("r2"));
+}
+
+#[test]
+fn guards_of_many_threads_leave_nothing_behind() {
+    let board = Arc::new(LoadBoard::new());
+    std::thread::scope(|scope| {
+        for thread in 0..4 {
+            let board = &board;
+            scope.spawn(move || {
+                for round in 0..500 {
+                    let name = format!("r{}", (thread + round) % 7);
+                    drop(board.begin(&name.parse().unwrap()));
+                }
+            });
+        }
+    });
+    for index in 0..7 {
+        assert_eq!(board.in_flight(&format!("r{index}").parse().unwrap()), 0);
+    }
+}
