--- a/src/keeper/peer_service.rs
+++ b/src/keeper/peer_service.rs
@@ -137,9 +137,10 @@
         _results: peer::ReportRunnersResults,
     ) -> Result<(), Error> {
         let states = read_runners(params.get()?.get_runners()?)?;
-        let news = self.state.update_runners(states);
-        if !news.is_empty() {
-            self.gossip.push_runners(news);
+        let urgent = self.state.find_urgent(&states);
+        self.state.update_runners(states);
+        if !urgent.is_empty() {
+            self.gossip.push_runners(urgent);
         }
         Ok(())
     }
--- a/src/keeper/state.rs
+++ b/src/keeper/state.rs
@@ -188,6 +188,28 @@
         true
     }
 
+    /// Returns the states that tell of a leaving or lost runner for the first time.
+    pub fn find_urgent(&self, states: &[RunnerState]) -> Vec<RunnerState> {
+        let is_urgent = |state: &&RunnerState| match self.runner(&state.name) {
+            Some(known) => {
+                !is_older(state, &known)
+                    && (state.leaving, state.reachable) != (known.leaving, known.reachable)
+            }
+            None => state.leaving || !state.reachable,
+        };
+        states.iter().filter(is_urgent).cloned().collect()
+    }
+
+    /// Takes a state read from a runner record, which does not tell the adapters.
+    pub fn update_from_record(&self, mut state: RunnerState) {
+        if let Some(known) = self.runner(&state.name)
+            && known.incarnation == state.incarnation
+        {
+            state.adapters = known.adapters;
+        }
+        self.update_runners(vec![state]);
+    }
+
     /// Returns whether this VM drains.
     pub fn draining(&self) -> bool {
         self.inner.borrow().draining
--- /dev/null
+++ b/src/keeper/vm_list.rs
@@ -0,0 +1,87 @@
+//! Reads the platform's list of live and leaving VMs.
+
+use {
+    crate::{
+        http::{Body, Client, read_body},
+        membership::jittered,
+        units::VmName,
+    },
+    hyper::Request,
+    serde::Deserialize,
+    std::{net::SocketAddr, time::Duration},
+    thiserror::Error,
+    tokio::sync::watch,
+};
+
+/// How often the list is read.
+const INTERVAL: Duration = Duration::from_secs(10);
+/// The longest wait for the list.
+const TIMEOUT: Duration = Duration::from_secs(3);
+/// The largest list accepted, in bytes.
+const LIST_MAX_BYTES: usize = 1024 * 1024;
+
+/// What the platform says of a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// It runs.
+    Live,
+    /// It is about to go.
+    Leaving,
+}
+
+/// One VM of the list.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct ListedVm {
+    /// The VM.
+    pub vm: VmName,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// What the platform says of it.
+    pub state: VmState,
+}
+
+#[derive(Debug, Deserialize)]
+struct VmList {
+    vms: Vec<ListedVm>,
+}
+
+/// Why the list could not be read.
+#[derive(Debug, Error)]
+enum VmListError {
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+    #[error("the answer is malformed: {0}")]
+    Malformed(#[from] serde_json::Error),
+}
+
+/// Reads the list again and again; `list` keeps the last one that was read.
+pub async fn follow_vm_list(address: SocketAddr, list: watch::Sender<Option<Vec<ListedVm>>>) {
+    let client = Client::new(TIMEOUT);
+    loop {
+        match read_list(&client, address).await {
+            Ok(vms) => {
+                list.send_replace(Some(vms));
+            }
+            Err(error) => log::warn!("vm-list: {error}"),
+        }
+        tokio::time::sleep(jittered(INTERVAL)).await;
+    }
+}
+
+async fn read_list(client: &Client, address: SocketAddr) -> Result<Vec<ListedVm>, VmListError> {
+    let no_answer = |cause: String| VmListError::NoAnswer(cause);
+    let request = Request::get("/vms")
+        .header("host", address.to_string())
+        .body(Body::empty())
+        .map_err(|cause| no_answer(cause.to_string()))?;
+    let sent = tokio::time::timeout(TIMEOUT, client.send(address, request)).await;
+    let exchange = sent
+        .map_err(|_| no_answer("too late".to_owned()))?
+        .map_err(|cause| no_answer(cause.to_string()))?;
+    let body = read_body(exchange.response.into_body(), LIST_MAX_BYTES, TIMEOUT)
+        .await
+        .map_err(|cause| no_answer(cause.to_string()))?;
+    let list: VmList = serde_json::from_slice(&body)?;
+    Ok(list.vms)
+}
