Add the client of the key-value service and its stand-in over HTTP

EtcdStore speaks the JSON gateway of etcd version 3. Unreachable is told only when no connection came about; a lost or late answer to a write is Unknown and the write goes to no other address. Reads and watches go on to the next address. A watch is opened again where its connection broke or fell silent, and ends when the service is gone, compacted or went back to an older copy. After a timeout the pooled connections are dropped, since they may be silent as well.

Tried and ruled out: a stand-in that accepts and closes connections while it is down. The client can't tell such a call from one that was taken, so the listener is closed in place.

--- a/src/standin/kv/lease.rs
+++ b/src/standin/kv/lease.rs
@@ -37,6 +37,12 @@
         Some(lease.ttl_s)
     }
 
+    /// Returns how long a lease lasts in seconds, or `None` when it is gone.
+    pub fn ttl_s(&self, id: LeaseId) -> Option<u64> {
+        let at = self.position(id).ok()?;
+        Some(self.leases[at].ttl_s)
+    }
+
     /// Ends a lease; returns whether it was alive.
     pub fn revoke(&mut self, id: LeaseId) -> bool {
         match self.position(id) {
--- a/src/standin/kv/memory_store.rs
+++ b/src/standin/kv/memory_store.rs
@@ -8,7 +8,8 @@
         watch::{WatchPosition, watch_stream},
     },
     crate::store::{
-        Lease, LeaseId, Op, Range, Store, StoreError, StoreVersion, Txn, TxnReply, prefix_end,
+        Changes, Lease, LeaseId, Op, Range, Store, StoreError, StoreVersion, Txn, TxnReply,
+        prefix_end,
     },
     futures::{
         future::{BoxFuture, FutureExt},
@@ -121,6 +122,22 @@
         self.shared.started.elapsed().as_millis() as u64
     }
 
+    /// Watches the keys from `start` up to and without `end`.
+    pub(super) fn watch_between(
+        &self,
+        start: &str,
+        end: &str,
+        since: StoreVersion,
+    ) -> BoxStream<'static, Result<Changes, StoreError>> {
+        self.shared.counters.count(CallKind::Watch);
+        let position = WatchPosition {
+            start: start.to_owned(),
+            end: end.to_owned(),
+            since,
+        };
+        watch_stream(self.clone(), position)
+    }
+
     /// Runs one call under the fault switches.
     async fn call<T>(
         &self,
@@ -214,14 +231,8 @@
         &'a self,
         prefix: &'a str,
         since: StoreVersion,
-    ) -> BoxStream<'a, Result<crate::store::Changes, StoreError>> {
-        self.shared.counters.count(CallKind::Watch);
-        let position = WatchPosition {
-            start: prefix.to_owned(),
-            end: prefix_end(prefix),
-            since,
-        };
-        watch_stream(self.clone(), position)
+    ) -> BoxStream<'a, Result<Changes, StoreError>> {
+        self.watch_between(prefix, &prefix_end(prefix), since)
     }
 }
 
--- a/src/standin/kv/mod.rs
+++ b/src/standin/kv/mod.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod lease;
 mod memory_store;
+mod server;
 mod state;
 mod watch;
 
--- a/src/standin/kv/state.rs
+++ b/src/standin/kv/state.rs
@@ -133,6 +133,11 @@
         renewed.ok_or(StoreError::LeaseLapsed(id))
     }
 
+    /// Returns how long a lease lasts in seconds, or `None` when it is gone.
+    pub fn lease_ttl_s(&self, id: LeaseId) -> Option<u64> {
+        self.leases.ttl_s(id)
+    }
+
     /// Ends a lease and removes its keys.
     ///
     /// # Errors
@@ -160,14 +165,14 @@
         if since < self.compacted {
             return Err(StoreError::Compacted);
         }
-        let from = self.log.partition_point(|c| change_version(c) <= since);
-        let wanted = |c: &&Change| (start..end).contains(&change_key(c));
+        let from = self.log.partition_point(|c| c.version() <= since);
+        let wanted = |c: &&Change| (start..end).contains(&c.key());
         Ok(self.log[from..].iter().filter(wanted).cloned().collect())
     }
 
     /// Forgets the changes up to and with `version`.
     pub fn compact(&mut self, version: StoreVersion) {
-        self.log.retain(|c| change_version(c) > version);
+        self.log.retain(|c| c.version() > version);
         self.compacted = self.compacted.max(version);
     }
 
@@ -254,22 +259,8 @@
 
     fn trim_log(&mut self) {
         if self.log.len() > LOG_MAX_CHANGES {
-            let cut = change_version(&self.log[self.log.len() - LOG_MAX_CHANGES / 2]);
+            let cut = self.log[self.log.len() - LOG_MAX_CHANGES / 2].version();
             self.compact(cut);
         }
     }
 }
-
-fn change_version(change: &Change) -> StoreVersion {
-    match change {
-        Change::Put(entry) => entry.modified,
-        Change::Delete { version, .. } => *version,
-    }
-}
-
-fn change_key(change: &Change) -> &str {
-    match change {
-        Change::Put(entry) => &entry.key,
-        Change::Delete { key, .. } => key,
-    }
-}
--- /dev/null
+++ b/src/store/http_link.rs
@@ -0,0 +1,159 @@
+//! HTTP connections to the key-value service's addresses.
+
+use {
+    super::StoreError,
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{Request, Response, StatusCode, body::Incoming, header::CONTENT_TYPE},
+    hyper_util::{
+        client::legacy::{Client, Error, connect::HttpConnector},
+        rt::TokioExecutor,
+    },
+    std::{
+        net::SocketAddr,
+        sync::{
+            Mutex, PoisonError,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::time::timeout,
+};
+
+/// The largest answer that is read, in bytes.
+const ANSWER_MAX_BYTES: usize = 64 << 20;
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// A whole answer.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) status: StatusCode,
+    pub(super) body: Bytes,
+}
+
+/// Pooled connections to several addresses, of which the last good one is tried first.
+#[derive(Debug)]
+pub(super) struct HttpLink {
+    addresses: Vec<SocketAddr>,
+    preferred: AtomicUsize,
+    client: Mutex<HttpClient>,
+    timeout: Duration,
+}
+
+impl HttpLink {
+    pub(super) fn new(addresses: Vec<SocketAddr>, timeout: Duration) -> Self {
+        Self {
+            addresses,
+            preferred: AtomicUsize::new(0),
+            client: Mutex::new(new_client(timeout)),
+            timeout,
+        }
+    }
+
+    /// Sends a call and reads its whole answer.
+    ///
+    /// A call that changes nothing goes to every address until one answers; any other goes on to
+    /// the next address only while it provably never left.
+    pub(super) async fn post(
+        &self,
+        path: &str,
+        body: Bytes,
+        changes: bool,
+    ) -> Result<Answer, StoreError> {
+        let response = self.open(path, body, changes).await?;
+        self.within_timeout(read_answer(response)).await
+    }
+
+    /// Sends a call and returns once the head of its answer is here.
+    pub(super) async fn open(
+        &self,
+        path: &str,
+        body: Bytes,
+        changes: bool,
+    ) -> Result<Response<Incoming>, StoreError> {
+        let first = self.preferred.load(Ordering::Relaxed);
+        let mut last = StoreError::Unreachable("no address is known".to_owned());
+        for offset in 0..self.addresses.len() {
+            let at = (first + offset) % self.addresses.len();
+            let sending = self.send(self.addresses[at], path, body.clone());
+            last = match self.within_timeout(sending).await {
+                Ok(response) => {
+                    self.preferred.store(at, Ordering::Relaxed);
+                    return Ok(response);
+                }
+                Err(cause) => cause,
+            };
+            self.preferred.store(at + 1, Ordering::Relaxed);
+            if changes && matches!(last, StoreError::Unknown(_)) {
+                break;
+            }
+        }
+        Err(last)
+    }
+
+    async fn within_timeout<T>(
+        &self,
+        exchange: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        match timeout(self.timeout, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                self.drop_connections();
+                Err(StoreError::Unknown("no answer in time".to_owned()))
+            }
+        }
+    }
+
+    async fn send(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, StoreError> {
+        let request = Request::post(format!("http://{address}{path}"))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|cause| StoreError::Refused(cause.to_string()))?;
+        let sending = self.client().request(request);
+        sending.await.map_err(send_error)
+    }
+
+    fn client(&self) -> HttpClient {
+        let client = self.client.lock().unwrap_or_else(PoisonError::into_inner);
+        client.clone()
+    }
+
+    /// Drops the idle connections, since they may have gone silent as well.
+    fn drop_connections(&self) {
+        let mut client = self.client.lock().unwrap_or_else(PoisonError::into_inner);
+        *client = new_client(self.timeout);
+    }
+}
+
+fn new_client(timeout: Duration) -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(timeout / 2));
+    Client::builder(TokioExecutor::new()).build(connector)
+}
+
+fn send_error(cause: Error) -> StoreError {
+    if cause.is_connect() {
+        StoreError::Unreachable(cause.to_string())
+    } else {
+        StoreError::Unknown(cause.to_string())
+    }
+}
+
+async fn read_answer(response: Response<Incoming>) -> Result<Answer, StoreError> {
+    let status = response.status();
+    let body = Limited::new(response.into_body(), ANSWER_MAX_BYTES);
+    match body.collect().await {
+        Ok(body) => Ok(Answer {
+            status,
+            body: body.to_bytes(),
+        }),
+        Err(cause) => Err(StoreError::Unknown(cause.to_string())),
+    }
+}
--- a/src/store/kv.rs
+++ b/src/store/kv.rs
@@ -124,6 +124,24 @@
     },
 }
 
+impl Change {
+    /// Returns the version of the write.
+    pub fn version(&self) -> StoreVersion {
+        match self {
+            Self::Put(entry) => entry.modified,
+            Self::Delete { version, .. } => *version,
+        }
+    }
+
+    /// Returns the key.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Put(entry) => &entry.key,
+            Self::Delete { key, .. } => key,
+        }
+    }
+}
+
 /// Changes that became visible together; an empty batch is a sign of life.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Changes {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,7 +1,11 @@
 //! The platform's key-value service, as this system uses it.
 
+mod answer;
 mod error;
-pub mod keys;
+mod etcd_store;
+pub mod gateway;
+mod http_link;
 mod kv;
+mod watch_reader;
 
-pub use {error::*, kv::*};
+pub use {error::*, etcd_store::*, kv::*};
