--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,6 +5,7 @@
 mod etcd_store;
 pub mod gateway;
 mod http_link;
+pub mod keys;
 mod kv;
 mod watch_reader;
 
