--- /dev/null
+++ b/src/config/check/addresses.rs
@@ -0,0 +1,67 @@
+//! Checks that every backend server can be reached and told from the others by its address.
+
+use {
+    super::context::CheckContext,
+    crate::config::{Object, ServiceTarget, SourcedObject},
+    std::net::SocketAddr,
+};
+
+struct AddressUse<'a> {
+    address: SocketAddr,
+    user: String,
+    field: String,
+    sourced: &'a SourcedObject,
+}
+
+/// Adds a fault for each address that cannot be dialled or that two backend servers share.
+///
+/// One backend server may stand behind several services under the same name and address.
+pub(super) fn check(objects: &[SourcedObject], context: &mut CheckContext) {
+    let mut uses: Vec<AddressUse> = objects.iter().flat_map(uses_of).collect();
+    for unreachable in uses.iter().filter(|found| !can_be_dialled(found.address)) {
+        let problem = format!("{} cannot be dialled", unreachable.address);
+        context.fault_at(unreachable.sourced, &unreachable.field, problem);
+    }
+    uses.sort_by(|a, b| {
+        let key = |found: &AddressUse| (found.address, found.user.clone());
+        key(a)
+            .cmp(&key(b))
+            .then_with(|| a.sourced.source.cmp(&b.sourced.source))
+    });
+    for pair in uses.windows(2) {
+        let (first, second) = (&pair[0], &pair[1]);
+        if first.address == second.address && first.user != second.user {
+            let problem = format!("{} is also the address of {}", second.address, first.user);
+            context.fault_at(second.sourced, &second.field, problem);
+        }
+    }
+}
+
+fn uses_of(sourced: &SourcedObject) -> Vec<AddressUse<'_>> {
+    match &sourced.object {
+        Object::Runner(runner) => vec![AddressUse {
+            address: runner.address,
+            user: format!("runner {}", runner.name),
+            field: "address".to_owned(),
+            sourced,
+        }],
+        Object::Service(service) => match &service.target {
+            ServiceTarget::Plain { backends, .. } => backends
+                .iter()
+                .enumerate()
+                .map(|(index, backend)| AddressUse {
+                    address: backend.address,
+                    user: format!("backend {}", backend.name),
+                    field: format!("target.backends[{}].address", index + 1),
+                    sourced,
+                })
+                .collect(),
+            ServiceTarget::Models { .. } => Vec::new(),
+        },
+        _ => Vec::new(),
+    }
+}
+
+fn can_be_dialled(address: SocketAddr) -> bool {
+    address.port() != 0 && !address.ip().is_unspecified() && !address.ip().is_multicast()
+}
--- /dev/null
+++ b/src/config/snapshot/error.rs
@@ -0,0 +1,26 @@
+//! Errors of the snapshot codec.
+
+use {
+    crate::config::{Digest, ObjectId},
+    thiserror::Error,
+};
+
+/// Why a snapshot cannot be encoded or decoded.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum SnapshotError {
+    /// One object is too large for the key-value service.
+    #[error("{0} is too large to publish")]
+    ObjectTooLarge(ObjectId),
+    /// The configuration as a whole is too large.
+    #[error("the configuration is too large to publish: {0}")]
+    TooLarge(&'static str),
+    /// A blob does not have the digest that it was asked for by.
+    #[error("blob {0} has other content than its digest says")]
+    WrongDigest(Digest),
+    /// A blob is not there.
+    #[error("blob {0} is missing")]
+    Missing(Digest),
+    /// A blob cannot be read.
+    #[error("a blob cannot be read: {0}")]
+    Malformed(String),
+}
--- /dev/null
+++ b/src/config/snapshot/pack.rs
@@ -0,0 +1,65 @@
+//! A whole snapshot as one piece of bytes, for the protocol between processes.
+
+use {
+    super::{BLOB_MAX_BYTES, Blob, CHUNKS_MAX, EncodedSnapshot, SnapshotError},
+    bytes::{Buf, BufMut, Bytes, BytesMut},
+};
+
+/// Bytes of the length before each blob.
+const LENGTH_BYTES: usize = 4;
+
+impl EncodedSnapshot {
+    /// Packs all blobs, each after its length, the manifest first.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the manifest is missing.
+    pub fn pack(&self) -> Result<Bytes, SnapshotError> {
+        let mut packed = BytesMut::new();
+        put_blob(&mut packed, self.blob(self.digest())?);
+        for blob in self.blobs() {
+            if blob.digest() != self.digest() {
+                put_blob(&mut packed, blob);
+            }
+        }
+        Ok(packed.freeze())
+    }
+
+    /// Unpacks what [`pack`](Self::pack) made.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a length is wrong or there are too many blobs.
+    pub fn unpack(mut packed: Bytes) -> Result<Self, SnapshotError> {
+        let manifest = take_blob(&mut packed)?;
+        let digest = manifest.digest();
+        let mut blobs = vec![manifest];
+        while packed.has_remaining() {
+            if blobs.len() > CHUNKS_MAX {
+                return Err(SnapshotError::TooLarge("too many chunks"));
+            }
+            blobs.push(take_blob(&mut packed)?);
+        }
+        Ok(Self::from_blobs(digest, blobs))
+    }
+}
+
+fn put_blob(packed: &mut BytesMut, blob: &Blob) {
+    packed.put_u32(blob.data().len() as u32);
+    packed.put_slice(blob.data());
+}
+
+fn take_blob(packed: &mut Bytes) -> Result<Blob, SnapshotError> {
+    let malformed = || SnapshotError::Malformed("the packed snapshot is cut short".to_owned());
+    if packed.remaining() < LENGTH_BYTES {
+        return Err(malformed());
+    }
+    let length = packed.get_u32() as usize;
+    if length > BLOB_MAX_BYTES {
+        return Err(SnapshotError::TooLarge("a blob is too large"));
+    }
+    if packed.remaining() < length {
+        return Err(malformed());
+    }
+    Ok(Blob::new(packed.split_to(length)))
+}
