Own runners: rendezvous ownership, records, ledger, orders, permits

Cause: the fleet needs an owner per runner whose orders never overcommit memory. A runner record is changed by compare-and-swap under the owner's fencing number; a model order is reserved there before it is sent and counts until it is known to be over. A load holds its slot of the weight store for as long as its order is open (same transaction), so no lease can lapse under a running load. The proofs under faults are not written yet.

--- /dev/null
+++ b/src/fleet/adapter_permits.rs
@@ -0,0 +1,109 @@
+//! Permits for adapter loads: this VM's share of the fleet's limit.
+
+use {
+    crate::units::VmName,
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// Returns a member's share of a limit; the shares of all members add up to the limit.
+///
+/// Every share is at least one as long as the limit allows; members beyond it have to borrow.
+pub fn adapter_share(limit: u32, members: &[VmName], me: &VmName) -> u32 {
+    let Some(rank) = members.iter().position(|member| member == me) else {
+        return 0;
+    };
+    let count = members.len() as u64;
+    let limit = u64::from(limit);
+    let extra = u64::from((rank as u64) < limit % count);
+    u32::try_from(limit / count + extra).unwrap_or(u32::MAX)
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Loan {
+    permits: u32,
+    until: Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    share: u32,
+    in_flight: u32,
+    lent: Vec<Loan>,
+    borrowed: Vec<Loan>,
+}
+
+impl State {
+    fn limit(&mut self) -> u32 {
+        let now = Instant::now();
+        self.lent.retain(|loan| loan.until > now);
+        self.borrowed.retain(|loan| loan.until > now);
+        let sum = |loans: &[Loan]| loans.iter().map(|loan| loan.permits).sum::<u32>();
+        (self.share + sum(&self.borrowed)).saturating_sub(sum(&self.lent))
+    }
+
+    fn free(&mut self) -> u32 {
+        self.limit().saturating_sub(self.in_flight)
+    }
+}
+
+/// The adapter loads that this VM may have in flight.
+#[derive(Debug, Default)]
+pub struct AdapterPermits {
+    state: Mutex<State>,
+}
+
+impl AdapterPermits {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets this VM's share.
+    pub fn set_share(&self, share: u32) {
+        self.state().share = share;
+    }
+
+    /// Takes a permit if one is free.
+    pub fn try_acquire(self: &Arc<Self>) -> Option<AdapterPermit> {
+        let mut state = self.state();
+        if state.free() == 0 {
+            return None;
+        }
+        state.in_flight += 1;
+        Some(AdapterPermit {
+            permits: Arc::clone(self),
+        })
+    }
+
+    /// Lends up to `wanted` free permits to a peer and returns how many.
+    pub fn lend(&self, wanted: u32, lasting: Duration) -> u32 {
+        let mut state = self.state();
+        let permits = wanted.min(state.free());
+        if permits > 0 {
+            let until = Instant::now() + lasting;
+            state.lent.push(Loan { permits, until });
+        }
+        permits
+    }
+
+    /// Adds permits borrowed from a peer until a moment counted from before the peer was asked.
+    pub fn borrow_until(&self, permits: u32, until: Instant) {
+        self.state().borrowed.push(Loan { permits, until });
+    }
+}
+
+/// The right to have one adapter load in flight.
+#[derive(Debug)]
+pub struct AdapterPermit {
+    permits: Arc<AdapterPermits>,
+}
+
+impl Drop for AdapterPermit {
+    fn drop(&mut self) {
+        let mut state = self.permits.state();
+        state.in_flight = state.in_flight.saturating_sub(1);
+    }
+}
--- /dev/null
+++ b/src/fleet/audit_log.rs
@@ -0,0 +1,164 @@
+//! The audit trail of orders: a bounded ring per data centre, written in batches.
+
+use {
+    super::record_handle::unchanged,
+    crate::{
+        engine::Action,
+        store::{Op, SharedStore, StoreError, StoreVersion, Txn},
+        units::{DataCentreName, Epoch, OrderId, RunnerName, VmName},
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::{SystemTime, UNIX_EPOCH},
+    },
+};
+
+/// The number of batches that a data centre keeps.
+const RING_BATCHES: u64 = 256;
+/// The most records in one batch.
+const BATCH_RECORDS_MAX: usize = 256;
+/// The most records that wait for the store; older ones are dropped first.
+const WAITING_RECORDS_MAX: usize = 4096;
+/// The name of the key that holds the number of batches written so far.
+const CURSOR: &str = "cursor";
+
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AuditEvent {
+    /// The order was written ahead and is about to be sent.
+    Reserved,
+    /// The engine finished the order, or it is known to have no further effect.
+    Settled,
+}
+
+/// One record of the audit trail of orders.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AuditRecord {
+    /// When, in milliseconds since 1970.
+    pub at_ms: u64,
+    /// The VM that wrote it.
+    pub vm: VmName,
+    /// The runner.
+    pub runner: RunnerName,
+    /// The fencing number of the runner's owner.
+    pub epoch: Epoch,
+    /// The order.
+    pub order: OrderId,
+    /// What the order asks for.
+    pub action: Action,
+    /// What became of it.
+    pub event: AuditEvent,
+    /// The decision that the order follows from, if it is known here.
+    pub decision: Option<String>,
+}
+
+/// Collects audit records and writes them in batches.
+pub struct AuditLog {
+    store: SharedStore,
+    data_centre: DataCentreName,
+    waiting: Mutex<Vec<AuditRecord>>,
+}
+
+impl AuditLog {
+    /// Creates the log of this process.
+    pub fn new(store: SharedStore, data_centre: DataCentreName) -> Self {
+        Self {
+            store,
+            data_centre,
+            waiting: Mutex::default(),
+        }
+    }
+
+    /// Adds a record to the next batch.
+    pub fn note(&self, record: AuditRecord) {
+        let mut waiting = self.waiting();
+        if waiting.len() >= WAITING_RECORDS_MAX {
+            waiting.remove(0);
+        }
+        waiting.push(record);
+    }
+
+    /// Writes the next batch, if records wait.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store fails; the records are kept for the next time.
+    pub async fn flush(&self) -> Result<(), StoreError> {
+        let batch: Vec<_> = self
+            .waiting()
+            .iter()
+            .take(BATCH_RECORDS_MAX)
+            .cloned()
+            .collect();
+        if batch.is_empty() {
+            return Ok(());
+        }
+        if self.write(&batch).await? {
+            let mut waiting = self.waiting();
+            let written = batch.len().min(waiting.len());
+            waiting.drain(..written);
+        }
+        Ok(())
+    }
+
+    async fn write(&self, batch: &[AuditRecord]) -> Result<bool, StoreError> {
+        let cursor_key = self.key(CURSOR);
+        let read = Txn {
+            then: vec![Op::Get {
+                key: cursor_key.clone(),
+            }],
+            ..Txn::default()
+        };
+        let found = self
+            .store
+            .txn(read)
+            .await?
+            .reads
+            .into_iter()
+            .flatten()
+            .next();
+        let version = found
+            .as_ref()
+            .map_or(StoreVersion::default(), |entry| entry.modified);
+        let number: u64 = found
+            .and_then(|entry| serde_json::from_slice(&entry.value).ok())
+            .unwrap_or(0);
+        let slot = self.key(&format!("{:04}", number % RING_BATCHES));
+        let value = serde_json::to_vec(batch).unwrap_or_default();
+        let txn = Txn {
+            compare: vec![unchanged(&cursor_key, version)],
+            then: vec![
+                put(cursor_key, (number + 1).to_string().into_bytes()),
+                put(slot, value),
+            ],
+            otherwise: Vec::new(),
+        };
+        Ok(self.store.txn(txn).await?.succeeded)
+    }
+
+    fn key(&self, name: &str) -> String {
+        format!("/ggt/audit/{}/{name}", self.data_centre)
+    }
+
+    fn waiting(&self) -> MutexGuard<'_, Vec<AuditRecord>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the wall-clock time, for records that people read.
+pub(super) fn wall_clock_ms() -> u64 {
+    let since_1970 = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_1970.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn put(key: String, value: Vec<u8>) -> Op {
+    Op::Put {
+        key,
+        value: value.into(),
+        lease: None,
+    }
+}
--- /dev/null
+++ b/src/fleet/fleet_keeper.rs
@@ -0,0 +1,186 @@
+//! Owns this VM's share of the runners.
+
+use {
+    super::{
+        AdapterPermits, AuditLog, FleetView, LoadGate, Move, Owner, RunnerRecord, RunnerState,
+        StateBoard, adapter_share, owner_of, supervisor::Supervisor,
+    },
+    crate::{
+        config::Runner,
+        engine::Engine,
+        membership::Member,
+        store::{SharedStore, StoreError},
+        units::{DataCentreName, RunnerName, VmName},
+    },
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::sync::watch,
+};
+
+/// Opens the order interface of a runner.
+pub type EngineFactory = dyn Fn(&Runner) -> Arc<dyn Engine> + Send + Sync;
+
+/// How often and how long runner tasks wait.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetTiming {
+    /// The time between two polls of an engine.
+    pub status_interval: Duration,
+    /// The longest wait for an engine's answer.
+    pub order_timeout: Duration,
+}
+
+/// What the runner tasks of a process share.
+pub(super) struct TaskContext {
+    pub(super) store: SharedStore,
+    pub(super) engines: Box<EngineFactory>,
+    pub(super) me: Owner,
+    pub(super) timing: FleetTiming,
+    pub(super) gate: Arc<LoadGate>,
+    pub(super) adapter_permits: Arc<AdapterPermits>,
+    pub(super) audit: AuditLog,
+    pub(super) board: StateBoard,
+    pub(super) view: watch::Sender<Arc<FleetView>>,
+}
+
+/// Owns this VM's share of the runners; must be used within a tokio runtime.
+pub struct FleetKeeper {
+    context: Arc<TaskContext>,
+    data_centre: DataCentreName,
+    /// The supervisors of runners that were ever owned, sorted by runner.
+    supervisors: Mutex<Vec<Supervisor>>,
+}
+
+impl FleetKeeper {
+    /// Creates a keeper that owns nothing until its first update.
+    pub fn new(
+        store: SharedStore,
+        engines: Box<EngineFactory>,
+        me: Owner,
+        data_centre: DataCentreName,
+        timing: FleetTiming,
+    ) -> Self {
+        let context = TaskContext {
+            gate: Arc::new(LoadGate::new(Arc::clone(&store))),
+            audit: AuditLog::new(Arc::clone(&store), data_centre.clone()),
+            store,
+            engines,
+            me,
+            timing,
+            adapter_permits: Arc::default(),
+            board: StateBoard::default(),
+            view: watch::Sender::new(Arc::default()),
+        };
+        Self {
+            context: Arc::new(context),
+            data_centre,
+            supervisors: Mutex::default(),
+        }
+    }
+
+    /// Takes over what is known of the fleet, and takes or gives up runners accordingly.
+    pub fn update(&self, view: FleetView) {
+        let view = Arc::new(view);
+        self.context.view.send_replace(Arc::clone(&view));
+        let owners: Vec<VmName> = view
+            .members
+            .iter()
+            .map(|member| member.vm.clone())
+            .collect();
+        let limit = view.catalog.deployment.adapter_loads_at_once_max;
+        let share = adapter_share(limit, &owners, &self.context.me.vm);
+        self.context.adapter_permits.set_share(share);
+        self.context
+            .board
+            .retain(|name| view.catalog.runner(name).is_some());
+        let mut supervisors = self.supervisors();
+        for supervisor in supervisors.iter() {
+            supervisor.set_owned(self.is_mine(supervisor.runner(), &view));
+        }
+        for runner in &view.catalog.runners {
+            let known = supervisors.binary_search_by(|known| known.runner().cmp(&runner.name));
+            if let Err(position) = known
+                && self.is_mine(&runner.name, &view)
+            {
+                let context = Arc::clone(&self.context);
+                supervisors.insert(position, Supervisor::start(context, runner.name.clone()));
+            }
+        }
+    }
+
+    fn is_mine(&self, name: &RunnerName, view: &FleetView) -> bool {
+        let me = &self.context.me;
+        let is_me = |owner: &Member| owner.vm == me.vm && owner.incarnation == me.incarnation;
+        view.may_own(&me.vm)
+            && view
+                .catalog
+                .runner(name)
+                .and_then(|runner| owner_of(name, &runner.data_centre, &view.members))
+                .is_some_and(is_me)
+    }
+
+    /// Carries out the moves on runners that this VM owns and returns how many were taken.
+    ///
+    /// `decision` names what the moves follow from in the audit trail.
+    pub fn apply(&self, moves: Vec<Move>, decision: &str) -> usize {
+        let supervisors = self.supervisors();
+        let take = |wanted: &Move| {
+            let found = supervisors.binary_search_by(|known| known.runner().cmp(&wanted.runner));
+            found.is_ok_and(|at| supervisors[at].take(wanted.clone(), decision))
+        };
+        moves.iter().filter(|wanted| take(wanted)).count()
+    }
+
+    /// Takes over the record of a runner that another VM may own.
+    pub fn observe_record(&self, record: &RunnerRecord) {
+        self.context.board.observe(record);
+    }
+
+    /// Takes over a runner's state as its owner reported it.
+    pub fn observe_state(&self, state: RunnerState) {
+        self.context.board.publish(state);
+    }
+
+    /// Returns a receiver of the newest known state of every runner.
+    pub fn states(&self) -> watch::Receiver<Arc<Vec<RunnerState>>> {
+        self.context.board.subscribe()
+    }
+
+    /// Returns the adapter loads that this VM may have in flight.
+    pub fn adapter_permits(&self) -> &Arc<AdapterPermits> {
+        &self.context.adapter_permits
+    }
+
+    /// Returns the data centre of this VM.
+    pub fn data_centre(&self) -> &DataCentreName {
+        &self.data_centre
+    }
+
+    /// Writes the audit records that wait.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store fails; the records are kept for the next time.
+    pub async fn flush_audit(&self) -> Result<(), StoreError> {
+        self.context.audit.flush().await
+    }
+
+    /// Gives up all runners, for a planned stop.
+    pub async fn hand_over(&self) {
+        let supervisors = std::mem::take(&mut *self.supervisors());
+        for supervisor in &supervisors {
+            supervisor.set_owned(false);
+        }
+        for supervisor in supervisors {
+            supervisor.stop().await;
+        }
+        let _ = self.flush_audit().await;
+    }
+
+    fn supervisors(&self) -> MutexGuard<'_, Vec<Supervisor>> {
+        self.supervisors
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,5 +1,25 @@
 //! The runners: who owns each, what it holds, and the orders that change it.
 
+mod adapter_ledger;
+mod adapter_permits;
+mod audit_log;
+mod doubt;
+mod error;
+mod fleet_keeper;
+mod ledger;
+mod load_gate;
+mod move_queue;
+mod ownership;
+mod record;
+mod record_handle;
+mod runner_task;
 mod state;
+mod state_board;
+mod supervisor;
+mod view;
 
-pub use state::*;
+pub use {
+    adapter_ledger::*, adapter_permits::*, audit_log::*, error::*, fleet_keeper::*, ledger::*,
+    load_gate::*, ownership::*, record::*, record_handle::*, state::*, state_board::*, view::*,
+};
+use {fleet_keeper::TaskContext, move_queue::QueuedMove};
--- /dev/null
+++ b/src/fleet/move_queue.rs
@@ -0,0 +1,255 @@
+//! Carries out the planner's moves on one owned runner as orders.
+
+use {
+    super::{
+        AuditEvent, Extra, LedgerError, LoadWait, Move, MoveChange, PendingOrder, RecordError,
+        read_records,
+        record_handle::unchanged,
+        record_key,
+        runner_task::{RunnerTask, SendOutcome},
+    },
+    crate::{
+        config::Fencing,
+        engine::{Action, Order},
+        store::Compare,
+        units::{AdapterName, ModelName, OrderId},
+    },
+    std::time::Duration,
+    tokio::time::Instant,
+};
+
+/// How long a move that can't be carried out is tried again.
+const MOVE_LASTING_S: u64 = 30;
+/// The most records that are read to find another copy of a model.
+const COPIES_READ_MAX: usize = 8;
+
+/// A move that waits to be carried out.
+#[derive(Debug)]
+pub(super) struct QueuedMove {
+    wanted: Move,
+    decision: String,
+    until: Instant,
+}
+
+impl QueuedMove {
+    pub(super) fn new(wanted: Move, decision: String) -> Self {
+        Self {
+            wanted,
+            decision,
+            until: Instant::now() + Duration::from_secs(MOVE_LASTING_S),
+        }
+    }
+}
+
+/// What became of a move.
+#[derive(Debug, PartialEq, Eq)]
+enum MoveOutcome {
+    /// Its order was sent, or nothing was left to do.
+    Over,
+    /// It has to wait.
+    Waits,
+}
+
+impl RunnerTask {
+    /// Adds a move, in place of an equal one that waits.
+    pub(super) fn enqueue(&mut self, queued: QueuedMove) {
+        self.moves
+            .retain(|known| known.wanted.change != queued.wanted.change);
+        self.moves.push(queued);
+        self.moves.sort_by_key(|known| !known.wanted.urgent);
+    }
+
+    /// Tries every move that waits, and returns whether an order was sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails when another owner holds the record or the store fails.
+    pub(super) async fn carry_out_moves(&mut self) -> Result<bool, RecordError> {
+        let mut sent = false;
+        let now = Instant::now();
+        let mut tries = std::mem::take(&mut self.moves);
+        tries.retain(|queued| queued.until > now);
+        while !tries.is_empty() {
+            let queued = tries.remove(0);
+            match self.carry_out(&queued).await {
+                Ok(MoveOutcome::Over) => sent = true,
+                Ok(MoveOutcome::Waits) => self.moves.push(queued),
+                Err(error) => {
+                    self.moves.push(queued);
+                    self.moves.append(&mut tries);
+                    return Err(error);
+                }
+            }
+        }
+        Ok(sent)
+    }
+
+    async fn carry_out(&mut self, queued: &QueuedMove) -> Result<MoveOutcome, RecordError> {
+        let result = match &queued.wanted.change {
+            MoveChange::Load(model) => self.load(model, queued).await,
+            MoveChange::Unload(model) => self.unload(model, queued).await,
+            MoveChange::LoadAdapter(adapter) => self.load_adapter(adapter).await,
+            MoveChange::UnloadAdapter(adapter) => self.unload_adapter(adapter).await,
+        };
+        match result {
+            Err(RecordError::Ledger(LedgerError::Resident(_) | LedgerError::NotResident(_))) => {
+                Ok(MoveOutcome::Over)
+            }
+            Err(RecordError::Ledger(_) | RecordError::Contended) => Ok(MoveOutcome::Waits),
+            other => other,
+        }
+    }
+
+    async fn load(
+        &mut self,
+        name: &ModelName,
+        queued: &QueuedMove,
+    ) -> Result<MoveOutcome, RecordError> {
+        let catalog = self.context.view.borrow().catalog.clone();
+        let Some(model) = catalog.model(name) else {
+            return Ok(MoveOutcome::Over);
+        };
+        let action = Action::LoadModel {
+            model: name.clone(),
+            version: model.version.clone(),
+            memory_mib: model.memory_mib,
+        };
+        let mut pending = self.pending(action);
+        let mut trial = self.handle.record().clone();
+        trial.reserve(pending.clone(), &self.runner)?;
+        let gate = self.context.gate.clone();
+        let urgent = queued.wanted.urgent;
+        let turn = gate.turn(&catalog.deployment, &self.runner.name, pending.id(), urgent);
+        let turn = match turn.await {
+            Ok(turn) => turn,
+            Err(LoadWait::Full | LoadWait::Spacing) => return Ok(MoveOutcome::Waits),
+            Err(LoadWait::Store(error)) => return Err(error),
+        };
+        pending.load_slot = Some(turn.slot);
+        self.reserve_and_send(pending, &turn.extra, queued).await
+    }
+
+    async fn unload(
+        &mut self,
+        model: &ModelName,
+        queued: &QueuedMove,
+    ) -> Result<MoveOutcome, RecordError> {
+        let pending = self.pending(Action::UnloadModel {
+            model: model.clone(),
+        });
+        let mut trial = self.handle.record().clone();
+        trial.reserve(pending.clone(), &self.runner)?;
+        let configured = self.context.view.borrow().catalog.model(model).is_some();
+        let mut extra = Extra::default();
+        if configured {
+            let Some(other_copy) = self.find_other_copy(model).await? else {
+                return Ok(MoveOutcome::Waits);
+            };
+            extra.compare.push(other_copy);
+        }
+        self.reserve_and_send(pending, &extra, queued).await
+    }
+
+    /// Returns the condition that some other runner goes on serving the model.
+    async fn find_other_copy(&self, model: &ModelName) -> Result<Option<Compare>, RecordError> {
+        let catalog = self.context.view.borrow().catalog.clone();
+        let mut runners = self.context.board.serving(model, &self.runner.name);
+        runners.retain(|name| catalog.runner(name).is_some());
+        runners.truncate(COPIES_READ_MAX);
+        if runners.is_empty() {
+            return Ok(None);
+        }
+        let records = read_records(&self.context.store, &runners).await?;
+        let serving = records.iter().find(|(record, _)| record.serves(model));
+        Ok(serving.map(|(record, version)| unchanged(&record_key(&record.name), *version)))
+    }
+
+    async fn load_adapter(&mut self, name: &AdapterName) -> Result<MoveOutcome, RecordError> {
+        let catalog = self.context.view.borrow().catalog.clone();
+        let Some(adapter) = catalog.adapter(name) else {
+            return Ok(MoveOutcome::Over);
+        };
+        if !self.adapters_known || !self.handle.record().serves(&adapter.model) {
+            return Ok(MoveOutcome::Waits);
+        }
+        let Some(permit) = self.context.adapter_permits.try_acquire() else {
+            return Ok(MoveOutcome::Waits);
+        };
+        self.renew_allowance(adapter.memory_mib).await?;
+        let pending = self.pending(Action::LoadAdapter {
+            adapter: name.clone(),
+            model: adapter.model.clone(),
+            memory_mib: adapter.memory_mib,
+        });
+        let pool = self.handle.record().adapter_pool_mib;
+        let room = pool.saturating_sub(self.adapter_pool_used_mib());
+        let order = pending.order.clone();
+        let id = order.id;
+        self.adapters.reserve(pending, room)?;
+        if self.send(order).await == SendOutcome::Running {
+            self.permits.push((id, permit));
+        }
+        Ok(MoveOutcome::Over)
+    }
+
+    async fn unload_adapter(&mut self, name: &AdapterName) -> Result<MoveOutcome, RecordError> {
+        let pending = self.pending(Action::UnloadAdapter {
+            adapter: name.clone(),
+        });
+        let order = pending.order.clone();
+        self.adapters.reserve(pending, Default::default())?;
+        self.send(order).await;
+        Ok(MoveOutcome::Over)
+    }
+
+    /// Makes sure that a load of this size keeps within what a later owner reckons with.
+    async fn renew_allowance(
+        &mut self,
+        needed: crate::units::MemoryMib,
+    ) -> Result<(), RecordError> {
+        if self.adapters.allowance_mib() >= needed {
+            return Ok(());
+        }
+        if self.runner.fencing == Fencing::Ignored {
+            self.handle.reload().await?;
+        }
+        let window = match self.runner.fencing {
+            Fencing::Ignored => self.handle.record().adapter_window_mib,
+            Fencing::Honoured => self.handle.record().adapter_pool_mib,
+        };
+        self.adapters.renew_allowance(window);
+        Ok(())
+    }
+
+    fn pending(&self, action: Action) -> PendingOrder {
+        let order = Order {
+            id: OrderId::random(),
+            epoch: self.handle.epoch(),
+            incarnation: self.handle.record().engine,
+            action,
+        };
+        PendingOrder {
+            order,
+            sender: self.context.me.clone(),
+            given_up: false,
+            load_slot: None,
+        }
+    }
+
+    /// Writes an order ahead and sends it; an order whose write is in doubt is never sent.
+    async fn reserve_and_send(
+        &mut self,
+        pending: PendingOrder,
+        extra: &Extra,
+        queued: &QueuedMove,
+    ) -> Result<MoveOutcome, RecordError> {
+        let runner = self.runner.clone();
+        self.handle
+            .change(extra, |record| record.reserve(pending.clone(), &runner))
+            .await?;
+        self.audit(&pending, AuditEvent::Reserved, Some(&queued.decision));
+        self.publish();
+        self.send(pending.order).await;
+        Ok(MoveOutcome::Over)
+    }
+}
--- /dev/null
+++ b/src/fleet/record_handle.rs
@@ -0,0 +1,283 @@
+//! Reads and changes one runner's record by compare-and-swap.
+
+use {
+    super::{Owner, RecordError, RunnerRecord, record_key},
+    crate::{
+        store::{Compare, Entry, Op, SharedStore, StoreError, StoreVersion, Txn},
+        units::{Epoch, RunnerName},
+    },
+    bytes::Bytes,
+};
+
+/// How often a change is tried again on a newer version of the record.
+const CHANGE_TRIES: usize = 4;
+
+/// What a transaction asks and writes besides the record.
+#[derive(Debug, Clone, Default)]
+pub struct Extra {
+    /// Further conditions.
+    pub compare: Vec<Compare>,
+    /// Further writes.
+    pub ops: Vec<Op>,
+}
+
+/// A runner's record as it was last read or written, and the right to change it.
+pub struct RecordHandle {
+    store: SharedStore,
+    key: String,
+    owner: Owner,
+    epoch: Epoch,
+    record: RunnerRecord,
+    version: StoreVersion,
+}
+
+impl RecordHandle {
+    /// Takes the runner's record over under a new fencing number.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store fails or another owner takes the record at the same time.
+    pub async fn take_over(
+        store: SharedStore,
+        runner: &RunnerName,
+        owner: Owner,
+        change: impl FnOnce(&mut RunnerRecord),
+    ) -> Result<Self, RecordError> {
+        let key = record_key(runner);
+        let found = read(&store, &key).await?;
+        let (mut record, version) =
+            found.unwrap_or_else(|| (RunnerRecord::new(runner.clone()), StoreVersion::default()));
+        change(&mut record);
+        let mut handle = Self {
+            epoch: record.epoch,
+            store,
+            key,
+            owner,
+            record,
+            version,
+        };
+        let wanted = handle.record.clone();
+        match handle.swap(&wanted, &Extra::default()).await? {
+            true => Ok(handle),
+            false => Err(RecordError::Lost),
+        }
+    }
+
+    /// Returns the record as it was last read or written.
+    pub fn record(&self) -> &RunnerRecord {
+        &self.record
+    }
+
+    /// Returns who holds the record.
+    pub fn owner(&self) -> &Owner {
+        &self.owner
+    }
+
+    /// Returns the fencing number under which the record is held.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Reads the record again.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordError::Lost`] when another owner holds it by now.
+    pub async fn reload(&mut self) -> Result<(), RecordError> {
+        let (record, version) = read(&self.store, &self.key)
+            .await?
+            .ok_or(RecordError::Lost)?;
+        if !record.is_held_by(&self.owner, self.epoch) {
+            return Err(RecordError::Lost);
+        }
+        self.record = record;
+        self.version = version;
+        Ok(())
+    }
+
+    /// Changes the record if it is still held under this fencing number.
+    ///
+    /// The change is made again on a newer version of the record, so it must do nothing when it
+    /// finds itself done. A change to nothing is not written.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the change is refused, another owner holds the record, a further condition does
+    /// not hold, or the store fails.
+    pub async fn change<E>(
+        &mut self,
+        extra: &Extra,
+        mut change: impl FnMut(&mut RunnerRecord) -> Result<(), E>,
+    ) -> Result<(), RecordError>
+    where
+        RecordError: From<E>,
+    {
+        for _ in 0..CHANGE_TRIES {
+            let mut wanted = self.record.clone();
+            change(&mut wanted)?;
+            if wanted == self.record {
+                return Ok(());
+            }
+            match self.swap(&wanted, extra).await {
+                Ok(true) => {
+                    self.epoch = wanted.epoch;
+                    self.record = wanted;
+                    return Ok(());
+                }
+                Ok(false) => self.adopt_newer().await?,
+                Err(error) => self.resolve(&wanted, error).await?,
+            }
+        }
+        Err(RecordError::Contended)
+    }
+
+    async fn adopt_newer(&mut self) -> Result<(), RecordError> {
+        let version = self.version;
+        self.reload().await?;
+        if self.version == version {
+            return Err(RecordError::Contended);
+        }
+        Ok(())
+    }
+
+    /// Reads whether a change whose answer was lost took effect.
+    async fn resolve(
+        &mut self,
+        wanted: &RunnerRecord,
+        error: RecordError,
+    ) -> Result<(), RecordError> {
+        if !matches!(error, RecordError::Store(StoreError::Unknown(_))) {
+            return Err(error);
+        }
+        let before = self.epoch;
+        self.epoch = wanted.epoch;
+        let Err(error) = self.reload().await else {
+            return Ok(());
+        };
+        self.epoch = before;
+        match error {
+            RecordError::Lost if wanted.epoch != before => self.reload().await,
+            error => Err(error),
+        }
+    }
+
+    async fn swap(&mut self, wanted: &RunnerRecord, extra: &Extra) -> Result<bool, RecordError> {
+        let mut compare = vec![unchanged(&self.key, self.version)];
+        compare.extend(extra.compare.iter().cloned());
+        let mut then = vec![Op::Put {
+            key: self.key.clone(),
+            value: encode(wanted)?,
+            lease: None,
+        }];
+        then.extend(extra.ops.iter().cloned());
+        let reply = self
+            .store
+            .txn(Txn {
+                compare,
+                then,
+                otherwise: Vec::new(),
+            })
+            .await?;
+        if reply.succeeded {
+            self.version = reply.version;
+        }
+        Ok(reply.succeeded)
+    }
+}
+
+/// Notes in a runner's record that a sender will send none of its orders any more.
+///
+/// # Errors
+///
+/// Fails when the store fails or others keep changing the record.
+pub async fn give_up(
+    store: &SharedStore,
+    runner: &RunnerName,
+    change: impl Fn(&mut RunnerRecord),
+) -> Result<(), RecordError> {
+    let key = record_key(runner);
+    for _ in 0..CHANGE_TRIES {
+        let Some((before, version)) = read(store, &key).await? else {
+            return Ok(());
+        };
+        let mut after = before.clone();
+        change(&mut after);
+        if after == before {
+            return Ok(());
+        }
+        let put = Op::Put {
+            key: key.clone(),
+            value: encode(&after)?,
+            lease: None,
+        };
+        let txn = Txn {
+            compare: vec![unchanged(&key, version)],
+            then: vec![put],
+            otherwise: Vec::new(),
+        };
+        if store.txn(txn).await?.succeeded {
+            return Ok(());
+        }
+    }
+    Err(RecordError::Contended)
+}
+
+/// Reads the records of some runners at one version of the key space.
+///
+/// # Errors
+///
+/// Fails when the store fails or a record is malformed.
+pub async fn read_records(
+    store: &SharedStore,
+    runners: &[RunnerName],
+) -> Result<Vec<(RunnerRecord, StoreVersion)>, RecordError> {
+    let get = |runner| Op::Get {
+        key: record_key(runner),
+    };
+    let txn = Txn {
+        then: runners.iter().map(get).collect(),
+        ..Txn::default()
+    };
+    let reply = store.txn(txn).await?;
+    reply.reads.iter().flatten().map(decode).collect()
+}
+
+async fn read(
+    store: &SharedStore,
+    key: &str,
+) -> Result<Option<(RunnerRecord, StoreVersion)>, RecordError> {
+    let get = Op::Get {
+        key: key.to_owned(),
+    };
+    let txn = Txn {
+        then: vec![get],
+        ..Txn::default()
+    };
+    let reply = store.txn(txn).await?;
+    reply.reads.iter().flatten().next().map(decode).transpose()
+}
+
+/// Returns the condition that a key was last written at this version; version zero is absence.
+pub(super) fn unchanged(key: &str, version: StoreVersion) -> Compare {
+    if version == StoreVersion::default() {
+        return Compare::Absent(key.to_owned());
+    }
+    Compare::ModifiedAt(key.to_owned(), version)
+}
+
+/// Reads a record out of an entry of the store.
+///
+/// # Errors
+///
+/// Fails when the value is no record.
+pub fn decode(entry: &Entry) -> Result<(RunnerRecord, StoreVersion), RecordError> {
+    let record = serde_json::from_slice(&entry.value)
+        .map_err(|error| RecordError::Malformed(error.to_string()))?;
+    Ok((record, entry.modified))
+}
+
+fn encode(record: &RunnerRecord) -> Result<Bytes, RecordError> {
+    serde_json::to_vec(record)
+        .map(Bytes::from)
+        .map_err(|error| RecordError::Malformed(error.to_string()))
+}
--- /dev/null
+++ b/src/fleet/state_board.rs
@@ -0,0 +1,89 @@
+//! The newest known state of every runner.
+
+use {
+    super::{RunnerRecord, RunnerState},
+    crate::units::{ModelName, RunnerName},
+    std::sync::Arc,
+    tokio::sync::watch,
+};
+
+/// The newest known state of every runner, sorted by name.
+#[derive(Debug)]
+pub struct StateBoard {
+    states: watch::Sender<Arc<Vec<RunnerState>>>,
+}
+
+impl Default for StateBoard {
+    fn default() -> Self {
+        Self {
+            states: watch::Sender::new(Arc::default()),
+        }
+    }
+}
+
+impl StateBoard {
+    /// Returns a receiver of all states.
+    pub fn subscribe(&self) -> watch::Receiver<Arc<Vec<RunnerState>>> {
+        self.states.subscribe()
+    }
+
+    /// Takes a runner's state over unless a newer owner's is known.
+    pub fn publish(&self, state: RunnerState) {
+        self.states.send_if_modified(|states| {
+            let position = states.binary_search_by(|known| known.name.cmp(&state.name));
+            match position {
+                Ok(at) if states[at].epoch > state.epoch || states[at] == state => false,
+                Ok(at) => {
+                    Arc::make_mut(states)[at] = state;
+                    true
+                }
+                Err(at) => {
+                    Arc::make_mut(states).insert(at, state);
+                    true
+                }
+            }
+        });
+    }
+
+    /// Takes over what a runner's record says; the adapters stay as last reported.
+    pub fn observe(&self, record: &RunnerRecord) {
+        let mut state = RunnerState::from(record);
+        if let Some(known) = self.find(&record.name)
+            && known.incarnation == state.incarnation
+        {
+            state.adapters = known.adapters;
+        }
+        self.publish(state);
+    }
+
+    /// Forgets runners that are not wanted any more.
+    pub fn retain(&self, is_wanted: impl Fn(&RunnerName) -> bool) {
+        self.states.send_if_modified(|states| {
+            let unwanted = states.iter().any(|state| !is_wanted(&state.name));
+            if unwanted {
+                Arc::make_mut(states).retain(|state| is_wanted(&state.name));
+            }
+            unwanted
+        });
+    }
+
+    /// Returns the runners, other than one, on which a model seems to serve.
+    pub fn serving(&self, model: &ModelName, except: &RunnerName) -> Vec<RunnerName> {
+        let serves = |state: &&RunnerState| {
+            let ready = |held: &crate::engine::ModelResident| held.ready && held.model == *model;
+            state.name != *except
+                && state.reachable
+                && !state.leaving
+                && state.models.iter().any(ready)
+        };
+        let states = self.states.borrow();
+        let found = states.iter().filter(serves);
+        found.map(|state| state.name.clone()).collect()
+    }
+
+    fn find(&self, name: &RunnerName) -> Option<RunnerState> {
+        let states = self.states.borrow();
+        let position = states.binary_search_by(|known| known.name.cmp(name)).ok()?;
+        states.get(position).cloned()
+    }
+}
--- /dev/null
+++ b/src/fleet/supervisor.rs
@@ -0,0 +1,186 @@
+//! Owns one runner whenever this VM should, and gives it up otherwise.
+
+use {
+    super::{
+        Move, QueuedMove, RecordError, TaskContext,
+        runner_task::{RunnerTask, give_up_runner},
+    },
+    crate::{
+        config::{Fencing, Runner},
+        units::RunnerName,
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        sync::{mpsc, watch},
+        task::JoinHandle,
+        time::{Instant, sleep, sleep_until},
+    },
+};
+
+/// How long a runner that was lost to another owner is left alone.
+const LOST_PAUSE_MS: u64 = 3000;
+/// How long a failed takeover waits.
+const RETRY_PAUSE_MS: u64 = 1000;
+/// The most moves that wait for one runner.
+const MOVES_MAX: usize = 64;
+
+/// Owns one runner whenever this VM should.
+pub(super) struct Supervisor {
+    runner: RunnerName,
+    owned: watch::Sender<bool>,
+    moves: mpsc::Sender<QueuedMove>,
+    task: JoinHandle<()>,
+}
+
+impl Supervisor {
+    /// Starts owning a runner.
+    pub(super) fn start(context: Arc<TaskContext>, runner: RunnerName) -> Self {
+        let (owned, owned_receiver) = watch::channel(true);
+        let (moves, moves_receiver) = mpsc::channel(MOVES_MAX);
+        let duty = Duty {
+            context,
+            name: runner.clone(),
+            owned: owned_receiver,
+            moves: moves_receiver,
+        };
+        Self {
+            runner,
+            owned,
+            moves,
+            task: tokio::spawn(duty.run()),
+        }
+    }
+
+    /// Returns the runner.
+    pub(super) fn runner(&self) -> &RunnerName {
+        &self.runner
+    }
+
+    /// Sets whether this VM should own the runner.
+    pub(super) fn set_owned(&self, owned: bool) {
+        self.owned.send_if_modified(|known| {
+            let changed = *known != owned;
+            *known = owned;
+            changed
+        });
+    }
+
+    /// Takes a move if this VM should own the runner.
+    pub(super) fn take(&self, wanted: Move, decision: &str) -> bool {
+        let queued = QueuedMove::new(wanted, decision.to_owned());
+        *self.owned.borrow() && self.moves.try_send(queued).is_ok()
+    }
+
+    /// Waits until the runner is given up.
+    pub(super) async fn stop(self) {
+        let Self {
+            owned, moves, task, ..
+        } = self;
+        owned.send_replace(false);
+        drop((owned, moves));
+        let _ = task.await;
+    }
+}
+
+/// What the supervisor's task works with.
+struct Duty {
+    context: Arc<TaskContext>,
+    name: RunnerName,
+    owned: watch::Receiver<bool>,
+    moves: mpsc::Receiver<QueuedMove>,
+}
+
+impl Duty {
+    async fn run(mut self) {
+        while self.owned.wait_for(|owned| *owned).await.is_ok() {
+            let runner = self
+                .context
+                .view
+                .borrow()
+                .catalog
+                .runner(&self.name)
+                .cloned();
+            let pause_ms = match runner {
+                Some(runner) => self.own(runner).await,
+                None => RETRY_PAUSE_MS,
+            };
+            sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
+    /// Owns the runner until it is lost or not wanted, and returns how long to leave it alone.
+    async fn own(&mut self, runner: Runner) -> u64 {
+        let engine = (self.context.engines)(&runner);
+        let context = Arc::clone(&self.context);
+        let (name, fencing) = (runner.name.clone(), runner.fencing);
+        let mut task = match RunnerTask::take_over(context, runner, engine).await {
+            Ok(task) => task,
+            Err(error) => {
+                log::debug!("fleet: cannot take {name}: {error}");
+                return RETRY_PAUSE_MS;
+            }
+        };
+        let lost = self.drive(&mut task).await;
+        if !lost && let Err(error) = task.release().await {
+            log::debug!("fleet: cannot withdraw from {name}: {error}");
+        }
+        self.give_up(&name, fencing).await;
+        if lost { LOST_PAUSE_MS } else { 0 }
+    }
+
+    /// Notes that this process sends nothing more, however long the store is down.
+    async fn give_up(&mut self, name: &RunnerName, fencing: Fencing) {
+        loop {
+            match give_up_runner(&self.context, name, fencing).await {
+                Ok(()) => return log::info!("fleet: gave up {name}"),
+                Err(error) => log::warn!("fleet: cannot give up {name}: {error}"),
+            }
+            if self.owned.has_changed().is_err() {
+                return;
+            }
+            sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+        }
+    }
+
+    /// Drives the runner; returns whether it was lost to another owner.
+    async fn drive(&mut self, task: &mut RunnerTask) -> bool {
+        loop {
+            match self.step(task).await {
+                Err(RecordError::Lost) => return true,
+                Err(error) => log::debug!("fleet: {}: {error}", self.name),
+                Ok(()) => {}
+            }
+            if !*self.owned.borrow() {
+                return false;
+            }
+            if !self.wait(task).await {
+                return false;
+            }
+        }
+    }
+
+    async fn step(&self, task: &mut RunnerTask) -> Result<(), RecordError> {
+        task.poll().await?;
+        if task.carry_out_moves().await? {
+            task.poll().await?;
+        }
+        Ok(())
+    }
+
+    /// Waits for the next poll or a move; returns whether the runner is still wanted.
+    async fn wait(&mut self, task: &mut RunnerTask) -> bool {
+        let next_poll = Instant::now() + self.context.timing.status_interval;
+        tokio::select! {
+            () = sleep_until(next_poll) => {}
+            changed = self.owned.wait_for(|owned| !owned) => {
+                let _ = changed;
+                return false;
+            }
+            Some(queued) = self.moves.recv() => task.enqueue(queued),
+        }
+        while let Ok(queued) = self.moves.try_recv() {
+            task.enqueue(queued);
+        }
+        true
+    }
+}
