--- /dev/null
+++ b/src/config/follow/blob_source.rs
@@ -0,0 +1,82 @@
+//! Where the blobs of a snapshot can be fetched from.
+
+use {
+    crate::{
+        config::{Blob, Digest},
+        store::{Op, Store, StoreError, Txn, keys::blob_key},
+    },
+    futures::future::{FutureExt, LocalBoxFuture},
+    thiserror::Error,
+};
+
+/// Blobs that are read in one call to the key-value service.
+const READ_BATCH_BLOBS: usize = 32;
+
+/// Why a source gave no blobs.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum BlobSourceError {
+    /// The key-value service failed.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// Another keeper failed.
+    #[error("the other keeper failed: {0}")]
+    Peer(String),
+}
+
+/// Another keeper or the key-value service, as a source of blobs.
+pub trait BlobSource {
+    /// Fetches those of the wanted blobs that the source has.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the source gives no answer.
+    fn fetch<'a>(
+        &'a self,
+        digests: &'a [Digest],
+    ) -> LocalBoxFuture<'a, Result<Vec<Blob>, BlobSourceError>>;
+}
+
+/// The key-value service as a source of blobs.
+pub struct StoreBlobs<'a> {
+    store: &'a dyn Store,
+}
+
+impl<'a> StoreBlobs<'a> {
+    /// Fetches from a store.
+    pub fn new(store: &'a dyn Store) -> Self {
+        Self { store }
+    }
+
+    async fn read(&self, digests: &[Digest]) -> Result<Vec<Blob>, BlobSourceError> {
+        let get = |digest: &Digest| Op::Get {
+            key: blob_key(*digest),
+        };
+        let txn = Txn {
+            then: digests.iter().map(get).collect(),
+            ..Txn::default()
+        };
+        let reads = self.store.txn(txn).await?.reads;
+        let read = digests.iter().zip(reads);
+        let blobs = read.filter_map(|(digest, entry)| {
+            let blob = Blob::verify(*digest, entry?.value);
+            blob.inspect_err(|error| log::warn!("config: {error}")).ok()
+        });
+        Ok(blobs.collect())
+    }
+}
+
+impl BlobSource for StoreBlobs<'_> {
+    fn fetch<'a>(
+        &'a self,
+        digests: &'a [Digest],
+    ) -> LocalBoxFuture<'a, Result<Vec<Blob>, BlobSourceError>> {
+        async move {
+            let mut blobs = Vec::new();
+            for batch in digests.chunks(READ_BATCH_BLOBS) {
+                blobs.extend(self.read(batch).await?);
+            }
+            Ok(blobs)
+        }
+        .boxed_local()
+    }
+}
--- /dev/null
+++ b/src/config/publish/mod.rs
@@ -0,0 +1,15 @@
+//! Publishes a checked configuration to the key-value service.
+
+mod base;
+mod blob_writer;
+mod collector;
+mod outcome;
+mod publisher;
+mod resolve;
+
+pub use {collector::*, outcome::*, publisher::*};
+
+/// Revisions whose heads are kept as the audit trail.
+pub const HISTORY_MAX: u64 = 256;
+/// Revisions whose content is kept.
+pub const SNAPSHOTS_KEPT_MAX: u64 = 8;
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -1,6 +1,9 @@
 //! The keys that this system uses in the key-value service.
 
-use crate::units::{Revision, RunnerName, VmName};
+use crate::{
+    config::Digest,
+    units::{Revision, RunnerName, VmName},
+};
 
 /// What every keeper watches: the head, the members and the runner records.
 pub const LIVE_PREFIX: &str = "/ggt/live/";
@@ -14,6 +17,8 @@
 pub const CHAIN_PREFIX: &str = "/ggt/chain/";
 /// The parts of snapshots, by digest.
 pub const BLOB_PREFIX: &str = "/ggt/blob/";
+/// Written by each garbage collection of blobs, so that publishers notice one.
+pub const COLLECTION_KEY: &str = "/ggt/collection";
 /// Claimed idempotency keys.
 pub const CLAIMS_PREFIX: &str = "/ggt/claims/";
 /// Permits of the weight store.
@@ -35,3 +40,8 @@
 pub fn chain_key(revision: Revision) -> String {
     format!("{CHAIN_PREFIX}{:020}", revision.0)
 }
+
+/// Returns the key of a part of a snapshot.
+pub fn blob_key(digest: Digest) -> String {
+    format!("{BLOB_PREFIX}{digest}")
+}
