--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -70,10 +70,8 @@
   fetch @1 (digests :List(Text)) -> (blobs :List(Blob));
   reportDemand @2 (sender :Text, demand :List(Demand));
   propose @3 (moves :List(Move)) -> (taken :UInt32);
-  borrowAdapterLoads @4 (sender :Text, wanted :UInt32) -> (granted :UInt32, expiresMs :UInt32);
-  handOver @5 (runners :List(Text));
-  reportRunners @6 (runners :List(RunnerState));
-  members @7 () -> (members :List(Member));
+  reportRunners @4 (runners :List(RunnerState));
+  members @5 () -> (members :List(Member));
 }
 
 struct Member {
--- a/src/bin/ggt-keeper.rs
+++ b/src/bin/ggt-keeper.rs
@@ -1,3 +1,10 @@
 //! The keeper daemon.
 
-fn main() {}
+use {
+    greengagetrail::{keeper, settings::run_daemon},
+    std::process::ExitCode,
+};
+
+fn main() -> ExitCode {
+    run_daemon("ggt-keeper", keeper::run)
+}
--- /dev/null
+++ b/src/keeper/demand_task.rs
@@ -0,0 +1,153 @@
+//! Brings the demand of all entries to the planners of all data centres.
+
+use {
+    super::{KeeperState, planner_of},
+    crate::{
+        entry::Report,
+        fleet::Demand,
+        membership::{Member, jittered},
+        peer::{PeerClient, SharedKey},
+        placement::DemandTracker,
+        units::{DataCentreName, VmName},
+    },
+    std::{cell::RefCell, rc::Rc, time::Duration},
+    tokio::{sync::mpsc, time::Instant},
+};
+
+/// How often an entry's demand goes to the planner of its data centre.
+const REPORT_INTERVAL: Duration = Duration::from_secs(2);
+/// How often a planner tells the others of the demand in its data centre.
+const SHARE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Brings the demand of all entries to the planners of all data centres.
+pub struct DemandTask {
+    vm: VmName,
+    data_centre: DataCentreName,
+    key: SharedKey,
+    state: KeeperState,
+    tracker: Rc<RefCell<DemandTracker>>,
+    from_entry: RefCell<Vec<Demand>>,
+    to_planners: RefCell<Vec<Demand>>,
+}
+
+impl DemandTask {
+    /// Prepares the task; what this VM plans with is kept in `tracker`.
+    pub fn new(
+        vm: VmName,
+        data_centre: DataCentreName,
+        key: SharedKey,
+        state: KeeperState,
+        tracker: Rc<RefCell<DemandTracker>>,
+    ) -> Self {
+        Self {
+            vm,
+            data_centre,
+            key,
+            state,
+            tracker,
+            from_entry: RefCell::default(),
+            to_planners: RefCell::default(),
+        }
+    }
+
+    /// Takes what the entry of this VM reports.
+    pub async fn take_entry_reports(&self, mut reports: mpsc::Receiver<Report>) {
+        while let Some(report) = reports.recv().await {
+            merge(&mut self.from_entry.borrow_mut(), report.demand);
+        }
+    }
+
+    /// Takes what other keepers report.
+    pub async fn take_peer_reports(&self, mut reports: mpsc::Receiver<DemandReport>) {
+        while let Some(report) = reports.recv().await {
+            self.tracker.borrow_mut().record(&report.demand, Instant::now());
+            let members = self.state.members();
+            let sender = members.iter().find(|member| member.vm == report.sender);
+            if sender.is_some_and(|sender| sender.data_centre == self.data_centre) {
+                merge(&mut self.to_planners.borrow_mut(), report.demand);
+            }
+        }
+    }
+
+    /// Sends the demand of this VM's entry to the planner of the data centre.
+    pub async fn report_for_ever(&self) {
+        loop {
+            tokio::time::sleep(jittered(REPORT_INTERVAL)).await;
+            let demand = self.from_entry.take();
+            if demand.is_empty() {
+                continue;
+            }
+            match planner_of(&self.data_centre, &self.state.members()) {
+                Some(planner) if planner.vm != self.vm => self.send(planner, &demand).await,
+                _ => {
+                    self.tracker.borrow_mut().record(&demand, Instant::now());
+                    merge(&mut self.to_planners.borrow_mut(), demand);
+                }
+            }
+        }
+    }
+
+    /// Tells the planners of other data centres of the demand in this one.
+    pub async fn share_for_ever(&self) {
+        loop {
+            tokio::time::sleep(jittered(SHARE_INTERVAL)).await;
+            let demand = self.to_planners.take();
+            if demand.is_empty() {
+                continue;
+            }
+            for planner in self.other_planners() {
+                self.send(&planner, &demand).await;
+            }
+        }
+    }
+
+    fn other_planners(&self) -> Vec<Member> {
+        let members = self.state.members();
+        let Some(current) = self.state.in_force() else {
+            return Vec::new();
+        };
+        let names = current.catalog.data_centres.iter().map(|object| &object.name);
+        let planners = names.filter_map(|name| planner_of(name, &members));
+        let mut planners: Vec<Member> = planners.filter(|it| it.vm != self.vm).cloned().collect();
+        planners.sort_by(|a, b| a.vm.cmp(&b.vm));
+        planners.dedup_by(|a, b| a.vm == b.vm);
+        planners
+    }
+
+    async fn send(&self, planner: &Member, demand: &[Demand]) {
+        let sent = async {
+            let peer = PeerClient::connect(planner.address, &self.key).await?;
+            peer.report_demand(&self.vm, demand).await
+        };
+        if let Err(error) = sent.await {
+            log::debug!("keeper: {} took no demand report: {error}", planner.vm);
+        }
+    }
+}
+
+/// Demand that another keeper reports.
+#[derive(Debug)]
+pub struct DemandReport {
+    /// The reporting VM.
+    pub sender: VmName,
+    /// What callers asked for.
+    pub demand: Vec<Demand>,
+}
+
+/// Adds counts to a list that is sorted by model and adapter.
+fn merge(sums: &mut Vec<Demand>, counts: Vec<Demand>) {
+    for count in counts {
+        let key = (&count.model, &count.adapter);
+        match sums.binary_search_by(|sum| (&sum.model, &sum.adapter).cmp(&key)) {
+            Ok(position) => add(&mut sums[position], &count),
+            Err(position) => sums.insert(position, count),
+        }
+    }
+}
+
+fn add(sum: &mut Demand, count: &Demand) {
+    sum.requests = sum.requests.saturating_add(count.requests);
+    sum.tokens = sum.tokens.saturating_add(count.tokens);
+    sum.late = sum.late.saturating_add(count.late);
+    sum.refused = sum.refused.saturating_add(count.refused);
+}
--- a/src/keeper/entry_service.rs
+++ b/src/keeper/entry_service.rs
@@ -51,7 +51,9 @@
         let mut answer = results.get();
         write_head(&in_force.head, answer.reborrow().init_head());
         if in_force.head.revision > known {
-            answer.set_snapshot(&in_force.objects_json);
+            let objects = serde_json::to_vec(&in_force.catalog.objects())
+                .map_err(|error| Error::failed(error.to_string()))?;
+            answer.set_snapshot(&objects);
         }
         Ok(())
     }
--- /dev/null
+++ b/src/keeper/fleet_task.rs
@@ -0,0 +1,134 @@
+//! Tells the fleet what changed around it, and the others what changed in it.
+
+use {
+    super::{Gossip, KeeperState, ListedVm, Proposal},
+    crate::{
+        config::Catalog,
+        fleet::{FleetKeeper, FleetView, RunnerState, owner_of},
+        units::{DataCentreName, VmName},
+    },
+    std::{rc::Rc, sync::Arc, time::Duration},
+    tokio::sync::{mpsc, watch},
+};
+
+/// How long changed runner states are gathered before they are passed on.
+const GATHER: Duration = Duration::from_millis(500);
+/// How often waiting audit records are written.
+const AUDIT_INTERVAL: Duration = Duration::from_secs(2);
+/// What the audit trail names as the cause of a planner's move.
+const DECISION: &str = "placement";
+
+/// Tells the fleet what changed around it, and the others what changed in it.
+pub struct FleetTask {
+    vm: VmName,
+    data_centre: DataCentreName,
+    state: KeeperState,
+    fleet: Rc<FleetKeeper>,
+    gossip: Rc<Gossip>,
+}
+
+impl FleetTask {
+    /// Prepares the task.
+    pub fn new(
+        vm: VmName,
+        data_centre: DataCentreName,
+        state: KeeperState,
+        fleet: Rc<FleetKeeper>,
+        gossip: Rc<Gossip>,
+    ) -> Self {
+        Self {
+            vm,
+            data_centre,
+            state,
+            fleet,
+            gossip,
+        }
+    }
+
+    /// Updates the fleet's view whenever the configuration, the members or the VM list change.
+    pub async fn follow_view(&self, mut listed: watch::Receiver<Option<Vec<ListedVm>>>) {
+        let mut revisions = self.state.watch_revision();
+        let mut members = self.state.watch_members();
+        loop {
+            if !self.state.draining() {
+                self.fleet.update(self.view(&mut listed));
+            }
+            let changed = tokio::select! {
+                changed = revisions.changed() => changed.is_ok(),
+                changed = members.changed() => changed.is_ok(),
+                changed = listed.changed() => changed.is_ok(),
+            };
+            if !changed {
+                return;
+            }
+        }
+    }
+
+    fn view(&self, listed: &mut watch::Receiver<Option<Vec<ListedVm>>>) -> FleetView {
+        let names = |vms: &Vec<ListedVm>| vms.iter().map(|listed| listed.vm.clone()).collect();
+        FleetView {
+            catalog: self.catalog(),
+            members: self.state.members(),
+            listed: listed.borrow_and_update().as_ref().map(names),
+        }
+    }
+
+    fn catalog(&self) -> Arc<Catalog> {
+        self.state.in_force().map(|current| current.catalog).unwrap_or_default()
+    }
+
+    /// Passes on changed runner states. Needs a `LocalSet`.
+    pub async fn pass_on_states(&self) {
+        let mut states = self.fleet.states();
+        loop {
+            let newest = states.borrow_and_update().clone();
+            let news = self.state.update_runners(newest.to_vec());
+            let owned = self.owned(news);
+            if !owned.is_empty() {
+                self.gossip.tell_data_centre(owned, &self.data_centre);
+            }
+            if states.changed().await.is_err() {
+                return;
+            }
+            tokio::time::sleep(GATHER).await;
+        }
+    }
+
+    fn owned(&self, mut states: Vec<RunnerState>) -> Vec<RunnerState> {
+        let catalog = self.catalog();
+        let members = self.state.members();
+        states.retain(|state| {
+            let runner = catalog.runner(&state.name);
+            let owner = runner.and_then(|it| owner_of(&it.name, &it.data_centre, &members));
+            owner.is_some_and(|owner| owner.vm == self.vm)
+        });
+        states
+    }
+
+    /// Takes the states that other owners report.
+    pub async fn take_reports(&self, mut reports: mpsc::Receiver<Vec<RunnerState>>) {
+        while let Some(states) = reports.recv().await {
+            for state in states {
+                self.fleet.observe_state(state);
+            }
+        }
+    }
+
+    /// Carries out the moves that planners propose.
+    pub async fn take_proposals(&self, mut proposals: mpsc::Receiver<Proposal>) {
+        while let Some(proposal) = proposals.recv().await {
+            let taken = self.fleet.apply(proposal.moves, DECISION);
+            let _ = proposal.taken.send(u32::try_from(taken).unwrap_or(u32::MAX));
+        }
+    }
+
+    /// Writes waiting audit records again and again.
+    pub async fn write_audit(&self) {
+        loop {
+            tokio::time::sleep(AUDIT_INTERVAL).await;
+            if let Err(error) = self.fleet.flush_audit().await {
+                log::debug!("keeper: the audit trail waits: {error}");
+            }
+        }
+    }
+}
--- a/src/keeper/gossip.rs
+++ b/src/keeper/gossip.rs
@@ -8,7 +8,7 @@
         fleet::RunnerState,
         membership::{Member, jittered},
         peer::{PeerClient, PeerError, SharedKey},
-        units::VmName,
+        units::{DataCentreName, VmName},
     },
     rand::seq::{IndexedRandom, IteratorRandom},
     std::{net::SocketAddr, rc::Rc, time::Duration},
@@ -65,21 +65,31 @@
     pub async fn push_revisions(self: Rc<Self>) {
         let mut revisions = self.state.watch_revision();
         while revisions.changed().await.is_ok() {
-            let Some(in_force) = self.state.in_force() else {
+            let Some(head) = self.state.head() else {
                 continue;
             };
             for address in self.pick_some() {
                 let gossip = self.clone();
-                let head = in_force.head.clone();
+                let head = head.clone();
                 tokio::task::spawn_local(async move { gossip.push_head(address, head).await });
             }
         }
     }
 
-    /// Tells some keepers of changed runner states. Needs a `LocalSet`.
+    /// Tells some keepers of leaving or lost runners. Needs a `LocalSet`.
     pub fn push_runners(self: &Rc<Self>, states: Vec<RunnerState>) {
+        self.send_runners(states, self.pick_some());
+    }
+
+    /// Tells the keepers of this data centre of changed runners. Needs a `LocalSet`.
+    pub fn tell_data_centre(self: &Rc<Self>, states: Vec<RunnerState>, home: &DataCentreName) {
+        let near = self.others().into_iter().filter(|member| member.data_centre == *home);
+        self.send_runners(states, near.map(|member| member.address).collect());
+    }
+
+    fn send_runners(self: &Rc<Self>, states: Vec<RunnerState>, addresses: Vec<SocketAddr>) {
         let states = Rc::new(states);
-        for address in self.pick_some() {
+        for address in addresses {
             let gossip = self.clone();
             let states = states.clone();
             tokio::task::spawn_local(async move {
@@ -106,7 +116,7 @@
 
     async fn exchange_with(&self, address: SocketAddr) -> Result<(), PeerError> {
         let peer = PeerClient::connect(address, &self.key).await?;
-        let own = self.state.in_force().map(|in_force| in_force.head);
+        let own = self.state.head();
         let theirs = peer.exchange_head(own.as_ref(), self.address).await?;
         if let Some(head) = theirs {
             self.offer(head, address);
@@ -122,7 +132,7 @@
     }
 
     fn offer(&self, head: Head, address: SocketAddr) {
-        let known = self.state.in_force().map(|in_force| in_force.head.revision);
+        let known = self.state.head().map(|head| head.revision);
         if known >= Some(head.revision) {
             return;
         }
--- a/src/keeper/live_feed.rs
+++ b/src/keeper/live_feed.rs
@@ -6,7 +6,7 @@
         membership::{Backoff, Member},
         store::{
             Change, Entry, SharedStore, StoreError, StoreVersion,
-            keys::{HEAD_KEY, LIVE_PREFIX, MEMBERS_PREFIX, RUNNERS_PREFIX},
+            keys::{HEAD_KEY, LEAVING_PREFIX, LIVE_PREFIX, MEMBERS_PREFIX, RUNNERS_PREFIX},
             prefix_end,
         },
         units::{RunnerName, VmName},
@@ -42,6 +42,8 @@
     Head(Head),
     /// A member joined or renewed its entry.
     Joined(Member),
+    /// A member leaves on purpose.
+    Departing(VmName),
     /// A member's entry went.
     Left(VmName),
     /// A runner record was written.
@@ -135,14 +137,17 @@
     let mut head = None;
     let mut members = Vec::new();
     let mut records = Vec::new();
+    let mut departing = Vec::new();
     for entry in entries {
         match decode(entry) {
             Some(LiveEvent::Head(found)) => head = Some(found),
             Some(LiveEvent::Joined(member)) => members.push(member),
+            Some(LiveEvent::Departing(vm)) => departing.push(vm),
             Some(LiveEvent::Record(runner, record)) => records.push((runner, record)),
             _ => {}
         }
     }
+    members.retain(|member: &Member| !departing.contains(&member.vm));
     LiveEvent::Listed {
         head,
         members,
@@ -184,6 +189,9 @@
             .ok()
             .map(LiveEvent::Joined);
     }
+    if let Some(vm) = entry.key.strip_prefix(LEAVING_PREFIX) {
+        return Some(LiveEvent::Departing(vm.parse().ok()?));
+    }
     let runner = entry.key.strip_prefix(RUNNERS_PREFIX)?;
     Some(LiveEvent::Record(runner.parse().ok()?, entry.value.clone()))
 }
--- /dev/null
+++ b/src/keeper/membership_task.rs
@@ -0,0 +1,95 @@
+//! Carries what the live keys say into the state and to the fleet.
+
+use {
+    super::{HeadOffer, KeeperState, LiveEvent},
+    crate::fleet::{FleetKeeper, RunnerRecord},
+    bytes::Bytes,
+    std::{rc::Rc, time::Duration},
+    tokio::{sync::mpsc, time::Instant},
+};
+
+/// How often members are dropped whose grace is over.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Carries what the live keys say into the state and to the fleet.
+pub struct MembershipTask {
+    state: KeeperState,
+    fleet: Rc<FleetKeeper>,
+    offers: mpsc::Sender<HeadOffer>,
+}
+
+impl MembershipTask {
+    /// Prepares the task.
+    pub fn new(
+        state: KeeperState,
+        fleet: Rc<FleetKeeper>,
+        offers: mpsc::Sender<HeadOffer>,
+    ) -> Self {
+        Self {
+            state,
+            fleet,
+            offers,
+        }
+    }
+
+    /// Takes events until there are none to come.
+    pub async fn run(&self, mut events: mpsc::Receiver<LiveEvent>) {
+        let mut expiry = tokio::time::interval(EXPIRY_INTERVAL);
+        loop {
+            tokio::select! {
+                event = events.recv() => match event {
+                    Some(event) => self.take(event).await,
+                    None => return,
+                },
+                _ = expiry.tick() => {
+                    self.state.change_roster(|roster| roster.expire(Instant::now()));
+                }
+            }
+        }
+    }
+
+    async fn take(&self, event: LiveEvent) {
+        let now = Instant::now();
+        match event {
+            LiveEvent::Listed {
+                head,
+                members,
+                records,
+            } => {
+                self.state.change_roster(|roster| roster.replace(members, now));
+                for (_, record) in records {
+                    self.take_record(&record);
+                }
+                if let Some(head) = head {
+                    self.offer(head).await;
+                }
+            }
+            LiveEvent::Head(head) => self.offer(head).await,
+            LiveEvent::Joined(member) => {
+                self.state.change_roster(|roster| roster.join(member));
+            }
+            LiveEvent::Departing(vm) => {
+                log::info!("membership: {vm} leaves on purpose.");
+                self.state.change_roster(|roster| roster.depart(&vm));
+            }
+            LiveEvent::Left(vm) => {
+                self.state.change_roster(|roster| {
+                    roster.leave(&vm, now);
+                    false
+                });
+            }
+            LiveEvent::Record(_, record) => self.take_record(&record),
+        }
+    }
+
+    async fn offer(&self, head: crate::config::Head) {
+        let _ = self.offers.send(HeadOffer { head, peer: None }).await;
+    }
+
+    fn take_record(&self, record: &Bytes) {
+        match serde_json::from_slice::<RunnerRecord>(record) {
+            Ok(record) => self.fleet.observe_record(&record),
+            Err(error) => log::error!("keeper: a runner record cannot be read: {error}"),
+        }
+    }
+}
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -1,14 +1,25 @@
 //! The keeper: configuration, membership, ownership and orders.
 
+mod configuration_task;
+mod demand_task;
 mod entry_service;
+mod error;
+mod fleet_task;
 mod gate_service;
 mod gossip;
 mod live_feed;
+mod membership_task;
+mod operator_service;
 mod peer_service;
+mod planning_task;
+mod run;
 mod settings;
 mod state;
+mod status;
+mod vm_list;
 
 pub use {
-    entry_service::*, gate_service::*, gossip::*, live_feed::*, peer_service::*, settings::*,
-    state::*,
+    configuration_task::*, demand_task::*, entry_service::*, error::*, fleet_task::*,
+    gate_service::*, gossip::*, live_feed::*, membership_task::*, operator_service::*,
+    peer_service::*, planning_task::*, run::*, settings::*, state::*, status::*, vm_list::*,
 };
--- /dev/null
+++ b/src/keeper/operator_service.rs
@@ -0,0 +1,199 @@
+//! What operators ask of a keeper.
+
+use {
+    super::{KeeperState, KeeperStatus},
+    crate::{
+        config::{
+            Catalog, ConfigFault, EncodedSnapshot, Head, ParsedObjects, Publication, PublishOutcome,
+            Publisher, check_parsed,
+        },
+        peer::{list_len, read_head, write_head, write_texts},
+        peer_capnp::{operator, publish_outcome},
+        store::{
+            SharedStore,
+            keys::AUDIT_PREFIX,
+        },
+        units::{Incarnation, Revision, VmName, unix_now_ms},
+    },
+    bytes::Bytes,
+    capnp::Error,
+    std::rc::Rc,
+};
+
+/// Audit records that one call returns at most.
+const AUDIT_MAX: u32 = 1000;
+/// The name that faults give to what an operator sent.
+const PUBLISHED_FILE: &str = "published objects";
+
+/// What operators ask of a keeper.
+pub struct OperatorService {
+    vm: VmName,
+    incarnation: Incarnation,
+    state: KeeperState,
+    store: SharedStore,
+    publisher: Publisher,
+}
+
+impl OperatorService {
+    /// Makes the service.
+    pub fn client(
+        vm: VmName,
+        incarnation: Incarnation,
+        state: KeeperState,
+        store: SharedStore,
+    ) -> operator::Client {
+        capnp_rpc::new_client(Self {
+            vm,
+            incarnation,
+            state,
+            publisher: Publisher::new(store.clone()),
+            store,
+        })
+    }
+
+    async fn publish_checked(
+        &self,
+        catalog: &Catalog,
+        wanted: Head,
+        expected: Revision,
+    ) -> Result<PublishOutcome, Error> {
+        let snapshot = EncodedSnapshot::encode(catalog).map_err(failed)?;
+        let publication = Publication {
+            snapshot,
+            publish_id: wanted.publish_id,
+            author: wanted.author,
+            message: wanted.message,
+            published_at_ms: unix_now_ms(),
+            expected,
+        };
+        let known = self.state.head();
+        let outcome = self.publisher.publish(&publication, known.as_ref()).await.map_err(failed)?;
+        if let PublishOutcome::Published(head) = &outcome {
+            log::info!("keeper: {} published revision {}.", head.author, head.revision);
+            if let Err(error) = self.state.accept(head.clone(), publication.snapshot) {
+                log::error!("keeper: revision {} is refused: {error}", head.revision);
+            }
+        }
+        Ok(outcome)
+    }
+
+    async fn read_audit(&self, limit: usize) -> Result<Vec<String>, Error> {
+        let range = self.store.range(AUDIT_PREFIX, 0).await.map_err(failed)?;
+        let texts = range.entries.iter().map(|entry| text_of(&entry.value));
+        let mut lines: Vec<String> = texts.flat_map(|text| lines_of(&text)).collect();
+        lines.sort();
+        let first = lines.len().saturating_sub(limit);
+        Ok(lines.split_off(first))
+    }
+}
+
+fn text_of(value: &Bytes) -> String {
+    String::from_utf8_lossy(value).into_owned()
+}
+
+fn lines_of(text: &str) -> Vec<String> {
+    text.lines().map(str::to_owned).collect()
+}
+
+fn failed(error: impl std::fmt::Display) -> Error {
+    Error::failed(error.to_string())
+}
+
+fn parse_objects(bytes: &[u8]) -> Result<Catalog, Vec<ConfigFault>> {
+    let mut parsed = ParsedObjects::default();
+    parsed.parse_file(PUBLISHED_FILE, bytes);
+    check_parsed(&parsed)
+}
+
+fn write_outcome(outcome: &PublishOutcome, to: &mut publish_outcome::Builder<'_>) {
+    match outcome {
+        PublishOutcome::Published(head) => write_head(head, to.reborrow().init_published()),
+        PublishOutcome::Conflict(head) => write_head(head, to.reborrow().init_conflict()),
+        PublishOutcome::Unknown(id) => to.set_unknown(id.to_string()),
+    }
+}
+
+impl operator::Server for OperatorService {
+    async fn publish(
+        self: Rc<Self>,
+        params: operator::PublishParams,
+        mut results: operator::PublishResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let expected = Revision(params.get_expected());
+        let wanted = read_head(params.get_head()?)?;
+        let wanted = wanted.ok_or_else(|| failed("the publication has no head"))?;
+        let mut answer = results.get().init_outcome();
+        match parse_objects(params.get_snapshot()?) {
+            Ok(catalog) => {
+                let outcome = self.publish_checked(&catalog, wanted, expected).await?;
+                write_outcome(&outcome, &mut answer);
+            }
+            Err(faults) => {
+                let texts: Vec<_> = faults.iter().map(ToString::to_string).collect();
+                write_texts(&texts, answer.init_refused(list_len(texts.len())));
+            }
+        }
+        Ok(())
+    }
+
+    async fn show(
+        self: Rc<Self>,
+        _params: operator::ShowParams,
+        mut results: operator::ShowResults,
+    ) -> Result<(), Error> {
+        if let Some(current) = self.state.in_force() {
+            let objects = serde_json::to_vec(&current.catalog.objects()).map_err(failed)?;
+            let mut answer = results.get();
+            write_head(&current.head, answer.reborrow().init_head());
+            answer.set_snapshot(&objects);
+        }
+        Ok(())
+    }
+
+    async fn history(
+        self: Rc<Self>,
+        params: operator::HistoryParams,
+        mut results: operator::HistoryResults,
+    ) -> Result<(), Error> {
+        let limit = params.get()?.get_limit() as usize;
+        let heads = self.publisher.history(limit).await.map_err(failed)?;
+        let mut slots = results.get().init_heads(list_len(heads.len()));
+        for (index, head) in (0..).zip(&heads) {
+            write_head(head, slots.reborrow().get(index));
+        }
+        Ok(())
+    }
+
+    async fn audit(
+        self: Rc<Self>,
+        params: operator::AuditParams,
+        mut results: operator::AuditResults,
+    ) -> Result<(), Error> {
+        let limit = params.get()?.get_limit().min(AUDIT_MAX) as usize;
+        let records = self.read_audit(limit).await?;
+        write_texts(&records, results.get().init_records(list_len(records.len())));
+        Ok(())
+    }
+
+    async fn status(
+        self: Rc<Self>,
+        _params: operator::StatusParams,
+        mut results: operator::StatusResults,
+    ) -> Result<(), Error> {
+        let status = KeeperStatus::collect(&self.vm, self.incarnation, &self.state);
+        let text = serde_json::to_string(&status).map_err(failed)?;
+        results.get().set_status(&text);
+        Ok(())
+    }
+
+    async fn drain(
+        self: Rc<Self>,
+        _params: operator::DrainParams,
+        _results: operator::DrainResults,
+    ) -> Result<(), Error> {
+        log::info!("keeper: an operator asked to drain.");
+        self.state.start_draining();
+        Ok(())
+    }
+}
--- a/src/keeper/peer_service.rs
+++ b/src/keeper/peer_service.rs
@@ -1,11 +1,11 @@
 //! What other keepers ask of this one.
 
 use {
-    super::{Gossip, HeadOffer, KeeperState},
+    super::{DemandReport, Gossip, HeadOffer, KeeperState},
     crate::{
         config::Digest,
-        fleet::{Demand, Move},
-        peer::{
+        fleet::{Move, RunnerState},
+        peer::{PeerError,
             list_len, read_demands, read_head, read_moves, read_runners, read_texts, write_head,
             write_member,
         },
@@ -34,11 +34,11 @@
     /// Heads to follow.
     pub offers: mpsc::Sender<HeadOffer>,
     /// Demand counts for the planner.
-    pub demand: mpsc::Sender<Vec<Demand>>,
+    pub demand: mpsc::Sender<DemandReport>,
     /// Moves for owned runners.
     pub proposals: mpsc::Sender<Proposal>,
-    /// Wakes the ownership check after a hand-over.
-    pub handed_over: mpsc::Sender<()>,
+    /// States of runners as their owners report them.
+    pub states: mpsc::Sender<Vec<RunnerState>>,
 }
 
 /// What other keepers ask of this one.
@@ -70,8 +70,8 @@
         if let Some(head) = read_head(params.get_head()?)? {
             let _ = self.inbox.offers.try_send(HeadOffer { head, peer: sender });
         }
-        if let Some(in_force) = self.state.in_force() {
-            write_head(&in_force.head, results.get().init_head());
+        if let Some(head) = self.state.head() {
+            write_head(&head, results.get().init_head());
         }
         Ok(())
     }
@@ -88,10 +88,10 @@
         let wanted: Vec<Digest> = read_texts(digests)?;
         let blobs = self.state.blobs(&wanted);
         let mut slots = results.get().init_blobs(list_len(blobs.len()));
-        for (index, (digest, data)) in (0..).zip(&blobs) {
+        for (index, blob) in (0..).zip(&blobs) {
             let mut slot = slots.reborrow().get(index);
-            slot.set_digest(digest.to_string());
-            slot.set_data(data);
+            slot.set_digest(blob.digest().to_string());
+            slot.set_data(blob.data());
         }
         Ok(())
     }
@@ -101,8 +101,12 @@
         params: peer::ReportDemandParams,
         _results: peer::ReportDemandResults,
     ) -> Result<(), Error> {
-        let demand = read_demands(params.get()?.get_demand()?)?;
-        self.inbox.demand.send(demand).await.map_err(stopping)
+        let params = params.get()?;
+        let report = DemandReport {
+            sender: params.get_sender()?.to_str()?.parse().map_err(PeerError::from)?,
+            demand: read_demands(params.get_demand()?)?,
+        };
+        self.inbox.demand.send(report).await.map_err(stopping)
     }
 
     async fn propose(
@@ -122,15 +126,6 @@
         Ok(())
     }
 
-    async fn hand_over(
-        self: Rc<Self>,
-        _params: peer::HandOverParams,
-        _results: peer::HandOverResults,
-    ) -> Result<(), Error> {
-        let _ = self.inbox.handed_over.try_send(());
-        Ok(())
-    }
-
     async fn report_runners(
         self: Rc<Self>,
         params: peer::ReportRunnersParams,
@@ -138,7 +133,7 @@
     ) -> Result<(), Error> {
         let states = read_runners(params.get()?.get_runners()?)?;
         let urgent = self.state.find_urgent(&states);
-        self.state.update_runners(states);
+        let _ = self.inbox.states.send(states).await;
         if !urgent.is_empty() {
             self.gossip.push_runners(urgent);
         }
--- a/src/keeper/state.rs
+++ b/src/keeper/state.rs
@@ -2,13 +2,12 @@
 
 use {
     crate::{
-        config::{Catalog, Digest, Head},
+        config::{AcceptError, Blob, Configuration, Digest, EncodedSnapshot, Follower, Head, HeadOrigin, HistoryFault, Standing},
         fleet::RunnerState,
         membership::{Member, Roster},
         units::{Revision, RunnerName},
     },
-    bytes::Bytes,
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc},
     tokio::sync::watch,
 };
 
@@ -21,19 +20,6 @@
     pub peer: Option<SocketAddr>,
 }
 
-/// A configuration in force.
-#[derive(Debug, Clone)]
-pub struct InForce {
-    /// Its record.
-    pub head: Head,
-    /// Its objects.
-    pub catalog: Arc<Catalog>,
-    /// Its objects as a JSON array, as sent to entries and operators.
-    pub objects_json: Bytes,
-    /// Its encoded parts, sorted by digest, as sent to other keepers.
-    pub blobs: Arc<Vec<(Digest, Bytes)>>,
-}
-
 /// The state of a runner with the version at which it last changed.
 #[derive(Debug, Clone)]
 struct Versioned {
@@ -56,7 +42,7 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    in_force: Option<InForce>,
+    follower: Follower,
     roster: Roster,
     members_changed: u64,
     runners: Vec<Versioned>,
@@ -69,6 +55,7 @@
     inner: Rc<RefCell<Inner>>,
     version: Rc<watch::Sender<u64>>,
     revision: Rc<watch::Sender<Revision>>,
+    members: Rc<watch::Sender<u64>>,
 }
 
 impl Default for KeeperState {
@@ -77,38 +64,57 @@
             inner: Rc::default(),
             version: Rc::new(watch::channel(1).0),
             revision: Rc::new(watch::channel(Revision(0)).0),
+            members: Rc::new(watch::channel(0).0),
         }
     }
 }
 
 impl KeeperState {
     /// Returns the configuration in force, if there is one.
-    pub fn in_force(&self) -> Option<InForce> {
-        self.inner.borrow().in_force.clone()
+    pub fn in_force(&self) -> Option<Configuration> {
+        self.inner.borrow().follower.current().cloned()
+    }
+
+    /// Returns the head of the configuration in force, if there is one.
+    pub fn head(&self) -> Option<Head> {
+        let inner = self.inner.borrow();
+        inner.follower.current().map(|current| current.head.clone())
     }
 
-    /// Puts a configuration in force; a lower or equal revision is ignored.
+    /// Takes note of a head that was heard of.
+    pub fn observe_head(&self, head: &Head, origin: HeadOrigin) -> Standing {
+        self.inner.borrow_mut().follower.observe(head, origin)
+    }
+
+    /// Puts a fetched snapshot in force if its head is still newer than the one in force.
+    ///
+    /// Returns whether it came into force.
     ///
-    /// Returns whether it was taken.
-    pub fn set_in_force(&self, next: InForce) -> bool {
-        let revision = next.head.revision;
-        if revision <= *self.revision.borrow() {
-            return false;
+    /// # Errors
+    ///
+    /// Fails when the snapshot is another one or cannot be decoded.
+    pub fn accept(&self, head: Head, snapshot: EncodedSnapshot) -> Result<bool, AcceptError> {
+        let revision = head.revision;
+        let taken = self.inner.borrow_mut().follower.accept(head, snapshot)?;
+        if taken {
+            self.revision.send_replace(revision);
         }
-        self.inner.borrow_mut().in_force = Some(next);
-        self.revision.send_replace(revision);
-        true
+        Ok(taken)
+    }
+
+    /// Returns what is wrong with the history of revisions that was seen.
+    pub fn history_faults(&self) -> Vec<HistoryFault> {
+        self.inner.borrow().follower.faults()
     }
 
     /// Returns the parts of the configuration in force that are among `wanted`.
-    pub fn blobs(&self, wanted: &[Digest]) -> Vec<(Digest, Bytes)> {
-        let Some(in_force) = self.in_force() else {
+    pub fn blobs(&self, wanted: &[Digest]) -> Vec<Blob> {
+        let inner = self.inner.borrow();
+        let Some(current) = inner.follower.current() else {
             return Vec::new();
         };
-        let blobs = &in_force.blobs;
-        let find = |digest: &Digest| blobs.binary_search_by(|(known, _)| known.cmp(digest)).ok();
-        let positions = wanted.iter().filter_map(find);
-        positions.map(|position| blobs[position].clone()).collect()
+        let found = wanted.iter().filter_map(|digest| current.snapshot.blob(*digest).ok());
+        found.cloned().collect()
     }
 
     /// Returns a receiver of the revision in force.
@@ -121,6 +127,11 @@
         self.version.subscribe()
     }
 
+    /// Returns a receiver that wakes when the live members change.
+    pub fn watch_members(&self) -> watch::Receiver<u64> {
+        self.members.subscribe()
+    }
+
     /// Returns the live members, sorted by name.
     pub fn members(&self) -> Vec<Member> {
         self.inner.borrow().roster.members()
@@ -131,6 +142,7 @@
         if change(&mut self.inner.borrow_mut().roster) {
             let version = self.raise_version();
             self.inner.borrow_mut().members_changed = version;
+            self.members.send_replace(version);
             self.announce(version);
         }
     }
@@ -200,16 +212,6 @@
         states.iter().filter(is_urgent).cloned().collect()
     }
 
-    /// Takes a state read from a runner record, which does not tell the adapters.
-    pub fn update_from_record(&self, mut state: RunnerState) {
-        if let Some(known) = self.runner(&state.name)
-            && known.incarnation == state.incarnation
-        {
-            state.adapters = known.adapters;
-        }
-        self.update_runners(vec![state]);
-    }
-
     /// Returns whether this VM drains.
     pub fn draining(&self) -> bool {
         self.inner.borrow().draining
--- a/src/membership/heartbeat.rs
+++ b/src/membership/heartbeat.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Backoff, Member, jittered},
-    crate::store::{LeaseId, Op, SharedStore, StoreError, Txn, keys::member_key},
+    crate::store::{LeaseId, Op, SharedStore, StoreError, Txn, keys::{leaving_key, member_key}},
     bytes::Bytes,
     std::time::Duration,
     tokio::sync::watch,
@@ -40,10 +40,18 @@
             _ = stop.wait_for(|stopping| *stopping) => {}
         }
         if let Some(lease) = held {
-            let _ = self.store.revoke_lease(lease).await;
+            let _ = self.leave(lease).await;
         }
     }
 
+    /// Tells that this VM leaves on purpose, so that nobody waits for its return.
+    async fn leave(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let key = leaving_key(&self.member.vm);
+        let value = Bytes::from(self.member.incarnation.to_string());
+        self.store.txn(put(key, value, lease)).await?;
+        self.store.revoke_lease(lease).await
+    }
+
     async fn keep(&self, held: &mut Option<LeaseId>) {
         let mut backoff = Backoff::new(BACKOFF_FIRST, BACKOFF_LONGEST);
         loop {
@@ -74,17 +82,21 @@
         let lease = self.store.grant_lease(self.ttl_s).await?;
         let value = serde_json::to_vec(&self.member)
             .map_err(|error| StoreError::Refused(error.to_string()))?;
-        let put = Op::Put {
-            key: member_key(&self.member.vm),
-            value: Bytes::from(value),
-            lease: Some(lease.id),
-        };
-        let txn = Txn {
-            then: vec![put],
-            ..Txn::default()
-        };
-        self.store.txn(txn).await?;
+        let key = member_key(&self.member.vm);
+        self.store.txn(put(key, Bytes::from(value), lease.id)).await?;
         log::info!("membership: joined as {}.", self.member.vm);
         Ok(lease.id)
     }
 }
+
+fn put(key: String, value: Bytes, lease: LeaseId) -> Txn {
+    let put = Op::Put {
+        key,
+        value,
+        lease: Some(lease),
+    };
+    Txn {
+        then: vec![put],
+        ..Txn::default()
+    }
+}
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -52,6 +52,19 @@
         }
     }
 
+    /// Drops a member that leaves on purpose, at once.
+    ///
+    /// Returns whether the live members changed.
+    pub fn depart(&mut self, vm: &VmName) -> bool {
+        match self.find(vm) {
+            Ok(position) => {
+                self.listed.remove(position);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Takes the members of a full read; others leave.
     ///
     /// Returns whether the live members changed.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -9,7 +9,8 @@
 mod error;
 mod key;
 mod limited_reader;
+mod peer_blobs;
 mod peer_client;
 mod serve;
 
-pub use {connect::*, convert::*, entry_link::*, error::*, key::*, peer_client::*, serve::*};
+pub use {connect::*, convert::*, entry_link::*, error::*, key::*, peer_blobs::*, peer_client::*, serve::*};
--- /dev/null
+++ b/src/peer/peer_blobs.rs
@@ -0,0 +1,39 @@
+//! Fetches parts of configurations from another keeper.
+
+use {
+    super::{PeerClient, SharedKey},
+    crate::config::{Blob, BlobSource, BlobSourceError, Digest},
+    futures::future::{FutureExt, LocalBoxFuture},
+    std::net::SocketAddr,
+};
+
+/// Another keeper as a source of blobs.
+#[derive(Debug, Clone)]
+pub struct PeerBlobs {
+    address: SocketAddr,
+    key: SharedKey,
+}
+
+impl PeerBlobs {
+    /// Names the keeper to ask.
+    pub fn new(address: SocketAddr, key: SharedKey) -> Self {
+        Self { address, key }
+    }
+
+    async fn ask(&self, digests: &[Digest]) -> Result<Vec<Blob>, BlobSourceError> {
+        let failed = |error: super::PeerError| BlobSourceError::Peer(error.to_string());
+        let peer = PeerClient::connect(self.address, &self.key).await.map_err(failed)?;
+        let fetched = peer.fetch(digests).await.map_err(failed)?;
+        let verified = fetched.into_iter().filter_map(|(digest, data)| Blob::verify(digest, data).ok());
+        Ok(verified.collect())
+    }
+}
+
+impl BlobSource for PeerBlobs {
+    fn fetch<'a>(
+        &'a self,
+        digests: &'a [Digest],
+    ) -> LocalBoxFuture<'a, Result<Vec<Blob>, BlobSourceError>> {
+        self.ask(digests).boxed_local()
+    }
+}
--- a/src/peer/peer_client.rs
+++ b/src/peer/peer_client.rs
@@ -10,7 +10,7 @@
         fleet::{Demand, Move, RunnerState},
         membership::Member,
         peer_capnp::peer,
-        units::{RunnerName, VmName},
+        units::VmName,
     },
     bytes::Bytes,
     std::{net::SocketAddr, time::Duration},
@@ -132,38 +132,4 @@
         with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
         Ok(())
     }
-
-    /// Asks for adapter loads; returns how many were lent and for how long.
-    ///
-    /// # Errors
-    ///
-    /// Fails when no good answer comes in time.
-    pub async fn borrow_adapter_loads(
-        &self,
-        sender: &VmName,
-        wanted: u32,
-    ) -> Result<(u32, Duration), PeerError> {
-        let mut request = self.client.borrow_adapter_loads_request();
-        request.get().set_sender(sender.as_str());
-        request.get().set_wanted(wanted);
-        let answer = with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
-        let answer = answer.get()?;
-        Ok((
-            answer.get_granted(),
-            Duration::from_millis(answer.get_expires_ms().into()),
-        ))
-    }
-
-    /// Tells that runners have been given up by their owner.
-    ///
-    /// # Errors
-    ///
-    /// Fails when no good answer comes in time.
-    pub async fn hand_over(&self, runners: &[RunnerName]) -> Result<(), PeerError> {
-        let mut request = self.client.hand_over_request();
-        let texts: Vec<_> = runners.iter().map(RunnerName::as_str).collect();
-        write_texts(&texts, request.get().init_runners(list_len(texts.len())));
-        with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
-        Ok(())
-    }
 }
--- a/src/proto/peer_capnp.rs
+++ b/src/proto/peer_capnp.rs
@@ -3908,10 +3908,6 @@
     pub type ReportDemandResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::report_demand_results::Owned>;
     pub type ProposeParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::propose_params::Owned>;
     pub type ProposeResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::propose_results::Owned>;
-    pub type BorrowAdapterLoadsParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::borrow_adapter_loads_params::Owned>;
-    pub type BorrowAdapterLoadsResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::borrow_adapter_loads_results::Owned>;
-    pub type HandOverParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::hand_over_params::Owned>;
-    pub type HandOverResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::hand_over_results::Owned>;
     pub type ReportRunnersParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::report_runners_params::Owned>;
     pub type ReportRunnersResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::report_runners_results::Owned>;
     pub type MembersParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::members_params::Owned>;
@@ -3977,17 +3973,11 @@
         pub fn propose_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::propose_params::Owned,crate::peer_capnp::peer::propose_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
-        pub fn borrow_adapter_loads_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::borrow_adapter_loads_params::Owned,crate::peer_capnp::peer::borrow_adapter_loads_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
-        }
-        pub fn hand_over_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::hand_over_params::Owned,crate::peer_capnp::peer::hand_over_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
-        }
         pub fn report_runners_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::report_runners_params::Owned,crate::peer_capnp::peer::report_runners_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
+            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
         pub fn members_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::members_params::Owned,crate::peer_capnp::peer::members_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
         }
     }
     pub trait Server<> : 'static  {
@@ -3995,8 +3985,6 @@
         fn fetch(self: ::capnp::capability::Rc<Self>, _: FetchParams<>, _: FetchResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::fetch not implemented".to_string()))) }
         fn report_demand(self: ::capnp::capability::Rc<Self>, _: ReportDemandParams<>, _: ReportDemandResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::report_demand not implemented".to_string()))) }
         fn propose(self: ::capnp::capability::Rc<Self>, _: ProposeParams<>, _: ProposeResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::propose not implemented".to_string()))) }
-        fn borrow_adapter_loads(self: ::capnp::capability::Rc<Self>, _: BorrowAdapterLoadsParams<>, _: BorrowAdapterLoadsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::borrow_adapter_loads not implemented".to_string()))) }
-        fn hand_over(self: ::capnp::capability::Rc<Self>, _: HandOverParams<>, _: HandOverResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::hand_over not implemented".to_string()))) }
         fn report_runners(self: ::capnp::capability::Rc<Self>, _: ReportRunnersParams<>, _: ReportRunnersResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::report_runners not implemented".to_string()))) }
         fn members(self: ::capnp::capability::Rc<Self>, _: MembersParams<>, _: MembersResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::members not implemented".to_string()))) }
     }
@@ -4032,10 +4020,8 @@
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::fetch(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::report_demand(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::propose(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::borrow_adapter_loads(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::hand_over(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::report_runners(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::members(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::report_runners(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::members(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -5751,7 +5737,7 @@
         }
     }
 
-    pub mod borrow_adapter_loads_params {
+    pub mod report_runners_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -5813,22 +5799,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_sender(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            pub fn get_runners(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::runner_state::Owned>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_sender(&self) -> bool {
+            pub fn has_runners(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_wanted(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5879,29 +5861,21 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_sender(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            pub fn get_runners(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::runner_state::Owned>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_sender(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            pub fn set_runners(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::runner_state::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_sender(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
+            pub fn init_runners(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::runner_state::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
             }
             #[inline]
-            pub fn has_sender(&self) -> bool {
+            pub fn has_runners(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
-            #[inline]
-            pub fn get_wanted(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
-            }
-            #[inline]
-            pub fn set_wanted(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(0, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5913,61 +5887,48 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(216, 178, 253, 240, 71, 19, 114, 222),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(98, 111, 114, 114, 111, 119, 65, 100),
-                ::capnp::word(97, 112, 116, 101, 114, 76, 111, 97),
-                ::capnp::word(100, 115, 36, 80, 97, 114, 97, 109),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(114, 101, 112, 111, 114, 116, 82, 117),
+                ::capnp::word(110, 110, 101, 114, 115, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 117, 110, 110, 101, 114, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(22, 205, 11, 85, 13, 8, 34, 204),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::struct_list::Owned<crate::peer_capnp::runner_state::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5981,14 +5942,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xde72_1347_f0fd_b2d8;
         }
     }
 
-    pub mod borrow_adapter_loads_results {
+    pub mod report_runners_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6049,19 +6010,11 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_granted(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
-            }
-            #[inline]
-            pub fn get_expires_ms(self) -> u32 {
-                self.reader.get_data_field::<u32>(1)
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6111,22 +6064,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
-            #[inline]
-            pub fn get_granted(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
-            }
-            #[inline]
-            pub fn set_granted(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(0, value);
-            }
-            #[inline]
-            pub fn get_expires_ms(self) -> u32 {
-                self.builder.get_data_field::<u32>(1)
-            }
-            #[inline]
-            pub fn set_expires_ms(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(1, value);
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6138,64 +6075,27 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(205, 72, 93, 55, 74, 54, 71, 242),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 90, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(98, 111, 114, 114, 111, 119, 65, 100),
-                ::capnp::word(97, 112, 116, 101, 114, 76, 111, 97),
-                ::capnp::word(100, 115, 36, 82, 101, 115, 117, 108),
-                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 120, 112, 105, 114, 101, 115, 77),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 112, 111, 114, 116, 82, 117),
+                ::capnp::word(110, 110, 101, 114, 115, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -6207,14 +6107,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
             pub(crate) const TYPE_ID: u64 = 0xf247_364a_375d_48cd;
         }
     }
 
-    pub mod hand_over_params {
+    pub mod members_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6267,7 +6167,7 @@
             }
         }
 
-        impl <'a,> Reader<'a,>  {
+        impl <> Reader<'_,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -6275,19 +6175,11 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_runners(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_runners(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6337,22 +6229,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
-            #[inline]
-            pub fn get_runners(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_runners(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-            }
-            #[inline]
-            pub fn init_runners(self, size: u32) -> ::capnp::text_list::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
-            }
-            #[inline]
-            pub fn has_runners(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6364,49 +6240,26 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(233, 66, 180, 89, 186, 52, 212, 250),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(104, 97, 110, 100, 79, 118, 101, 114),
-                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 117, 110, 110, 101, 114, 115, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 101, 109, 98, 101, 114, 115, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -6418,14 +6271,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
             pub(crate) const TYPE_ID: u64 = 0xfad4_34ba_59b4_42e9;
         }
     }
 
-    pub mod hand_over_results {
+    pub mod members_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -6478,7 +6331,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -6486,11 +6339,19 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_members(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::member::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_members(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -6540,6 +6401,22 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_members(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::member::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_members(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::member::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_members(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::member::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_members(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -6551,754 +6428,24 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(75, 82, 23, 239, 107, 100, 229, 227),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(104, 97, 110, 100, 79, 118, 101, 114),
-                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
-            }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xe3e5_646b_ef17_524b;
-        }
-    }
-
-    pub mod report_runners_params {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
-        }
-
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
-        }
-
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
-        }
-
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn get_runners(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::runner_state::Owned>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_runners(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
-        }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
-        }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
-        }
-
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-        }
-
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_runners(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::runner_state::Owned>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_runners(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::runner_state::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-            }
-            #[inline]
-            pub fn init_runners(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::runner_state::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
-            }
-            #[inline]
-            pub fn has_runners(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
-        }
-
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
-        }
-        impl Pipeline  {
-        }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(123, 60, 205, 250, 236, 113, 146, 254),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(114, 101, 112, 111, 114, 116, 82, 117),
-                ::capnp::word(110, 110, 101, 114, 115, 36, 80, 97),
-                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 117, 110, 110, 101, 114, 115, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(22, 205, 11, 85, 13, 8, 34, 204),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <::capnp::struct_list::Owned<crate::peer_capnp::runner_state::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
-            }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xfe92_71ec_facd_3c7b;
-        }
-    }
-
-    pub mod report_runners_results {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
-        }
-
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
-        }
-
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
-        }
-
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
-        }
-
-        impl <> Reader<'_,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-        }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
-        }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
-        }
-
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-        }
-
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-        }
-
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
-        }
-        impl Pipeline  {
-        }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(31, 39, 216, 198, 86, 89, 40, 226),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(114, 101, 112, 111, 114, 116, 82, 117),
-                ::capnp::word(110, 110, 101, 114, 115, 36, 82, 101),
-                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
-            }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xe228_5956_c6d8_271f;
-        }
-    }
-
-    pub mod members_params {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
-        }
-
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
-        }
-
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
-        }
-
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
-        }
-
-        impl <> Reader<'_,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-        }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
-        }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
-        }
-
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-        }
-
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-        }
-
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
-        }
-        impl Pipeline  {
-        }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(61, 55, 133, 65, 201, 40, 239, 236),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(109, 101, 109, 98, 101, 114, 115, 36),
-                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-            ];
-            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
-            }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
-            }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
-            pub(crate) const TYPE_ID: u64 = 0xecef_28c9_4185_373d;
-        }
-    }
-
-    pub mod members_results {
-        #[derive(Copy, Clone)]
-        pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
-
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
-        }
-
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
-            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(reader.get_struct(default)?.into())
-            }
-        }
-
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
-            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
-                self.reader
-            }
-        }
-
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
-            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
-                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.reader.total_size()
-            }
-            #[inline]
-            pub fn get_members(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::member::Owned>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_members(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
-        }
-
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
-        }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
-            const TYPE_ID: u64 = _private::TYPE_ID;
-        }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
-            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
-            }
-        }
-
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
-            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
-                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
-            }
-        }
-
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
-            }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
-            }
-        }
-
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
-        }
-
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
-                self.builder.into_reader().into()
-            }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
-                Builder { builder: self.builder.reborrow() }
-            }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
-                self.builder.as_reader().into()
-            }
-
-            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
-                self.builder.as_reader().total_size()
-            }
-            #[inline]
-            pub fn get_members(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::member::Owned>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_members(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::member::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-            }
-            #[inline]
-            pub fn init_members(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::member::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
-            }
-            #[inline]
-            pub fn has_members(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
-        }
-
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
-        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
-            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
-            }
-        }
-        impl Pipeline  {
-        }
-        mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
-                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(123, 115, 155, 187, 157, 118, 41, 216),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
-                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(109, 101, 109, 98, 101, 114, 115, 36),
-                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(109, 101, 109, 98, 101, 114, 115, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7338,7 +6485,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xd829_769d_bb9b_737b;
+            pub(crate) const TYPE_ID: u64 = 0xe3e5_646b_ef17_524b;
         }
     }
 }
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -11,6 +11,8 @@
 pub const HEAD_KEY: &str = "/ggt/live/head";
 /// The live members.
 pub const MEMBERS_PREFIX: &str = "/ggt/live/members/";
+/// The members that leave on purpose; bound to their leases.
+pub const LEAVING_PREFIX: &str = "/ggt/live/leaving/";
 /// The runner records.
 pub const RUNNERS_PREFIX: &str = "/ggt/live/runners/";
 /// The chain of published revisions.
@@ -31,6 +33,11 @@
     format!("{MEMBERS_PREFIX}{vm}")
 }
 
+/// Returns the key that tells that a member leaves on purpose.
+pub fn leaving_key(vm: &VmName) -> String {
+    format!("{LEAVING_PREFIX}{vm}")
+}
+
 /// Returns the key of a runner record.
 pub fn runner_key(runner: &RunnerName) -> String {
     format!("{RUNNERS_PREFIX}{runner}")
