--- /dev/null
+++ b/src/entry/demand.rs
@@ -0,0 +1,74 @@
+//! Counts what callers ask for, between two reports to the keeper.
+
+use {
+    crate::{
+        fleet::Demand,
+        units::{AdapterName, ModelName, RequestId},
+    },
+    std::sync::{Mutex, PoisonError},
+};
+
+/// The number of shards, each under its own lock.
+const SHARDS: usize = 16;
+
+/// The requests of one model or adapter, counted in shards.
+#[derive(Debug, Default)]
+pub struct DemandCounter {
+    shards: [Mutex<Vec<Demand>>; SHARDS],
+}
+
+impl DemandCounter {
+    /// Changes the counts of a model or adapter.
+    pub fn count(
+        &self,
+        request: RequestId,
+        model: &ModelName,
+        adapter: Option<&AdapterName>,
+        change: impl FnOnce(&mut Demand),
+    ) {
+        let shard = &self.shards[request.0 as usize % SHARDS];
+        let mut demand = shard.lock().unwrap_or_else(PoisonError::into_inner);
+        change(find_or_insert(&mut demand, model, adapter));
+    }
+
+    /// Takes the counts of all shards.
+    pub fn take(&self) -> Vec<Demand> {
+        let mut sum = Vec::new();
+        for shard in &self.shards {
+            let taken = std::mem::take(&mut *shard.lock().unwrap_or_else(PoisonError::into_inner));
+            for part in taken {
+                let whole = find_or_insert(&mut sum, &part.model, part.adapter.as_ref());
+                whole.requests += part.requests;
+                whole.tokens += part.tokens;
+                whole.late += part.late;
+                whole.refused += part.refused;
+            }
+        }
+        sum
+    }
+}
+
+fn find_or_insert<'a>(
+    sorted: &'a mut Vec<Demand>,
+    model: &ModelName,
+    adapter: Option<&AdapterName>,
+) -> &'a mut Demand {
+    let position = sorted
+        .binary_search_by(|found| (&found.model, found.adapter.as_ref()).cmp(&(model, adapter)));
+    let position = match position {
+        Ok(position) => position,
+        Err(position) => {
+            let empty = Demand {
+                model: model.clone(),
+                adapter: adapter.cloned(),
+                requests: 0,
+                tokens: 0,
+                late: 0,
+                refused: 0,
+            };
+            sorted.insert(position, empty);
+            position
+        }
+    };
+    &mut sorted[position]
+}
--- /dev/null
+++ b/src/entry/entry.rs
@@ -0,0 +1,160 @@
+//! The state that all requests of an entry share.
+
+use {
+    super::{
+        Backend, DemandCounter, EntryMetrics, EntrySettings, Forwarder, InferenceRequest, KeyGuard,
+        OpenRequest, OpenRequests, Report, RetryBudgets, Routes, ViewReceiver,
+    },
+    crate::{
+        fleet::Demand,
+        http::{Body, Client, Problem, REQUEST_ID, ReadError},
+        store::SharedStore,
+        telemetry::REQUESTS,
+        units::{RequestId, RunnerName},
+    },
+    hyper::{Method, Request, Response, StatusCode, body::Incoming},
+    std::{
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+};
+
+/// When to come back after a refusal for want of a place.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What an entry works with besides its settings.
+pub struct EntryParts {
+    /// The views of the keeper.
+    pub views: ViewReceiver,
+    /// The key-value service.
+    pub store: SharedStore,
+    /// Reaches other entries.
+    pub forwarder: Arc<dyn Forwarder>,
+}
+
+/// The state that all requests of an entry share.
+#[derive(Debug)]
+pub struct Entry {
+    pub(super) settings: EntrySettings,
+    pub(super) client: Client,
+    pub(super) routes: Routes,
+    pub(super) budgets: RetryBudgets,
+    pub(super) metrics: EntryMetrics,
+    pub(super) keys: KeyGuard,
+    demand: DemandCounter,
+    open: OpenRequests,
+    suspects: Mutex<Vec<RunnerName>>,
+}
+
+impl Entry {
+    /// Makes an entry without requests.
+    pub fn new(settings: EntrySettings, parts: EntryParts) -> Arc<Self> {
+        let connect_timeout = Duration::from_millis(settings.connect_timeout_ms);
+        Arc::new(Self {
+            client: Client::new(connect_timeout),
+            routes: Routes::new(parts.views),
+            budgets: RetryBudgets::new(settings.retry_budget_percent),
+            metrics: EntryMetrics::new(),
+            keys: KeyGuard::new(&settings, parts.store, parts.forwarder),
+            demand: DemandCounter::default(),
+            open: OpenRequests::new(settings.open_requests_max),
+            suspects: Mutex::default(),
+            settings,
+        })
+    }
+
+    /// Answers a caller's request.
+    pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let id = RequestId::random();
+        let answered = match (request.method(), request.uri().path()) {
+            (&Method::GET, "/v1/models") => Ok(self.list_models()),
+            (&Method::POST, "/v1/completions" | "/v1/chat/completions") => {
+                self.infer(id, request).await
+            }
+            (_, "/v1/models" | "/v1/completions" | "/v1/chat/completions") => {
+                Err(wrong_method(request.method()))
+            }
+            (_, path) if path.starts_with("/services/") => self.call_service(id, request).await,
+            (_, path) => Err(no_such_path(path)),
+        };
+        let outcome = if answered.is_ok() {
+            "answered"
+        } else {
+            "problem"
+        };
+        metrics::counter!(REQUESTS, "outcome" => outcome).increment(1);
+        let mut response = answered.unwrap_or_else(Problem::into_response);
+        if let Ok(id) = id.to_string().try_into() {
+            response.headers_mut().insert(REQUEST_ID, id);
+        }
+        response
+    }
+
+    /// Takes what is to be reported to the keeper.
+    pub fn take_report(&self) -> Report {
+        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        Report {
+            demand: self.demand.take(),
+            suspects: std::mem::take(&mut suspects),
+        }
+    }
+
+    /// Returns the number of requests that are open.
+    pub fn open_requests(&self) -> usize {
+        self.open.count()
+    }
+
+    pub(super) fn open(&self) -> Result<OpenRequest, Problem> {
+        self.open.open().ok_or_else(|| {
+            let detail = "this entry has no place for another request";
+            Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "entry-full", detail)
+                .retry_after(FULL_RETRY_AFTER)
+        })
+    }
+
+    pub(super) fn count(&self, request: &InferenceRequest, change: impl FnOnce(&mut Demand)) {
+        let adapter = request.adapter.as_ref();
+        self.demand
+            .count(request.id, &request.model, adapter, change);
+    }
+
+    /// Takes note of a backend server that refused or lost a request.
+    pub(super) fn suspect(&self, backend: &Backend) {
+        backend.set_failed();
+        let Ok(name) = backend.name.parse::<RunnerName>() else {
+            return;
+        };
+        if self.routes.current().view.catalog.runner(&name).is_none() {
+            return;
+        }
+        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Err(position) = suspects.binary_search(&name) {
+            suspects.insert(position, name);
+        }
+    }
+
+    pub(super) fn read_timeout(&self) -> Duration {
+        Duration::from_millis(self.settings.read_timeout_ms)
+    }
+}
+
+/// Describes a request whose body could not be read; it did not run.
+pub(super) fn read_problem(cause: ReadError) -> Problem {
+    let (status, kind) = match cause {
+        ReadError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
+        ReadError::TooSlow => (StatusCode::REQUEST_TIMEOUT, "body-too-slow"),
+        ReadError::Cut(_) => (StatusCode::BAD_REQUEST, "body-cut"),
+    };
+    Problem::not_run(status, kind, cause.to_string())
+}
+
+fn wrong_method(method: &Method) -> Problem {
+    let detail = format!("{method} is not possible here");
+    Problem::not_run(StatusCode::METHOD_NOT_ALLOWED, "wrong-method", detail)
+}
+
+fn no_such_path(path: &str) -> Problem {
+    let path: String = path.chars().take(200).collect();
+    let detail = format!("there is nothing at {path}");
+    Problem::not_run(StatusCode::NOT_FOUND, "no-such-path", detail)
+}
--- /dev/null
+++ b/src/entry/entry_metrics.rs
@@ -0,0 +1,37 @@
+//! Metric handles that are used for every token.
+
+use {
+    crate::telemetry::{BETWEEN_TOKENS_S, FIRST_TOKEN_S},
+    metrics::Histogram,
+    std::fmt,
+};
+
+/// Metric handles that are used for every token.
+pub struct EntryMetrics {
+    /// Seconds from a request's arrival to its first token.
+    pub first_token: Histogram,
+    /// Seconds between two tokens.
+    pub between_tokens: Histogram,
+}
+
+impl EntryMetrics {
+    /// Registers the metrics with the recorder of this process.
+    pub fn new() -> Self {
+        Self {
+            first_token: metrics::histogram!(FIRST_TOKEN_S),
+            between_tokens: metrics::histogram!(BETWEEN_TOKENS_S),
+        }
+    }
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl fmt::Debug for EntryMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("EntryMetrics")
+    }
+}
--- /dev/null
+++ b/src/entry/forward_service.rs
@@ -0,0 +1,85 @@
+//! Serves the calls that other entries forward to this one.
+
+use {
+    super::{
+        Entry,
+        forward_wire::{read_call, write_reply},
+    },
+    crate::{
+        peer::{LoginMark, SharedKey},
+        peer_capnp::{forward, gate},
+    },
+    capnp::Error,
+    std::{rc::Rc, sync::Arc},
+    tokio::runtime::Handle,
+};
+
+/// The gate for other entries.
+pub(super) struct ForwardGate {
+    entry: Arc<Entry>,
+    runtime: Handle,
+    key: SharedKey,
+    mark: LoginMark,
+}
+
+/// Dispatches forwarded calls.
+struct ForwardService {
+    entry: Arc<Entry>,
+    runtime: Handle,
+}
+
+impl ForwardGate {
+    /// Makes the gate of one connection; calls run on `runtime`.
+    pub(super) fn client(
+        entry: Arc<Entry>,
+        runtime: Handle,
+        key: SharedKey,
+        mark: LoginMark,
+    ) -> gate::Client {
+        capnp_rpc::new_client(Self {
+            entry,
+            runtime,
+            key,
+            mark,
+        })
+    }
+}
+
+impl gate::Server for ForwardGate {
+    async fn forward(
+        self: Rc<Self>,
+        params: gate::ForwardParams,
+        mut results: gate::ForwardResults,
+    ) -> Result<(), Error> {
+        if !self.key.matches(params.get()?.get_key()?) {
+            log::warn!("entry: another process offered a wrong key");
+            return Err(Error::failed("login refused".to_owned()));
+        }
+        self.mark.set();
+        let service = ForwardService {
+            entry: self.entry.clone(),
+            runtime: self.runtime.clone(),
+        };
+        results.get().set_forward(capnp_rpc::new_client(service));
+        Ok(())
+    }
+}
+
+impl forward::Server for ForwardService {
+    async fn call(
+        self: Rc<Self>,
+        params: forward::CallParams,
+        mut results: forward::CallResults,
+    ) -> Result<(), Error> {
+        let call = read_call(params.get()?)?;
+        let entry = self.entry.clone();
+        let answered = self
+            .runtime
+            .spawn(async move { entry.answer_forwarded(call).await });
+        let reply = answered
+            .await
+            .map_err(|cause| Error::failed(cause.to_string()))?;
+        write_reply(&reply, results.get());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/entry/idempotency/claims.rs
@@ -0,0 +1,153 @@
+//! Claims keys in the store, several in one transaction.
+
+use {
+    super::{
+        claim_batch::{ClaimOutcome, PendingClaim, claim_txn, settle},
+        claim_lease::ClaimLease,
+        key_memory::KeyDigest,
+    },
+    crate::{
+        store::{SharedStore, StoreError, TxnReply, keys::CLAIMS_PREFIX},
+        units::RequestId,
+    },
+    std::{
+        fmt,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        sync::oneshot,
+        time::{self, Instant},
+    },
+};
+
+/// The number of shards; each has at most one transaction under way.
+const SHARDS: usize = 8;
+
+/// The most keys claimed in one transaction.
+const BATCH_MAX: usize = 40;
+
+/// The longest wait for one transaction.
+const TXN_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The longest wait for a claim.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// The wait before a failed transaction is tried again.
+const TXN_RETRY: Duration = Duration::from_millis(25);
+
+#[derive(Debug, Default)]
+struct Shard {
+    waiting: Vec<PendingClaim>,
+    writing: bool,
+}
+
+/// Claims keys in the store.
+#[derive(Clone)]
+pub(super) struct Claims {
+    store: SharedStore,
+    lease: Arc<ClaimLease>,
+    shards: Arc<[Mutex<Shard>; SHARDS]>,
+}
+
+impl fmt::Debug for Claims {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Claims")
+    }
+}
+
+impl Claims {
+    pub(super) fn new(store: SharedStore) -> Self {
+        Self {
+            store,
+            lease: Arc::default(),
+            shards: Arc::default(),
+        }
+    }
+
+    /// Claims a key for a request.
+    pub(super) async fn claim(&self, digest: &KeyDigest, request: RequestId) -> ClaimOutcome {
+        let shard = usize::from(digest[1]) % SHARDS;
+        let (reply, outcome) = oneshot::channel();
+        let pending = PendingClaim {
+            key: format!("{CLAIMS_PREFIX}{shard}/{}", hex::encode(digest)),
+            request,
+            reply,
+        };
+        self.enqueue(shard, pending);
+        match time::timeout(CLAIM_TIMEOUT, outcome).await {
+            Ok(Ok(outcome)) => outcome,
+            _ => ClaimOutcome::NoAnswer,
+        }
+    }
+
+    fn enqueue(&self, shard: usize, pending: PendingClaim) {
+        let mut state = self.shard(shard);
+        state.waiting.push(pending);
+        if !state.writing {
+            state.writing = true;
+            let claims = self.clone();
+            tokio::spawn(async move { claims.write(shard).await });
+        }
+    }
+
+    /// Writes the claims of a shard, batch after batch, until none waits.
+    async fn write(&self, shard: usize) {
+        while let Some(batch) = self.next_batch(shard) {
+            let again = self.write_batch(batch).await;
+            self.shard(shard).waiting.extend(again);
+        }
+    }
+
+    fn next_batch(&self, shard: usize) -> Option<Vec<PendingClaim>> {
+        let mut state = self.shard(shard);
+        state.waiting.retain(|claim| !claim.reply.is_closed());
+        let size = state.waiting.len().min(BATCH_MAX);
+        if size == 0 {
+            state.writing = false;
+            return None;
+        }
+        Some(state.waiting.drain(..size).collect())
+    }
+
+    /// Writes one batch; a transaction without an answer is repeated, which then finds what it did.
+    async fn write_batch(&self, batch: Vec<PendingClaim>) -> Vec<PendingClaim> {
+        let deadline = Instant::now() + CLAIM_TIMEOUT;
+        while Instant::now() < deadline {
+            match self.try_write(&batch).await {
+                Ok(reply) => return settle(batch, &reply),
+                Err(cause) => log::debug!("entry: claims not written: {cause}"),
+            }
+            if batch.iter().all(|claim| claim.reply.is_closed()) {
+                break;
+            }
+            time::sleep(TXN_RETRY).await;
+        }
+        for claim in batch {
+            let _ = claim.reply.send(ClaimOutcome::NoAnswer);
+        }
+        Vec::new()
+    }
+
+    async fn try_write(&self, batch: &[PendingClaim]) -> Result<TxnReply, StoreError> {
+        let silent = |_| StoreError::Unknown("no answer in time".to_owned());
+        let lease = time::timeout(TXN_TIMEOUT, self.lease.get(&self.store))
+            .await
+            .map_err(silent)??;
+        let txn = self.store.txn(claim_txn(batch, lease));
+        let written = time::timeout(TXN_TIMEOUT, txn).await.map_err(silent)?;
+        if matches!(
+            written,
+            Err(StoreError::LeaseLapsed(_) | StoreError::Refused(_))
+        ) {
+            self.lease.forget(lease).await;
+        }
+        written
+    }
+
+    fn shard(&self, shard: usize) -> MutexGuard<'_, Shard> {
+        self.shards[shard]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/entry/idempotency/ticket.rs
@@ -0,0 +1,116 @@
+//! Tickets: idempotency keys that name the entry which alone dispatches them.
+
+use {
+    crate::{
+        peer::SharedKey,
+        units::{Incarnation, ServiceName, VmName},
+    },
+    hmac::{Hmac, KeyInit, Mac},
+    sha2::Sha256,
+    std::{fmt, str::FromStr},
+    thiserror::Error,
+};
+
+/// The first part of every ticket.
+const PREFIX: &str = "ggt1";
+
+/// The length of the authentication code, in hexadecimal digits.
+const MAC_DIGITS: usize = 64;
+
+/// The text is no ticket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("not a ticket")]
+pub struct TicketError;
+
+/// What a ticket says, before its authentication code was looked at.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ticket {
+    /// The VM whose entry minted it.
+    pub vm: VmName,
+    /// The start of that entry.
+    pub incarnation: Incarnation,
+    /// Its number among the tickets of that start.
+    pub number: u64,
+    /// When it was minted, in milliseconds since that start.
+    pub minted_ms: u64,
+    mac: [u8; 32],
+}
+
+impl Ticket {
+    /// Mints a ticket for a service.
+    pub fn mint(
+        key: &SharedKey,
+        service: &ServiceName,
+        vm: VmName,
+        incarnation: Incarnation,
+        number: u64,
+        minted_ms: u64,
+    ) -> Self {
+        let mut ticket = Self {
+            vm,
+            incarnation,
+            number,
+            minted_ms,
+            mac: [0; 32],
+        };
+        if let Some(mac) = ticket.authenticate(key, service) {
+            ticket.mac = mac.finalize().into_bytes().into();
+        }
+        ticket
+    }
+
+    /// Returns whether the ticket was minted with this key for this service.
+    pub fn is_authentic(&self, key: &SharedKey, service: &ServiceName) -> bool {
+        let mac = self.authenticate(key, service);
+        mac.is_some_and(|mac| mac.verify_slice(&self.mac).is_ok())
+    }
+
+    fn authenticate(&self, key: &SharedKey, service: &ServiceName) -> Option<Hmac<Sha256>> {
+        let mut mac = Hmac::<Sha256>::new_from_slice(key.as_bytes()).ok()?;
+        mac.update(service.as_str().as_bytes());
+        mac.update(b"\n");
+        mac.update(self.content().as_bytes());
+        Some(mac)
+    }
+
+    fn content(&self) -> String {
+        let Self {
+            vm,
+            incarnation,
+            number,
+            minted_ms,
+            ..
+        } = self;
+        format!("{PREFIX}.{vm}.{incarnation}.{number}.{minted_ms}")
+    }
+}
+
+impl fmt::Display for Ticket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.content(), hex::encode(self.mac))
+    }
+}
+
+impl FromStr for Ticket {
+    type Err = TicketError;
+
+    fn from_str(text: &str) -> Result<Self, TicketError> {
+        let mut parts = text.rsplitn(5, '.');
+        let mut next = || parts.next().ok_or(TicketError);
+        let (mac_text, minted_ms, number, incarnation) = (next()?, next()?, next()?, next()?);
+        let vm = next()?.strip_prefix(PREFIX).ok_or(TicketError)?;
+        let vm = vm.strip_prefix('.').ok_or(TicketError)?;
+        let mut mac = [0; 32];
+        if mac_text.len() != MAC_DIGITS {
+            return Err(TicketError);
+        }
+        hex::decode_to_slice(mac_text, &mut mac).map_err(|_| TicketError)?;
+        Ok(Self {
+            vm: vm.parse().map_err(|_| TicketError)?,
+            incarnation: incarnation.parse().map_err(|_| TicketError)?,
+            number: number.parse().map_err(|_| TicketError)?,
+            minted_ms: minted_ms.parse().map_err(|_| TicketError)?,
+            mac,
+        })
+    }
+}
--- /dev/null
+++ b/src/entry/idempotency/ticket_book.rs
@@ -0,0 +1,137 @@
+//! The tickets of this start of an entry, and which of them are used.
+
+use {
+    super::Ticket,
+    crate::{
+        peer::SharedKey,
+        units::{Incarnation, ServiceName, VmName},
+    },
+    std::{
+        sync::{
+            Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// How long a ticket can be used.
+pub(super) const TICKET_TTL: Duration = Duration::from_secs(3600);
+
+/// The number of shards, each under its own lock.
+const SHARDS: usize = 16;
+
+/// What became of a ticket that is used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Use {
+    Dispatched,
+    Answered(u16),
+}
+
+/// One used ticket.
+#[derive(Debug)]
+struct UsedTicket {
+    number: u64,
+    minted_ms: u64,
+    state: Use,
+}
+
+/// Why a ticket cannot be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum TicketRefusal {
+    /// It was used; the status of its answer, if there was one.
+    Used(Option<u16>),
+    /// It is too old, so that an earlier use may be forgotten.
+    Expired,
+}
+
+/// The tickets of this start of an entry.
+#[derive(Debug)]
+pub(super) struct TicketBook {
+    vm: VmName,
+    incarnation: Incarnation,
+    key: SharedKey,
+    started: Instant,
+    minted: AtomicU64,
+    used: [Mutex<Vec<UsedTicket>>; SHARDS],
+}
+
+impl TicketBook {
+    pub(super) fn new(vm: VmName, incarnation: Incarnation, key: SharedKey) -> Self {
+        Self {
+            vm,
+            incarnation,
+            key,
+            started: Instant::now(),
+            minted: AtomicU64::new(0),
+            used: Default::default(),
+        }
+    }
+
+    pub(super) fn mint(&self, service: &ServiceName) -> Ticket {
+        let number = self.minted.fetch_add(1, Ordering::Relaxed);
+        let (vm, incarnation) = (self.vm.clone(), self.incarnation);
+        Ticket::mint(&self.key, service, vm, incarnation, number, self.now_ms())
+    }
+
+    pub(super) fn is_authentic(&self, ticket: &Ticket, service: &ServiceName) -> bool {
+        ticket.is_authentic(&self.key, service)
+    }
+
+    /// Returns whether this start of this entry minted the ticket.
+    pub(super) fn is_own(&self, ticket: &Ticket) -> bool {
+        ticket.vm == self.vm && ticket.incarnation == self.incarnation
+    }
+
+    /// Marks a ticket as used.
+    pub(super) fn take(&self, ticket: &Ticket) -> Result<(), TicketRefusal> {
+        let oldest_ms = self.now_ms().saturating_sub(TICKET_TTL.as_millis() as u64);
+        if ticket.minted_ms < oldest_ms {
+            return Err(TicketRefusal::Expired);
+        }
+        let mut used = self.used(ticket.number);
+        let expired = used.partition_point(|other| other.minted_ms < oldest_ms);
+        used.drain(..expired);
+        match used.binary_search_by_key(&ticket.number, |other| other.number) {
+            Ok(position) => Err(TicketRefusal::Used(match used[position].state {
+                Use::Dispatched => None,
+                Use::Answered(status) => Some(status),
+            })),
+            Err(position) => {
+                let taken = UsedTicket {
+                    number: ticket.number,
+                    minted_ms: ticket.minted_ms,
+                    state: Use::Dispatched,
+                };
+                used.insert(position, taken);
+                Ok(())
+            }
+        }
+    }
+
+    /// Makes a ticket usable again whose request did not run.
+    pub(super) fn release(&self, number: u64) {
+        let mut used = self.used(number);
+        if let Ok(position) = used.binary_search_by_key(&number, |other| other.number) {
+            used.remove(position);
+        }
+    }
+
+    /// Remembers the status of an answer.
+    pub(super) fn finish(&self, number: u64, status: u16) {
+        let mut used = self.used(number);
+        if let Ok(position) = used.binary_search_by_key(&number, |other| other.number) {
+            used[position].state = Use::Answered(status);
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    fn used(&self, number: u64) -> MutexGuard<'_, Vec<UsedTicket>> {
+        let shard = &self.used[number as usize % SHARDS];
+        shard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/entry/inference.rs
@@ -0,0 +1,144 @@
+//! Answers requests to models, whole and streamed.
+
+use {
+    super::{
+        Attempt, Attempts, Call, Dispatched, Entry, Idempotent, InferenceRequest,
+        InferenceRequestError, LossCause, OpenRequest, Relay, is_event_stream, loss_problem,
+        read_problem,
+    },
+    crate::{
+        http::{
+            Body, Problem, RESUMABLE, ReadError, SERVICE_CLASS, has_known_end, read_body,
+            remove_connection_headers,
+        },
+        units::RequestId,
+    },
+    hyper::{Request, Response, StatusCode, body::Incoming, header},
+    std::{sync::Arc, time::Duration},
+};
+
+/// The largest answer that is read whole, in bytes.
+const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+impl Entry {
+    pub(super) async fn infer(
+        self: &Arc<Self>,
+        id: RequestId,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Problem> {
+        let open = self.open()?;
+        let request = self.read_inference(id, request).await?;
+        self.count(&request, |demand| demand.requests += 1);
+        self.budgets.deposit(request.budget_name());
+        let answered = self.answer(request, open).await;
+        answered.map_err(|(request, problem)| {
+            self.count(&request, |demand| demand.refused += 1);
+            problem
+        })
+    }
+
+    async fn read_inference(
+        &self,
+        id: RequestId,
+        request: Request<Incoming>,
+    ) -> Result<InferenceRequest, Problem> {
+        let (head, body) = request.into_parts();
+        let limit_bytes = self.settings.body_max_bytes;
+        let body = read_body(body, limit_bytes, self.read_timeout())
+            .await
+            .map_err(read_problem)?;
+        let class = head.headers.get(SERVICE_CLASS);
+        let class = class.map(|class| class.to_str().unwrap_or("?"));
+        let routes = self.routes.current();
+        InferenceRequest::read(id, head.uri.path(), body, class, &routes.view.catalog)
+            .map_err(request_problem)
+    }
+
+    async fn answer(
+        self: &Arc<Self>,
+        request: InferenceRequest,
+        open: OpenRequest,
+    ) -> Result<Response<Body>, (InferenceRequest, Problem)> {
+        let mut call = Call::new(request.id).claim();
+        let mut attempts = Attempts::new(self, &request);
+        loop {
+            let attempt = match attempts.run(call, None).await {
+                Ok(attempt) => attempt,
+                Err(problem) => return Err((request, problem)),
+            };
+            if request.stream && is_event_stream(&attempt) {
+                drop(attempts);
+                return Ok(self.clone().stream(request, attempt, open));
+            }
+            match self.read_whole(attempt).await {
+                Ok(response) => return Ok(response),
+                Err((attempt_call, cause)) => {
+                    if !self.budgets.withdraw(request.budget_name()) || !attempts.count_try() {
+                        return Err((request, loss_problem(&attempt_call, &cause)));
+                    }
+                    call = attempt_call.repeat(Idempotent::inference());
+                }
+            }
+        }
+    }
+
+    fn stream(
+        self: Arc<Self>,
+        request: InferenceRequest,
+        attempt: Attempt,
+        open: OpenRequest,
+    ) -> Response<Body> {
+        let mut headers = attempt.exchange.response.headers().clone();
+        remove_connection_headers(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(RESUMABLE);
+        let relay = Relay::new(self, request, attempt, open);
+        let mut response = Response::new(relay.into_body());
+        *response.headers_mut() = headers;
+        response
+    }
+
+    /// Reads an answer to its end before any of it goes to the caller.
+    async fn read_whole(
+        &self,
+        attempt: Attempt,
+    ) -> Result<Response<Body>, (Call<Dispatched>, LossCause)> {
+        let Attempt {
+            call,
+            exchange,
+            in_flight,
+        } = attempt;
+        let (mut head, body) = exchange.response.into_parts();
+        if !has_known_end(&head.headers) {
+            let cause = LossCause::Broken("the answer has no known end".to_owned());
+            return Err((call, cause));
+        }
+        let limit = Duration::from_millis(self.settings.whole_answer_timeout_ms);
+        match read_body(body, ANSWER_MAX_BYTES, limit).await {
+            Ok(body) => {
+                call.answer();
+                exchange.connection.recycle();
+                drop(in_flight);
+                remove_connection_headers(&mut head.headers);
+                Ok(Response::from_parts(head, Body::from(body)))
+            }
+            Err(cause) => {
+                self.suspect(in_flight.backend());
+                if cause == ReadError::TooSlow {
+                    self.client.close_idle(in_flight.backend().address);
+                    return Err((call, LossCause::Silent));
+                }
+                Err((call, LossCause::Broken(cause.to_string())))
+            }
+        }
+    }
+}
+
+fn request_problem(cause: InferenceRequestError) -> Problem {
+    let (status, kind) = match cause {
+        InferenceRequestError::Malformed(_) => (StatusCode::BAD_REQUEST, "malformed-request"),
+        InferenceRequestError::UnknownModel(_) => (StatusCode::NOT_FOUND, "unknown-model"),
+        InferenceRequestError::UnknownClass(_) => (StatusCode::BAD_REQUEST, "unknown-class"),
+    };
+    Problem::not_run(status, kind, cause.to_string())
+}
--- /dev/null
+++ b/src/entry/load_header.rs
@@ -0,0 +1,40 @@
+//! Reads the load that engines report on their responses.
+
+use crate::{engine::Load, units::Incarnation};
+
+/// The load of one start of an engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EngineLoad {
+    /// The load.
+    pub load: Load,
+    /// The number of the engine's start.
+    pub incarnation: Incarnation,
+}
+
+/// Reads `waiting=N running=N kv_used_permille=N incarnation=N`; unknown fields are passed over.
+///
+/// Returns `None` when a known field is missing or not a number.
+pub fn parse_load(text: &str) -> Option<EngineLoad> {
+    let mut waiting = None;
+    let mut running = None;
+    let mut kv_used_permille = None;
+    let mut incarnation = None;
+    for field in text.split_ascii_whitespace() {
+        let (name, number) = field.split_once('=')?;
+        match name {
+            "waiting" => waiting = Some(number.parse().ok()?),
+            "running" => running = Some(number.parse().ok()?),
+            "kv_used_permille" => kv_used_permille = Some(number.parse().ok()?),
+            "incarnation" => incarnation = Some(number.parse().ok()?),
+            _ => {}
+        }
+    }
+    Some(EngineLoad {
+        load: Load {
+            waiting: waiting?,
+            running: running?,
+            kv_used_permille: kv_used_permille?,
+        },
+        incarnation: Incarnation(incarnation?),
+    })
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,40 @@
 //! The entry: callers' HTTP, routing and streams.
 
+mod attempt;
+mod backend;
+mod call;
+mod choose;
+mod demand;
+#[allow(clippy::module_inception)]
+mod entry;
+mod entry_metrics;
+mod event_id;
+mod forward_link;
+mod forward_service;
+mod forward_wire;
+mod idempotency;
+mod inference;
+mod inference_request;
+mod load_header;
+mod models;
+mod open_requests;
+mod relay;
+mod retry_budget;
+mod routes;
+mod run;
+mod serve;
+mod service_call;
+mod service_dispatch;
+mod service_request;
 mod settings;
+mod sse;
+mod stream_check;
 mod view;
 
-pub use {settings::*, view::*};
+use {attempt::*, entry::read_problem, relay::*};
+pub use {
+    backend::*, call::*, choose::*, demand::*, entry::*, entry_metrics::*, event_id::*,
+    forward_link::*, idempotency::*, inference_request::*, load_header::*, open_requests::*,
+    retry_budget::*, routes::*, run::*, service_request::*, settings::*, sse::*, stream_check::*,
+    view::*,
+};
--- /dev/null
+++ b/src/entry/open_requests.rs
@@ -0,0 +1,45 @@
+//! Limits the requests that are open at once.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
+
+/// The open requests of an entry.
+#[derive(Debug, Clone)]
+pub struct OpenRequests {
+    max: usize,
+    count: Arc<AtomicUsize>,
+}
+
+/// One open request; it is counted until this is dropped.
+#[derive(Debug)]
+pub struct OpenRequest(Arc<AtomicUsize>);
+
+impl OpenRequests {
+    /// Allows `max` requests at once.
+    pub fn new(max: usize) -> Self {
+        Self {
+            max,
+            count: Arc::default(),
+        }
+    }
+
+    /// Takes a place, if there is one.
+    pub fn open(&self) -> Option<OpenRequest> {
+        let place = OpenRequest(self.count.clone());
+        let before = self.count.fetch_add(1, Ordering::Relaxed);
+        (before < self.max).then_some(place)
+    }
+
+    /// Returns the number of open requests.
+    pub fn count(&self) -> usize {
+        self.count.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/src/entry/run.rs
@@ -0,0 +1,124 @@
+//! Runs an entry as a process.
+
+use {
+    super::{Entry, EntryParts, EntrySettings, forward_link, spawn_forward_link},
+    crate::{
+        http::{Readiness, serve_operations},
+        peer::{SharedKey, spawn_entry_link},
+        store::{EtcdStore, StoreTimeouts},
+        telemetry::{init_logs, init_metrics},
+    },
+    std::{io, sync::Arc},
+    thiserror::Error,
+    tokio::{
+        net::TcpListener,
+        signal::unix::{SignalKind, signal},
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// How long the entry waits for the key-value service.
+const STORE_TIMEOUTS: StoreTimeouts = StoreTimeouts {
+    call_ms: 400,
+    watch_silence_ms: 10_000,
+};
+
+/// Why an entry cannot run.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// An address or thread cannot be had.
+    #[error("{what}: {cause}")]
+    Io {
+        /// What was wanted.
+        what: String,
+        /// Why not.
+        cause: io::Error,
+    },
+    /// The metrics cannot be set up.
+    #[error("metrics: {0}")]
+    Metrics(String),
+    /// The planned stop ended before all requests were finished.
+    #[error("the stop took too long, requests were cut off")]
+    CutOff,
+}
+
+impl RunError {
+    /// Describes a runtime that cannot be had.
+    pub fn runtime(cause: io::Error) -> Self {
+        let what = "the runtime".to_owned();
+        Self::Io { what, cause }
+    }
+}
+
+/// Runs an entry until the planned stop.
+///
+/// # Errors
+///
+/// Fails when an address is taken, or when a stop cut off requests.
+pub async fn run(settings: EntrySettings) -> Result<(), RunError> {
+    init_logs(settings.log_level, settings.log_format);
+    let metrics = init_metrics().map_err(|cause| RunError::Metrics(cause.to_string()))?;
+    let callers = bind("callers_address", settings.callers_address).await?;
+    let operations = bind("operations_address", settings.operations_address).await?;
+    let peers =
+        std::net::TcpListener::bind(settings.peer_address).map_err(io_error("peer_address"))?;
+    let key = SharedKey::new(settings.peer_key.as_bytes());
+    let keeper = spawn_entry_link(settings.keeper_address, key.clone())
+        .map_err(io_error("the link to the keeper"))?;
+    let (forwarder, calls) = forward_link();
+    let store = EtcdStore::new(settings.store_addresses.clone(), STORE_TIMEOUTS);
+    let parts = EntryParts {
+        views: keeper.views,
+        store: Arc::new(store),
+        forwarder: Arc::new(forwarder),
+    };
+    let entry = Entry::new(settings, parts);
+    spawn_forward_link(entry.clone(), peers, key, calls)
+        .map_err(io_error("the links to other entries"))?;
+    let reports = keeper.reports;
+    tokio::spawn(entry.clone().report(move |report| {
+        let _ = reports.try_send(report);
+    }));
+    let readiness = Readiness::default();
+    let stopped = CancellationToken::new();
+    let operated = tokio::spawn(serve_operations(
+        operations,
+        readiness.clone(),
+        move || metrics.render(),
+        stopped.clone(),
+    ));
+    let stop = stop_on_signal()?;
+    log::info!("entry: serving callers");
+    let finished = entry.serve(callers, readiness, stop).await;
+    stopped.cancel();
+    let _ = operated.await;
+    if finished {
+        Ok(())
+    } else {
+        Err(RunError::CutOff)
+    }
+}
+
+async fn bind(field: &str, address: std::net::SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address).await.map_err(io_error(field))
+}
+
+fn io_error(what: &str) -> impl FnOnce(io::Error) -> RunError {
+    let what = what.to_owned();
+    |cause| RunError::Io { what, cause }
+}
+
+fn stop_on_signal() -> Result<CancellationToken, RunError> {
+    let stop = CancellationToken::new();
+    let mut terminate = signal(SignalKind::terminate()).map_err(io_error("signals"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(io_error("signals"))?;
+    let token = stop.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        token.cancel();
+    });
+    Ok(stop)
+}
--- /dev/null
+++ b/src/entry/serve.rs
@@ -0,0 +1,89 @@
+//! Serves callers until the planned stop.
+
+use {
+    super::{Entry, EntrySettings},
+    crate::{
+        fleet::Demand,
+        http::{ListenerLimits, Readiness, serve_http},
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        net::TcpListener,
+        time::{self, MissedTickBehavior},
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// The largest head of a caller's request, in bytes.
+const HEAD_MAX_BYTES: usize = 32 * 1024;
+
+impl Entry {
+    /// Serves callers until `stop` or until the view says to drain.
+    ///
+    /// On either, readiness fails first; after the drain delay no connection is accepted any
+    /// more, and open requests are finished. Returns whether all of them finished in time.
+    pub async fn serve(
+        self: Arc<Self>,
+        listener: TcpListener,
+        readiness: Readiness,
+        stop: CancellationToken,
+    ) -> bool {
+        let closing = CancellationToken::new();
+        let limits = limits(&self.settings);
+        let entry = self.clone();
+        let handle = move |request| entry.clone().handle(request);
+        let served = tokio::spawn(serve_http(listener, limits, closing.clone(), handle));
+        self.wait_for_stop(&readiness, &stop).await;
+        log::info!("entry: draining {} open requests", self.open_requests());
+        readiness.set(false);
+        time::sleep(Duration::from_millis(self.settings.drain_delay_ms)).await;
+        closing.cancel();
+        let finished = served.await.unwrap_or(false);
+        log::info!("entry: stopped, all requests finished: {finished}");
+        finished
+    }
+
+    async fn wait_for_stop(&self, readiness: &Readiness, stop: &CancellationToken) {
+        let mut views = self.routes.receiver();
+        let drain = async {
+            let draining = views.wait_for(|view| {
+                readiness.set(view.head.is_some() && !view.draining);
+                view.draining
+            });
+            if draining.await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            () = drain => {}
+            () = stop.cancelled() => {}
+        }
+    }
+
+    /// Hands what is to be reported to `send`, at the interval of the settings, for ever.
+    pub async fn report(self: Arc<Self>, send: impl Fn(super::Report)) {
+        let period = Duration::from_millis(self.settings.report_interval_ms);
+        let mut ticks = time::interval(period);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let report = self.take_report();
+            let demand = report.demand.iter().any(has_counts);
+            if demand || !report.suspects.is_empty() {
+                send(report);
+            }
+        }
+    }
+}
+
+fn has_counts(demand: &Demand) -> bool {
+    demand.requests + demand.tokens + demand.late + demand.refused > 0
+}
+
+fn limits(settings: &EntrySettings) -> ListenerLimits {
+    ListenerLimits {
+        head_max_bytes: HEAD_MAX_BYTES,
+        head_timeout: Duration::from_millis(settings.read_timeout_ms),
+        stop_max: Duration::from_millis(settings.drain_max_ms),
+    }
+}
--- /dev/null
+++ b/src/entry/service_request.rs
@@ -0,0 +1,142 @@
+//! A caller's request to a plain service.
+
+use {
+    super::{Idempotent, RouteTable},
+    crate::{
+        config::ServiceTarget,
+        http::{Body, IDEMPOTENCY_KEY, Problem, REQUEST_ID, remove_connection_headers},
+        units::{RequestId, ServiceName},
+    },
+    bytes::Bytes,
+    hyper::{HeaderMap, Method, Request, StatusCode, Uri, header},
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::Instant,
+};
+
+/// The path under which plain services are reached.
+const SERVICES_PATH: &str = "/services/";
+
+/// The path under a service where tickets are minted.
+const TICKETS_PATH: &str = "/.tickets";
+
+/// What a path under `/services/` names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServicePath {
+    /// The service.
+    pub service: ServiceName,
+    /// The path and query at the backend server.
+    pub rest: String,
+}
+
+impl ServicePath {
+    /// Reads a path of the form `/services/NAME/REST`.
+    pub fn read(uri: &Uri) -> Option<Self> {
+        let path = uri.path_and_query()?.as_str().strip_prefix(SERVICES_PATH)?;
+        let end = path.find(['/', '?']).unwrap_or(path.len());
+        let (name, rest) = path.split_at(end);
+        let rest = match rest.starts_with('/') {
+            true => rest.to_owned(),
+            false => format!("/{rest}"),
+        };
+        Some(Self {
+            service: name.parse().ok()?,
+            rest,
+        })
+    }
+
+    /// Returns whether tickets are asked for.
+    pub fn is_tickets(&self) -> bool {
+        self.rest.split('?').next() == Some(TICKETS_PATH)
+    }
+}
+
+/// A caller's request to a plain service.
+#[derive(Debug)]
+pub struct ServiceRequest {
+    /// Identifies it.
+    pub id: RequestId,
+    /// The service and the path at its backend servers.
+    pub path: ServicePath,
+    /// The method.
+    pub method: Method,
+    /// The headers, without those of the caller's connection.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// Whether it may be repeated.
+    pub idempotent: Option<Idempotent>,
+    /// When it must be answered.
+    pub deadline: Instant,
+}
+
+impl ServiceRequest {
+    /// Puts a request together.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such plain service.
+    pub fn new(
+        id: RequestId,
+        path: ServicePath,
+        method: Method,
+        mut headers: HeaderMap,
+        body: Bytes,
+        routes: &RouteTable,
+    ) -> Result<Self, Problem> {
+        let target = routes.view.catalog.service(&path.service);
+        let Some(ServiceTarget::Plain {
+            idempotent_methods,
+            timeout_ms,
+            ..
+        }) = target.map(|service| &service.target)
+        else {
+            return Err(unknown_service(&path.service));
+        };
+        remove_connection_headers(&mut headers);
+        headers.remove(header::CONTENT_LENGTH);
+        Ok(Self {
+            idempotent: Idempotent::by_method(method.as_str(), idempotent_methods),
+            deadline: Instant::now() + Duration::from_millis(*timeout_ms),
+            id,
+            path,
+            method,
+            headers,
+            body,
+        })
+    }
+
+    /// Returns the idempotency key, if the request must run at most once.
+    pub fn key(&self) -> Option<&str> {
+        if self.idempotent.is_some() {
+            return None;
+        }
+        self.headers.get(IDEMPOTENCY_KEY)?.to_str().ok()
+    }
+
+    /// Makes the request for a backend server.
+    pub fn to_backend(&self, address: SocketAddr) -> Request<Body> {
+        let mut request = Request::new(Body::from(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.path.rest.parse().unwrap_or_default();
+        *request.headers_mut() = self.headers.clone();
+        let headers = request.headers_mut();
+        if let Ok(host) = address.to_string().try_into() {
+            headers.insert(header::HOST, host);
+        }
+        if let Ok(id) = self.id.to_string().try_into() {
+            headers.insert(REQUEST_ID, id);
+        }
+        request
+    }
+
+    /// Returns the time left.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Describes a request to a service that is not configured.
+pub fn unknown_service(service: &ServiceName) -> Problem {
+    let detail = format!("there is no plain service {service}");
+    Problem::not_run(StatusCode::NOT_FOUND, "unknown-service", detail)
+}
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -41,6 +41,8 @@
         first_token_timeout_ms: u64 = "5000",
         #[doc = " The longest silence between two tokens, in milliseconds."]
         between_tokens_timeout_ms: u64 = "2000",
+        #[doc = " The longest wait for an answer that is not streamed, in milliseconds."]
+        whole_answer_timeout_ms: u64 = "60000",
         #[doc = " Requests that may be open at once."]
         open_requests_max: usize = "8192",
         #[doc = " Retries allowed per hundred requests of a service."]
--- /dev/null
+++ b/src/entry/stream_check.rs
@@ -0,0 +1,170 @@
+//! Decides which events of a model engine's stream belong to the answer.
+
+use {
+    super::{EventId, SseEvent},
+    crate::units::RequestId,
+    memchr::memmem,
+};
+
+/// The data of the event that ends a stream.
+const DONE: &[u8] = b"[DONE]";
+
+/// The field whose value, unless `null`, says that the last token was generated.
+const FINISH_REASON: &[u8] = b"\"finish_reason\":";
+
+/// What to do with an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It comes next in the answer.
+    Deliver,
+    /// It comes next and ends the answer.
+    End,
+    /// It carries no part of the answer.
+    Comment,
+    /// It does not belong here.
+    Drop(DropReason),
+    /// The stream is broken and must be resumed.
+    Break(BreakReason),
+}
+
+/// Why an event is dropped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DropReason {
+    /// It belongs to another request, or doesn't say to which.
+    Foreign,
+    /// It was already delivered.
+    Duplicate,
+}
+
+/// Why a stream is broken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BreakReason {
+    /// Events before this one are missing.
+    Gap,
+    /// The stream ended before its last token.
+    EarlyEnd,
+    /// The engine reported an error.
+    EngineError,
+}
+
+/// How far the answer to one request was delivered.
+#[derive(Debug)]
+pub struct StreamCheck {
+    request: RequestId,
+    numbered: bool,
+    delivered: u64,
+    finished: bool,
+}
+
+impl StreamCheck {
+    /// Starts before the first token; `numbered` says that every event must carry an id.
+    pub fn new(request: RequestId, numbered: bool) -> Self {
+        Self {
+            request,
+            numbered,
+            delivered: 0,
+            finished: false,
+        }
+    }
+
+    /// Demands an id on every event from here on.
+    pub fn require_ids(&mut self) {
+        self.numbered = true;
+    }
+
+    /// Returns whether events carry ids, so that the stream can be resumed.
+    pub fn is_numbered(&self) -> bool {
+        self.numbered
+    }
+
+    /// Returns the tokens delivered so far.
+    pub fn delivered(&self) -> u64 {
+        self.delivered
+    }
+
+    /// Returns the id of the last event delivered.
+    pub fn last_event_id(&self) -> EventId {
+        EventId {
+            request: self.request,
+            offset: self.delivered,
+        }
+    }
+
+    /// Decides what to do with the next event and takes note of it.
+    pub fn judge(&mut self, event: &SseEvent) -> Verdict {
+        let Some(data) = &event.data else {
+            return Verdict::Comment;
+        };
+        match &event.id {
+            Some(id) => self.judge_numbered(id, data),
+            None => self.judge_unnumbered(data),
+        }
+    }
+
+    fn judge_numbered(&mut self, id: &[u8], data: &[u8]) -> Verdict {
+        let id = std::str::from_utf8(id)
+            .ok()
+            .and_then(|text| text.parse().ok());
+        let Some(EventId { request, offset }) = id else {
+            return Verdict::Drop(DropReason::Foreign);
+        };
+        if request != self.request {
+            return Verdict::Drop(DropReason::Foreign);
+        }
+        self.numbered = true;
+        if is_error(data) {
+            return Verdict::Break(BreakReason::EngineError);
+        }
+        if data == DONE {
+            return self.judge_end(offset);
+        }
+        if offset > self.delivered + 1 {
+            return Verdict::Break(BreakReason::Gap);
+        }
+        let finishes = !self.finished && has_finish_reason(data);
+        let next = offset == self.delivered + 1;
+        let closes = finishes && offset == self.delivered;
+        if !(next || closes) {
+            return Verdict::Drop(DropReason::Duplicate);
+        }
+        self.delivered = offset;
+        self.finished |= finishes;
+        Verdict::Deliver
+    }
+
+    fn judge_end(&self, offset: u64) -> Verdict {
+        match offset.cmp(&self.delivered) {
+            std::cmp::Ordering::Less => Verdict::Drop(DropReason::Duplicate),
+            std::cmp::Ordering::Equal => Verdict::End,
+            std::cmp::Ordering::Greater => Verdict::Break(BreakReason::Gap),
+        }
+    }
+
+    fn judge_unnumbered(&mut self, data: &[u8]) -> Verdict {
+        if is_error(data) {
+            return Verdict::Break(BreakReason::EngineError);
+        }
+        match (data == DONE, self.numbered) {
+            (true, false) => Verdict::End,
+            (true, true) if self.finished => Verdict::End,
+            (true, true) => Verdict::Break(BreakReason::EarlyEnd),
+            (false, true) => Verdict::Drop(DropReason::Foreign),
+            (false, false) => {
+                self.delivered += 1;
+                Verdict::Deliver
+            }
+        }
+    }
+}
+
+fn is_error(data: &[u8]) -> bool {
+    data.starts_with(b"{\"error\"")
+}
+
+fn has_finish_reason(data: &[u8]) -> bool {
+    let Some(position) = memmem::find(data, FINISH_REASON) else {
+        return false;
+    };
+    let value = data[position + FINISH_REASON.len()..].trim_ascii_start();
+    value.starts_with(b"\"")
+}
--- /dev/null
+++ b/src/http/connection.rs
@@ -0,0 +1,89 @@
+//! One connection to a backend server, in use by one request.
+
+use {
+    super::{
+        Body,
+        idle::{IdleConnection, IdleConnections},
+    },
+    hyper::{
+        Request, Response,
+        body::Incoming,
+        client::conn::{TrySendError, http1::SendRequest},
+    },
+    std::{net::SocketAddr, sync::Arc},
+    tokio::{task::AbortHandle, time::Instant},
+};
+
+/// A connection in use; dropping it closes it, which cancels its request.
+#[derive(Debug)]
+pub struct Connection {
+    address: SocketAddr,
+    open: Option<IdleConnection>,
+    idle: Arc<IdleConnections>,
+}
+
+impl Connection {
+    pub(super) fn new(
+        address: SocketAddr,
+        sender: SendRequest<Body>,
+        task: AbortHandle,
+        idle: Arc<IdleConnections>,
+    ) -> Self {
+        let since = Instant::now();
+        let open = IdleConnection {
+            sender,
+            task,
+            since,
+        };
+        Self {
+            address,
+            open: Some(open),
+            idle,
+        }
+    }
+
+    pub(super) fn reuse(
+        address: SocketAddr,
+        open: IdleConnection,
+        idle: Arc<IdleConnections>,
+    ) -> Self {
+        Self {
+            address,
+            open: Some(open),
+            idle,
+        }
+    }
+
+    /// Waits until the connection takes a request; returns whether it does.
+    pub(super) async fn ready(&mut self) -> bool {
+        match &mut self.open {
+            Some(open) => open.sender.ready().await.is_ok(),
+            None => false,
+        }
+    }
+
+    pub(super) async fn send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Option<Result<Response<Incoming>, TrySendError<Request<Body>>>> {
+        let open = self.open.as_mut()?;
+        Some(open.sender.try_send_request(request).await)
+    }
+
+    /// Returns the address at the other end.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Keeps the connection for a later request, once its response was read whole.
+    pub fn recycle(mut self) {
+        let Some(mut open) = self.open.take() else {
+            return;
+        };
+        if open.sender.is_closed() {
+            return;
+        }
+        open.since = Instant::now();
+        self.idle.put(self.address, open);
+    }
+}
--- /dev/null
+++ b/src/http/header.rs
@@ -0,0 +1,69 @@
+//! Header names of the system's interfaces.
+
+use hyper::{HeaderMap, header};
+
+/// Identifies a request on its way through the system.
+pub const REQUEST_ID: &str = "x-request-id";
+/// The priority of a request; lower numbers go first.
+pub const PRIORITY: &str = "x-priority";
+/// The time left until the request misses its target, in milliseconds.
+pub const DEADLINE_MS: &str = "x-deadline-ms";
+/// Names the service whose class a request belongs to.
+pub const SERVICE_CLASS: &str = "x-service-class";
+/// Says `no` on a refusal whose request did not run.
+pub const REQUEST_RAN: &str = "x-request-ran";
+/// Says `yes` when a backend server takes no new work any more.
+pub const ENGINE_LEAVING: &str = "x-engine-leaving";
+/// Carries an engine's load.
+pub const ENGINE_LOAD: &str = "x-engine-load";
+/// Says `yes` when a stream can be resumed.
+pub const RESUMABLE: &str = "x-resumable";
+/// The event after which a stream is resumed.
+pub const LAST_EVENT_ID: &str = "last-event-id";
+/// Identifies a request that must run at most once.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// A key that the caller may use for its next request.
+pub const NEXT_IDEMPOTENCY_KEY: &str = "next-idempotency-key";
+
+/// Headers that concern one connection only, and those that the client sets anew.
+const CONNECTION_HEADERS: [header::HeaderName; 9] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::HOST,
+    header::EXPECT,
+];
+
+/// Removes the headers that concern one connection only.
+pub fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .map(|name| name.trim().to_owned())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in &CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+}
+
+/// Returns whether a header has this value.
+pub fn has_header(headers: &HeaderMap, name: &str, value: &str) -> bool {
+    headers
+        .get(name)
+        .is_some_and(|found| found.as_bytes().eq_ignore_ascii_case(value.as_bytes()))
+}
+
+/// Returns whether the end of a body can be told from a cut connection.
+pub fn has_known_end(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
--- /dev/null
+++ b/src/http/idle.rs
@@ -0,0 +1,92 @@
+//! Idle connections to backend servers, by address.
+
+use {
+    super::Body,
+    hyper::client::conn::http1::SendRequest,
+    std::{
+        net::SocketAddr,
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{task::AbortHandle, time::Instant},
+};
+
+/// The number of shards, each under its own lock.
+const SHARDS: usize = 16;
+
+/// The longest that a connection stays idle before it is closed.
+const IDLE_MAX: Duration = Duration::from_secs(30);
+
+/// The most idle connections kept for one address.
+const IDLE_PER_ADDRESS_MAX: usize = 256;
+
+/// An open connection without a request.
+#[derive(Debug)]
+pub(super) struct IdleConnection {
+    pub(super) sender: SendRequest<Body>,
+    pub(super) task: AbortHandle,
+    pub(super) since: Instant,
+}
+
+impl Drop for IdleConnection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[derive(Debug, Default)]
+struct Shard(Vec<(SocketAddr, Vec<IdleConnection>)>);
+
+/// The idle connections of a client.
+#[derive(Debug, Default)]
+pub(super) struct IdleConnections {
+    shards: [Mutex<Shard>; SHARDS],
+}
+
+impl IdleConnections {
+    /// Takes the connection that was used last.
+    pub(super) fn take(&self, address: SocketAddr) -> Option<IdleConnection> {
+        let mut shard = self.shard(address);
+        let position = shard.0.binary_search_by_key(&address, |entry| entry.0);
+        let idle = &mut shard.0[position.ok()?].1;
+        let taken = idle.pop()?;
+        if taken.since.elapsed() > IDLE_MAX {
+            idle.clear();
+            return None;
+        }
+        Some(taken)
+    }
+
+    /// Keeps a connection for later.
+    pub(super) fn put(&self, address: SocketAddr, connection: IdleConnection) {
+        let mut shard = self.shard(address);
+        let position = match shard.0.binary_search_by_key(&address, |entry| entry.0) {
+            Ok(position) => position,
+            Err(position) => {
+                shard.0.insert(position, (address, Vec::new()));
+                position
+            }
+        };
+        let idle = &mut shard.0[position].1;
+        if idle.len() < IDLE_PER_ADDRESS_MAX {
+            idle.push(connection);
+        }
+    }
+
+    /// Closes all connections to an address.
+    pub(super) fn clear(&self, address: SocketAddr) {
+        let mut shard = self.shard(address);
+        shard.0.retain(|entry| entry.0 != address);
+    }
+
+    fn shard(&self, address: SocketAddr) -> MutexGuard<'_, Shard> {
+        let octets = match address.ip() {
+            std::net::IpAddr::V4(ip) => u32::from(ip) as usize,
+            std::net::IpAddr::V6(ip) => u128::from(ip) as usize,
+        };
+        let shard = (octets + usize::from(address.port())) % SHARDS;
+        self.shards[shard]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,1 +1,17 @@
-//! HTTP helpers that the listeners and clients share.
+//! HTTP listeners, the client for backend servers, and problem documents.
+
+mod body;
+mod client;
+mod connection;
+mod error;
+mod header;
+mod idle;
+mod listener;
+mod operations;
+mod problem;
+mod read;
+
+pub use {
+    body::*, client::*, connection::*, error::*, header::*, listener::*, operations::*, problem::*,
+    read::*,
+};
--- /dev/null
+++ b/src/http/operations.rs
@@ -0,0 +1,65 @@
+//! The operations listener: health, readiness and metrics.
+
+use {
+    super::{Body, ListenerLimits, serve_http},
+    hyper::{Request, Response, StatusCode, body::Incoming},
+    std::{
+        future::ready,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::net::TcpListener,
+    tokio_util::sync::CancellationToken,
+};
+
+/// The limits of the operations listener.
+const LIMITS: ListenerLimits = ListenerLimits {
+    head_max_bytes: 16 * 1024,
+    head_timeout: Duration::from_secs(5),
+    stop_max: Duration::from_secs(1),
+};
+
+/// Whether a process wants new work.
+#[derive(Debug, Clone, Default)]
+pub struct Readiness(Arc<AtomicBool>);
+
+impl Readiness {
+    /// Sets whether new work is wanted.
+    pub fn set(&self, ready: bool) {
+        self.0.store(ready, Ordering::Release);
+    }
+
+    /// Returns whether new work is wanted.
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+/// Serves `/healthz`, `/readyz` and `/metrics` until `stop`.
+pub async fn serve_operations(
+    listener: TcpListener,
+    readiness: Readiness,
+    render_metrics: impl Fn() -> String + Clone + Send + Sync + 'static,
+    stop: CancellationToken,
+) {
+    let handle = move |request: Request<Incoming>| {
+        let response = match request.uri().path() {
+            "/healthz" => text(StatusCode::OK, "ok\n".to_owned()),
+            "/readyz" if readiness.get() => text(StatusCode::OK, "ready\n".to_owned()),
+            "/readyz" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+            "/metrics" => text(StatusCode::OK, render_metrics()),
+            _ => text(StatusCode::NOT_FOUND, "not found\n".to_owned()),
+        };
+        ready(response)
+    };
+    serve_http(listener, LIMITS, stop, handle).await;
+}
+
+fn text(status: StatusCode, text: String) -> Response<Body> {
+    let mut response = Response::new(Body::from(text));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/src/http/problem.rs
@@ -0,0 +1,107 @@
+//! Problem documents (RFC 9457): what callers get in place of an answer.
+
+use {
+    super::Body,
+    hyper::{Response, StatusCode, header},
+    serde::Serialize,
+    std::time::Duration,
+};
+
+/// Whether the request of a problem document ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It provably did not run.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// A problem document.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Problem {
+    /// The status code.
+    pub status: StatusCode,
+    /// A short name of the kind of problem, the last part of its `type`.
+    pub kind: &'static str,
+    /// What happened in this case.
+    pub detail: String,
+    /// Whether the request ran.
+    pub outcome: Outcome,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+    /// The status that an earlier try of the same request was answered with.
+    pub earlier_status: Option<u16>,
+}
+
+#[derive(Debug, Serialize)]
+struct Document<'a> {
+    r#type: String,
+    title: String,
+    status: u16,
+    detail: &'a str,
+    outcome: Outcome,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    earlier_status: Option<u16>,
+}
+
+impl Problem {
+    /// Describes a request that did not run.
+    pub fn not_run(status: StatusCode, kind: &'static str, detail: impl Into<String>) -> Self {
+        Self::new(status, kind, detail.into(), Outcome::NotRun)
+    }
+
+    /// Describes a request that may have run.
+    pub fn unknown(status: StatusCode, kind: &'static str, detail: impl Into<String>) -> Self {
+        Self::new(status, kind, detail.into(), Outcome::Unknown)
+    }
+
+    fn new(status: StatusCode, kind: &'static str, detail: String, outcome: Outcome) -> Self {
+        Self {
+            status,
+            kind,
+            detail,
+            outcome,
+            retry_after: None,
+            earlier_status: None,
+        }
+    }
+
+    /// Says when to come back.
+    pub fn retry_after(mut self, wait: Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+
+    /// Returns the document as JSON.
+    pub fn to_json(&self) -> String {
+        let document = Document {
+            r#type: format!("urn:greengagetrail:problem:{}", self.kind),
+            title: self.kind.replace('-', " "),
+            status: self.status.as_u16(),
+            detail: &self.detail,
+            outcome: self.outcome,
+            retry_after_ms: self.retry_after.map(|wait| wait.as_millis() as u64),
+            earlier_status: self.earlier_status,
+        };
+        serde_json::to_string(&document).unwrap_or_default()
+    }
+
+    /// Turns the problem into a response.
+    pub fn into_response(self) -> Response<Body> {
+        let mut response = Response::new(Body::from(self.to_json()));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            header::HeaderValue::from_static("application/problem+json"),
+        );
+        if let Some(wait) = self.retry_after {
+            let seconds = wait.as_millis().div_ceil(1000) as u64;
+            headers.insert(header::RETRY_AFTER, seconds.into());
+        }
+        response
+    }
+}
