--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -2,5 +2,6 @@
 
 mod api;
 mod error;
+mod http_engine;
 
-pub use {api::*, error::*};
+pub use {api::*, error::*, http_engine::*};
