--- /dev/null
+++ b/src/history/revision_check.rs
@@ -0,0 +1,227 @@
+//! Checks that published revisions are won once, reach every VM in time and never go back.
+
+use {
+    crate::{
+        config::{Digest, Head},
+        units::{PublishId, Revision, VmName},
+    },
+    thiserror::Error,
+};
+
+/// One event of a run, in the order in which the recorder saw them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RevisionEvent {
+    /// An operator was told that the publication took effect.
+    Published {
+        /// When, in milliseconds since the start of the run.
+        at_ms: u64,
+        /// The published head.
+        head: Head,
+    },
+    /// An operator was told that the publication did not and will not take effect.
+    NotPublished {
+        /// The attempt.
+        publish_id: PublishId,
+    },
+    /// An operator was told that the outcome is not known.
+    Unresolved {
+        /// The attempt.
+        publish_id: PublishId,
+    },
+    /// A VM started, without any configuration.
+    Started {
+        /// When, in milliseconds since the start of the run.
+        at_ms: u64,
+        /// The VM.
+        vm: VmName,
+    },
+    /// A VM stopped.
+    Stopped {
+        /// When, in milliseconds since the start of the run.
+        at_ms: u64,
+        /// The VM.
+        vm: VmName,
+    },
+    /// A configuration came into force at a VM.
+    InForce {
+        /// When, in milliseconds since the start of the run.
+        at_ms: u64,
+        /// The VM.
+        vm: VmName,
+        /// Its head.
+        head: Head,
+    },
+}
+
+/// A broken promise.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum RevisionViolation {
+    /// A VM went to a lower revision, or to the same one again.
+    #[error("{vm} went from revision {from} to {to}")]
+    WentBack {
+        /// The VM.
+        vm: VmName,
+        /// The revision that it had.
+        from: Revision,
+        /// The revision that it went to.
+        to: Revision,
+    },
+    /// A revision was won by two publications or seen with two contents.
+    #[error("revision {0} belongs to two publications")]
+    TwoWinners(Revision),
+    /// A publication that was said not to take effect is in force.
+    #[error("publication {0} is in force although it was said not to take effect")]
+    FalseRefusal(PublishId),
+    /// A VM did not have an accepted revision in time.
+    #[error("{vm} did not have revision {revision} in time")]
+    Late {
+        /// The VM.
+        vm: VmName,
+        /// The accepted revision.
+        revision: Revision,
+    },
+}
+
+/// Checks a history of a run that ended at `end_ms`.
+///
+/// Each VM must have an accepted revision, or a later one, `bound_ms` after its acceptance or
+/// after the start of the VM, whichever is later.
+pub fn check_revisions(
+    events: &[RevisionEvent],
+    bound_ms: u64,
+    end_ms: u64,
+) -> Vec<RevisionViolation> {
+    let mut violations = find_reversals(events);
+    violations.extend(find_two_winners(events));
+    violations.extend(find_false_refusals(events));
+    violations.extend(find_late(events, bound_ms, end_ms));
+    violations
+}
+
+fn find_reversals(events: &[RevisionEvent]) -> Vec<RevisionViolation> {
+    let mut violations = Vec::new();
+    for (position, event) in events.iter().enumerate() {
+        let RevisionEvent::InForce { vm, head, .. } = event else {
+            continue;
+        };
+        let before = revision_before(&events[..position], vm);
+        if before >= head.revision {
+            violations.push(RevisionViolation::WentBack {
+                vm: vm.clone(),
+                from: before,
+                to: head.revision,
+            });
+        }
+    }
+    violations
+}
+
+/// Returns what a VM had in force at the end of some events; zero after its start.
+fn revision_before(events: &[RevisionEvent], wanted: &VmName) -> Revision {
+    for event in events.iter().rev() {
+        match event {
+            RevisionEvent::InForce { vm, head, .. } if vm == wanted => return head.revision,
+            RevisionEvent::Started { vm, .. } if vm == wanted => break,
+            _ => {}
+        }
+    }
+    Revision::default()
+}
+
+fn find_two_winners(events: &[RevisionEvent]) -> Vec<RevisionViolation> {
+    let mut winners: Vec<(Revision, PublishId, Digest)> = events
+        .iter()
+        .filter_map(|event| match event {
+            RevisionEvent::Published { head, .. } | RevisionEvent::InForce { head, .. } => {
+                Some((head.revision, head.publish_id, head.digest))
+            }
+            _ => None,
+        })
+        .collect();
+    winners.sort();
+    winners.dedup();
+    let pairs = winners.windows(2);
+    let twice = pairs.filter(|pair| pair[0].0 == pair[1].0);
+    twice
+        .map(|pair| RevisionViolation::TwoWinners(pair[0].0))
+        .collect()
+}
+
+fn find_false_refusals(events: &[RevisionEvent]) -> Vec<RevisionViolation> {
+    let mut refused: Vec<PublishId> = events
+        .iter()
+        .filter_map(|event| match event {
+            RevisionEvent::NotPublished { publish_id } => Some(*publish_id),
+            _ => None,
+        })
+        .collect();
+    refused.sort();
+    let mut false_refusals: Vec<PublishId> = events
+        .iter()
+        .filter_map(|event| match event {
+            RevisionEvent::InForce { head, .. } => Some(head.publish_id),
+            _ => None,
+        })
+        .filter(|publish_id| refused.binary_search(publish_id).is_ok())
+        .collect();
+    false_refusals.sort();
+    false_refusals.dedup();
+    let violations = false_refusals.into_iter();
+    violations.map(RevisionViolation::FalseRefusal).collect()
+}
+
+/// One life of a VM, from its start to its stop.
+struct Life<'a> {
+    vm: &'a VmName,
+    start_ms: u64,
+    stop_ms: u64,
+}
+
+fn find_late(events: &[RevisionEvent], bound_ms: u64, end_ms: u64) -> Vec<RevisionViolation> {
+    let mut violations = Vec::new();
+    let lives = find_lives(events, end_ms);
+    for event in events {
+        let RevisionEvent::Published { at_ms, head } = event else {
+            continue;
+        };
+        for life in &lives {
+            let due_ms = life.start_ms.max(*at_ms) + bound_ms;
+            if due_ms <= life.stop_ms && !had_in_force(events, life, head.revision, due_ms) {
+                violations.push(RevisionViolation::Late {
+                    vm: life.vm.clone(),
+                    revision: head.revision,
+                });
+            }
+        }
+    }
+    violations
+}
+
+fn find_lives(events: &[RevisionEvent], end_ms: u64) -> Vec<Life<'_>> {
+    let mut lives: Vec<Life> = Vec::new();
+    for event in events {
+        match event {
+            RevisionEvent::Started { at_ms, vm } => lives.push(Life {
+                vm,
+                start_ms: *at_ms,
+                stop_ms: end_ms,
+            }),
+            RevisionEvent::Stopped { at_ms, vm } => {
+                if let Some(life) = lives.iter_mut().rev().find(|life| life.vm == vm) {
+                    life.stop_ms = *at_ms;
+                }
+            }
+            _ => {}
+        }
+    }
+    lives
+}
+
+fn had_in_force(events: &[RevisionEvent], life: &Life, wanted: Revision, due_ms: u64) -> bool {
+    events.iter().any(|event| match event {
+        RevisionEvent::InForce { at_ms, vm, head } => {
+            vm == life.vm && head.revision >= wanted && (life.start_ms..=due_ms).contains(at_ms)
+        }
+        _ => false,
+    })
+}
--- /dev/null
+++ b/tests/config_publish.rs
@@ -0,0 +1,318 @@
+//! Publishing: who wins, what is told when answers are lost, what is kept.
+
+#[path = "common/catalogs.rs"]
+mod catalogs;
+#[path = "common/failing_store.rs"]
+mod failing_store;
+#[path = "common/late_store.rs"]
+mod late_store;
+#[path = "common/publications.rs"]
+mod publications;
+
+use {
+    catalogs::sample_catalog,
+    greengagetrail::{
+        config::{
+            EncodedSnapshot, FetchPolicy, HISTORY_MAX, Head, PublishError, PublishOutcome,
+            Publisher, SnapshotError, StoreBlobs, collect_garbage, fetch_snapshot,
+        },
+        standin::kv::{KvFaults, MemoryStore},
+        store::{
+            Store, StoreError,
+            keys::{BLOB_PREFIX, CHAIN_PREFIX},
+        },
+        units::{PublishId, Revision},
+    },
+    late_store::LateStore,
+    publications::publication,
+    std::sync::Arc,
+};
+
+fn publisher(store: &MemoryStore) -> Publisher {
+    Publisher::new(Arc::new(store.clone()))
+}
+
+async fn fetch(store: &MemoryStore, head: &Head) -> Result<EncodedSnapshot, SnapshotError> {
+    let source = StoreBlobs::new(store);
+    fetch_snapshot(head.digest, &[], &[&source], &FetchPolicy::default()).await
+}
+
+async fn blob_count(store: &MemoryStore) -> usize {
+    store
+        .range(BLOB_PREFIX, 10_000)
+        .await
+        .unwrap()
+        .entries
+        .len()
+}
+
+#[tokio::test(start_paused = true)]
+async fn published_content_is_read_back() {
+    let store = MemoryStore::new();
+    let published = publication(40, 0);
+    let outcome = publisher(&store).publish(&published, None).await.unwrap();
+    let PublishOutcome::Published(head) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(head.revision, Revision(1));
+    assert_eq!(publisher(&store).head().await.unwrap(), Some(head.clone()));
+    let fetched = fetch(&store, &head);
+    assert_eq!(fetched.await.unwrap().decode().unwrap(), sample_catalog(40));
+}
+
+#[tokio::test(start_paused = true)]
+async fn loser_is_told_of_the_winner() {
+    let store = MemoryStore::new();
+    let first = publisher(&store)
+        .publish(&publication(1, 0), None)
+        .await
+        .unwrap();
+    let PublishOutcome::Published(winner) = first else {
+        panic!("{first:?}");
+    };
+    let second = publisher(&store).publish(&publication(2, 0), None).await;
+    assert_eq!(second, Ok(PublishOutcome::Conflict(winner)));
+    let third = publisher(&store).publish(&publication(2, 7), None).await;
+    assert!(matches!(third, Err(PublishError::NoSuchRevision { .. })));
+}
+
+#[tokio::test(start_paused = true)]
+async fn repeated_attempt_is_published_once() {
+    let store = MemoryStore::new();
+    let attempt = publication(1, 0);
+    let first = publisher(&store).publish(&attempt, None).await.unwrap();
+    publisher(&store)
+        .publish(&publication(2, 1), None)
+        .await
+        .unwrap();
+    assert_eq!(
+        publisher(&store).publish(&attempt, None).await.unwrap(),
+        first
+    );
+    assert_eq!(publisher(&store).history(10).await.unwrap().len(), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_answers_are_resolved() {
+    for lost_answers in 0..4 {
+        for lost_calls in 0..4 {
+            let store = MemoryStore::new();
+            store.set_faults(KvFaults {
+                lost_answers,
+                lost_calls,
+                ..KvFaults::default()
+            });
+            let outcome = publisher(&store).publish(&publication(1, 0), None).await;
+            let head = publisher(&store).head().await.unwrap();
+            match outcome {
+                Ok(PublishOutcome::Published(published)) => assert_eq!(head, Some(published)),
+                Err(PublishError::Store(StoreError::Unknown(_))) => assert_eq!(head, None),
+                other => panic!("{lost_answers} {lost_calls}: {other:?}"),
+            }
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn write_that_arrives_late_cannot_belie_the_answer() {
+    for seed in 0..200 {
+        let store = MemoryStore::new();
+        let late = Arc::new(LateStore::new(Arc::new(store.clone()), seed, 40));
+        let attempt = publication(1, 0);
+        let outcome = Publisher::new(late).publish(&attempt, None).await;
+        tokio::time::sleep(std::time::Duration::from_secs(60)).await;
+        let history = publisher(&store).history(10).await.unwrap();
+        let took_effect = history
+            .iter()
+            .any(|head| head.publish_id == attempt.publish_id);
+        match outcome {
+            Ok(PublishOutcome::Published(_)) => assert!(took_effect, "seed {seed}"),
+            Ok(PublishOutcome::Conflict(_)) | Err(_) => assert!(!took_effect, "seed {seed}"),
+            Ok(PublishOutcome::Unknown(_)) => {}
+        }
+        assert!(history.len() <= 1, "seed {seed}: published twice");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn outage_after_the_swap_leaves_the_outcome_open() {
+    let store = MemoryStore::new();
+    publisher(&store)
+        .publish(&publication(1, 0), None)
+        .await
+        .unwrap();
+    let link = store.link();
+    // The manifest is the only new blob, so that the second write is the swap.
+    let attempt = publication(1, 1);
+    link.set_faults(KvFaults {
+        lost_answers: 1,
+        ..KvFaults::default()
+    });
+    let publisher = Publisher::new(Arc::new(link.clone()));
+    let publishing = publisher.publish(&attempt, None);
+    let outage = async {
+        tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+        link.set_faults(KvFaults {
+            down: true,
+            ..KvFaults::default()
+        });
+    };
+    let (outcome, ()) = tokio::join!(publishing, outage);
+    assert_eq!(outcome, Ok(PublishOutcome::Unknown(attempt.publish_id)));
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_half_published() {
+    for calls in 0..12 {
+        let store = MemoryStore::new();
+        publisher(&store)
+            .publish(&publication(1, 0), None)
+            .await
+            .unwrap();
+        let link = store.link();
+        let failing = failing_store::FailingStore::new(Arc::new(link), calls);
+        let outcome = Publisher::new(Arc::new(failing))
+            .publish(&publication(80, 1), None)
+            .await;
+        let head = publisher(&store).head().await.unwrap().unwrap();
+        let fetched = fetch(&store, &head).await;
+        assert!(fetched.is_ok(), "after {calls} calls");
+        let published = matches!(outcome, Ok(PublishOutcome::Published(_)));
+        assert_eq!(
+            published,
+            head.revision == Revision(2),
+            "after {calls} calls"
+        );
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn revision_goes_above_the_known_one_after_a_restore() {
+    let store = MemoryStore::new();
+    publisher(&store)
+        .publish(&publication(1, 0), None)
+        .await
+        .unwrap();
+    let copy = store.copy_state();
+    for expected in 1..4 {
+        publisher(&store)
+            .publish(&publication(2, expected), None)
+            .await
+            .unwrap();
+    }
+    let known = publisher(&store).head().await.unwrap().unwrap();
+    store.restore(copy);
+    let stale = publisher(&store)
+        .publish(&publication(3, 1), Some(&known))
+        .await;
+    assert_eq!(stale, Ok(PublishOutcome::Conflict(known.clone())));
+    let outcome = publisher(&store)
+        .publish(&publication(3, 4), Some(&known))
+        .await
+        .unwrap();
+    let PublishOutcome::Published(head) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(head.revision, Revision(5));
+}
+
+#[tokio::test(start_paused = true)]
+async fn known_head_is_written_back_after_a_restore() {
+    let store = MemoryStore::new();
+    publisher(&store)
+        .publish(&publication(1, 0), None)
+        .await
+        .unwrap();
+    let copy = store.copy_state();
+    publisher(&store)
+        .publish(&publication(20, 1), None)
+        .await
+        .unwrap();
+    let known = publisher(&store).head().await.unwrap().unwrap();
+    let snapshot = EncodedSnapshot::encode(&sample_catalog(20)).unwrap();
+    store.restore(copy);
+    assert!(
+        publisher(&store)
+            .reinstate(&known, &snapshot)
+            .await
+            .unwrap()
+    );
+    assert_eq!(publisher(&store).head().await.unwrap(), Some(known.clone()));
+    let fetched = fetch(&store, &known);
+    assert_eq!(fetched.await.unwrap(), snapshot);
+}
+
+#[tokio::test(start_paused = true)]
+async fn chain_and_blobs_are_bounded() {
+    let store = MemoryStore::new();
+    let revisions = HISTORY_MAX + 20;
+    let mut most_blobs = 0;
+    for expected in 0..revisions {
+        let published = publication(1 + (expected as usize % 50), expected);
+        publisher(&store).publish(&published, None).await.unwrap();
+        collect_garbage(&store).await.unwrap();
+        most_blobs = most_blobs.max(blob_count(&store).await);
+    }
+    let chain = store
+        .range(CHAIN_PREFIX, 10_000)
+        .await
+        .unwrap()
+        .entries
+        .len();
+    assert_eq!(chain as u64, HISTORY_MAX);
+    // At most 11 blobs a revision, for the kept revisions and those just replaced.
+    assert!(most_blobs <= 11 * 10, "{most_blobs} blobs");
+    let newest = publisher(&store).history(3).await.unwrap();
+    assert_eq!(newest[0].revision, Revision(revisions));
+    assert_eq!(newest.len(), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn collection_never_removes_what_a_publisher_relies_on() {
+    for delay_ms in 0..60 {
+        let store = MemoryStore::new();
+        publisher(&store)
+            .publish(&publication(1, 0), None)
+            .await
+            .unwrap();
+        // Content that a loser left behind, which the next publication will need.
+        let abandoned = failing_store::FailingStore::new(Arc::new(store.clone()), 3);
+        let _ = Publisher::new(Arc::new(abandoned))
+            .publish(&publication(40, 1), None)
+            .await;
+        let slow = store.link();
+        slow.set_faults(KvFaults {
+            slow_ms: 10,
+            ..KvFaults::default()
+        });
+        let publisher = Publisher::new(Arc::new(slow));
+        let attempt = publication(40, 1);
+        let collecting = async {
+            tokio::time::sleep(std::time::Duration::from_millis(delay_ms)).await;
+            collect_garbage(&store).await.unwrap()
+        };
+        let (outcome, _) = tokio::join!(publisher.publish(&attempt, None), collecting);
+        let PublishOutcome::Published(head) = outcome.unwrap() else {
+            panic!("not published with a collection after {delay_ms} ms");
+        };
+        let fetched = fetch(&store, &head);
+        assert!(fetched.await.is_ok(), "a blob is gone after {delay_ms} ms");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn author_and_message_are_required_and_bounded() {
+    let store = MemoryStore::new();
+    let mut unnamed = publication(1, 0);
+    unnamed.author = " ".to_owned();
+    let mut talkative = publication(1, 0);
+    talkative.message = "x".repeat(2000);
+    for refused in [unnamed, talkative] {
+        let outcome = publisher(&store).publish(&refused, None).await;
+        assert!(
+            matches!(outcome, Err(PublishError::Text { .. })),
+            "{outcome:?}"
+        );
+    }
+    assert_ne!(PublishId::random(), PublishId::random());
+}
