--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -2,18 +2,19 @@
 
 use {
     super::{
-        Backend, Call, Claimed, DispatchError, Dispatched, Entry, EventId, Idempotent, InFlight,
-        InferenceRequest, LossCause, backoff, choose_backend, parse_load,
+        Call, Claimed, DispatchError, Dispatched, Entry, EventId, Idempotent, InferenceRequest,
+        LossCause, parse_load,
     },
     crate::{
         http::{
             ENGINE_LEAVING, ENGINE_LOAD, Exchange, Problem, REQUEST_ID, discard_body, has_header,
         },
-        units::{Incarnation, RequestId},
+        routing::{Choice, InFlight, RouteRequest, choose},
+        units::{RequestId, RunnerName},
     },
     hyper::{HeaderMap, StatusCode, header},
-    std::{sync::Arc, time::Duration},
-    tokio::time,
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::{self, Instant},
 };
 
 /// The most tries of one request, or of one resumption of its stream.
@@ -34,7 +35,7 @@
 pub(super) struct Attempts<'a> {
     entry: &'a Entry,
     request: &'a InferenceRequest,
-    tried: Vec<Arc<Backend>>,
+    tried: Vec<RunnerName>,
     tries: u32,
     retry_after: Option<Duration>,
 }
@@ -51,8 +52,8 @@
     }
 
     /// Passes over a runner as long as there are others.
-    pub(super) fn avoid(&mut self, backend: Arc<Backend>) {
-        self.tried.push(backend);
+    pub(super) fn avoid(&mut self, runner: RunnerName) {
+        self.tried.push(runner);
     }
 
     /// Tries until a runner answers.
@@ -66,15 +67,18 @@
         after: Option<EventId>,
     ) -> Result<Attempt, Problem> {
         loop {
-            let Some((backend, incarnation)) = self.choose() else {
+            let Some(choice) = self.choose_or_wait().await else {
                 return Err(self.give_up(&call));
             };
-            self.tried.push(backend.clone());
-            let in_flight = backend.enter();
-            let request = self.request.to_engine(backend.address, after);
+            let Choice {
+                runner, address, ..
+            } = choice;
+            self.tried.push(runner.clone());
+            let in_flight = self.entry.board.begin(&runner);
+            let request = self.request.to_engine(address, after);
             let limit = Duration::from_millis(self.entry.settings.first_token_timeout_ms);
             let sent = call
-                .dispatch(&self.entry.client, backend.address, request, limit)
+                .dispatch(&self.entry.client, address, request, limit)
                 .await;
             call = match sent {
                 Ok((call, exchange)) => {
@@ -83,17 +87,19 @@
                         exchange,
                         in_flight,
                     };
-                    match self.judge(attempt, incarnation).await? {
+                    match self.judge(attempt).await? {
                         Judged::Answer(attempt) => return Ok(*attempt),
                         Judged::Again(call) => call,
                     }
                 }
                 Err(DispatchError::Unsent(call, cause)) => {
-                    log::debug!("entry: {} cannot be reached: {cause}", backend.name);
-                    self.entry.suspect(&backend);
+                    log::debug!("entry: {runner} cannot be reached: {cause}");
+                    self.entry.suspect(&runner);
                     call
                 }
-                Err(DispatchError::Lost(call, cause)) => self.after_loss(call, &backend, cause)?,
+                Err(DispatchError::Lost(call, cause)) => {
+                    self.after_loss(call, &runner, address, cause).await?
+                }
             };
             if !self.count_try() {
                 return Err(self.give_up(&call));
@@ -107,36 +113,61 @@
         self.tries < TRIES_MAX
     }
 
-    fn choose(&mut self) -> Option<(Arc<Backend>, Incarnation)> {
+    /// Chooses a runner; if no copy is ready, waits a while for one.
+    async fn choose_or_wait(&self) -> Option<Choice> {
+        if let Some(choice) = self.choose() {
+            return Some(choice);
+        }
+        let limit = Duration::from_millis(self.entry.settings.copy_wait_ms);
+        let mut views = self.entry.routes.receiver();
+        views.mark_unchanged();
+        self.entry.report_soon();
+        let deadline = self.request.arrived + limit;
+        loop {
+            if let Some(choice) = self.choose() {
+                return Some(choice);
+            }
+            let changed = time::timeout_at(deadline, views.changed()).await;
+            if !matches!(changed, Ok(Ok(()))) {
+                return None;
+            }
+        }
+    }
+
+    /// Chooses a runner that was not tried, or else any.
+    fn choose(&self) -> Option<Choice> {
+        self.choose_except(&self.tried)
+            .or_else(|| self.choose_except(&[]))
+    }
+
+    fn choose_except(&self, tried: &[RunnerName]) -> Option<Choice> {
         let routes = self.entry.routes.current();
-        let candidates = routes.candidates(&self.request.model, self.request.adapter.as_ref());
-        let near = &self.entry.settings.data_centre;
-        let backends = || candidates.iter().map(|(backend, _)| backend);
-        let chosen = choose_backend(backends(), &self.tried, near)
-            .or_else(|| choose_backend(backends(), &[], near))?;
-        let state = candidates
-            .iter()
-            .find(|(backend, _)| Arc::ptr_eq(backend, &chosen));
-        let incarnation = state.map(|(_, state)| state.incarnation)?;
-        Some((chosen, incarnation))
+        let mut excluded = self.entry.leaving.runners(&routes);
+        excluded.extend_from_slice(tried);
+        let request = RouteRequest {
+            model: &self.request.model,
+            adapter: self.request.adapter.as_ref(),
+            prefix_hashes: self.request.prefix_hash.as_slice(),
+            excluded: &excluded,
+        };
+        let board = &self.entry.board;
+        let now = Instant::now();
+        choose(&routes.runners, board, &request, now, &mut rand::rng())
+            .filter(|choice| choice.adapter_resident)
     }
 
-    async fn judge(
-        &mut self,
-        attempt: Attempt,
-        incarnation: Incarnation,
-    ) -> Result<Judged, Problem> {
-        let backend = attempt.in_flight.backend().clone();
-        let headers = attempt.exchange.response.headers();
-        take_note(&backend, headers, incarnation);
-        if is_foreign(headers, self.request.id) {
+    async fn judge(&mut self, attempt: Attempt) -> Result<Judged, Problem> {
+        let runner = attempt.in_flight.runner().clone();
+        let address = attempt.exchange.connection.address();
+        let headers = attempt.exchange.response.headers().clone();
+        self.take_note(&runner, &headers);
+        if is_foreign(&headers, self.request.id) {
             metrics::counter!("ggt_foreign_answers_total").increment(1);
             let cause = LossCause::Broken("the response is for another request".to_owned());
-            let call = self.after_loss(attempt.call, &backend, cause)?;
-            return Ok(Judged::Again(call));
+            let call = self.after_loss(attempt.call, &runner, address, cause);
+            return Ok(Judged::Again(call.await?));
         }
         let status = attempt.exchange.response.status();
-        let headers = headers.clone();
         let Attempt {
             call,
             exchange,
@@ -145,19 +176,36 @@
         match call.take_back(&headers) {
             Ok(call) => {
                 self.retry_after = retry_after(&headers).or(self.retry_after);
+                self.entry.board.record_failure(&runner, Instant::now());
                 discard_body(exchange).await;
                 self.after_refusal(call, &headers, status).await
             }
             Err(call) if status.is_server_error() => {
                 let cause = LossCause::Broken(format!("the engine answered {status}"));
                 discard_body(exchange).await;
-                Ok(Judged::Again(self.after_loss(call, &backend, cause)?))
+                let call = self.after_loss(call, &runner, address, cause).await?;
+                Ok(Judged::Again(call))
+            }
+            Err(call) => {
+                self.entry.board.record_success(&runner);
+                Ok(Judged::Answer(Box::new(Attempt {
+                    call,
+                    exchange,
+                    in_flight,
+                })))
             }
-            Err(call) => Ok(Judged::Answer(Box::new(Attempt {
-                call,
-                exchange,
-                in_flight,
-            }))),
+        }
+    }
+
+    fn take_note(&self, runner: &RunnerName, headers: &HeaderMap) {
+        let load = headers.get(ENGINE_LOAD).and_then(|text| text.to_str().ok());
+        if let Some(load) = load.and_then(parse_load) {
+            self.entry.board.record_report(runner, load, Instant::now());
+        }
+        if has_header(headers, ENGINE_LEAVING, "yes") {
+            let incarnation = self.entry.routes.current().incarnation(runner);
+            self.entry
+                .note_leaving(runner, incarnation.unwrap_or_default());
         }
     }
 
@@ -169,46 +217,38 @@
     ) -> Result<Judged, Problem> {
         let busy = !has_header(headers, ENGINE_LEAVING, "yes") && status != StatusCode::NOT_FOUND;
         if busy {
-            let allowed = self.untried_left() && self.withdraw();
-            if !allowed {
+            let untried = self.choose_except(&self.tried).is_some();
+            let wait = untried.then(|| self.try_retry()).flatten();
+            let Some(wait) = wait else {
                 return Err(self.give_up(&call));
-            }
-            time::sleep(backoff(self.tries)).await;
+            };
+            time::sleep(wait).await;
         }
         Ok(Judged::Again(call))
     }
 
-    fn after_loss(
-        &mut self,
+    async fn after_loss(
+        &self,
         call: Call<Dispatched>,
-        backend: &Arc<Backend>,
+        runner: &RunnerName,
+        address: SocketAddr,
         cause: LossCause,
     ) -> Result<Call<Claimed>, Problem> {
-        log::debug!(
-            "entry: request {} lost at {}: {cause:?}",
-            call.id,
-            backend.name
-        );
-        self.entry.suspect(backend);
+        log::debug!("entry: request {} lost at {runner}: {cause:?}", call.id);
+        self.entry.suspect(runner);
         if matches!(cause, LossCause::Silent) {
-            self.entry.client.close_idle(backend.address);
+            self.entry.client.close_idle(address);
         }
-        if !self.withdraw() {
+        let Some(wait) = self.try_retry() else {
             return Err(loss_problem(&call, &cause));
-        }
+        };
+        time::sleep(wait).await;
         Ok(call.repeat(Idempotent::inference()))
     }
 
-    fn untried_left(&self) -> bool {
-        let routes = self.entry.routes.current();
-        let candidates = routes.candidates(&self.request.model, self.request.adapter.as_ref());
-        let near = &self.entry.settings.data_centre;
-        let backends = candidates.iter().map(|(backend, _)| backend);
-        choose_backend(backends, &self.tried, near).is_some()
-    }
-
-    fn withdraw(&self) -> bool {
-        self.entry.budgets.withdraw(self.request.budget_name())
+    pub(super) fn try_retry(&self) -> Option<Duration> {
+        let service = &self.request.class.service;
+        self.entry.try_retry(service, self.tries + 1)
     }
 
     fn give_up(&self, call: &Call<Claimed>) -> Problem {
@@ -226,17 +266,6 @@
     Again(Call<Claimed>),
 }
 
-fn take_note(backend: &Backend, headers: &HeaderMap, incarnation: Incarnation) {
-    let load = headers.get(ENGINE_LOAD).and_then(|text| text.to_str().ok());
-    if let Some(load) = load.and_then(parse_load) {
-        backend.set_load(load);
-    }
-    if has_header(headers, ENGINE_LEAVING, "yes") {
-        log::info!("entry: {} is leaving", backend.name);
-        backend.set_leaving(incarnation);
-    }
-}
-
 /// Returns whether a response says that it answers another request.
 pub(super) fn is_foreign(headers: &HeaderMap, id: RequestId) -> bool {
     let Some(found) = headers.get(REQUEST_ID) else {
--- a/src/entry/backend.rs
+++ b/src/entry/backend.rs
@@ -1,8 +1,7 @@
-//! A backend server as seen from this entry.
+//! A backend server of a plain service as seen from this entry.
 
 use {
-    super::EngineLoad,
-    crate::units::{DataCentreName, Incarnation},
+    crate::units::DataCentreName,
     std::{
         net::SocketAddr,
         sync::{
@@ -17,7 +16,7 @@
 /// How long a backend server that failed gets no new work while others can take it.
 const COOLDOWN: Duration = Duration::from_secs(1);
 
-/// How long a plain backend server that said it is leaving gets no new work.
+/// How long a backend server that said it is leaving gets no new work.
 const LEAVING_COOLDOWN: Duration = Duration::from_secs(30);
 
 /// A backend server, with what this entry has seen of it.
@@ -35,8 +34,6 @@
 
 #[derive(Debug, Default)]
 struct Seen {
-    load: Option<(EngineLoad, Instant)>,
-    leaving: Option<Incarnation>,
     leaving_until: Option<Instant>,
     failed_until: Option<Instant>,
 }
@@ -54,9 +51,9 @@
     }
 
     /// Counts a request on its way to this backend server.
-    pub fn enter(self: &Arc<Self>) -> InFlight {
+    pub fn enter(self: &Arc<Self>) -> BackendUse {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlight(self.clone())
+        BackendUse(self.clone())
     }
 
     /// Returns the requests of this entry that are with it.
@@ -64,27 +61,9 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Takes note of a reported load.
-    pub fn set_load(&self, load: EngineLoad) {
-        self.seen().load = Some((load, Instant::now()));
-    }
-
-    /// Returns the load last reported and its age.
-    pub fn load(&self) -> Option<(EngineLoad, Duration)> {
-        let (load, at) = self.seen().load?;
-        Some((load, at.elapsed()))
-    }
-
-    /// Takes note that it is leaving; this holds for one incarnation of a runner.
-    pub fn set_leaving(&self, incarnation: Incarnation) {
-        let mut seen = self.seen();
-        seen.leaving = seen.leaving.max(Some(incarnation));
-        seen.leaving_until = Some(Instant::now() + LEAVING_COOLDOWN);
-    }
-
-    /// Returns whether it said that this incarnation is leaving.
-    pub fn is_leaving(&self, incarnation: Incarnation) -> bool {
-        self.seen().leaving >= Some(incarnation)
+    /// Takes note that it is leaving.
+    pub fn set_leaving(&self) {
+        self.seen().leaving_until = Some(Instant::now() + LEAVING_COOLDOWN);
     }
 
     /// Returns whether it said lately that it is leaving.
@@ -111,16 +90,16 @@
 
 /// Counts one request at a backend server until it is dropped.
 #[derive(Debug)]
-pub struct InFlight(Arc<Backend>);
+pub struct BackendUse(Arc<Backend>);
 
-impl InFlight {
+impl BackendUse {
     /// Returns the backend server.
     pub fn backend(&self) -> &Arc<Backend> {
         &self.0
     }
 }
 
-impl Drop for InFlight {
+impl Drop for BackendUse {
     fn drop(&mut self) {
         self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
--- a/src/entry/choose.rs
+++ b/src/entry/choose.rs
@@ -1,4 +1,4 @@
-//! Chooses among backend servers.
+//! Chooses among the backend servers of a plain service.
 
 use {super::Backend, crate::units::DataCentreName, std::sync::Arc};
 
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -2,21 +2,24 @@
 
 use {
     super::{
-        Backend, DemandCounter, EntryMetrics, EntrySettings, Forwarder, InferenceRequest, KeyGuard,
-        OpenRequest, OpenRequests, Report, RetryBudgets, Routes, ViewReceiver,
+        DemandCounter, EntryMetrics, EntrySettings, Forwarder, InferenceRequest, KeyGuard,
+        LeavingRunners, OpenRequest, OpenRequests, Report, RouteFollower, ViewReceiver,
     },
     crate::{
+        admission::{Admission, RetryBudget},
         fleet::Demand,
         http::{Body, Client, Problem, REQUEST_ID, ReadError},
+        routing::LoadBoard,
         store::SharedStore,
         telemetry::REQUESTS,
-        units::{RequestId, RunnerName},
+        units::{Incarnation, RequestId, RunnerName, ServiceName},
     },
     hyper::{Method, Request, Response, StatusCode, body::Incoming},
     std::{
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
+    tokio::{sync::Notify, time::Instant},
 };
 
 /// When to come back after a refusal for want of a place.
@@ -37,8 +40,12 @@
 pub struct Entry {
     pub(super) settings: EntrySettings,
     pub(super) client: Client,
-    pub(super) routes: Routes,
-    pub(super) budgets: RetryBudgets,
+    pub(super) routes: RouteFollower,
+    pub(super) admission: Arc<Admission>,
+    pub(super) board: Arc<LoadBoard>,
+    pub(super) leaving: LeavingRunners,
+    pub(super) budget: RetryBudget,
+    pub(super) report_wanted: Notify,
     pub(super) metrics: EntryMetrics,
     pub(super) keys: KeyGuard,
     demand: DemandCounter,
@@ -50,10 +57,16 @@
     /// Makes an entry without requests.
     pub fn new(settings: EntrySettings, parts: EntryParts) -> Arc<Self> {
         let connect_timeout = Duration::from_millis(settings.connect_timeout_ms);
+        let admission = Arc::new(Admission::new());
+        let home = settings.data_centre.clone();
         Arc::new(Self {
             client: Client::new(connect_timeout),
-            routes: Routes::new(parts.views),
-            budgets: RetryBudgets::new(settings.retry_budget_percent),
+            routes: RouteFollower::new(home, admission.clone(), parts.views),
+            admission,
+            board: Arc::default(),
+            leaving: LeavingRunners::default(),
+            budget: RetryBudget::new(settings.retry_budget_percent),
+            report_wanted: Notify::new(),
             metrics: EntryMetrics::new(),
             keys: KeyGuard::new(&settings, parts.store, parts.forwarder),
             demand: DemandCounter::default(),
@@ -118,21 +131,36 @@
             .count(request.id, &request.model, adapter, change);
     }
 
-    /// Takes note of a backend server that refused or lost a request.
-    pub(super) fn suspect(&self, backend: &Backend) {
-        backend.set_failed();
-        let Ok(name) = backend.name.parse::<RunnerName>() else {
-            return;
-        };
-        if self.routes.current().view.catalog.runner(&name).is_none() {
-            return;
-        }
+    /// Takes note of a runner that refused a connection, lost a request or went silent.
+    pub(super) fn suspect(&self, runner: &RunnerName) {
+        self.board.record_failure(runner, Instant::now());
+        self.report_suspect(runner);
+    }
+
+    /// Takes note that this start of a runner is leaving.
+    pub(super) fn note_leaving(&self, runner: &RunnerName, incarnation: Incarnation) {
+        log::info!("entry: {runner} is leaving");
+        self.leaving.insert(runner, incarnation);
+        self.report_suspect(runner);
+    }
+
+    fn report_suspect(&self, runner: &RunnerName) {
         let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Err(position) = suspects.binary_search(&name) {
-            suspects.insert(position, name);
+        if let Err(position) = suspects.binary_search(runner) {
+            suspects.insert(position, runner.clone());
         }
     }
 
+    /// Takes a retry of a service from its budget and returns the wait before it.
+    pub(super) fn try_retry(&self, service: &ServiceName, attempt: u32) -> Option<Duration> {
+        self.budget.try_retry(service, attempt, &mut rand::rng())
+    }
+
+    /// Has the keeper told soon that a copy is wanted.
+    pub(super) fn report_soon(&self) {
+        self.report_wanted.notify_one();
+    }
+
     pub(super) fn read_timeout(&self) -> Duration {
         Duration::from_millis(self.settings.read_timeout_ms)
     }
--- a/src/entry/entry_metrics.rs
+++ b/src/entry/entry_metrics.rs
@@ -1,15 +1,17 @@
-//! Metric handles that are used for every token.
+//! Metric handles that are used for every request or token.
 
 use {
-    crate::telemetry::{BETWEEN_TOKENS_S, FIRST_TOKEN_S},
+    crate::telemetry::{BETWEEN_TOKENS_S, FIRST_TOKEN_S, QUEUE_S},
     metrics::Histogram,
     std::fmt,
 };
 
-/// Metric handles that are used for every token.
+/// Metric handles that are used for every request or token.
 pub struct EntryMetrics {
     /// Seconds from a request's arrival to its first token.
     pub first_token: Histogram,
+    /// Seconds that a request waited for a place.
+    pub queue: Histogram,
     /// Seconds between two tokens.
     pub between_tokens: Histogram,
 }
@@ -19,6 +21,7 @@
     pub fn new() -> Self {
         Self {
             first_token: metrics::histogram!(FIRST_TOKEN_S),
+            queue: metrics::histogram!(QUEUE_S),
             between_tokens: metrics::histogram!(BETWEEN_TOKENS_S),
         }
     }
--- a/src/entry/inference.rs
+++ b/src/entry/inference.rs
@@ -7,6 +7,7 @@
         read_problem,
     },
     crate::{
+        admission::{Admit, Permit},
         http::{
             Body, Problem, RESUMABLE, ReadError, SERVICE_CLASS, has_known_end, read_body,
             remove_connection_headers,
@@ -15,6 +16,7 @@
     },
     hyper::{Request, Response, StatusCode, body::Incoming, header},
     std::{sync::Arc, time::Duration},
+    tokio::time,
 };
 
 /// The largest answer that is read whole, in bytes.
@@ -29,7 +31,7 @@
         let open = self.open()?;
         let request = self.read_inference(id, request).await?;
         self.count(&request, |demand| demand.requests += 1);
-        self.budgets.deposit(request.budget_name());
+        self.budget.record_request(&request.class.service);
         let answered = self.answer(request, open).await;
         answered.map_err(|(request, problem)| {
             self.count(&request, |demand| demand.refused += 1);
@@ -59,6 +61,10 @@
         request: InferenceRequest,
         open: OpenRequest,
     ) -> Result<Response<Body>, (InferenceRequest, Problem)> {
+        let permit = match self.admit(&request).await {
+            Ok(permit) => permit,
+            Err(problem) => return Err((request, problem)),
+        };
         let mut call = Call::new(request.id).claim();
         let mut attempts = Attempts::new(self, &request);
         loop {
@@ -68,31 +74,53 @@
             };
             if request.stream && is_event_stream(&attempt) {
                 drop(attempts);
-                return Ok(self.clone().stream(request, attempt, open));
+                return Ok(self.clone().stream(request, attempt, permit, open));
             }
             match self.read_whole(attempt).await {
                 Ok(response) => return Ok(response),
                 Err((attempt_call, cause)) => {
-                    if !self.budgets.withdraw(request.budget_name()) || !attempts.count_try() {
+                    let allowed = attempts.count_try();
+                    let Some(wait) = allowed.then(|| attempts.try_retry()).flatten() else {
                         return Err((request, loss_problem(&attempt_call, &cause)));
-                    }
+                    };
+                    time::sleep(wait).await;
                     call = attempt_call.repeat(Idempotent::inference());
                 }
             }
         }
     }
 
+    /// Waits until the request may run.
+    async fn admit(&self, request: &InferenceRequest) -> Result<Permit, Problem> {
+        let targets = &request.class.targets;
+        let admitted = match self
+            .admission
+            .admit(&request.model, targets, request.arrived)
+        {
+            Admit::Now(permit) => Ok(permit),
+            Admit::Wait(waiter) => waiter.wait().await,
+            Admit::Refuse(refusal) => Err(refusal),
+        };
+        self.metrics.queue.record(request.arrived.elapsed());
+        admitted.map_err(|refusal| {
+            let detail = refusal.reason.to_string();
+            Problem::not_run(StatusCode::TOO_MANY_REQUESTS, "overload", detail)
+                .retry_after(Duration::from_millis(refusal.retry_after_ms))
+        })
+    }
+
     fn stream(
         self: Arc<Self>,
         request: InferenceRequest,
         attempt: Attempt,
+        permit: Permit,
         open: OpenRequest,
     ) -> Response<Body> {
         let mut headers = attempt.exchange.response.headers().clone();
         remove_connection_headers(&mut headers);
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(RESUMABLE);
-        let relay = Relay::new(self, request, attempt, open);
+        let relay = Relay::new(self, request, attempt, permit, open);
         let mut response = Response::new(relay.into_body());
         *response.headers_mut() = headers;
         response
@@ -123,9 +151,9 @@
                 Ok(Response::from_parts(head, Body::from(body)))
             }
             Err(cause) => {
-                self.suspect(in_flight.backend());
+                self.suspect(in_flight.runner());
                 if cause == ReadError::TooSlow {
-                    self.client.close_idle(in_flight.backend().address);
+                    self.client.close_idle(exchange.connection.address());
                     return Err((call, LossCause::Silent));
                 }
                 Err((call, LossCause::Broken(cause.to_string())))
--- a/src/entry/inference_request.rs
+++ b/src/entry/inference_request.rs
@@ -1,23 +1,35 @@
 //! A caller's request to a model, as far as the entry reads it.
 
 use {
+    super::EventId,
     crate::{
+        admission::ClassTargets,
         config::{Catalog, ServiceTarget},
         http::{Body, DEADLINE_MS, LAST_EVENT_ID, PRIORITY, REQUEST_ID},
+        routing::stable_hash,
         units::{AdapterName, ModelName, RequestId, ServiceName},
     },
     bytes::Bytes,
     hyper::{Request, header},
+    memchr::memmem,
     serde::Deserialize,
-    std::{borrow::Cow, net::SocketAddr, time::Duration},
+    std::{borrow::Cow, net::SocketAddr},
     thiserror::Error,
     tokio::time::Instant,
 };
 
-use super::EventId;
+/// The service name under which requests without a class are counted.
+pub const NO_CLASS: &str = "none";
 
-/// The priority of a request without a service class.
-pub const PRIORITY_LOWEST: u8 = u8::MAX;
+/// The targets of a request without a class.
+pub const NO_CLASS_TARGETS: ClassTargets = ClassTargets {
+    priority: u8::MAX,
+    first_token_target_ms: 60_000,
+    between_tokens_target_ms: 10_000,
+};
+
+/// The bytes of a prompt's start by which requests with the same start are recognised.
+const PREFIX_BYTES: usize = 256;
 
 /// The fields that the entry reads of a request's body.
 #[derive(Debug, Deserialize)]
@@ -42,17 +54,13 @@
     UnknownClass(String),
 }
 
-/// The targets of a service class.
+/// The class of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServiceClass {
-    /// The service, or `None` for requests without one.
-    pub service: Option<ServiceName>,
-    /// Lower numbers go first.
-    pub priority: u8,
-    /// The target for the first token.
-    pub first_token_target: Option<Duration>,
-    /// The target for the time between two tokens.
-    pub between_tokens_target: Option<Duration>,
+    /// The service, or [`NO_CLASS`].
+    pub service: ServiceName,
+    /// Its priority and targets.
+    pub targets: ClassTargets,
 }
 
 /// A caller's request to a model.
@@ -72,6 +80,8 @@
     pub stream: bool,
     /// Its class.
     pub class: ServiceClass,
+    /// The hash of its prompt's start, if that is long enough.
+    pub prefix_hash: Option<u64>,
     /// When it arrived.
     pub arrived: Instant,
 }
@@ -95,6 +105,7 @@
             .ok_or_else(|| InferenceRequestError::UnknownModel(shorten(&fields.model)))?;
         let class = ServiceClass::find(catalog, class)?;
         let stream = fields.stream.unwrap_or(false);
+        let prefix_hash = hash_prefix(&model, &body);
         Ok(Self {
             id,
             path: path.to_owned(),
@@ -103,6 +114,7 @@
             adapter,
             stream,
             class,
+            prefix_hash,
             arrived: Instant::now(),
         })
     }
@@ -121,54 +133,50 @@
         insert("host", address.to_string());
         insert("content-type", "application/json".to_owned());
         insert(REQUEST_ID, self.id.to_string());
-        insert(PRIORITY, self.class.priority.to_string());
-        if let Some(target) = self.class.first_token_target {
-            let left = target.saturating_sub(self.arrived.elapsed());
-            insert(DEADLINE_MS, left.as_millis().to_string());
-        }
+        insert(PRIORITY, self.class.targets.priority.to_string());
+        let target = self.class.targets.first_token_target();
+        let left = target.saturating_sub(self.arrived.elapsed());
+        insert(DEADLINE_MS, left.as_millis().to_string());
         if let Some(after) = after {
             insert(LAST_EVENT_ID, after.to_string());
         }
         request
     }
-
-    /// Returns the name under which retries are budgeted.
-    pub fn budget_name(&self) -> &str {
-        self.class.service.as_ref().map_or("", ServiceName::as_str)
-    }
 }
 
 impl ServiceClass {
     fn find(catalog: &Catalog, name: Option<&str>) -> Result<Self, InferenceRequestError> {
-        let Some(name) = name else {
-            return Ok(Self::lowest());
-        };
-        let unknown = || InferenceRequestError::UnknownClass(shorten(name));
-        let service = name.parse().map_err(|_| unknown())?;
-        let object = catalog.service(&service).ok_or_else(unknown)?;
-        match object.target {
-            ServiceTarget::Models {
-                priority,
-                first_token_target_ms,
-                between_tokens_target_ms,
-            } => Ok(Self {
-                service: Some(service),
-                priority,
-                first_token_target: Some(Duration::from_millis(first_token_target_ms)),
-                between_tokens_target: Some(Duration::from_millis(between_tokens_target_ms)),
-            }),
-            ServiceTarget::Plain { .. } => Err(unknown()),
+        let unknown = || InferenceRequestError::UnknownClass(shorten(name.unwrap_or(NO_CLASS)));
+        let service: ServiceName = name.unwrap_or(NO_CLASS).parse().map_err(|_| unknown())?;
+        if name.is_none() {
+            let targets = NO_CLASS_TARGETS;
+            return Ok(Self { service, targets });
         }
+        let object = catalog.service(&service).ok_or_else(unknown)?;
+        let ServiceTarget::Models {
+            priority,
+            first_token_target_ms,
+            between_tokens_target_ms,
+        } = object.target
+        else {
+            return Err(unknown());
+        };
+        let targets = ClassTargets {
+            priority,
+            first_token_target_ms,
+            between_tokens_target_ms,
+        };
+        Ok(Self { service, targets })
     }
+}
 
-    fn lowest() -> Self {
-        Self {
-            service: None,
-            priority: PRIORITY_LOWEST,
-            first_token_target: None,
-            between_tokens_target: None,
-        }
-    }
+/// Hashes the start of a prompt, if it is long enough to be worth a prefix cache.
+fn hash_prefix(model: &ModelName, body: &[u8]) -> Option<u64> {
+    let fields = [&b"\"messages\""[..], b"\"prompt\""];
+    let start = fields.iter().find_map(|field| memmem::find(body, field))?;
+    let prefix = body.get(start..start + PREFIX_BYTES)?;
+    let text = String::from_utf8_lossy(prefix);
+    Some(stable_hash(&text) ^ stable_hash(model.as_str()))
 }
 
 fn find_model(catalog: &Catalog, name: &str) -> Option<(ModelName, Option<AdapterName>)> {
--- a/src/entry/load_header.rs
+++ b/src/entry/load_header.rs
@@ -1,20 +1,11 @@
 //! Reads the load that engines report on their responses.
 
-use crate::{engine::Load, units::Incarnation};
-
-/// The load of one start of an engine.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct EngineLoad {
-    /// The load.
-    pub load: Load,
-    /// The number of the engine's start.
-    pub incarnation: Incarnation,
-}
+use crate::{engine::Load, routing::LoadReport, units::Incarnation};
 
 /// Reads `waiting=N running=N kv_used_permille=N incarnation=N`; unknown fields are passed over.
 ///
 /// Returns `None` when a known field is missing or not a number.
-pub fn parse_load(text: &str) -> Option<EngineLoad> {
+pub fn parse_load(text: &str) -> Option<LoadReport> {
     let mut waiting = None;
     let mut running = None;
     let mut kv_used_permille = None;
@@ -29,7 +20,7 @@
             _ => {}
         }
     }
-    Some(EngineLoad {
+    Some(LoadReport {
         load: Load {
             waiting: waiting?,
             running: running?,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,11 +15,11 @@
 mod idempotency;
 mod inference;
 mod inference_request;
+mod leaving;
 mod load_header;
 mod models;
 mod open_requests;
 mod relay;
-mod retry_budget;
 mod routes;
 mod run;
 mod serve;
@@ -34,7 +34,7 @@
 use {attempt::*, entry::read_problem, relay::*};
 pub use {
     backend::*, call::*, choose::*, demand::*, entry::*, entry_metrics::*, event_id::*,
-    forward_link::*, idempotency::*, inference_request::*, load_header::*, open_requests::*,
-    retry_budget::*, routes::*, run::*, service_request::*, settings::*, sse::*, stream_check::*,
+    forward_link::*, idempotency::*, inference_request::*, leaving::*, load_header::*,
+    open_requests::*, routes::*, run::*, service_request::*, settings::*, sse::*, stream_check::*,
     view::*,
 };
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -2,21 +2,32 @@
 
 use {
     super::{
-        Attempt, Attempts, BreakReason, Call, Dispatched, DropReason, Entry, Idempotent, InFlight,
-        InferenceRequest, OpenRequest, SseParser, StreamCheck, Verdict, backoff, parse_load,
+        Attempt, Attempts, BreakReason, Call, Dispatched, DropReason, Entry, Idempotent,
+        InferenceRequest, OpenRequest, SseParser, StreamCheck, Verdict, parse_load,
+    },
+    crate::{
+        admission::Permit,
+        http::{Body, BodyError, Connection, Outcome, Problem, RESUMABLE, has_header},
+        routing::InFlight,
     },
-    crate::http::{Body, BodyError, Connection, Outcome, Problem, RESUMABLE, has_header},
     bytes::{Bytes, BytesMut},
     futures::stream,
     http_body_util::BodyExt,
     hyper::{StatusCode, body::Incoming, header},
+    rand::RngExt,
     std::{sync::Arc, time::Duration},
-    tokio::time::{self, Instant},
+    tokio::{
+        task,
+        time::{self, Instant},
+    },
 };
 
 /// The most resumptions of a stream without a new token between them.
 const FRUITLESS_RESUMPTIONS_MAX: u32 = 3;
 
+/// The longest wait before the first resumption; it grows with each fruitless one.
+const RESUME_PAUSE_MAX: Duration = Duration::from_millis(20);
+
 /// The longest wait for the end of a body whose last event was read.
 const END_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -28,7 +39,9 @@
     source: Option<Source>,
     phase: Phase,
     fruitless: u32,
+    first_token_at: Option<Instant>,
     last_token_at: Option<Instant>,
+    permit: Permit,
     _open: OpenRequest,
 }
 
@@ -64,6 +77,7 @@
         entry: Arc<Entry>,
         request: InferenceRequest,
         attempt: Attempt,
+        permit: Permit,
         open: OpenRequest,
     ) -> Self {
         let source = Source::new(attempt);
@@ -75,7 +89,9 @@
             source: Some(source),
             phase: Phase::Relaying,
             fruitless: 0,
+            first_token_at: None,
             last_token_at: None,
+            permit,
             _open: open,
         }
     }
@@ -107,6 +123,8 @@
                 }
                 Phase::Aborting => {
                     self.phase = Phase::Ended;
+                    // The connection flushes what it has only while the body is pending.
+                    task::yield_now().await;
                     let text = "the answer cannot be completed";
                     return Some(Err(BodyError(text.to_owned())));
                 }
@@ -156,7 +174,7 @@
         let mut accepted = Joined::default();
         while let Some(event) = source.parser.next_event() {
             if let Some(comment) = &event.comment {
-                source.note_load(comment);
+                note_load(&self.entry, source, comment);
             }
             match self.check.judge(&event) {
                 Verdict::Comment => source.alive_at = Instant::now(),
@@ -179,7 +197,10 @@
     fn note_tokens(&mut self) {
         let now = Instant::now();
         match self.last_token_at {
-            None => self.note_first_token(now),
+            None => {
+                self.first_token_at = Some(now);
+                self.note_first_token(now);
+            }
             Some(last) => self.entry.metrics.between_tokens.record(now - last),
         }
         self.last_token_at = Some(now);
@@ -189,8 +210,9 @@
     fn note_first_token(&self, now: Instant) {
         let waited = now - self.request.arrived;
         self.entry.metrics.first_token.record(waited);
-        let target = self.request.class.first_token_target;
-        if target.is_some_and(|target| waited > target) {
+        let targets = &self.request.class.targets;
+        self.permit.record_first_token(targets, now);
+        if waited > targets.first_token_target() {
             self.entry.count(&self.request, |demand| demand.late += 1);
         }
     }
@@ -200,16 +222,15 @@
         let Some(source) = self.source.take() else {
             return;
         };
-        let backend = source.in_flight.backend().clone();
+        let runner = source.in_flight.runner().clone();
         log::debug!(
-            "entry: stream {} broke at {}: {fault:?}",
-            self.request.id,
-            backend.name
+            "entry: stream {} broke at {runner}: {fault:?}",
+            self.request.id
         );
         metrics::counter!("ggt_stream_breaks_total").increment(1);
         if matches!(fault, Fault::Silent) {
-            self.entry.suspect(&backend);
-            self.entry.client.close_idle(backend.address);
+            self.entry.suspect(&runner);
+            self.entry.client.close_idle(source.connection.address());
         }
         let call = source.call;
         drop(source.connection);
@@ -220,10 +241,10 @@
             self.fail(call.problem(StatusCode::BAD_GATEWAY, "stream-lost", fault.to_string()));
             return;
         }
-        time::sleep(backoff(self.fruitless - 1)).await;
+        time::sleep(resume_pause(self.fruitless)).await;
         let after = (self.check.delivered() > 0).then(|| self.check.last_event_id());
         let mut attempts = Attempts::new(&self.entry, &self.request);
-        attempts.avoid(backend);
+        attempts.avoid(runner);
         let resumed = attempts
             .run(call.repeat(Idempotent::inference()), after)
             .await;
@@ -273,6 +294,13 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         let tokens = self.check.delivered();
+        if let (Some(first), Some(last)) = (self.first_token_at, self.last_token_at)
+            && tokens > 1
+        {
+            let gap = (last - first) / (tokens - 1) as u32;
+            let targets = &self.request.class.targets;
+            self.permit.record_token_gap(targets, gap, last);
+        }
         self.entry
             .count(&self.request, |demand| demand.tokens += tokens as u32);
     }
@@ -308,13 +336,14 @@
             }
         }
     }
+}
 
-    fn note_load(&self, comment: &[u8]) {
-        let text = std::str::from_utf8(comment).unwrap_or_default();
-        let load = text.strip_prefix("load ").and_then(parse_load);
-        if let Some(load) = load {
-            self.in_flight.backend().set_load(load);
-        }
+fn note_load(entry: &Entry, source: &Source, comment: &[u8]) {
+    let text = std::str::from_utf8(comment).unwrap_or_default();
+    let load = text.strip_prefix("load ").and_then(parse_load);
+    if let Some(load) = load {
+        let runner = source.in_flight.runner();
+        entry.board.record_report(runner, load, Instant::now());
     }
 }
 
@@ -355,6 +384,12 @@
     }
 }
 
+/// Draws the wait before a resumption.
+fn resume_pause(fruitless: u32) -> Duration {
+    let longest = RESUME_PAUSE_MAX * fruitless;
+    longest.mul_f64(rand::rng().random())
+}
+
 fn count_drop(reason: DropReason) {
     let reason = match reason {
         DropReason::Foreign => "foreign",
--- a/src/entry/routes.rs
+++ b/src/entry/routes.rs
@@ -1,49 +1,59 @@
-//! The backend servers of the newest view.
+//! Where requests can go by the newest view.
 
 use {
     super::{Backend, EntryView, ViewReceiver},
     crate::{
+        admission::Admission,
         config::{Service, ServiceTarget},
-        fleet::RunnerState,
-        units::{AdapterName, ModelName, ServiceName},
+        routing::RouteTable,
+        units::{DataCentreName, Incarnation, RunnerName, ServiceName},
     },
     std::sync::{Arc, PoisonError, RwLock},
 };
 
-/// The backend servers of one view.
+/// The requests to a model that may run at once, for each accelerator that serves it.
+const SLOTS_PER_ACCELERATOR: u32 = 64;
+
+/// Where requests can go by one view.
 #[derive(Debug, Default)]
-pub struct RouteTable {
+pub struct Routes {
     /// The view.
     pub view: Arc<EntryView>,
-    runners: Vec<Arc<Backend>>,
+    /// The runners that can serve each model.
+    pub runners: RouteTable,
     services: Vec<(ServiceName, Vec<Arc<Backend>>)>,
 }
 
-/// Always has the table of the newest view.
+/// Always has the routes of the newest view.
 #[derive(Debug)]
-pub struct Routes {
+pub struct RouteFollower {
+    home: DataCentreName,
+    admission: Arc<Admission>,
     receiver: ViewReceiver,
-    table: RwLock<Arc<RouteTable>>,
+    routes: RwLock<Arc<Routes>>,
 }
 
-impl Routes {
-    /// Follows a view.
-    pub fn new(receiver: ViewReceiver) -> Self {
-        let table = RouteTable::build(receiver.borrow().clone(), &RouteTable::default());
-        Self {
+impl RouteFollower {
+    /// Follows a view, and tells the admission what the runners can take.
+    pub fn new(home: DataCentreName, admission: Arc<Admission>, receiver: ViewReceiver) -> Self {
+        let follower = Self {
+            home,
+            admission,
             receiver,
-            table: RwLock::new(Arc::new(table)),
-        }
+            routes: RwLock::default(),
+        };
+        follower.rebuild(follower.newest());
+        follower
     }
 
-    /// Returns the table of the newest view.
-    pub fn current(&self) -> Arc<RouteTable> {
-        let newest = self.receiver.borrow().clone();
-        let table = self.table.read().unwrap_or_else(PoisonError::into_inner);
-        if Arc::ptr_eq(&table.view, &newest) {
-            return table.clone();
+    /// Returns the routes of the newest view.
+    pub fn current(&self) -> Arc<Routes> {
+        let newest = self.newest();
+        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
+        if Arc::ptr_eq(&routes.view, &newest) {
+            return routes.clone();
         }
-        drop(table);
+        drop(routes);
         self.rebuild(newest)
     }
 
@@ -52,30 +62,32 @@
         self.receiver.clone()
     }
 
-    fn rebuild(&self, newest: Arc<EntryView>) -> Arc<RouteTable> {
-        let mut table = self.table.write().unwrap_or_else(PoisonError::into_inner);
-        if !Arc::ptr_eq(&table.view, &newest) {
-            *table = Arc::new(RouteTable::build(newest, &table));
+    fn newest(&self) -> Arc<EntryView> {
+        self.receiver.borrow().clone()
+    }
+
+    fn rebuild(&self, newest: Arc<EntryView>) -> Arc<Routes> {
+        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        if Arc::ptr_eq(&routes.view, &newest) {
+            return routes.clone();
+        }
+        *routes = Arc::new(Routes::build(newest, &self.home, &routes));
+        let built = routes.clone();
+        drop(routes);
+        self.set_capacities(&built.runners);
+        built
+    }
+
+    fn set_capacities(&self, runners: &RouteTable) {
+        for model in runners.models() {
+            let slots = runners.accelerators(model) * SLOTS_PER_ACCELERATOR;
+            self.admission.set_capacity(model, slots);
         }
-        table.clone()
     }
 }
 
-impl RouteTable {
-    fn build(view: Arc<EntryView>, former: &Self) -> Self {
-        let runners = view
-            .catalog
-            .runners
-            .iter()
-            .map(|runner| {
-                Backend::new(
-                    runner.name.as_str().into(),
-                    runner.address,
-                    runner.data_centre.clone(),
-                )
-            })
-            .map(|backend| keep_former(backend, &former.runners))
-            .collect();
+impl Routes {
+    fn build(view: Arc<EntryView>, home: &DataCentreName, former: &Self) -> Self {
         let services = view
             .catalog
             .services
@@ -83,9 +95,9 @@
             .filter_map(|service| plain_backends(service, former))
             .collect();
         Self {
-            view,
-            runners,
+            runners: RouteTable::new(&view.catalog, home, &view.runners),
             services,
+            view,
         }
     }
 
@@ -98,39 +110,14 @@
         }
     }
 
-    /// Returns the runners that can serve a model, or one of its adapters, now.
-    pub fn candidates(
-        &self,
-        model: &ModelName,
-        adapter: Option<&AdapterName>,
-    ) -> Vec<(Arc<Backend>, &RunnerState)> {
-        self.view
-            .runners
-            .iter()
-            .filter(|state| state.reachable && !state.leaving && holds(state, model, adapter))
-            .filter_map(|state| Some((self.runner(state.name.as_str())?.clone(), state)))
-            .filter(|(backend, state)| !backend.is_leaving(state.incarnation))
-            .collect()
-    }
-
-    fn runner(&self, name: &str) -> Option<&Arc<Backend>> {
-        find(&self.runners, name)
+    /// Returns the incarnation of a runner in this view.
+    pub fn incarnation(&self, name: &RunnerName) -> Option<Incarnation> {
+        let state = self.view.runners.iter().find(|state| state.name == *name)?;
+        Some(state.incarnation)
     }
 }
 
-fn holds(state: &RunnerState, model: &ModelName, adapter: Option<&AdapterName>) -> bool {
-    let model_ready = state
-        .models
-        .binary_search_by(|resident| resident.model.cmp(model))
-        .is_ok_and(|position| state.models[position].ready);
-    let adapter_ready = adapter.is_none_or(|adapter| state.adapters.binary_search(adapter).is_ok());
-    model_ready && adapter_ready
-}
-
-fn plain_backends(
-    service: &Service,
-    former: &RouteTable,
-) -> Option<(ServiceName, Vec<Arc<Backend>>)> {
+fn plain_backends(service: &Service, former: &Routes) -> Option<(ServiceName, Vec<Arc<Backend>>)> {
     let ServiceTarget::Plain { backends, .. } = &service.target else {
         return None;
     };
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -66,7 +66,10 @@
         let mut ticks = time::interval(period);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
+            tokio::select! {
+                _ = ticks.tick() => {}
+                () = self.report_wanted.notified() => {}
+            }
             let report = self.take_report();
             let demand = report.demand.iter().any(has_counts);
             if demand || !report.suspects.is_empty() {
--- a/src/entry/service_call.rs
+++ b/src/entry/service_call.rs
@@ -56,7 +56,7 @@
             .map_err(read_problem)?;
         let routes = self.routes.current();
         let request = ServiceRequest::new(id, path, head.method, head.headers, body, &routes)?;
-        self.budgets.deposit(request.path.service.as_str());
+        self.budget.record_request(&request.path.service);
         if request.idempotent.is_some() {
             return self.dispatch_service(&request).await;
         }
--- a/src/entry/service_dispatch.rs
+++ b/src/entry/service_dispatch.rs
@@ -2,15 +2,12 @@
 
 use {
     super::{
-        Backend, Call, Claimed, DispatchError, Dispatched, Entry, InFlight, LossCause,
-        ServiceRequest, backoff, choose_backend, loss_problem, retry_after,
+        Backend, BackendUse, Call, Claimed, DispatchError, Dispatched, Entry, LossCause,
+        ServiceRequest, choose_backend, loss_problem, retry_after,
     },
-    crate::{
-        http::{
-            Body, Connection, ENGINE_LEAVING, Exchange, Problem, ReadError, discard_body,
-            has_header, has_known_end, read_body, remove_connection_headers,
-        },
-        units::Incarnation,
+    crate::http::{
+        Body, Connection, ENGINE_LEAVING, Exchange, Problem, ReadError, discard_body, has_header,
+        has_known_end, read_body, remove_connection_headers,
     },
     hyper::{HeaderMap, Response, StatusCode},
     std::{sync::Arc, time::Duration},
@@ -55,7 +52,7 @@
     ) -> Result<Response<Body>, Problem> {
         let mut tries = Tries::new(self, request);
         let mut call = Call::new(request.id).claim();
-        for attempt in 0..TRIES_MAX {
+        for attempt in 1..=TRIES_MAX {
             match tries.next(call).await? {
                 Ok(response) => return Ok(response),
                 Err(failure) => call = tries.after_failure(failure, attempt).await?,
@@ -113,13 +110,13 @@
         &mut self,
         call: Call<Dispatched>,
         exchange: Exchange,
-        in_flight: InFlight,
+        in_flight: BackendUse,
     ) -> Result<Response<Body>, Failure> {
         let headers = exchange.response.headers().clone();
         let leaving = has_header(&headers, ENGINE_LEAVING, "yes");
         if leaving {
             log::info!("entry: {} is leaving", in_flight.backend().name);
-            in_flight.backend().set_leaving(Incarnation::default());
+            in_flight.backend().set_leaving();
         }
         match call.take_back(&headers) {
             Ok(call) => {
@@ -138,7 +135,7 @@
         &self,
         call: Call<Dispatched>,
         exchange: Exchange,
-        in_flight: InFlight,
+        in_flight: BackendUse,
     ) -> Result<Response<Body>, Failure> {
         let Exchange {
             response,
@@ -187,30 +184,28 @@
         match failure {
             Failure::NotRun { call, busy: false } => Ok(call),
             Failure::NotRun { call, busy: true } => {
-                if !self.withdraw() {
+                let Some(wait) = self.entry.try_retry(&self.request.path.service, attempt) else {
                     return Err(self.give_up(&call));
-                }
-                time::sleep(backoff(attempt)).await;
+                };
+                time::sleep(wait).await;
                 Ok(call)
             }
             Failure::Lost { call, cause } => {
                 let Some(proof) = self.request.idempotent else {
                     return Err(loss_problem(&call, &cause));
                 };
-                if self.request.time_left().is_zero() || !self.withdraw() {
+                if self.request.time_left().is_zero() {
                     return Err(loss_problem(&call, &cause));
                 }
-                time::sleep(backoff(attempt)).await;
+                let Some(wait) = self.entry.try_retry(&self.request.path.service, attempt) else {
+                    return Err(loss_problem(&call, &cause));
+                };
+                time::sleep(wait).await;
                 Ok(call.repeat(proof))
             }
         }
     }
 
-    fn withdraw(&self) -> bool {
-        let service = self.request.path.service.as_str();
-        self.entry.budgets.withdraw(service)
-    }
-
     fn give_up(&self, call: &Call<Claimed>) -> Problem {
         let detail = format!(
             "no backend server of {} takes the call",
--- a/src/entry/service_request.rs
+++ b/src/entry/service_request.rs
@@ -1,7 +1,7 @@
 //! A caller's request to a plain service.
 
 use {
-    super::{Idempotent, RouteTable},
+    super::{Idempotent, Routes},
     crate::{
         config::ServiceTarget,
         http::{Body, IDEMPOTENCY_KEY, Problem, REQUEST_ID, remove_connection_headers},
@@ -81,7 +81,7 @@
         method: Method,
         mut headers: HeaderMap,
         body: Bytes,
-        routes: &RouteTable,
+        routes: &Routes,
     ) -> Result<Self, Problem> {
         let target = routes.view.catalog.service(&path.service);
         let Some(ServiceTarget::Plain {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -43,6 +43,8 @@
         between_tokens_timeout_ms: u64 = "2000",
         #[doc = " The longest wait for an answer that is not streamed, in milliseconds."]
         whole_answer_timeout_ms: u64 = "60000",
+        #[doc = " The longest wait for a copy of a model or adapter that is not ready, in milliseconds."]
+        copy_wait_ms: u64 = "2000",
         #[doc = " Requests that may be open at once."]
         open_requests_max: usize = "8192",
         #[doc = " Retries allowed per hundred requests of a service."]
--- a/src/keeper/configuration_task.rs
+++ b/src/keeper/configuration_task.rs
@@ -76,8 +76,12 @@
             None => Vec::new(),
         };
         let members = self.state.members();
-        let any = members.choose(&mut rand::rng()).map(|member| member.address);
-        let peer = peer.or(any).map(|address| PeerBlobs::new(address, self.key.clone()));
+        let any = members
+            .choose(&mut rand::rng())
+            .map(|member| member.address);
+        let peer = peer
+            .or(any)
+            .map(|address| PeerBlobs::new(address, self.key.clone()));
         let store = StoreBlobs::new(self.store.as_ref());
         let mut sources: Vec<&dyn BlobSource> = Vec::new();
         if let Some(peer) = &peer {
--- a/src/keeper/demand_task.rs
+++ b/src/keeper/demand_task.rs
@@ -60,7 +60,9 @@
     /// Takes what other keepers report.
     pub async fn take_peer_reports(&self, mut reports: mpsc::Receiver<DemandReport>) {
         while let Some(report) = reports.recv().await {
-            self.tracker.borrow_mut().record(&report.demand, Instant::now());
+            self.tracker
+                .borrow_mut()
+                .record(&report.demand, Instant::now());
             let members = self.state.members();
             let sender = members.iter().find(|member| member.vm == report.sender);
             if sender.is_some_and(|sender| sender.data_centre == self.data_centre) {
@@ -106,7 +108,11 @@
         let Some(current) = self.state.in_force() else {
             return Vec::new();
         };
-        let names = current.catalog.data_centres.iter().map(|object| &object.name);
+        let names = current
+            .catalog
+            .data_centres
+            .iter()
+            .map(|object| &object.name);
         let planners = names.filter_map(|name| planner_of(name, &members));
         let mut planners: Vec<Member> = planners.filter(|it| it.vm != self.vm).cloned().collect();
         planners.sort_by(|a, b| a.vm.cmp(&b.vm));
--- a/src/keeper/fleet_task.rs
+++ b/src/keeper/fleet_task.rs
@@ -74,7 +74,10 @@
     }
 
     fn catalog(&self) -> Arc<Catalog> {
-        self.state.in_force().map(|current| current.catalog).unwrap_or_default()
+        self.state
+            .in_force()
+            .map(|current| current.catalog)
+            .unwrap_or_default()
     }
 
     /// Passes on changed runner states. Needs a `LocalSet`.
@@ -118,7 +121,9 @@
     pub async fn take_proposals(&self, mut proposals: mpsc::Receiver<Proposal>) {
         while let Some(proposal) = proposals.recv().await {
             let taken = self.fleet.apply(proposal.moves, DECISION);
-            let _ = proposal.taken.send(u32::try_from(taken).unwrap_or(u32::MAX));
+            let _ = proposal
+                .taken
+                .send(u32::try_from(taken).unwrap_or(u32::MAX));
         }
     }
 
--- a/src/keeper/gossip.rs
+++ b/src/keeper/gossip.rs
@@ -83,7 +83,10 @@
 
     /// Tells the keepers of this data centre of changed runners. Needs a `LocalSet`.
     pub fn tell_data_centre(self: &Rc<Self>, states: Vec<RunnerState>, home: &DataCentreName) {
-        let near = self.others().into_iter().filter(|member| member.data_centre == *home);
+        let near = self
+            .others()
+            .into_iter()
+            .filter(|member| member.data_centre == *home);
         self.send_runners(states, near.map(|member| member.address).collect());
     }
 
--- a/src/keeper/membership_task.rs
+++ b/src/keeper/membership_task.rs
@@ -56,7 +56,8 @@
                 members,
                 records,
             } => {
-                self.state.change_roster(|roster| roster.replace(members, now));
+                self.state
+                    .change_roster(|roster| roster.replace(members, now));
                 for (_, record) in records {
                     self.take_record(&record);
                 }
--- a/src/keeper/operator_service.rs
+++ b/src/keeper/operator_service.rs
@@ -4,15 +4,12 @@
     super::{KeeperState, KeeperStatus},
     crate::{
         config::{
-            Catalog, ConfigFault, EncodedSnapshot, Head, ParsedObjects, Publication, PublishOutcome,
-            Publisher, check_parsed,
+            Catalog, ConfigFault, EncodedSnapshot, Head, ParsedObjects, Publication,
+            PublishOutcome, Publisher, check_parsed,
         },
         peer::{list_len, read_head, write_head, write_texts},
         peer_capnp::{operator, publish_outcome},
-        store::{
-            SharedStore,
-            keys::AUDIT_PREFIX,
-        },
+        store::{SharedStore, keys::AUDIT_PREFIX},
         units::{Incarnation, Revision, VmName, unix_now_ms},
     },
     bytes::Bytes,
@@ -67,9 +64,17 @@
             expected,
         };
         let known = self.state.head();
-        let outcome = self.publisher.publish(&publication, known.as_ref()).await.map_err(failed)?;
+        let outcome = self
+            .publisher
+            .publish(&publication, known.as_ref())
+            .await
+            .map_err(failed)?;
         if let PublishOutcome::Published(head) = &outcome {
-            log::info!("keeper: {} published revision {}.", head.author, head.revision);
+            log::info!(
+                "keeper: {} published revision {}.",
+                head.author,
+                head.revision
+            );
             if let Err(error) = self.state.accept(head.clone(), publication.snapshot) {
                 log::error!("keeper: revision {} is refused: {error}", head.revision);
             }
@@ -172,7 +177,10 @@
     ) -> Result<(), Error> {
         let limit = params.get()?.get_limit().min(AUDIT_MAX) as usize;
         let records = self.read_audit(limit).await?;
-        write_texts(&records, results.get().init_records(list_len(records.len())));
+        write_texts(
+            &records,
+            results.get().init_records(list_len(records.len())),
+        );
         Ok(())
     }
 
--- a/src/keeper/peer_service.rs
+++ b/src/keeper/peer_service.rs
@@ -5,9 +5,9 @@
     crate::{
         config::Digest,
         fleet::{Move, RunnerState},
-        peer::{PeerError,
-            list_len, read_demands, read_head, read_moves, read_runners, read_texts, write_head,
-            write_member,
+        peer::{
+            PeerError, list_len, read_demands, read_head, read_moves, read_runners, read_texts,
+            write_head, write_member,
         },
         peer_capnp::peer,
     },
@@ -103,7 +103,11 @@
     ) -> Result<(), Error> {
         let params = params.get()?;
         let report = DemandReport {
-            sender: params.get_sender()?.to_str()?.parse().map_err(PeerError::from)?,
+            sender: params
+                .get_sender()?
+                .to_str()?
+                .parse()
+                .map_err(PeerError::from)?,
             demand: read_demands(params.get_demand()?)?,
         };
         self.inbox.demand.send(report).await.map_err(stopping)
--- a/src/keeper/planning_task.rs
+++ b/src/keeper/planning_task.rs
@@ -20,9 +20,17 @@
 /// Names the member that plans for a data centre; those in it come first.
 pub fn planner_of<'a>(data_centre: &DataCentreName, members: &'a [Member]) -> Option<&'a Member> {
     let key = stable_hash(data_centre.as_str());
-    let weight = |member: &&Member| (rendezvous_weight(key, member.vm.as_str()), member.vm.clone());
-    let near = members.iter().filter(|member| member.data_centre == *data_centre);
-    near.max_by_key(weight).or_else(|| members.iter().max_by_key(weight))
+    let weight = |member: &&Member| {
+        (
+            rendezvous_weight(key, member.vm.as_str()),
+            member.vm.clone(),
+        )
+    };
+    let near = members
+        .iter()
+        .filter(|member| member.data_centre == *data_centre);
+    near.max_by_key(weight)
+        .or_else(|| members.iter().max_by_key(weight))
 }
 
 /// Decides placement for the data centres that this VM plans for.
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -41,12 +41,16 @@
 /// Fails when an address is taken or the runtime cannot be had.
 pub fn run(settings: KeeperSettings) -> Result<(), KeeperError> {
     init_logs(settings.log_level, settings.log_format);
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
     LocalSet::new().block_on(&runtime, serve_keeper(settings))
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, KeeperError> {
-    TcpListener::bind(address).await.map_err(|cause| KeeperError::Listen { address, cause })
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| KeeperError::Listen { address, cause })
 }
 
 async fn serve_keeper(settings: KeeperSettings) -> Result<(), KeeperError> {
@@ -57,7 +61,12 @@
     let readiness = Readiness::default();
     let stop = CancellationToken::new();
     let render = move || metrics.render();
-    spawn_local(serve_operations(operations, readiness.clone(), render, stop.clone()));
+    spawn_local(serve_operations(
+        operations,
+        readiness.clone(),
+        render,
+        stop.clone(),
+    ));
     let keeper = Keeper::new(&settings);
     let (stop_heartbeat, heartbeat_stopped) = watch::channel(false);
     let heartbeat = keeper.heartbeat(settings.lease_ttl_s);
@@ -68,7 +77,10 @@
     keeper.wait_for_stop().await?;
     readiness.set(false);
     let handing_over = keeper.fleet.hand_over();
-    if tokio::time::timeout(HAND_OVER_MAX, handing_over).await.is_err() {
+    if tokio::time::timeout(HAND_OVER_MAX, handing_over)
+        .await
+        .is_err()
+    {
         log::warn!("keeper: not all runners were handed over in time.");
     }
     stop_heartbeat.send_replace(true);
@@ -138,7 +150,10 @@
         let membership = MembershipTask::new(self.state.clone(), self.fleet.clone(), offers);
         spawn_local(async move { membership.run(event_inbox).await });
         self.start_configuration(offer_inbox);
-        self.start_gossip(&gossip, Duration::from_millis(settings.exchange_interval_ms));
+        self.start_gossip(
+            &gossip,
+            Duration::from_millis(settings.exchange_interval_ms),
+        );
         self.start_listeners(settings, gossip, inbox, peers, operators);
     }
 
@@ -236,7 +251,9 @@
             peer: PeerService::client(self.state.clone(), gossip, inbox),
             entry: EntryService::client(self.state.clone(), reports),
         };
-        spawn_local(serve(peers, move |mark| GateService::client(processes.clone(), mark)));
+        spawn_local(serve(peers, move |mark| {
+            GateService::client(processes.clone(), mark)
+        }));
         let operator = OperatorService::client(
             self.member.vm.clone(),
             self.member.incarnation,
@@ -245,7 +262,9 @@
         );
         let key = SharedKey::new(settings.operator_key.as_bytes());
         let roles = GateRoles::Operators { key, operator };
-        spawn_local(serve(operators, move |mark| GateService::client(roles.clone(), mark)));
+        spawn_local(serve(operators, move |mark| {
+            GateService::client(roles.clone(), mark)
+        }));
     }
 
     async fn wait_for_stop(&self) -> Result<(), KeeperError> {
@@ -272,5 +291,11 @@
     let engines = move |runner: &Runner| -> Arc<dyn Engine> {
         Arc::new(HttpEngine::new(runner.address, timeout))
     };
-    FleetKeeper::new(store, Box::new(engines), owner, settings.data_centre.clone(), timing)
+    FleetKeeper::new(
+        store,
+        Box::new(engines),
+        owner,
+        settings.data_centre.clone(),
+        timing,
+    )
 }
--- a/src/keeper/state.rs
+++ b/src/keeper/state.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        config::{AcceptError, Blob, Configuration, Digest, EncodedSnapshot, Follower, Head, HeadOrigin, HistoryFault, Standing},
+        config::{
+            AcceptError, Blob, Configuration, Digest, EncodedSnapshot, Follower, Head, HeadOrigin,
+            HistoryFault, Standing,
+        },
         fleet::RunnerState,
         membership::{Member, Roster},
         units::{Revision, RunnerName},
@@ -113,7 +116,9 @@
         let Some(current) = inner.follower.current() else {
             return Vec::new();
         };
-        let found = wanted.iter().filter_map(|digest| current.snapshot.blob(*digest).ok());
+        let found = wanted
+            .iter()
+            .filter_map(|digest| current.snapshot.blob(*digest).ok());
         found.cloned().collect()
     }
 
--- a/src/keeper/status.rs
+++ b/src/keeper/status.rs
@@ -48,10 +48,16 @@
 fn describe(fault: &HistoryFault) -> String {
     match fault {
         HistoryFault::StoreBehind(head) => {
-            format!("the key-value service went back to revision {}", head.revision)
+            format!(
+                "the key-value service went back to revision {}",
+                head.revision
+            )
         }
         HistoryFault::Diverged(head) => {
-            format!("two configurations call themselves revision {}", head.revision)
+            format!(
+                "two configurations call themselves revision {}",
+                head.revision
+            )
         }
     }
 }
--- a/src/membership/heartbeat.rs
+++ b/src/membership/heartbeat.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{Backoff, Member, jittered},
-    crate::store::{LeaseId, Op, SharedStore, StoreError, Txn, keys::{leaving_key, member_key}},
+    crate::store::{
+        LeaseId, Op, SharedStore, StoreError, Txn,
+        keys::{leaving_key, member_key},
+    },
     bytes::Bytes,
     std::time::Duration,
     tokio::sync::watch,
@@ -83,7 +86,9 @@
         let value = serde_json::to_vec(&self.member)
             .map_err(|error| StoreError::Refused(error.to_string()))?;
         let key = member_key(&self.member.vm);
-        self.store.txn(put(key, Bytes::from(value), lease.id)).await?;
+        self.store
+            .txn(put(key, Bytes::from(value), lease.id))
+            .await?;
         log::info!("membership: joined as {}.", self.member.vm);
         Ok(lease.id)
     }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -13,4 +13,7 @@
 mod peer_client;
 mod serve;
 
-pub use {connect::*, convert::*, entry_link::*, error::*, key::*, peer_blobs::*, peer_client::*, serve::*};
+pub use {
+    connect::*, convert::*, entry_link::*, error::*, key::*, peer_blobs::*, peer_client::*,
+    serve::*,
+};
--- a/src/peer/peer_blobs.rs
+++ b/src/peer/peer_blobs.rs
@@ -22,9 +22,13 @@
 
     async fn ask(&self, digests: &[Digest]) -> Result<Vec<Blob>, BlobSourceError> {
         let failed = |error: super::PeerError| BlobSourceError::Peer(error.to_string());
-        let peer = PeerClient::connect(self.address, &self.key).await.map_err(failed)?;
+        let peer = PeerClient::connect(self.address, &self.key)
+            .await
+            .map_err(failed)?;
         let fetched = peer.fetch(digests).await.map_err(failed)?;
-        let verified = fetched.into_iter().filter_map(|(digest, data)| Blob::verify(digest, data).ok());
+        let verified = fetched
+            .into_iter()
+            .filter_map(|(digest, data)| Blob::verify(digest, data).ok());
         Ok(verified.collect())
     }
 }
