--- a/src/history/mod.rs
+++ b/src/history/mod.rs
@@ -2,5 +2,6 @@
 
 mod copies_check;
 mod memory_check;
+mod revision_check;
 
-pub use {copies_check::*, memory_check::*};
+pub use {copies_check::*, memory_check::*, revision_check::*};
--- /dev/null
+++ b/src/placement/minimum_step.rs
@@ -0,0 +1,115 @@
+//! Keeps the configured number of copies of each model.
+
+use super::{home_map, planner::Planner, room::Room};
+
+impl Planner<'_> {
+    /// Loads what the models homed here lack, those that nothing serves first.
+    pub fn keep_minimum(&mut self) {
+        let Some(place) = self.place() else {
+            return;
+        };
+        let mut lacking: Vec<(bool, usize)> = (0..self.demand.len())
+            .filter(|&model| self.lacks_here(model, place))
+            .map(|model| (self.image.ready_holders(model).next().is_some(), model))
+            .collect();
+        lacking.sort_by(|a, b| {
+            let rate = |model: usize| self.demand[model].requests_per_s;
+            let by_rate = rate(b.1).total_cmp(&rate(a.1));
+            a.0.cmp(&b.0).then(by_rate).then(a.1.cmp(&b.1))
+        });
+        for (served, model) in lacking {
+            if !self.may_load(!served) {
+                continue;
+            }
+            if !self.take_up_best(model, place, !served) {
+                let name = self.image.catalog.models[model].name.clone();
+                self.plan.unplaced.push(name);
+            }
+        }
+    }
+
+    /// Tells whether a model has too few copies and this data centre is to hold the next one.
+    fn lacks_here(&self, model: usize, place: usize) -> bool {
+        let name = &self.image.catalog.models[model].name;
+        let wanted = home_map::copies_min(self.image.catalog, name);
+        let holders: Vec<usize> = self.image.holders(model).collect();
+        if holders.len() >= wanted {
+            return false;
+        }
+        let count = |runners: &[usize]| {
+            let here = runners
+                .iter()
+                .filter(|&&runner| self.places[runner] == place);
+            here.count()
+        };
+        let homes = self.homes.by_index(model);
+        let wanted_here = homes.iter().filter(|&&home| home == place).count();
+        count(&holders) < wanted_here
+    }
+
+    /// Takes up a copy on the best runner of a data centre; what needs the fewest unloads is
+    /// best, then the one with the most free memory.
+    fn take_up_best(&mut self, model: usize, place: usize, urgent: bool) -> bool {
+        let runners = 0..self.image.runners.len();
+        let here = runners.filter(|&runner| self.places[runner] == place);
+        let best = here
+            .filter(|&runner| self.image.may_take(runner, model))
+            .filter_map(|runner| Some((self.room(runner, model)?, runner)))
+            .min_by(|a, b| {
+                let free = |runner: usize| self.image.runners[runner].free_share();
+                let by_room = unloads(&a.0).cmp(&unloads(&b.0));
+                by_room.then(free(b.1).total_cmp(&free(a.1)))
+            });
+        let Some((room, runner)) = best else {
+            return self.relocate_for(model, place);
+        };
+        self.take_up(runner, model, &room, urgent);
+        true
+    }
+
+    /// Makes room by loading the last copy of another model elsewhere first; once that serves,
+    /// the one in the way can be unloaded.
+    fn relocate_for(&mut self, model: usize, place: usize) -> bool {
+        let size_mib = self.image.size_mib(model);
+        for runner in 0..self.image.runners.len() {
+            let image = &self.image.runners[runner];
+            let too_small = image.runner.model_memory_mib().0 < size_mib;
+            if self.places[runner] != place || !image.usable || too_small {
+                continue;
+            }
+            let in_the_way: Vec<usize> =
+                image.copies.iter().filter_map(|copy| copy.model).collect();
+            for other in in_the_way {
+                if self.relocate(other, runner, place) {
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
+    fn relocate(&mut self, model: usize, from: usize, place: usize) -> bool {
+        if self.image.holders(model).count() > 1 {
+            return false;
+        }
+        let target = (0..self.image.runners.len()).find(|&runner| {
+            runner != from
+                && self.places[runner] == place
+                && self.image.may_take(runner, model)
+                && self.room(runner, model) == Some(Room::Now)
+        });
+        let Some(target) = target else {
+            return false;
+        };
+        self.take_up(target, model, &Room::Now, true);
+        true
+    }
+}
+
+fn unloads(room: &Room) -> usize {
+    match room {
+        Room::Now => 0,
+        Room::Coming => 1,
+        Room::After(victims) => 1 + victims.len(),
+    }
+}
