--- a/src/standin/kv/mod.rs
+++ b/src/standin/kv/mod.rs
@@ -1,5 +1,6 @@
 //! A stand-in of the key-value service.
 
+mod control;
 mod counts;
 mod faults;
 mod lease;
@@ -8,4 +9,4 @@
 mod state;
 mod watch;
 
-pub use {counts::*, faults::*, lease::*, memory_store::*, state::*};
+pub use {control::*, counts::*, faults::*, lease::*, memory_store::*, state::*};
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -4,7 +4,11 @@
 pub mod engine;
 mod http_server;
 pub mod kv;
+pub mod plain;
 mod reference_text;
+mod run;
+mod settings;
+pub mod vms;
 pub mod weights;
 
-pub use {control::*, http_server::*, reference_text::*};
+pub use {control::*, http_server::*, reference_text::*, run::*, settings::*};
