--- a/tests/common/entry_rig.rs
+++ b/tests/common/entry_rig.rs
@@ -32,10 +32,13 @@
     tokio_util::sync::CancellationToken,
 };
 
+/// An entry and the name of its VM.
+type NamedEntry = (String, Weak<Entry>);
+
 /// The entries that a test has started, by VM name.
 #[derive(Debug, Clone, Default)]
 pub struct Cluster {
-    entries: Arc<Mutex<Vec<(String, Weak<Entry>)>>>,
+    entries: Arc<Mutex<Vec<NamedEntry>>>,
 }
 
 impl Forwarder for Cluster {
