Pull an absent adapter as soon as callers ask for it

Cause: an adapter that no runner held was loaded by the next plan only: the first request waited 2 s and was refused, the second was answered after 1.1 s (two entries, two engines, by hand). Change: the keeper proposes an urgent load to the owner of the runner that all keepers of the data centre would pick, at the entry's report; runner states go on after 100 ms, not 500.

--- a/src/keeper/demand_task.rs
+++ b/src/keeper/demand_task.rs
@@ -1,7 +1,7 @@
 //! Brings the demand of all entries to the planners of all data centres.
 
 use {
-    super::{KeeperState, planner_of},
+    super::{AdapterPull, KeeperState, planner_of},
     crate::{
         entry::Report,
         fleet::Demand,
@@ -26,6 +26,7 @@
     key: SharedKey,
     state: KeeperState,
     tracker: Rc<RefCell<DemandTracker>>,
+    pull: AdapterPull,
     from_entry: RefCell<Vec<Demand>>,
     to_planners: RefCell<Vec<Demand>>,
 }
@@ -38,6 +39,7 @@
         key: SharedKey,
         state: KeeperState,
         tracker: Rc<RefCell<DemandTracker>>,
+        pull: AdapterPull,
     ) -> Self {
         Self {
             vm,
@@ -45,6 +47,7 @@
             key,
             state,
             tracker,
+            pull,
             from_entry: RefCell::default(),
             to_planners: RefCell::default(),
         }
@@ -53,6 +56,10 @@
     /// Takes what the entry of this VM reports.
     pub async fn take_entry_reports(&self, mut reports: mpsc::Receiver<Report>) {
         while let Some(report) = reports.recv().await {
+            for runner in &report.suspects {
+                log::info!("keeper: the entry suspects {runner}.");
+            }
+            self.pull.pull_absent(&report.demand).await;
             merge(&mut self.from_entry.borrow_mut(), report.demand);
         }
     }
--- a/src/keeper/entry_service.rs
+++ b/src/keeper/entry_service.rs
@@ -17,7 +17,7 @@
 };
 
 /// How long changes of runners are gathered into one answer.
-const GATHER: Duration = Duration::from_millis(50);
+const GATHER: Duration = Duration::from_millis(10);
 
 /// What the entry of this VM asks of its keeper.
 pub struct EntryService {
--- a/src/keeper/fleet_task.rs
+++ b/src/keeper/fleet_task.rs
@@ -11,8 +11,8 @@
     tokio::sync::{mpsc, watch},
 };
 
-/// How long changed runner states are gathered before they are passed on.
-const GATHER: Duration = Duration::from_millis(500);
+/// How long further changes of runners are gathered after some were passed on.
+const GATHER: Duration = Duration::from_millis(100);
 /// How often waiting audit records are written.
 const AUDIT_INTERVAL: Duration = Duration::from_secs(2);
 /// What the audit trail names as the cause of a planner's move.
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -1,5 +1,6 @@
 //! The keeper: configuration, membership, ownership and orders.
 
+mod adapter_pull;
 mod configuration_task;
 mod demand_task;
 mod entry_service;
@@ -19,7 +20,8 @@
 mod vm_list;
 
 pub use {
-    configuration_task::*, demand_task::*, entry_service::*, error::*, fleet_task::*,
-    gate_service::*, gossip::*, live_feed::*, membership_task::*, operator_service::*,
-    peer_service::*, planning_task::*, run::*, settings::*, state::*, status::*, vm_list::*,
+    adapter_pull::*, configuration_task::*, demand_task::*, entry_service::*, error::*,
+    fleet_task::*, gate_service::*, gossip::*, live_feed::*, membership_task::*,
+    operator_service::*, peer_service::*, planning_task::*, run::*, settings::*, state::*,
+    status::*, vm_list::*,
 };
--- a/src/keeper/planning_task.rs
+++ b/src/keeper/planning_task.rs
@@ -66,7 +66,7 @@
             tokio::time::sleep(jittered(interval)).await;
             let moves = self.plan_all();
             if !moves.is_empty() {
-                self.propose(moves).await;
+                propose_moves(moves, &self.vm, &self.key, &self.state, &self.own).await;
             }
         }
     }
@@ -94,37 +94,24 @@
         }
         moves
     }
+}
 
-    async fn propose(&self, moves: Vec<Move>) {
-        let Some(current) = self.state.in_force() else {
-            return;
-        };
-        let members = self.state.members();
-        let mut by_owner: Vec<(Member, Vec<Move>)> = Vec::new();
-        for wanted in moves {
-            let runner = current.catalog.runner(&wanted.runner);
-            let owner = runner.and_then(|it| owner_of(&it.name, &it.data_centre, &members));
-            let Some(owner) = owner else {
-                continue;
-            };
-            match by_owner.binary_search_by(|(known, _)| known.vm.cmp(&owner.vm)) {
-                Ok(position) => by_owner[position].1.push(wanted),
-                Err(position) => by_owner.insert(position, (owner.clone(), vec![wanted])),
-            }
-        }
-        for (owner, moves) in by_owner {
-            self.send(&owner, moves).await;
-        }
-    }
-
-    async fn send(&self, owner: &Member, moves: Vec<Move>) {
-        if owner.vm == self.vm {
+/// Proposes moves to the owners of their runners; those for runners of this VM go to `own`.
+pub async fn propose_moves(
+    moves: Vec<Move>,
+    vm: &VmName,
+    key: &SharedKey,
+    state: &KeeperState,
+    own: &mpsc::Sender<Proposal>,
+) {
+    for (owner, moves) in group_by_owner(moves, state) {
+        if owner.vm == *vm {
             let (taken, _) = oneshot::channel();
-            let _ = self.own.send(Proposal { moves, taken }).await;
-            return;
+            let _ = own.send(Proposal { moves, taken }).await;
+            continue;
         }
         let sent = async {
-            let peer = PeerClient::connect(owner.address, &self.key).await?;
+            let peer = PeerClient::connect(owner.address, key).await?;
             peer.propose(&moves).await
         };
         if let Err(error) = sent.await {
@@ -132,3 +119,23 @@
         }
     }
 }
+
+fn group_by_owner(moves: Vec<Move>, state: &KeeperState) -> Vec<(Member, Vec<Move>)> {
+    let Some(current) = state.in_force() else {
+        return Vec::new();
+    };
+    let members = state.members();
+    let mut groups: Vec<(Member, Vec<Move>)> = Vec::new();
+    for wanted in moves {
+        let runner = current.catalog.runner(&wanted.runner);
+        let owner = runner.and_then(|it| owner_of(&it.name, &it.data_centre, &members));
+        let Some(owner) = owner else {
+            continue;
+        };
+        match groups.binary_search_by(|(known, _)| known.vm.cmp(&owner.vm)) {
+            Ok(position) => groups[position].1.push(wanted),
+            Err(position) => groups.insert(position, (owner.clone(), vec![wanted])),
+        }
+    }
+    groups
+}
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -2,9 +2,9 @@
 
 use {
     super::{
-        ConfigurationTask, DemandTask, EntryService, FleetTask, GateRoles, GateService, Gossip,
-        KeeperError, KeeperSettings, KeeperState, MembershipTask, OperatorService, PeerInbox,
-        PeerService, PlanningTask, feed_live_keys, follow_vm_list,
+        AdapterPull, ConfigurationTask, DemandTask, EntryService, FleetTask, GateRoles,
+        GateService, Gossip, KeeperError, KeeperSettings, KeeperState, MembershipTask,
+        OperatorService, PeerInbox, PeerService, PlanningTask, feed_live_keys, follow_vm_list,
     },
     crate::{
         config::Runner,
@@ -213,12 +213,20 @@
     ) -> mpsc::Sender<super::DemandReport> {
         let (demand, demand_inbox) = mpsc::channel(INBOX_MAX);
         let tracker = Rc::default();
+        let pull = AdapterPull::new(
+            self.member.vm.clone(),
+            self.member.data_centre.clone(),
+            self.key.clone(),
+            self.state.clone(),
+            own.clone(),
+        );
         let task = Rc::new(DemandTask::new(
             self.member.vm.clone(),
             self.member.data_centre.clone(),
             self.key.clone(),
             self.state.clone(),
             Rc::clone(&tracker),
+            pull,
         ));
         let taking = task.clone();
         spawn_local(async move { taking.take_peer_reports(demand_inbox).await });
