--- a/tests/common/entry_rig.rs
+++ b/tests/common/entry_rig.rs
@@ -32,10 +32,13 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// The entries that a test has started, by VM name.
+/// An entry that a test has started, by VM name.
+type StartedEntry = (String, Weak<Entry>);
+
+/// The entries that a test has started.
 #[derive(Debug, Clone, Default)]
 pub struct Cluster {
-    entries: Arc<Mutex<Vec<(String, Weak<Entry>)>>>,
+    entries: Arc<Mutex<Vec<StartedEntry>>>,
 }
 
 impl Forwarder for Cluster {
