--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -7,7 +7,9 @@
     },
     crate::{
         admission::Permit,
-        http::{Body, BodyError, Connection, Outcome, Problem, RESUMABLE, has_header},
+        http::{
+            Body, BodyError, Connection, Outcome, Problem, RESUMABLE, TOKENS_PER_EVENT, has_header,
+        },
         routing::InFlight,
     },
     bytes::{Bytes, BytesMut},
@@ -54,6 +56,7 @@
     parser: SseParser,
     alive_at: Instant,
     resumable: bool,
+    tokens_per_event: u64,
 }
 
 enum Phase {
@@ -81,7 +84,8 @@
         open: OpenRequest,
     ) -> Self {
         let source = Source::new(attempt);
-        let check = StreamCheck::new(request.id, source.resumable);
+        let mut check = StreamCheck::new(request.id, source.resumable);
+        check.set_tokens_per_event(source.tokens_per_event);
         Self {
             entry,
             request,
@@ -268,6 +272,7 @@
         if source.resumable {
             self.check.require_ids();
         }
+        self.check.set_tokens_per_event(source.tokens_per_event);
         self.source = Some(source);
     }
 
@@ -310,6 +315,10 @@
     fn new(attempt: Attempt) -> Self {
         let headers = attempt.exchange.response.headers();
         let resumable = has_header(headers, RESUMABLE, "yes");
+        let tokens_per_event = headers
+            .get(TOKENS_PER_EVENT)
+            .and_then(|text| text.to_str().ok());
+        let tokens_per_event = tokens_per_event.and_then(|text| text.parse().ok());
         Self {
             call: attempt.call,
             body: attempt.exchange.response.into_body(),
@@ -318,6 +327,7 @@
             parser: SseParser::default(),
             alive_at: Instant::now(),
             resumable,
+            tokens_per_event: tokens_per_event.unwrap_or(1),
         }
     }
 
--- a/src/http/header.rs
+++ b/src/http/header.rs
@@ -18,6 +18,8 @@
 pub const ENGINE_LOAD: &str = "x-engine-load";
 /// Says `yes` when a stream can be resumed.
 pub const RESUMABLE: &str = "x-resumable";
+/// The tokens in each event of a stream but the last, which may have fewer; 1 if absent.
+pub const TOKENS_PER_EVENT: &str = "x-tokens-per-event";
 /// The event after which a stream is resumed.
 pub const LAST_EVENT_ID: &str = "last-event-id";
 /// Identifies a request that must run at most once.
