--- /dev/null
+++ b/tests/entry_services.rs
@@ -0,0 +1,330 @@
+//! Plain services: at most once, and what callers are told.
+
+mod common {
+    pub mod entry_rig;
+    pub mod fake_backend;
+}
+
+use {
+    common::{
+        entry_rig::{Answer, Cluster, Plan, Rig},
+        fake_backend::{Accept, FakeBackend, Received, Step, respond},
+    },
+    greengagetrail::standin::kv::{KvFaults, MemoryStore},
+    hyper::StatusCode,
+    std::time::{Duration, Instant},
+};
+
+const PATH: &str = "/services/desk/sales?lot=7";
+
+fn booked(_: &Received) -> Vec<Step> {
+    respond(201, "", "booked")
+}
+
+async fn book(rig: &Rig, key: Option<&str>) -> Answer {
+    let headers: Vec<(&str, &str)> = key
+        .map(|key| ("idempotency-key", key))
+        .into_iter()
+        .collect();
+    rig.post(PATH, &headers, "{\"lot\":7}").await
+}
+
+#[tokio::test]
+async fn passes_calls_on_and_answers_back() {
+    let desk = FakeBackend::start(booked).await;
+    let rig = Plan::new().service("desk", &[&desk], 2000).start().await;
+    let got = book(&rig, None).await;
+    assert_eq!((got.status, got.text()), (StatusCode::CREATED, "booked"));
+    assert!(got.header("next-idempotency-key").is_some());
+    let sent = &desk.received()[0];
+    assert_eq!(
+        (sent.method.as_str(), sent.path.as_str()),
+        ("POST", "/sales?lot=7")
+    );
+    assert_eq!(&sent.body[..], b"{\"lot\":7}");
+    assert!(sent.header("x-request-id").is_some());
+    assert_eq!(rig.get("/services/other/x").await.outcome(), "not-run");
+}
+
+#[tokio::test]
+async fn repeats_only_idempotent_calls() {
+    let flaky = FakeBackend::start(|received| match received.sequence % 2 {
+        0 => vec![Step::Reset],
+        _ => respond(200, "", "stock"),
+    })
+    .await;
+    let rig = Plan::new()
+        .service("desk", &[&flaky, &flaky], 2000)
+        .start()
+        .await;
+    assert_eq!(rig.get("/services/desk/stock").await.text(), "stock");
+    assert_eq!(flaky.received().len(), 2);
+    let got = book(&rig, None).await;
+    assert_eq!(
+        (got.status, got.outcome().as_str()),
+        (StatusCode::BAD_GATEWAY, "unknown")
+    );
+    assert_eq!(flaky.received().len(), 3, "a sale must not be sent twice");
+}
+
+#[tokio::test]
+async fn a_cut_answer_to_a_sale_is_unknown_and_never_complete() {
+    let cut = FakeBackend::start(|_| {
+        vec![
+            Step::send("HTTP/1.1 201 Created\r\ncontent-length: 9\r\n\r\nboo"),
+            Step::Close,
+        ]
+    })
+    .await;
+    let rig = Plan::new().service("desk", &[&cut], 2000).start().await;
+    assert_eq!(book(&rig, None).await.outcome(), "unknown");
+    assert_eq!(cut.received().len(), 1);
+}
+
+#[tokio::test]
+async fn a_silent_backend_ends_as_unknown_within_the_timeout() {
+    let silent = FakeBackend::start(|_| vec![Step::Hang]).await;
+    let rig = Plan::new().service("desk", &[&silent], 300).start().await;
+    let started = Instant::now();
+    let got = book(&rig, None).await;
+    assert_eq!(
+        (got.status, got.outcome().as_str()),
+        (StatusCode::GATEWAY_TIMEOUT, "unknown")
+    );
+    assert!(started.elapsed() < Duration::from_secs(5));
+}
+
+#[tokio::test]
+async fn refused_connections_and_refusals_are_not_run_and_tried_elsewhere() {
+    let gone = FakeBackend::start(booked).await;
+    gone.stop();
+    let busy =
+        FakeBackend::start(|_| respond(503, "x-request-ran: no\r\nretry-after: 3\r\n", "")).await;
+    let well = FakeBackend::start(booked).await;
+    let all = [&gone, &busy, &well];
+    let rig = Plan::new().service("desk", &all, 2000).start().await;
+    assert_eq!(book(&rig, None).await.status, StatusCode::CREATED);
+    let rig = Plan::new()
+        .service("desk", &[&gone, &busy], 2000)
+        .start()
+        .await;
+    let got = book(&rig, None).await;
+    assert_eq!(
+        (got.status, got.outcome().as_str()),
+        (StatusCode::SERVICE_UNAVAILABLE, "not-run")
+    );
+    assert_eq!(got.header("retry-after"), Some("3"));
+}
+
+#[tokio::test]
+async fn a_leaving_backend_gets_no_new_work() {
+    let leaving =
+        FakeBackend::start(|_| respond(503, "x-request-ran: no\r\nx-engine-leaving: yes\r\n", ""))
+            .await;
+    let well = FakeBackend::start(booked).await;
+    let rig = Plan::new()
+        .service("desk", &[&leaving, &well], 2000)
+        .start()
+        .await;
+    for _ in 0..20 {
+        assert_eq!(book(&rig, None).await.status, StatusCode::CREATED);
+    }
+    assert!(leaving.received().len() <= 1);
+}
+
+#[tokio::test]
+async fn a_key_runs_once_at_whatever_entry_it_is_tried() {
+    let desk = FakeBackend::start(booked).await;
+    let store = MemoryStore::new();
+    let plan = |vm| {
+        let mut plan = Plan::new().service("desk", &[&desk], 2000);
+        plan.vm = vm;
+        plan.store = store.clone();
+        plan
+    };
+    let rigs = [plan("vm-1").start().await, plan("vm-2").start().await];
+    assert_eq!(
+        book(&rigs[0], Some("sale-1")).await.status,
+        StatusCode::CREATED
+    );
+    let again = book(&rigs[0], Some("sale-1")).await;
+    assert_eq!(
+        (again.status, again.outcome().as_str()),
+        (StatusCode::CONFLICT, "unknown")
+    );
+    assert_eq!(again.json()["earlier_status"], 201);
+    let elsewhere = book(&rigs[1], Some("sale-1")).await;
+    assert_eq!(
+        (elsewhere.status, elsewhere.outcome().as_str()),
+        (StatusCode::CONFLICT, "unknown")
+    );
+    assert_eq!(desk.received().len(), 1);
+    let racing = futures::future::join_all((0..20).map(|n| book(&rigs[n % 2], Some("sale-2"))));
+    let won = racing
+        .await
+        .into_iter()
+        .filter(|got| got.status == StatusCode::CREATED);
+    assert_eq!(won.count(), 1);
+    assert_eq!(desk.received().len(), 2);
+}
+
+#[tokio::test]
+async fn a_lost_store_answer_is_resolved_to_the_truth() {
+    let desk = FakeBackend::start(booked).await;
+    let rig = Plan::new().service("desk", &[&desk], 4000).start().await;
+    assert_eq!(book(&rig, Some("first")).await.status, StatusCode::CREATED);
+    rig.store.set_faults(KvFaults {
+        lost_answers: 1,
+        ..KvFaults::default()
+    });
+    assert_eq!(book(&rig, Some("sale-1")).await.status, StatusCode::CREATED);
+    assert_eq!(desk.received().len(), 2);
+}
+
+#[tokio::test]
+async fn without_the_store_keys_are_refused_truly_and_tickets_go_on() {
+    let desk = FakeBackend::start(booked).await;
+    let rig = Plan::new().service("desk", &[&desk], 4000).start().await;
+    let minted = rig
+        .post("/services/desk/.tickets?count=3", &[], "")
+        .await
+        .json();
+    let tickets: Vec<String> = serde_json::from_value(minted["keys"].clone()).unwrap();
+    assert_eq!(tickets.len(), 3);
+    let down = KvFaults {
+        down: true,
+        ..KvFaults::default()
+    };
+    rig.store.set_faults(down);
+    let refused = book(&rig, Some("sale-1")).await;
+    assert_eq!(
+        (refused.status, refused.outcome().as_str()),
+        (StatusCode::SERVICE_UNAVAILABLE, "not-run")
+    );
+    assert!(refused.header("retry-after").is_some());
+    assert!(desk.received().is_empty());
+    let mut next = tickets[0].clone();
+    for _ in 0..5 {
+        let got = book(&rig, Some(&next)).await;
+        assert_eq!(got.status, StatusCode::CREATED);
+        let again = book(&rig, Some(&next)).await;
+        assert_eq!(
+            (again.status, again.outcome().as_str()),
+            (StatusCode::CONFLICT, "unknown")
+        );
+        next = got.header("next-idempotency-key").unwrap().to_owned();
+    }
+    assert_eq!(desk.received().len(), 5);
+    rig.store.set_faults(KvFaults::default());
+    assert_eq!(book(&rig, Some("sale-1")).await.status, StatusCode::CREATED);
+}
+
+#[tokio::test]
+async fn a_key_whose_try_did_not_run_can_be_tried_again() {
+    let gone = FakeBackend::start(booked).await;
+    gone.stop();
+    let well = FakeBackend::start(booked).await;
+    let rig = Plan::new().service("desk", &[&gone], 2000).start().await;
+    let minted = rig.post("/services/desk/.tickets", &[], "").await.json();
+    let ticket = minted["keys"][0].as_str().unwrap();
+    for key in ["sale-1", ticket] {
+        assert_eq!(book(&rig, Some(key)).await.outcome(), "not-run");
+    }
+    let view = Plan::new().service("desk", &[&well], 2000).view();
+    rig.views.send_replace(view.into());
+    for key in ["sale-1", ticket] {
+        assert_eq!(
+            book(&rig, Some(key)).await.status,
+            StatusCode::CREATED,
+            "{key}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn forged_and_borrowed_tickets_are_refused() {
+    let desk = FakeBackend::start(booked).await;
+    let plan = Plan::new()
+        .service("desk", &[&desk], 2000)
+        .service("pay", &[&desk], 2000);
+    let rig = plan.start().await;
+    let minted = rig
+        .post("/services/pay/.tickets?count=1", &[], "")
+        .await
+        .json();
+    let ticket = minted["keys"][0].as_str().unwrap().to_owned();
+    let mut forged = ticket.clone();
+    let last = if forged.ends_with('0') { "1" } else { "0" };
+    forged.replace_range(forged.len() - 1.., last);
+    for key in [ticket, forged] {
+        let got = book(&rig, Some(&key)).await;
+        assert_eq!(
+            (got.status, got.outcome().as_str()),
+            (StatusCode::BAD_REQUEST, "not-run")
+        );
+    }
+    assert!(desk.received().is_empty());
+}
+
+#[tokio::test]
+async fn tickets_are_forwarded_to_the_entry_that_minted_them() {
+    let desk = FakeBackend::start(booked).await;
+    let cluster = Cluster::default();
+    let plan = |vm| {
+        let mut plan = Plan::new().service("desk", &[&desk], 2000);
+        plan.vm = vm;
+        plan.cluster = cluster.clone();
+        plan.members = vec!["vm-1", "vm-2"];
+        plan
+    };
+    let (first, second) = (plan("vm-1").start().await, plan("vm-2").start().await);
+    let minted = first
+        .post("/services/desk/.tickets?count=2", &[], "")
+        .await
+        .json();
+    let ticket = minted["keys"][0].as_str().unwrap();
+    let got = book(&second, Some(ticket)).await;
+    assert_eq!((got.status, got.text()), (StatusCode::CREATED, "booked"));
+    for rig in [&first, &second] {
+        let again = book(rig, Some(ticket)).await;
+        assert_eq!(
+            (again.status, again.outcome().as_str()),
+            (StatusCode::CONFLICT, "unknown")
+        );
+    }
+    cluster.forget("vm-1");
+    let orphan = minted["keys"][1].as_str().unwrap();
+    assert_eq!(book(&second, Some(orphan)).await.outcome(), "unknown");
+    assert_eq!(desk.received().len(), 1);
+}
+
+#[tokio::test]
+async fn claims_are_batched() {
+    let desk = FakeBackend::start(booked).await;
+    let rig = Plan::new().service("desk", &[&desk], 5000).start().await;
+    rig.store.set_faults(KvFaults {
+        slow_ms: 30,
+        ..KvFaults::default()
+    });
+    let keys: Vec<String> = (0..200).map(|number| format!("sale-{number}")).collect();
+    let booked = futures::future::join_all(keys.iter().map(|key| book(&rig, Some(key)))).await;
+    assert!(booked.iter().all(|got| got.status == StatusCode::CREATED));
+    assert_eq!(desk.received().len(), 200);
+    let txns = rig.store.counts().txn;
+    assert!(txns <= 100, "200 claims took {txns} transactions");
+}
+
+#[tokio::test]
+async fn nothing_is_repeated_when_the_connection_breaks_at_any_byte() {
+    for accept in [
+        Accept::ResetAtOnce,
+        Accept::ResetAfter(10),
+        Accept::ResetAfter(120),
+    ] {
+        let desk = FakeBackend::start_with(move |_| accept, booked).await;
+        let rig = Plan::new().service("desk", &[&desk], 2000).start().await;
+        let got = book(&rig, None).await;
+        assert!(["unknown", "not-run"].contains(&got.outcome().as_str()));
+        assert!(desk.received().is_empty());
+    }
+}
