--- /dev/null
+++ b/tests/entry_at_most_once.rs
@@ -0,0 +1,215 @@
+//! Histories of sales under random faults: no key runs twice, and `not-run` is true.
+
+mod common {
+    pub mod entry_rig;
+    pub mod fake_backend;
+}
+
+use {
+    common::{
+        entry_rig::{Answer, Cluster, Plan, Rig},
+        fake_backend::{Accept, FakeBackend, Received, Step, respond},
+    },
+    greengagetrail::{
+        history::{RunEvent, RunFault, Told, check_runs},
+        standin::kv::{KvFaults, MemoryStore},
+    },
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+};
+
+const SEEDS: [u64; 3] = [1, 2, 3];
+const KEYS: usize = 60;
+const TRIES_PER_KEY: usize = 4;
+
+type History = Arc<Mutex<Vec<RunEvent>>>;
+type Dice = Arc<Mutex<StdRng>>;
+
+fn roll(dice: &Dice, sides: u32) -> u32 {
+    dice.lock().unwrap().random_range(0..sides)
+}
+
+/// Runs most sales, and breaks off before, during or after many of them.
+async fn desk(history: History, dice: Dice) -> FakeBackend {
+    let greeting_dice = dice.clone();
+    let greeting = move |_| match roll(&greeting_dice, 12) {
+        0 => Accept::ResetAtOnce,
+        1 => Accept::ResetAfter(1 + roll(&greeting_dice, 250) as usize),
+        _ => Accept::Serve,
+    };
+    FakeBackend::start_with(greeting, move |received| {
+        let fate = roll(&dice, 24);
+        if fate >= 16 {
+            return respond(503, "x-request-ran: no\r\n", "");
+        }
+        record_run(&history, received);
+        match fate {
+            2 => vec![Step::Reset],
+            3 => vec![Step::Close],
+            4 => vec![
+                Step::send("HTTP/1.1 201 Created\r\ncontent-length: 9\r\n\r\nb"),
+                Step::Reset,
+            ],
+            5 => vec![Step::Hang],
+            6 => respond(500, "", "failed after the sale"),
+            7 => {
+                let mut late = vec![Step::Pause(Duration::from_millis(60))];
+                late.extend(respond(201, "", "booked"));
+                late
+            }
+            _ => respond(201, "", "booked"),
+        }
+    })
+    .await
+}
+
+fn record_run(history: &History, received: &Received) {
+    let attempt = received.header("x-attempt").unwrap().to_owned();
+    let key = received
+        .header("idempotency-key")
+        .unwrap_or(&attempt)
+        .to_owned();
+    history.lock().unwrap().push(RunEvent::Ran { key, attempt });
+}
+
+fn told(got: &Answer) -> Told {
+    match got.outcome().as_str() {
+        "not-run" => Told::NotRun,
+        "unknown" => Told::Unknown,
+        _ => Told::Answered,
+    }
+}
+
+async fn try_sale(rig: &Rig, history: &History, key: Option<&str>, attempt: String) -> Told {
+    let mut headers = vec![("x-attempt", attempt.as_str())];
+    headers.extend(key.map(|key| ("idempotency-key", key)));
+    let told = told(
+        &rig.post("/services/desk/sales", &headers, "{\"lot\":7}")
+            .await,
+    );
+    let key = key.unwrap_or(&attempt).to_owned();
+    history.lock().unwrap().push(RunEvent::Told {
+        key,
+        attempt: attempt.clone(),
+        told,
+    });
+    told
+}
+
+/// Tries one sale several times, at any entry, two of them at once.
+async fn sell(rigs: Arc<Vec<Rig>>, history: History, dice: Dice, number: usize) {
+    let any = || &rigs[roll(&dice, rigs.len() as u32) as usize];
+    let key = match number % 3 {
+        0 => Some(format!("sale-{number}")),
+        1 => {
+            let minted = any().post("/services/desk/.tickets?count=1", &[], "").await;
+            Some(minted.json()["keys"][0].as_str().unwrap().to_owned())
+        }
+        _ => None,
+    };
+    for try_number in 0..TRIES_PER_KEY {
+        let attempt = |part| format!("{number}-{try_number}-{part}");
+        let first = try_sale(any(), &history, key.as_deref(), attempt(0));
+        let second = try_sale(any(), &history, key.as_deref(), attempt(1));
+        futures::join!(first, second);
+    }
+}
+
+async fn trouble_store(store: MemoryStore, dice: Dice) {
+    loop {
+        let faults = match roll(&dice, 5) {
+            0 => KvFaults {
+                down: true,
+                ..KvFaults::default()
+            },
+            1 => KvFaults {
+                lost_answers: 3,
+                ..KvFaults::default()
+            },
+            2 => KvFaults {
+                lost_calls: 2,
+                slow_ms: 20,
+                ..KvFaults::default()
+            },
+            _ => KvFaults::default(),
+        };
+        store.set_faults(faults);
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+}
+
+async fn run_sales(seed: u64) -> Vec<RunEvent> {
+    let dice: Dice = Arc::new(Mutex::new(StdRng::seed_from_u64(seed)));
+    let history = History::default();
+    let desks = [
+        desk(history.clone(), dice.clone()).await,
+        desk(history.clone(), dice.clone()).await,
+    ];
+    let store = MemoryStore::new();
+    let cluster = Cluster::default();
+    let mut rigs = Vec::new();
+    for vm in ["vm-1", "vm-2", "vm-3"] {
+        let mut plan = Plan::new()
+            .service("desk", &[&desks[0], &desks[1]], 400)
+            .set("retry_budget_percent", 100.into());
+        plan.vm = vm;
+        plan.store = store.clone();
+        plan.cluster = cluster.clone();
+        plan.members = vec!["vm-1", "vm-2", "vm-3"];
+        rigs.push(plan.start().await);
+    }
+    let rigs = Arc::new(rigs);
+    let trouble = tokio::spawn(trouble_store(store, dice.clone()));
+    let sales = (0..KEYS)
+        .map(|number| tokio::spawn(sell(rigs.clone(), history.clone(), dice.clone(), number)));
+    for sale in futures::future::join_all(sales).await {
+        sale.unwrap();
+    }
+    trouble.abort();
+    history.lock().unwrap().clone()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn no_key_runs_twice_and_not_run_is_true() {
+    for seed in SEEDS {
+        let events = run_sales(seed).await;
+        assert_eq!(check_runs(&events), Ok(()), "seed {seed}");
+        let count = |wanted: Told| {
+            let is_wanted =
+                |event: &&RunEvent| matches!(event, RunEvent::Told { told, .. } if *told == wanted);
+            events.iter().filter(is_wanted).count()
+        };
+        let counts = [Told::Answered, Told::NotRun, Told::Unknown].map(count);
+        println!("seed {seed}: answered, not run, unknown: {counts:?}");
+        assert!(counts.iter().all(|count| *count > 0), "{counts:?}");
+    }
+}
+
+#[test]
+fn the_checker_rejects_mutated_histories() {
+    let ran = |key: &str, attempt: &str| RunEvent::Ran {
+        key: key.to_owned(),
+        attempt: attempt.to_owned(),
+    };
+    let said = |attempt: &str, told| RunEvent::Told {
+        key: "k".to_owned(),
+        attempt: attempt.to_owned(),
+        told,
+    };
+    let good = vec![
+        ran("k", "a"),
+        said("a", Told::Answered),
+        said("b", Told::NotRun),
+    ];
+    assert_eq!(check_runs(&good), Ok(()));
+    let mutate = |event| [good.clone(), vec![event]].concat();
+    let twice = check_runs(&mutate(ran("k", "c")));
+    assert_eq!(twice, Err(RunFault::RanTwice("k".to_owned())));
+    let untrue = check_runs(&mutate(ran("l", "b")));
+    assert_eq!(untrue, Err(RunFault::NotRunIsFalse("b".to_owned())));
+    let invented = check_runs(&mutate(said("d", Told::Answered)));
+    assert_eq!(invented, Err(RunFault::AnsweredUnrun("d".to_owned())));
+}
