--- /dev/null
+++ b/tests/common/cluster.rs
@@ -0,0 +1,370 @@
+//! A whole system in processes on loopback ports: stand-ins, keepers and entries.
+
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+use {
+    super::{
+        caller::{Answer, Caller},
+        process::{Process, Program},
+    },
+    greengagetrail::{
+        config::{Catalog, EncodedSnapshot, Object, Publication, PublishOutcome, Publisher},
+        store::{EtcdStore, StoreTimeouts},
+        units::{PublishId, Revision},
+    },
+    hyper::StatusCode,
+    serde_json::{Value, json},
+    std::{
+        net::{SocketAddr, TcpListener},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::time::{Instant, sleep},
+};
+
+pub const PEER_KEY: &str = "the-key-of-the-processes";
+pub const OPERATOR_KEY: &str = "the-key-of-the-operators";
+
+/// Far longer than a start takes on a loaded machine.
+const START_MAX: Duration = Duration::from_secs(30);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+const STORE_TIMEOUTS: StoreTimeouts = StoreTimeouts {
+    call_ms: 5_000,
+    watch_silence_ms: 5_000,
+};
+
+/// The size of a cluster.
+#[derive(Debug, Clone)]
+pub struct ClusterPlan {
+    /// Entry VMs, spread over two data centres in turn.
+    pub vms: usize,
+    /// Model engines, spread over two data centres in turn.
+    pub engines: usize,
+    /// Models, each of `model_mib`.
+    pub models: usize,
+    /// Adapters, spread over the models in turn.
+    pub adapters: usize,
+    /// The memory of a model.
+    pub model_mib: u64,
+    /// The settings of each engine.
+    pub engine: Value,
+    /// The limits of the weight store.
+    pub weights: Value,
+    /// Settings of each entry beyond the needed ones.
+    pub entry: Value,
+    /// Settings of each keeper beyond the needed ones.
+    pub keeper: Value,
+}
+
+impl Default for ClusterPlan {
+    fn default() -> Self {
+        Self {
+            vms: 3,
+            engines: 2,
+            models: 2,
+            adapters: 1,
+            model_mib: 10_000,
+            engine: json!({"memory_mib": 40_000, "adapter_pool_mib": 2_000, "token_us": 2_000}),
+            weights: json!({"model_loads_per_s": 50.0, "model_load_ms": 20}),
+            entry: json!({"log_level": "debug"}),
+            keeper: json!({"log_level": "debug", "lease_ttl_s": 3}),
+        }
+    }
+}
+
+/// A stand-in with its control listener, in a process of its own.
+#[derive(Debug)]
+pub struct Standin {
+    pub process: Process,
+    pub address: SocketAddr,
+    pub control_address: SocketAddr,
+    settings: Value,
+}
+
+impl Standin {
+    fn start(mut spec: Value) -> Self {
+        let [address, control_address] = free_addresses();
+        spec["address"] = json!(address);
+        spec["control_address"] = json!(control_address);
+        let settings = json!({"stand_ins": [spec]});
+        Self {
+            process: Process::start(Program::Standin, &settings),
+            address,
+            control_address,
+            settings,
+        }
+    }
+
+    /// Starts the process again, with empty memory.
+    pub fn restart(&mut self) {
+        self.process.kill();
+        self.process = Process::start(Program::Standin, &self.settings);
+    }
+
+    /// Sets the fault switches; those not named are off.
+    pub async fn set_faults(&self, faults: Value) {
+        let answer = Caller::new()
+            .post(self.control_address, "/faults", &faults)
+            .await;
+        let answer = answer.expect("the stand-in takes its switches");
+        assert!(answer.status.is_success(), "{}", answer.text());
+    }
+
+    /// Returns what the stand-in recorded.
+    pub async fn record(&self) -> Value {
+        let answer = Caller::new().get(self.control_address, "/record").await;
+        answer.expect("the stand-in tells its record").json()
+    }
+}
+
+/// One entry VM.
+#[derive(Debug)]
+pub struct Vm {
+    pub name: String,
+    pub data_centre: &'static str,
+    pub entry: Process,
+    pub keeper: Process,
+    pub callers_address: SocketAddr,
+    pub entry_operations_address: SocketAddr,
+    pub keeper_operations_address: SocketAddr,
+    pub operator_address: SocketAddr,
+    entry_settings: Value,
+    keeper_settings: Value,
+}
+
+impl Vm {
+    /// Starts the entry again after it ended.
+    pub fn restart_entry(&mut self) {
+        self.entry = Process::start(Program::Entry, &self.entry_settings);
+    }
+
+    /// Starts the keeper again after it ended.
+    pub fn restart_keeper(&mut self) {
+        self.keeper = Process::start(Program::Keeper, &self.keeper_settings);
+    }
+}
+
+/// A whole system in processes; dropping it kills them all.
+#[derive(Debug)]
+pub struct Cluster {
+    pub plan: ClusterPlan,
+    pub kv: Standin,
+    pub vm_list: Standin,
+    pub weights: Standin,
+    pub engines: Vec<Standin>,
+    pub plain: Standin,
+    pub vms: Vec<Vm>,
+    pub caller: Caller,
+}
+
+impl Cluster {
+    /// Starts all processes and waits until they are ready.
+    pub async fn start(plan: ClusterPlan) -> Self {
+        let kv = Standin::start(json!({"kind": "kv"}));
+        let vm_list = Standin::start(json!({"kind": "vms"}));
+        let weights = Standin::start(json!({"kind": "weights", "limits": plan.weights}));
+        let engine = json!({
+            "kind": "engine", "engine": plan.engine, "weights_address": weights.address
+        });
+        let engines = (0..plan.engines).map(|_| Standin::start(engine.clone()));
+        let mut cluster = Self {
+            engines: engines.collect(),
+            plain: Standin::start(json!({"kind": "plain"})),
+            kv,
+            vm_list,
+            weights,
+            vms: Vec::new(),
+            caller: Caller::new(),
+            plan,
+        };
+        cluster.wait_for_standins().await;
+        let mut seeds = Vec::new();
+        for index in 0..cluster.plan.vms {
+            let vm = cluster.start_vm(index, &mut seeds);
+            cluster.vms.push(vm);
+        }
+        for vm in &cluster.vms {
+            let at = vm.keeper_operations_address;
+            cluster.caller.wait_for(at, "/healthz", START_MAX).await;
+            let at = vm.entry_operations_address;
+            cluster.caller.wait_for(at, "/healthz", START_MAX).await;
+        }
+        cluster
+    }
+
+    /// Returns the objects that describe the cluster.
+    pub fn objects(&self) -> Vec<Value> {
+        let plan = &self.plan;
+        let mut objects = vec![
+            json!({
+                "kind": "deployment", "move_weight": 1.0, "model_loads_per_s": 50.0,
+                "model_loads_at_once_max": 3, "adapter_loads_at_once_max": 24
+            }),
+            json!({"kind": "data_centre", "name": "north", "region": "plains"}),
+            json!({"kind": "data_centre", "name": "south", "region": "plains"}),
+            json!({"kind": "service", "name": "phone", "target": {
+                "type": "models", "priority": 0, "first_token_target_ms": 1000,
+                "between_tokens_target_ms": 100
+            }}),
+            json!({"kind": "service", "name": "desk", "target": {
+                "type": "plain", "idempotent_methods": ["GET"], "timeout_ms": 5000,
+                "backends": [{
+                    "name": "desk-1", "address": self.plain.address, "data_centre": "north"
+                }]
+            }}),
+        ];
+        for (index, engine) in self.engines.iter().enumerate() {
+            objects.push(json!({
+                "kind": "runner", "name": format!("runner-{index}"), "address": engine.address,
+                "data_centre": data_centre(index), "accelerators": 1,
+                "memory_mib": plan.engine["memory_mib"],
+                "adapter_pool_mib": plan.engine["adapter_pool_mib"],
+                "fencing": plan.engine["fencing"].as_str().unwrap_or("honoured"),
+                "order_lateness_max_ms": 2000
+            }));
+        }
+        for index in 0..plan.models {
+            objects.push(json!({
+                "kind": "model", "name": format!("model-{index}"), "version": "1",
+                "memory_mib": plan.model_mib
+            }));
+        }
+        for index in 0..plan.adapters {
+            objects.push(json!({
+                "kind": "adapter", "name": format!("adapter-{index}"),
+                "model": format!("model-{}", index % plan.models), "memory_mib": 64
+            }));
+        }
+        objects
+    }
+
+    /// Publishes objects through the library and returns the new revision.
+    pub async fn publish(&self, objects: &[Value], expected: Revision) -> Revision {
+        let read = |object: &Value| serde_json::from_value::<Object>(object.clone()).unwrap();
+        let catalog = Catalog::from_objects(objects.iter().map(read));
+        let publication = Publication {
+            snapshot: EncodedSnapshot::encode(&catalog).unwrap(),
+            publish_id: PublishId::random(),
+            author: "test".to_owned(),
+            message: "test".to_owned(),
+            published_at_ms: 0,
+            expected,
+        };
+        let store = EtcdStore::new(vec![self.kv.address], STORE_TIMEOUTS);
+        let publisher = Publisher::new(Arc::new(store));
+        match publisher.publish(&publication, None).await {
+            Ok(PublishOutcome::Published(head)) => head.revision,
+            other => panic!("not published: {other:?}"),
+        }
+    }
+
+    /// Starts a cluster, publishes its objects and waits until every model answers everywhere.
+    pub async fn start_published(plan: ClusterPlan) -> Self {
+        let cluster = Self::start(plan).await;
+        cluster.publish(&cluster.objects(), Revision(0)).await;
+        cluster.wait_until_reachable(START_MAX).await;
+        cluster
+    }
+
+    /// Waits until every model answers at every entry.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it takes longer than `longest`.
+    pub async fn wait_until_reachable(&self, longest: Duration) {
+        let start = Instant::now();
+        for vm in &self.vms {
+            for index in 0..self.plan.models {
+                let model = format!("model-{index}");
+                loop {
+                    let answer = self.complete(vm.callers_address, &model, "ready?", 1).await;
+                    if answer.as_ref().is_some_and(|a| a.status == StatusCode::OK) {
+                        break;
+                    }
+                    assert!(
+                        start.elapsed() < longest,
+                        "{}: {model}: {answer:?}",
+                        vm.name
+                    );
+                    sleep(POLL_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    /// Asks for a whole completion.
+    pub async fn complete(
+        &self,
+        entry: SocketAddr,
+        model: &str,
+        prompt: &str,
+        tokens: u32,
+    ) -> Option<Answer> {
+        let body = json!({"model": model, "prompt": prompt, "max_tokens": tokens});
+        self.caller.post(entry, "/v1/completions", &body).await
+    }
+
+    async fn wait_for_standins(&self) {
+        let fixed = [&self.kv, &self.vm_list, &self.weights, &self.plain];
+        for standin in fixed.into_iter().chain(&self.engines) {
+            let at = standin.control_address;
+            self.caller.wait_for(at, "/faults", START_MAX).await;
+        }
+    }
+
+    fn start_vm(&self, index: usize, seeds: &mut Vec<SocketAddr>) -> Vm {
+        let [callers, entry_peer, entry_operations] = free_addresses();
+        let [keeper_peer, operator, keeper_operations] = free_addresses();
+        let name = format!("vm-{index}");
+        let data_centre = data_centre(index);
+        let entry_settings = merged(
+            json!({
+                "vm": name, "data_centre": data_centre, "callers_address": callers,
+                "peer_address": entry_peer, "operations_address": entry_operations,
+                "keeper_address": keeper_peer, "store_addresses": [self.kv.address],
+                "peer_key": PEER_KEY
+            }),
+            &self.plan.entry,
+        );
+        let keeper_settings = merged(
+            json!({
+                "vm": name, "data_centre": data_centre, "peer_address": keeper_peer,
+                "operator_address": operator, "operations_address": keeper_operations,
+                "entry_peer_address": entry_peer, "store_addresses": [self.kv.address],
+                "vm_list_address": self.vm_list.address, "seed_addresses": seeds,
+                "peer_key": PEER_KEY, "operator_key": OPERATOR_KEY
+            }),
+            &self.plan.keeper,
+        );
+        seeds.push(keeper_peer);
+        Vm {
+            name,
+            data_centre,
+            keeper: Process::start(Program::Keeper, &keeper_settings),
+            entry: Process::start(Program::Entry, &entry_settings),
+            callers_address: callers,
+            entry_operations_address: entry_operations,
+            keeper_operations_address: keeper_operations,
+            operator_address: operator,
+            entry_settings,
+            keeper_settings,
+        }
+    }
+}
+
+/// Returns addresses on loopback ports that were free a moment ago.
+pub fn free_addresses<const N: usize>() -> [SocketAddr; N] {
+    let listeners = [(); N].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    listeners.map(|listener| listener.local_addr().unwrap())
+}
+
+fn data_centre(index: usize) -> &'static str {
+    ["north", "south"][index % 2]
+}
+
+fn merged(mut settings: Value, more: &Value) -> Value {
+    for (name, value) in more.as_object().into_iter().flatten() {
+        settings[name] = value.clone();
+    }
+    settings
+}
--- /dev/null
+++ b/tests/standin_cluster.rs
@@ -0,0 +1,64 @@
+//! The whole path in processes: publish, whole and streamed answers, plain services, a killed
+//! entry.
+
+mod common {
+    pub mod caller;
+    pub mod cluster;
+    pub mod process;
+}
+
+use {
+    common::cluster::{Cluster, ClusterPlan},
+    greengagetrail::standin::ReferenceText,
+    hyper::{Method, StatusCode},
+    serde_json::json,
+};
+
+#[tokio::test]
+async fn callers_are_served_through_all_processes() {
+    let mut cluster = Cluster::start_published(ClusterPlan::default()).await;
+    let entry = cluster.vms[0].callers_address;
+    let answer = cluster
+        .complete(entry, "model-1", "hello", 8)
+        .await
+        .unwrap();
+    let text = answer.json()["choices"][0]["text"]
+        .as_str()
+        .unwrap()
+        .to_owned();
+    assert!(ReferenceText::new("model-1", "hello").matches(0..8, &text));
+
+    let body = json!({
+        "model": "model-0", "prompt": "streamed", "max_tokens": 5, "stream": true
+    });
+    let answer = cluster
+        .caller
+        .post(entry, "/v1/completions", &body)
+        .await
+        .unwrap();
+    assert!(
+        answer.text().ends_with("data: [DONE]\n\n"),
+        "{}",
+        answer.text()
+    );
+
+    let booking = cluster
+        .caller
+        .call(Method::POST, entry, "/services/desk/book", &[], "{}")
+        .await
+        .unwrap();
+    assert_eq!(booking.status, StatusCode::OK, "{}", booking.text());
+    let record = cluster.plain.record().await;
+    assert_eq!(record["runs"], 1);
+
+    cluster.vms[0].entry.kill();
+    let other = cluster.vms[1].callers_address;
+    let answer = cluster
+        .complete(other, "model-1", "hello", 8)
+        .await
+        .unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+    for engine in &cluster.engines {
+        assert_eq!(engine.record().await["overcommits"], 0);
+    }
+}
