--- a/tests/common/cluster.rs
+++ b/tests/common/cluster.rs
@@ -183,6 +183,7 @@
             let vm = cluster.start_vm(index, &mut seeds);
             cluster.vms.push(vm);
         }
+        cluster.list_vms().await;
         for vm in &cluster.vms {
             let at = vm.keeper_operations_address;
             cluster.caller.wait_for(at, "/healthz", START_MAX).await;
@@ -304,6 +305,16 @@
         self.caller.post(entry, "/v1/completions", &body).await
     }
 
+    /// Shows all VMs as live in the VM list.
+    pub async fn list_vms(&self) {
+        let listed = self
+            .vms
+            .iter()
+            .map(|vm| json!({"vm": vm.name, "address": vm.callers_address, "state": "live"}));
+        let listed: Vec<Value> = listed.collect();
+        self.vm_list.set_faults(json!({ "vms": listed })).await;
+    }
+
     async fn wait_for_standins(&self) {
         let fixed = [&self.kv, &self.vm_list, &self.weights, &self.plain];
         for standin in fixed.into_iter().chain(&self.engines) {
