Prove that accelerator memory is never overcommitted

Cause: the ledger, barrier, lateness and adapter window had no proof under faults. The first runs failed: orders stayed open for ever because an owner did not read the marks of earlier owners, because a takeover whose answer was lost left no task behind that gives it up, and because a woken owner did not notice the newer fencing number on the watch. Each is mended.

--- a/src/fleet/fleet_keeper.rs
+++ b/src/fleet/fleet_keeper.rs
@@ -99,16 +99,28 @@
             supervisor.set_owned(self.is_mine(supervisor.runner(), &view));
         }
         for runner in &view.catalog.runners {
-            let known = supervisors.binary_search_by(|known| known.runner().cmp(&runner.name));
-            if let Err(position) = known
-                && self.is_mine(&runner.name, &view)
-            {
-                let context = Arc::clone(&self.context);
-                supervisors.insert(position, Supervisor::start(context, runner.name.clone()));
+            if self.is_mine(&runner.name, &view) {
+                self.supervise(&mut supervisors, &runner.name, true);
             }
         }
     }
 
+    /// Finds the supervisor of a runner, or starts it.
+    fn supervise<'a>(
+        &self,
+        supervisors: &'a mut Vec<Supervisor>,
+        runner: &RunnerName,
+        owned: bool,
+    ) -> &'a Supervisor {
+        let known = supervisors.binary_search_by(|known| known.runner().cmp(runner));
+        let position = known.unwrap_or_else(|position| {
+            let context = Arc::clone(&self.context);
+            supervisors.insert(position, Supervisor::start(context, runner.clone(), owned));
+            position
+        });
+        &supervisors[position]
+    }
+
     fn is_mine(&self, name: &RunnerName, view: &FleetView) -> bool {
         let me = &self.context.me;
         let is_me = |owner: &Member| owner.vm == me.vm && owner.incarnation == me.incarnation;
@@ -132,9 +144,17 @@
         moves.iter().filter(|wanted| take(wanted)).count()
     }
 
-    /// Takes over the record of a runner that another VM may own.
+    /// Takes over a changed record of any runner, as a watch or a full read shows it.
+    ///
+    /// When the record still waits for this VM, which does not own the runner, the record is told
+    /// that nothing more comes.
     pub fn observe_record(&self, record: &RunnerRecord) {
         self.context.board.observe(record);
+        if record.waits_for(&self.context.me) {
+            let mut supervisors = self.supervisors();
+            self.supervise(&mut supervisors, &record.name, false)
+                .release();
+        }
     }
 
     /// Takes over a runner's state as its owner reported it.
--- a/src/fleet/ledger.rs
+++ b/src/fleet/ledger.rs
@@ -60,10 +60,8 @@
         }
         match &pending.order.action {
             Action::LoadModel {
-                model,
-                version,
-                memory_mib,
-            } => self.check_load(model, version, *memory_mib, runner),
+                model, memory_mib, ..
+            } => self.check_load(model, *memory_mib, runner),
             Action::UnloadModel { model } => self.check_unload(model),
             _ => Ok(()),
         }
@@ -72,12 +70,10 @@
     fn check_load(
         &self,
         model: &ModelName,
-        version: &str,
         needed: MemoryMib,
         runner: &Runner,
     ) -> Result<(), LedgerError> {
-        let same = |held: &RecordModel| held.model == *model && held.version == version;
-        if self.models.iter().any(same) {
+        if self.models.iter().any(|held| held.model == *model) {
             return Err(LedgerError::Resident(model.to_string()));
         }
         let free = self.free_mib(runner);
--- a/src/fleet/record.rs
+++ b/src/fleet/record.rs
@@ -152,6 +152,19 @@
         self.epoch == epoch && self.owner.as_ref() == Some(owner)
     }
 
+    /// Returns whether something is kept for a sender that has not said that it sends no more.
+    pub fn waits_for(&self, sender: &Owner) -> bool {
+        let orders = self.orders.iter();
+        let formers = self.former_owners.iter();
+        self.owner.as_ref() == Some(sender)
+            || orders
+                .filter(|open| !open.given_up)
+                .any(|open| open.sender == *sender)
+            || formers
+                .filter(|former| !former.given_up)
+                .any(|former| former.owner == *sender)
+    }
+
     /// Returns whether a copy of the model serves here and no order unloads it.
     pub fn serves(&self, model: &ModelName) -> bool {
         let ready = self
--- a/src/fleet/runner_task.rs
+++ b/src/fleet/runner_task.rs
@@ -72,7 +72,12 @@
             record.take_over(me.clone(), fencing, window);
         })
         .await?;
-        log::info!("fleet: owns {} under {}", runner.name, handle.epoch());
+        log::info!(
+            "fleet: {} owns {} under {}",
+            me.vm,
+            runner.name,
+            handle.epoch()
+        );
         Ok(Self {
             doubts: Doubts::new(context.me.clone(), handle.epoch()),
             context,
@@ -95,6 +100,15 @@
     ///
     /// Fails when another owner holds the record or the store fails.
     pub(super) async fn poll(&mut self) -> Result<(), RecordError> {
+        let board = &self.context.board;
+        if board.knows_newer(&self.runner.name, self.handle.epoch()) {
+            return Err(RecordError::Lost);
+        }
+        if self.waits_for_others()
+            && let Err(RecordError::Lost) = self.handle.reload().await
+        {
+            return Err(RecordError::Lost);
+        }
         self.withdraw_unsent().await?;
         self.refresh_runner();
         self.observe_doubts();
@@ -115,6 +129,19 @@
         }
     }
 
+    /// Returns whether an earlier owner's word would settle something.
+    fn waits_for_others(&self) -> bool {
+        let record = self.handle.record();
+        let me = self.handle.owner();
+        let orders = record.orders.iter();
+        let formers = record.former_owners.iter();
+        let by_others = orders
+            .filter(|open| open.sender != *me && !open.given_up)
+            .count();
+        let former = formers.filter(|former| !former.given_up).count();
+        self.runner.fencing == Fencing::Ignored && by_others + former > 0
+    }
+
     fn refresh_runner(&mut self) {
         let view = self.context.view.borrow().clone();
         if let Some(runner) = view.catalog.runner(&self.runner.name) {
--- a/src/fleet/state_board.rs
+++ b/src/fleet/state_board.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{RunnerRecord, RunnerState},
-    crate::units::{ModelName, RunnerName},
+    crate::units::{Epoch, ModelName, RunnerName},
     std::sync::Arc,
     tokio::sync::watch,
 };
@@ -81,6 +81,11 @@
         found.map(|state| state.name.clone()).collect()
     }
 
+    /// Returns whether a newer fencing number of a runner is known.
+    pub fn knows_newer(&self, name: &RunnerName, epoch: Epoch) -> bool {
+        self.find(name).is_some_and(|state| state.epoch > epoch)
+    }
+
     fn find(&self, name: &RunnerName) -> Option<RunnerState> {
         let states = self.states.borrow();
         let position = states.binary_search_by(|known| known.name.cmp(name)).ok()?;
--- a/src/fleet/supervisor.rs
+++ b/src/fleet/supervisor.rs
@@ -11,7 +11,7 @@
     },
     std::{sync::Arc, time::Duration},
     tokio::{
-        sync::{mpsc, watch},
+        sync::{Notify, mpsc, watch},
         task::JoinHandle,
         time::{Instant, sleep, sleep_until},
     },
@@ -28,24 +28,28 @@
 pub(super) struct Supervisor {
     runner: RunnerName,
     owned: watch::Sender<bool>,
+    release: Arc<Notify>,
     moves: mpsc::Sender<QueuedMove>,
     task: JoinHandle<()>,
 }
 
 impl Supervisor {
-    /// Starts owning a runner.
-    pub(super) fn start(context: Arc<TaskContext>, runner: RunnerName) -> Self {
-        let (owned, owned_receiver) = watch::channel(true);
+    /// Starts to supervise a runner.
+    pub(super) fn start(context: Arc<TaskContext>, runner: RunnerName, owned: bool) -> Self {
+        let (owned, owned_receiver) = watch::channel(owned);
+        let release = Arc::new(Notify::new());
         let (moves, moves_receiver) = mpsc::channel(MOVES_MAX);
         let duty = Duty {
             context,
             name: runner.clone(),
             owned: owned_receiver,
+            release: Arc::clone(&release),
             moves: moves_receiver,
         };
         Self {
             runner,
             owned,
+            release,
             moves,
             task: tokio::spawn(duty.run()),
         }
@@ -65,6 +69,13 @@
         });
     }
 
+    /// Has the record told that this VM sends nothing more, unless it should own the runner.
+    pub(super) fn release(&self) {
+        if !*self.owned.borrow() {
+            self.release.notify_one();
+        }
+    }
+
     /// Takes a move if this VM should own the runner.
     pub(super) fn take(&self, wanted: Move, decision: &str) -> bool {
         let queued = QueuedMove::new(wanted, decision.to_owned());
@@ -87,20 +98,14 @@
     context: Arc<TaskContext>,
     name: RunnerName,
     owned: watch::Receiver<bool>,
+    release: Arc<Notify>,
     moves: mpsc::Receiver<QueuedMove>,
 }
 
 impl Duty {
     async fn run(mut self) {
-        while self.owned.wait_for(|owned| *owned).await.is_ok() {
-            let runner = self
-                .context
-                .view
-                .borrow()
-                .catalog
-                .runner(&self.name)
-                .cloned();
-            let pause_ms = match runner {
+        while self.wait_until_owned().await {
+            let pause_ms = match self.configured() {
                 Some(runner) => self.own(runner).await,
                 None => RETRY_PAUSE_MS,
             };
@@ -108,6 +113,25 @@
         }
     }
 
+    /// Waits until this VM should own the runner; returns false when it is to stop.
+    async fn wait_until_owned(&mut self) -> bool {
+        loop {
+            tokio::select! {
+            biased;
+                           owned = self.owned.wait_for(|owned| *owned) => return owned.is_ok(),
+                           () = self.release.notified() => {}
+                       }
+            if let Some(runner) = self.configured() {
+                self.give_up(&runner.name, runner.fencing).await;
+            }
+        }
+    }
+
+    fn configured(&self) -> Option<Runner> {
+        let view = self.context.view.borrow();
+        view.catalog.runner(&self.name).cloned()
+    }
+
     /// Owns the runner until it is lost or not wanted, and returns how long to leave it alone.
     async fn own(&mut self, runner: Runner) -> u64 {
         let engine = (self.context.engines)(&runner);
@@ -116,7 +140,7 @@
         let mut task = match RunnerTask::take_over(context, runner, engine).await {
             Ok(task) => task,
             Err(error) => {
-                log::debug!("fleet: cannot take {name}: {error}");
+                log::debug!("fleet: {} cannot take {name}: {error}", self.context.me.vm);
                 return RETRY_PAUSE_MS;
             }
         };
@@ -132,7 +156,7 @@
     async fn give_up(&mut self, name: &RunnerName, fencing: Fencing) {
         loop {
             match give_up_runner(&self.context, name, fencing).await {
-                Ok(()) => return log::info!("fleet: gave up {name}"),
+                Ok(()) => return log::info!("fleet: {} gave up {name}", self.context.me.vm),
                 Err(error) => log::warn!("fleet: cannot give up {name}: {error}"),
             }
             if self.owned.has_changed().is_err() {
@@ -147,7 +171,7 @@
         loop {
             match self.step(task).await {
                 Err(RecordError::Lost) => return true,
-                Err(error) => log::debug!("fleet: {}: {error}", self.name),
+                Err(error) => log::debug!("fleet: {} {}: {error}", self.context.me.vm, self.name),
                 Ok(()) => {}
             }
             if !*self.owned.borrow() {
@@ -171,13 +195,11 @@
     async fn wait(&mut self, task: &mut RunnerTask) -> bool {
         let next_poll = Instant::now() + self.context.timing.status_interval;
         tokio::select! {
-            () = sleep_until(next_poll) => {}
-            changed = self.owned.wait_for(|owned| !owned) => {
-                let _ = changed;
-                return false;
-            }
-            Some(queued) = self.moves.recv() => task.enqueue(queued),
-        }
+        biased;
+                   _ = self.owned.wait_for(|owned| !owned) => return false,
+                   Some(queued) = self.moves.recv() => task.enqueue(queued),
+                   () = sleep_until(next_poll) => {}
+               }
         while let Ok(queued) = self.moves.try_recv() {
             task.enqueue(queued);
         }
--- /dev/null
+++ b/tests/common/fleet_faults.rs
@@ -0,0 +1,610 @@
+//! A faulty store link and a model engine with true memory accounting, both seeded.
+
+use {
+    bytes::Bytes,
+    futures::{FutureExt, future::BoxFuture, stream::BoxStream},
+    greengagetrail::{
+        config::Fencing,
+        engine::{
+            Action, Engine, EngineError, Load, ModelResident, Order, OrderReply, Role, Status,
+        },
+        fleet::RECORD_PREFIX,
+        history::{CopyChange, CopyEvent, MemoryChange, MemoryEvent},
+        standin::kv::MemoryStore,
+        store::{
+            Changes, Compare, Lease, LeaseId, Op, Range, Store, StoreError, StoreVersion, Txn,
+            TxnReply,
+        },
+        units::{AdapterName, Epoch, Incarnation, MemoryMib, ModelName, OrderId},
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{
+        sync::{Arc, Mutex, MutexGuard},
+        time::Duration,
+    },
+    tokio::time::{Instant, sleep, sleep_until},
+};
+
+const ANSWER_TIMEOUT_MS: u64 = 2000;
+const FINISHED_MAX: usize = 16;
+
+/// A mechanism that a run goes without.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Without {
+    Nothing,
+    WriteAhead,
+    CompareAndSwap,
+    CopyGuard,
+    Barrier,
+    Lateness,
+    SenderGone,
+    AdapterWindow,
+    OrderIncarnation,
+}
+
+/// The dice of one run.
+#[derive(Debug, Clone)]
+pub struct Dice(Arc<Mutex<SmallRng>>);
+
+impl Dice {
+    pub fn new(seed: u64) -> Self {
+        Self(Arc::new(Mutex::new(SmallRng::seed_from_u64(seed))))
+    }
+
+    pub fn below(&self, end: u64) -> u64 {
+        self.0.lock().unwrap().random_range(0..end)
+    }
+
+    pub fn percent(&self, chance: u64) -> bool {
+        self.below(100) < chance
+    }
+
+    pub fn ms(&self, from: u64, to: u64) -> Duration {
+        Duration::from_millis(from + self.below(to - from + 1))
+    }
+}
+
+/// Stops everything that a frozen process would do.
+#[derive(Debug, Clone)]
+pub struct Gate(Arc<Mutex<(Instant, Instant)>>);
+
+impl Gate {
+    pub fn new() -> Self {
+        let now = Instant::now();
+        Self(Arc::new(Mutex::new((now, now))))
+    }
+
+    pub fn freeze(&self, lasting: Duration) {
+        let mut span = self.0.lock().unwrap();
+        let now = Instant::now();
+        if span.1 <= now {
+            span.0 = now;
+        }
+        span.1 = span.1.max(now + lasting);
+    }
+
+    pub fn frozen_for(&self) -> Duration {
+        let span = self.0.lock().unwrap();
+        if span.1 > Instant::now() {
+            span.0.elapsed()
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    pub async fn pass(&self) {
+        loop {
+            let until = self.0.lock().unwrap().1;
+            if until <= Instant::now() {
+                return;
+            }
+            sleep_until(until).await;
+        }
+    }
+}
+
+/// What all links of one run share.
+#[derive(Clone)]
+pub struct Faults {
+    pub dice: Dice,
+    pub without: Without,
+    pub store_down_until: Arc<Mutex<Instant>>,
+    pub quiet_from: Instant,
+}
+
+impl Faults {
+    pub fn strike(&self, chance: u64) -> bool {
+        Instant::now() < self.quiet_from && self.dice.percent(chance)
+    }
+
+    async fn no_answer(&self) {
+        sleep(Duration::from_millis(ANSWER_TIMEOUT_MS)).await;
+    }
+}
+
+/// One VM's way to the store.
+pub struct StoreLink {
+    pub store: MemoryStore,
+    pub gate: Gate,
+    pub faults: Faults,
+}
+
+impl StoreLink {
+    async fn faulty_txn(&self, txn: Txn) -> Result<TxnReply, StoreError> {
+        self.gate.pass().await;
+        sleep(self.faults.dice.ms(0, 10)).await;
+        self.gate.pass().await;
+        let down = *self.faults.store_down_until.lock().unwrap() > Instant::now();
+        if down && self.faults.dice.percent(50) {
+            return Err(StoreError::Unreachable("down".to_owned()));
+        }
+        let unknown = Err(StoreError::Unknown("lost".to_owned()));
+        if down || self.faults.strike(2) {
+            self.faults.no_answer().await;
+            return unknown;
+        }
+        let txn = self.without_compare(txn);
+        if self.faults.strike(2) {
+            let (store, late) = (self.store.clone(), self.faults.dice.ms(0, 4000));
+            tokio::spawn(async move {
+                sleep(late).await;
+                let _ = store.txn(txn).await;
+            });
+            self.faults.no_answer().await;
+            return unknown;
+        }
+        let reply = match self.forgotten(&txn).await {
+            Some(reply) => reply,
+            None => self.store.txn(txn).await?,
+        };
+        if self.faults.strike(3) {
+            self.faults.no_answer().await;
+            self.gate.pass().await;
+            return unknown;
+        }
+        sleep(self.faults.dice.ms(0, 10)).await;
+        self.gate.pass().await;
+        Ok(self.without_window(reply))
+    }
+
+    fn without_compare(&self, mut txn: Txn) -> Txn {
+        match self.faults.without {
+            Without::CompareAndSwap => txn.compare.retain(
+                |compare| !matches!(compare, Compare::ModifiedAt(key, _) if is_record(key)),
+            ),
+            Without::CopyGuard => txn.compare.truncate(1),
+            _ => {}
+        }
+        txn
+    }
+
+    /// Answers a write that adds an order without making it.
+    async fn forgotten(&self, txn: &Txn) -> Option<TxnReply> {
+        if self.faults.without != Without::WriteAhead {
+            return None;
+        }
+        let Some(Op::Put { key, value, .. }) = txn.then.first() else {
+            return None;
+        };
+        let orders = |value: &Bytes| {
+            let json: serde_json::Value = serde_json::from_slice(value).unwrap();
+            json["orders"].as_array().map_or(0, Vec::len)
+        };
+        let old = self.store.range(key, 1).await.ok()?;
+        let old = old.entries.first()?;
+        let adds = is_record(key) && orders(value) > orders(&old.value);
+        adds.then(|| TxnReply {
+            succeeded: true,
+            version: old.modified,
+            reads: Vec::new(),
+        })
+    }
+
+    fn without_window(&self, mut reply: TxnReply) -> TxnReply {
+        if self.faults.without == Without::AdapterWindow {
+            for entry in reply
+                .reads
+                .iter_mut()
+                .flatten()
+                .filter(|entry| is_record(&entry.key))
+            {
+                let mut json: serde_json::Value = serde_json::from_slice(&entry.value).unwrap();
+                json["former_owners"] = serde_json::Value::Array(Vec::new());
+                entry.value = serde_json::to_vec(&json).unwrap().into();
+            }
+        }
+        reply
+    }
+}
+
+fn is_record(key: &str) -> bool {
+    key.starts_with(RECORD_PREFIX)
+}
+
+impl Store for StoreLink {
+    fn range<'a>(&'a self, prefix: &'a str, n: usize) -> BoxFuture<'a, Result<Range, StoreError>> {
+        self.store.range(prefix, n)
+    }
+
+    fn range_between<'a>(
+        &'a self,
+        start: &'a str,
+        end: &'a str,
+        limit: usize,
+    ) -> BoxFuture<'a, Result<Range, StoreError>> {
+        self.store.range_between(start, end, limit)
+    }
+
+    fn txn(&self, txn: Txn) -> BoxFuture<'_, Result<TxnReply, StoreError>> {
+        self.faulty_txn(txn).boxed()
+    }
+
+    fn grant_lease(&self, ttl_s: u64) -> BoxFuture<'_, Result<Lease, StoreError>> {
+        self.store.grant_lease(ttl_s)
+    }
+
+    fn renew_lease(&self, id: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
+        self.store.renew_lease(id)
+    }
+
+    fn revoke_lease(&self, id: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
+        self.store.revoke_lease(id)
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        since: StoreVersion,
+    ) -> BoxStream<'a, Result<Changes, StoreError>> {
+        self.store.watch(prefix, since)
+    }
+}
+
+/// What the engines of one run did.
+#[derive(Debug, Default)]
+pub struct Histories {
+    pub memory: Vec<MemoryEvent>,
+    pub copies: Vec<CopyEvent>,
+    pub model_loads: u64,
+    pub adapter_loads: u64,
+    pub fenced: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Loading,
+    Ready,
+    Unloading,
+}
+
+#[derive(Debug)]
+struct Item {
+    name: String,
+    version: String,
+    is_model: bool,
+    stage: Stage,
+}
+
+#[derive(Debug, Default)]
+struct EngineState {
+    incarnation: Incarnation,
+    newest: Epoch,
+    seen: Vec<OrderId>,
+    finished: Vec<OrderId>,
+    items: Vec<Item>,
+}
+
+/// A model engine that keeps true account of its memory and applies whatever it is told.
+pub struct FakeEngine {
+    name: String,
+    fencing: Fencing,
+    memory_mib: MemoryMib,
+    start: Instant,
+    faults: Faults,
+    state: Mutex<EngineState>,
+    histories: Arc<Mutex<Histories>>,
+}
+
+impl FakeEngine {
+    pub fn new(
+        name: &str,
+        fencing: Fencing,
+        memory_mib: MemoryMib,
+        faults: Faults,
+        histories: Arc<Mutex<Histories>>,
+    ) -> Arc<Self> {
+        let engine = Arc::new(Self {
+            name: name.to_owned(),
+            fencing,
+            memory_mib,
+            start: Instant::now(),
+            faults,
+            state: Mutex::default(),
+            histories,
+        });
+        engine.restart();
+        engine
+    }
+
+    fn state(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap()
+    }
+
+    fn at_ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    fn record(&self, change: MemoryChange) {
+        let event = MemoryEvent {
+            at_ms: self.at_ms(),
+            engine: self.name.clone(),
+            change,
+        };
+        self.histories.lock().unwrap().memory.push(event);
+    }
+
+    fn record_copy(&self, model: &str, change: CopyChange) {
+        let event = CopyEvent {
+            at_ms: self.at_ms(),
+            model: model.to_owned(),
+            engine: self.name.clone(),
+            change,
+        };
+        self.histories.lock().unwrap().copies.push(event);
+    }
+
+    /// Starts the engine anew and empty.
+    pub fn restart(&self) {
+        let mut state = self.state();
+        *state = EngineState {
+            incarnation: state.incarnation.next(),
+            ..EngineState::default()
+        };
+        self.record(MemoryChange::Start(self.memory_mib));
+    }
+
+    /// Returns whether a model holds memory.
+    pub fn holds(&self, model: &ModelName) -> bool {
+        let state = self.state();
+        state
+            .items
+            .iter()
+            .any(|item| item.is_model && item.name == model.as_str())
+    }
+
+    fn apply(self: &Arc<Self>, order: Order) -> OrderReply {
+        let refused = |reason: &str| OrderReply::Refused {
+            reason: reason.to_owned(),
+        };
+        let mut state = self.state();
+        let checked = self.faults.without != Without::OrderIncarnation;
+        if checked && order.incarnation != state.incarnation {
+            return refused("other start");
+        }
+        if self.fencing == Fencing::Honoured && order.epoch < state.newest {
+            self.histories.lock().unwrap().fenced += 1;
+            return OrderReply::Fenced {
+                newest: state.newest,
+            };
+        }
+        state.newest = state.newest.max(order.epoch);
+        if state.seen.contains(&order.id) {
+            return OrderReply::Accepted;
+        }
+        state.seen.push(order.id);
+        if self.begin(&mut state, &order.action) {
+            drop(state);
+            tokio::spawn(Arc::clone(self).finish(order));
+            return OrderReply::Accepted;
+        }
+        note_finished(&mut state, order.id);
+        refused("does not fit")
+    }
+
+    fn begin(&self, state: &mut EngineState, action: &Action) -> bool {
+        match action {
+            Action::LoadModel {
+                model,
+                version,
+                memory_mib,
+            } => {
+                self.histories.lock().unwrap().model_loads += 1;
+                self.add(state, model.as_str(), version, true, *memory_mib)
+            }
+            Action::LoadAdapter {
+                adapter,
+                memory_mib,
+                ..
+            } => {
+                self.histories.lock().unwrap().adapter_loads += 1;
+                self.add(state, adapter.as_str(), "", false, *memory_mib)
+            }
+            Action::UnloadModel { model } => self.begin_unload(state, model.as_str(), true),
+            Action::UnloadAdapter { adapter } => self.begin_unload(state, adapter.as_str(), false),
+            Action::ChangeRole { .. } => true,
+        }
+    }
+
+    fn add(
+        &self,
+        state: &mut EngineState,
+        name: &str,
+        version: &str,
+        is_model: bool,
+        memory_mib: MemoryMib,
+    ) -> bool {
+        if state.items.iter().any(|item| item.name == name) {
+            return false;
+        }
+        state.items.push(Item {
+            name: name.to_owned(),
+            version: version.to_owned(),
+            is_model,
+            stage: Stage::Loading,
+        });
+        self.record(MemoryChange::Take(name.to_owned(), memory_mib));
+        true
+    }
+
+    fn begin_unload(&self, state: &mut EngineState, name: &str, is_model: bool) -> bool {
+        let Some(item) = state.items.iter_mut().find(|item| item.name == name) else {
+            return false;
+        };
+        if is_model && item.stage == Stage::Ready {
+            self.record_copy(name, CopyChange::Unloaded);
+        }
+        item.stage = Stage::Unloading;
+        true
+    }
+
+    async fn finish(self: Arc<Self>, order: Order) {
+        let (name, lasting) = match &order.action {
+            Action::LoadModel { model, .. } => (model.to_string(), self.faults.dice.ms(300, 3000)),
+            Action::LoadAdapter { adapter, .. } => {
+                (adapter.to_string(), self.faults.dice.ms(5, 14))
+            }
+            Action::UnloadModel { model } => (model.to_string(), self.faults.dice.ms(0, 1000)),
+            Action::UnloadAdapter { adapter } => (adapter.to_string(), Duration::ZERO),
+            Action::ChangeRole { .. } => (String::new(), Duration::ZERO),
+        };
+        sleep(lasting).await;
+        let mut state = self.state();
+        let unloads = matches!(
+            order.action,
+            Action::UnloadModel { .. } | Action::UnloadAdapter { .. }
+        );
+        if state.incarnation != order.incarnation
+            && self.faults.without != Without::OrderIncarnation
+        {
+            return;
+        }
+        if let Some(at) = state.items.iter().position(|item| item.name == name) {
+            match state.items[at].stage {
+                Stage::Unloading if unloads => {
+                    state.items.remove(at);
+                    self.record(MemoryChange::Free(name));
+                }
+                Stage::Loading if !unloads => {
+                    state.items[at].stage = Stage::Ready;
+                    if state.items[at].is_model {
+                        self.record_copy(&name, CopyChange::Ready);
+                    }
+                }
+                _ => {}
+            }
+        }
+        note_finished(&mut state, order.id);
+    }
+
+    fn read_status(&self) -> Status {
+        let state = self.state();
+        let mut models = Vec::new();
+        let mut adapters: Vec<AdapterName> = Vec::new();
+        for item in &state.items {
+            if item.is_model {
+                models.push(ModelResident {
+                    model: item.name.parse().unwrap(),
+                    version: item.version.clone(),
+                    ready: item.stage == Stage::Ready,
+                });
+            } else {
+                adapters.push(item.name.parse().unwrap());
+            }
+        }
+        models.sort_by(|a, b| a.model.cmp(&b.model));
+        adapters.sort();
+        Status {
+            incarnation: state.incarnation,
+            leaving: false,
+            role: Role::Both,
+            models,
+            adapters,
+            finished: state.finished.clone(),
+            load: Load::default(),
+        }
+    }
+}
+
+fn note_finished(state: &mut EngineState, id: OrderId) {
+    state.finished.push(id);
+    if state.finished.len() > FINISHED_MAX {
+        state.finished.remove(0);
+    }
+}
+
+/// One VM's way to an engine.
+pub struct EngineLink {
+    pub engine: Arc<FakeEngine>,
+    pub gate: Gate,
+    pub faults: Faults,
+    pub late_max_ms: u64,
+}
+
+impl EngineLink {
+    fn apply_late(&self, order: Order) {
+        let late = self.faults.dice.ms(0, self.late_max_ms);
+        let engine = Arc::clone(&self.engine);
+        tokio::spawn(async move {
+            sleep(late).await;
+            engine.apply(order);
+        });
+    }
+
+    async fn faulty_send(&self, order: Order) -> Result<OrderReply, EngineError> {
+        let barrier = matches!(order.action, Action::ChangeRole { .. });
+        if barrier && self.faults.without == Without::Barrier {
+            return Ok(OrderReply::Done);
+        }
+        if self.faults.strike(8) {
+            self.gate.freeze(self.faults.dice.ms(6000, 25_000));
+        }
+        self.gate.pass().await;
+        let reply = match self.faults.dice.below(10) {
+            0 if self.faults.strike(100) => None,
+            1 if self.faults.strike(100) => {
+                self.apply_late(order);
+                None
+            }
+            2 if self.faults.strike(100) => {
+                self.engine.apply(order);
+                None
+            }
+            3 if self.faults.strike(100) => {
+                self.apply_late(order.clone());
+                Some(self.engine.apply(order))
+            }
+            _ => {
+                sleep(self.faults.dice.ms(0, 10)).await;
+                Some(self.engine.apply(order))
+            }
+        };
+        if reply.is_none() {
+            self.faults.no_answer().await;
+        }
+        self.gate.pass().await;
+        reply.ok_or_else(|| EngineError::Unknown("lost".to_owned()))
+    }
+
+    async fn faulty_status(&self) -> Result<Status, EngineError> {
+        self.gate.pass().await;
+        sleep(self.faults.dice.ms(0, 10)).await;
+        let status = self.engine.read_status();
+        let lost = self.faults.strike(5);
+        sleep(self.faults.dice.ms(0, if lost { 1500 } else { 10 })).await;
+        self.gate.pass().await;
+        if lost && self.faults.dice.percent(50) {
+            return Err(EngineError::Unknown("lost".to_owned()));
+        }
+        Ok(status)
+    }
+}
+
+impl Engine for EngineLink {
+    fn send(&self, order: Order) -> BoxFuture<'_, Result<OrderReply, EngineError>> {
+        self.faulty_send(order).boxed()
+    }
+
+    fn status(&self) -> BoxFuture<'_, Result<Status, EngineError>> {
+        self.faulty_status().boxed()
+    }
+}
--- /dev/null
+++ b/tests/fleet_memory.rs
@@ -0,0 +1,119 @@
+//! Accelerator memory is never overcommitted, whatever fails and when.
+
+#[path = "common/fleet_faults.rs"]
+mod fleet_faults;
+#[path = "common/fleet_run.rs"]
+mod fleet_run;
+
+use {
+    fleet_faults::Without,
+    fleet_run::{Outcome, Plan, run, run_all},
+    greengagetrail::history::{MemoryChange, MemoryEvent, MemoryFault, check_memory},
+    std::sync::Mutex,
+};
+
+const SEEDS: u64 = 1000;
+const SEEDS_WITHOUT: u64 = 4000;
+
+fn plan(seed: u64, without: Without) -> Plan {
+    Plan {
+        seed,
+        without,
+        restarts: true,
+        models: 4,
+        faults_ms: 60_000,
+        rest_ms: 50_000,
+    }
+}
+
+/// Returns an overcommitted run, trying seeds until one is found.
+fn find_fault(without: Without) -> Option<(u64, MemoryFault)> {
+    let found = Mutex::new(None);
+    let judge = |seed| {
+        if found.lock().unwrap().is_none() {
+            let outcome = run(plan(seed, without));
+            if let Err(fault) = check_memory(&outcome.histories.memory) {
+                *found.lock().unwrap() = Some((seed, fault));
+            }
+        }
+    };
+    run_all(0..SEEDS_WITHOUT, judge);
+    found.into_inner().unwrap()
+}
+
+#[test]
+fn no_engine_is_ever_overcommitted_and_no_order_stays_open() {
+    let outcomes: Vec<Outcome> = run_all(0..SEEDS, |seed| run(plan(seed, Without::Nothing)));
+    let mut sums = [0; 5];
+    for (seed, outcome) in outcomes.iter().enumerate() {
+        let judged = check_memory(&outcome.histories.memory);
+        assert!(judged.is_ok(), "seed {seed}: {judged:?}");
+        for record in outcome.records.iter() {
+            assert!(
+                record.orders.is_empty(),
+                "seed {seed}: open for ever: {record:#?}"
+            );
+            assert!(record.former_owners.is_empty(), "seed {seed}: {record:#?}");
+        }
+        let histories = &outcome.histories;
+        sums[0] += histories.model_loads;
+        sums[1] += histories.adapter_loads;
+        sums[2] += histories.fenced;
+        sums[3] += outcome.doubt_mib_ms;
+        sums[4] += outcome.total_mib_ms;
+    }
+    let [models, adapters, fenced, doubt, total] = sums;
+    println!("{SEEDS} runs: {models} model loads, {adapters} adapter loads, {fenced} fenced");
+    let permille = doubt * 1000 / total;
+    println!("memory kept by orders in doubt: {permille} thousandths of MiB-seconds");
+    assert!(models > SEEDS && adapters > SEEDS && fenced > 0);
+}
+
+macro_rules! overcommits_without {
+    ($($name:ident: $without:ident,)*) => {$(
+        #[test]
+        fn $name() {
+            let fault = find_fault(Without::$without);
+            println!("{fault:?}");
+            assert!(matches!(fault, Some((_, MemoryFault::Overcommitted { .. }))));
+        }
+    )*};
+}
+
+overcommits_without! {
+    overcommits_without_write_ahead: WriteAhead,
+    overcommits_without_compare_and_swap: CompareAndSwap,
+    overcommits_without_barrier: Barrier,
+    overcommits_without_lateness: Lateness,
+    overcommits_when_a_frozen_sender_counts_as_gone: SenderGone,
+    overcommits_without_adapter_window: AdapterWindow,
+    overcommits_without_order_incarnation: OrderIncarnation,
+}
+
+#[test]
+fn the_checker_rejects_a_changed_history() {
+    let histories = (0..).map(|seed| run(plan(seed, Without::Nothing)).histories.memory);
+    let is_free = |event: &MemoryEvent| matches!(event.change, MemoryChange::Free(_));
+    let history = histories
+        .into_iter()
+        .find(|history| history.iter().any(is_free))
+        .unwrap();
+    assert!(check_memory(&history).is_ok());
+    let mut larger = history.clone();
+    for event in &mut larger {
+        if let MemoryChange::Take(_, size) = &mut event.change {
+            size.0 += 80;
+        }
+    }
+    assert!(matches!(
+        check_memory(&larger),
+        Err(MemoryFault::Overcommitted { .. })
+    ));
+    let first_free = history.iter().position(is_free).unwrap();
+    let mut doubled = history.clone();
+    doubled.insert(first_free, history[first_free].clone());
+    assert_eq!(
+        check_memory(&doubled),
+        Err(MemoryFault::Broken(first_free + 1))
+    );
+}
