Prove that a last copy is never unloaded and that load permits hold

Cause: two owners may unload the last two copies at once; the weight store's limits are the fleet's. An unload's transaction compares the record of the copy that stays. A store restored from an older copy is noticed by the lower fencing number and written over (not proved yet).

--- a/src/fleet/record_handle.rs
+++ b/src/fleet/record_handle.rs
@@ -29,6 +29,8 @@
     epoch: Epoch,
     record: RunnerRecord,
     version: StoreVersion,
+    /// Whether the store holds an older copy than the one that was written.
+    went_back: bool,
 }
 
 impl RecordHandle {
@@ -55,6 +57,7 @@
             owner,
             record,
             version,
+            went_back: false,
         };
         let wanted = handle.record.clone();
         match handle.swap(&wanted, &Extra::default()).await? {
@@ -80,13 +83,23 @@
 
     /// Reads the record again.
     ///
+    /// A store that was restored from an older copy is noticed by its lower fencing number; the
+    /// next change then writes what this owner knows over it.
+    ///
     /// # Errors
     ///
     /// [`RecordError::Lost`] when another owner holds it by now.
     pub async fn reload(&mut self) -> Result<(), RecordError> {
-        let (record, version) = read(&self.store, &self.key)
-            .await?
-            .ok_or(RecordError::Lost)?;
+        let found = read(&self.store, &self.key).await?;
+        self.adopt(found)
+    }
+
+    fn adopt(&mut self, found: Option<(RunnerRecord, StoreVersion)>) -> Result<(), RecordError> {
+        let (record, version) = match found {
+            Some((record, version)) if record.epoch >= self.epoch => (record, version),
+            Some((_, version)) => return self.keep_over(version),
+            None => return self.keep_over(StoreVersion::default()),
+        };
         if !record.is_held_by(&self.owner, self.epoch) {
             return Err(RecordError::Lost);
         }
@@ -95,6 +108,16 @@
         Ok(())
     }
 
+    fn keep_over(&mut self, version: StoreVersion) -> Result<(), RecordError> {
+        log::error!(
+            "fleet: the store went back to an older copy of {}",
+            self.key
+        );
+        self.version = version;
+        self.went_back = true;
+        Ok(())
+    }
+
     /// Changes the record if it is still held under this fencing number.
     ///
     /// The change is made again on a newer version of the record, so it must do nothing when it
@@ -115,11 +138,12 @@
         for _ in 0..CHANGE_TRIES {
             let mut wanted = self.record.clone();
             change(&mut wanted)?;
-            if wanted == self.record {
+            if wanted == self.record && !self.went_back {
                 return Ok(());
             }
             match self.swap(&wanted, extra).await {
                 Ok(true) => {
+                    self.went_back = false;
                     self.epoch = wanted.epoch;
                     self.record = wanted;
                     return Ok(());
@@ -149,16 +173,13 @@
         if !matches!(error, RecordError::Store(StoreError::Unknown(_))) {
             return Err(error);
         }
-        let before = self.epoch;
-        self.epoch = wanted.epoch;
-        let Err(error) = self.reload().await else {
-            return Ok(());
-        };
-        self.epoch = before;
-        match error {
-            RecordError::Lost if wanted.epoch != before => self.reload().await,
-            error => Err(error),
+        let found = read(&self.store, &self.key).await?;
+        let taken_effect =
+            |(record, _): &(RunnerRecord, _)| record.is_held_by(&self.owner, wanted.epoch);
+        if found.as_ref().is_some_and(taken_effect) {
+            self.epoch = wanted.epoch;
         }
+        self.adopt(found)
     }
 
     async fn swap(&mut self, wanted: &RunnerRecord, extra: &Extra) -> Result<bool, RecordError> {
--- a/src/fleet/runner_task.rs
+++ b/src/fleet/runner_task.rs
@@ -68,7 +68,9 @@
         let window = adapter_window(&context, &runner);
         let fencing = runner.fencing;
         let store = Arc::clone(&context.store);
+        let known_epoch = context.board.known_epoch(&runner.name);
         let handle = RecordHandle::take_over(store, &runner.name, me.clone(), |record| {
+            record.epoch = record.epoch.max(known_epoch);
             record.take_over(me.clone(), fencing, window);
         })
         .await?;
@@ -100,8 +102,8 @@
     ///
     /// Fails when another owner holds the record or the store fails.
     pub(super) async fn poll(&mut self) -> Result<(), RecordError> {
-        let board = &self.context.board;
-        if board.knows_newer(&self.runner.name, self.handle.epoch()) {
+        let known_epoch = self.context.board.known_epoch(&self.runner.name);
+        if known_epoch > self.handle.epoch() {
             return Err(RecordError::Lost);
         }
         if self.waits_for_others()
--- a/src/fleet/state_board.rs
+++ b/src/fleet/state_board.rs
@@ -81,9 +81,9 @@
         found.map(|state| state.name.clone()).collect()
     }
 
-    /// Returns whether a newer fencing number of a runner is known.
-    pub fn knows_newer(&self, name: &RunnerName, epoch: Epoch) -> bool {
-        self.find(name).is_some_and(|state| state.epoch > epoch)
+    /// Returns the newest known fencing number of a runner.
+    pub fn known_epoch(&self, name: &RunnerName) -> Epoch {
+        self.find(name).map(|state| state.epoch).unwrap_or_default()
     }
 
     fn find(&self, name: &RunnerName) -> Option<RunnerState> {
--- a/tests/common/fleet_faults.rs
+++ b/tests/common/fleet_faults.rs
@@ -30,6 +30,7 @@
 
 /// A mechanism that a run goes without.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[allow(dead_code)] // each test binary goes without other mechanisms
 pub enum Without {
     Nothing,
     WriteAhead,
--- a/tests/common/fleet_run.rs
+++ b/tests/common/fleet_run.rs
@@ -44,6 +44,7 @@
 
 /// What a run showed.
 #[derive(Debug)]
+#[allow(dead_code)] // each test binary reads other fields
 pub struct Outcome {
     pub histories: Histories,
     /// The records at the end.
--- /dev/null
+++ b/tests/fleet_permits.rs
@@ -0,0 +1,126 @@
+//! The weight store's limits hold over all VMs.
+
+use {
+    greengagetrail::{
+        config::Deployment,
+        fleet::{LoadGate, LoadTurn, LoadWait, RunnerRecord, free_slot, record_key},
+        standin::kv::MemoryStore,
+        store::{Op, Store, Txn},
+        units::{OrderId, RunnerName},
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::time::{Instant, sleep},
+};
+
+fn limits(model_loads_per_s: f64, model_loads_at_once_max: u32) -> Deployment {
+    Deployment {
+        model_loads_per_s,
+        model_loads_at_once_max,
+        ..Deployment::default()
+    }
+}
+
+fn runner() -> RunnerName {
+    "r0".parse().unwrap()
+}
+
+async fn begin(store: &MemoryStore, turn: LoadTurn) -> bool {
+    let txn = Txn {
+        compare: turn.extra.compare,
+        then: turn.extra.ops,
+        otherwise: Vec::new(),
+    };
+    store.txn(txn).await.unwrap().succeeded
+}
+
+#[tokio::test(start_paused = true)]
+async fn racing_vms_keep_the_spacing_and_the_slots() {
+    let store = MemoryStore::new();
+    let limits = limits(2.5, 3);
+    let start = Instant::now();
+    let starts = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let run_vm = |index: u64| {
+        let (store, limits, starts) = (store.link(), limits.clone(), Arc::clone(&starts));
+        tokio::spawn(async move {
+            let gate = LoadGate::new(Arc::new(store.clone()));
+            while start.elapsed() < Duration::from_secs(60) {
+                let turn = gate
+                    .turn(&limits, &runner(), OrderId::random(), index == 0)
+                    .await;
+                if let Ok(turn) = turn {
+                    sleep(Duration::from_millis(index)).await;
+                    let slot = turn.slot;
+                    if begin(&store, turn).await {
+                        starts.lock().unwrap().push((start.elapsed(), index));
+                        sleep(Duration::from_millis(900)).await;
+                        let then = vec![free_slot(slot)];
+                        let txn = Txn {
+                            then,
+                            ..Txn::default()
+                        };
+                        store.txn(txn).await.unwrap();
+                    }
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+        })
+    };
+    let vms: Vec<_> = (0..7).map(run_vm).collect();
+    for vm in vms {
+        vm.await.unwrap();
+    }
+    let starts = starts.lock().unwrap();
+    for pair in starts.windows(2) {
+        assert!(
+            pair[1].0 - pair[0].0 >= Duration::from_millis(400),
+            "{pair:?}"
+        );
+    }
+    for burst in starts.windows(4) {
+        assert!(
+            burst[3].0 - burst[0].0 >= Duration::from_millis(900),
+            "{burst:?}"
+        );
+    }
+    let urgent = starts.iter().filter(|(_, index)| *index == 0).count();
+    println!(
+        "{} loads in 60 s, {urgent} of them by the urgent VM",
+        starts.len()
+    );
+    assert!(starts.len() > 60, "only {} loads started", starts.len());
+    assert!((0..7).all(|index| urgent >= starts.iter().filter(|start| start.1 == index).count()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_slot_is_free_again_once_its_order_is_gone() {
+    let store = MemoryStore::new();
+    let gate = LoadGate::new(Arc::new(store.clone()));
+    let limits = limits(1000.0, 1);
+    let record = serde_json::to_vec(&RunnerRecord::new(runner())).unwrap();
+    let put = Op::Put {
+        key: record_key(&runner()),
+        value: record.into(),
+        lease: None,
+    };
+    store
+        .txn(Txn {
+            then: vec![put],
+            ..Txn::default()
+        })
+        .await
+        .unwrap();
+    let turn = gate.turn(&limits, &runner(), OrderId::random(), true).await;
+    assert!(begin(&store, turn.unwrap()).await);
+    sleep(Duration::from_secs(1)).await;
+    let mut waits = 0;
+    while let Err(wait) = gate.turn(&limits, &runner(), OrderId::random(), true).await {
+        assert!(
+            matches!(wait, LoadWait::Full | LoadWait::Spacing),
+            "{wait:?}"
+        );
+        waits += 1;
+        assert!(waits < 10, "the abandoned slot is never freed");
+        sleep(Duration::from_secs(1)).await;
+    }
+    assert!(waits > 0);
+}
--- /dev/null
+++ b/tests/fleet_reachable.rs
@@ -0,0 +1,76 @@
+//! The last copy of a model is never unloaded, however owners race.
+
+#[path = "common/fleet_faults.rs"]
+mod fleet_faults;
+#[path = "common/fleet_run.rs"]
+mod fleet_run;
+
+use {
+    fleet_faults::Without,
+    fleet_run::{Plan, run, run_all},
+    greengagetrail::history::{CopyChange, CopyEvent, CopyFault, check_copies},
+};
+
+const SEEDS: u64 = 1000;
+const SEEDS_WITHOUT: u64 = 200;
+
+fn copies(seed: u64, without: Without) -> Vec<CopyEvent> {
+    let plan = Plan {
+        seed,
+        without,
+        restarts: false,
+        models: 4,
+        faults_ms: 40_000,
+        rest_ms: 5_000,
+    };
+    run(plan).histories.copies
+}
+
+#[test]
+fn no_last_copy_is_unloaded() {
+    let seen = run_all(0..SEEDS, |seed| {
+        let history = copies(seed, Without::Nothing);
+        let unloaded = |event: &&CopyEvent| event.change == CopyChange::Unloaded;
+        let unloads = history.iter().filter(unloaded).count() as u64;
+        (check_copies(&history), unloads)
+    });
+    for (seed, (judged, _)) in seen.iter().enumerate() {
+        assert_eq!(judged, &Ok(()), "seed {seed}");
+    }
+    let unloads: u64 = seen.iter().map(|(_, unloads)| unloads).sum();
+    println!("{SEEDS} runs: {unloads} unloads, none of a last copy");
+    assert!(unloads > SEEDS);
+}
+
+#[test]
+fn the_last_copy_is_lost_without_the_guard() {
+    let judged = run_all(0..SEEDS_WITHOUT, |seed| {
+        check_copies(&copies(seed, Without::CopyGuard))
+    });
+    let lost = judged.iter().filter(|judged| judged.is_err()).count();
+    println!("without the guard: {lost} of {SEEDS_WITHOUT} runs lost a last copy");
+    assert!(lost > 0);
+}
+
+#[test]
+fn the_checker_rejects_a_changed_history() {
+    let event = |model: &str, engine: &str, change| CopyEvent {
+        at_ms: 0,
+        model: model.to_owned(),
+        engine: engine.to_owned(),
+        change,
+    };
+    let sound = vec![
+        event("a", "r0", CopyChange::Ready),
+        event("b", "r0", CopyChange::Ready),
+        event("a", "r1", CopyChange::Ready),
+        event("a", "r0", CopyChange::Unloaded),
+    ];
+    assert_eq!(check_copies(&sound), Ok(()));
+    let mut changed = sound.clone();
+    changed.remove(2);
+    let fault = check_copies(&changed);
+    assert!(matches!(fault, Err(CopyFault::LastCopyUnloaded { .. })));
+    changed.remove(0);
+    assert_eq!(check_copies(&changed), Err(CopyFault::Broken(1)));
+}
