--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -17,6 +17,9 @@
 /// The largest head of a caller's request, in bytes.
 const HEAD_MAX_BYTES: usize = 32 * 1024;
 
+/// The callers' connections that may be open at once.
+const CONNECTIONS_MAX: usize = 16_384;
+
 impl Entry {
     /// Serves callers until `stop` or until the view says to drain.
     ///
@@ -87,6 +90,8 @@
     ListenerLimits {
         head_max_bytes: HEAD_MAX_BYTES,
         head_timeout: Duration::from_millis(settings.read_timeout_ms),
+        write_timeout: Duration::from_millis(settings.write_timeout_ms),
+        connections_max: CONNECTIONS_MAX,
         stop_max: Duration::from_millis(settings.drain_max_ms),
     }
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -35,6 +35,8 @@
         body_max_bytes: usize = "4194304",
         #[doc = " The longest wait for a caller's request head or body, in milliseconds."]
         read_timeout_ms: u64 = "10000",
+        #[doc = " The longest wait for a caller to take bytes of its answer, in milliseconds."]
+        write_timeout_ms: u64 = "30000",
         #[doc = " The longest wait for a connection to a backend server, in milliseconds."]
         connect_timeout_ms: u64 = "500",
         #[doc = " The longest silence before the first token, in milliseconds."]
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -1,15 +1,19 @@
 //! Serves connections within limits, until it is stopped gracefully.
 
 use {
-    super::Body,
+    super::{Body, preface::wait_for_preface, stall_guard::StallGuard},
     hyper::{Request, Response, body::Incoming, service::service_fn},
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
-        server::{conn::auto, graceful::GracefulShutdown},
+        server::{
+            conn::auto,
+            graceful::{GracefulShutdown, Watcher},
+        },
     },
-    std::{convert::Infallible, future::Future, time::Duration},
+    std::{convert::Infallible, future::Future, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
+        sync::{OwnedSemaphorePermit, Semaphore},
         time,
     },
     tokio_util::sync::CancellationToken,
@@ -34,6 +38,10 @@
     pub head_max_bytes: usize,
     /// The longest wait for a request head.
     pub head_timeout: Duration,
+    /// The longest wait for the other end to take bytes of a response.
+    pub write_timeout: Duration,
+    /// The connections that may be open at once.
+    pub connections_max: usize,
     /// The longest that a stop waits for open requests.
     pub stop_max: Duration,
 }
@@ -52,19 +60,18 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let open = GracefulShutdown::new();
-    let builder = builder(limits);
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = stop.cancelled() => break,
-        };
-        match accepted {
-            Ok((stream, _)) => serve_connection(stream, &builder, &open, handle.clone()),
-            Err(cause) => {
-                log::warn!("http: cannot accept a connection: {cause}");
-                time::sleep(ACCEPT_RETRY).await;
-            }
-        }
+    let places = Arc::new(Semaphore::new(limits.connections_max));
+    let server = Server {
+        builder: builder(limits),
+        limits,
+        stop: stop.clone(),
+    };
+    while let Some((stream, place)) = accept(&listener, &places, &stop).await {
+        let served = server.clone().serve(stream, open.watcher(), handle.clone());
+        tokio::spawn(async move {
+            served.await;
+            drop(place);
+        });
     }
     drop(listener);
     time::timeout(limits.stop_max, open.shutdown())
@@ -72,6 +79,27 @@
         .is_ok()
 }
 
+/// Accepts the next connection once there is a place for it; `None` after the stop.
+async fn accept(
+    listener: &TcpListener,
+    places: &Arc<Semaphore>,
+    stop: &CancellationToken,
+) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+    let accepting = async {
+        let place = places.clone().acquire_owned().await.ok()?;
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => return Some((stream, place)),
+                Err(cause) => {
+                    log::warn!("http: cannot accept a connection: {cause}");
+                    time::sleep(ACCEPT_RETRY).await;
+                }
+            }
+        }
+    };
+    stop.run_until_cancelled(accepting).await?
+}
+
 fn builder(limits: ListenerLimits) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
@@ -89,27 +117,42 @@
     builder
 }
 
-fn serve_connection<H, F>(
-    stream: TcpStream,
-    builder: &auto::Builder<TokioExecutor>,
-    open: &GracefulShutdown,
-    handle: H,
-) where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
-{
-    let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
-        let response = handle(request);
-        async move { Ok::<_, Infallible>(response.await) }
-    });
-    let connection = builder
-        .serve_connection(TokioIo::new(stream), service)
-        .into_owned();
-    let watched = open.watch(connection);
-    tokio::spawn(async move {
-        if let Err(cause) = watched.await {
+/// Serves single connections.
+#[derive(Clone)]
+struct Server {
+    builder: auto::Builder<TokioExecutor>,
+    limits: ListenerLimits,
+    stop: CancellationToken,
+}
+
+impl Server {
+    async fn serve<H, F>(self, stream: TcpStream, open: Watcher, handle: H)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let _ = stream.set_nodelay(true);
+        if !self.has_started(&stream).await {
+            return;
+        }
+        let service = service_fn(move |request| {
+            let response = handle(request);
+            async move { Ok::<_, Infallible>(response.await) }
+        });
+        let stream = StallGuard::new(stream, self.limits.write_timeout);
+        let connection = self
+            .builder
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
+        if let Err(cause) = open.watch(connection).await {
             log::debug!("http: a connection ended: {cause}");
         }
-    });
+    }
+
+    /// Waits for the first bytes; returns whether they came in time and before the stop.
+    async fn has_started(&self, stream: &TcpStream) -> bool {
+        let started = time::timeout(self.limits.head_timeout, wait_for_preface(stream));
+        let started = self.stop.run_until_cancelled(started).await;
+        matches!(started, Some(Ok(Ok(()))))
+    }
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -8,8 +8,10 @@
 mod idle;
 mod listener;
 mod operations;
+mod preface;
 mod problem;
 mod read;
+mod stall_guard;
 
 pub use {
     body::*, client::*, connection::*, error::*, header::*, listener::*, operations::*, problem::*,
--- a/src/http/operations.rs
+++ b/src/http/operations.rs
@@ -19,6 +19,8 @@
 const LIMITS: ListenerLimits = ListenerLimits {
     head_max_bytes: 16 * 1024,
     head_timeout: Duration::from_secs(5),
+    write_timeout: Duration::from_secs(5),
+    connections_max: 64,
     stop_max: Duration::from_secs(1),
 };
 
--- /dev/null
+++ b/src/http/stall_guard.rs
@@ -0,0 +1,95 @@
+//! A connection whose writes must get on.
+
+use {
+    std::{
+        io,
+        pin::Pin,
+        task::{Context, Poll, ready},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        time::{self, Instant, Sleep},
+    },
+};
+
+/// Fails a connection whose other end takes no bytes for too long.
+#[derive(Debug)]
+pub(super) struct StallGuard<T> {
+    inner: T,
+    limit: Duration,
+    deadline: Pin<Box<Sleep>>,
+    stalled: bool,
+}
+
+impl<T> StallGuard<T> {
+    pub(super) fn new(inner: T, limit: Duration) -> Self {
+        Self {
+            inner,
+            limit,
+            deadline: Box::pin(time::sleep(limit)),
+            stalled: false,
+        }
+    }
+
+    /// Passes progress on and turns a wait that takes too long into an error.
+    fn watch<R>(
+        &mut self,
+        written: Poll<io::Result<R>>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<R>> {
+        if written.is_ready() {
+            self.stalled = false;
+            return written;
+        }
+        if !self.stalled {
+            self.stalled = true;
+            self.deadline.as_mut().reset(Instant::now() + self.limit);
+        }
+        ready!(self.deadline.as_mut().poll(context));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl<T: AsyncRead + Unpin> AsyncRead for StallGuard<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(context, buffer)
+    }
+}
+
+impl<T: AsyncWrite + Unpin> AsyncWrite for StallGuard<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.inner).poll_write(context, bytes);
+        self.watch(written, context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.inner).poll_write_vectored(context, parts);
+        self.watch(written, context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = Pin::new(&mut self.inner).poll_flush(context);
+        self.watch(flushed, context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/tests/entry_drain.rs
@@ -0,0 +1,108 @@
+//! The planned stop of an entry: readiness fails first, and no request is cut off.
+
+mod common {
+    pub mod entry_rig;
+    pub mod fake_backend;
+    pub mod fake_engine;
+}
+
+use {
+    common::{
+        entry_rig::{Answer, Plan, Rig},
+        fake_backend::{FakeBackend, Received, Step},
+        fake_engine::{answer, answer_request},
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::net::TcpStream,
+};
+
+/// Answers with a pause before each part.
+fn answer_slowly(received: &Received) -> Vec<Step> {
+    let pause = Step::Pause(Duration::from_millis(15));
+    let steps = answer_request(received).into_iter();
+    steps.flat_map(|step| [pause.clone(), step]).collect()
+}
+
+async fn start_streams(rig: &Arc<Rig>, count: usize) -> Vec<tokio::task::JoinHandle<Answer>> {
+    let asked = (0..count).map(|number| {
+        let rig = rig.clone();
+        tokio::spawn(async move {
+            rig.complete(&format!("p{number}"), 20, number % 2 == 0)
+                .await
+        })
+    });
+    let asked = asked.collect();
+    while rig.entry.open_requests() < count {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    asked
+}
+
+async fn check_whole(streams: Vec<tokio::task::JoinHandle<Answer>>) {
+    for (number, got) in futures::future::join_all(streams)
+        .await
+        .into_iter()
+        .enumerate()
+    {
+        let wanted = (answer(&format!("p{number}"), 20), true);
+        assert_eq!(got.unwrap().completion(), wanted);
+    }
+}
+
+async fn wait_until(condition: impl Fn() -> bool) {
+    let waiting = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(10), waiting)
+        .await
+        .unwrap();
+}
+
+#[tokio::test]
+async fn a_stop_finishes_what_is_open() {
+    let engine = FakeBackend::start(answer_slowly).await;
+    let plan = Plan::new().engine("r-1", &engine);
+    let rig = Arc::new(plan.set("drain_delay_ms", 100.into()).start().await);
+    wait_until(|| rig.readiness.get()).await;
+    let streams = start_streams(&rig, 60).await;
+    rig.stop.cancel();
+    wait_until(|| !rig.readiness.get()).await;
+    let late = rig.complete("late", 2, true).await;
+    assert_eq!(
+        late.completion(),
+        (answer("late", 2), true),
+        "the balancer may still send some"
+    );
+    check_whole(streams).await;
+    wait_until(|| rig.served.is_finished()).await;
+    assert!(TcpStream::connect(rig.address).await.is_err());
+    let rig = Arc::into_inner(rig).unwrap();
+    assert_eq!(rig.entry.open_requests(), 0);
+}
+
+#[tokio::test]
+async fn an_operators_drain_is_a_planned_stop() {
+    let engine = FakeBackend::start(answer_slowly).await;
+    let rig = Arc::new(Plan::new().engine("r-1", &engine).start().await);
+    wait_until(|| rig.readiness.get()).await;
+    let streams = start_streams(&rig, 10).await;
+    let mut view = (**rig.views.borrow()).clone();
+    view.draining = true;
+    rig.views.send_replace(Arc::new(view));
+    wait_until(|| !rig.readiness.get()).await;
+    check_whole(streams).await;
+    wait_until(|| rig.served.is_finished()).await;
+}
+
+#[tokio::test]
+async fn an_entry_without_a_configuration_is_not_ready() {
+    let engine = FakeBackend::start(answer_request).await;
+    let rig = Plan::new().engine("r-1", &engine).start().await;
+    wait_until(|| rig.readiness.get()).await;
+    let mut view = (**rig.views.borrow()).clone();
+    view.head = None;
+    rig.views.send_replace(Arc::new(view));
+    wait_until(|| !rig.readiness.get()).await;
+}
