Add the load generator: open loop, comparison, saturation and their reports

The schedule follows from the seed alone; times count from when a request was due. Every answer is checked against the deterministic text of the stand-in, so that a foreign, doubled or cut answer is told, and ggt-load fails then.

--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -1,1 +1,26 @@
 //! Open-loop load and its report.
+
+mod call;
+mod client;
+mod compare;
+mod cpu_time;
+mod latency;
+mod moves;
+mod open_loop;
+mod outcome;
+mod plot;
+mod popularity;
+mod report;
+mod report_text;
+mod run;
+mod saturate;
+mod schedule;
+mod settings;
+mod tally;
+mod verify;
+
+pub use {
+    call::*, client::*, compare::*, cpu_time::*, latency::*, moves::*, open_loop::*, outcome::*,
+    plot::*, popularity::*, report::*, run::*, saturate::*, schedule::*, settings::*, tally::*,
+    verify::*,
+};
--- /dev/null
+++ b/src/load/moves.rs
@@ -0,0 +1,73 @@
+//! Counts the moves that stand-in engines made.
+
+use {
+    super::{LoadClient, new_client},
+    crate::standin::engine::EngineRecord,
+    http_body_util::{BodyExt, Full},
+    hyper::Request,
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, ops::Sub},
+};
+
+/// The moves of all engines together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MoveCounts {
+    /// Loads of models.
+    pub model_loads: u64,
+    /// Unloads of models.
+    pub model_unloads: u64,
+    /// Loads of adapters.
+    pub adapter_loads: u64,
+    /// Changes of role.
+    pub role_changes: u64,
+    /// Changes after which an engine held more than its memory.
+    pub overcommits: u64,
+}
+
+impl MoveCounts {
+    /// Returns the loads and unloads of models and the changes of role.
+    pub fn total(&self) -> u64 {
+        self.model_loads + self.model_unloads + self.role_changes
+    }
+
+    fn add(&mut self, record: &EngineRecord) {
+        self.model_loads += record.model_loads;
+        self.model_unloads += record.model_unloads;
+        self.adapter_loads += record.adapter_loads;
+        self.role_changes += record.role_changes;
+        self.overcommits += record.overcommits;
+    }
+}
+
+impl Sub for MoveCounts {
+    type Output = Self;
+
+    fn sub(self, before: Self) -> Self {
+        Self {
+            model_loads: self.model_loads.saturating_sub(before.model_loads),
+            model_unloads: self.model_unloads.saturating_sub(before.model_unloads),
+            adapter_loads: self.adapter_loads.saturating_sub(before.adapter_loads),
+            role_changes: self.role_changes.saturating_sub(before.role_changes),
+            overcommits: self.overcommits.saturating_sub(before.overcommits),
+        }
+    }
+}
+
+/// Reads the moves that the engines behind these control listeners made; one away adds nothing.
+pub async fn read_moves(addresses: &[SocketAddr]) -> MoveCounts {
+    let client = new_client();
+    let mut counts = MoveCounts::default();
+    for address in addresses {
+        if let Some(record) = read_record(&client, *address).await {
+            counts.add(&record);
+        }
+    }
+    counts
+}
+
+async fn read_record(client: &LoadClient, address: SocketAddr) -> Option<EngineRecord> {
+    let request = Request::get(format!("http://{address}/record"));
+    let response = client.request(request.body(Full::default()).ok()?).await;
+    let body = response.ok()?.into_body().collect().await.ok()?.to_bytes();
+    serde_json::from_slice(&body).ok()
+}
--- /dev/null
+++ b/src/load/saturate.rs
@@ -0,0 +1,110 @@
+//! Sends as many requests as a number of workers can.
+
+use {
+    super::{LoadSettings, Outcome, ReasonCounts, Schedule, call, cpu_time, new_client},
+    serde::{Deserialize, Serialize},
+    std::{fmt, sync::Arc, time::Duration},
+    tokio::{task::JoinSet, time::Instant},
+};
+
+/// What a saturated system carried.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Throughput {
+    /// How long it was saturated, in seconds.
+    pub elapsed_s: f64,
+    /// Requests answered, whole and right.
+    pub answered: u64,
+    /// Tokens of these answers.
+    pub tokens: u64,
+    /// Requests answered per second.
+    pub requests_per_s: f64,
+    /// Tokens per second.
+    pub tokens_per_s: f64,
+    /// The processor time of the measured processes, in seconds.
+    pub cpu_s: f64,
+    /// The cores that they kept busy.
+    pub cores: f64,
+    /// Requests per second for each of these cores.
+    pub requests_per_core_s: f64,
+    /// Tokens per second for each of these cores.
+    pub tokens_per_core_s: f64,
+    /// Requests that were not answered, by reason.
+    pub failures: ReasonCounts,
+}
+
+impl fmt::Display for Throughput {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:.1} s: {:.0} requests/s, {:.0} tokens/s, not answered {}",
+            self.elapsed_s,
+            self.requests_per_s,
+            self.tokens_per_s,
+            self.failures.total()
+        )?;
+        for count in &self.failures.0 {
+            writeln!(f, "  {} {}", count.reason, count.count)?;
+        }
+        writeln!(
+            f,
+            "measured processes: {:.2} cores busy; per core {:.0} requests/s, {:.0} tokens/s",
+            self.cores, self.requests_per_core_s, self.tokens_per_core_s
+        )
+    }
+}
+
+/// Saturates the entries for the duration of the settings.
+pub async fn run_saturate(settings: Arc<LoadSettings>) -> Throughput {
+    let start = Instant::now();
+    let cpu_before = cpu_times(&settings.process_ids);
+    let mut workers = JoinSet::new();
+    for worker in 0..settings.workers {
+        workers.spawn(run_worker(settings.clone(), worker));
+    }
+    let mut total = Throughput::default();
+    while let Some(done) = workers.join_next().await {
+        if let Ok(part) = done {
+            total.answered += part.answered;
+            total.tokens += part.tokens;
+            for count in part.failures.0 {
+                (0..count.count).for_each(|_| total.failures.add(&count.reason));
+            }
+        }
+    }
+    total.elapsed_s = start.elapsed().as_secs_f64();
+    let cpu = cpu_times(&settings.process_ids).saturating_sub(cpu_before);
+    total.cpu_s = cpu.as_secs_f64();
+    total.requests_per_s = total.answered as f64 / total.elapsed_s;
+    total.tokens_per_s = total.tokens as f64 / total.elapsed_s;
+    total.cores = total.cpu_s / total.elapsed_s;
+    total.requests_per_core_s = total.requests_per_s / total.cores;
+    total.tokens_per_core_s = total.tokens_per_s / total.cores;
+    total
+}
+
+async fn run_worker(settings: Arc<LoadSettings>, worker: usize) -> Throughput {
+    let client = new_client();
+    let address = settings.entries[worker % settings.entries.len()];
+    let longest = Duration::from_millis(settings.answer_timeout_ms);
+    let end = Instant::now() + Duration::from_secs_f64(settings.duration_s);
+    let mut schedule = Schedule::new(&settings);
+    let mut part = Throughput::default();
+    while Instant::now() < end {
+        let arrival = schedule.draw();
+        let class = &settings.classes[arrival.class];
+        let outcome = call(&client, address, &arrival, class, Instant::now(), longest).await;
+        match outcome {
+            Outcome::Answered(times) => {
+                part.answered += 1;
+                part.tokens += u64::from(times.tokens);
+            }
+            Outcome::Refused(reason) | Outcome::Failed(reason) => part.failures.add(&reason),
+            Outcome::Wrong(wrong) => part.failures.add(&wrong.to_string()),
+        }
+    }
+    part
+}
+
+fn cpu_times(process_ids: &[u32]) -> Duration {
+    process_ids.iter().filter_map(|id| cpu_time(*id)).sum()
+}
--- /dev/null
+++ b/src/load/settings.rs
@@ -0,0 +1,221 @@
+//! Settings of a load.
+
+use {
+    crate::{
+        settings::Fault,
+        settings_struct,
+        telemetry::{LogFormat, LogLevel},
+    },
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, path::PathBuf},
+};
+
+/// What is measured.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LoadMode {
+    /// Requests are sent at their times, whether or not earlier ones were answered.
+    Open,
+    /// Calls through an entry and straight to an engine, in turn.
+    Compare,
+    /// As many requests as the workers can send.
+    Saturate,
+}
+
+/// What a request of a class is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CallKind {
+    /// A streamed completion.
+    Stream,
+    /// A whole completion.
+    Whole,
+    /// A `POST` to a plain service, which may not be repeated.
+    Booking,
+    /// A `GET` from a plain service.
+    Read,
+}
+
+/// A class of requests.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassSpec {
+    /// Its name in the report.
+    pub name: String,
+    /// Its share of the requests, relative to the other classes.
+    pub share: f64,
+    /// What its requests are.
+    pub kind: CallKind,
+    /// The service: a class of models, or a plain service.
+    #[serde(default)]
+    pub service: Option<String>,
+    /// The target for the first token or the whole plain answer, in milliseconds.
+    pub first_token_target_ms: u64,
+    /// The target for the mean time between two tokens, in milliseconds.
+    #[serde(default = "no_target_ms")]
+    pub between_tokens_target_ms: u64,
+    /// The fewest tokens of an answer.
+    #[serde(default = "default_tokens")]
+    pub tokens_min: u32,
+    /// The most tokens of an answer.
+    #[serde(default = "default_tokens")]
+    pub tokens_max: u32,
+}
+
+fn no_target_ms() -> u64 {
+    u64::MAX
+}
+
+fn default_tokens() -> u32 {
+    16
+}
+
+/// A change of demand.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DemandShift {
+    /// When it happens, in seconds after the start.
+    pub at_s: f64,
+    /// What the rate is multiplied with from then on.
+    #[serde(default = "unchanged")]
+    pub rate_factor: f64,
+    /// By how many ranks the popularity of models moves on.
+    #[serde(default)]
+    pub ranks_moved: usize,
+}
+
+fn unchanged() -> f64 {
+    1.0
+}
+
+settings_struct! {
+    /// Settings of a load.
+    pub struct LoadSettings check check {
+        #[doc = " What is measured: open, compare or saturate."]
+        mode: LoadMode = "\"open\"",
+        #[doc = " The entries, used in turn."]
+        entries: Vec<SocketAddr>,
+        #[doc = " The engine that compare calls directly."]
+        direct_address: Option<SocketAddr> = "null",
+        #[doc = " The control listeners of stand-in engines, from which moves are counted."]
+        engine_control_addresses: Vec<SocketAddr> = "[]",
+        #[doc = " Seeds the schedule; a run repeats with its seed."]
+        seed: u64 = "1",
+        #[doc = " How long requests are sent, in seconds."]
+        duration_s: f64 = "10.0",
+        #[doc = " Requests per second outside of bursts."]
+        rate_per_s: f64 = "20.0",
+        #[doc = " What the rate is multiplied with in a burst."]
+        burst_factor: f64 = "1.0",
+        #[doc = " The mean length of a burst, in seconds."]
+        burst_s: f64 = "1.0",
+        #[doc = " The mean time between two bursts, in seconds."]
+        burst_gap_s: f64 = "5.0",
+        #[doc = " Changes of demand, each with `at_s`, `rate_factor` and `ranks_moved`."]
+        shifts: Vec<DemandShift> = "[]",
+        #[doc = " Models and adapters, the most popular first."]
+        names: Vec<String>,
+        #[doc = " The exponent of the popularity; zero means all alike."]
+        zipf_exponent: f64 = "1.0",
+        #[doc = " Shared prompt prefixes of each model or adapter."]
+        prefixes: u32 = "4",
+        #[doc = " The length of a shared prefix, in bytes."]
+        prefix_bytes: usize = "512",
+        #[doc = " The length of what follows the prefix, in bytes."]
+        suffix_bytes: usize = "64",
+        #[doc = " The classes of requests."]
+        classes: Vec<ClassSpec>,
+        #[doc = " The accelerators in use, for the attainment per accelerator."]
+        accelerators: u32 = "1",
+        #[doc = " The longest wait for a whole answer, in milliseconds."]
+        answer_timeout_ms: u64 = "30000",
+        #[doc = " Pairs of calls that compare makes."]
+        pairs: usize = "2000",
+        #[doc = " Requests at once when saturating."]
+        workers: usize = "64",
+        #[doc = " Processes whose processor time is measured when saturating."]
+        process_ids: Vec<u32> = "[]",
+        #[doc = " Worker threads."]
+        threads: usize = "2",
+        #[doc = " Where the report goes as JSON."]
+        report_file: Option<PathBuf> = "null",
+        #[doc = " Where the plot goes as SVG."]
+        plot_file: Option<PathBuf> = "null",
+        #[doc = " The least severe log messages: error, warn, info or debug."]
+        log_level: LogLevel = "\"warn\"",
+        #[doc = " The shape of log lines: text or json."]
+        log_format: LogFormat = "\"text\"",
+    }
+}
+
+fn check(settings: &LoadSettings, faults: &mut Vec<Fault>) {
+    let mut require = |holds: bool, field: &str, problem: &str| {
+        if !holds {
+            faults.push(Fault {
+                field: field.to_owned(),
+                problem: problem.to_owned(),
+            });
+        }
+    };
+    let positive = |value: f64| value.is_finite() && value > 0.0;
+    require(
+        !settings.entries.is_empty(),
+        "entries",
+        "must name an address",
+    );
+    require(!settings.names.is_empty(), "names", "must name a model");
+    require(!settings.classes.is_empty(), "classes", "must name a class");
+    require(
+        settings.classes.iter().all(|class| positive(class.share)),
+        "classes",
+        "each share must be above 0",
+    );
+    require(
+        settings
+            .classes
+            .iter()
+            .all(|class| class.tokens_min <= class.tokens_max),
+        "classes",
+        "tokens_min must not be above tokens_max",
+    );
+    require(
+        settings
+            .classes
+            .iter()
+            .all(|class| !is_plain(class) || class.service.is_some()),
+        "classes",
+        "a booking or read must name its service",
+    );
+    require(
+        positive(settings.duration_s),
+        "duration_s",
+        "must be above 0",
+    );
+    require(
+        positive(settings.rate_per_s),
+        "rate_per_s",
+        "must be above 0",
+    );
+    require(
+        positive(settings.burst_factor),
+        "burst_factor",
+        "must be above 0",
+    );
+    require(positive(settings.burst_s), "burst_s", "must be above 0");
+    require(
+        positive(settings.burst_gap_s),
+        "burst_gap_s",
+        "must be above 0",
+    );
+    require(settings.threads > 0, "threads", "must be at least 1");
+    require(settings.workers > 0, "workers", "must be at least 1");
+    require(
+        settings.mode != LoadMode::Compare || settings.direct_address.is_some(),
+        "direct_address",
+        "must be given to compare",
+    );
+}
+
+fn is_plain(class: &ClassSpec) -> bool {
+    matches!(class.kind, CallKind::Booking | CallKind::Read)
+}
