--- a/src/entry/stream_check.rs
+++ b/src/entry/stream_check.rs
@@ -52,6 +52,7 @@
 pub struct StreamCheck {
     request: RequestId,
     numbered: bool,
+    tokens_per_event: u64,
     delivered: u64,
     finished: bool,
 }
@@ -62,6 +63,7 @@
         Self {
             request,
             numbered,
+            tokens_per_event: 1,
             delivered: 0,
             finished: false,
         }
@@ -72,6 +74,11 @@
         self.numbered = true;
     }
 
+    /// Expects this many tokens in each event but the last, which may have fewer.
+    pub fn set_tokens_per_event(&mut self, tokens: u64) {
+        self.tokens_per_event = tokens.max(1);
+    }
+
     /// Returns whether events carry ids, so that the stream can be resumed.
     pub fn is_numbered(&self) -> bool {
         self.numbered
@@ -118,13 +125,16 @@
         if data == DONE {
             return self.judge_end(offset);
         }
-        if offset > self.delivered + 1 {
+        let finishes = !self.finished && has_finish_reason(data);
+        let newest = self.delivered + self.tokens_per_event;
+        let next = match finishes {
+            true => (self.delivered..=newest).contains(&offset),
+            false => offset == newest,
+        };
+        if offset > self.delivered && !next {
             return Verdict::Break(BreakReason::Gap);
         }
-        let finishes = !self.finished && has_finish_reason(data);
-        let next = offset == self.delivered + 1;
-        let closes = finishes && offset == self.delivered;
-        if !(next || closes) {
+        if !next {
             return Verdict::Drop(DropReason::Duplicate);
         }
         self.delivered = offset;
--- a/src/standin/engine/inference.rs
+++ b/src/standin/engine/inference.rs
@@ -17,6 +17,7 @@
 const ENGINE_LEAVING: HeaderName = HeaderName::from_static("x-engine-leaving");
 const REQUEST_RAN: HeaderName = HeaderName::from_static("x-request-ran");
 const RESUMABLE: HeaderName = HeaderName::from_static("x-resumable");
+const TOKENS_PER_EVENT: HeaderName = HeaderName::from_static("x-tokens-per-event");
 
 /// When a refused caller may come back, in seconds.
 const RETRY_AFTER_S: HeaderValue = HeaderValue::from_static("1");
@@ -72,6 +73,7 @@
         if self.settings().resumable {
             headers.insert(RESUMABLE, YES);
         }
+        headers.insert(TOKENS_PER_EVENT, self.settings().tokens_per_event.into());
         self.add_load(headers);
         response
     }
--- /dev/null
+++ b/tests/entry_streams.rs
@@ -0,0 +1,278 @@
+//! Streams: whole, own and in order at the caller, whatever happens to the engine's side.
+
+mod common {
+    pub mod entry_rig;
+    pub mod fake_backend;
+    pub mod fake_engine;
+}
+
+use {
+    common::{
+        entry_rig::{Answer, Plan, Rig},
+        fake_backend::{FakeBackend, Received, Step, respond},
+        fake_engine::{StreamFault, answer, answer_request, answer_with, token},
+    },
+    greengagetrail::{
+        history::{AnswerEnd, AnswerEvent, AnswerFault, check_answers},
+        units::RequestId,
+    },
+    rand::{RngExt, SeedableRng, rngs::StdRng},
+    std::{
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+};
+
+const SEED: u64 = 20_261_203;
+
+fn record(prompt: &str, tokens: u64, got: &Answer) -> AnswerEvent {
+    let (text, complete) = got.completion();
+    AnswerEvent {
+        request: got.header("x-request-id").unwrap().parse().unwrap(),
+        wanted: answer(prompt, tokens),
+        got: text,
+        end: match complete {
+            true => AnswerEnd::Complete,
+            false => AnswerEnd::Broken,
+        },
+    }
+}
+
+async fn faulty_engine(fault: StreamFault) -> FakeBackend {
+    FakeBackend::start(move |received| match received.header("last-event-id") {
+        None if received.sequence == 0 => answer_with(received, fault),
+        _ => answer_request(received),
+    })
+    .await
+}
+
+#[tokio::test]
+async fn every_single_fault_is_mended_for_the_caller() {
+    let faults: Vec<fn(u64) -> StreamFault> = vec![
+        StreamFault::Cut,
+        StreamFault::Reset,
+        StreamFault::Hang,
+        StreamFault::Gap,
+        StreamFault::Duplicate,
+        StreamFault::Foreign,
+        StreamFault::Swap,
+        StreamFault::EarlyDone,
+        StreamFault::EarlyEnd,
+        StreamFault::Error,
+    ];
+    for make in faults {
+        for after in [0, 1, 5, 9] {
+            let fault = make(after);
+            let engine = faulty_engine(fault).await;
+            let rig = Plan::new().engine("r-1", &engine).start().await;
+            let got = rig.complete("pale ale malt", 10, true).await;
+            let event = record("pale ale malt", 10, &got);
+            assert_eq!(event.end, AnswerEnd::Complete, "{fault:?}: {}", got.text());
+            assert_eq!(check_answers(&[event]), Ok(()), "{fault:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_resumed_stream_is_the_same_byte_for_byte() {
+    let engine = FakeBackend::start(answer_request).await;
+    let rig = Plan::new().engine("r-1", &engine).start().await;
+    let whole = rig.complete("six rowed", 20, true).await;
+    let other = faulty_engine(StreamFault::Cut(7)).await;
+    let well = FakeBackend::start(answer_request).await;
+    let rig = Plan::new()
+        .engine("r-1", &other)
+        .engine("r-2", &well)
+        .start()
+        .await;
+    for _ in 0..4 {
+        let resumed = rig.complete("six rowed", 20, true).await;
+        assert_eq!(without_ids(&resumed), without_ids(&whole));
+    }
+    let resumptions = [&other, &well].map(|engine| engine.received()).concat();
+    let resumed: Vec<&Received> = resumptions
+        .iter()
+        .filter(|received| received.header("last-event-id").is_some())
+        .collect();
+    assert_eq!(resumed.len(), 1);
+    let id = resumed[0].header("x-request-id").unwrap();
+    let after = format!("{id}:7");
+    assert_eq!(resumed[0].header("last-event-id"), Some(after.as_str()));
+}
+
+fn without_ids(got: &Answer) -> String {
+    got.text()
+        .replace(got.header("x-request-id").unwrap(), "ID")
+}
+
+#[tokio::test]
+async fn a_silent_stream_costs_no_more_than_its_timeout() {
+    let engine = faulty_engine(StreamFault::Hang(4)).await;
+    let rig = Plan::new()
+        .engine("r-1", &engine)
+        .set("between_tokens_timeout_ms", 300.into())
+        .start()
+        .await;
+    let started = Instant::now();
+    let got = rig.complete("x", 10, true).await;
+    assert!(got.completion().1);
+    assert!(started.elapsed() >= Duration::from_millis(300));
+    assert!(started.elapsed() < Duration::from_secs(5));
+}
+
+#[tokio::test]
+async fn an_engine_that_never_gets_on_ends_in_an_error() {
+    for fault in [
+        StreamFault::Cut(0),
+        StreamFault::EarlyDone(0),
+        StreamFault::Error(0),
+    ] {
+        let engine = FakeBackend::start(move |received| answer_with(received, fault)).await;
+        let rig = Plan::new().engine("r-1", &engine).start().await;
+        let got = rig.complete("x", 10, true).await;
+        assert!(
+            !got.whole && got.text().contains("event: error"),
+            "{fault:?}"
+        );
+        assert!(engine.received().len() <= 8);
+    }
+}
+
+#[tokio::test]
+async fn a_caller_that_goes_away_cancels_its_stream() {
+    let closed = Arc::new(Mutex::new(false));
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let seen = closed.clone();
+    tokio::spawn(async move {
+        use tokio::io::{AsyncReadExt, AsyncWriteExt};
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buffer = vec![0; 65536];
+        let _ = stream.read(&mut buffer).await.unwrap();
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+                    transfer-encoding: chunked\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        while stream.read(&mut buffer).await.is_ok_and(|bytes| bytes > 0) {}
+        *seen.lock().unwrap() = true;
+    });
+    let placeholder = FakeBackend::start(|_| respond(500, "", "")).await;
+    let mut plan = Plan::new().engine("r-1", &placeholder);
+    let runner = plan.objects.last_mut().unwrap();
+    runner["address"] = address.to_string().into();
+    let rig = plan.start().await;
+    let asked = tokio::time::timeout(Duration::from_millis(200), rig.complete("x", 9, true));
+    assert!(asked.await.is_err());
+    let waiting = async {
+        while !*closed.lock().unwrap() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(5), waiting)
+        .await
+        .unwrap();
+    assert_eq!(rig.entry.open_requests(), 0);
+}
+
+fn random_fault(rng: &mut StdRng, tokens: u64) -> StreamFault {
+    let after = rng.random_range(0..tokens);
+    match rng.random_range(0..16) {
+        0 => StreamFault::Cut(after),
+        1 => StreamFault::Reset(after),
+        2 => StreamFault::Gap(after),
+        3 => StreamFault::Duplicate(after),
+        4 => StreamFault::Foreign(after),
+        5 => StreamFault::Swap(after),
+        6 => StreamFault::EarlyDone(after),
+        7 => StreamFault::EarlyEnd(after),
+        8 => StreamFault::Error(after),
+        9 => StreamFault::Hang(after),
+        _ => StreamFault::None,
+    }
+}
+
+async fn random_engine(seed: u64) -> FakeBackend {
+    let rng = Mutex::new(StdRng::seed_from_u64(seed));
+    FakeBackend::start(move |received| {
+        let mut rng = rng.lock().unwrap();
+        let fault = random_fault(&mut rng, 30);
+        let mut steps = answer_with(received, fault);
+        for _ in 0..3 {
+            let place = rng.random_range(0..steps.len());
+            steps.insert(
+                place,
+                Step::Pause(Duration::from_millis(rng.random_range(0..20))),
+            );
+        }
+        steps
+    })
+    .await
+}
+
+async fn run_streams(rig: Arc<Rig>, streams: usize) -> Vec<AnswerEvent> {
+    let asked = (0..streams).map(|number| {
+        let rig = rig.clone();
+        tokio::spawn(async move {
+            let prompt = format!("prompt {number}");
+            let tokens = 5 + number as u64 % 30;
+            record(
+                &prompt,
+                tokens,
+                &rig.complete(&prompt, tokens, number % 8 != 0).await,
+            )
+        })
+    });
+    let events = futures::future::join_all(asked).await;
+    events.into_iter().map(|event| event.unwrap()).collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn hundreds_of_streams_at_once_are_never_swapped_cut_or_doubled() {
+    let engines = [
+        random_engine(SEED).await,
+        random_engine(SEED + 1).await,
+        FakeBackend::start(answer_request).await,
+    ];
+    let plan = Plan::new()
+        .engine("r-1", &engines[0])
+        .engine("r-2", &engines[1])
+        .engine("r-3", &engines[2])
+        .set("retry_budget_percent", 100.into());
+    let rig = Arc::new(plan.start().await);
+    let events = run_streams(rig, 400).await;
+    assert_eq!(check_answers(&events), Ok(()));
+    let complete = events
+        .iter()
+        .filter(|event| event.end == AnswerEnd::Complete);
+    assert!(complete.count() > 300, "most streams must be mended");
+}
+
+#[test]
+fn the_checker_rejects_mutated_histories() {
+    let wanted = answer("x", 5);
+    let event = AnswerEvent {
+        request: RequestId(1),
+        wanted: wanted.clone(),
+        got: wanted.clone(),
+        end: AnswerEnd::Complete,
+    };
+    assert_eq!(check_answers(std::slice::from_ref(&event)), Ok(()));
+    let mutate = |got: String| AnswerEvent {
+        got,
+        ..event.clone()
+    };
+    let cut = mutate(answer("x", 4));
+    assert_eq!(
+        check_answers(&[cut]),
+        Err(AnswerFault::CutShort(RequestId(1)))
+    );
+    let doubled = mutate(token("x", 1) + &wanted);
+    assert_eq!(
+        check_answers(&[doubled]),
+        Err(AnswerFault::Foreign(RequestId(1)))
+    );
+    let swapped = mutate(answer("y", 5));
+    assert_eq!(
+        check_answers(&[swapped]),
+        Err(AnswerFault::Foreign(RequestId(1)))
+    );
+}
