Poll an engine soon after an order

Cause: an order's effect was seen with the next regular poll only, up to a second later. Change: 20 ms after an order, doubling up to the regular interval; failed or doubtful polls keep the regular pace, since they count towards unreachable and towards a raised fencing number.

--- a/src/fleet/runner_task.rs
+++ b/src/fleet/runner_task.rs
@@ -13,7 +13,7 @@
         engine::{Action, Engine, EngineError, Order, OrderReply, Role, Status},
         units::{AdapterName, MemoryMib, ModelName, OrderId, RunnerName},
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
     tokio::time::timeout,
 };
 
@@ -21,6 +21,8 @@
 const UNREACHABLE_POLLS: u32 = 3;
 /// Polls that an order without an answer waits before the fencing number is raised.
 const DOUBT_POLLS: u32 = 2;
+/// The first pause between an order and the next poll; it doubles with each poll.
+const ORDER_PAUSE_MIN: Duration = Duration::from_millis(20);
 /// The part of the adapter pool that an owner may fill before it reads its record again.
 const WINDOW_DIVISOR: u64 = 4;
 
@@ -51,6 +53,8 @@
     /// The adapter loads that the engine is about.
     pub(super) permits: Vec<(OrderId, AdapterPermit)>,
     pub(super) moves: Vec<QueuedMove>,
+    /// The time to the next poll while an order is fresh.
+    order_pause: Duration,
 }
 
 impl RunnerTask {
@@ -93,9 +97,25 @@
             adapters_known: false,
             permits: Vec::new(),
             moves: Vec::new(),
+            order_pause: ORDER_PAUSE_MIN,
         })
     }
 
+    /// Returns the time until the next poll: short while an order is fresh, so that what it
+    /// changed is soon seen.
+    pub(super) fn next_pause(&mut self) -> Duration {
+        let longest = self.context.timing.status_interval;
+        let has_open =
+            !self.handle.record().orders.is_empty() || !self.adapters.orders().is_empty();
+        if !has_open || self.failed_polls > 0 || self.doubtful_polls > 0 {
+            self.order_pause = ORDER_PAUSE_MIN;
+            return longest;
+        }
+        let pause = self.order_pause.min(longest);
+        self.order_pause *= 2;
+        pause
+    }
+
     /// Polls the engine once and brings the record up to what is seen.
     ///
     /// # Errors
--- a/src/fleet/supervisor.rs
+++ b/src/fleet/supervisor.rs
@@ -193,7 +193,7 @@
 
     /// Waits for the next poll or a move; returns whether the runner is still wanted.
     async fn wait(&mut self, task: &mut RunnerTask) -> bool {
-        let next_poll = Instant::now() + self.context.timing.status_interval;
+        let next_poll = Instant::now() + task.next_pause();
         tokio::select! {
         biased;
                    _ = self.owned.wait_for(|owned| !owned) => return false,
