Count an order as doubtful at the regular pace only

Cause: a cold adapter still took 1.17 s: the status right after its order did not name the adapter, so the order counted as doubtful and the next poll waited the whole second. Ruled out: the entry's report (sent at once), the planner (not involved), the weight store (5-14 ms). Change: doubts are counted once the quick polls have reached the regular pace. Fleet proofs pass.

--- a/src/fleet/runner_task.rs
+++ b/src/fleet/runner_task.rs
@@ -107,7 +107,7 @@
         let longest = self.context.timing.status_interval;
         let has_open =
             !self.handle.record().orders.is_empty() || !self.adapters.orders().is_empty();
-        if !has_open || self.failed_polls > 0 || self.doubtful_polls > 0 {
+        if !has_open || self.failed_polls > 0 {
             self.order_pause = ORDER_PAUSE_MIN;
             return longest;
         }
@@ -335,6 +335,9 @@
             self.doubtful_polls = 0;
             return Ok(());
         }
+        if self.order_pause < self.context.timing.status_interval {
+            return Ok(());
+        }
         self.doubtful_polls += 1;
         if self.doubtful_polls < DOUBT_POLLS {
             return Ok(());
