--- a/tests/common/cluster.rs
+++ b/tests/common/cluster.rs
@@ -14,12 +14,11 @@
     },
     hyper::StatusCode,
     serde_json::{Value, json},
-    std::{
-        net::{SocketAddr, TcpListener},
-        sync::Arc,
-        time::Duration,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        net::TcpSocket,
+        time::{Instant, sleep},
     },
-    tokio::time::{Instant, sleep},
 };
 
 pub const PEER_KEY: &str = "the-key-of-the-processes";
@@ -67,7 +66,10 @@
             engine: json!({"memory_mib": 40_000, "adapter_pool_mib": 2_000, "token_us": 2_000}),
             weights: json!({"model_loads_per_s": 50.0, "model_load_ms": 20}),
             entry: json!({"log_level": "debug"}),
-            keeper: json!({"log_level": "debug", "lease_ttl_s": 3}),
+            keeper: json!({
+                "log_level": "debug", "lease_ttl_s": 3, "planning_interval_ms": 200,
+                "status_interval_ms": 200, "exchange_interval_ms": 500
+            }),
         }
     }
 }
@@ -79,11 +81,13 @@
     pub address: SocketAddr,
     pub control_address: SocketAddr,
     settings: Value,
+    _ports: ReservedPorts,
 }
 
 impl Standin {
     fn start(mut spec: Value) -> Self {
-        let [address, control_address] = free_addresses();
+        let ports = ReservedPorts::new(2);
+        let [address, control_address] = [0, 1].map(|index| ports.address(index));
         spec["address"] = json!(address);
         spec["control_address"] = json!(control_address);
         let settings = json!({"stand_ins": [spec]});
@@ -92,6 +96,7 @@
             address,
             control_address,
             settings,
+            _ports: ports,
         }
     }
 
@@ -130,6 +135,7 @@
     pub operator_address: SocketAddr,
     entry_settings: Value,
     keeper_settings: Value,
+    _ports: ReservedPorts,
 }
 
 impl Vm {
@@ -324,8 +330,9 @@
     }
 
     fn start_vm(&self, index: usize, seeds: &mut Vec<SocketAddr>) -> Vm {
-        let [callers, entry_peer, entry_operations] = free_addresses();
-        let [keeper_peer, operator, keeper_operations] = free_addresses();
+        let ports = ReservedPorts::new(6);
+        let [callers, entry_peer, entry_operations] = [0, 1, 2].map(|at| ports.address(at));
+        let [keeper_peer, operator, keeper_operations] = [3, 4, 5].map(|at| ports.address(at));
         let name = format!("vm-{index}");
         let data_centre = data_centre(index);
         let entry_settings = merged(
@@ -359,14 +366,32 @@
             operator_address: operator,
             entry_settings,
             keeper_settings,
+            _ports: ports,
         }
     }
 }
 
-/// Returns addresses on loopback ports that were free a moment ago.
-pub fn free_addresses<const N: usize>() -> [SocketAddr; N] {
-    let listeners = [(); N].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
-    listeners.map(|listener| listener.local_addr().unwrap())
+/// Ports on loopback that stay reserved for the processes of a test.
+///
+/// A socket that is bound but does not listen keeps others from the port, while a listener that
+/// allows the address to be reused, as those of the programs do, can still take it.
+#[derive(Debug)]
+pub struct ReservedPorts(Vec<TcpSocket>);
+
+impl ReservedPorts {
+    pub fn new(count: usize) -> Self {
+        let reserve = |_| {
+            let socket = TcpSocket::new_v4().unwrap();
+            socket.set_reuseaddr(true).unwrap();
+            socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+            socket
+        };
+        Self((0..count).map(reserve).collect())
+    }
+
+    pub fn address(&self, index: usize) -> SocketAddr {
+        self.0[index].local_addr().unwrap()
+    }
 }
 
 fn data_centre(index: usize) -> &'static str {
