--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -85,7 +85,8 @@
 interface EntryLink {
   # From an entry to the keeper of its VM. Calls with `known` answer when something newer is there.
   configuration @0 (known :UInt64) -> (head :Head, snapshot :Data);
-  runners @1 (known :UInt64) -> (version :UInt64, draining :Bool, runners :List(RunnerState), members :List(Member));
+  runners @1 (known :UInt64) -> (version :UInt64, draining :Bool, runners :List(RunnerState), members :List(Member),
+                               leaving :List(Text));
   report @2 (demand :List(Demand), suspects :List(Text));
 }
 
--- a/src/entry/backend.rs
+++ b/src/entry/backend.rs
@@ -35,6 +35,7 @@
 #[derive(Debug, Default)]
 struct Seen {
     leaving_until: Option<Instant>,
+    listed_leaving: bool,
     failed_until: Option<Instant>,
 }
 
@@ -66,10 +67,18 @@
         self.seen().leaving_until = Some(Instant::now() + LEAVING_COOLDOWN);
     }
 
-    /// Returns whether it said lately that it is leaving.
+    /// Takes over whether the platform lists it as leaving.
+    pub fn set_listed_leaving(&self, listed: bool) {
+        self.seen().listed_leaving = listed;
+    }
+
+    /// Returns whether it said lately that it is leaving, or the platform lists it so.
     pub fn was_leaving(&self) -> bool {
-        let until = self.seen().leaving_until;
-        until.is_some_and(|until| Instant::now() < until)
+        let seen = self.seen();
+        seen.listed_leaving
+            || seen
+                .leaving_until
+                .is_some_and(|until| Instant::now() < until)
     }
 
     /// Takes note of a refused or silent connection.
--- a/src/entry/routes.rs
+++ b/src/entry/routes.rs
@@ -8,7 +8,10 @@
         routing::RouteTable,
         units::{DataCentreName, Incarnation, RunnerName, ServiceName},
     },
-    std::sync::{Arc, PoisonError, RwLock},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, PoisonError, RwLock},
+    },
 };
 
 /// The requests to a model that may run at once, for each accelerator that serves it.
@@ -93,6 +96,7 @@
             .services
             .iter()
             .filter_map(|service| plain_backends(service, former))
+            .inspect(|(_, backends)| mark_leaving(backends, &view.leaving))
             .collect();
         Self {
             runners: RouteTable::new(&view.catalog, home, &view.runners),
@@ -137,6 +141,12 @@
     Some((service.name.clone(), backends))
 }
 
+fn mark_leaving(backends: &[Arc<Backend>], leaving: &[SocketAddr]) {
+    for backend in backends {
+        backend.set_listed_leaving(leaving.binary_search(&backend.address).is_ok());
+    }
+}
+
 /// Keeps what was seen of a backend server that is still the same.
 fn keep_former(backend: Backend, former: &[Arc<Backend>]) -> Arc<Backend> {
     match find(former, &backend.name) {
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -7,7 +7,7 @@
         membership::Member,
         units::RunnerName,
     },
-    std::sync::Arc,
+    std::{net::SocketAddr, sync::Arc},
     tokio::sync::watch,
 };
 
@@ -25,6 +25,8 @@
     pub runners: Vec<RunnerState>,
     /// The live VMs.
     pub members: Vec<Member>,
+    /// The backend servers that the platform lists as leaving, sorted.
+    pub leaving: Vec<SocketAddr>,
     /// Whether an operator asked this VM to drain.
     pub draining: bool,
 }
--- a/src/keeper/entry_service.rs
+++ b/src/keeper/entry_service.rs
@@ -6,7 +6,7 @@
         entry::Report,
         peer::{
             LONG_POLL_MAX, list_len, read_demands, read_texts, write_head, write_member,
-            write_runner,
+            write_runner, write_texts,
         },
         peer_capnp::entry_link,
         units::Revision,
@@ -78,6 +78,11 @@
         for (index, state) in (0..).zip(&news.runners) {
             write_runner(state, runners.reborrow().get(index));
         }
+        let leaving: Vec<String> = news.leaving.iter().map(ToString::to_string).collect();
+        write_texts(
+            &leaving,
+            answer.reborrow().init_leaving(list_len(leaving.len())),
+        );
         let mut members = answer.init_members(list_len(news.members.len()));
         for (index, member) in (0..).zip(&news.members) {
             write_member(member, members.reborrow().get(index));
--- a/src/keeper/fleet_task.rs
+++ b/src/keeper/fleet_task.rs
@@ -1,7 +1,7 @@
 //! Tells the fleet what changed around it, and the others what changed in it.
 
 use {
-    super::{Gossip, KeeperState, ListedVm, Proposal},
+    super::{Gossip, KeeperState, ListedVm, Proposal, VmState},
     crate::{
         config::Catalog,
         fleet::{FleetKeeper, FleetView, RunnerState, owner_of},
@@ -50,6 +50,7 @@
         let mut revisions = self.state.watch_revision();
         let mut members = self.state.watch_members();
         loop {
+            self.note_leaving(&listed);
             if !self.state.draining() {
                 self.fleet.update(self.view(&mut listed));
             }
@@ -64,6 +65,14 @@
         }
     }
 
+    fn note_leaving(&self, listed: &watch::Receiver<Option<Vec<ListedVm>>>) {
+        let listed = listed.borrow();
+        let vms = listed.iter().flatten();
+        let leaving = vms.filter(|vm| vm.state == VmState::Leaving);
+        self.state
+            .set_leaving(leaving.map(|vm| vm.address).collect());
+    }
+
     fn view(&self, listed: &mut watch::Receiver<Option<Vec<ListedVm>>>) -> FleetView {
         let names = |vms: &Vec<ListedVm>| vms.iter().map(|listed| listed.vm.clone()).collect();
         FleetView {
@@ -83,20 +92,40 @@
     /// Passes on changed runner states. Needs a `LocalSet`.
     pub async fn pass_on_states(&self) {
         let mut states = self.fleet.states();
+        let mut versions = self.state.watch_version();
         loop {
-            let newest = states.borrow_and_update().clone();
-            let news = self.state.update_runners(newest.to_vec());
+            let newest = self.with_leaving(states.borrow_and_update().to_vec());
+            let news = self.state.update_runners(newest);
+            versions.mark_unchanged();
             let owned = self.owned(news);
             if !owned.is_empty() {
                 self.gossip.tell_data_centre(owned, &self.data_centre);
             }
-            if states.changed().await.is_err() {
+            let changed = tokio::select! {
+                changed = states.changed() => changed.is_ok(),
+                changed = versions.changed() => changed.is_ok(),
+            };
+            if !changed {
                 return;
             }
             tokio::time::sleep(GATHER).await;
         }
     }
 
+    /// Marks the runners that the platform lists as leaving.
+    fn with_leaving(&self, mut states: Vec<RunnerState>) -> Vec<RunnerState> {
+        let leaving = self.state.leaving();
+        if leaving.is_empty() {
+            return states;
+        }
+        let catalog = self.catalog();
+        for state in &mut states {
+            let runner = catalog.runner(&state.name);
+            state.leaving |= runner.is_some_and(|it| leaving.binary_search(&it.address).is_ok());
+        }
+        states
+    }
+
     fn owned(&self, mut states: Vec<RunnerState>) -> Vec<RunnerState> {
         let catalog = self.catalog();
         let members = self.state.members();
--- a/src/keeper/state.rs
+++ b/src/keeper/state.rs
@@ -41,6 +41,8 @@
     pub runners: Vec<RunnerState>,
     /// All live members, or none if they did not change.
     pub members: Vec<Member>,
+    /// The backend servers that the platform lists as leaving, sorted.
+    pub leaving: Vec<SocketAddr>,
 }
 
 #[derive(Debug, Default)]
@@ -50,6 +52,7 @@
     members_changed: u64,
     runners: Vec<Versioned>,
     draining: bool,
+    leaving: Vec<SocketAddr>,
 }
 
 /// What a keeper knows, shared by its tasks on one thread.
@@ -217,6 +220,22 @@
         states.iter().filter(is_urgent).cloned().collect()
     }
 
+    /// Returns the backend servers that the platform lists as leaving, sorted.
+    pub fn leaving(&self) -> Vec<SocketAddr> {
+        self.inner.borrow().leaving.clone()
+    }
+
+    /// Takes the addresses that the platform lists as leaving.
+    pub fn set_leaving(&self, mut leaving: Vec<SocketAddr>) {
+        leaving.sort_unstable();
+        if self.inner.borrow().leaving == leaving {
+            return;
+        }
+        self.inner.borrow_mut().leaving = leaving;
+        let version = self.raise_version();
+        self.announce(version);
+    }
+
     /// Returns whether this VM drains.
     pub fn draining(&self) -> bool {
         self.inner.borrow().draining
@@ -237,6 +256,7 @@
         RunnerNews {
             version: *self.version.borrow(),
             draining: inner.draining,
+            leaving: inner.leaving.clone(),
             runners: changed.map(|runner| runner.state.clone()).collect(),
             members: if members_changed {
                 inner.roster.members()
--- a/src/peer/convert.rs
+++ b/src/peer/convert.rs
@@ -11,7 +11,7 @@
         units::{Epoch, Incarnation, Revision},
     },
     capnp::{struct_list, text_list},
-    std::str::FromStr,
+    std::{net::SocketAddr, str::FromStr},
 };
 
 fn parse<T: FromStr>(text: capnp::text::Reader<'_>) -> Result<T, PeerError>
@@ -231,6 +231,19 @@
     })
 }
 
+/// Reads a list of addresses.
+///
+/// # Errors
+///
+/// Fails on a malformed element.
+pub fn read_addresses(from: text_list::Reader<'_>) -> Result<Vec<SocketAddr>, PeerError> {
+    let malformed = |_| capnp::Error::failed("an address is malformed".to_owned());
+    let read = |text: capnp::Result<capnp::text::Reader<'_>>| {
+        Ok(text?.to_str()?.parse().map_err(malformed)?)
+    };
+    from.iter().map(read).collect()
+}
+
 /// Writes a list of texts.
 pub fn write_texts<T: AsRef<str>>(texts: &[T], mut to: text_list::Builder<'_>) {
     for (index, text) in (0..).zip(texts) {
--- a/src/peer/entry_link.rs
+++ b/src/peer/entry_link.rs
@@ -131,6 +131,7 @@
         let answer = answer.get()?;
         let changed = convert::read_runners(answer.get_runners()?)?;
         let members = convert::read_members(answer.get_members()?)?;
+        let leaving = convert::read_addresses(answer.get_leaving()?)?;
         let draining = answer.get_draining();
         let unchanged = answer.get_version() == known;
         known = answer.get_version();
@@ -140,6 +141,7 @@
         update(views, |view| {
             merge_runners(&mut view.runners, changed);
             view.draining = draining;
+            view.leaving = leaving;
             if !members.is_empty() {
                 view.members = members;
             }
--- a/src/proto/peer_capnp.rs
+++ b/src/proto/peer_capnp.rs
@@ -7691,11 +7691,19 @@
             pub fn has_members(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_leaving(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_leaving(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 3 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7793,6 +7801,22 @@
             pub fn has_members(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_leaving(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_leaving(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            }
+            #[inline]
+            pub fn init_leaving(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+            }
+            #[inline]
+            pub fn has_leaving(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7804,17 +7828,17 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 87] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 106] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(63, 48, 7, 112, 169, 77, 175, 233),
                 ::capnp::word(21, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -7822,35 +7846,42 @@
                 ::capnp::word(76, 105, 110, 107, 46, 114, 117, 110),
                 ::capnp::word(110, 101, 114, 115, 36, 82, 101, 115),
                 ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 64, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(129, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(177, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7892,6 +7923,18 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -7899,6 +7942,7 @@
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     2 => <::capnp::struct_list::Owned<crate::peer_capnp::runner_state::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     3 => <::capnp::struct_list::Owned<crate::peer_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7912,9 +7956,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,2,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,4,3,2,0];
             pub(crate) const TYPE_ID: u64 = 0xe9af_4da9_7007_303f;
         }
     }
--- /dev/null
+++ b/tests/cluster_faults.rs
@@ -0,0 +1,403 @@
+//! Real processes under kills, freezes, outages and planned stops.
+
+mod common {
+    pub mod caller;
+    pub mod cluster;
+    pub mod operator;
+    pub mod process;
+}
+
+use {
+    common::{
+        cluster::{Cluster, ClusterPlan, OPERATOR_KEY},
+        operator::{self, Told},
+    },
+    greengagetrail::{standin::ReferenceText, units::Revision},
+    http_body_util::BodyExt,
+    hyper::{Method, StatusCode},
+    serde_json::{Value, json},
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::{Instant, sleep},
+};
+
+/// The bound within which an accepted revision must be in force everywhere.
+const IN_FORCE_MAX: Duration = Duration::from_secs(16);
+/// The bound after which a leaving server gets no new work.
+const LEAVING_MAX: Duration = Duration::from_secs(5);
+/// Far longer than a change of owner takes.
+const RECOVERY_MAX: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(50);
+
+fn extra_model(cluster: &Cluster, name: &str) -> Vec<Value> {
+    let mut objects = cluster.objects();
+    objects.push(json!({
+        "kind": "model", "name": name, "version": "1", "memory_mib": cluster.plan.model_mib
+    }));
+    objects
+}
+
+async fn lists(cluster: &Cluster, entry: SocketAddr, model: &str) -> bool {
+    let answer = cluster.caller.get(entry, "/v1/models").await;
+    answer.is_some_and(|answer| answer.text().contains(&format!("\"{model}\"")))
+}
+
+async fn wait_until_listed(cluster: &Cluster, model: &str, since: Instant, longest: Duration) {
+    for vm in &cluster.vms {
+        while !lists(cluster, vm.callers_address, model).await {
+            assert!(
+                since.elapsed() < longest,
+                "{} does not know {model}",
+                vm.name
+            );
+            sleep(POLL).await;
+        }
+    }
+    println!("{model} in force everywhere after {:?}", since.elapsed());
+}
+
+async fn assert_memory_kept(cluster: &Cluster) {
+    for engine in &cluster.engines {
+        let record = engine.record().await;
+        assert_eq!(record["overcommits"], 0, "{record}");
+    }
+}
+
+#[tokio::test]
+async fn an_accepted_revision_reaches_all_although_the_store_fails_right_after() {
+    let mut cluster = Cluster::start_published(ClusterPlan::default()).await;
+    let objects = extra_model(&cluster, "late-model");
+    let keeper = cluster.vms[0].operator_address;
+    let told = operator::publish(keeper, OPERATOR_KEY, &objects, Revision(1), "anna").await;
+    cluster.kv.set_faults(json!({"down": true})).await;
+    let accepted = Instant::now();
+    assert!(matches!(told, Told::Published(_)), "{told:?}");
+    wait_until_listed(&cluster, "late-model", accepted, IN_FORCE_MAX).await;
+    cluster.vms[2].entry.kill();
+    cluster.vms[2].keeper.kill();
+    let restarted = Instant::now();
+    cluster.vms[2].restart_keeper();
+    cluster.vms[2].restart_entry();
+    wait_until_listed(&cluster, "late-model", restarted, IN_FORCE_MAX).await;
+    let answer = cluster
+        .complete(cluster.vms[0].callers_address, "model-0", "x", 2)
+        .await;
+    assert_eq!(answer.unwrap().status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn of_racing_publishers_one_wins_each_revision_and_the_others_are_told() {
+    let cluster = Cluster::start_published(ClusterPlan::default()).await;
+    let mut newest = Revision(1);
+    for round in 0..4 {
+        let objects = extra_model(&cluster, &format!("raced-{round}"));
+        let racers = cluster.vms.iter().map(|vm| {
+            operator::publish(
+                vm.operator_address,
+                OPERATOR_KEY,
+                &objects,
+                newest,
+                &vm.name,
+            )
+        });
+        let told = futures::future::join_all(racers).await;
+        let won = told
+            .iter()
+            .filter(|told| matches!(told, Told::Published(_)))
+            .count();
+        assert_eq!(won, 1, "round {round}: {told:?}");
+        newest = newest.next();
+        for told in &told {
+            match told {
+                Told::Published(head) | Told::Conflict(head) => {
+                    assert_eq!(head.revision, newest, "round {round}");
+                }
+                other => panic!("round {round}: {other:?}"),
+            }
+        }
+    }
+    wait_until_listed(&cluster, "raced-3", Instant::now(), IN_FORCE_MAX).await;
+}
+
+#[tokio::test]
+async fn a_faulty_configuration_is_refused_whole_and_changes_nothing() {
+    let cluster = Cluster::start_published(ClusterPlan::default()).await;
+    let mut objects = extra_model(&cluster, "good-model");
+    objects.push(json!({"kind": "adapter", "name": "lost", "model": "nowhere", "memory_mib": 1}));
+    let keeper = cluster.vms[1].operator_address;
+    let told = operator::publish(keeper, OPERATOR_KEY, &objects, Revision(1), "anna").await;
+    let Told::Refused(faults) = told else {
+        panic!("{told:?}");
+    };
+    assert!(
+        faults.iter().any(|fault| fault.contains("nowhere")),
+        "{faults:?}"
+    );
+    assert_eq!(operator::revision(keeper, OPERATOR_KEY).await, 1);
+    assert!(!lists(&cluster, cluster.vms[1].callers_address, "good-model").await);
+}
+
+async fn owner_of(cluster: &Cluster, runner: &str) -> (usize, u64) {
+    for (index, vm) in cluster.vms.iter().enumerate() {
+        let log = vm.keeper.log();
+        let line = log
+            .lines()
+            .rev()
+            .find(|line| line.contains(&format!("owns {runner} under")));
+        let lost = log
+            .lines()
+            .rev()
+            .find(|line| line.contains(&format!("gave up {runner}")));
+        if let Some(line) = line
+            && lost.is_none_or(|lost| lost < line)
+        {
+            let epoch = line.rsplit(' ').next().unwrap().parse().unwrap();
+            return (index, epoch);
+        }
+    }
+    panic!("nobody owns {runner}");
+}
+
+async fn wait_for_epoch(cluster: &Cluster, runner: &str, above: u64, watching: usize) -> u64 {
+    let start = Instant::now();
+    loop {
+        let keeper = cluster.vms[watching].operator_address;
+        let status = operator::status(keeper, OPERATOR_KEY)
+            .await
+            .unwrap_or_default();
+        let runners = status["runners"].as_array().cloned().unwrap_or_default();
+        let state = runners.iter().find(|state| state["name"] == runner);
+        let epoch = state.and_then(|state| state["epoch"].as_u64()).unwrap_or(0);
+        if epoch > above {
+            println!("{runner} changed hands after {:?}", start.elapsed());
+            return epoch;
+        }
+        assert!(
+            start.elapsed() < RECOVERY_MAX,
+            "{runner} stays with its lost owner"
+        );
+        sleep(POLL).await;
+    }
+}
+
+#[tokio::test]
+async fn a_killed_keeper_loses_its_runners_while_callers_are_served() {
+    let mut cluster = Cluster::start_published(ClusterPlan::default()).await;
+    let (owner, epoch) = owner_of(&cluster, "runner-0").await;
+    cluster.vms[owner].keeper.kill();
+    let watching = (owner + 1) % cluster.vms.len();
+    let entry = cluster.vms[owner].callers_address;
+    let answer = cluster
+        .complete(entry, "model-0", "after the kill", 3)
+        .await
+        .unwrap();
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+    wait_for_epoch(&cluster, "runner-0", epoch, watching).await;
+    let objects = extra_model(&cluster, "new-model");
+    let keeper = cluster.vms[watching].operator_address;
+    operator::publish(keeper, OPERATOR_KEY, &objects, Revision(1), "anna").await;
+    cluster.vms[owner].restart_keeper();
+    let start = Instant::now();
+    loop {
+        let answer = cluster
+            .complete(entry, "new-model", "hello", 3)
+            .await
+            .unwrap();
+        if answer.status == StatusCode::OK {
+            break;
+        }
+        assert!(start.elapsed() < RECOVERY_MAX, "{}", answer.text());
+        sleep(POLL).await;
+    }
+    assert_memory_kept(&cluster).await;
+}
+
+#[tokio::test]
+async fn a_keeper_frozen_past_its_lease_wakes_without_harm() {
+    for fencing in ["honoured", "ignored"] {
+        let mut plan = ClusterPlan::default();
+        plan.engine["fencing"] = json!(fencing);
+        let cluster = Cluster::start_published(plan).await;
+        let (owner, epoch) = owner_of(&cluster, "runner-1").await;
+        cluster.vms[owner].keeper.freeze();
+        let watching = (owner + 1) % cluster.vms.len();
+        wait_for_epoch(&cluster, "runner-1", epoch, watching).await;
+        let objects = extra_model(&cluster, "while-frozen");
+        let keeper = cluster.vms[watching].operator_address;
+        operator::publish(keeper, OPERATOR_KEY, &objects, Revision(1), "anna").await;
+        sleep(Duration::from_secs(2)).await;
+        cluster.vms[owner].keeper.thaw();
+        wait_until_listed(&cluster, "while-frozen", Instant::now(), IN_FORCE_MAX).await;
+        cluster.wait_until_reachable(RECOVERY_MAX).await;
+        assert_memory_kept(&cluster).await;
+    }
+}
+
+#[tokio::test]
+async fn a_leaving_engine_gets_no_new_work_although_the_list_is_late() {
+    let cluster = Cluster::start_published(ClusterPlan::default()).await;
+    cluster.engines[0]
+        .set_faults(json!({"leaving": true}))
+        .await;
+    sleep(LEAVING_MAX).await;
+    let before = cluster.engines[0].record().await;
+    for round in 0..40 {
+        let entry = cluster.vms[round % 3].callers_address;
+        let answer = cluster
+            .complete(entry, "model-0", &format!("{round}"), 2)
+            .await
+            .unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+    }
+    let after = cluster.engines[0].record().await;
+    assert_eq!(
+        before["runs"], after["runs"],
+        "a leaving engine got new work"
+    );
+    assert_eq!(
+        before["refused"], after["refused"],
+        "a leaving engine was asked again"
+    );
+}
+
+#[tokio::test]
+async fn a_listed_backend_gets_no_new_work() {
+    let cluster = Cluster::start_published(ClusterPlan::default()).await;
+    let engine = cluster.engines[1].address;
+    let vms = cluster
+        .vms
+        .iter()
+        .map(|vm| json!({"vm": vm.name, "address": vm.callers_address, "state": "live"}));
+    let mut listed: Vec<Value> = vms.collect();
+    listed.push(json!({"vm": "engine-1", "address": engine, "state": "leaving"}));
+    listed.push(json!({"vm": "desk-1", "address": cluster.plain.address, "state": "leaving"}));
+    cluster.vm_list.set_faults(json!({"vms": listed})).await;
+    // The list is read every 10 s, give or take a quarter; the bound counts from there.
+    sleep(Duration::from_millis(12_500) + LEAVING_MAX).await;
+    let before = cluster.engines[1].record().await["runs"].clone();
+    for round in 0..20 {
+        let entry = cluster.vms[round % 3].callers_address;
+        cluster
+            .complete(entry, "model-1", &format!("{round}"), 2)
+            .await
+            .unwrap();
+        let refused = cluster
+            .caller
+            .get(entry, "/services/desk/price")
+            .await
+            .unwrap();
+        assert_eq!(refused.json()["outcome"], "not-run", "{}", refused.text());
+    }
+    assert_eq!(cluster.engines[1].record().await["runs"], before);
+}
+
+#[tokio::test]
+async fn a_planned_stop_of_an_entry_cuts_no_stream() {
+    let plan = ClusterPlan {
+        engine: json!({"memory_mib": 40_000, "adapter_pool_mib": 2_000, "token_us": 20_000}),
+        ..ClusterPlan::default()
+    };
+    let mut cluster = Cluster::start_published(plan).await;
+    let entry = cluster.vms[0].callers_address;
+    let mut streams = Vec::new();
+    for index in 0..60 {
+        let prompt = format!("stream {index}");
+        let body = json!({
+            "model": "model-0", "prompt": prompt, "max_tokens": 100, "stream": true
+        });
+        let headers = [("content-type", "application/json")];
+        let path = "/v1/completions";
+        let open = cluster
+            .caller
+            .open(Method::POST, entry, path, &headers, body.to_string());
+        let response = open.await.unwrap();
+        assert_eq!(response.status(), StatusCode::OK);
+        streams.push(tokio::spawn(response.into_body().collect()));
+    }
+    let stopped = Instant::now();
+    cluster.vms[0].entry.terminate();
+    sleep(Duration::from_millis(200)).await;
+    let operations = cluster.vms[0].entry_operations_address;
+    let readiness = cluster.caller.get(operations, "/readyz").await.unwrap();
+    assert_eq!(readiness.status, StatusCode::SERVICE_UNAVAILABLE);
+    for (index, stream) in streams.into_iter().enumerate() {
+        let body = stream.await.unwrap().expect("a stream was cut").to_bytes();
+        let text = String::from_utf8(body.to_vec()).unwrap();
+        assert!(text.ends_with("data: [DONE]\n\n"), "stream {index}: {text}");
+        let reference = ReferenceText::new("model-0", &format!("stream {index}"));
+        assert!(
+            reference.matches(0..100, &joined(&text)),
+            "stream {index}: {text}"
+        );
+    }
+    let status = cluster.vms[0].entry.wait(Duration::from_secs(20));
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+    println!("the entry stopped after {:?}", stopped.elapsed());
+}
+
+/// Joins the texts of a stream's events.
+fn joined(stream: &str) -> String {
+    let events = stream
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "));
+    let events = events.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+    events
+        .map(|event| {
+            event["choices"][0]["text"]
+                .as_str()
+                .unwrap_or("")
+                .to_owned()
+        })
+        .collect()
+}
+
+#[tokio::test]
+async fn a_planned_stop_of_a_keeper_hands_its_runners_over_before_its_lease_ends() {
+    let plan = ClusterPlan {
+        keeper: json!({"log_level": "debug", "lease_ttl_s": 60}),
+        ..ClusterPlan::default()
+    };
+    let mut cluster = Cluster::start_published(plan).await;
+    let (owner, epoch) = owner_of(&cluster, "runner-0").await;
+    cluster.vms[owner].keeper.terminate();
+    let watching = (owner + 1) % cluster.vms.len();
+    wait_for_epoch(&cluster, "runner-0", epoch, watching).await;
+    let status = cluster.vms[owner].keeper.wait(Duration::from_secs(20));
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+    let answer = cluster
+        .complete(cluster.vms[owner].callers_address, "model-0", "x", 2)
+        .await;
+    assert_eq!(answer.unwrap().status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn callers_are_served_throughout_a_long_outage_of_the_store() {
+    let cluster = Cluster::start_published(ClusterPlan::default()).await;
+    cluster.kv.set_faults(json!({"silent": true})).await;
+    let start = Instant::now();
+    let mut booked = 0;
+    let entry = cluster.vms[0].callers_address;
+    while start.elapsed() < Duration::from_secs(12) {
+        let answer = cluster
+            .complete(entry, "model-1", "outage", 2)
+            .await
+            .unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+        let path = "/services/desk/book";
+        let booking = cluster
+            .caller
+            .call(Method::POST, entry, path, &[], "{}")
+            .await
+            .unwrap();
+        assert_eq!(booking.status, StatusCode::OK, "{}", booking.text());
+        booked += 1;
+        sleep(Duration::from_millis(200)).await;
+    }
+    assert_eq!(cluster.plain.record().await["runs"], booked);
+    cluster.kv.set_faults(json!({})).await;
+    let objects = extra_model(&cluster, "after-outage");
+    let keeper = cluster.vms[2].operator_address;
+    let told = operator::publish(keeper, OPERATOR_KEY, &objects, Revision(1), "anna").await;
+    assert!(matches!(told, Told::Published(_)), "{told:?}");
+    wait_until_listed(&cluster, "after-outage", Instant::now(), IN_FORCE_MAX).await;
+    assert_memory_kept(&cluster).await;
+}
--- a/tests/common/entry_rig.rs
+++ b/tests/common/entry_rig.rs
@@ -140,6 +140,7 @@
             catalog: Arc::new(Catalog::from_objects(objects)),
             runners: self.runners.clone(),
             members: self.members.iter().map(|vm| member(vm)).collect(),
+            leaving: Vec::new(),
             draining: false,
         }
     }
