Keep runner records where every keeper watches them

Cause: a leaving engine's models stayed unreachable (cluster test red): the records lay at /ggt/runners/, outside the one watch of each keeper, so that other data centres never heard of a runner. Besides, a record that came before its revision was forgotten with the next update. Ruled out: the planner (it saw the runner leaving and had no other runner to choose). Change: one module names all keys; a runner is forgotten only when a new configuration drops it; one wall clock.

--- a/src/fleet/audit_log.rs
+++ b/src/fleet/audit_log.rs
@@ -4,14 +4,11 @@
     super::record_handle::unchanged,
     crate::{
         engine::Action,
-        store::{Op, SharedStore, StoreError, StoreVersion, Txn},
+        store::{Op, SharedStore, StoreError, StoreVersion, Txn, keys::AUDIT_PREFIX},
         units::{DataCentreName, Epoch, OrderId, RunnerName, VmName},
     },
     serde::{Deserialize, Serialize},
-    std::{
-        sync::{Mutex, MutexGuard, PoisonError},
-        time::{SystemTime, UNIX_EPOCH},
-    },
+    std::sync::{Mutex, MutexGuard, PoisonError},
 };
 
 /// The number of batches that a data centre keeps.
@@ -139,7 +136,7 @@
     }
 
     fn key(&self, name: &str) -> String {
-        format!("/ggt/audit/{}/{name}", self.data_centre)
+        format!("{AUDIT_PREFIX}{}/{name}", self.data_centre)
     }
 
     fn waiting(&self) -> MutexGuard<'_, Vec<AuditRecord>> {
@@ -147,14 +144,6 @@
     }
 }
 
-/// Returns the wall-clock time, for records that people read.
-pub(super) fn wall_clock_ms() -> u64 {
-    let since_1970 = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since_1970.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn put(key: String, value: Vec<u8>) -> Op {
     Op::Put {
         key,
--- a/src/fleet/fleet_keeper.rs
+++ b/src/fleet/fleet_keeper.rs
@@ -82,7 +82,7 @@
     /// Takes over what is known of the fleet, and takes or gives up runners accordingly.
     pub fn update(&self, view: FleetView) {
         let view = Arc::new(view);
-        self.context.view.send_replace(Arc::clone(&view));
+        let former = self.context.view.send_replace(Arc::clone(&view));
         let owners: Vec<VmName> = view
             .members
             .iter()
@@ -91,9 +91,7 @@
         let limit = view.catalog.deployment.adapter_loads_at_once_max;
         let share = adapter_share(limit, &owners, &self.context.me.vm);
         self.context.adapter_permits.set_share(share);
-        self.context
-            .board
-            .retain(|name| view.catalog.runner(name).is_some());
+        self.forget_removed(&former, &view);
         let mut supervisors = self.supervisors();
         for supervisor in supervisors.iter() {
             supervisor.set_owned(self.is_mine(supervisor.runner(), &view));
@@ -121,6 +119,15 @@
         &supervisors[position]
     }
 
+    /// Forgets runners that the new configuration dropped; one that it does not know yet may
+    /// come with the next.
+    fn forget_removed(&self, former: &FleetView, view: &FleetView) {
+        let is_kept = |name: &RunnerName| {
+            view.catalog.runner(name).is_some() || former.catalog.runner(name).is_none()
+        };
+        self.context.board.retain(is_kept);
+    }
+
     fn is_mine(&self, name: &RunnerName, view: &FleetView) -> bool {
         let me = &self.context.me;
         let is_me = |owner: &Member| owner.vm == me.vm && owner.incarnation == me.incarnation;
--- a/src/fleet/load_gate.rs
+++ b/src/fleet/load_gate.rs
@@ -7,7 +7,10 @@
     super::{Extra, RecordError, read_records, record_handle::unchanged},
     crate::{
         config::Deployment,
-        store::{Compare, Entry, Op, SharedStore, StoreVersion, Txn},
+        store::{
+            Compare, Entry, Op, SharedStore, StoreVersion, Txn,
+            keys::{LOAD_SLOTS_PREFIX, LOAD_START_KEY},
+        },
         units::{OrderId, RunnerName},
     },
     serde::{Deserialize, Serialize},
@@ -18,10 +21,6 @@
     tokio::time::Instant,
 };
 
-/// The prefix of the keys of load slots.
-const SLOT_PREFIX: &str = "/ggt/permits/load/";
-/// The key whose last write is the last start of a load.
-const START_KEY: &str = "/ggt/permits/start";
 /// How much longer a load waits for its turn when no caller waits for it.
 const DEFERRED_WAIT_MS: u64 = 100;
 
@@ -108,7 +107,7 @@
 
     async fn read(&self, slots: u32) -> Result<Vec<Option<Entry>>, RecordError> {
         let slot_keys = (0..slots).map(slot_key);
-        let keys = std::iter::once(START_KEY.to_owned()).chain(slot_keys);
+        let keys = std::iter::once(LOAD_START_KEY.to_owned()).chain(slot_keys);
         let txn = Txn {
             then: keys.map(|key| Op::Get { key }).collect(),
             ..Txn::default()
@@ -178,13 +177,16 @@
         lease: None,
     };
     Extra {
-        compare: vec![unchanged(START_KEY, start), Compare::Absent(slot_key(slot))],
-        ops: vec![put(START_KEY.to_owned()), put(slot_key(slot))],
+        compare: vec![
+            unchanged(LOAD_START_KEY, start),
+            Compare::Absent(slot_key(slot)),
+        ],
+        ops: vec![put(LOAD_START_KEY.to_owned()), put(slot_key(slot))],
     }
 }
 
 fn slot_key(slot: u32) -> String {
-    format!("{SLOT_PREFIX}{slot}")
+    format!("{LOAD_SLOTS_PREFIX}{slot}")
 }
 
 fn modified(entry: &Entry) -> StoreVersion {
--- a/src/fleet/record.rs
+++ b/src/fleet/record.rs
@@ -9,13 +9,7 @@
     serde::{Deserialize, Serialize},
 };
 
-/// The prefix of the keys of runner records.
-pub const RECORD_PREFIX: &str = "/ggt/runners/";
-
-/// Returns the key of a runner's record.
-pub fn record_key(runner: &RunnerName) -> String {
-    format!("{RECORD_PREFIX}{runner}")
-}
+pub use crate::store::keys::{RUNNERS_PREFIX as RECORD_PREFIX, runner_key as record_key};
 
 /// One start of one VM's keeper.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/src/fleet/runner_task.rs
+++ b/src/fleet/runner_task.rs
@@ -4,14 +4,13 @@
     super::{
         AdapterLedger, AdapterPermit, AuditEvent, AuditRecord, Evidence, Extra, LedgerError,
         PendingOrder, QueuedMove, RecordError, RecordHandle, RunnerState, TaskContext,
-        audit_log::wall_clock_ms,
         doubt::{Doubts, Verdict},
         free_slot,
     },
     crate::{
         config::{Fencing, Runner},
         engine::{Action, Engine, EngineError, Order, OrderReply, Role, Status},
-        units::{AdapterName, MemoryMib, ModelName, OrderId, RunnerName},
+        units::{AdapterName, MemoryMib, ModelName, OrderId, RunnerName, unix_now_ms},
     },
     std::{sync::Arc, time::Duration},
     tokio::time::timeout,
@@ -377,7 +376,7 @@
 
     pub(super) fn audit(&self, open: &PendingOrder, event: AuditEvent, decision: Option<&str>) {
         self.context.audit.note(AuditRecord {
-            at_ms: wall_clock_ms(),
+            at_ms: unix_now_ms(),
             vm: self.context.me.vm.clone(),
             runner: self.runner.name.clone(),
             epoch: self.handle.epoch(),
--- a/src/store/keys.rs
+++ b/src/store/keys.rs
@@ -23,8 +23,10 @@
 pub const COLLECTION_KEY: &str = "/ggt/collection";
 /// Claimed idempotency keys.
 pub const CLAIMS_PREFIX: &str = "/ggt/claims/";
-/// Permits of the weight store.
-pub const PERMITS_PREFIX: &str = "/ggt/permits/";
+/// The slots of model loads.
+pub const LOAD_SLOTS_PREFIX: &str = "/ggt/permits/load/";
+/// When the next model load may start.
+pub const LOAD_START_KEY: &str = "/ggt/permits/start";
 /// The audit trail of orders.
 pub const AUDIT_PREFIX: &str = "/ggt/audit/";
 
--- a/tests/cluster_faults.rs
+++ b/tests/cluster_faults.rs
@@ -238,7 +238,10 @@
     cluster.engines[0]
         .set_faults(json!({"leaving": true}))
         .await;
+    let told = Instant::now();
     sleep(LEAVING_MAX).await;
+    cluster.wait_until_reachable(RECOVERY_MAX).await;
+    println!("every model answers again after {:?}", told.elapsed());
     let before = cluster.engines[0].record().await;
     for round in 0..40 {
         let entry = cluster.vms[round % 3].callers_address;
