--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -17,10 +17,10 @@
     http_body_util::BodyExt,
     hyper::{StatusCode, body::Incoming, header},
     rand::RngExt,
-    std::{sync::Arc, time::Duration},
+    std::{pin::Pin, sync::Arc, time::Duration},
     tokio::{
         task,
-        time::{self, Instant},
+        time::{self, Instant, Sleep},
     },
 };
 
@@ -30,6 +30,9 @@
 /// The longest wait before the first resumption; it grows with each fruitless one.
 const RESUME_PAUSE_MAX: Duration = Duration::from_millis(20);
 
+/// The first setting of a silence timer; it is brought forward when the stream is read.
+const TIMER_MAX: Duration = Duration::from_secs(3600);
+
 /// The longest wait for the end of a body whose last event was read.
 const END_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -55,6 +58,8 @@
     in_flight: InFlight,
     parser: SseParser,
     alive_at: Instant,
+    /// Goes off at or before the moment at which the stream counts as silent.
+    timer: Pin<Box<Sleep>>,
     resumable: bool,
     tokens_per_event: u64,
 }
@@ -102,7 +107,7 @@
 
     /// Turns the relay into a body for the caller.
     pub(super) fn into_body(self) -> Body {
-        let chunks = stream::unfold(self, |mut relay| async move {
+        let chunks = stream::unfold(Box::new(self), |mut relay| async move {
             let chunk = relay.next().await?;
             Some((chunk, relay))
         });
@@ -326,6 +331,7 @@
             in_flight: attempt.in_flight,
             parser: SseParser::default(),
             alive_at: Instant::now(),
+            timer: Box::pin(time::sleep(TIMER_MAX)),
             resumable,
             tokens_per_event: tokens_per_event.unwrap_or(1),
         }
@@ -333,12 +339,25 @@
 
     async fn read(&mut self, silence_limit: Duration) -> Result<Bytes, Fault> {
         loop {
-            let frame = time::timeout_at(self.alive_at + silence_limit, self.body.frame()).await;
+            let due = self.alive_at + silence_limit;
+            if due < self.timer.deadline() {
+                self.timer.as_mut().reset(due);
+            }
+            let frame = tokio::select! {
+                biased;
+                frame = self.body.frame() => frame,
+                () = &mut self.timer => {
+                    if Instant::now() >= due {
+                        return Err(Fault::Silent);
+                    }
+                    self.timer.as_mut().reset(due);
+                    continue;
+                }
+            };
             match frame {
-                Err(_) => return Err(Fault::Silent),
-                Ok(None) => return Err(Fault::Cut("the stream ended early".to_owned())),
-                Ok(Some(Err(cause))) => return Err(Fault::Cut(cause.to_string())),
-                Ok(Some(Ok(frame))) => {
+                None => return Err(Fault::Cut("the stream ended early".to_owned())),
+                Some(Err(cause)) => return Err(Fault::Cut(cause.to_string())),
+                Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         return Ok(data);
                     }
--- a/src/entry/stream_check.rs
+++ b/src/entry/stream_check.rs
@@ -3,14 +3,16 @@
 use {
     super::{EventId, SseEvent},
     crate::units::RequestId,
-    memchr::memmem,
+    memchr::memmem::Finder,
+    std::sync::LazyLock,
 };
 
 /// The data of the event that ends a stream.
 const DONE: &[u8] = b"[DONE]";
 
 /// The field whose value, unless `null`, says that the last token was generated.
-const FINISH_REASON: &[u8] = b"\"finish_reason\":";
+static FINISH_REASON: LazyLock<Finder<'static>> =
+    LazyLock::new(|| Finder::new(b"\"finish_reason\":"));
 
 /// What to do with an event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -172,9 +174,10 @@
 }
 
 fn has_finish_reason(data: &[u8]) -> bool {
-    let Some(position) = memmem::find(data, FINISH_REASON) else {
+    let Some(position) = FINISH_REASON.find(data) else {
         return false;
     };
-    let value = data[position + FINISH_REASON.len()..].trim_ascii_start();
+    let value = &data[position + FINISH_REASON.needle().len()..];
+    let value = value.trim_ascii_start();
     value.starts_with(b"\"")
 }
