--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -3,16 +3,14 @@
 use {
     super::{
         Call, Claimed, DispatchError, Dispatched, Entry, EventId, Idempotent, InferenceRequest,
-        LossCause, parse_load,
+        LossCause, is_foreign, loss_problem, parse_load, retry_after,
     },
     crate::{
-        http::{
-            ENGINE_LEAVING, ENGINE_LOAD, Exchange, Problem, REQUEST_ID, discard_body, has_header,
-        },
+        http::{ENGINE_LEAVING, ENGINE_LOAD, Exchange, Problem, discard_body, has_header},
         routing::{Choice, InFlight, RouteRequest, choose},
-        units::{RequestId, RunnerName},
+        units::RunnerName,
     },
-    hyper::{HeaderMap, StatusCode, header},
+    hyper::{HeaderMap, StatusCode},
     std::{net::SocketAddr, time::Duration},
     tokio::time::{self, Instant},
 };
@@ -265,31 +263,3 @@
     Answer(Box<Attempt>),
     Again(Call<Claimed>),
 }
-
-/// Returns whether a response says that it answers another request.
-pub(super) fn is_foreign(headers: &HeaderMap, id: RequestId) -> bool {
-    let Some(found) = headers.get(REQUEST_ID) else {
-        return false;
-    };
-    found.to_str().ok().and_then(|text| text.parse().ok()) != Some(id)
-}
-
-/// Returns the wait that a response asks for.
-pub(super) fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
-    text.parse().ok().map(Duration::from_secs)
-}
-
-/// Describes a request that was dispatched and brought no response.
-pub(super) fn loss_problem(call: &Call<Dispatched>, cause: &LossCause) -> Problem {
-    match cause {
-        LossCause::Broken(detail) => {
-            call.problem(StatusCode::BAD_GATEWAY, "connection-lost", detail.clone())
-        }
-        LossCause::Silent => call.problem(
-            StatusCode::GATEWAY_TIMEOUT,
-            "no-answer-in-time",
-            "the backend server stayed silent",
-        ),
-    }
-}
--- /dev/null
+++ b/src/entry/joined.rs
@@ -0,0 +1,30 @@
+//! Joins chunks.
+
+use bytes::{Bytes, BytesMut};
+
+/// Joins chunks, without a copy when there is only one.
+#[derive(Default)]
+pub(super) struct Joined {
+    first: Bytes,
+    joined: BytesMut,
+}
+
+impl Joined {
+    pub(super) fn push(&mut self, chunk: Bytes) {
+        if self.first.is_empty() {
+            self.first = chunk;
+            return;
+        }
+        if self.joined.is_empty() {
+            self.joined.extend_from_slice(&self.first);
+        }
+        self.joined.extend_from_slice(&chunk);
+    }
+
+    pub(super) fn finish(self) -> Bytes {
+        match self.joined.is_empty() {
+            true => self.first,
+            false => self.joined.freeze(),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/key_problem.rs
@@ -0,0 +1,37 @@
+//! Problems with idempotency keys.
+
+use {super::KeyVerdict, crate::http::Problem, hyper::StatusCode, std::time::Duration};
+
+/// When to come back after a claim failed.
+const CLAIM_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Describes why a key does not allow a dispatch.
+pub(super) fn key_problem(verdict: &KeyVerdict) -> Problem {
+    match verdict {
+        KeyVerdict::Used(status) => {
+            let detail = "the idempotency key was used before";
+            let mut problem = Problem::unknown(StatusCode::CONFLICT, "key-used", detail);
+            problem.earlier_status = *status;
+            problem
+        }
+        KeyVerdict::NoClaim => {
+            let detail = "the idempotency key cannot be claimed now";
+            Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-claim", detail)
+                .retry_after(CLAIM_RETRY_AFTER)
+        }
+        KeyVerdict::Forged => {
+            let detail = "the idempotency key is no ticket for this service";
+            Problem::not_run(StatusCode::BAD_REQUEST, "bad-ticket", detail)
+        }
+        _ => {
+            let detail = "the ticket is too old to tell whether it was used";
+            Problem::unknown(StatusCode::CONFLICT, "ticket-expired", detail)
+        }
+    }
+}
+
+/// Describes a ticket whose entry cannot be reached.
+pub(super) fn owner_gone() -> Problem {
+    let detail = "the entry that minted the ticket is gone";
+    Problem::unknown(StatusCode::BAD_GATEWAY, "ticket-owner-gone", detail)
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,17 +9,21 @@
 mod entry;
 mod entry_metrics;
 mod event_id;
+mod forward_call;
 mod forward_link;
 mod forward_service;
 mod forward_wire;
 mod idempotency;
 mod inference;
 mod inference_request;
+mod joined;
+mod key_problem;
 mod leaving;
 mod load_header;
 mod models;
 mod open_requests;
 mod relay;
+mod response_head;
 mod routes;
 mod run;
 mod serve;
@@ -29,9 +33,14 @@
 mod settings;
 mod sse;
 mod stream_check;
+mod stream_source;
+mod ticket_call;
 mod view;
 
-use {attempt::*, entry::read_problem, relay::*};
+use {
+    attempt::*, entry::read_problem, joined::*, key_problem::*, relay::*, response_head::*,
+    stream_source::*,
+};
 pub use {
     backend::*, call::*, choose::*, demand::*, entry::*, entry_metrics::*, event_id::*,
     forward_link::*, idempotency::*, inference_request::*, leaving::*, load_header::*,
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -2,25 +2,21 @@
 
 use {
     super::{
-        Attempt, Attempts, BreakReason, Call, Dispatched, DropReason, Entry, Idempotent,
-        InferenceRequest, OpenRequest, SseParser, StreamCheck, Verdict, parse_load,
+        Attempt, Attempts, DropReason, Entry, Idempotent, InferenceRequest, Joined, OpenRequest,
+        StreamCheck, StreamFault, StreamSource, Verdict, parse_load,
     },
     crate::{
         admission::Permit,
-        http::{
-            Body, BodyError, Connection, Outcome, Problem, RESUMABLE, TOKENS_PER_EVENT, has_header,
-        },
-        routing::InFlight,
+        http::{Body, BodyError, Outcome, Problem},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     futures::stream,
-    http_body_util::BodyExt,
-    hyper::{StatusCode, body::Incoming, header},
+    hyper::StatusCode,
     rand::RngExt,
-    std::{pin::Pin, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
     tokio::{
         task,
-        time::{self, Instant, Sleep},
+        time::{self, Instant},
     },
 };
 
@@ -30,18 +26,12 @@
 /// The longest wait before the first resumption; it grows with each fruitless one.
 const RESUME_PAUSE_MAX: Duration = Duration::from_millis(20);
 
-/// The first setting of a silence timer; it is brought forward when the stream is read.
-const TIMER_MAX: Duration = Duration::from_secs(3600);
-
-/// The longest wait for the end of a body whose last event was read.
-const END_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// An answer on its way from a model engine to a caller.
 pub(super) struct Relay {
     entry: Arc<Entry>,
     request: InferenceRequest,
     check: StreamCheck,
-    source: Option<Source>,
+    source: Option<StreamSource>,
     phase: Phase,
     fruitless: u32,
     first_token_at: Option<Instant>,
@@ -50,20 +40,6 @@
     _open: OpenRequest,
 }
 
-/// The stream that is being read.
-struct Source {
-    call: Call<Dispatched>,
-    body: Incoming,
-    connection: Connection,
-    in_flight: InFlight,
-    parser: SseParser,
-    alive_at: Instant,
-    /// Goes off at or before the moment at which the stream counts as silent.
-    timer: Pin<Box<Sleep>>,
-    resumable: bool,
-    tokens_per_event: u64,
-}
-
 enum Phase {
     Relaying,
     Finished,
@@ -72,14 +48,6 @@
     Ended,
 }
 
-/// Why a stream must be resumed.
-#[derive(Debug)]
-enum Fault {
-    Cut(String),
-    Silent,
-    Broken(BreakReason),
-}
-
 impl Relay {
     pub(super) fn new(
         entry: Arc<Entry>,
@@ -88,7 +56,7 @@
         permit: Permit,
         open: OpenRequest,
     ) -> Self {
-        let source = Source::new(attempt);
+        let source = StreamSource::new(attempt);
         let mut check = StreamCheck::new(request.id, source.resumable);
         check.set_tokens_per_event(source.tokens_per_event);
         Self {
@@ -124,7 +92,9 @@
                 }
                 Phase::Finished => {
                     self.phase = Phase::Ended;
-                    self.recycle().await;
+                    if let Some(source) = self.source.take() {
+                        source.recycle().await;
+                    }
                 }
                 Phase::Failed(problem) => {
                     self.phase = Phase::Aborting;
@@ -150,7 +120,7 @@
         let limit = self.silence_limit();
         let read = match &mut self.source {
             Some(source) => source.read(limit).await,
-            None => Err(Fault::Cut("there is no stream".to_owned())),
+            None => Err(StreamFault::Cut("there is no stream".to_owned())),
         };
         let (bytes, fault) = match read {
             Ok(chunk) => self.accept(chunk),
@@ -173,12 +143,12 @@
         })
     }
 
-    fn accept(&mut self, chunk: Bytes) -> (Bytes, Option<Fault>) {
+    fn accept(&mut self, chunk: Bytes) -> (Bytes, Option<StreamFault>) {
         let Some(source) = &mut self.source else {
             return (Bytes::new(), None);
         };
         if let Err(cause) = source.parser.push(chunk) {
-            return (Bytes::new(), Some(Fault::Cut(cause.to_string())));
+            return (Bytes::new(), Some(StreamFault::Cut(cause.to_string())));
         }
         let mut accepted = Joined::default();
         while let Some(event) = source.parser.next_event() {
@@ -188,7 +158,9 @@
             match self.check.judge(&event) {
                 Verdict::Comment => source.alive_at = Instant::now(),
                 Verdict::Drop(reason) => count_drop(reason),
-                Verdict::Break(reason) => return (accepted.finish(), Some(Fault::Broken(reason))),
+                Verdict::Break(reason) => {
+                    return (accepted.finish(), Some(StreamFault::Broken(reason)));
+                }
                 Verdict::Deliver => {
                     source.alive_at = Instant::now();
                     accepted.push(event.raw);
@@ -227,7 +199,7 @@
     }
 
     /// Retires the connection and asks for the rest of the answer on another one.
-    async fn resume(&mut self, fault: Fault) {
+    async fn resume(&mut self, fault: StreamFault) {
         let Some(source) = self.source.take() else {
             return;
         };
@@ -237,7 +209,7 @@
             self.request.id
         );
         metrics::counter!("ggt_stream_breaks_total").increment(1);
-        if matches!(fault, Fault::Silent) {
+        if matches!(fault, StreamFault::Silent) {
             self.entry.suspect(&runner);
             self.entry.client.close_idle(source.connection.address());
         }
@@ -265,7 +237,7 @@
 
     fn go_on(&mut self, attempt: Attempt) {
         let status = attempt.exchange.response.status();
-        let source = Source::new(attempt);
+        let source = StreamSource::new(attempt);
         if status != StatusCode::OK || (self.check.delivered() > 0 && !source.resumable) {
             let detail = "the stream cannot be resumed";
             let problem = source
@@ -288,17 +260,6 @@
             ..problem
         });
     }
-
-    /// Keeps the connection for later if the engine ended the body properly.
-    async fn recycle(&mut self) {
-        let Some(mut source) = self.source.take() else {
-            return;
-        };
-        let end = time::timeout(END_TIMEOUT, source.body.frame()).await;
-        if matches!(end, Ok(None)) {
-            source.connection.recycle();
-        }
-    }
 }
 
 impl Drop for Relay {
@@ -316,58 +277,7 @@
     }
 }
 
-impl Source {
-    fn new(attempt: Attempt) -> Self {
-        let headers = attempt.exchange.response.headers();
-        let resumable = has_header(headers, RESUMABLE, "yes");
-        let tokens_per_event = headers
-            .get(TOKENS_PER_EVENT)
-            .and_then(|text| text.to_str().ok());
-        let tokens_per_event = tokens_per_event.and_then(|text| text.parse().ok());
-        Self {
-            call: attempt.call,
-            body: attempt.exchange.response.into_body(),
-            connection: attempt.exchange.connection,
-            in_flight: attempt.in_flight,
-            parser: SseParser::default(),
-            alive_at: Instant::now(),
-            timer: Box::pin(time::sleep(TIMER_MAX)),
-            resumable,
-            tokens_per_event: tokens_per_event.unwrap_or(1),
-        }
-    }
-
-    async fn read(&mut self, silence_limit: Duration) -> Result<Bytes, Fault> {
-        loop {
-            let due = self.alive_at + silence_limit;
-            if due < self.timer.deadline() {
-                self.timer.as_mut().reset(due);
-            }
-            let frame = tokio::select! {
-                biased;
-                frame = self.body.frame() => frame,
-                () = &mut self.timer => {
-                    if Instant::now() >= due {
-                        return Err(Fault::Silent);
-                    }
-                    self.timer.as_mut().reset(due);
-                    continue;
-                }
-            };
-            match frame {
-                None => return Err(Fault::Cut("the stream ended early".to_owned())),
-                Some(Err(cause)) => return Err(Fault::Cut(cause.to_string())),
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(data);
-                    }
-                }
-            }
-        }
-    }
-}
-
-fn note_load(entry: &Entry, source: &Source, comment: &[u8]) {
+fn note_load(entry: &Entry, source: &StreamSource, comment: &[u8]) {
     let text = std::str::from_utf8(comment).unwrap_or_default();
     let load = text.strip_prefix("load ").and_then(parse_load);
     if let Some(load) = load {
@@ -376,43 +286,6 @@
     }
 }
 
-impl std::fmt::Display for Fault {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Cut(cause) => write!(f, "the stream was cut: {cause}"),
-            Self::Silent => f.write_str("the stream went silent"),
-            Self::Broken(reason) => write!(f, "the stream is broken: {reason:?}"),
-        }
-    }
-}
-
-/// Joins chunks, without a copy when there is only one.
-#[derive(Default)]
-struct Joined {
-    first: Bytes,
-    joined: BytesMut,
-}
-
-impl Joined {
-    fn push(&mut self, chunk: Bytes) {
-        if self.first.is_empty() {
-            self.first = chunk;
-            return;
-        }
-        if self.joined.is_empty() {
-            self.joined.extend_from_slice(&self.first);
-        }
-        self.joined.extend_from_slice(&chunk);
-    }
-
-    fn finish(self) -> Bytes {
-        match self.joined.is_empty() {
-            true => self.first,
-            false => self.joined.freeze(),
-        }
-    }
-}
-
 /// Draws the wait before a resumption.
 fn resume_pause(fruitless: u32) -> Duration {
     let longest = RESUME_PAUSE_MAX * fruitless;
@@ -434,11 +307,3 @@
     )
     .into()
 }
-
-/// Returns whether a response is an event stream.
-pub(super) fn is_event_stream(attempt: &Attempt) -> bool {
-    let headers = attempt.exchange.response.headers();
-    let kind = headers.get(header::CONTENT_TYPE);
-    attempt.exchange.response.status() == StatusCode::OK
-        && kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
-}
--- /dev/null
+++ b/src/entry/response_head.rs
@@ -0,0 +1,47 @@
+//! What the head of a response, or its absence, means.
+
+use {
+    super::{Attempt, Call, Dispatched, LossCause},
+    crate::{
+        http::{Problem, REQUEST_ID},
+        units::RequestId,
+    },
+    hyper::{HeaderMap, StatusCode, header},
+    std::time::Duration,
+};
+
+/// Returns whether a response says that it answers another request.
+pub(super) fn is_foreign(headers: &HeaderMap, id: RequestId) -> bool {
+    let Some(found) = headers.get(REQUEST_ID) else {
+        return false;
+    };
+    found.to_str().ok().and_then(|text| text.parse().ok()) != Some(id)
+}
+
+/// Returns the wait that a response asks for.
+pub(super) fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_secs)
+}
+
+/// Describes a request that was dispatched and brought no response.
+pub(super) fn loss_problem(call: &Call<Dispatched>, cause: &LossCause) -> Problem {
+    match cause {
+        LossCause::Broken(detail) => {
+            call.problem(StatusCode::BAD_GATEWAY, "connection-lost", detail.clone())
+        }
+        LossCause::Silent => call.problem(
+            StatusCode::GATEWAY_TIMEOUT,
+            "no-answer-in-time",
+            "the backend server stayed silent",
+        ),
+    }
+}
+
+/// Returns whether a response is an event stream.
+pub(super) fn is_event_stream(attempt: &Attempt) -> bool {
+    let headers = attempt.exchange.response.headers();
+    let kind = headers.get(header::CONTENT_TYPE);
+    attempt.exchange.response.status() == StatusCode::OK
+        && kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
+}
--- /dev/null
+++ b/src/entry/ticket_call.rs
@@ -0,0 +1,70 @@
+//! Mints tickets for callers.
+
+use {
+    super::{Entry, ServicePath, unknown_service},
+    crate::{
+        config::ServiceTarget,
+        http::{Body, Problem},
+        units::ServiceName,
+    },
+    hyper::{Method, Response, StatusCode, header},
+    serde::Serialize,
+};
+
+/// Tickets minted at once when the caller gives no number.
+const TICKETS_DEFAULT: usize = 10;
+
+/// The most tickets minted at once.
+const TICKETS_MAX: usize = 100;
+
+#[derive(Debug, Serialize)]
+struct MintedKeys {
+    keys: Vec<String>,
+}
+
+impl Entry {
+    pub(super) fn mint_tickets(
+        &self,
+        path: &ServicePath,
+        method: &Method,
+    ) -> Result<Response<Body>, Problem> {
+        if method != Method::POST {
+            let detail = "tickets are minted with POST";
+            let status = StatusCode::METHOD_NOT_ALLOWED;
+            return Err(Problem::not_run(status, "wrong-method", detail));
+        }
+        let routes = self.routes.current();
+        let service = routes.view.catalog.service(&path.service);
+        if !service.is_some_and(|found| matches!(found.target, ServiceTarget::Plain { .. })) {
+            return Err(unknown_service(&path.service));
+        }
+        let count = wanted_count(&path.rest).min(TICKETS_MAX);
+        Ok(json_response(&MintedKeys {
+            keys: self.mint_keys(&path.service, count),
+        }))
+    }
+
+    fn mint_keys(&self, service: &ServiceName, count: usize) -> Vec<String> {
+        let mint = || self.keys.mint(service).to_string();
+        std::iter::repeat_with(mint).take(count).collect()
+    }
+}
+
+fn wanted_count(rest: &str) -> usize {
+    let query = rest.split_once('?').map_or("", |(_, query)| query);
+    let count = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("count="));
+    let count = count.and_then(|text| text.parse().ok());
+    count.unwrap_or(TICKETS_DEFAULT)
+}
+
+fn json_response(value: &impl Serialize) -> Response<Body> {
+    let text = serde_json::to_string(value).unwrap_or_default();
+    let mut response = Response::new(Body::from(text));
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static("application/json"),
+    );
+    response
+}
