--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         http::{ENGINE_LEAVING, ENGINE_LOAD, Exchange, Problem, discard_body, has_header},
-        routing::{Choice, InFlight, RouteRequest, choose},
+        routing::{Choice, InFlight},
         units::RunnerName,
     },
     hyper::{HeaderMap, StatusCode},
@@ -31,9 +31,9 @@
 
 /// The tries to get a response for one request.
 pub(super) struct Attempts<'a> {
-    entry: &'a Entry,
-    request: &'a InferenceRequest,
-    tried: Vec<RunnerName>,
+    pub(super) entry: &'a Entry,
+    pub(super) request: &'a InferenceRequest,
+    pub(super) tried: Vec<RunnerName>,
     tries: u32,
     retry_after: Option<Duration>,
 }
@@ -111,49 +111,6 @@
         self.tries < TRIES_MAX
     }
 
-    /// Chooses a runner; if no copy is ready, waits a while for one.
-    async fn choose_or_wait(&self) -> Option<Choice> {
-        if let Some(choice) = self.choose() {
-            return Some(choice);
-        }
-        let limit = Duration::from_millis(self.entry.settings.copy_wait_ms);
-        let mut views = self.entry.routes.receiver();
-        views.mark_unchanged();
-        self.entry.report_soon();
-        let deadline = self.request.arrived + limit;
-        loop {
-            if let Some(choice) = self.choose() {
-                return Some(choice);
-            }
-            let changed = time::timeout_at(deadline, views.changed()).await;
-            if !matches!(changed, Ok(Ok(()))) {
-                return None;
-            }
-        }
-    }
-
-    /// Chooses a runner that was not tried, or else any.
-    fn choose(&self) -> Option<Choice> {
-        self.choose_except(&self.tried)
-            .or_else(|| self.choose_except(&[]))
-    }
-
-    fn choose_except(&self, tried: &[RunnerName]) -> Option<Choice> {
-        let routes = self.entry.routes.current();
-        let mut excluded = self.entry.leaving.runners(&routes);
-        excluded.extend_from_slice(tried);
-        let request = RouteRequest {
-            model: &self.request.model,
-            adapter: self.request.adapter.as_ref(),
-            prefix_hashes: self.request.prefix_hash.as_slice(),
-            excluded: &excluded,
-        };
-        let board = &self.entry.board;
-        let now = Instant::now();
-        choose(&routes.runners, board, &request, now, &mut rand::rng())
-            .filter(|choice| choice.adapter_resident)
-    }
-
     async fn judge(&mut self, attempt: Attempt) -> Result<Judged, Problem> {
         let runner = attempt.in_flight.runner().clone();
         let address = attempt.exchange.connection.address();
--- /dev/null
+++ b/src/entry/copy_choice.rs
@@ -0,0 +1,57 @@
+//! Chooses the copy of a model that a request goes to.
+
+use {
+    super::Attempts,
+    crate::{
+        routing::{Choice, RouteRequest, choose},
+        units::RunnerName,
+    },
+    std::time::Duration,
+    tokio::time::{self, Instant},
+};
+
+impl Attempts<'_> {
+    /// Chooses a runner; if no copy is ready, waits a while for one.
+    pub(super) async fn choose_or_wait(&self) -> Option<Choice> {
+        if let Some(choice) = self.choose() {
+            return Some(choice);
+        }
+        let limit = Duration::from_millis(self.entry.settings.copy_wait_ms);
+        let mut views = self.entry.routes.receiver();
+        views.mark_unchanged();
+        self.entry.report_soon();
+        let deadline = self.request.arrived + limit;
+        loop {
+            if let Some(choice) = self.choose() {
+                return Some(choice);
+            }
+            let changed = time::timeout_at(deadline, views.changed()).await;
+            if !matches!(changed, Ok(Ok(()))) {
+                return None;
+            }
+        }
+    }
+
+    /// Chooses a runner that was not tried, or else any.
+    fn choose(&self) -> Option<Choice> {
+        self.choose_except(&self.tried)
+            .or_else(|| self.choose_except(&[]))
+    }
+
+    /// Chooses a runner that is neither leaving nor among those tried.
+    pub(super) fn choose_except(&self, tried: &[RunnerName]) -> Option<Choice> {
+        let routes = self.entry.routes.current();
+        let mut excluded = self.entry.leaving.runners(&routes);
+        excluded.extend_from_slice(tried);
+        let request = RouteRequest {
+            model: &self.request.model,
+            adapter: self.request.adapter.as_ref(),
+            prefix_hashes: self.request.prefix_hash.as_slice(),
+            excluded: &excluded,
+        };
+        let board = &self.entry.board;
+        let now = Instant::now();
+        choose(&routes.runners, board, &request, now, &mut rand::rng())
+            .filter(|choice| choice.adapter_resident)
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod backend;
 mod call;
 mod choose;
+mod copy_choice;
 mod demand;
 #[allow(clippy::module_inception)]
 mod entry;
@@ -24,6 +25,7 @@
 mod open_requests;
 mod relay;
 mod response_head;
+mod resume;
 mod routes;
 mod run;
 mod serve;
--- /dev/null
+++ b/src/entry/resume.rs
@@ -0,0 +1,87 @@
+//! Resumes a broken stream on another connection.
+
+use {
+    super::{Attempt, Attempts, Idempotent, Phase, Relay, StreamFault, StreamSource},
+    crate::http::{Outcome, Problem},
+    hyper::StatusCode,
+    rand::RngExt,
+    std::time::Duration,
+    tokio::time,
+};
+
+/// The most resumptions of a stream without a new token between them.
+const FRUITLESS_RESUMPTIONS_MAX: u32 = 3;
+
+/// The longest wait before the first resumption; it grows with each fruitless one.
+const RESUME_PAUSE_MAX: Duration = Duration::from_millis(20);
+
+impl Relay {
+    /// Retires the connection and asks for the rest of the answer on another one.
+    pub(super) async fn resume(&mut self, fault: StreamFault) {
+        let Some(source) = self.source.take() else {
+            return;
+        };
+        let runner = source.in_flight.runner().clone();
+        log::debug!(
+            "entry: stream {} broke at {runner}: {fault:?}",
+            self.request.id
+        );
+        metrics::counter!("ggt_stream_breaks_total").increment(1);
+        if matches!(fault, StreamFault::Silent) {
+            self.entry.suspect(&runner);
+            self.entry.client.close_idle(source.connection.address());
+        }
+        let call = source.call;
+        drop(source.connection);
+        let resumable = self.check.is_numbered() && source.resumable;
+        self.fruitless += 1;
+        if self.fruitless > FRUITLESS_RESUMPTIONS_MAX || (self.check.delivered() > 0 && !resumable)
+        {
+            self.fail(call.problem(StatusCode::BAD_GATEWAY, "stream-lost", fault.to_string()));
+            return;
+        }
+        time::sleep(resume_pause(self.fruitless)).await;
+        let after = (self.check.delivered() > 0).then(|| self.check.last_event_id());
+        let mut attempts = Attempts::new(&self.entry, &self.request);
+        attempts.avoid(runner);
+        let resumed = attempts
+            .run(call.repeat(Idempotent::inference()), after)
+            .await;
+        match resumed {
+            Ok(attempt) => self.go_on(attempt),
+            Err(problem) => self.fail(problem),
+        }
+    }
+
+    fn go_on(&mut self, attempt: Attempt) {
+        let status = attempt.exchange.response.status();
+        let source = StreamSource::new(attempt);
+        if status != StatusCode::OK || (self.check.delivered() > 0 && !source.resumable) {
+            let detail = "the stream cannot be resumed";
+            let problem = source
+                .call
+                .problem(StatusCode::BAD_GATEWAY, "stream-lost", detail);
+            self.fail(problem);
+            return;
+        }
+        if source.resumable {
+            self.check.require_ids();
+        }
+        self.check.set_tokens_per_event(source.tokens_per_event);
+        self.source = Some(source);
+    }
+
+    fn fail(&mut self, problem: Problem) {
+        metrics::counter!("ggt_streams_lost_total").increment(1);
+        self.phase = Phase::Failed(Problem {
+            outcome: Outcome::Unknown,
+            ..problem
+        });
+    }
+}
+
+/// Draws the wait before a resumption.
+fn resume_pause(fruitless: u32) -> Duration {
+    let longest = RESUME_PAUSE_MAX * fruitless;
+    longest.mul_f64(rand::rng().random())
+}
--- a/tests/common/entry_rig.rs
+++ b/tests/common/entry_rig.rs
@@ -11,11 +11,12 @@
         engine::ModelResident,
         entry::{
             Entry, EntryParts, EntrySettings, EntryView, ForwardError, ForwardedCall,
-            ForwardedReply, Forwarder,
+            ForwardedReply, Forwarder, forward_link, spawn_forward_link,
         },
         fleet::RunnerState,
         http::{Body, Client, Readiness},
         membership::Member,
+        peer::SharedKey,
         settings::Settings,
         standin::kv::MemoryStore,
         units::{Epoch, Incarnation, PublishId, Revision},
@@ -75,6 +76,10 @@
     pub settings: Value,
     pub store: MemoryStore,
     pub cluster: Cluster,
+    /// Where the entries of `members` listen for each other.
+    pub entry_addresses: Vec<SocketAddr>,
+    /// Listens for other entries; calls go over real links then.
+    pub peers: Option<std::net::TcpListener>,
 }
 
 impl Plan {
@@ -93,6 +98,8 @@
             settings: json!({}),
             store: MemoryStore::new(),
             cluster: Cluster::default(),
+            entry_addresses: Vec::new(),
+            peers: None,
         }
     }
 
@@ -139,11 +146,19 @@
             head: Some(head()),
             catalog: Arc::new(Catalog::from_objects(objects)),
             runners: self.runners.clone(),
-            members: self.members.iter().map(|vm| member(vm)).collect(),
+            members: self.live_members(),
             draining: false,
         }
     }
 
+    fn live_members(&self) -> Vec<Member> {
+        let unused = "127.0.0.1:1".parse().unwrap();
+        let addresses = self.entry_addresses.iter().copied();
+        let addresses = addresses.chain(std::iter::repeat(unused));
+        let members = self.members.iter().zip(addresses);
+        members.map(|(vm, address)| member(vm, address)).collect()
+    }
+
     pub async fn start(self) -> Rig {
         Rig::start(self).await
     }
@@ -176,12 +191,12 @@
     }
 }
 
-fn member(vm: &str) -> Member {
+fn member(vm: &str, entry_address: SocketAddr) -> Member {
     Member {
         vm: vm.parse().unwrap(),
         data_centre: "north".parse().unwrap(),
         address: "127.0.0.1:1".parse().unwrap(),
-        entry_address: "127.0.0.1:1".parse().unwrap(),
+        entry_address,
         incarnation: Incarnation(1),
     }
 }
@@ -215,12 +230,22 @@
 impl Rig {
     async fn start(plan: Plan) -> Self {
         let (views, receiver) = watch::channel(Arc::new(plan.view()));
+        let (link, calls) = forward_link();
+        let forwarder: Arc<dyn Forwarder> = match plan.peers {
+            Some(_) => Arc::new(link),
+            None => Arc::new(plan.cluster.clone()),
+        };
         let parts = EntryParts {
             views: receiver,
             store: Arc::new(plan.store.clone()),
-            forwarder: Arc::new(plan.cluster.clone()),
+            forwarder,
         };
-        let entry = Entry::new(settings(&plan), parts);
+        let settings = settings(&plan);
+        let key = SharedKey::new(settings.peer_key.as_bytes());
+        let entry = Entry::new(settings, parts);
+        if let Some(peers) = plan.peers {
+            spawn_forward_link(entry.clone(), peers, key, calls).unwrap();
+        }
         let registered = (plan.vm.to_owned(), Arc::downgrade(&entry));
         plan.cluster.entries.lock().unwrap().push(registered);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
