Bound the memory of bodies, give whole answers their time, notice dead peers

The bodies of open requests share bodies_max_bytes. Connections carry TCP keepalive and a user timeout; that part has no test, since a fake on loopback always acknowledges. Backend servers that the platform lists as leaving are looked up in the view instead of marked on each rebuild.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -74,7 +74,7 @@
             self.tried.push(runner.clone());
             let in_flight = self.entry.board.begin(&runner);
             let request = self.request.to_engine(address, after);
-            let limit = Duration::from_millis(self.entry.settings.first_token_timeout_ms);
+            let limit = self.head_timeout();
             let sent = call
                 .dispatch(&self.entry.client, address, request, limit)
                 .await;
@@ -105,6 +105,16 @@
         }
     }
 
+    /// Returns the longest wait for a response head, which a whole answer has to itself only at
+    /// its end.
+    fn head_timeout(&self) -> Duration {
+        let settings = &self.entry.settings;
+        Duration::from_millis(match self.request.stream {
+            true => settings.first_token_timeout_ms,
+            false => settings.whole_answer_timeout_ms,
+        })
+    }
+
     /// Counts a failed try; returns whether another one is allowed.
     pub(super) fn count_try(&mut self) -> bool {
         self.tries += 1;
--- a/src/entry/backend.rs
+++ b/src/entry/backend.rs
@@ -16,8 +16,9 @@
 /// How long a backend server that failed gets no new work while others can take it.
 const COOLDOWN: Duration = Duration::from_secs(1);
 
-/// How long a backend server that said it is leaving gets no new work.
-const LEAVING_COOLDOWN: Duration = Duration::from_secs(30);
+/// How long a backend server that said it is leaving gets no new work; one that starts again at
+/// the same address cannot be told from it.
+const LEAVING_MAX: Duration = Duration::from_secs(600);
 
 /// A backend server, with what this entry has seen of it.
 #[derive(Debug)]
@@ -63,7 +64,7 @@
 
     /// Takes note that it is leaving.
     pub fn set_leaving(&self) {
-        self.seen().leaving_until = Some(Instant::now() + LEAVING_COOLDOWN);
+        self.seen().leaving_until = Some(Instant::now() + LEAVING_MAX);
     }
 
     /// Returns whether it said lately that it is leaving.
--- a/src/entry/copy_choice.rs
+++ b/src/entry/copy_choice.rs
@@ -42,6 +42,7 @@
     pub(super) fn choose_except(&self, tried: &[RunnerName]) -> Option<Choice> {
         let routes = self.entry.routes.current();
         let mut excluded = self.entry.leaving.runners(&routes);
+        excluded.extend_from_slice(routes.leaving_runners());
         excluded.extend_from_slice(tried);
         let request = RouteRequest {
             model: &self.request.model,
--- a/src/entry/idempotency/key_memory.rs
+++ b/src/entry/idempotency/key_memory.rs
@@ -14,6 +14,9 @@
 /// The keys remembered in one shard; the store still knows the ones forgotten.
 const KEYS_PER_SHARD_MAX: usize = 4096;
 
+/// The requests remembered that released one key.
+const RELEASED_MAX: usize = 16;
+
 /// The digest of a service and a caller's key.
 pub(super) type KeyDigest = [u8; 32];
 
@@ -75,6 +78,9 @@
     pub(super) fn release(&self, digest: &KeyDigest, id: RequestId) {
         if let Some(known) = self.shard(digest).find(digest) {
             known.state = KeyState::Released;
+            if known.released.len() >= RELEASED_MAX {
+                known.released.remove(0);
+            }
             known.released.push(id);
         }
     }
--- a/src/entry/inference.rs
+++ b/src/entry/inference.rs
@@ -4,7 +4,6 @@
     super::{
         Attempt, Attempts, Call, Dispatched, Entry, Idempotent, InferenceRequest,
         InferenceRequestError, LossCause, OpenRequest, Relay, is_event_stream, loss_problem,
-        read_problem,
     },
     crate::{
         admission::{Admit, Permit},
@@ -45,15 +44,15 @@
         request: Request<Incoming>,
     ) -> Result<InferenceRequest, Problem> {
         let (head, body) = request.into_parts();
-        let limit_bytes = self.settings.body_max_bytes;
-        let body = read_body(body, limit_bytes, self.read_timeout())
-            .await
-            .map_err(read_problem)?;
+        let body = self.read_body(body).await?;
         let class = head.headers.get(SERVICE_CLASS);
         let class = class.map(|class| class.to_str().unwrap_or("?"));
         let routes = self.routes.current();
-        InferenceRequest::read(id, head.uri.path(), body, class, &routes.view.catalog)
-            .map_err(request_problem)
+        let read =
+            InferenceRequest::read(id, head.uri.path(), body.bytes, class, &routes.view.catalog);
+        let mut request = read.map_err(request_problem)?;
+        request.space = Some(body.space);
+        Ok(request)
     }
 
     async fn answer(
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod backend;
+mod body_space;
 mod call;
 mod choose;
 mod copy_choice;
@@ -39,13 +40,10 @@
 mod ticket_call;
 mod view;
 
-use {
-    attempt::*, entry::read_problem, joined::*, key_problem::*, relay::*, response_head::*,
-    stream_source::*,
-};
+use {attempt::*, joined::*, key_problem::*, relay::*, response_head::*, stream_source::*};
 pub use {
-    backend::*, call::*, choose::*, demand::*, entry::*, entry_metrics::*, event_id::*,
-    forward_link::*, idempotency::*, inference_request::*, leaving::*, load_header::*,
+    backend::*, body_space::*, call::*, choose::*, demand::*, entry::*, entry_metrics::*,
+    event_id::*, forward_link::*, idempotency::*, inference_request::*, leaving::*, load_header::*,
     open_requests::*, routes::*, run::*, service_request::*, settings::*, sse::*, stream_check::*,
     view::*,
 };
--- a/src/entry/routes.rs
+++ b/src/entry/routes.rs
@@ -8,7 +8,10 @@
         routing::RouteTable,
         units::{DataCentreName, Incarnation, RunnerName, ServiceName},
     },
-    std::sync::{Arc, PoisonError, RwLock},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, PoisonError, RwLock},
+    },
 };
 
 /// The requests to a model that may run at once, for each accelerator that serves it.
@@ -22,6 +25,7 @@
     /// The runners that can serve each model.
     pub runners: RouteTable,
     services: Vec<(ServiceName, Vec<Arc<Backend>>)>,
+    leaving: Vec<RunnerName>,
 }
 
 /// Always has the routes of the newest view.
@@ -97,10 +101,21 @@
         Self {
             runners: RouteTable::new(&view.catalog, home, &view.runners),
             services,
+            leaving: leaving_runners(&view),
             view,
         }
     }
 
+    /// Returns the runners that the platform lists as leaving, sorted.
+    pub fn leaving_runners(&self) -> &[RunnerName] {
+        &self.leaving
+    }
+
+    /// Returns whether the platform lists a backend server as leaving.
+    pub fn is_leaving(&self, address: SocketAddr) -> bool {
+        self.view.leaving.binary_search(&address).is_ok()
+    }
+
     /// Returns the backend servers of a plain service.
     pub fn service(&self, name: &ServiceName) -> &[Arc<Backend>] {
         let position = self.services.binary_search_by(|(found, _)| found.cmp(name));
@@ -117,6 +132,14 @@
     }
 }
 
+fn leaving_runners(view: &EntryView) -> Vec<RunnerName> {
+    let runners = view.catalog.runners.iter();
+    runners
+        .filter(|runner| view.leaving.binary_search(&runner.address).is_ok())
+        .map(|runner| runner.name.clone())
+        .collect()
+}
+
 fn plain_backends(service: &Service, former: &Routes) -> Option<(ServiceName, Vec<Arc<Backend>>)> {
     let ServiceTarget::Plain { backends, .. } = &service.target else {
         return None;
--- a/src/entry/service_call.rs
+++ b/src/entry/service_call.rs
@@ -1,9 +1,9 @@
 //! Answers requests to plain services.
 
 use {
-    super::{Entry, HeldKey, KeyVerdict, ServicePath, ServiceRequest, key_problem, read_problem},
+    super::{Entry, HeldKey, KeyVerdict, ServicePath, ServiceRequest, key_problem},
     crate::{
-        http::{Body, NEXT_IDEMPOTENCY_KEY, Outcome, Problem, read_body},
+        http::{Body, NEXT_IDEMPOTENCY_KEY, Outcome, Problem},
         units::RequestId,
     },
     hyper::{Request, Response, StatusCode, body::Incoming},
@@ -25,11 +25,10 @@
             return self.mint_tickets(&path, request.method());
         }
         let (head, body) = request.into_parts();
-        let body = read_body(body, self.settings.body_max_bytes, self.read_timeout())
-            .await
-            .map_err(read_problem)?;
+        let body = self.read_body(body).await?;
         let routes = self.routes.current();
-        let request = ServiceRequest::new(id, path, head.method, head.headers, body, &routes)?;
+        let request =
+            ServiceRequest::new(id, path, head.method, head.headers, body.bytes, &routes)?;
         self.budget.record_request(&request.path.service);
         if request.idempotent.is_some() {
             return self.dispatch_service(&request).await;
@@ -37,7 +36,7 @@
         let entry = self.clone();
         let answered = tokio::spawn(async move {
             let answered = entry.call_once(request).await;
-            drop(open);
+            drop((open, body.space));
             answered
         });
         answered.await.unwrap_or_else(|_| Err(interrupted()))
--- a/src/entry/service_dispatch.rs
+++ b/src/entry/service_dispatch.rs
@@ -100,7 +100,8 @@
 
     fn choose(&self) -> Option<Arc<Backend>> {
         let routes = self.entry.routes.current();
-        let backends = routes.service(&self.request.path.service);
+        let backends = routes.service(&self.request.path.service).iter();
+        let backends = backends.filter(|backend| !routes.is_leaving(backend.address));
         let near = &self.entry.settings.data_centre;
         let chosen = choose_backend(backends, &self.tried, near)?;
         (!chosen.was_leaving()).then_some(chosen)
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -33,6 +33,8 @@
         threads: usize = "2",
         #[doc = " The largest request body, in bytes."]
         body_max_bytes: usize = "4194304",
+        #[doc = " The memory for the bodies of all open requests, in bytes."]
+        bodies_max_bytes: u64 = "268435456",
         #[doc = " The longest wait for a caller's request head or body, in milliseconds."]
         read_timeout_ms: u64 = "10000",
         #[doc = " The longest wait for a caller to take bytes of its answer, in milliseconds."]
@@ -84,6 +86,11 @@
         "peer_key",
         "must have at least 16 bytes",
     );
+    require(
+        settings.bodies_max_bytes >= settings.body_max_bytes as u64,
+        "bodies_max_bytes",
+        "must be at least body_max_bytes",
+    );
     require(
         settings.report_interval_ms > 0,
         "report_interval_ms",
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,7 +1,7 @@
 //! The client for backend servers: HTTP/1.1, one request at a time on each connection.
 
 use {
-    super::{Body, Connection, SendError, idle::IdleConnections},
+    super::{Body, Connection, SendError, idle::IdleConnections, liveness},
     hyper::{Request, Response, body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
@@ -98,9 +98,7 @@
     async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
         let stream = TcpStream::connect(address).await.map_err(connect_error)?;
         let failed = |cause: String| SendError::NotConnected(cause);
-        stream
-            .set_nodelay(true)
-            .map_err(|cause| failed(cause.to_string()))?;
+        liveness::set_up(&stream).map_err(|cause| failed(cause.to_string()))?;
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(HEAD_MAX_BYTES)
             .handshake::<_, Body>(TokioIo::new(stream))
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod header;
 mod idle;
 mod listener;
+mod liveness;
 mod operations;
 mod preface;
 mod problem;
--- a/tests/common/entry_rig.rs
+++ b/tests/common/entry_rig.rs
@@ -147,6 +147,7 @@
             catalog: Arc::new(Catalog::from_objects(objects)),
             runners: self.runners.clone(),
             members: self.live_members(),
+            leaving: Vec::new(),
             draining: false,
         }
     }
--- a/tests/entry_services.rs
+++ b/tests/entry_services.rs
@@ -328,3 +328,18 @@
         assert!(desk.received().is_empty());
     }
 }
+
+#[tokio::test]
+async fn a_backend_that_the_platform_lists_as_leaving_gets_no_new_work() {
+    let leaving = FakeBackend::start(booked).await;
+    let well = FakeBackend::start(booked).await;
+    let plan = Plan::new().service("desk", &[&leaving, &well], 2000);
+    let mut view = plan.view();
+    let rig = plan.start().await;
+    view.leaving = vec![leaving.address];
+    rig.views.send_replace(view.into());
+    for _ in 0..20 {
+        assert_eq!(book(&rig, None).await.status, StatusCode::CREATED);
+    }
+    assert!(leaving.received().is_empty());
+}
