--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -3,16 +3,14 @@
 use {
     super::{
         Call, Claimed, DispatchError, Dispatched, Entry, EventId, Idempotent, InferenceRequest,
-        LossCause, parse_load,
+        LossCause, is_foreign, loss_problem, parse_load, retry_after,
     },
     crate::{
-        http::{
-            ENGINE_LEAVING, ENGINE_LOAD, Exchange, Problem, REQUEST_ID, discard_body, has_header,
-        },
-        routing::{Choice, InFlight, RouteRequest, choose},
-        units::{RequestId, RunnerName},
+        http::{ENGINE_LEAVING, ENGINE_LOAD, Exchange, Problem, discard_body, has_header},
+        routing::{Choice, InFlight},
+        units::RunnerName,
     },
-    hyper::{HeaderMap, StatusCode, header},
+    hyper::{HeaderMap, StatusCode},
     std::{net::SocketAddr, time::Duration},
     tokio::time::{self, Instant},
 };
@@ -33,9 +31,9 @@
 
 /// The tries to get a response for one request.
 pub(super) struct Attempts<'a> {
-    entry: &'a Entry,
-    request: &'a InferenceRequest,
-    tried: Vec<RunnerName>,
+    pub(super) entry: &'a Entry,
+    pub(super) request: &'a InferenceRequest,
+    pub(super) tried: Vec<RunnerName>,
     tries: u32,
     retry_after: Option<Duration>,
 }
@@ -76,7 +74,7 @@
             self.tried.push(runner.clone());
             let in_flight = self.entry.board.begin(&runner);
             let request = self.request.to_engine(address, after);
-            let limit = Duration::from_millis(self.entry.settings.first_token_timeout_ms);
+            let limit = self.head_timeout();
             let sent = call
                 .dispatch(&self.entry.client, address, request, limit)
                 .await;
@@ -107,55 +105,22 @@
         }
     }
 
+    /// Returns the longest wait for a response head, which a whole answer has to itself only at
+    /// its end.
+    fn head_timeout(&self) -> Duration {
+        let settings = &self.entry.settings;
+        Duration::from_millis(match self.request.stream {
+            true => settings.first_token_timeout_ms,
+            false => settings.whole_answer_timeout_ms,
+        })
+    }
+
     /// Counts a failed try; returns whether another one is allowed.
     pub(super) fn count_try(&mut self) -> bool {
         self.tries += 1;
         self.tries < TRIES_MAX
     }
 
-    /// Chooses a runner; if no copy is ready, waits a while for one.
-    async fn choose_or_wait(&self) -> Option<Choice> {
-        if let Some(choice) = self.choose() {
-            return Some(choice);
-        }
-        let limit = Duration::from_millis(self.entry.settings.copy_wait_ms);
-        let mut views = self.entry.routes.receiver();
-        views.mark_unchanged();
-        self.entry.report_soon();
-        let deadline = self.request.arrived + limit;
-        loop {
-            if let Some(choice) = self.choose() {
-                return Some(choice);
-            }
-            let changed = time::timeout_at(deadline, views.changed()).await;
-            if !matches!(changed, Ok(Ok(()))) {
-                return None;
-            }
-        }
-    }
-
-    /// Chooses a runner that was not tried, or else any.
-    fn choose(&self) -> Option<Choice> {
-        self.choose_except(&self.tried)
-            .or_else(|| self.choose_except(&[]))
-    }
-
-    fn choose_except(&self, tried: &[RunnerName]) -> Option<Choice> {
-        let routes = self.entry.routes.current();
-        let mut excluded = self.entry.leaving.runners(&routes);
-        excluded.extend_from_slice(tried);
-        let request = RouteRequest {
-            model: &self.request.model,
-            adapter: self.request.adapter.as_ref(),
-            prefix_hashes: self.request.prefix_hash.as_slice(),
-            excluded: &excluded,
-        };
-        let board = &self.entry.board;
-        let now = Instant::now();
-        choose(&routes.runners, board, &request, now, &mut rand::rng())
-            .filter(|choice| choice.adapter_resident)
-    }
-
     async fn judge(&mut self, attempt: Attempt) -> Result<Judged, Problem> {
         let runner = attempt.in_flight.runner().clone();
         let address = attempt.exchange.connection.address();
@@ -265,31 +230,3 @@
     Answer(Box<Attempt>),
     Again(Call<Claimed>),
 }
-
-/// Returns whether a response says that it answers another request.
-pub(super) fn is_foreign(headers: &HeaderMap, id: RequestId) -> bool {
-    let Some(found) = headers.get(REQUEST_ID) else {
-        return false;
-    };
-    found.to_str().ok().and_then(|text| text.parse().ok()) != Some(id)
-}
-
-/// Returns the wait that a response asks for.
-pub(super) fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
-    text.parse().ok().map(Duration::from_secs)
-}
-
-/// Describes a request that was dispatched and brought no response.
-pub(super) fn loss_problem(call: &Call<Dispatched>, cause: &LossCause) -> Problem {
-    match cause {
-        LossCause::Broken(detail) => {
-            call.problem(StatusCode::BAD_GATEWAY, "connection-lost", detail.clone())
-        }
-        LossCause::Silent => call.problem(
-            StatusCode::GATEWAY_TIMEOUT,
-            "no-answer-in-time",
-            "the backend server stayed silent",
-        ),
-    }
-}
--- a/src/entry/backend.rs
+++ b/src/entry/backend.rs
@@ -16,8 +16,9 @@
 /// How long a backend server that failed gets no new work while others can take it.
 const COOLDOWN: Duration = Duration::from_secs(1);
 
-/// How long a backend server that said it is leaving gets no new work.
-const LEAVING_COOLDOWN: Duration = Duration::from_secs(30);
+/// How long a backend server that said it is leaving gets no new work; one that starts again at
+/// the same address cannot be told from it.
+const LEAVING_MAX: Duration = Duration::from_secs(600);
 
 /// A backend server, with what this entry has seen of it.
 #[derive(Debug)]
@@ -35,7 +36,6 @@
 #[derive(Debug, Default)]
 struct Seen {
     leaving_until: Option<Instant>,
-    listed_leaving: bool,
     failed_until: Option<Instant>,
 }
 
@@ -64,21 +64,13 @@
 
     /// Takes note that it is leaving.
     pub fn set_leaving(&self) {
-        self.seen().leaving_until = Some(Instant::now() + LEAVING_COOLDOWN);
+        self.seen().leaving_until = Some(Instant::now() + LEAVING_MAX);
     }
 
-    /// Takes over whether the platform lists it as leaving.
-    pub fn set_listed_leaving(&self, listed: bool) {
-        self.seen().listed_leaving = listed;
-    }
-
-    /// Returns whether it said lately that it is leaving, or the platform lists it so.
+    /// Returns whether it said lately that it is leaving.
     pub fn was_leaving(&self) -> bool {
-        let seen = self.seen();
-        seen.listed_leaving
-            || seen
-                .leaving_until
-                .is_some_and(|until| Instant::now() < until)
+        let until = self.seen().leaving_until;
+        until.is_some_and(|until| Instant::now() < until)
     }
 
     /// Takes note of a refused or silent connection.
