List the test VMs before their keepers start

The whole path took 1.6 s or 10 to 13 s to be reachable. Cause: the keepers read the VM list before the harness had filled it, and read it again only 10 s later; a keeper that is not listed owns no runner.

--- a/tests/common/cluster.rs
+++ b/tests/common/cluster.rs
@@ -27,6 +27,8 @@
 /// Far longer than a start takes on a loaded machine.
 const START_MAX: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// The ports of an entry VM.
+const VM_PORTS: usize = 6;
 const STORE_TIMEOUTS: StoreTimeouts = StoreTimeouts {
     call_ms: 5_000,
     watch_silence_ms: 5_000,
@@ -184,12 +186,16 @@
             plan,
         };
         cluster.wait_for_standins().await;
+        let ports = (0..cluster.plan.vms).map(|_| ReservedPorts::new(VM_PORTS));
+        let ports: Vec<ReservedPorts> = ports.collect();
+        cluster
+            .list_vms(ports.iter().map(|ports| ports.address(0)))
+            .await;
         let mut seeds = Vec::new();
-        for index in 0..cluster.plan.vms {
-            let vm = cluster.start_vm(index, &mut seeds);
+        for (index, ports) in ports.into_iter().enumerate() {
+            let vm = cluster.start_vm(index, ports, &mut seeds);
             cluster.vms.push(vm);
         }
-        cluster.list_vms().await;
         for vm in &cluster.vms {
             let at = vm.keeper_operations_address;
             cluster.caller.wait_for(at, "/healthz", START_MAX).await;
@@ -311,12 +317,11 @@
         self.caller.post(entry, "/v1/completions", &body).await
     }
 
-    /// Shows all VMs as live in the VM list.
-    pub async fn list_vms(&self) {
-        let listed = self
-            .vms
-            .iter()
-            .map(|vm| json!({"vm": vm.name, "address": vm.callers_address, "state": "live"}));
+    /// Shows VMs with these addresses as live in the VM list, in the order of their names.
+    pub async fn list_vms(&self, addresses: impl Iterator<Item = SocketAddr>) {
+        let listed = addresses.enumerate().map(
+            |(index, address)| json!({"vm": vm_name(index), "address": address, "state": "live"}),
+        );
         let listed: Vec<Value> = listed.collect();
         self.vm_list.set_faults(json!({ "vms": listed })).await;
     }
@@ -329,11 +334,10 @@
         }
     }
 
-    fn start_vm(&self, index: usize, seeds: &mut Vec<SocketAddr>) -> Vm {
-        let ports = ReservedPorts::new(6);
+    fn start_vm(&self, index: usize, ports: ReservedPorts, seeds: &mut Vec<SocketAddr>) -> Vm {
         let [callers, entry_peer, entry_operations] = [0, 1, 2].map(|at| ports.address(at));
         let [keeper_peer, operator, keeper_operations] = [3, 4, 5].map(|at| ports.address(at));
-        let name = format!("vm-{index}");
+        let name = vm_name(index);
         let data_centre = data_centre(index);
         let entry_settings = merged(
             json!({
@@ -394,6 +398,10 @@
     }
 }
 
+fn vm_name(index: usize) -> String {
+    format!("vm-{index}")
+}
+
 fn data_centre(index: usize) -> &'static str {
     ["north", "south"][index % 2]
 }
