Plan placement per data centre with hysteresis and a cost per move

Cause: models outnumber accelerators; each needs a copy that serves, and moves cost. Chosen: homes by weighted rendezvous, a minimum step, a growth step that adds a copy only if the estimate of answers won per minute exceeds move_weight per load and unload, and a rule for unloading that planners on older views can't break together. Failed first, found by the property test: (1) relocation for a model that found no room took the room of one that did, forever; now only if it makes enough room, and last. (2) estimates that depended on their history made growth oscillate; now a function of the copies alone.

--- /dev/null
+++ b/src/placement/adapter_step.rs
@@ -0,0 +1,181 @@
+//! Places adapters beside the copies of their models.
+
+use {
+    super::planner::Planner,
+    crate::{
+        config::Adapter,
+        fleet::MoveChange,
+        routing::{rendezvous_weight, stable_hash},
+        units::AdapterName,
+    },
+    std::cmp::Reverse,
+};
+
+/// The share of one runner's capacity that one holder of an adapter is meant to serve.
+const HOLDER_SHARE: f64 = 0.5;
+/// How many times the demand of the adapter that it drives out an adapter must have.
+const EVICT_FACTOR: f64 = 2.0;
+
+struct WantedAdapter<'a> {
+    adapter: &'a Adapter,
+    tokens_per_s: f64,
+    requests_per_s: f64,
+}
+
+/// What the pool of one runner holds.
+struct Pool {
+    free_mib: u64,
+    /// Sorted by demand, the least first.
+    evictable: Vec<(f64, AdapterName, u64)>,
+}
+
+impl<'a> Planner<'a> {
+    /// Loads adapters that callers ask for, those that no runner holds first.
+    pub fn place_adapters(&mut self) {
+        let wanted = self.wanted_adapters();
+        let mut pools = self.pools();
+        let mut loads = self
+            .input
+            .catalog
+            .deployment
+            .adapter_loads_at_once_max
+            .max(1);
+        for wanted in &wanted {
+            if loads == 0 {
+                return;
+            }
+            let Some((runner, urgent)) = self.next_holder(wanted) else {
+                continue;
+            };
+            loads -= 1;
+            if self.image.runners[runner].mine {
+                self.load_adapter(runner, wanted, urgent, &mut pools[runner]);
+            }
+        }
+    }
+
+    fn wanted_adapters(&self) -> Vec<WantedAdapter<'a>> {
+        let catalog = self.input.catalog;
+        let rates = self.input.demand.iter();
+        let mut wanted: Vec<_> = rates
+            .filter_map(|rate| {
+                let adapter = catalog.adapter(rate.adapter.as_ref()?)?;
+                Some(WantedAdapter {
+                    adapter,
+                    tokens_per_s: rate.tokens_per_s,
+                    requests_per_s: rate.requests_per_s,
+                })
+            })
+            .collect();
+        wanted.sort_by(|a, b| b.requests_per_s.total_cmp(&a.requests_per_s));
+        wanted
+    }
+
+    /// Finds the runner that is to hold an adapter next, and whether callers wait for it.
+    fn next_holder(&self, wanted: &WantedAdapter<'_>) -> Option<(usize, bool)> {
+        let models = &self.input.catalog.models;
+        let found = models.binary_search_by(|model| model.name.cmp(&wanted.adapter.model));
+        let model = found.ok()?;
+        let (holders, others): (Vec<usize>, Vec<usize>) = self
+            .image
+            .ready_holders(model)
+            .partition(|&runner| self.holds_adapter(runner, &wanted.adapter.name));
+        let per_holder = self.input.tokens_per_accelerator_s * HOLDER_SHARE;
+        let needed = (wanted.tokens_per_s / per_holder).ceil().max(1.0) as usize;
+        if holders.len() >= needed {
+            return None;
+        }
+        let key = stable_hash(wanted.adapter.name.as_str());
+        let weight = |runner: usize| {
+            let name = &self.image.runners[runner].runner.name;
+            rendezvous_weight(key, name.as_str())
+        };
+        let next = others.into_iter().max_by_key(|&runner| weight(runner))?;
+        Some((next, holders.is_empty()))
+    }
+
+    fn holds_adapter(&self, runner: usize, adapter: &AdapterName) -> bool {
+        let state = self.image.runners[runner].state;
+        state.is_some_and(|state| state.adapters.contains(adapter))
+    }
+
+    fn load_adapter(
+        &mut self,
+        runner: usize,
+        wanted: &WantedAdapter<'_>,
+        urgent: bool,
+        pool: &mut Pool,
+    ) {
+        let size_mib = wanted.adapter.memory_mib.0;
+        if pool.free_mib >= size_mib {
+            pool.free_mib -= size_mib;
+            let name = wanted.adapter.name.clone();
+            self.push(runner, MoveChange::LoadAdapter(name), urgent);
+            return;
+        }
+        let mut room_mib = pool.free_mib;
+        let mut victims = 0;
+        for (rate, _, size) in &pool.evictable {
+            if room_mib >= size_mib || rate * EVICT_FACTOR > wanted.requests_per_s {
+                break;
+            }
+            room_mib += size;
+            victims += 1;
+        }
+        if room_mib < size_mib {
+            return;
+        }
+        for (_, name, _) in pool.evictable.drain(..victims) {
+            self.push(runner, MoveChange::UnloadAdapter(name), urgent);
+        }
+    }
+
+    fn pools(&self) -> Vec<Pool> {
+        (0..self.image.runners.len())
+            .map(|runner| self.pool(runner))
+            .collect()
+    }
+
+    fn pool(&self, runner: usize) -> Pool {
+        let image = &self.image.runners[runner];
+        let catalog = self.input.catalog;
+        let residents = image.state.map(|state| state.adapters.as_slice());
+        let mut held_mib = 0;
+        let mut evictable = Vec::new();
+        for name in residents.unwrap_or_default() {
+            let size_mib = catalog
+                .adapter(name)
+                .map_or(0, |adapter| adapter.memory_mib.0);
+            held_mib += size_mib;
+            evictable.push((self.adapter_rate(runner, name), name.clone(), size_mib));
+        }
+        evictable.sort_by(|a, b| {
+            let by_rate = a.0.total_cmp(&b.0);
+            by_rate.then_with(|| Reverse(a.2).cmp(&Reverse(b.2)))
+        });
+        let pool_mib = image.runner.adapter_pool_mib.0;
+        Pool {
+            free_mib: pool_mib.saturating_sub(held_mib),
+            evictable,
+        }
+    }
+
+    /// Returns the requests per second for an adapter, none when its model can't serve here.
+    fn adapter_rate(&self, runner: usize, name: &AdapterName) -> f64 {
+        let Some(adapter) = self.input.catalog.adapter(name) else {
+            return 0.0;
+        };
+        let copies = self.image.runners[runner].copies.iter();
+        let models = &self.input.catalog.models;
+        let served = copies
+            .filter_map(|copy| copy.model)
+            .any(|model| models[model].name == adapter.model);
+        if !served {
+            return 0.0;
+        }
+        let key = (&adapter.model, Some(name));
+        let rates = self.input.demand;
+        let found = rates.binary_search_by(|rate| (&rate.model, rate.adapter.as_ref()).cmp(&key));
+        found.map_or(0.0, |position| rates[position].requests_per_s)
+    }
+}
--- /dev/null
+++ b/src/placement/cleanup_step.rs
@@ -0,0 +1,64 @@
+//! Unloads copies that the configuration no longer wants.
+
+use super::{home_map, planner::Planner};
+
+impl Planner<'_> {
+    /// Unloads models that are no longer configured, copies where they may no longer be, copies
+    /// of old versions that are replaced, and copies above the configured number.
+    pub fn clean_up(&mut self) {
+        for runner in 0..self.image.runners.len() {
+            let image = &self.image.runners[runner];
+            if !image.mine || !image.usable {
+                continue;
+            }
+            for position in 0..image.copies.len() {
+                if self.is_unwanted(runner, position) && self.may_drop(runner, position) {
+                    self.unload(runner, position, false);
+                }
+            }
+        }
+    }
+
+    fn is_unwanted(&self, runner: usize, position: usize) -> bool {
+        let image = &self.image.runners[runner];
+        let copy = image.copies[position];
+        let Some(model) = copy.model else {
+            return true;
+        };
+        let catalog = self.image.catalog;
+        let name = &catalog.models[model].name;
+        if !home_map::is_allowed(catalog, name, &image.runner.data_centre) {
+            return true;
+        }
+        if !copy.current {
+            return self.is_replaced(model, runner);
+        }
+        self.image.holders(model).count() > home_map::copies_max(catalog, name)
+    }
+
+    /// Tells whether a copy of an old version can go: a current one serves, or no other runner
+    /// can take a current one before this one goes. Copies go one after the other, and none
+    /// while a current one loads.
+    fn is_replaced(&self, model: usize, runner: usize) -> bool {
+        let usable = self.image.runners.iter().filter(|image| image.usable);
+        let copies = usable
+            .flat_map(|image| image.copies.iter())
+            .filter(|copy| copy.model == Some(model));
+        let mut replaced = false;
+        for copy in copies {
+            if copy.dropped || copy.current && !copy.ready {
+                return false;
+            }
+            replaced |= copy.current;
+        }
+        replaced || !self.can_replace_elsewhere(model, runner)
+    }
+
+    fn can_replace_elsewhere(&self, model: usize, runner: usize) -> bool {
+        (0..self.image.runners.len()).any(|other| {
+            other != runner
+                && (self.image.runners[other].serves_soon(model)
+                    || self.image.may_take(other, model) && self.room(other, model).is_some())
+        })
+    }
+}
--- /dev/null
+++ b/src/placement/demand_tracker.rs
@@ -0,0 +1,175 @@
+//! Keeps rates of demand that forget old reports.
+
+use {
+    crate::{
+        fleet::Demand,
+        units::{AdapterName, ModelName},
+    },
+    std::time::Duration,
+    tokio::time::Instant,
+};
+
+/// The time over which the fast average forgets.
+const FAST_S: f64 = 20.0;
+/// The time over which the slow average forgets.
+const SLOW_S: f64 = 300.0;
+/// The shortest time that a rate is taken over.
+const OBSERVED_MIN_S: f64 = 10.0;
+/// Requests per second below which demand is forgotten.
+const FORGOTTEN_REQUESTS_PER_S: f64 = 1e-5;
+
+/// The demand for one model, or for one of its adapters.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DemandRate {
+    /// The model.
+    pub model: ModelName,
+    /// The adapter, if the callers named one.
+    pub adapter: Option<AdapterName>,
+    /// Requests that arrive.
+    pub requests_per_s: f64,
+    /// Tokens that the requests ask for, those of refused ones estimated.
+    pub tokens_per_s: f64,
+    /// Requests that missed their target or were refused.
+    pub lost_per_s: f64,
+}
+
+/// Merges reports of demand into rates that rise within seconds and fall within minutes.
+#[derive(Debug, Default)]
+pub struct DemandTracker {
+    entries: Vec<Entry>,
+    started: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    model: ModelName,
+    adapter: Option<AdapterName>,
+    updated: Instant,
+    fast: Sums,
+    slow: Sums,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Sums {
+    requests: f64,
+    answered: f64,
+    tokens: f64,
+    lost: f64,
+}
+
+impl DemandTracker {
+    /// Adds reports that arrived at `now`.
+    pub fn record(&mut self, reports: &[Demand], now: Instant) {
+        self.started.get_or_insert(now);
+        for report in reports {
+            self.entry(report, now).add(report, now);
+        }
+    }
+
+    /// Returns the rates at `now`, sorted by model and adapter.
+    pub fn rates(&self, now: Instant) -> Vec<DemandRate> {
+        let observed = self
+            .started
+            .map(|started| now.saturating_duration_since(started))
+            .unwrap_or_default();
+        let rates = self.entries.iter().map(|entry| entry.rate(now, observed));
+        rates
+            .filter(|rate| rate.requests_per_s >= FORGOTTEN_REQUESTS_PER_S)
+            .collect()
+    }
+
+    /// Drops what has been forgotten.
+    pub fn forget(&mut self, now: Instant) {
+        self.entries.retain(|entry| {
+            let requests = entry.slow.decayed(entry.age(now), SLOW_S).requests;
+            requests / SLOW_S >= FORGOTTEN_REQUESTS_PER_S
+        });
+    }
+
+    fn entry(&mut self, report: &Demand, now: Instant) -> &mut Entry {
+        let key = (&report.model, &report.adapter);
+        let found = self
+            .entries
+            .binary_search_by(|entry| (&entry.model, &entry.adapter).cmp(&key));
+        let position = found.unwrap_or_else(|position| {
+            self.entries.insert(position, Entry::new(report, now));
+            position
+        });
+        &mut self.entries[position]
+    }
+}
+
+impl Entry {
+    fn new(report: &Demand, now: Instant) -> Self {
+        Self {
+            model: report.model.clone(),
+            adapter: report.adapter.clone(),
+            updated: now,
+            fast: Sums::default(),
+            slow: Sums::default(),
+        }
+    }
+
+    fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.updated)
+    }
+
+    fn add(&mut self, report: &Demand, now: Instant) {
+        let age = self.age(now);
+        self.fast = self.fast.decayed(age, FAST_S).plus(report);
+        self.slow = self.slow.decayed(age, SLOW_S).plus(report);
+        self.updated = self.updated.max(now);
+    }
+
+    fn rate(&self, now: Instant, observed: Duration) -> DemandRate {
+        let age = self.age(now);
+        let fast = self.fast.decayed(age, FAST_S);
+        let slow = self.slow.decayed(age, SLOW_S);
+        let fast_s = window_s(FAST_S, observed);
+        let slow_s = window_s(SLOW_S, observed);
+        let requests_per_s = (fast.requests / fast_s).max(slow.requests / slow_s);
+        DemandRate {
+            model: self.model.clone(),
+            adapter: self.adapter.clone(),
+            requests_per_s,
+            tokens_per_s: requests_per_s * slow.tokens_per_answer(),
+            lost_per_s: fast.lost / fast_s,
+        }
+    }
+}
+
+impl Sums {
+    fn decayed(self, age: Duration, window_s: f64) -> Self {
+        let kept = (-age.as_secs_f64() / window_s).exp();
+        Self {
+            requests: self.requests * kept,
+            answered: self.answered * kept,
+            tokens: self.tokens * kept,
+            lost: self.lost * kept,
+        }
+    }
+
+    fn plus(self, report: &Demand) -> Self {
+        let answered = report.requests.saturating_sub(report.refused);
+        Self {
+            requests: self.requests + f64::from(report.requests),
+            answered: self.answered + f64::from(answered),
+            tokens: self.tokens + f64::from(report.tokens),
+            lost: self.lost + f64::from(report.late) + f64::from(report.refused),
+        }
+    }
+
+    fn tokens_per_answer(&self) -> f64 {
+        if self.answered > 0.0 {
+            self.tokens / self.answered
+        } else {
+            0.0
+        }
+    }
+}
+
+/// Returns the time that a decayed sum effectively covers.
+fn window_s(window_s: f64, observed: Duration) -> f64 {
+    let covered = window_s * (1.0 - (-observed.as_secs_f64() / window_s).exp());
+    covered.max(OBSERVED_MIN_S.min(window_s))
+}
--- /dev/null
+++ b/src/placement/image.rs
@@ -0,0 +1,215 @@
+//! The planner's working image of the fleet.
+
+use {
+    super::{PlanInput, home_map},
+    crate::{
+        config::{Catalog, Runner},
+        fleet::RunnerState,
+    },
+};
+
+/// One copy of a model on a runner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Copy {
+    /// The model's index in the catalog, or `None` when it is not configured.
+    pub model: Option<usize>,
+    /// Whether it can serve.
+    pub ready: bool,
+    /// Whether it has the configured version.
+    pub current: bool,
+    /// Whether it is being unloaded, by this plan or already.
+    pub dropped: bool,
+}
+
+/// One configured runner.
+#[derive(Debug, Clone)]
+pub(super) struct RunnerImage<'a> {
+    pub runner: &'a Runner,
+    pub state: Option<&'a RunnerState>,
+    /// Whether it is reachable and not leaving.
+    pub usable: bool,
+    /// Whether it is in the planned data centre.
+    pub mine: bool,
+    /// Memory for models that nothing holds.
+    pub free_mib: u64,
+    pub copies: Vec<Copy>,
+    /// The part of the memory to be set free that a later load will take.
+    pub promised_mib: u64,
+    /// Models that this plan loads.
+    pub loads: Vec<usize>,
+}
+
+/// The planner's working image of the fleet, in the order of the catalog's runners.
+#[derive(Debug, Clone)]
+pub(super) struct Image<'a> {
+    pub catalog: &'a Catalog,
+    pub runners: Vec<RunnerImage<'a>>,
+}
+
+impl<'a> Image<'a> {
+    pub fn new(input: &PlanInput<'a>) -> Self {
+        let mut states: Vec<&RunnerState> = input.runners.iter().collect();
+        states.sort_by(|a, b| a.name.cmp(&b.name));
+        let image_of = |runner: &'a Runner| {
+            let found = states.binary_search_by(|state| state.name.cmp(&runner.name));
+            let state = found.ok().map(|position| states[position]);
+            RunnerImage::new(input, runner, state)
+        };
+        Self {
+            catalog: input.catalog,
+            runners: input.catalog.runners.iter().map(image_of).collect(),
+        }
+    }
+
+    /// Returns which runners are usable.
+    pub fn live(&self) -> Vec<bool> {
+        self.runners.iter().map(|runner| runner.usable).collect()
+    }
+
+    /// Returns the runners that hold a copy of a model which serves or soon will.
+    pub fn holders(&self, model: usize) -> impl Iterator<Item = usize> + '_ {
+        self.usable_where(move |runner| runner.serves_soon(model))
+    }
+
+    /// Returns the runners that hold a copy of a model, of any version, which serves.
+    pub fn ready_holders(&self, model: usize) -> impl Iterator<Item = usize> + '_ {
+        self.usable_where(move |runner| runner.copies.iter().any(|copy| copy.serves(model)))
+    }
+
+    fn usable_where(
+        &self,
+        holds: impl Fn(&RunnerImage<'a>) -> bool,
+    ) -> impl Iterator<Item = usize> {
+        let runners = self.runners.iter().enumerate();
+        runners
+            .filter(move |(_, runner)| runner.usable && holds(runner))
+            .map(|(index, _)| index)
+    }
+
+    /// Tells whether a runner may take a copy of a model, room aside.
+    pub fn may_take(&self, runner: usize, model: usize) -> bool {
+        let image = &self.runners[runner];
+        let object = &self.catalog.models[model];
+        image.usable
+            && !image.holds_any(model)
+            && image.runner.model_memory_mib() >= object.memory_mib
+            && home_map::is_allowed(self.catalog, &object.name, &image.runner.data_centre)
+    }
+
+    pub fn size_mib(&self, model: usize) -> u64 {
+        self.catalog.models[model].memory_mib.0
+    }
+
+    /// Adds a copy that this plan loads.
+    pub fn load(&mut self, runner: usize, model: usize) {
+        let size_mib = self.size_mib(model);
+        let image = &mut self.runners[runner];
+        image.free_mib = image.free_mib.saturating_sub(size_mib);
+        image.loads.push(model);
+    }
+
+    /// Adds a copy that a later plan loads, once memory is free.
+    pub fn promise(&mut self, runner: usize, model: usize) {
+        let size_mib = self.size_mib(model);
+        let image = &mut self.runners[runner];
+        let now_mib = image.free_mib.min(size_mib);
+        image.free_mib -= now_mib;
+        image.promised_mib += size_mib - now_mib;
+        image.loads.push(model);
+    }
+
+    /// Marks a copy that this plan unloads; its memory stays held until that is done.
+    pub fn unload(&mut self, runner: usize, copy: usize) {
+        self.runners[runner].copies[copy].dropped = true;
+    }
+
+    /// Counts the loads that run and those of this plan.
+    pub fn loads_open(&self) -> usize {
+        let open = |runner: &RunnerImage<'_>| {
+            let loading = |copy: &&Copy| !copy.ready && !copy.dropped;
+            let running = runner.copies.iter().filter(loading).count();
+            running + runner.loads.len()
+        };
+        let usable = self.runners.iter().filter(|runner| runner.usable);
+        usable.map(open).sum()
+    }
+}
+
+impl<'a> RunnerImage<'a> {
+    fn new(input: &PlanInput<'a>, runner: &'a Runner, state: Option<&'a RunnerState>) -> Self {
+        let catalog = input.catalog;
+        let residents = state
+            .map(|state| state.models.as_slice())
+            .unwrap_or_default();
+        let mut held_mib = 0;
+        let mut copies = Vec::with_capacity(residents.len());
+        for model in residents {
+            let found = catalog
+                .models
+                .binary_search_by(|object| object.name.cmp(&model.model))
+                .ok();
+            held_mib += found.map_or(0, |index| catalog.models[index].memory_mib.0);
+            copies.push(Copy {
+                model: found,
+                ready: model.ready,
+                current: found.is_some_and(|index| catalog.models[index].version == model.version),
+                dropped: input
+                    .unloading
+                    .iter()
+                    .any(|gone| gone.runner == runner.name && gone.model == model.model),
+            });
+        }
+        let reserved = input.reservations.iter();
+        held_mib += reserved
+            .filter(|reservation| reservation.runner == runner.name)
+            .map(|reservation| reservation.memory_mib.0)
+            .sum::<u64>();
+        // The size of a model that is no longer configured is not known: nothing fits beside it.
+        let size_unknown = copies.iter().any(|copy| copy.model.is_none());
+        let free_mib = runner.model_memory_mib().0.saturating_sub(held_mib);
+        Self {
+            runner,
+            state,
+            usable: state.is_some_and(|state| state.reachable && !state.leaving),
+            mine: runner.data_centre == *input.data_centre,
+            free_mib: if size_unknown { 0 } else { free_mib },
+            copies,
+            promised_mib: 0,
+            loads: Vec::new(),
+        }
+    }
+
+    /// Tells whether a current copy is ready, loading or to be loaded.
+    pub fn serves_soon(&self, model: usize) -> bool {
+        self.loads.contains(&model) || self.copies.iter().any(|copy| copy.serves_soon(model))
+    }
+
+    fn holds_any(&self, model: usize) -> bool {
+        let holds = |copy: &Copy| copy.model == Some(model);
+        self.loads.contains(&model) || self.copies.iter().any(holds)
+    }
+
+    /// Returns the memory that dropped copies will set free.
+    pub fn coming_mib(&self, catalog: &Catalog) -> u64 {
+        let dropped = self.copies.iter().filter(|copy| copy.dropped);
+        let sizes = dropped
+            .filter_map(|copy| copy.model)
+            .map(|model| catalog.models[model].memory_mib.0);
+        sizes.sum::<u64>().saturating_sub(self.promised_mib)
+    }
+
+    /// Returns the share of the memory for models that nothing holds.
+    pub fn free_share(&self) -> f64 {
+        self.free_mib as f64 / self.runner.model_memory_mib().0.max(1) as f64
+    }
+}
+
+impl Copy {
+    pub fn serves(&self, model: usize) -> bool {
+        self.model == Some(model) && self.ready && !self.dropped
+    }
+
+    pub fn serves_soon(&self, model: usize) -> bool {
+        self.model == Some(model) && self.current && !self.dropped
+    }
+}
--- /dev/null
+++ b/src/placement/minimum_step.rs
@@ -0,0 +1,133 @@
+//! Keeps the configured number of copies of each model.
+
+use super::{home_map, planner::Planner, room::Room};
+
+impl Planner<'_> {
+    /// Loads what the models homed here lack, those that nothing serves first.
+    pub fn keep_minimum(&mut self) {
+        let Some(place) = self.place() else {
+            return;
+        };
+        let mut lacking: Vec<(bool, usize)> = (0..self.demand.len())
+            .filter(|&model| self.lacks_here(model, place))
+            .map(|model| (self.image.ready_holders(model).next().is_some(), model))
+            .collect();
+        lacking.sort_by(|a, b| {
+            let rate = |model: usize| self.demand[model].requests_per_s;
+            let by_rate = rate(b.1).total_cmp(&rate(a.1));
+            a.0.cmp(&b.0).then(by_rate).then(a.1.cmp(&b.1))
+        });
+        let mut without_room = Vec::new();
+        for (served, model) in lacking {
+            if self.may_load(!served) && !self.take_up_best(model, place, !served) {
+                without_room.push(model);
+            }
+        }
+        for model in without_room {
+            self.relocate_for(model, place);
+            let name = self.image.catalog.models[model].name.clone();
+            self.plan.unplaced.push(name);
+        }
+    }
+
+    /// Tells whether a model has too few copies and this data centre is to hold the next one.
+    fn lacks_here(&self, model: usize, place: usize) -> bool {
+        let name = &self.image.catalog.models[model].name;
+        let wanted = home_map::copies_min(self.image.catalog, name);
+        let holders: Vec<usize> = self.image.holders(model).collect();
+        if holders.len() >= wanted {
+            return false;
+        }
+        let count = |runners: &[usize]| {
+            let here = runners
+                .iter()
+                .filter(|&&runner| self.places[runner] == place);
+            here.count()
+        };
+        let homes = self.homes.by_index(model);
+        let wanted_here = homes.iter().filter(|&&home| home == place).count();
+        count(&holders) < wanted_here
+    }
+
+    /// Takes up a copy on the best runner of a data centre; what needs the fewest unloads is
+    /// best, then the one with the most free memory.
+    fn take_up_best(&mut self, model: usize, place: usize, urgent: bool) -> bool {
+        let runners = 0..self.image.runners.len();
+        let here = runners.filter(|&runner| self.places[runner] == place);
+        let best = here
+            .filter(|&runner| self.image.may_take(runner, model))
+            .filter_map(|runner| Some((self.room(runner, model)?, runner)))
+            .min_by(|a, b| {
+                let free = |runner: usize| self.image.runners[runner].free_share();
+                let by_room = unloads(&a.0).cmp(&unloads(&b.0));
+                by_room.then(free(b.1).total_cmp(&free(a.1)))
+            });
+        let Some((room, runner)) = best else {
+            return false;
+        };
+        self.take_up(runner, model, &room, urgent);
+        true
+    }
+
+    /// Makes room by loading the last copies of other models elsewhere first; once those serve,
+    /// the ones in the way can be unloaded.
+    fn relocate_for(&mut self, model: usize, place: usize) {
+        if self.loads_in(place) {
+            return;
+        }
+        let runners = (0..self.image.runners.len()).filter(|&runner| self.places[runner] == place);
+        let relocations = runners
+            .filter(|&runner| self.image.may_take(runner, model))
+            .find_map(|runner| self.relocations(runner, model));
+        for (other, target) in relocations.unwrap_or_default() {
+            self.take_up(target, other, &Room::Now, true);
+        }
+    }
+
+    /// Finds which models to load on which runners so that a model gets room on `runner`.
+    fn relocations(&self, runner: usize, model: usize) -> Option<Vec<(usize, usize)>> {
+        let size_mib = self.image.size_mib(model);
+        let mut room_mib = self.room_at_most_mib(runner);
+        let mut image = self.image.clone();
+        let mut relocations = Vec::new();
+        for copy in &self.image.runners[runner].copies {
+            let Some(other) = copy.model else {
+                continue;
+            };
+            if room_mib >= size_mib {
+                break;
+            }
+            if !copy.ready || copy.dropped || self.image.holders(other).count() > 1 {
+                continue;
+            }
+            let other_mib = self.image.size_mib(other);
+            let target = (0..image.runners.len()).find(|&target| {
+                target != runner
+                    && self.places[target] == self.places[runner]
+                    && image.may_take(target, other)
+                    && image.runners[target].free_mib >= other_mib
+            });
+            if let Some(target) = target {
+                image.load(target, other);
+                relocations.push((other, target));
+                room_mib += other_mib;
+            }
+        }
+        (room_mib >= size_mib).then_some(relocations)
+    }
+
+    fn loads_in(&self, place: usize) -> bool {
+        let runners = self.image.runners.iter().zip(&self.places);
+        let here = runners.filter(|(image, at)| image.usable && **at == place);
+        here.flat_map(|(image, _)| &image.copies)
+            .any(|copy| !copy.ready && !copy.dropped)
+    }
+}
+
+fn unloads(room: &Room) -> usize {
+    match room {
+        Room::Now => 0,
+        Room::Coming => 1,
+        Room::After(victims) => 1 + victims.len(),
+    }
+}
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -1,1 +1,23 @@
 //! Decides which models and adapters live on which runner.
+//!
+//! [`plan`] is a pure function. Each data centre plans for its own runners; the planners agree
+//! on the home of each model by rendezvous hashing and need not talk.
+
+mod adapter_step;
+mod cleanup_step;
+mod demand_tracker;
+mod growth_step;
+mod home_map;
+mod image;
+mod minimum_step;
+mod plan;
+mod planner;
+mod room;
+mod spread;
+
+pub use {
+    demand_tracker::{DemandRate, DemandTracker},
+    home_map::HomeMap,
+    plan::*,
+    planner::plan,
+};
--- /dev/null
+++ b/src/placement/plan.rs
@@ -0,0 +1,78 @@
+//! What the planner is told and what it says.
+
+use {
+    super::DemandRate,
+    crate::{
+        config::Catalog,
+        fleet::{Move, RunnerState},
+        units::{DataCentreName, MemoryMib, ModelName, RunnerName},
+    },
+};
+
+/// Tokens that one accelerator generates per second at full load, unless told otherwise.
+const TOKENS_PER_ACCELERATOR_S: f64 = 1_000.0;
+
+/// Memory of a runner that is held besides its residents, such as by an order in doubt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reservation {
+    /// The runner.
+    pub runner: RunnerName,
+    /// The memory that is held in the part for models.
+    pub memory_mib: MemoryMib,
+}
+
+/// A model that a runner is unloading; its memory is held until it is gone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unloading {
+    /// The runner.
+    pub runner: RunnerName,
+    /// The model.
+    pub model: ModelName,
+}
+
+/// What the planner of one data centre is told.
+#[derive(Debug, Clone, Copy)]
+pub struct PlanInput<'a> {
+    /// The configuration.
+    pub catalog: &'a Catalog,
+    /// The data centre whose runners are planned for.
+    pub data_centre: &'a DataCentreName,
+    /// The runners of all data centres.
+    pub runners: &'a [RunnerState],
+    /// Memory held besides the residents.
+    pub reservations: &'a [Reservation],
+    /// The models that are being unloaded.
+    pub unloading: &'a [Unloading],
+    /// The demand of all callers, sorted by model and adapter.
+    pub demand: &'a [DemandRate],
+    /// Tokens that one accelerator generates per second at full load.
+    pub tokens_per_accelerator_s: f64,
+}
+
+impl<'a> PlanInput<'a> {
+    /// Creates an input without reservations and demand.
+    pub fn new(
+        catalog: &'a Catalog,
+        data_centre: &'a DataCentreName,
+        runners: &'a [RunnerState],
+    ) -> Self {
+        Self {
+            catalog,
+            data_centre,
+            runners,
+            reservations: &[],
+            unloading: &[],
+            demand: &[],
+            tokens_per_accelerator_s: TOKENS_PER_ACCELERATOR_S,
+        }
+    }
+}
+
+/// What the planner says.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// The changes wanted now, urgent ones first; each can start at once.
+    pub moves: Vec<Move>,
+    /// The models homed here that have too few copies and found no room.
+    pub unplaced: Vec<ModelName>,
+}
--- /dev/null
+++ b/src/placement/planner.rs
@@ -0,0 +1,139 @@
+//! The steps of the planner in their order.
+
+use {
+    super::{HomeMap, Plan, PlanInput, image::Image, room::Room, spread::ModelDemand},
+    crate::fleet::{Move, MoveChange},
+};
+
+/// Loads open at once that are planned for, as a multiple of those that run at full speed.
+const LOADS_OPEN_FACTOR: usize = 2;
+/// The same for loads that callers wait for.
+const URGENT_LOADS_OPEN_FACTOR: usize = 4;
+
+/// Plans the changes on the runners of one data centre.
+///
+/// Each model keeps its copies; the last one that serves is never unloaded, and a copy that
+/// moves is loaded before it is unloaded elsewhere. A change that is not needed for that is made
+/// only if it wins more answers within target per minute than `Deployment::move_weight` times
+/// the loads and unloads that it takes. Planned at a steady demand again and again, the changes
+/// end. One planner at a time is to act on a data centre; what it has in flight is to be among
+/// the residents, the reservations or the models being unloaded.
+pub fn plan(input: &PlanInput<'_>) -> Plan {
+    let mut planner = Planner::new(input);
+    planner.clean_up();
+    planner.keep_minimum();
+    planner.grow();
+    planner.place_adapters();
+    planner.finish()
+}
+
+/// The planner's state between its steps.
+pub(super) struct Planner<'a> {
+    pub input: &'a PlanInput<'a>,
+    pub image: Image<'a>,
+    pub homes: HomeMap,
+    /// The data centre of each runner, by index in the catalog.
+    pub places: Vec<usize>,
+    /// The demand for each of the catalog's models.
+    pub demand: Vec<ModelDemand>,
+    pub plan: Plan,
+}
+
+impl<'a> Planner<'a> {
+    fn new(input: &'a PlanInput<'a>) -> Self {
+        let image = Image::new(input);
+        let homes = HomeMap::new(input.catalog, &image.live());
+        let places = input.catalog.runners.iter().map(|runner| {
+            let places = &input.catalog.data_centres;
+            let found = places.binary_search_by(|place| place.name.cmp(&runner.data_centre));
+            found.unwrap_or(usize::MAX)
+        });
+        Self {
+            input,
+            homes,
+            places: places.collect(),
+            demand: demand_by_model(input),
+            plan: Plan::default(),
+            image,
+        }
+    }
+
+    /// Takes up a copy of a model on a runner: loads it if there is room now, else unloads what
+    /// is in the way.
+    pub fn take_up(&mut self, runner: usize, model: usize, room: &Room, urgent: bool) {
+        match room {
+            Room::Now => {
+                self.image.load(runner, model);
+                let name = self.image.catalog.models[model].name.clone();
+                self.push(runner, MoveChange::Load(name), urgent);
+            }
+            Room::Coming => self.image.promise(runner, model),
+            Room::After(victims) => {
+                for &position in victims {
+                    self.unload(runner, position, urgent);
+                }
+                self.image.promise(runner, model);
+            }
+        }
+    }
+
+    /// Unloads a copy.
+    pub fn unload(&mut self, runner: usize, position: usize, urgent: bool) {
+        let image = &self.image.runners[runner];
+        let state = image.state.map(|state| &state.models[position]);
+        let name = state.map(|resident| resident.model.clone());
+        self.image.unload(runner, position);
+        if let Some(name) = name {
+            self.push(runner, MoveChange::Unload(name), urgent);
+        }
+    }
+
+    /// Adds a move if it is on a runner of the planned data centre.
+    pub fn push(&mut self, runner: usize, change: MoveChange, urgent: bool) {
+        let image = &self.image.runners[runner];
+        if image.mine {
+            self.plan.moves.push(Move {
+                runner: image.runner.name.clone(),
+                change,
+                urgent,
+            });
+        }
+    }
+
+    /// Tells whether one more load may be open.
+    pub fn may_load(&self, urgent: bool) -> bool {
+        let factor = if urgent {
+            URGENT_LOADS_OPEN_FACTOR
+        } else {
+            LOADS_OPEN_FACTOR
+        };
+        let at_once_max = self.input.catalog.deployment.model_loads_at_once_max.max(1);
+        self.image.loads_open() < at_once_max as usize * factor
+    }
+
+    /// Returns the index of the planned data centre.
+    pub fn place(&self) -> Option<usize> {
+        let places = &self.input.catalog.data_centres;
+        let wanted = self.input.data_centre;
+        places.binary_search_by(|place| place.name.cmp(wanted)).ok()
+    }
+
+    fn finish(self) -> Plan {
+        let mut plan = self.plan;
+        plan.moves.sort_by_key(|planned| !planned.urgent);
+        plan
+    }
+}
+
+fn demand_by_model(input: &PlanInput<'_>) -> Vec<ModelDemand> {
+    let models = &input.catalog.models;
+    let mut demand = vec![ModelDemand::default(); models.len()];
+    for rate in input.demand {
+        let Ok(model) = models.binary_search_by(|object| object.name.cmp(&rate.model)) else {
+            continue;
+        };
+        demand[model].requests_per_s += rate.requests_per_s;
+        demand[model].tokens_per_s += rate.tokens_per_s;
+    }
+    demand
+}
--- /dev/null
+++ b/src/placement/spread.rs
@@ -0,0 +1,167 @@
+//! Estimates how demand spreads over copies, and how many answers that loses.
+
+use super::image::Image;
+
+/// Rounds in which every model's demand is spread anew beside that of the others.
+const SWEEPS: usize = 3;
+/// The load up to which a runner answers everything in time.
+const COMFORTABLE_LOAD: f64 = 0.7;
+/// The share of answers that a runner loses at full load.
+const LOST_AT_FULL_LOAD: f64 = 0.1;
+/// Seconds in a minute.
+const MINUTE_S: f64 = 60.0;
+
+/// The demand for one model, over all its adapters.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct ModelDemand {
+    pub requests_per_s: f64,
+    pub tokens_per_s: f64,
+}
+
+/// How the demand spreads over the copies of an image.
+#[derive(Debug, Clone)]
+pub(super) struct Spread {
+    capacities: Vec<f64>,
+    loads: Vec<f64>,
+    holders: Vec<Vec<usize>>,
+    shares: Vec<Vec<f64>>,
+}
+
+impl Spread {
+    /// Spreads demand so that the load of a model's runners evens out, as routing does.
+    pub fn new(image: &Image<'_>, demand: &[ModelDemand], tokens_per_accelerator_s: f64) -> Self {
+        let capacities = image.runners.iter().map(|image| {
+            f64::from(image.runner.accelerators.max(1)) * tokens_per_accelerator_s.max(1.0)
+        });
+        let holders: Vec<Vec<usize>> = (0..demand.len())
+            .map(|model| image.holders(model).collect())
+            .collect();
+        Self::with_holders(capacities.collect(), holders, demand)
+    }
+
+    fn with_holders(
+        capacities: Vec<f64>,
+        holders: Vec<Vec<usize>>,
+        demand: &[ModelDemand],
+    ) -> Self {
+        let shares = holders.iter().map(|runners| vec![0.0; runners.len()]);
+        let mut spread = Self {
+            loads: vec![0.0; capacities.len()],
+            shares: shares.collect(),
+            capacities,
+            holders,
+        };
+        spread.settle(demand);
+        spread
+    }
+
+    /// Returns the spread with other copies of some models; `changes` adds or removes runners.
+    ///
+    /// It is the one that [`Spread::new`] finds for such an image, so that estimates agree from
+    /// one round of planning to the next.
+    pub fn changed(&self, changes: &[(usize, usize, bool)], demand: &[ModelDemand]) -> Self {
+        let mut holders = self.holders.clone();
+        for &(model, runner, added) in changes {
+            change(&mut holders[model], runner, added);
+        }
+        Self::with_holders(self.capacities.clone(), holders, demand)
+    }
+
+    /// Returns the load of a runner; at 1 it is fully used.
+    pub fn load(&self, runner: usize) -> f64 {
+        self.loads[runner] / self.capacities[runner]
+    }
+
+    /// Returns the load of the least loaded runner that holds a model.
+    pub fn best_load(&self, model: usize) -> f64 {
+        let loads = self.holders[model].iter().map(|&runner| self.load(runner));
+        loads.fold(f64::INFINITY, f64::min)
+    }
+
+    /// Estimates the answers that are lost per minute.
+    pub fn lost_per_minute(&self, demand: &[ModelDemand]) -> f64 {
+        let models = demand.iter().enumerate();
+        models
+            .map(|(model, demand)| self.lost_of(model, demand))
+            .sum()
+    }
+
+    fn lost_of(&self, model: usize, demand: &ModelDemand) -> f64 {
+        if demand.tokens_per_s <= 0.0 || self.holders[model].is_empty() {
+            return demand.requests_per_s * MINUTE_S;
+        }
+        let copies = self.holders[model].iter().zip(&self.shares[model]);
+        let lost_tokens: f64 = copies
+            .map(|(&runner, share)| share * lost_share(self.load(runner)))
+            .sum();
+        lost_tokens / demand.tokens_per_s * demand.requests_per_s * MINUTE_S
+    }
+
+    fn settle(&mut self, demand: &[ModelDemand]) {
+        for _ in 0..SWEEPS {
+            for (model, demand) in demand.iter().enumerate() {
+                if demand.tokens_per_s > 0.0 {
+                    self.spread_model(model, demand.tokens_per_s);
+                }
+            }
+        }
+    }
+
+    /// Gives a model's demand to its runners so that the least loaded ones end up level.
+    fn spread_model(&mut self, model: usize, tokens_per_s: f64) {
+        let holders = &self.holders[model];
+        let shares = &mut self.shares[model];
+        for (&runner, share) in holders.iter().zip(shares.iter()) {
+            self.loads[runner] -= share;
+        }
+        let level = water_level(holders, &self.loads, &self.capacities, tokens_per_s);
+        for (&runner, share) in holders.iter().zip(shares.iter_mut()) {
+            *share = (level * self.capacities[runner] - self.loads[runner]).max(0.0);
+            self.loads[runner] += *share;
+        }
+    }
+}
+
+/// Adds a runner to a sorted list of holders or removes it.
+fn change(holders: &mut Vec<usize>, runner: usize, added: bool) {
+    match holders.binary_search(&runner) {
+        Err(position) if added => holders.insert(position, runner),
+        Ok(position) if !added => {
+            holders.remove(position);
+        }
+        _ => {}
+    }
+}
+
+/// Finds the load to which the least loaded holders rise when they take `tokens_per_s` more.
+fn water_level(holders: &[usize], loads: &[f64], capacities: &[f64], tokens_per_s: f64) -> f64 {
+    let mut sorted: Vec<(f64, usize)> = holders
+        .iter()
+        .map(|&runner| (loads[runner] / capacities[runner], runner))
+        .collect();
+    sorted.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let mut load = tokens_per_s;
+    let mut capacity = 0.0;
+    let mut level = 0.0;
+    for (position, &(_, runner)) in sorted.iter().enumerate() {
+        load += loads[runner];
+        capacity += capacities[runner];
+        level = load / capacity;
+        let next = sorted.get(position + 1);
+        if next.is_none_or(|&(next, _)| level <= next) {
+            break;
+        }
+    }
+    level
+}
+
+/// Estimates the share of answers that a runner loses at a load.
+fn lost_share(load: f64) -> f64 {
+    if load <= COMFORTABLE_LOAD {
+        0.0
+    } else if load <= 1.0 {
+        LOST_AT_FULL_LOAD * (load - COMFORTABLE_LOAD) / (1.0 - COMFORTABLE_LOAD)
+    } else {
+        1.0 - (1.0 - LOST_AT_FULL_LOAD) / load
+    }
+}
--- a/tests/common/policy.rs
+++ b/tests/common/policy.rs
@@ -1,7 +1,7 @@
 //! Small catalogs and runner states for the tests of the decisions.
 
 use greengagetrail::{
-    config::{Catalog, Model, Object, Runner},
+    config::{Model, Runner},
     engine::ModelResident,
     fleet::RunnerState,
     units::{Epoch, Incarnation, MemoryMib},
@@ -26,13 +26,6 @@
     }
 }
 
-/// Makes a catalog of runners and of models of 10 GiB.
-pub fn catalog_of(runners: &[Runner], models: &[&str]) -> Catalog {
-    let runners = runners.iter().cloned().map(Object::Runner);
-    let models = models.iter().map(|name| Object::Model(model(name)));
-    Catalog::from_objects(runners.chain(models))
-}
-
 /// Makes the state of a runner that holds ready copies of models.
 pub fn state(name: &str, models: &[&str]) -> RunnerState {
     let resident = |name: &&str| ModelResident {
--- /dev/null
+++ b/tests/common/policy_fleet.rs
@@ -0,0 +1,236 @@
+//! A fleet that carries plans out, and checks after each step what must always hold.
+
+use greengagetrail::{
+    config::Catalog,
+    engine::ModelResident,
+    fleet::{Move, MoveChange, RunnerState},
+    placement::{DemandRate, PlanInput, Unloading, plan},
+};
+
+/// Rounds that a load or unload takes.
+pub const LOAD_ROUNDS: usize = 2;
+
+struct Running {
+    rounds_left: usize,
+    planned: Move,
+}
+
+/// A fleet that carries out the plans of all data centres, each made from the same view.
+pub struct PolicyFleet {
+    pub catalog: Catalog,
+    pub demand: Vec<DemandRate>,
+    pub states: Vec<RunnerState>,
+    running: Vec<Running>,
+}
+
+impl PolicyFleet {
+    pub fn new(catalog: Catalog, demand: Vec<DemandRate>) -> Self {
+        let runners = catalog.runners.iter();
+        let states = runners.map(|runner| super::policy::state(runner.name.as_str(), &[]));
+        Self {
+            states: states.collect(),
+            catalog,
+            demand,
+            running: Vec::new(),
+        }
+    }
+
+    /// Puts ready copies on a runner.
+    pub fn hold(&mut self, runner: usize, models: &[&str]) {
+        let name = self.states[runner].name.to_string();
+        self.states[runner] = super::policy::state(&name, models);
+    }
+
+    /// Makes a runner unreachable; its memory is lost with it.
+    pub fn break_runner(&mut self, runner: usize) {
+        let count = self.states.len();
+        let state = &mut self.states[runner % count];
+        state.reachable = false;
+        state.models.clear();
+        let name = state.name.clone();
+        self.running
+            .retain(|running| running.planned.runner != name);
+    }
+
+    /// Plans and carries out rounds until nothing is left to do.
+    pub fn settle(&mut self, rounds_max: usize) {
+        for _ in 0..rounds_max {
+            if self.round().is_empty() && self.running.is_empty() {
+                return;
+            }
+        }
+        panic!("still moving after {rounds_max} rounds: {:?}", self.round());
+    }
+
+    /// Plans for every data centre and starts what was planned.
+    pub fn round(&mut self) -> Vec<Move> {
+        self.finish_running();
+        let moves = self.planned();
+        let at_once_max = self.catalog.deployment.model_loads_at_once_max as usize;
+        let loads = moves
+            .iter()
+            .filter(|m| matches!(m.change, MoveChange::Load(_)));
+        let places = self.catalog.data_centres.len();
+        assert!(
+            loads.count() <= at_once_max * 4 * places,
+            "too many loads: {moves:?}"
+        );
+        let served = self.served();
+        for planned in &moves {
+            self.start(planned);
+        }
+        self.check_memory();
+        for name in served {
+            let still = self.holders(&name);
+            assert!(
+                !still.is_empty(),
+                "the last copy of {name} was unloaded: {moves:?}"
+            );
+        }
+        moves
+    }
+
+    fn planned(&self) -> Vec<Move> {
+        let unloading: Vec<Unloading> = self.running.iter().filter_map(unloading).collect();
+        let plan_for = |place| {
+            let mut input = PlanInput::new(&self.catalog, place, &self.states);
+            input.demand = &self.demand;
+            input.unloading = &unloading;
+            plan(&input).moves
+        };
+        let places = self.catalog.data_centres.iter();
+        places.flat_map(|place| plan_for(&place.name)).collect()
+    }
+
+    fn start(&mut self, planned: &Move) {
+        let state = self
+            .states
+            .iter_mut()
+            .find(|state| state.name == planned.runner);
+        let state = state.expect("the runner is known");
+        match &planned.change {
+            MoveChange::Load(model) => {
+                let object = self.catalog.model(model).expect("the model is configured");
+                assert!(state.models.iter().all(|resident| resident.model != *model));
+                state.models.push(ModelResident {
+                    model: model.clone(),
+                    version: object.version.clone(),
+                    ready: false,
+                });
+            }
+            MoveChange::Unload(model) => {
+                let resident = state.models.iter_mut().find(|held| held.model == *model);
+                resident.expect("the model is resident").ready = false;
+            }
+            MoveChange::LoadAdapter(adapter) => state.adapters.push(adapter.clone()),
+            MoveChange::UnloadAdapter(adapter) => state.adapters.retain(|held| held != adapter),
+        }
+        state.models.sort_by(|a, b| a.model.cmp(&b.model));
+        state.adapters.sort();
+        if matches!(planned.change, MoveChange::Load(_) | MoveChange::Unload(_)) {
+            self.running.push(Running {
+                rounds_left: LOAD_ROUNDS,
+                planned: planned.clone(),
+            });
+        }
+    }
+
+    fn finish_running(&mut self) {
+        for running in &mut self.running {
+            running.rounds_left -= 1;
+            if running.rounds_left > 0 {
+                continue;
+            }
+            let states = self.states.iter_mut();
+            let state = states
+                .into_iter()
+                .find(|state| state.name == running.planned.runner);
+            let state = state.expect("the runner is known");
+            match &running.planned.change {
+                MoveChange::Load(model) => {
+                    let resident = state.models.iter_mut().find(|held| held.model == *model);
+                    resident.expect("the model is resident").ready = true;
+                }
+                MoveChange::Unload(model) => state.models.retain(|held| held.model != *model),
+                _ => {}
+            }
+        }
+        self.running.retain(|running| running.rounds_left > 0);
+    }
+
+    fn check_memory(&self) {
+        for state in &self.states {
+            let runner = self.catalog.runner(&state.name).expect("it is configured");
+            let models = state
+                .models
+                .iter()
+                .filter_map(|held| self.catalog.model(&held.model));
+            let held: u64 = models.map(|model| model.memory_mib.0).sum();
+            assert!(
+                held <= runner.model_memory_mib().0,
+                "{held} MiB on {}",
+                state.name
+            );
+            let adapters = state.adapters.iter();
+            let adapters = adapters.filter_map(|name| self.catalog.adapter(name));
+            let held: u64 = adapters.map(|adapter| adapter.memory_mib.0).sum();
+            assert!(
+                held <= runner.adapter_pool_mib.0,
+                "{held} MiB in {}'s pool",
+                state.name
+            );
+        }
+    }
+
+    fn served(&self) -> Vec<String> {
+        let names = self
+            .catalog
+            .models
+            .iter()
+            .map(|model| model.name.to_string());
+        names
+            .filter(|name| !self.holders(name).is_empty())
+            .collect()
+    }
+
+    /// Returns the configured models that nothing serves.
+    pub fn unserved(&self) -> Vec<String> {
+        let names = self
+            .catalog
+            .models
+            .iter()
+            .map(|model| model.name.to_string());
+        names.filter(|name| self.holders(name).is_empty()).collect()
+    }
+
+    /// Returns the runners that hold a ready copy of a model.
+    pub fn holders(&self, model: &str) -> Vec<usize> {
+        let holds = |state: &RunnerState| {
+            let held = state
+                .models
+                .iter()
+                .find(|held| held.model.as_str() == model);
+            state.reachable && held.is_some_and(|held| held.ready)
+        };
+        (0..self.states.len())
+            .filter(|&runner| holds(&self.states[runner]))
+            .collect()
+    }
+
+    /// Returns the versions of the copies of a model.
+    pub fn versions_of(&self, model: &str) -> Vec<&str> {
+        let residents = self.states.iter().flat_map(|state| &state.models);
+        let held = residents.filter(|held| held.model.as_str() == model);
+        held.map(|held| held.version.as_str()).collect()
+    }
+}
+
+fn unloading(running: &Running) -> Option<Unloading> {
+    match &running.planned.change {
+        MoveChange::Unload(model) => Some(Unloading {
+            runner: running.planned.runner.clone(),
+            model: model.clone(),
+        }),
+        _ => None,
+    }
+}
--- a/tests/policy_routing.rs
+++ b/tests/policy_routing.rs
@@ -5,8 +5,9 @@
 }
 
 use {
-    common::policy::{catalog_of, runner, state},
+    common::policy::{model, runner, state},
     greengagetrail::{
+        config::{Catalog, Object, Runner},
         engine::Load,
         routing::{LoadBoard, LoadReport, RouteRequest, RouteTable, choose},
         units::{DataCentreName, Incarnation, ModelName, RunnerName},
@@ -26,6 +27,13 @@
     RouteTable::new(&catalog_of(&runners, &["m", "n"]), &home(), &states)
 }
 
+/// Makes a catalog of runners and of models of 10 GiB.
+fn catalog_of(runners: &[Runner], models: &[&str]) -> Catalog {
+    let runners = runners.iter().cloned().map(Object::Runner);
+    let models = models.iter().map(|name| Object::Model(model(name)));
+    Catalog::from_objects(runners.chain(models))
+}
+
 fn home() -> DataCentreName {
     "east".parse().unwrap()
 }
