--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,7 +1,18 @@
 //! The objects that operators edit, and the checked whole that is published.
 
 mod catalog;
+mod check;
+mod diff;
+mod fault;
+mod follow;
 mod head;
 mod object;
+mod object_id;
+mod publish;
+mod read;
+mod snapshot;
 
-pub use {catalog::*, head::*, object::*};
+pub use {
+    catalog::*, check::*, diff::*, fault::*, follow::*, head::*, object::*, object_id::*,
+    publish::*, read::*, snapshot::*,
+};
--- /dev/null
+++ b/src/entry/attempt.rs
@@ -0,0 +1,295 @@
+//! Finds a runner that answers a request to a model, over as many tries as are allowed.
+
+use {
+    super::{
+        Call, Claimed, DispatchError, Dispatched, Entry, EventId, Idempotent, InferenceRequest,
+        LossCause, parse_load,
+    },
+    crate::{
+        http::{
+            ENGINE_LEAVING, ENGINE_LOAD, Exchange, Problem, REQUEST_ID, discard_body, has_header,
+        },
+        routing::{Choice, InFlight, RouteRequest, choose},
+        units::{RequestId, RunnerName},
+    },
+    hyper::{HeaderMap, StatusCode, header},
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::{self, Instant},
+};
+
+/// The most tries of one request, or of one resumption of its stream.
+const TRIES_MAX: u32 = 4;
+
+/// When to come back if no engine said it.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A response of a runner whose body is yet to be read.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub(super) call: Call<Dispatched>,
+    pub(super) exchange: Exchange,
+    pub(super) in_flight: InFlight,
+}
+
+/// The tries to get a response for one request.
+pub(super) struct Attempts<'a> {
+    entry: &'a Entry,
+    request: &'a InferenceRequest,
+    tried: Vec<RunnerName>,
+    tries: u32,
+    retry_after: Option<Duration>,
+}
+
+impl<'a> Attempts<'a> {
+    pub(super) fn new(entry: &'a Entry, request: &'a InferenceRequest) -> Self {
+        Self {
+            entry,
+            request,
+            tried: Vec::new(),
+            tries: 0,
+            retry_after: None,
+        }
+    }
+
+    /// Passes over a runner as long as there are others.
+    pub(super) fn avoid(&mut self, runner: RunnerName) {
+        self.tried.push(runner);
+    }
+
+    /// Tries until a runner answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns the problem to be told to the caller.
+    pub(super) async fn run(
+        &mut self,
+        mut call: Call<Claimed>,
+        after: Option<EventId>,
+    ) -> Result<Attempt, Problem> {
+        loop {
+            let Some(choice) = self.choose_or_wait().await else {
+                return Err(self.give_up(&call));
+            };
+            let Choice {
+                runner, address, ..
+            } = choice;
+            self.tried.push(runner.clone());
+            let in_flight = self.entry.board.begin(&runner);
+            let request = self.request.to_engine(address, after);
+            let limit = Duration::from_millis(self.entry.settings.first_token_timeout_ms);
+            let sent = call
+                .dispatch(&self.entry.client, address, request, limit)
+                .await;
+            call = match sent {
+                Ok((call, exchange)) => {
+                    let attempt = Attempt {
+                        call,
+                        exchange,
+                        in_flight,
+                    };
+                    match self.judge(attempt).await? {
+                        Judged::Answer(attempt) => return Ok(*attempt),
+                        Judged::Again(call) => call,
+                    }
+                }
+                Err(DispatchError::Unsent(call, cause)) => {
+                    log::debug!("entry: {runner} cannot be reached: {cause}");
+                    self.entry.suspect(&runner);
+                    call
+                }
+                Err(DispatchError::Lost(call, cause)) => {
+                    self.after_loss(call, &runner, address, cause).await?
+                }
+            };
+            if !self.count_try() {
+                return Err(self.give_up(&call));
+            }
+        }
+    }
+
+    /// Counts a failed try; returns whether another one is allowed.
+    pub(super) fn count_try(&mut self) -> bool {
+        self.tries += 1;
+        self.tries < TRIES_MAX
+    }
+
+    /// Chooses a runner; if no copy is ready, waits a while for one.
+    async fn choose_or_wait(&self) -> Option<Choice> {
+        if let Some(choice) = self.choose() {
+            return Some(choice);
+        }
+        let limit = Duration::from_millis(self.entry.settings.copy_wait_ms);
+        let mut views = self.entry.routes.receiver();
+        views.mark_unchanged();
+        self.entry.report_soon();
+        let deadline = self.request.arrived + limit;
+        loop {
+            if let Some(choice) = self.choose() {
+                return Some(choice);
+            }
+            let changed = time::timeout_at(deadline, views.changed()).await;
+            if !matches!(changed, Ok(Ok(()))) {
+                return None;
+            }
+        }
+    }
+
+    /// Chooses a runner that was not tried, or else any.
+    fn choose(&self) -> Option<Choice> {
+        self.choose_except(&self.tried)
+            .or_else(|| self.choose_except(&[]))
+    }
+
+    fn choose_except(&self, tried: &[RunnerName]) -> Option<Choice> {
+        let routes = self.entry.routes.current();
+        let mut excluded = self.entry.leaving.runners(&routes);
+        excluded.extend_from_slice(tried);
+        let request = RouteRequest {
+            model: &self.request.model,
+            adapter: self.request.adapter.as_ref(),
+            prefix_hashes: self.request.prefix_hash.as_slice(),
+            excluded: &excluded,
+        };
+        let board = &self.entry.board;
+        let now = Instant::now();
+        choose(&routes.runners, board, &request, now, &mut rand::rng())
+            .filter(|choice| choice.adapter_resident)
+    }
+
+    async fn judge(&mut self, attempt: Attempt) -> Result<Judged, Problem> {
+        let runner = attempt.in_flight.runner().clone();
+        let address = attempt.exchange.connection.address();
+        let headers = attempt.exchange.response.headers().clone();
+        self.take_note(&runner, &headers);
+        if is_foreign(&headers, self.request.id) {
+            metrics::counter!("ggt_foreign_answers_total").increment(1);
+            let cause = LossCause::Broken("the response is for another request".to_owned());
+            let call = self.after_loss(attempt.call, &runner, address, cause);
+            return Ok(Judged::Again(call.await?));
+        }
+        let status = attempt.exchange.response.status();
+        let Attempt {
+            call,
+            exchange,
+            in_flight,
+        } = attempt;
+        match call.take_back(&headers) {
+            Ok(call) => {
+                self.retry_after = retry_after(&headers).or(self.retry_after);
+                self.entry.board.record_failure(&runner, Instant::now());
+                discard_body(exchange).await;
+                self.after_refusal(call, &headers, status).await
+            }
+            Err(call) if status.is_server_error() => {
+                let cause = LossCause::Broken(format!("the engine answered {status}"));
+                discard_body(exchange).await;
+                let call = self.after_loss(call, &runner, address, cause).await?;
+                Ok(Judged::Again(call))
+            }
+            Err(call) => {
+                self.entry.board.record_success(&runner);
+                Ok(Judged::Answer(Box::new(Attempt {
+                    call,
+                    exchange,
+                    in_flight,
+                })))
+            }
+        }
+    }
+
+    fn take_note(&self, runner: &RunnerName, headers: &HeaderMap) {
+        let load = headers.get(ENGINE_LOAD).and_then(|text| text.to_str().ok());
+        if let Some(load) = load.and_then(parse_load) {
+            self.entry.board.record_report(runner, load, Instant::now());
+        }
+        if has_header(headers, ENGINE_LEAVING, "yes") {
+            let incarnation = self.entry.routes.current().incarnation(runner);
+            self.entry
+                .note_leaving(runner, incarnation.unwrap_or_default());
+        }
+    }
+
+    async fn after_refusal(
+        &mut self,
+        call: Call<Claimed>,
+        headers: &HeaderMap,
+        status: StatusCode,
+    ) -> Result<Judged, Problem> {
+        let busy = !has_header(headers, ENGINE_LEAVING, "yes") && status != StatusCode::NOT_FOUND;
+        if busy {
+            let untried = self.choose_except(&self.tried).is_some();
+            let wait = untried.then(|| self.try_retry()).flatten();
+            let Some(wait) = wait else {
+                return Err(self.give_up(&call));
+            };
+            time::sleep(wait).await;
+        }
+        Ok(Judged::Again(call))
+    }
+
+    async fn after_loss(
+        &self,
+        call: Call<Dispatched>,
+        runner: &RunnerName,
+        address: SocketAddr,
+        cause: LossCause,
+    ) -> Result<Call<Claimed>, Problem> {
+        log::debug!("entry: request {} lost at {runner}: {cause:?}", call.id);
+        self.entry.suspect(runner);
+        if matches!(cause, LossCause::Silent) {
+            self.entry.client.close_idle(address);
+        }
+        let Some(wait) = self.try_retry() else {
+            return Err(loss_problem(&call, &cause));
+        };
+        time::sleep(wait).await;
+        Ok(call.repeat(Idempotent::inference()))
+    }
+
+    pub(super) fn try_retry(&self) -> Option<Duration> {
+        let service = &self.request.class.service;
+        self.entry.try_retry(service, self.tries + 1)
+    }
+
+    fn give_up(&self, call: &Call<Claimed>) -> Problem {
+        let detail = match self.tried.is_empty() {
+            true => format!("no copy of {} is ready", self.request.model),
+            false => format!("no runner takes the request to {}", self.request.model),
+        };
+        call.problem(StatusCode::SERVICE_UNAVAILABLE, "no-runner", detail)
+            .retry_after(self.retry_after.unwrap_or(RETRY_AFTER))
+    }
+}
+
+enum Judged {
+    Answer(Box<Attempt>),
+    Again(Call<Claimed>),
+}
+
+/// Returns whether a response says that it answers another request.
+pub(super) fn is_foreign(headers: &HeaderMap, id: RequestId) -> bool {
+    let Some(found) = headers.get(REQUEST_ID) else {
+        return false;
+    };
+    found.to_str().ok().and_then(|text| text.parse().ok()) != Some(id)
+}
+
+/// Returns the wait that a response asks for.
+pub(super) fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_secs)
+}
+
+/// Describes a request that was dispatched and brought no response.
+pub(super) fn loss_problem(call: &Call<Dispatched>, cause: &LossCause) -> Problem {
+    match cause {
+        LossCause::Broken(detail) => {
+            call.problem(StatusCode::BAD_GATEWAY, "connection-lost", detail.clone())
+        }
+        LossCause::Silent => call.problem(
+            StatusCode::GATEWAY_TIMEOUT,
+            "no-answer-in-time",
+            "the backend server stayed silent",
+        ),
+    }
+}
--- /dev/null
+++ b/src/entry/inference_request.rs
@@ -0,0 +1,195 @@
+//! A caller's request to a model, as far as the entry reads it.
+
+use {
+    super::EventId,
+    crate::{
+        admission::ClassTargets,
+        config::{Catalog, ServiceTarget},
+        http::{Body, DEADLINE_MS, LAST_EVENT_ID, PRIORITY, REQUEST_ID},
+        routing::stable_hash,
+        units::{AdapterName, ModelName, RequestId, ServiceName},
+    },
+    bytes::Bytes,
+    hyper::{Request, header},
+    memchr::memmem,
+    serde::Deserialize,
+    std::{borrow::Cow, net::SocketAddr},
+    thiserror::Error,
+    tokio::time::Instant,
+};
+
+/// The service name under which requests without a class are counted.
+pub const NO_CLASS: &str = "none";
+
+/// The targets of a request without a class.
+pub const NO_CLASS_TARGETS: ClassTargets = ClassTargets {
+    priority: u8::MAX,
+    first_token_target_ms: 60_000,
+    between_tokens_target_ms: 10_000,
+};
+
+/// The bytes of a prompt's start by which requests with the same start are recognised.
+const PREFIX_BYTES: usize = 256;
+
+/// The fields that the entry reads of a request's body.
+#[derive(Debug, Deserialize)]
+struct Fields<'a> {
+    #[serde(borrow)]
+    model: Cow<'a, str>,
+    #[serde(default)]
+    stream: Option<bool>,
+}
+
+/// Why a request cannot be sent to a model.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum InferenceRequestError {
+    /// The body cannot be read.
+    #[error("the body is not a JSON object with a model: {0}")]
+    Malformed(String),
+    /// There is no such model or adapter.
+    #[error("there is no model or adapter {0:?}")]
+    UnknownModel(String),
+    /// There is no such service class.
+    #[error("there is no service of type models named {0:?}")]
+    UnknownClass(String),
+}
+
+/// The class of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceClass {
+    /// The service, or [`NO_CLASS`].
+    pub service: ServiceName,
+    /// Its priority and targets.
+    pub targets: ClassTargets,
+}
+
+/// A caller's request to a model.
+#[derive(Debug)]
+pub struct InferenceRequest {
+    /// Identifies it.
+    pub id: RequestId,
+    /// The path that it was sent to.
+    pub path: String,
+    /// Its body as it came.
+    pub body: Bytes,
+    /// The model.
+    pub model: ModelName,
+    /// The adapter, if the caller named one.
+    pub adapter: Option<AdapterName>,
+    /// Whether the answer is to be streamed.
+    pub stream: bool,
+    /// Its class.
+    pub class: ServiceClass,
+    /// The hash of its prompt's start, if that is long enough.
+    pub prefix_hash: Option<u64>,
+    /// When it arrived.
+    pub arrived: Instant,
+}
+
+impl InferenceRequest {
+    /// Reads a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is malformed or names what is not configured.
+    pub fn read(
+        id: RequestId,
+        path: &str,
+        body: Bytes,
+        class: Option<&str>,
+        catalog: &Catalog,
+    ) -> Result<Self, InferenceRequestError> {
+        let fields: Fields<'_> = serde_json::from_slice(&body)
+            .map_err(|cause| InferenceRequestError::Malformed(cause.to_string()))?;
+        let (model, adapter) = find_model(catalog, &fields.model)
+            .ok_or_else(|| InferenceRequestError::UnknownModel(shorten(&fields.model)))?;
+        let class = ServiceClass::find(catalog, class)?;
+        let stream = fields.stream.unwrap_or(false);
+        let prefix_hash = hash_prefix(&model, &body);
+        Ok(Self {
+            id,
+            path: path.to_owned(),
+            body,
+            model,
+            adapter,
+            stream,
+            class,
+            prefix_hash,
+            arrived: Instant::now(),
+        })
+    }
+
+    /// Makes the request for a model engine; `after` resumes the stream behind that event.
+    pub fn to_engine(&self, address: SocketAddr, after: Option<EventId>) -> Request<Body> {
+        let mut request = Request::new(Body::from(self.body.clone()));
+        *request.method_mut() = hyper::Method::POST;
+        *request.uri_mut() = self.path.parse().unwrap_or_default();
+        let headers = request.headers_mut();
+        let mut insert = |name: &'static str, value: String| {
+            if let Ok(value) = header::HeaderValue::try_from(value) {
+                headers.insert(name, value);
+            }
+        };
+        insert("host", address.to_string());
+        insert("content-type", "application/json".to_owned());
+        insert(REQUEST_ID, self.id.to_string());
+        insert(PRIORITY, self.class.targets.priority.to_string());
+        let target = self.class.targets.first_token_target();
+        let left = target.saturating_sub(self.arrived.elapsed());
+        insert(DEADLINE_MS, left.as_millis().to_string());
+        if let Some(after) = after {
+            insert(LAST_EVENT_ID, after.to_string());
+        }
+        request
+    }
+}
+
+impl ServiceClass {
+    fn find(catalog: &Catalog, name: Option<&str>) -> Result<Self, InferenceRequestError> {
+        let unknown = || InferenceRequestError::UnknownClass(shorten(name.unwrap_or(NO_CLASS)));
+        let service: ServiceName = name.unwrap_or(NO_CLASS).parse().map_err(|_| unknown())?;
+        if name.is_none() {
+            let targets = NO_CLASS_TARGETS;
+            return Ok(Self { service, targets });
+        }
+        let object = catalog.service(&service).ok_or_else(unknown)?;
+        let ServiceTarget::Models {
+            priority,
+            first_token_target_ms,
+            between_tokens_target_ms,
+        } = object.target
+        else {
+            return Err(unknown());
+        };
+        let targets = ClassTargets {
+            priority,
+            first_token_target_ms,
+            between_tokens_target_ms,
+        };
+        Ok(Self { service, targets })
+    }
+}
+
+/// Hashes the start of a prompt, if it is long enough to be worth a prefix cache.
+fn hash_prefix(model: &ModelName, body: &[u8]) -> Option<u64> {
+    let fields = [&b"\"messages\""[..], b"\"prompt\""];
+    let start = fields.iter().find_map(|field| memmem::find(body, field))?;
+    let prefix = body.get(start..start + PREFIX_BYTES)?;
+    let text = String::from_utf8_lossy(prefix);
+    Some(stable_hash(&text) ^ stable_hash(model.as_str()))
+}
+
+fn find_model(catalog: &Catalog, name: &str) -> Option<(ModelName, Option<AdapterName>)> {
+    if let Ok(model) = name.parse()
+        && catalog.model(&model).is_some()
+    {
+        return Some((model, None));
+    }
+    let adapter = name.parse().ok()?;
+    let object = catalog.adapter(&adapter)?;
+    Some((object.model.clone(), Some(adapter)))
+}
+
+fn shorten(text: &str) -> String {
+    text.chars().take(80).collect()
+}
--- /dev/null
+++ b/src/entry/routes.rs
@@ -0,0 +1,163 @@
+//! Where requests can go by the newest view.
+
+use {
+    super::{Backend, EntryView, ViewReceiver},
+    crate::{
+        admission::Admission,
+        config::{Service, ServiceTarget},
+        routing::RouteTable,
+        units::{DataCentreName, Incarnation, RunnerName, ServiceName},
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, PoisonError, RwLock},
+    },
+};
+
+/// The requests to a model that may run at once, for each accelerator that serves it.
+const SLOTS_PER_ACCELERATOR: u32 = 64;
+
+/// Where requests can go by one view.
+#[derive(Debug, Default)]
+pub struct Routes {
+    /// The view.
+    pub view: Arc<EntryView>,
+    /// The runners that can serve each model.
+    pub runners: RouteTable,
+    services: Vec<(ServiceName, Vec<Arc<Backend>>)>,
+}
+
+/// Always has the routes of the newest view.
+#[derive(Debug)]
+pub struct RouteFollower {
+    home: DataCentreName,
+    admission: Arc<Admission>,
+    receiver: ViewReceiver,
+    routes: RwLock<Arc<Routes>>,
+}
+
+impl RouteFollower {
+    /// Follows a view, and tells the admission what the runners can take.
+    pub fn new(home: DataCentreName, admission: Arc<Admission>, receiver: ViewReceiver) -> Self {
+        let follower = Self {
+            home,
+            admission,
+            receiver,
+            routes: RwLock::default(),
+        };
+        follower.rebuild(follower.newest());
+        follower
+    }
+
+    /// Returns the routes of the newest view.
+    pub fn current(&self) -> Arc<Routes> {
+        let newest = self.newest();
+        let routes = self.routes.read().unwrap_or_else(PoisonError::into_inner);
+        if Arc::ptr_eq(&routes.view, &newest) {
+            return routes.clone();
+        }
+        drop(routes);
+        self.rebuild(newest)
+    }
+
+    /// Returns a receiver of the views.
+    pub fn receiver(&self) -> ViewReceiver {
+        self.receiver.clone()
+    }
+
+    fn newest(&self) -> Arc<EntryView> {
+        self.receiver.borrow().clone()
+    }
+
+    fn rebuild(&self, newest: Arc<EntryView>) -> Arc<Routes> {
+        let mut routes = self.routes.write().unwrap_or_else(PoisonError::into_inner);
+        if Arc::ptr_eq(&routes.view, &newest) {
+            return routes.clone();
+        }
+        *routes = Arc::new(Routes::build(newest, &self.home, &routes));
+        let built = routes.clone();
+        drop(routes);
+        self.set_capacities(&built.runners);
+        built
+    }
+
+    fn set_capacities(&self, runners: &RouteTable) {
+        for model in runners.models() {
+            let slots = runners.accelerators(model) * SLOTS_PER_ACCELERATOR;
+            self.admission.set_capacity(model, slots);
+        }
+    }
+}
+
+impl Routes {
+    fn build(view: Arc<EntryView>, home: &DataCentreName, former: &Self) -> Self {
+        let services = view
+            .catalog
+            .services
+            .iter()
+            .filter_map(|service| plain_backends(service, former))
+            .inspect(|(_, backends)| mark_leaving(backends, &view.leaving))
+            .collect();
+        Self {
+            runners: RouteTable::new(&view.catalog, home, &view.runners),
+            services,
+            view,
+        }
+    }
+
+    /// Returns the backend servers of a plain service.
+    pub fn service(&self, name: &ServiceName) -> &[Arc<Backend>] {
+        let position = self.services.binary_search_by(|(found, _)| found.cmp(name));
+        match position {
+            Ok(position) => &self.services[position].1,
+            Err(_) => &[],
+        }
+    }
+
+    /// Returns the incarnation of a runner in this view.
+    pub fn incarnation(&self, name: &RunnerName) -> Option<Incarnation> {
+        let state = self.view.runners.iter().find(|state| state.name == *name)?;
+        Some(state.incarnation)
+    }
+}
+
+fn plain_backends(service: &Service, former: &Routes) -> Option<(ServiceName, Vec<Arc<Backend>>)> {
+    let ServiceTarget::Plain { backends, .. } = &service.target else {
+        return None;
+    };
+    let former = former.service(&service.name);
+    let mut backends: Vec<_> = backends
+        .iter()
+        .map(|backend| {
+            Backend::new(
+                backend.name.as_str().into(),
+                backend.address,
+                backend.data_centre.clone(),
+            )
+        })
+        .map(|backend| keep_former(backend, former))
+        .collect();
+    backends.sort_by(|a, b| a.name.cmp(&b.name));
+    Some((service.name.clone(), backends))
+}
+
+fn mark_leaving(backends: &[Arc<Backend>], leaving: &[SocketAddr]) {
+    for backend in backends {
+        backend.set_listed_leaving(leaving.binary_search(&backend.address).is_ok());
+    }
+}
+
+/// Keeps what was seen of a backend server that is still the same.
+fn keep_former(backend: Backend, former: &[Arc<Backend>]) -> Arc<Backend> {
+    match find(former, &backend.name) {
+        Some(same) if same.address == backend.address => same.clone(),
+        _ => Arc::new(backend),
+    }
+}
+
+fn find<'a>(sorted: &'a [Arc<Backend>], name: &str) -> Option<&'a Arc<Backend>> {
+    let position = sorted
+        .binary_search_by(|backend| backend.name.as_ref().cmp(name))
+        .ok()?;
+    sorted.get(position)
+}
--- /dev/null
+++ b/src/keeper/fleet_task.rs
@@ -0,0 +1,168 @@
+//! Tells the fleet what changed around it, and the others what changed in it.
+
+use {
+    super::{Gossip, KeeperState, ListedVm, Proposal, VmState},
+    crate::{
+        config::Catalog,
+        fleet::{FleetKeeper, FleetView, RunnerState, owner_of},
+        units::{DataCentreName, VmName},
+    },
+    std::{rc::Rc, sync::Arc, time::Duration},
+    tokio::sync::{mpsc, watch},
+};
+
+/// How long further changes of runners are gathered after some were passed on.
+const GATHER: Duration = Duration::from_millis(100);
+/// How often waiting audit records are written.
+const AUDIT_INTERVAL: Duration = Duration::from_secs(2);
+/// What the audit trail names as the cause of a planner's move.
+const DECISION: &str = "placement";
+
+/// Tells the fleet what changed around it, and the others what changed in it.
+pub struct FleetTask {
+    vm: VmName,
+    data_centre: DataCentreName,
+    state: KeeperState,
+    fleet: Rc<FleetKeeper>,
+    gossip: Rc<Gossip>,
+}
+
+impl FleetTask {
+    /// Prepares the task.
+    pub fn new(
+        vm: VmName,
+        data_centre: DataCentreName,
+        state: KeeperState,
+        fleet: Rc<FleetKeeper>,
+        gossip: Rc<Gossip>,
+    ) -> Self {
+        Self {
+            vm,
+            data_centre,
+            state,
+            fleet,
+            gossip,
+        }
+    }
+
+    /// Updates the fleet's view whenever the configuration, the members or the VM list change.
+    pub async fn follow_view(&self, mut listed: watch::Receiver<Option<Vec<ListedVm>>>) {
+        let mut revisions = self.state.watch_revision();
+        let mut members = self.state.watch_members();
+        loop {
+            self.note_leaving(&listed);
+            if !self.state.draining() {
+                self.fleet.update(self.view(&mut listed));
+            }
+            let changed = tokio::select! {
+                changed = revisions.changed() => changed.is_ok(),
+                changed = members.changed() => changed.is_ok(),
+                changed = listed.changed() => changed.is_ok(),
+            };
+            if !changed {
+                return;
+            }
+        }
+    }
+
+    fn note_leaving(&self, listed: &watch::Receiver<Option<Vec<ListedVm>>>) {
+        let listed = listed.borrow();
+        let vms = listed.iter().flatten();
+        let leaving = vms.filter(|vm| vm.state == VmState::Leaving);
+        self.state
+            .set_leaving(leaving.map(|vm| vm.address).collect());
+    }
+
+    fn view(&self, listed: &mut watch::Receiver<Option<Vec<ListedVm>>>) -> FleetView {
+        let names = |vms: &Vec<ListedVm>| vms.iter().map(|listed| listed.vm.clone()).collect();
+        FleetView {
+            catalog: self.catalog(),
+            members: self.state.members(),
+            listed: listed.borrow_and_update().as_ref().map(names),
+        }
+    }
+
+    fn catalog(&self) -> Arc<Catalog> {
+        self.state
+            .in_force()
+            .map(|current| current.catalog)
+            .unwrap_or_default()
+    }
+
+    /// Passes on changed runner states. Needs a `LocalSet`.
+    pub async fn pass_on_states(&self) {
+        let mut states = self.fleet.states();
+        let mut versions = self.state.watch_version();
+        loop {
+            let newest = self.with_leaving(states.borrow_and_update().to_vec());
+            let news = self.state.update_runners(newest);
+            versions.mark_unchanged();
+            let owned = self.owned(news);
+            if !owned.is_empty() {
+                self.gossip.tell_data_centre(owned, &self.data_centre);
+            }
+            let changed = tokio::select! {
+                changed = states.changed() => changed.is_ok(),
+                changed = versions.changed() => changed.is_ok(),
+            };
+            if !changed {
+                return;
+            }
+            tokio::time::sleep(GATHER).await;
+        }
+    }
+
+    /// Marks the runners that the platform lists as leaving.
+    fn with_leaving(&self, mut states: Vec<RunnerState>) -> Vec<RunnerState> {
+        let leaving = self.state.leaving();
+        if leaving.is_empty() {
+            return states;
+        }
+        let catalog = self.catalog();
+        for state in &mut states {
+            let runner = catalog.runner(&state.name);
+            state.leaving |= runner.is_some_and(|it| leaving.binary_search(&it.address).is_ok());
+        }
+        states
+    }
+
+    fn owned(&self, mut states: Vec<RunnerState>) -> Vec<RunnerState> {
+        let catalog = self.catalog();
+        let members = self.state.members();
+        states.retain(|state| {
+            let runner = catalog.runner(&state.name);
+            let owner = runner.and_then(|it| owner_of(&it.name, &it.data_centre, &members));
+            owner.is_some_and(|owner| owner.vm == self.vm)
+        });
+        states
+    }
+
+    /// Takes the states that other owners report.
+    pub async fn take_reports(&self, mut reports: mpsc::Receiver<Vec<RunnerState>>) {
+        while let Some(states) = reports.recv().await {
+            for state in states {
+                self.fleet.observe_state(state);
+            }
+        }
+    }
+
+    /// Carries out the moves that planners propose.
+    pub async fn take_proposals(&self, mut proposals: mpsc::Receiver<Proposal>) {
+        while let Some(proposal) = proposals.recv().await {
+            let taken = self.fleet.apply(proposal.moves, DECISION);
+            let _ = proposal
+                .taken
+                .send(u32::try_from(taken).unwrap_or(u32::MAX));
+        }
+    }
+
+    /// Writes waiting audit records again and again.
+    pub async fn write_audit(&self) {
+        loop {
+            tokio::time::sleep(AUDIT_INTERVAL).await;
+            if let Err(error) = self.fleet.flush_audit().await {
+                log::debug!("keeper: the audit trail waits: {error}");
+            }
+        }
+    }
+}
--- a/src/keeper/live_feed.rs
+++ b/src/keeper/live_feed.rs
@@ -6,7 +6,7 @@
         membership::{Backoff, Member},
         store::{
             Change, Entry, SharedStore, StoreError, StoreVersion,
-            keys::{HEAD_KEY, LIVE_PREFIX, MEMBERS_PREFIX, RUNNERS_PREFIX},
+            keys::{HEAD_KEY, LEAVING_PREFIX, LIVE_PREFIX, MEMBERS_PREFIX, RUNNERS_PREFIX},
             prefix_end,
         },
         units::{RunnerName, VmName},
@@ -42,6 +42,8 @@
     Head(Head),
     /// A member joined or renewed its entry.
     Joined(Member),
+    /// A member leaves on purpose.
+    Departing(VmName),
     /// A member's entry went.
     Left(VmName),
     /// A runner record was written.
@@ -71,8 +73,8 @@
     backoff: &mut Backoff,
 ) -> Result<(), StoreError> {
     let start = match *since {
-        Some(version) => version,
-        None => list(store, events).await?,
+        Some(version) if !went_back(store, events, version).await? => version,
+        _ => list(store, events).await?,
     };
     *since = Some(start);
     let mut watch = store.watch(LIVE_PREFIX, start);
@@ -92,6 +94,24 @@
     }
 }
 
+/// Reads the head, in case the watch missed it, and tells whether the service went back to an
+/// older copy of its data.
+async fn went_back(
+    store: &SharedStore,
+    events: &mpsc::Sender<LiveEvent>,
+    since: StoreVersion,
+) -> Result<bool, StoreError> {
+    let read = store.range(HEAD_KEY, 1).await?;
+    if read.version < since {
+        log::warn!("keeper: the key-value service went back to an older copy.");
+        return Ok(true);
+    }
+    if let Some(event) = read.entries.into_iter().next().and_then(decode) {
+        let _ = events.send(event).await;
+    }
+    Ok(false)
+}
+
 async fn list(
     store: &SharedStore,
     events: &mpsc::Sender<LiveEvent>,
@@ -117,14 +137,17 @@
     let mut head = None;
     let mut members = Vec::new();
     let mut records = Vec::new();
+    let mut departing = Vec::new();
     for entry in entries {
         match decode(entry) {
             Some(LiveEvent::Head(found)) => head = Some(found),
             Some(LiveEvent::Joined(member)) => members.push(member),
+            Some(LiveEvent::Departing(vm)) => departing.push(vm),
             Some(LiveEvent::Record(runner, record)) => records.push((runner, record)),
             _ => {}
         }
     }
+    members.retain(|member: &Member| !departing.contains(&member.vm));
     LiveEvent::Listed {
         head,
         members,
@@ -166,6 +189,9 @@
             .ok()
             .map(LiveEvent::Joined);
     }
+    if let Some(vm) = entry.key.strip_prefix(LEAVING_PREFIX) {
+        return Some(LiveEvent::Departing(vm.parse().ok()?));
+    }
     let runner = entry.key.strip_prefix(RUNNERS_PREFIX)?;
     Some(LiveEvent::Record(runner.parse().ok()?, entry.value.clone()))
 }
--- a/src/standin/kv/mod.rs
+++ b/src/standin/kv/mod.rs
@@ -1,10 +1,12 @@
 //! A stand-in of the key-value service.
 
+mod control;
 mod counts;
 mod faults;
 mod lease;
 mod memory_store;
+mod server;
 mod state;
 mod watch;
 
-pub use {counts::*, faults::*, lease::*, memory_store::*, state::*};
+pub use {control::*, counts::*, faults::*, lease::*, memory_store::*, state::*};
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,7 +1,12 @@
 //! The platform's key-value service, as this system uses it.
 
+mod answer;
 mod error;
+mod etcd_store;
+pub mod gateway;
+mod http_link;
 pub mod keys;
 mod kv;
+mod watch_reader;
 
-pub use {error::*, kv::*};
+pub use {error::*, etcd_store::*, kv::*};
