--- a/src/placement/spread.rs
+++ b/src/placement/spread.rs
@@ -36,11 +36,19 @@
         let holders: Vec<Vec<usize>> = (0..demand.len())
             .map(|model| image.holders(model).collect())
             .collect();
+        Self::with_holders(capacities.collect(), holders, demand)
+    }
+
+    fn with_holders(
+        capacities: Vec<f64>,
+        holders: Vec<Vec<usize>>,
+        demand: &[ModelDemand],
+    ) -> Self {
         let shares = holders.iter().map(|runners| vec![0.0; runners.len()]);
         let mut spread = Self {
-            capacities: capacities.collect(),
-            loads: vec![0.0; image.runners.len()],
+            loads: vec![0.0; capacities.len()],
             shares: shares.collect(),
+            capacities,
             holders,
         };
         spread.settle(demand);
@@ -48,13 +56,15 @@
     }
 
     /// Returns the spread with other copies of some models; `changes` adds or removes runners.
+    ///
+    /// It is the one that [`Spread::new`] finds for such an image, so that estimates agree from
+    /// one round of planning to the next.
     pub fn changed(&self, changes: &[(usize, usize, bool)], demand: &[ModelDemand]) -> Self {
-        let mut spread = self.clone();
+        let mut holders = self.holders.clone();
         for &(model, runner, added) in changes {
-            spread.change(model, runner, added);
+            change(&mut holders[model], runner, added);
         }
-        spread.settle(demand);
-        spread
+        Self::with_holders(self.capacities.clone(), holders, demand)
     }
 
     /// Returns the load of a runner; at 1 it is fully used.
@@ -87,23 +97,6 @@
         lost_tokens / demand.tokens_per_s * demand.requests_per_s * MINUTE_S
     }
 
-    fn change(&mut self, model: usize, runner: usize, added: bool) {
-        let position = self.holders[model]
-            .iter()
-            .position(|&other| other == runner);
-        match position {
-            None if added => {
-                self.holders[model].push(runner);
-                self.shares[model].push(0.0);
-            }
-            Some(position) if !added => {
-                self.holders[model].remove(position);
-                self.loads[runner] -= self.shares[model].remove(position);
-            }
-            _ => {}
-        }
-    }
-
     fn settle(&mut self, demand: &[ModelDemand]) {
         for _ in 0..SWEEPS {
             for (model, demand) in demand.iter().enumerate() {
@@ -129,6 +122,17 @@
     }
 }
 
+/// Adds a runner to a sorted list of holders or removes it.
+fn change(holders: &mut Vec<usize>, runner: usize, added: bool) {
+    match holders.binary_search(&runner) {
+        Err(position) if added => holders.insert(position, runner),
+        Ok(position) if !added => {
+            holders.remove(position);
+        }
+        _ => {}
+    }
+}
+
 /// Finds the load to which the least loaded holders rise when they take `tokens_per_s` more.
 fn water_level(holders: &[usize], loads: &[f64], capacities: &[f64], tokens_per_s: f64) -> f64 {
     let mut sorted: Vec<(f64, usize)> = holders
