Run racing publishers and followers under faults and check their histories

Cause: publisher and follower had only been tested alone.

The checkers reject: a lowered revision, a second winner, a false refusal, a VM without the revision, a second winner and a stale read in the linearizable register of todc-utils, and runs in which VMs follow any head. Ruled out: recording calls of unknown outcome as open to the end of the history, as the checker's search then explodes (10 minutes and 8 GB, stopped); the chain of heads read after the run tells whether they took effect.

--- a/src/config/publish/base.rs
+++ b/src/config/publish/base.rs
@@ -58,13 +58,9 @@
     }
 
     /// Returns the newer of the stored head and one that is known otherwise.
-    pub fn newest<'a>(&'a self, known: Option<&'a Head>) -> Option<&'a Head> {
-        let stored = self.head.as_ref();
-        match (stored, known) {
-            (Some(stored), Some(known)) if known.revision > stored.revision => Some(known),
-            (Some(stored), _) => Some(stored),
-            (None, known) => known,
-        }
+    pub fn newest(&self, known: Option<Head>) -> Option<Head> {
+        let heads = self.head.clone().into_iter().chain(known);
+        heads.max_by_key(|head| head.revision)
     }
 }
 
--- a/src/config/publish/publisher.rs
+++ b/src/config/publish/publisher.rs
@@ -42,9 +42,10 @@
 
     /// Publishes a checked configuration as the revision after the newest one.
     ///
-    /// `known` is the newest head that this VM has seen. While the key-value service holds an
-    /// older one, as after a restore from an old copy, the new revision still goes above `known`.
-    /// An attempt whose publish id is published already counts as published.
+    /// `known` returns the newest head that this VM and the peers that it asked have seen. While
+    /// the key-value service holds an older one, as after a restore from an old copy, the new
+    /// revision still goes above it. An attempt whose publish id is published already counts as
+    /// published.
     ///
     /// # Errors
     ///
@@ -52,7 +53,7 @@
     pub async fn publish(
         &self,
         publication: &Publication,
-        known: Option<&Head>,
+        known: impl Fn() -> Option<Head>,
     ) -> Result<PublishOutcome, PublishError> {
         check_text("author", &publication.author, AUTHOR_MAX_BYTES)?;
         check_text("message", &publication.message, MESSAGE_MAX_BYTES)?;
@@ -63,10 +64,13 @@
             if let Some(link) = link.filter(|link| link.publish_id == publication.publish_id) {
                 return Ok(PublishOutcome::Published(link));
             }
-            if let Some(conflict) = find_conflict(&base, publication, known)? {
+            if let Some(conflict) = find_conflict(&base, publication, known())? {
                 return Ok(PublishOutcome::Conflict(conflict));
             }
             write_blobs(store, &publication.snapshot, &base).await?;
+            if let Some(conflict) = find_conflict(&base, publication, known())? {
+                return Ok(PublishOutcome::Conflict(conflict));
+            }
             let head = publication.head(target);
             match swap_head(store, &base, &head).await? {
                 Swap::Done => return Ok(PublishOutcome::Published(head)),
@@ -139,10 +143,12 @@
 fn find_conflict(
     base: &Base,
     publication: &Publication,
-    known: Option<&Head>,
+    known: Option<Head>,
 ) -> Result<Option<Head>, PublishError> {
     let newest = base.newest(known);
-    let newest_revision = newest.map_or(Revision::default(), |head| head.revision);
+    let newest_revision = newest
+        .as_ref()
+        .map_or(Revision::default(), |head| head.revision);
     if newest_revision < publication.expected {
         return Err(PublishError::NoSuchRevision {
             expected: publication.expected,
@@ -150,7 +156,7 @@
         });
     }
     if newest_revision > publication.expected {
-        return Ok(newest.cloned());
+        return Ok(newest);
     }
     Ok(None)
 }
--- a/src/history/revision_check.rs
+++ b/src/history/revision_check.rs
@@ -170,6 +170,25 @@
     violations.map(RevisionViolation::FalseRefusal).collect()
 }
 
+/// Returns how long each accepted revision took to be in force at each VM that was up all the
+/// while, in milliseconds, sorted.
+pub fn in_force_delays_ms(events: &[RevisionEvent], end_ms: u64) -> Vec<u64> {
+    let mut delays_ms = Vec::new();
+    let lives = find_lives(events, end_ms);
+    for event in events {
+        let RevisionEvent::Published { at_ms, head } = event else {
+            continue;
+        };
+        let up = |life: &&Life| life.start_ms <= *at_ms && life.stop_ms > *at_ms;
+        for life in lives.iter().filter(up) {
+            let in_force_ms = in_force_at(events, life, head.revision);
+            delays_ms.extend(in_force_ms.map(|reached_ms| reached_ms.saturating_sub(*at_ms)));
+        }
+    }
+    delays_ms.sort_unstable();
+    delays_ms
+}
+
 /// One life of a VM, from its start to its stop.
 struct Life<'a> {
     vm: &'a VmName,
@@ -218,10 +237,17 @@
 }
 
 fn had_in_force(events: &[RevisionEvent], life: &Life, wanted: Revision, due_ms: u64) -> bool {
-    events.iter().any(|event| match event {
-        RevisionEvent::InForce { at_ms, vm, head } => {
-            vm == life.vm && head.revision >= wanted && (life.start_ms..=due_ms).contains(at_ms)
+    in_force_at(events, life, wanted).is_some_and(|at_ms| at_ms <= due_ms)
+}
+
+/// Returns when a VM first had a revision, or a later one, in one of its lives.
+fn in_force_at(events: &[RevisionEvent], life: &Life, wanted: Revision) -> Option<u64> {
+    events.iter().find_map(|event| match event {
+        RevisionEvent::InForce { at_ms, vm, head }
+            if vm == life.vm && head.revision >= wanted && *at_ms >= life.start_ms =>
+        {
+            Some(*at_ms)
         }
-        _ => false,
+        _ => None,
     })
 }
--- /dev/null
+++ b/tests/common/head_register.rs
@@ -0,0 +1,150 @@
+//! The head as a compare-and-swap register, for the linearizability checker of `todc-utils`.
+
+use {
+    greengagetrail::{
+        config::Head,
+        units::{PublishId, Revision},
+    },
+    std::cell::RefCell,
+    todc_utils::{Action, History, Specification, WGLChecker},
+};
+
+/// An operation on the head, with its outcome.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeadOp {
+    /// The head was read.
+    Read(Revision, Option<PublishId>),
+    /// A publication from a revision became another revision.
+    Published(Revision, Revision, PublishId),
+    /// A publication from a revision lost to a newer revision.
+    Conflict(Revision, Revision),
+}
+
+impl HeadOp {
+    /// Describes a read.
+    pub fn read(head: Option<&Head>) -> Self {
+        match head {
+            Some(head) => Self::Read(head.revision, Some(head.publish_id)),
+            None => Self::Read(Revision(0), None),
+        }
+    }
+}
+
+struct HeadRegister;
+
+impl Specification for HeadRegister {
+    type State = (Revision, Option<PublishId>);
+    type Operation = HeadOp;
+
+    fn init() -> Self::State {
+        (Revision(0), None)
+    }
+
+    fn apply(operation: &HeadOp, state: &Self::State) -> (bool, Self::State) {
+        let revision = state.0;
+        match *operation {
+            HeadOp::Read(seen, id) => ((seen, id) == *state, *state),
+            HeadOp::Published(expected, next, id) => (
+                revision == expected && next == expected.next(),
+                (next, Some(id)),
+            ),
+            HeadOp::Conflict(expected, seen) => (revision == seen && seen > expected, *state),
+        }
+    }
+}
+
+/// The calls and responses of one run, in their order.
+#[derive(Debug, Clone, Default)]
+pub struct HeadHistory {
+    actions: RefCell<Vec<(usize, Action<Option<HeadOp>>)>>,
+    open: RefCell<Vec<(usize, PublishId)>>,
+}
+
+impl HeadHistory {
+    /// Records a call.
+    pub fn call(&self) -> usize {
+        let mut actions = self.actions.borrow_mut();
+        let is_call = |(_, action): &&(_, Action<_>)| matches!(action, Action::Call(_));
+        let process = actions.iter().filter(is_call).count();
+        actions.push((process, Action::Call(None)));
+        process
+    }
+
+    /// Records the response to a call; a call without one took no effect.
+    pub fn respond(&self, process: usize, operation: HeadOp) {
+        let mut actions = self.actions.borrow_mut();
+        actions.push((process, Action::Response(Some(operation))));
+    }
+
+    /// Records that the outcome of a call is not known.
+    pub fn leave_open(&self, process: usize, publish_id: PublishId) {
+        self.open.borrow_mut().push((process, publish_id));
+    }
+
+    /// Ends the run: calls of unknown outcome took effect if they are in the chain of heads.
+    pub fn settle(&self, chain: &[Head]) {
+        for (process, publish_id) in self.open.take() {
+            let link = chain.iter().find(|head| head.publish_id == publish_id);
+            if let Some(Head { revision, .. }) = link {
+                let expected = Revision(revision.0 - 1);
+                self.respond(process, HeadOp::Published(expected, *revision, publish_id));
+            }
+        }
+    }
+
+    /// Returns whether one order of the operations explains every outcome.
+    pub fn is_linearizable(&self) -> bool {
+        let actions = self.actions.borrow();
+        let response_of = |wanted: usize| {
+            actions.iter().find_map(|(process, action)| match action {
+                Action::Response(operation) if *process == wanted => *operation,
+                _ => None,
+            })
+        };
+        let complete = actions.iter().filter_map(|(process, action)| {
+            let operation = response_of(*process)?;
+            let action = match action {
+                Action::Call(_) => Action::Call(operation),
+                Action::Response(_) => Action::Response(operation),
+            };
+            Some((*process, action))
+        });
+        let history = History::from_actions(complete.collect());
+        WGLChecker::<HeadRegister>::is_linearizable(history)
+    }
+
+    /// Returns the history with one conflict turned into a second winner.
+    pub fn with_second_winner(&self) -> Self {
+        self.mutate(|operation| match *operation {
+            HeadOp::Conflict(expected, _) => Some(HeadOp::Published(
+                expected,
+                expected.next(),
+                PublishId::random(),
+            )),
+            _ => None,
+        })
+    }
+
+    /// Returns the history with the last read of something turned into a read of nothing.
+    pub fn with_stale_read(&self) -> Self {
+        self.mutate(|operation| match *operation {
+            HeadOp::Read(_, Some(_)) => Some(HeadOp::Read(Revision(0), None)),
+            _ => None,
+        })
+    }
+
+    fn mutate(&self, change: impl Fn(&HeadOp) -> Option<HeadOp>) -> Self {
+        let mutated = self.clone();
+        let mut actions = mutated.actions.borrow_mut();
+        let changed = actions
+            .iter_mut()
+            .rev()
+            .find_map(|(_, action)| match action {
+                Action::Response(Some(operation)) => change(operation).map(|new| *operation = new),
+                _ => None,
+            });
+        assert!(changed.is_some(), "the history has nothing to mutate");
+        drop(actions);
+        mutated
+    }
+}
--- /dev/null
+++ b/tests/config_history.rs
@@ -0,0 +1,346 @@
+//! Concurrent runs: racing publishers, faults of the key-value service, VMs that come and go.
+
+#[path = "common/catalogs.rs"]
+mod catalogs;
+#[path = "common/follower_vm.rs"]
+mod follower_vm;
+#[path = "common/head_register.rs"]
+mod head_register;
+#[path = "common/late_store.rs"]
+mod late_store;
+#[path = "common/publications.rs"]
+mod publications;
+
+use {
+    follower_vm::{Fleet, FollowerVm},
+    greengagetrail::{
+        config::{HISTORY_MAX, PublishOutcome, Publisher, collect_garbage},
+        history::{RevisionEvent, RevisionViolation, check_revisions, in_force_delays_ms},
+        standin::kv::{KvFaults, MemoryStore},
+        store::SharedStore,
+        units::Revision,
+    },
+    head_register::{HeadHistory, HeadOp},
+    late_store::LateStore,
+    publications::publication,
+    rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
+    std::{rc::Rc, sync::Arc, time::Duration},
+    tokio::{
+        task::{LocalSet, spawn_local},
+        time::sleep,
+    },
+};
+
+/// Seeds of each kind of run, unless `GGT_SEEDS` says otherwise.
+const SEEDS: u64 = 40;
+/// VMs of a run.
+const VMS: usize = 7;
+/// Operators who publish at the same time.
+const OPERATORS: u64 = 3;
+/// How long faults come and go.
+const FAULTS_MS: u64 = 60_000;
+/// The time within which an accepted revision must be in force everywhere.
+const IN_FORCE_MAX_MS: u64 = 16_000;
+
+/// What a run brings about.
+#[derive(Debug, Clone, Copy, Default)]
+struct RunPlan {
+    restores: bool,
+    kills: bool,
+    follow_anything: bool,
+}
+
+/// What a run recorded.
+struct RunRecord {
+    events: Vec<RevisionEvent>,
+    heads: HeadHistory,
+    end_ms: u64,
+}
+
+impl RunRecord {
+    fn violations(&self) -> Vec<RevisionViolation> {
+        check_revisions(&self.events, IN_FORCE_MAX_MS, self.end_ms)
+    }
+
+    fn published(&self) -> usize {
+        let published = |event: &&RevisionEvent| matches!(event, RevisionEvent::Published { .. });
+        self.events.iter().filter(published).count()
+    }
+}
+
+/// Runs one seed on a paused clock.
+fn run(seed: u64, plan: RunPlan) -> RunRecord {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, run_fleet(seed, plan))
+}
+
+async fn run_fleet(seed: u64, plan: RunPlan) -> RunRecord {
+    let fleet = Fleet::new(plan.follow_anything);
+    let heads = Rc::new(HeadHistory::default());
+    let mut rng = SmallRng::seed_from_u64(seed);
+    for index in 0..VMS {
+        fleet.start_vm(&format!("vm-{index}"), rng.random());
+    }
+    let operators: Vec<_> = (0..OPERATORS)
+        .map(|_| spawn_local(operate(fleet.clone(), heads.clone(), rng.random())))
+        .collect();
+    let reader = spawn_local(read_heads(fleet.store.clone(), heads.clone(), rng.random()));
+    bring_faults(&fleet, &mut rng, plan).await;
+    for operator in operators {
+        operator.await.unwrap();
+    }
+    reader.await.unwrap();
+    sleep(Duration::from_millis(IN_FORCE_MAX_MS + 1000)).await;
+    let publisher = Publisher::new(Arc::new(fleet.store.link()));
+    heads.settle(&publisher.history(HISTORY_MAX as usize).await.unwrap());
+    let events = fleet.events.borrow().clone();
+    RunRecord {
+        events,
+        heads: (*heads).clone(),
+        end_ms: fleet.now_ms(),
+    }
+}
+
+/// Publishes changes from random VMs until the faults end.
+async fn operate(fleet: Rc<Fleet>, heads: Rc<HeadHistory>, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    while fleet.now_ms() < FAULTS_MS {
+        sleep(Duration::from_millis(rng.random_range(0..10_000))).await;
+        let Some(vm) = fleet.live().choose(&mut rng).cloned() else {
+            continue;
+        };
+        publish(&fleet, &heads, &vm, &mut rng).await;
+    }
+}
+
+async fn publish(fleet: &Fleet, heads: &HeadHistory, vm: &Rc<FollowerVm>, rng: &mut SmallRng) {
+    let expected = vm.head().map_or(Revision(0), |head| head.revision);
+    let attempt = publication(rng.random_range(1..4), expected.0);
+    let link: SharedStore = Arc::new(vm.link.clone());
+    let late = LateStore::new(link, rng.random(), 15);
+    let publisher = Publisher::new(Arc::new(late));
+    let call = heads.call();
+    let asked = vm.ask_peers().await;
+    let known = || {
+        let heads = asked.clone().into_iter().chain(vm.head());
+        heads.max_by_key(|head| head.revision)
+    };
+    let outcome = publisher.publish(&attempt, known).await;
+    let publish_id = attempt.publish_id;
+    match outcome {
+        Ok(PublishOutcome::Published(head)) => {
+            heads.respond(call, HeadOp::Published(expected, head.revision, publish_id));
+            fleet.record(RevisionEvent::Published {
+                at_ms: fleet.now_ms(),
+                head: head.clone(),
+            });
+            vm.accept(head, attempt.snapshot);
+        }
+        Ok(PublishOutcome::Conflict(other)) => {
+            heads.respond(call, HeadOp::Conflict(expected, other.revision));
+            fleet.record(RevisionEvent::NotPublished { publish_id });
+        }
+        Ok(PublishOutcome::Unknown(_)) => {
+            heads.leave_open(call, publish_id);
+            fleet.record(RevisionEvent::Unresolved { publish_id });
+        }
+        Err(_) => {
+            fleet.record(RevisionEvent::NotPublished { publish_id });
+        }
+    }
+    let _ = collect_garbage(&vm.link).await;
+}
+
+/// Reads the head on a link without faults.
+async fn read_heads(store: MemoryStore, heads: Rc<HeadHistory>, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let publisher = Publisher::new(Arc::new(store.link()));
+    for _ in 0..FAULTS_MS / 5000 {
+        sleep(Duration::from_millis(rng.random_range(0..10_000))).await;
+        let call = heads.call();
+        let head = publisher.head().await.unwrap();
+        heads.respond(call, HeadOp::read(head.as_ref()));
+    }
+}
+
+async fn bring_faults(fleet: &Rc<Fleet>, rng: &mut SmallRng, plan: RunPlan) {
+    let mut copy = fleet.store.copy_state();
+    let mut fresh = VMS;
+    while fleet.now_ms() < FAULTS_MS {
+        sleep(Duration::from_millis(rng.random_range(0..3000))).await;
+        let live = fleet.live();
+        let Some(vm) = live.choose(rng).cloned() else {
+            continue;
+        };
+        match rng.random_range(0..12) {
+            0 => copy = fleet.store.copy_state(),
+            1 if plan.restores => fleet.store.restore(copy.clone()),
+            2 if plan.kills && live.len() > VMS / 2 => vm.kill(),
+            3 if plan.kills => {
+                fresh += 1;
+                fleet.start_vm(&format!("vm-{fresh}"), rng.random());
+            }
+            4 => live
+                .iter()
+                .for_each(|vm| vm.link.set_faults(KvFaults::default())),
+            5 => live.iter().for_each(|vm| vm.link.set_faults(down())),
+            _ => vm.link.set_faults(draw_faults(rng)),
+        }
+    }
+    // With the service up for some VMs and down for others, peers must do the rest.
+    for vm in fleet.live() {
+        if rng.random_range(0..3) > 0 {
+            vm.link.set_faults(KvFaults::default());
+        }
+    }
+}
+
+fn down() -> KvFaults {
+    KvFaults {
+        down: true,
+        ..KvFaults::default()
+    }
+}
+
+fn draw_faults(rng: &mut SmallRng) -> KvFaults {
+    KvFaults {
+        down: rng.random_range(0..6) == 0,
+        silent: rng.random_range(0..8) == 0,
+        slow_ms: rng.random_range(0..400),
+        lost_answers: rng.random_range(0..3),
+        lost_calls: rng.random_range(0..3),
+        watch_silent: rng.random_range(0..3) == 0,
+        watch_stale: rng.random_range(0..3) == 0,
+    }
+}
+
+fn assert_holds(seed: u64, plan: RunPlan) -> RunRecord {
+    let record = run(seed, plan);
+    let violations = record.violations();
+    assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+    record
+}
+
+fn seeds() -> u64 {
+    let chosen = std::env::var("GGT_SEEDS").ok();
+    chosen.map_or(SEEDS, |seeds| seeds.parse().unwrap())
+}
+
+/// Checks all seeds of a plan and prints what they measured.
+fn assert_all_hold(name: &str, plan: RunPlan, check: impl Fn(u64, &RunRecord)) {
+    let mut published = 0;
+    let mut delays_ms = Vec::new();
+    for seed in 0..seeds() {
+        let record = assert_holds(seed, plan);
+        check(seed, &record);
+        published += record.published();
+        delays_ms.extend(in_force_delays_ms(&record.events, record.end_ms));
+    }
+    assert!(
+        published as u64 > seeds(),
+        "the faults left nothing to check"
+    );
+    delays_ms.sort_unstable();
+    println!(
+        "{name}: seeds 0 to {}, {published} revisions; in force after {} ms (median), {} ms (most)",
+        seeds() - 1,
+        delays_ms[delays_ms.len() / 2],
+        delays_ms[delays_ms.len() - 1],
+    );
+}
+
+#[test]
+fn accepted_revisions_hold_under_faults() {
+    let plan = RunPlan {
+        kills: true,
+        ..RunPlan::default()
+    };
+    assert_all_hold("kills and faults", plan, |seed, record| {
+        assert!(record.heads.is_linearizable(), "seed {seed}");
+    });
+}
+
+#[test]
+fn accepted_revisions_survive_restores_from_old_copies() {
+    let plan = RunPlan {
+        restores: true,
+        ..RunPlan::default()
+    };
+    assert_all_hold("restores and faults", plan, |_, _| {});
+}
+
+/// With the follower's rule off, some run must break the promise.
+#[test]
+fn following_any_head_is_caught() {
+    let plan = RunPlan {
+        restores: true,
+        follow_anything: true,
+        ..RunPlan::default()
+    };
+    let went_back =
+        |violation: &RevisionViolation| matches!(violation, RevisionViolation::WentBack { .. });
+    let caught = (0..SEEDS).any(|seed| run(seed, plan).violations().iter().any(went_back));
+    assert!(caught);
+}
+
+#[test]
+fn mutated_histories_are_rejected() {
+    let record = assert_holds(1, RunPlan::default());
+    let published = record
+        .events
+        .iter()
+        .find_map(|event| match event {
+            RevisionEvent::Published { head, .. } => Some(head.clone()),
+            _ => None,
+        })
+        .unwrap();
+    let last_in_force = |event: &RevisionEvent| matches!(event, RevisionEvent::InForce { .. });
+    let position = record.events.iter().rposition(last_in_force).unwrap();
+    let check = |events: &[RevisionEvent]| check_revisions(events, IN_FORCE_MAX_MS, record.end_ms);
+
+    let mut back = record.events.clone();
+    let mut old = back[position].clone();
+    if let RevisionEvent::InForce { head, .. } = &mut old {
+        head.revision = Revision(head.revision.0 - 1);
+    }
+    back.push(old);
+    assert!(
+        check(&back)
+            .iter()
+            .any(|found| matches!(found, RevisionViolation::WentBack { .. }))
+    );
+
+    let mut twice = record.events.clone();
+    let mut other = published.clone();
+    other.publish_id.0 ^= 1;
+    twice.push(RevisionEvent::Published {
+        at_ms: 0,
+        head: other,
+    });
+    assert!(check(&twice).contains(&RevisionViolation::TwoWinners(published.revision)));
+
+    let mut refused = record.events.clone();
+    let publish_id = published.publish_id;
+    refused.push(RevisionEvent::NotPublished { publish_id });
+    assert!(check(&refused).contains(&RevisionViolation::FalseRefusal(publish_id)));
+
+    let vm = match &record.events[position] {
+        RevisionEvent::InForce { vm, .. } => vm.clone(),
+        _ => unreachable!(),
+    };
+    let mut late = record.events.clone();
+    late.retain(|event| !matches!(event, RevisionEvent::InForce { vm: at, .. } if *at == vm));
+    assert!(
+        check(&late)
+            .iter()
+            .any(|found| matches!(found, RevisionViolation::Late { .. }))
+    );
+
+    assert!(record.heads.is_linearizable());
+    assert!(!record.heads.with_second_winner().is_linearizable());
+    assert!(!record.heads.with_stale_read().is_linearizable());
+}
--- a/tests/config_publish.rs
+++ b/tests/config_publish.rs
@@ -50,7 +50,10 @@
 async fn published_content_is_read_back() {
     let store = MemoryStore::new();
     let published = publication(40, 0);
-    let outcome = publisher(&store).publish(&published, None).await.unwrap();
+    let outcome = publisher(&store)
+        .publish(&published, || None)
+        .await
+        .unwrap();
     let PublishOutcome::Published(head) = outcome else {
         panic!("{outcome:?}");
     };
@@ -64,15 +67,15 @@
 async fn loser_is_told_of_the_winner() {
     let store = MemoryStore::new();
     let first = publisher(&store)
-        .publish(&publication(1, 0), None)
+        .publish(&publication(1, 0), || None)
         .await
         .unwrap();
     let PublishOutcome::Published(winner) = first else {
         panic!("{first:?}");
     };
-    let second = publisher(&store).publish(&publication(2, 0), None).await;
+    let second = publisher(&store).publish(&publication(2, 0), || None).await;
     assert_eq!(second, Ok(PublishOutcome::Conflict(winner)));
-    let third = publisher(&store).publish(&publication(2, 7), None).await;
+    let third = publisher(&store).publish(&publication(2, 7), || None).await;
     assert!(matches!(third, Err(PublishError::NoSuchRevision { .. })));
 }
 
@@ -80,13 +83,13 @@
 async fn repeated_attempt_is_published_once() {
     let store = MemoryStore::new();
     let attempt = publication(1, 0);
-    let first = publisher(&store).publish(&attempt, None).await.unwrap();
+    let first = publisher(&store).publish(&attempt, || None).await.unwrap();
     publisher(&store)
-        .publish(&publication(2, 1), None)
+        .publish(&publication(2, 1), || None)
         .await
         .unwrap();
     assert_eq!(
-        publisher(&store).publish(&attempt, None).await.unwrap(),
+        publisher(&store).publish(&attempt, || None).await.unwrap(),
         first
     );
     assert_eq!(publisher(&store).history(10).await.unwrap().len(), 2);
@@ -102,7 +105,7 @@
                 lost_calls,
                 ..KvFaults::default()
             });
-            let outcome = publisher(&store).publish(&publication(1, 0), None).await;
+            let outcome = publisher(&store).publish(&publication(1, 0), || None).await;
             let head = publisher(&store).head().await.unwrap();
             match outcome {
                 Ok(PublishOutcome::Published(published)) => assert_eq!(head, Some(published)),
@@ -119,7 +122,7 @@
         let store = MemoryStore::new();
         let late = Arc::new(LateStore::new(Arc::new(store.clone()), seed, 40));
         let attempt = publication(1, 0);
-        let outcome = Publisher::new(late).publish(&attempt, None).await;
+        let outcome = Publisher::new(late).publish(&attempt, || None).await;
         tokio::time::sleep(std::time::Duration::from_secs(60)).await;
         let history = publisher(&store).history(10).await.unwrap();
         let took_effect = history
@@ -138,7 +141,7 @@
 async fn outage_after_the_swap_leaves_the_outcome_open() {
     let store = MemoryStore::new();
     publisher(&store)
-        .publish(&publication(1, 0), None)
+        .publish(&publication(1, 0), || None)
         .await
         .unwrap();
     let link = store.link();
@@ -149,7 +152,7 @@
         ..KvFaults::default()
     });
     let publisher = Publisher::new(Arc::new(link.clone()));
-    let publishing = publisher.publish(&attempt, None);
+    let publishing = publisher.publish(&attempt, || None);
     let outage = async {
         tokio::time::sleep(std::time::Duration::from_millis(500)).await;
         link.set_faults(KvFaults {
@@ -166,13 +169,13 @@
     for calls in 0..12 {
         let store = MemoryStore::new();
         publisher(&store)
-            .publish(&publication(1, 0), None)
+            .publish(&publication(1, 0), || None)
             .await
             .unwrap();
         let link = store.link();
         let failing = failing_store::FailingStore::new(Arc::new(link), calls);
         let outcome = Publisher::new(Arc::new(failing))
-            .publish(&publication(80, 1), None)
+            .publish(&publication(80, 1), || None)
             .await;
         let head = publisher(&store).head().await.unwrap().unwrap();
         let fetched = fetch(&store, &head).await;
@@ -190,24 +193,24 @@
 async fn revision_goes_above_the_known_one_after_a_restore() {
     let store = MemoryStore::new();
     publisher(&store)
-        .publish(&publication(1, 0), None)
+        .publish(&publication(1, 0), || None)
         .await
         .unwrap();
     let copy = store.copy_state();
     for expected in 1..4 {
         publisher(&store)
-            .publish(&publication(2, expected), None)
+            .publish(&publication(2, expected), || None)
             .await
             .unwrap();
     }
     let known = publisher(&store).head().await.unwrap().unwrap();
     store.restore(copy);
     let stale = publisher(&store)
-        .publish(&publication(3, 1), Some(&known))
+        .publish(&publication(3, 1), || Some(known.clone()))
         .await;
     assert_eq!(stale, Ok(PublishOutcome::Conflict(known.clone())));
     let outcome = publisher(&store)
-        .publish(&publication(3, 4), Some(&known))
+        .publish(&publication(3, 4), || Some(known.clone()))
         .await
         .unwrap();
     let PublishOutcome::Published(head) = outcome else {
@@ -220,12 +223,12 @@
 async fn known_head_is_written_back_after_a_restore() {
     let store = MemoryStore::new();
     publisher(&store)
-        .publish(&publication(1, 0), None)
+        .publish(&publication(1, 0), || None)
         .await
         .unwrap();
     let copy = store.copy_state();
     publisher(&store)
-        .publish(&publication(20, 1), None)
+        .publish(&publication(20, 1), || None)
         .await
         .unwrap();
     let known = publisher(&store).head().await.unwrap().unwrap();
@@ -249,7 +252,10 @@
     let mut most_blobs = 0;
     for expected in 0..revisions {
         let published = publication(1 + (expected as usize % 50), expected);
-        publisher(&store).publish(&published, None).await.unwrap();
+        publisher(&store)
+            .publish(&published, || None)
+            .await
+            .unwrap();
         collect_garbage(&store).await.unwrap();
         most_blobs = most_blobs.max(blob_count(&store).await);
     }
@@ -272,13 +278,13 @@
     for delay_ms in 0..60 {
         let store = MemoryStore::new();
         publisher(&store)
-            .publish(&publication(1, 0), None)
+            .publish(&publication(1, 0), || None)
             .await
             .unwrap();
         // Content that a loser left behind, which the next publication will need.
         let abandoned = failing_store::FailingStore::new(Arc::new(store.clone()), 3);
         let _ = Publisher::new(Arc::new(abandoned))
-            .publish(&publication(40, 1), None)
+            .publish(&publication(40, 1), || None)
             .await;
         let slow = store.link();
         slow.set_faults(KvFaults {
@@ -291,7 +297,7 @@
             tokio::time::sleep(std::time::Duration::from_millis(delay_ms)).await;
             collect_garbage(&store).await.unwrap()
         };
-        let (outcome, _) = tokio::join!(publisher.publish(&attempt, None), collecting);
+        let (outcome, _) = tokio::join!(publisher.publish(&attempt, || None), collecting);
         let PublishOutcome::Published(head) = outcome.unwrap() else {
             panic!("not published with a collection after {delay_ms} ms");
         };
@@ -308,7 +314,7 @@
     let mut talkative = publication(1, 0);
     talkative.message = "x".repeat(2000);
     for refused in [unnamed, talkative] {
-        let outcome = publisher(&store).publish(&refused, None).await;
+        let outcome = publisher(&store).publish(&refused, || None).await;
         assert!(
             matches!(outcome, Err(PublishError::Text { .. })),
             "{outcome:?}"
