--- a/src/fleet/supervisor.rs
+++ b/src/fleet/supervisor.rs
@@ -115,7 +115,7 @@
 
     /// Waits until this VM should own the runner; returns false when it is to stop.
     async fn wait_until_owned(&mut self) -> bool {
-        loop {
+        while !self.is_closed() {
             tokio::select! {
             biased;
                            owned = self.owned.wait_for(|owned| *owned) => return owned.is_ok(),
@@ -125,6 +125,12 @@
                 self.give_up(&runner.name, runner.fencing).await;
             }
         }
+        false
+    }
+
+    /// Returns whether the keeper was dropped.
+    fn is_closed(&self) -> bool {
+        self.owned.has_changed().is_err()
     }
 
     fn configured(&self) -> Option<Runner> {
@@ -159,7 +165,7 @@
                 Ok(()) => return log::info!("fleet: {} gave up {name}", self.context.me.vm),
                 Err(error) => log::warn!("fleet: cannot give up {name}: {error}"),
             }
-            if self.owned.has_changed().is_err() {
+            if self.is_closed() {
                 return;
             }
             sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
