--- a/tests/fleet_keeper.rs
+++ b/tests/fleet_keeper.rs
@@ -120,7 +120,7 @@
     let model = |name: &str| Model {
         name: name.parse().unwrap(),
         version: "1".to_owned(),
-        memory_mib: MemoryMib(50),
+        memory_mib: MemoryMib(60),
     };
     let adapter = Adapter {
         name: "a".parse().unwrap(),
@@ -248,12 +248,19 @@
     keeper.apply(load("m"), "test");
     rig.wait_for(&keeper, |state| !state.models.is_empty())
         .await;
+    sleep(Duration::from_millis(100)).await;
     rig.store.restore(old);
-    keeper.apply(load("n"), "test");
-    sleep(Duration::from_secs(30)).await;
+    rig.engines[0].set_faults(EngineFaults {
+        leaving: true,
+        ..EngineFaults::default()
+    });
+    for _ in 0..60 {
+        keeper.apply(load("n"), "test");
+        sleep(Duration::from_millis(500)).await;
+    }
     assert_eq!(rig.engines[0].record().overcommits, 0);
     assert!(serves(&keeper.states().borrow()[0], "m"));
-    assert!(rig.record().await.epoch.0 >= 2);
+    assert_eq!(rig.record().await.epoch.0, 2);
 }
 
 #[tokio::test(start_paused = true)]
