--- a/tests/common/cluster.rs
+++ b/tests/common/cluster.rs
@@ -265,7 +265,7 @@
         };
         let store = EtcdStore::new(vec![self.kv.address], STORE_TIMEOUTS);
         let publisher = Publisher::new(Arc::new(store));
-        match publisher.publish(&publication, None).await {
+        match publisher.publish(&publication, || None).await {
             Ok(PublishOutcome::Published(head)) => head.revision,
             other => panic!("not published: {other:?}"),
         }
