--- a/src/keeper/operator_service.rs
+++ b/src/keeper/operator_service.rs
@@ -63,10 +63,9 @@
             published_at_ms: unix_now_ms(),
             expected,
         };
-        let known = self.state.head();
         let outcome = self
             .publisher
-            .publish(&publication, known.as_ref())
+            .publish(&publication, || self.state.head())
             .await
             .map_err(failed)?;
         if let PublishOutcome::Published(head) = &outcome {
--- a/src/placement/growth_step.rs
+++ b/src/placement/growth_step.rs
@@ -101,6 +101,9 @@
             let Some(room) = self.room(runner, model) else {
                 continue;
             };
+            if self.takes_second_place(runner, &room) {
+                continue;
+            }
             let count = if room == Room::Now {
                 &mut with_room
             } else {
@@ -122,17 +125,12 @@
         candidates
     }
 
-    /// Finds free room in a second data centre for a model with many callers and copies in one.
+    /// Finds free room in a second data centre for a hot model with copies in one.
     fn second_place(&self, spread: &Spread) -> Option<Candidate> {
-        let weight = self.input.catalog.deployment.move_weight;
         (0..self.demand.len())
-            .filter(|&model| {
-                let per_minute = self.demand[model].requests_per_s * MINUTE_S;
-                per_minute >= (weight * HOT_FACTOR).max(1.0) && self.may_grow(model)
-            })
+            .filter(|&model| self.is_hot(model) && self.may_grow(model))
             .find_map(|model| {
-                let holders = self.image.holders(model);
-                let places: BTreeSet<usize> = holders.map(|runner| self.places[runner]).collect();
+                let places = self.places_of(model, None);
                 if places.len() != 1 {
                     return None;
                 }
@@ -143,6 +141,34 @@
             })
     }
 
+    /// Tells whether making this room would leave a hot model in one data centre.
+    fn takes_second_place(&self, runner: usize, room: &Room) -> bool {
+        let Room::After(victims) = room else {
+            return false;
+        };
+        let copies = &self.image.runners[runner].copies;
+        let models = victims
+            .iter()
+            .filter_map(|&position| copies[position].model);
+        models
+            .filter(|&model| self.is_hot(model))
+            .any(|model| self.places_of(model, Some(runner)).len() < 2)
+    }
+
+    /// Tells whether a model has so many callers that it is kept in two data centres.
+    fn is_hot(&self, model: usize) -> bool {
+        let weight = self.input.catalog.deployment.move_weight;
+        let per_minute = self.demand[model].requests_per_s * MINUTE_S;
+        per_minute >= (weight * HOT_FACTOR).max(1.0)
+    }
+
+    /// Returns the data centres that hold a model, one runner left out.
+    fn places_of(&self, model: usize, without: Option<usize>) -> BTreeSet<usize> {
+        let holders = self.image.holders(model);
+        let others = holders.filter(|&runner| Some(runner) != without);
+        others.map(|runner| self.places[runner]).collect()
+    }
+
     fn cost(&self, room: &Room) -> f64 {
         let unloads = match room {
             Room::Now | Room::Coming => 0,
--- a/src/placement/room.rs
+++ b/src/placement/room.rs
@@ -36,6 +36,13 @@
         None
     }
 
+    /// Returns the memory of a runner that is free, is being freed or may be freed.
+    pub fn room_at_most_mib(&self, runner: usize) -> u64 {
+        let image = &self.image.runners[runner];
+        let victims: u64 = self.victims(runner).iter().map(|(_, size)| size).sum();
+        image.free_mib + image.coming_mib(self.image.catalog) + victims
+    }
+
     /// Tells whether a copy may be unloaded.
     ///
     /// A copy goes only while another one serves in this data centre, or one in a data centre
