Resolve publications whose service was restored meanwhile

Now a key space that went back leaves the outcome open, and a head that peers know under the attempt's own publish id counts as published.

--- a/src/config/publish/base.rs
+++ b/src/config/publish/base.rs
@@ -21,6 +21,8 @@
     pub head_version: Option<StoreVersion>,
     /// The version of the last garbage collection.
     pub collection_version: Option<StoreVersion>,
+    /// The version of the whole key space.
+    pub version: StoreVersion,
 }
 
 impl Base {
@@ -38,13 +40,15 @@
             then: keys.into_iter().map(|key| Op::Get { key }).collect(),
             ..Txn::default()
         };
-        let mut reads = store.txn(txn).await?.reads.into_iter();
+        let reply = store.txn(txn).await?;
+        let mut reads = reply.reads.into_iter();
         let mut next = || reads.next().flatten();
         let (head, collection, link) = (next(), next(), next());
         let base = Self {
             head: head.as_ref().map(parse_head).transpose()?,
             head_version: head.map(|entry| entry.modified),
             collection_version: collection.map(|entry| entry.modified),
+            version: reply.version,
         };
         Ok((base, link.as_ref().map(parse_head).transpose()?))
     }
--- a/src/config/publish/outcome.rs
+++ b/src/config/publish/outcome.rs
@@ -32,6 +32,17 @@
 }
 
 impl Publication {
+    /// Returns the outcome when a head is newer than the expected one.
+    ///
+    /// It may be this publication's own, known to a peer although its answer was lost.
+    pub(super) fn outcome_beside(&self, newer: Head) -> PublishOutcome {
+        if newer.publish_id == self.publish_id {
+            PublishOutcome::Published(newer)
+        } else {
+            PublishOutcome::Conflict(newer)
+        }
+    }
+
     /// Returns the head that this publication would write.
     pub(super) fn head(&self, revision: Revision) -> Head {
         Head {
--- a/src/config/publish/publisher.rs
+++ b/src/config/publish/publisher.rs
@@ -64,12 +64,12 @@
             if let Some(link) = link.filter(|link| link.publish_id == publication.publish_id) {
                 return Ok(PublishOutcome::Published(link));
             }
-            if let Some(conflict) = find_conflict(&base, publication, known())? {
-                return Ok(PublishOutcome::Conflict(conflict));
+            if let Some(newer) = find_newer(&base, publication, known())? {
+                return Ok(publication.outcome_beside(newer));
             }
             write_blobs(store, &publication.snapshot, &base).await?;
-            if let Some(conflict) = find_conflict(&base, publication, known())? {
-                return Ok(PublishOutcome::Conflict(conflict));
+            if let Some(newer) = find_newer(&base, publication, known())? {
+                return Ok(publication.outcome_beside(newer));
             }
             let head = publication.head(target);
             match swap_head(store, &base, &head).await? {
@@ -140,7 +140,7 @@
 }
 
 /// Returns the head that is newer than the one the publication was made from.
-fn find_conflict(
+fn find_newer(
     base: &Base,
     publication: &Publication,
     known: Option<Head>,
--- a/src/config/publish/resolve.rs
+++ b/src/config/publish/resolve.rs
@@ -52,7 +52,8 @@
         Some(_) => return Ok(Resolution::NotPublished),
         None => {}
     }
-    if now.head_version != base.head_version {
+    let went_back = now.version < base.version;
+    if went_back || now.head_version != base.head_version {
         return Ok(Resolution::Unknown);
     }
     if now.collection_version != base.collection_version {
