--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -70,10 +70,8 @@
   fetch @1 (digests :List(Text)) -> (blobs :List(Blob));
   reportDemand @2 (sender :Text, demand :List(Demand));
   propose @3 (moves :List(Move)) -> (taken :UInt32);
-  borrowAdapterLoads @4 (sender :Text, wanted :UInt32) -> (granted :UInt32, expiresMs :UInt32);
-  handOver @5 (runners :List(Text));
-  reportRunners @6 (runners :List(RunnerState));
-  members @7 () -> (members :List(Member));
+  reportRunners @4 (runners :List(RunnerState));
+  members @5 () -> (members :List(Member));
 }
 
 struct Member {
@@ -87,7 +85,8 @@
 interface EntryLink {
   # From an entry to the keeper of its VM. Calls with `known` answer when something newer is there.
   configuration @0 (known :UInt64) -> (head :Head, snapshot :Data);
-  runners @1 (known :UInt64) -> (version :UInt64, draining :Bool, runners :List(RunnerState), members :List(Member));
+  runners @1 (known :UInt64) -> (version :UInt64, draining :Bool, runners :List(RunnerState), members :List(Member),
+                               leaving :List(Text));
   report @2 (demand :List(Demand), suspects :List(Text));
 }
 
--- /dev/null
+++ b/src/entry/relay.rs
@@ -0,0 +1,230 @@
+//! Relays the stream of a model engine and resumes it where it breaks.
+
+use {
+    super::{
+        Attempt, DropReason, Entry, InferenceRequest, Joined, OpenRequest, StreamCheck,
+        StreamFault, StreamSource, Verdict, parse_load,
+    },
+    crate::{
+        admission::Permit,
+        http::{Body, BodyError, Problem},
+    },
+    bytes::Bytes,
+    futures::stream,
+    std::{sync::Arc, time::Duration},
+    tokio::{task, time::Instant},
+};
+
+/// An answer on its way from a model engine to a caller.
+pub(super) struct Relay {
+    pub(super) entry: Arc<Entry>,
+    pub(super) request: InferenceRequest,
+    pub(super) check: StreamCheck,
+    pub(super) source: Option<StreamSource>,
+    pub(super) phase: Phase,
+    pub(super) fruitless: u32,
+    first_token_at: Option<Instant>,
+    last_token_at: Option<Instant>,
+    permit: Permit,
+    _open: OpenRequest,
+}
+
+/// What a relay does next.
+pub(super) enum Phase {
+    Relaying,
+    Finished,
+    Failed(Problem),
+    Aborting,
+    Ended,
+}
+
+impl Relay {
+    pub(super) fn new(
+        entry: Arc<Entry>,
+        request: InferenceRequest,
+        attempt: Attempt,
+        permit: Permit,
+        open: OpenRequest,
+    ) -> Self {
+        let source = StreamSource::new(attempt);
+        let mut check = StreamCheck::new(request.id, source.resumable);
+        check.set_tokens_per_event(source.tokens_per_event);
+        Self {
+            entry,
+            request,
+            check,
+            source: Some(source),
+            phase: Phase::Relaying,
+            fruitless: 0,
+            first_token_at: None,
+            last_token_at: None,
+            permit,
+            _open: open,
+        }
+    }
+
+    /// Turns the relay into a body for the caller.
+    pub(super) fn into_body(self) -> Body {
+        let chunks = stream::unfold(Box::new(self), |mut relay| async move {
+            let chunk = relay.next().await?;
+            Some((chunk, relay))
+        });
+        Body::Stream(Box::pin(chunks))
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
+        loop {
+            match std::mem::replace(&mut self.phase, Phase::Relaying) {
+                Phase::Relaying => {
+                    if let Some(bytes) = self.relay().await {
+                        return Some(Ok(bytes));
+                    }
+                }
+                Phase::Finished => {
+                    self.phase = Phase::Ended;
+                    if let Some(source) = self.source.take() {
+                        source.recycle().await;
+                    }
+                }
+                Phase::Failed(problem) => {
+                    self.phase = Phase::Aborting;
+                    return Some(Ok(error_event(&problem)));
+                }
+                Phase::Aborting => {
+                    self.phase = Phase::Ended;
+                    // The connection flushes what it has only while the body is pending.
+                    task::yield_now().await;
+                    let text = "the answer cannot be completed";
+                    return Some(Err(BodyError(text.to_owned())));
+                }
+                Phase::Ended => {
+                    self.phase = Phase::Ended;
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// Reads one chunk and returns what of it goes to the caller.
+    async fn relay(&mut self) -> Option<Bytes> {
+        let limit = self.silence_limit();
+        let read = match &mut self.source {
+            Some(source) => source.read(limit).await,
+            None => Err(StreamFault::Cut("there is no stream".to_owned())),
+        };
+        let (bytes, fault) = match read {
+            Ok(chunk) => self.accept(chunk),
+            Err(fault) => (Bytes::new(), Some(fault)),
+        };
+        if !bytes.is_empty() {
+            self.note_tokens();
+        }
+        if let Some(fault) = fault {
+            self.resume(fault).await;
+        }
+        (!bytes.is_empty()).then_some(bytes)
+    }
+
+    fn silence_limit(&self) -> Duration {
+        let settings = &self.entry.settings;
+        Duration::from_millis(match self.check.delivered() {
+            0 => settings.first_token_timeout_ms,
+            _ => settings.between_tokens_timeout_ms,
+        })
+    }
+
+    fn accept(&mut self, chunk: Bytes) -> (Bytes, Option<StreamFault>) {
+        let Some(source) = &mut self.source else {
+            return (Bytes::new(), None);
+        };
+        if let Err(cause) = source.parser.push(chunk) {
+            return (Bytes::new(), Some(StreamFault::Cut(cause.to_string())));
+        }
+        let mut accepted = Joined::default();
+        while let Some(event) = source.parser.next_event() {
+            if let Some(comment) = &event.comment {
+                note_load(&self.entry, source, comment);
+            }
+            match self.check.judge(&event) {
+                Verdict::Comment => source.alive_at = Instant::now(),
+                Verdict::Drop(reason) => count_drop(reason),
+                Verdict::Break(reason) => {
+                    return (accepted.finish(), Some(StreamFault::Broken(reason)));
+                }
+                Verdict::Deliver => {
+                    source.alive_at = Instant::now();
+                    accepted.push(event.raw);
+                }
+                Verdict::End => {
+                    accepted.push(event.raw);
+                    self.phase = Phase::Finished;
+                    break;
+                }
+            }
+        }
+        (accepted.finish(), None)
+    }
+
+    fn note_tokens(&mut self) {
+        let now = Instant::now();
+        match self.last_token_at {
+            None => {
+                self.first_token_at = Some(now);
+                self.note_first_token(now);
+            }
+            Some(last) => self.entry.metrics.between_tokens.record(now - last),
+        }
+        self.last_token_at = Some(now);
+        self.fruitless = 0;
+    }
+
+    fn note_first_token(&self, now: Instant) {
+        let waited = now - self.request.arrived;
+        self.entry.metrics.first_token.record(waited);
+        let targets = &self.request.class.targets;
+        self.permit.record_first_token(targets, now);
+        if waited > targets.first_token_target() {
+            self.entry.count(&self.request, |demand| demand.late += 1);
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let tokens = self.check.delivered();
+        if let (Some(first), Some(last)) = (self.first_token_at, self.last_token_at)
+            && tokens > 1
+        {
+            let gap = (last - first) / (tokens - 1) as u32;
+            let targets = &self.request.class.targets;
+            self.permit.record_token_gap(targets, gap, last);
+        }
+        self.entry
+            .count(&self.request, |demand| demand.tokens += tokens as u32);
+    }
+}
+
+fn note_load(entry: &Entry, source: &StreamSource, comment: &[u8]) {
+    let text = std::str::from_utf8(comment).unwrap_or_default();
+    let load = text.strip_prefix("load ").and_then(parse_load);
+    if let Some(load) = load {
+        let runner = source.in_flight.runner();
+        entry.board.record_report(runner, load, Instant::now());
+    }
+}
+
+fn count_drop(reason: DropReason) {
+    let reason = match reason {
+        DropReason::Foreign => "foreign",
+        DropReason::Duplicate => "duplicate",
+    };
+    metrics::counter!("ggt_events_dropped_total", "reason" => reason).increment(1);
+}
+
+fn error_event(problem: &Problem) -> Bytes {
+    format!(
+        "event: error\ndata: {{\"error\":{}}}\n\n",
+        problem.to_json()
+    )
+    .into()
+}
--- /dev/null
+++ b/src/entry/service_call.rs
@@ -0,0 +1,97 @@
+//! Answers requests to plain services.
+
+use {
+    super::{Entry, HeldKey, KeyVerdict, ServicePath, ServiceRequest, key_problem},
+    crate::{
+        http::{Body, NEXT_IDEMPOTENCY_KEY, Outcome, Problem},
+        units::RequestId,
+    },
+    hyper::{Request, Response, StatusCode, body::Incoming},
+    std::sync::Arc,
+};
+
+impl Entry {
+    pub(super) async fn call_service(
+        self: &Arc<Self>,
+        id: RequestId,
+        request: Request<Incoming>,
+    ) -> Result<Response<Body>, Problem> {
+        let open = self.open()?;
+        let path = ServicePath::read(request.uri()).ok_or_else(|| {
+            let detail = "the path must be /services/NAME/...";
+            Problem::not_run(StatusCode::NOT_FOUND, "unknown-service", detail)
+        })?;
+        if path.is_tickets() {
+            return self.mint_tickets(&path, request.method());
+        }
+        let (head, body) = request.into_parts();
+        let body = self.read_body(body).await?;
+        let routes = self.routes.current();
+        let request =
+            ServiceRequest::new(id, path, head.method, head.headers, body.bytes, &routes)?;
+        self.budget.record_request(&request.path.service);
+        if request.idempotent.is_some() {
+            return self.dispatch_service(&request).await;
+        }
+        let entry = self.clone();
+        let answered = tokio::spawn(async move {
+            let answered = entry.call_once(request).await;
+            drop((open, body.space));
+            answered
+        });
+        answered.await.unwrap_or_else(|_| Err(interrupted()))
+    }
+
+    /// Runs a call that may not be repeated; it goes on when the caller goes away.
+    async fn call_once(
+        self: &Arc<Self>,
+        request: ServiceRequest,
+    ) -> Result<Response<Body>, Problem> {
+        let service = request.path.service.clone();
+        let answered = match request.key().map(str::to_owned) {
+            None => self.dispatch_service(&request).await,
+            Some(key) => self.call_keyed(request, &key).await,
+        };
+        let mut response = answered?;
+        if let Ok(key) = self.keys.mint(&service).to_string().try_into() {
+            response.headers_mut().insert(NEXT_IDEMPOTENCY_KEY, key);
+        }
+        Ok(response)
+    }
+
+    async fn call_keyed(
+        &self,
+        request: ServiceRequest,
+        key: &str,
+    ) -> Result<Response<Body>, Problem> {
+        let verdict = self
+            .keys
+            .judge(&request.path.service, key, request.id)
+            .await;
+        match verdict {
+            KeyVerdict::Dispatch(held) => self.call_held(request, held).await,
+            KeyVerdict::Forward(ticket) => self.forward(request, &ticket).await,
+            refused => Err(key_problem(&refused)),
+        }
+    }
+
+    /// Dispatches a call whose key is held for it.
+    pub(super) async fn call_held(
+        &self,
+        request: ServiceRequest,
+        held: HeldKey,
+    ) -> Result<Response<Body>, Problem> {
+        let answered = self.dispatch_service(&request).await;
+        match &answered {
+            Ok(response) => held.finish(response.status().as_u16()),
+            Err(problem) if problem.outcome == Outcome::NotRun => held.release(),
+            Err(_) => drop(held),
+        }
+        answered
+    }
+}
+
+fn interrupted() -> Problem {
+    let detail = "the call was interrupted";
+    Problem::unknown(StatusCode::INTERNAL_SERVER_ERROR, "interrupted", detail)
+}
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -33,14 +33,22 @@
         threads: usize = "2",
         #[doc = " The largest request body, in bytes."]
         body_max_bytes: usize = "4194304",
+        #[doc = " The memory for the bodies of all open requests, in bytes."]
+        bodies_max_bytes: u64 = "268435456",
         #[doc = " The longest wait for a caller's request head or body, in milliseconds."]
         read_timeout_ms: u64 = "10000",
+        #[doc = " The longest wait for a caller to take bytes of its answer, in milliseconds."]
+        write_timeout_ms: u64 = "30000",
         #[doc = " The longest wait for a connection to a backend server, in milliseconds."]
         connect_timeout_ms: u64 = "500",
         #[doc = " The longest silence before the first token, in milliseconds."]
         first_token_timeout_ms: u64 = "5000",
         #[doc = " The longest silence between two tokens, in milliseconds."]
         between_tokens_timeout_ms: u64 = "2000",
+        #[doc = " The longest wait for an answer that is not streamed, in milliseconds."]
+        whole_answer_timeout_ms: u64 = "60000",
+        #[doc = " The longest wait for a copy of a model or adapter that is not ready, in milliseconds."]
+        copy_wait_ms: u64 = "2000",
         #[doc = " Requests that may be open at once."]
         open_requests_max: usize = "8192",
         #[doc = " Retries allowed per hundred requests of a service."]
@@ -78,6 +86,11 @@
         "peer_key",
         "must have at least 16 bytes",
     );
+    require(
+        settings.bodies_max_bytes >= settings.body_max_bytes as u64,
+        "bodies_max_bytes",
+        "must be at least body_max_bytes",
+    );
     require(
         settings.report_interval_ms > 0,
         "report_interval_ms",
--- /dev/null
+++ b/src/fleet/record_handle.rs
@@ -0,0 +1,210 @@
+//! Reads and changes one runner's record by compare-and-swap.
+
+use {
+    super::{
+        Owner, RecordError, RunnerRecord,
+        record_io::{encode, read, unchanged},
+        record_key,
+    },
+    crate::{
+        store::{Compare, Op, SharedStore, StoreError, StoreVersion, Txn},
+        units::{Epoch, RunnerName},
+    },
+};
+
+/// How often a change is tried again on a newer version of the record.
+const CHANGE_TRIES: usize = 4;
+
+/// What a transaction asks and writes besides the record.
+#[derive(Debug, Clone, Default)]
+pub struct Extra {
+    /// Further conditions.
+    pub compare: Vec<Compare>,
+    /// Further writes.
+    pub ops: Vec<Op>,
+}
+
+/// A runner's record as it was last read or written, and the right to change it.
+pub struct RecordHandle {
+    store: SharedStore,
+    key: String,
+    owner: Owner,
+    epoch: Epoch,
+    record: RunnerRecord,
+    version: StoreVersion,
+    /// Whether the store holds an older copy than the one that was written.
+    went_back: bool,
+}
+
+impl RecordHandle {
+    /// Takes the runner's record over under a new fencing number.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store fails or another owner takes the record at the same time.
+    pub async fn take_over(
+        store: SharedStore,
+        runner: &RunnerName,
+        owner: Owner,
+        change: impl FnOnce(&mut RunnerRecord),
+    ) -> Result<Self, RecordError> {
+        let key = record_key(runner);
+        let found = read(&store, &key).await?;
+        let (mut record, version) =
+            found.unwrap_or_else(|| (RunnerRecord::new(runner.clone()), StoreVersion::default()));
+        change(&mut record);
+        let mut handle = Self {
+            epoch: record.epoch,
+            store,
+            key,
+            owner,
+            record,
+            version,
+            went_back: false,
+        };
+        let wanted = handle.record.clone();
+        match handle.swap(&wanted, &Extra::default()).await? {
+            true => Ok(handle),
+            false => Err(RecordError::Lost),
+        }
+    }
+
+    /// Returns the record as it was last read or written.
+    pub fn record(&self) -> &RunnerRecord {
+        &self.record
+    }
+
+    /// Returns who holds the record.
+    pub fn owner(&self) -> &Owner {
+        &self.owner
+    }
+
+    /// Returns the fencing number under which the record is held.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Reads the record again.
+    ///
+    /// A store that was restored from an older copy is noticed by its lower fencing number; the
+    /// next change then writes what this owner knows over it.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordError::Lost`] when another owner holds it by now.
+    pub async fn reload(&mut self) -> Result<(), RecordError> {
+        let found = read(&self.store, &self.key).await?;
+        self.adopt(found)
+    }
+
+    fn adopt(&mut self, found: Option<(RunnerRecord, StoreVersion)>) -> Result<(), RecordError> {
+        let (record, version) = match found {
+            Some((record, version)) if record.epoch >= self.epoch => (record, version),
+            Some((_, version)) => return self.keep_over(version),
+            None => return self.keep_over(StoreVersion::default()),
+        };
+        if !record.is_held_by(&self.owner, self.epoch) {
+            return Err(RecordError::Lost);
+        }
+        self.record = record;
+        self.version = version;
+        Ok(())
+    }
+
+    fn keep_over(&mut self, version: StoreVersion) -> Result<(), RecordError> {
+        log::error!(
+            "fleet: the store went back to an older copy of {}",
+            self.key
+        );
+        self.version = version;
+        self.went_back = true;
+        Ok(())
+    }
+
+    /// Changes the record if it is still held under this fencing number.
+    ///
+    /// The change is made again on a newer version of the record, so it must do nothing when it
+    /// finds itself done. A change to nothing is not written.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the change is refused, another owner holds the record, a further condition does
+    /// not hold, or the store fails.
+    pub async fn change<E>(
+        &mut self,
+        extra: &Extra,
+        mut change: impl FnMut(&mut RunnerRecord) -> Result<(), E>,
+    ) -> Result<(), RecordError>
+    where
+        RecordError: From<E>,
+    {
+        for _ in 0..CHANGE_TRIES {
+            let mut wanted = self.record.clone();
+            change(&mut wanted)?;
+            if wanted == self.record && !self.went_back {
+                return Ok(());
+            }
+            match self.swap(&wanted, extra).await {
+                Ok(true) => {
+                    self.went_back = false;
+                    self.epoch = wanted.epoch;
+                    self.record = wanted;
+                    return Ok(());
+                }
+                Ok(false) => self.adopt_newer().await?,
+                Err(error) => self.resolve(&wanted, error).await?,
+            }
+        }
+        Err(RecordError::Contended)
+    }
+
+    async fn adopt_newer(&mut self) -> Result<(), RecordError> {
+        let version = self.version;
+        self.reload().await?;
+        if self.version == version {
+            return Err(RecordError::Contended);
+        }
+        Ok(())
+    }
+
+    /// Reads whether a change whose answer was lost took effect.
+    async fn resolve(
+        &mut self,
+        wanted: &RunnerRecord,
+        error: RecordError,
+    ) -> Result<(), RecordError> {
+        if !matches!(error, RecordError::Store(StoreError::Unknown(_))) {
+            return Err(error);
+        }
+        let found = read(&self.store, &self.key).await?;
+        let taken_effect =
+            |(record, _): &(RunnerRecord, _)| record.is_held_by(&self.owner, wanted.epoch);
+        if found.as_ref().is_some_and(taken_effect) {
+            self.epoch = wanted.epoch;
+        }
+        self.adopt(found)
+    }
+
+    async fn swap(&mut self, wanted: &RunnerRecord, extra: &Extra) -> Result<bool, RecordError> {
+        let mut compare = vec![unchanged(&self.key, self.version)];
+        compare.extend(extra.compare.iter().cloned());
+        let mut then = vec![Op::Put {
+            key: self.key.clone(),
+            value: encode(wanted)?,
+            lease: None,
+        }];
+        then.extend(extra.ops.iter().cloned());
+        let reply = self
+            .store
+            .txn(Txn {
+                compare,
+                then,
+                otherwise: Vec::new(),
+            })
+            .await?;
+        if reply.succeeded {
+            self.version = reply.version;
+        }
+        Ok(reply.succeeded)
+    }
+}
--- a/src/keeper/entry_service.rs
+++ b/src/keeper/entry_service.rs
@@ -6,7 +6,7 @@
         entry::Report,
         peer::{
             LONG_POLL_MAX, list_len, read_demands, read_texts, write_head, write_member,
-            write_runner,
+            write_runner, write_texts,
         },
         peer_capnp::entry_link,
         units::Revision,
@@ -17,7 +17,7 @@
 };
 
 /// How long changes of runners are gathered into one answer.
-const GATHER: Duration = Duration::from_millis(50);
+const GATHER: Duration = Duration::from_millis(10);
 
 /// What the entry of this VM asks of its keeper.
 pub struct EntryService {
@@ -51,7 +51,9 @@
         let mut answer = results.get();
         write_head(&in_force.head, answer.reborrow().init_head());
         if in_force.head.revision > known {
-            answer.set_snapshot(&in_force.objects_json);
+            let objects = serde_json::to_vec(&in_force.catalog.objects())
+                .map_err(|error| Error::failed(error.to_string()))?;
+            answer.set_snapshot(&objects);
         }
         Ok(())
     }
@@ -76,6 +78,11 @@
         for (index, state) in (0..).zip(&news.runners) {
             write_runner(state, runners.reborrow().get(index));
         }
+        let leaving: Vec<String> = news.leaving.iter().map(ToString::to_string).collect();
+        write_texts(
+            &leaving,
+            answer.reborrow().init_leaving(list_len(leaving.len())),
+        );
         let mut members = answer.init_members(list_len(news.members.len()));
         for (index, member) in (0..).zip(&news.members) {
             write_member(member, members.reborrow().get(index));
