Add ggt: check, publish, show, diff, history, audit, status and drain

Cause: operators had no program.

The client speaks to the keeper's operator port; what needs no keeper is checked before one is asked.

--- /dev/null
+++ b/src/cli/help.rs
@@ -0,0 +1,96 @@
+//! The help texts.
+
+/// The help text of the whole program.
+const OVERVIEW: &str = "\
+Usage: ggt COMMAND [OPTION]...
+
+Commands:
+  check DIR      check a directory of objects
+  publish DIR    publish a directory of objects
+  show           show a published configuration
+  diff DIR       show what publishing a directory would change
+  history        list published revisions
+  audit          list orders and the decisions that they followed from
+  status         show the state of a keeper's VM
+  drain          start the planned stop of a keeper's VM
+
+Options of every command:
+  --json         print JSON
+  --help         print the help of a command
+
+Options of every command but check:
+  --keeper IP:PORT   the keeper's operator address [environment: GGT_KEEPER]
+  --key-file FILE    the operators' key [environment, the key itself: GGT_OPERATOR_KEY]
+
+Exit codes: 0 done, 1 refused or failed, 2 wrong command line.
+";
+
+const CHECK: &str = "\
+Usage: ggt check DIR [--json]
+
+Checks every *.json file of DIR as one configuration, without a keeper. Prints all faults at once,
+each with its file, object and field.
+
+Exit codes: 0 no faults, 1 faults, 2 wrong command line.
+";
+
+const PUBLISH: &str = "\
+Usage: ggt publish DIR --author NAME --message TEXT [--expect REVISION] [--json]
+
+Checks DIR and publishes it whole as the next revision. With --expect, the newest revision must be
+the given one; otherwise it must still be the one that the keeper has in force at the start.
+
+Exit codes: 0 published, 1 refused, overtaken by another operator, or outcome unknown (then look for
+the printed publish id in ggt history), 2 wrong command line.
+";
+
+const SHOW: &str = "\
+Usage: ggt show [--revision REVISION] [--json]
+
+Prints the configuration in force. For an older revision, prints its record only.
+";
+
+const DIFF: &str = "\
+Usage: ggt diff DIR [--json]
+
+Prints what publishing DIR would change: + added, - removed, ~ changed.
+";
+
+const HISTORY: &str = "\
+Usage: ggt history [--limit NUMBER] [--json]
+
+Lists published revisions, newest first [limit: 20].
+";
+
+const AUDIT: &str = "\
+Usage: ggt audit [--limit NUMBER] [--json]
+
+Lists orders to model engines and the decisions that they followed from, newest last [limit: 20].
+";
+
+const STATUS: &str = "\
+Usage: ggt status [--json]
+
+Prints what the keeper knows: the revision in force, members and runners.
+";
+
+const DRAIN: &str = "\
+Usage: ggt drain [--json]
+
+Starts the planned stop of the keeper's VM: no request in flight is cut.
+";
+
+/// Returns the help text of a command, or of the whole program.
+pub fn help_text(command: &str) -> &'static str {
+    match command {
+        "check" => CHECK,
+        "publish" => PUBLISH,
+        "show" => SHOW,
+        "diff" => DIFF,
+        "history" => HISTORY,
+        "audit" => AUDIT,
+        "status" => STATUS,
+        "drain" => DRAIN,
+        _ => OVERVIEW,
+    }
+}
--- /dev/null
+++ b/src/cli/output.rs
@@ -0,0 +1,73 @@
+//! Prints results, as text or as JSON.
+
+use {
+    super::CliError,
+    crate::config::{ConfigFault, Head},
+    serde_json::{Value, json},
+    std::io::Write,
+};
+
+/// Where results go.
+pub struct Output<'a> {
+    /// Takes results.
+    pub results: &'a mut dyn Write,
+    /// Takes what went wrong.
+    pub errors: &'a mut dyn Write,
+    /// Whether results are JSON.
+    pub json: bool,
+}
+
+impl Output<'_> {
+    /// Prints one result in the form that was asked for.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the output cannot be written.
+    pub fn print(&mut self, text: impl FnOnce() -> String, json: &Value) -> Result<(), CliError> {
+        if self.json {
+            writeln!(self.results, "{json}")?;
+        } else {
+            writeln!(self.results, "{}", text())?;
+        }
+        Ok(())
+    }
+
+    /// Prints an error; faults come as one line each, or as JSON if that was asked for.
+    pub fn print_error(&mut self, error: &CliError) {
+        // When the error output is closed, only the exit code can tell.
+        let _ = match error {
+            CliError::Faults(faults) if self.json => {
+                let faults: Vec<Value> = faults.iter().map(fault_json).collect();
+                writeln!(self.results, "{}", json!({"ok": false, "faults": faults}))
+            }
+            CliError::Refused(faults) if self.json => {
+                let refused = json!({"outcome": "refused", "faults": faults});
+                writeln!(self.results, "{refused}")
+            }
+            CliError::Faults(faults) => faults
+                .iter()
+                .try_for_each(|fault| writeln!(self.errors, "{fault}"))
+                .and_then(|()| writeln!(self.errors, "ggt: {error}")),
+            CliError::Usage(_) => writeln!(self.errors, "ggt: {error}; see ggt --help"),
+            _ => writeln!(self.errors, "ggt: {error}"),
+        };
+    }
+}
+
+fn fault_json(fault: &ConfigFault) -> Value {
+    json!({
+        "file": fault.source.file,
+        "position": fault.source.position,
+        "object": fault.object,
+        "field": fault.field,
+        "problem": fault.problem,
+    })
+}
+
+/// Returns one line on a head.
+pub fn describe_head(head: &Head) -> String {
+    format!(
+        "revision {}  {}  {}  publish id {}\n    {}",
+        head.revision, head.author, head.published_at_ms, head.publish_id, head.message
+    )
+}
--- /dev/null
+++ b/src/cli/run.rs
@@ -0,0 +1,97 @@
+//! Runs the command line.
+
+use {
+    super::{
+        CliError, Command, EXIT_DONE, Invocation, KEEPER_VARIABLE, KEY_VARIABLE, OperatorClient,
+        Output, Request, parse_args, run_local, run_publish, run_read,
+    },
+    crate::peer::SharedKey,
+    std::{ffi::OsString, io::Write},
+    tokio::{runtime::Builder, task::LocalSet},
+};
+
+/// Runs one command and returns its exit code.
+pub fn run(
+    args: impl IntoIterator<Item = OsString>,
+    results: &mut dyn Write,
+    errors: &mut dyn Write,
+) -> u8 {
+    let mut output = Output {
+        results,
+        errors,
+        json: false,
+    };
+    let ended = match parse_args(args) {
+        Ok(Request::Help(text)) => output
+            .results
+            .write_all(text.as_bytes())
+            .map_err(Into::into),
+        Ok(Request::Run(invocation)) => run_invocation(&invocation, &mut output),
+        Err(error) => Err(error),
+    };
+    match ended {
+        Ok(()) => EXIT_DONE,
+        Err(error) => {
+            output.print_error(&error);
+            error.exit_code()
+        }
+    }
+}
+
+fn run_invocation(invocation: &Invocation, output: &mut Output<'_>) -> Result<(), CliError> {
+    output.json = invocation.json;
+    if let Command::Check { dir } = &invocation.command {
+        return run_local::check(dir, output);
+    }
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, run_with_keeper(invocation, output))
+}
+
+async fn run_with_keeper(invocation: &Invocation, output: &mut Output<'_>) -> Result<(), CliError> {
+    // What needs no keeper is checked before one is asked.
+    let catalog = match &invocation.command {
+        Command::Publish { dir, .. } | Command::Diff { dir } => run_local::read_catalog(dir)?,
+        _ => Default::default(),
+    };
+    let keeper = find_keeper(invocation)?;
+    let client = OperatorClient::connect(keeper, &find_key(invocation)?).await?;
+    match &invocation.command {
+        Command::Check { dir } => run_local::check(dir, output),
+        Command::Publish {
+            author,
+            message,
+            expected,
+            ..
+        } => {
+            let publication =
+                run_publish::prepare(&client, catalog, author, message, *expected).await?;
+            run_publish::publish(&client, &publication, output).await
+        }
+        Command::Diff { .. } => run_publish::diff(&client, &catalog, output).await,
+        Command::Show { revision } => run_read::show(&client, *revision, output).await,
+        Command::History { limit } => run_read::history(&client, *limit, output).await,
+        Command::Audit { limit } => run_read::audit(&client, *limit, output).await,
+        Command::Status => run_read::status(&client, output).await,
+        Command::Drain => run_read::drain(&client, output).await,
+    }
+}
+
+fn find_keeper(invocation: &Invocation) -> Result<std::net::SocketAddr, CliError> {
+    if let Some(keeper) = invocation.keeper {
+        return Ok(keeper);
+    }
+    let text = std::env::var(KEEPER_VARIABLE)
+        .map_err(|_| CliError::Usage(format!("name a keeper by --keeper or {KEEPER_VARIABLE}")))?;
+    text.parse()
+        .map_err(|_| CliError::Usage(format!("{KEEPER_VARIABLE} is not IP:PORT")))
+}
+
+fn find_key(invocation: &Invocation) -> Result<SharedKey, CliError> {
+    if let Some(file) = &invocation.key_file {
+        let key = std::fs::read_to_string(file).map_err(CliError::KeyFile)?;
+        return Ok(SharedKey::new(key.trim()));
+    }
+    let key = std::env::var(KEY_VARIABLE)
+        .map_err(|_| CliError::Usage(format!("give the key by --key-file or {KEY_VARIABLE}")))?;
+    Ok(SharedKey::new(key.trim()))
+}
--- /dev/null
+++ b/src/cli/run_publish.rs
@@ -0,0 +1,121 @@
+//! The commands that compare and publish a directory.
+
+use {
+    super::{CliError, OperatorClient, OperatorPublication, Output, describe_head},
+    crate::{
+        config::{Catalog, ObjectChange, PublishOutcome, diff as diff_catalogs},
+        units::{PublishId, Revision},
+    },
+    serde_json::{Value, json},
+};
+
+/// Heads among which a publication is looked for after its answer was lost.
+const LOOK_BACK: u32 = 20;
+
+/// Prepares a publication, from the revision in force unless another is expected.
+pub(super) async fn prepare(
+    client: &OperatorClient,
+    catalog: Catalog,
+    author: &str,
+    message: &str,
+    expected: Option<Revision>,
+) -> Result<OperatorPublication, CliError> {
+    let expected = match expected {
+        Some(expected) => expected,
+        None => match client.show().await? {
+            Some((head, _)) => head.revision,
+            None => Revision::default(),
+        },
+    };
+    Ok(OperatorPublication {
+        catalog,
+        publish_id: PublishId::random(),
+        author: author.to_owned(),
+        message: message.to_owned(),
+        expected,
+    })
+}
+
+/// Publishes and prints the outcome.
+pub(super) async fn publish(
+    client: &OperatorClient,
+    publication: &OperatorPublication,
+    output: &mut Output<'_>,
+) -> Result<(), CliError> {
+    let outcome = match client.publish(publication).await {
+        Err(CliError::Keeper(error)) => match find_published(client, publication).await {
+            Some(published) => published,
+            None => return Err(CliError::Keeper(error)),
+        },
+        answered => answered?,
+    };
+    match outcome {
+        PublishOutcome::Published(head) => output.print(
+            || format!("published {}", describe_head(&head)),
+            &json!({"outcome": "published", "head": head}),
+        ),
+        PublishOutcome::Conflict(head) => {
+            if output.json {
+                let json = json!({"outcome": "conflict", "head": head});
+                output.print(String::new, &json)?;
+            }
+            Err(CliError::NotFound(format!(
+                "not published: another revision is newer than {}: {}",
+                publication.expected,
+                describe_head(&head)
+            )))
+        }
+        PublishOutcome::Unknown(id) => {
+            if output.json {
+                let json = json!({"outcome": "unknown", "publish_id": id});
+                output.print(String::new, &json)?;
+            }
+            Err(CliError::NotFound(format!(
+                "the outcome is unknown: look for publish id {id} in ggt history"
+            )))
+        }
+    }
+}
+
+/// Looks for a publication whose answer was lost.
+async fn find_published(
+    client: &OperatorClient,
+    publication: &OperatorPublication,
+) -> Option<PublishOutcome> {
+    let heads = client.history(LOOK_BACK).await.ok()?;
+    let mut heads = heads.into_iter();
+    let found = heads.find(|head| head.publish_id == publication.publish_id)?;
+    Some(PublishOutcome::Published(found))
+}
+
+/// Prints what publishing a catalog would change.
+pub(super) async fn diff(
+    client: &OperatorClient,
+    catalog: &Catalog,
+    output: &mut Output<'_>,
+) -> Result<(), CliError> {
+    let before = match client.show().await? {
+        Some((_, before)) => before,
+        None => Catalog::default(),
+    };
+    let changes = diff_catalogs(&before, catalog);
+    let json: Vec<Value> = changes.iter().map(change_json).collect();
+    let text = || match changes.as_slice() {
+        [] => "no changes".to_owned(),
+        changes => {
+            let lines: Vec<String> = changes.iter().map(ToString::to_string).collect();
+            lines.join("\n")
+        }
+    };
+    output.print(text, &json!({"changes": json}))
+}
+
+fn change_json(change: &ObjectChange) -> Value {
+    match change {
+        ObjectChange::Added(object) => json!({"change": "added", "object": object}),
+        ObjectChange::Removed(object) => json!({"change": "removed", "object": object}),
+        ObjectChange::Changed { before, after } => {
+            json!({"change": "changed", "before": before, "after": after})
+        }
+    }
+}
