Cut what control costs a planner: kept connections, longer intervals, plans on loss

Change: reports every 10 s over kept connections; placement every 5 s and at once after a loss, a leaving runner or a new configuration; head exchange every 4 s, status polls every 2 s; unchanged runner states are compared, not copied.

--- a/src/keeper/demand_task.rs
+++ b/src/keeper/demand_task.rs
@@ -6,7 +6,7 @@
         entry::Report,
         fleet::Demand,
         membership::{Member, jittered},
-        peer::{PeerClient, SharedKey},
+        peer::{PeerClient, PeerConnections, PeerError, SharedKey},
         placement::DemandTracker,
         units::{DataCentreName, VmName},
     },
@@ -15,9 +15,9 @@
 };
 
 /// How often an entry's demand goes to the planner of its data centre.
-const REPORT_INTERVAL: Duration = Duration::from_secs(2);
+const REPORT_INTERVAL: Duration = Duration::from_secs(10);
 /// How often a planner tells the others of the demand in its data centre.
-const SHARE_INTERVAL: Duration = Duration::from_secs(10);
+const SHARE_INTERVAL: Duration = Duration::from_secs(30);
 
 /// Brings the demand of all entries to the planners of all data centres.
 pub struct DemandTask {
@@ -27,6 +27,7 @@
     state: KeeperState,
     tracker: Rc<RefCell<DemandTracker>>,
     pull: AdapterPull,
+    connections: RefCell<PeerConnections>,
     from_entry: RefCell<Vec<Demand>>,
     to_planners: RefCell<Vec<Demand>>,
 }
@@ -48,6 +49,7 @@
             state,
             tracker,
             pull,
+            connections: RefCell::default(),
             from_entry: RefCell::default(),
             to_planners: RefCell::default(),
         }
@@ -127,13 +129,20 @@
         planners
     }
 
+    /// Sends over the connection of the last report, if it went to the same planner.
     async fn send(&self, planner: &Member, demand: &[Demand]) {
+        let known = self.connections.borrow_mut().take(planner.address);
         let sent = async {
-            let peer = PeerClient::connect(planner.address, &self.key).await?;
-            peer.report_demand(&self.vm, demand).await
+            let peer = match known {
+                Some(peer) => peer,
+                None => PeerClient::connect(planner.address, &self.key).await?,
+            };
+            peer.report_demand(&self.vm, demand).await?;
+            Ok::<_, PeerError>(peer)
         };
-        if let Err(error) = sent.await {
-            log::debug!("keeper: {} took no demand report: {error}", planner.vm);
+        match sent.await {
+            Ok(peer) => self.connections.borrow_mut().keep(planner.address, peer),
+            Err(error) => log::debug!("keeper: {} took no demand report: {error}", planner.vm),
         }
     }
 }
--- a/src/keeper/fleet_task.rs
+++ b/src/keeper/fleet_task.rs
@@ -7,7 +7,7 @@
         fleet::{FleetKeeper, FleetView, RunnerState, owner_of},
         units::{DataCentreName, VmName},
     },
-    std::{rc::Rc, sync::Arc, time::Duration},
+    std::{borrow::Cow, rc::Rc, sync::Arc, time::Duration},
     tokio::sync::{mpsc, watch},
 };
 
@@ -94,8 +94,8 @@
         let mut states = self.fleet.states();
         let mut versions = self.state.watch_version();
         loop {
-            let newest = self.with_leaving(states.borrow_and_update().to_vec());
-            let news = self.state.update_runners(newest);
+            let newest = states.borrow_and_update().clone();
+            let news = self.state.update_runners(&self.with_leaving(&newest));
             versions.mark_unchanged();
             let owned = self.owned(news);
             if !owned.is_empty() {
@@ -113,17 +113,18 @@
     }
 
     /// Marks the runners that the platform lists as leaving.
-    fn with_leaving(&self, mut states: Vec<RunnerState>) -> Vec<RunnerState> {
+    fn with_leaving<'a>(&self, states: &'a [RunnerState]) -> Cow<'a, [RunnerState]> {
         let leaving = self.state.leaving();
         if leaving.is_empty() {
-            return states;
+            return Cow::Borrowed(states);
         }
+        let mut states = states.to_vec();
         let catalog = self.catalog();
         for state in &mut states {
             let runner = catalog.runner(&state.name);
             state.leaving |= runner.is_some_and(|it| leaving.binary_search(&it.address).is_ok());
         }
-        states
+        Cow::Owned(states)
     }
 
     fn owned(&self, mut states: Vec<RunnerState>) -> Vec<RunnerState> {
--- a/src/keeper/planning_task.rs
+++ b/src/keeper/planning_task.rs
@@ -17,6 +17,9 @@
     },
 };
 
+/// How long further losses are gathered before the plan.
+const GATHER: Duration = Duration::from_millis(200);
+
 /// Names the member that plans for a data centre; those in it come first.
 pub fn planner_of<'a>(data_centre: &DataCentreName, members: &'a [Member]) -> Option<&'a Member> {
     let key = stable_hash(data_centre.as_str());
@@ -60,10 +63,13 @@
         }
     }
 
-    /// Plans again and again.
+    /// Plans at an interval, and soon after a runner was lost or the configuration changed.
     pub async fn run(&self, interval: Duration) {
         loop {
-            tokio::time::sleep(jittered(interval)).await;
+            tokio::select! {
+                () = tokio::time::sleep(jittered(interval)) => {}
+                () = self.state.plan_wanted() => tokio::time::sleep(GATHER).await,
+            }
             let moves = self.plan_all();
             if !moves.is_empty() {
                 propose_moves(moves, &self.vm, &self.key, &self.state, &self.own).await;
--- a/src/keeper/settings.rs
+++ b/src/keeper/settings.rs
@@ -38,11 +38,11 @@
         #[doc = " How long the lease of this VM lasts without renewal, in seconds."]
         lease_ttl_s: u64 = "15",
         #[doc = " How often the configuration is compared with a peer, in milliseconds."]
-        exchange_interval_ms: u64 = "2000",
+        exchange_interval_ms: u64 = "4000",
         #[doc = " How often an owned runner is asked for its status, in milliseconds."]
-        status_interval_ms: u64 = "1000",
+        status_interval_ms: u64 = "2000",
         #[doc = " How often placement is decided, in milliseconds."]
-        planning_interval_ms: u64 = "2000",
+        planning_interval_ms: u64 = "5000",
         #[doc = " The longest wait for an answer of the key-value service, in milliseconds."]
         store_timeout_ms: u64 = "2000",
         #[doc = " The longest wait for an engine's answer to an order, in milliseconds."]
--- a/src/keeper/state.rs
+++ b/src/keeper/state.rs
@@ -11,7 +11,7 @@
         units::{Revision, RunnerName},
     },
     std::{cell::RefCell, net::SocketAddr, rc::Rc},
-    tokio::sync::watch,
+    tokio::sync::{Notify, watch},
 };
 
 /// A head that was heard of, and who has its content.
@@ -62,6 +62,7 @@
     version: Rc<watch::Sender<u64>>,
     revision: Rc<watch::Sender<Revision>>,
     members: Rc<watch::Sender<u64>>,
+    plan_wanted: Rc<Notify>,
 }
 
 impl Default for KeeperState {
@@ -71,6 +72,7 @@
             version: Rc::new(watch::channel(1).0),
             revision: Rc::new(watch::channel(Revision(0)).0),
             members: Rc::new(watch::channel(0).0),
+            plan_wanted: Rc::default(),
         }
     }
 }
@@ -104,6 +106,7 @@
         let taken = self.inner.borrow_mut().follower.accept(head, snapshot)?;
         if taken {
             self.revision.send_replace(revision);
+            self.plan_wanted.notify_one();
         }
         Ok(taken)
     }
@@ -140,6 +143,11 @@
         self.members.subscribe()
     }
 
+    /// Waits until a runner was lost or is leaving, or another configuration came into force.
+    pub async fn plan_wanted(&self) {
+        self.plan_wanted.notified().await;
+    }
+
     /// Returns the live members, sorted by name.
     pub fn members(&self) -> Vec<Member> {
         self.inner.borrow().roster.members()
@@ -175,23 +183,27 @@
     /// Takes newer states of runners; equal ones and those of an earlier owner are ignored.
     ///
     /// Returns those that were news.
-    pub fn update_runners(&self, states: Vec<RunnerState>) -> Vec<RunnerState> {
+    pub fn update_runners(&self, states: &[RunnerState]) -> Vec<RunnerState> {
         let version = self.raise_version();
         let mut news = Vec::new();
+        let urgent = !self.find_urgent(states).is_empty();
         for state in states {
-            if self.update_runner(&state, version) {
-                news.push(state);
+            if self.update_runner(state, version) {
+                news.push(state.clone());
             }
         }
         if !news.is_empty() {
             self.announce(version);
         }
+        if urgent {
+            self.plan_wanted.notify_one();
+        }
         news
     }
 
     fn update_runner(&self, state: &RunnerState, version: u64) -> bool {
         let mut inner = self.inner.borrow_mut();
-        let next = Versioned {
+        let next = || Versioned {
             state: state.clone(),
             changed: version,
         };
@@ -201,21 +213,23 @@
                 if known.state == *state || is_older(state, &known.state) {
                     return false;
                 }
-                *known = next;
+                *known = next();
             }
-            Err(position) => inner.runners.insert(position, next),
+            Err(position) => inner.runners.insert(position, next()),
         }
         true
     }
 
     /// Returns the states that tell of a leaving or lost runner for the first time.
     pub fn find_urgent(&self, states: &[RunnerState]) -> Vec<RunnerState> {
-        let is_urgent = |state: &&RunnerState| match self.runner(&state.name) {
-            Some(known) => {
-                !is_older(state, &known)
+        let inner = self.inner.borrow();
+        let is_urgent = |state: &&RunnerState| match find(&inner.runners, &state.name) {
+            Ok(position) => {
+                let known = &inner.runners[position].state;
+                !is_older(state, known)
                     && (state.leaving, state.reachable) != (known.leaving, known.reachable)
             }
-            None => state.leaving || !state.reachable,
+            Err(_) => state.leaving || !state.reachable,
         };
         states.iter().filter(is_urgent).cloned().collect()
     }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -11,9 +11,10 @@
 mod limited_reader;
 mod peer_blobs;
 mod peer_client;
+mod peer_connections;
 mod serve;
 
 pub use {
     connect::*, convert::*, entry_link::*, error::*, key::*, peer_blobs::*, peer_client::*,
-    serve::*,
+    peer_connections::*, serve::*,
 };
