--- /dev/null
+++ b/tests/config_follow.rs
@@ -0,0 +1,179 @@
+//! The follower: what it accepts, what it reports, where it fetches from.
+
+#[path = "common/catalogs.rs"]
+mod catalogs;
+
+use {
+    catalogs::sample_catalog,
+    futures::future::{FutureExt, LocalBoxFuture},
+    greengagetrail::{
+        config::{
+            AcceptError, Blob, BlobSource, BlobSourceError, Digest, EncodedSnapshot, FetchPolicy,
+            Follower, Head, HeadOrigin, HistoryFault, STORE_BEHIND_MAX, SnapshotError, Standing,
+            fetch_snapshot,
+        },
+        units::{PublishId, Revision},
+    },
+    std::cell::Cell,
+    tokio::time::{Instant, advance},
+};
+
+fn snapshot(models: usize) -> EncodedSnapshot {
+    EncodedSnapshot::encode(&sample_catalog(models)).unwrap()
+}
+
+fn head(revision: u64, snapshot: &EncodedSnapshot) -> Head {
+    Head {
+        revision: Revision(revision),
+        digest: snapshot.digest(),
+        publish_id: PublishId::random(),
+        author: "tester".to_owned(),
+        message: "a change".to_owned(),
+        published_at_ms: 0,
+    }
+}
+
+fn follower_at(revision: u64) -> Follower {
+    let mut follower = Follower::default();
+    let content = snapshot(1);
+    assert_eq!(follower.accept(head(revision, &content), content), Ok(true));
+    follower
+}
+
+/// What a fake source does when asked.
+enum Behaviour {
+    Has(EncodedSnapshot),
+    Fails,
+    Silent,
+}
+
+struct FakeSource {
+    behaviour: Behaviour,
+    calls: Cell<usize>,
+}
+
+impl FakeSource {
+    fn new(behaviour: Behaviour) -> Self {
+        Self {
+            behaviour,
+            calls: Cell::new(0),
+        }
+    }
+}
+
+impl BlobSource for FakeSource {
+    fn fetch<'a>(
+        &'a self,
+        digests: &'a [Digest],
+    ) -> LocalBoxFuture<'a, Result<Vec<Blob>, BlobSourceError>> {
+        self.calls.set(self.calls.get() + 1);
+        async move {
+            match &self.behaviour {
+                Behaviour::Has(snapshot) => {
+                    let find = |digest: &Digest| snapshot.blob(*digest).ok().cloned();
+                    Ok(digests.iter().filter_map(find).collect())
+                }
+                Behaviour::Fails => Err(BlobSourceError::Peer("gone".to_owned())),
+                Behaviour::Silent => futures::future::pending().await,
+            }
+        }
+        .boxed_local()
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn only_higher_revisions_come_into_force() {
+    let mut follower = follower_at(5);
+    for (revision, accepted) in [(4, false), (5, false), (7, true), (6, false), (8, true)] {
+        let content = snapshot(revision as usize);
+        let offered = head(revision, &content);
+        assert_eq!(
+            follower.accept(offered, content),
+            Ok(accepted),
+            "revision {revision}"
+        );
+    }
+    assert_eq!(follower.revision(), Revision(8));
+    assert_eq!(*follower.current().unwrap().catalog, sample_catalog(8));
+}
+
+#[tokio::test(start_paused = true)]
+async fn snapshot_must_be_the_one_that_the_head_names() {
+    let mut follower = follower_at(1);
+    let (wanted, other) = (snapshot(2), snapshot(3));
+    let refused = follower.accept(head(2, &wanted), other);
+    assert!(matches!(refused, Err(AcceptError::OtherSnapshot { .. })));
+    let cut = EncodedSnapshot::from_blobs(wanted.digest(), wanted.blobs()[..1].to_vec());
+    assert!(matches!(
+        follower.accept(head(2, &wanted), cut),
+        Err(AcceptError::Snapshot(_))
+    ));
+    assert_eq!(follower.revision(), Revision(1));
+}
+
+#[tokio::test(start_paused = true)]
+async fn restored_store_is_reported_only_when_it_stays_behind() {
+    let mut follower = follower_at(5);
+    let old = head(3, &snapshot(1));
+    assert_eq!(follower.observe(&old, HeadOrigin::Peer), Standing::Older);
+    advance(STORE_BEHIND_MAX).await;
+    assert!(follower.faults().is_empty(), "a slow peer is no fault");
+    assert_eq!(follower.observe(&old, HeadOrigin::Store), Standing::Older);
+    assert!(follower.faults().is_empty(), "a late answer is no fault");
+    advance(STORE_BEHIND_MAX).await;
+    assert_eq!(follower.faults(), [HistoryFault::StoreBehind(old)]);
+    let repaired = follower.current().unwrap().head.clone();
+    assert_eq!(
+        follower.observe(&repaired, HeadOrigin::Store),
+        Standing::InForce
+    );
+    assert!(follower.faults().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn same_revision_with_other_content_is_reported_until_a_higher_one() {
+    let mut follower = follower_at(5);
+    let other = head(5, &snapshot(9));
+    assert_eq!(
+        follower.observe(&other, HeadOrigin::Peer),
+        Standing::Diverged
+    );
+    assert_eq!(follower.accept(other.clone(), snapshot(9)), Ok(false));
+    assert_eq!(follower.faults(), [HistoryFault::Diverged(other)]);
+    let next = snapshot(10);
+    assert_eq!(follower.accept(head(6, &next), next), Ok(true));
+    assert!(follower.faults().is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn sources_are_asked_in_turn_for_what_is_missing() {
+    let wanted = snapshot(200);
+    let held = snapshot(201).blobs().to_vec();
+    let failing = FakeSource::new(Behaviour::Fails);
+    let silent = FakeSource::new(Behaviour::Silent);
+    let partial = FakeSource::new(Behaviour::Has(EncodedSnapshot::from_blobs(
+        wanted.digest(),
+        wanted.blobs()[..4].to_vec(),
+    )));
+    let whole = FakeSource::new(Behaviour::Has(wanted.clone()));
+    let unused = FakeSource::new(Behaviour::Fails);
+    let sources: [&dyn BlobSource; 5] = [&failing, &silent, &partial, &whole, &unused];
+    let policy = FetchPolicy::default();
+    let started = Instant::now();
+    let fetched = fetch_snapshot(wanted.digest(), &held, &sources, &policy).await;
+    assert_eq!(fetched, Ok(wanted));
+    assert_eq!(unused.calls.get(), 0);
+    let waited_ms = started.elapsed().as_millis() as u64;
+    assert!(
+        waited_ms <= 2 * policy.answer_timeout_ms + 100,
+        "{waited_ms} ms"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn missing_blob_is_an_error() {
+    let wanted = snapshot(3);
+    let other = FakeSource::new(Behaviour::Has(snapshot(50)));
+    let fetched = fetch_snapshot(wanted.digest(), &[], &[&other], &FetchPolicy::default()).await;
+    assert_eq!(fetched, Err(SnapshotError::Missing(wanted.digest())));
+}
--- a/tests/config_history.rs
+++ b/tests/config_history.rs
@@ -319,6 +319,54 @@
     assert_all_hold("restores, kills and faults", plan, |_, _| {});
 }
 
+/// The service goes down as soon as an operator has been told; a fresh VM starts meanwhile.
+#[test]
+fn revision_accepted_just_before_an_outage_reaches_every_vm() {
+    for seed in 0..seeds() {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        let (events, end_ms) = LocalSet::new().block_on(&runtime, run_outage(seed));
+        let violations = check_revisions(&events, IN_FORCE_MAX_MS, end_ms);
+        assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+        let in_force = |event: &&RevisionEvent| matches!(event, RevisionEvent::InForce { .. });
+        assert!(events.iter().filter(in_force).count() > VMS, "seed {seed}");
+    }
+}
+
+async fn run_outage(seed: u64) -> (Vec<RevisionEvent>, u64) {
+    let fleet = Fleet::new(false);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    for index in 0..VMS {
+        fleet.start_vm(&format!("vm-{index}"), rng.random());
+    }
+    sleep(Duration::from_millis(rng.random_range(0..5000))).await;
+    let vm = fleet.live().choose(&mut rng).cloned().unwrap();
+    let publisher = Publisher::new(Arc::new(vm.link.clone()));
+    let attempt = publication(3, 0);
+    let outcome = publisher.publish(&attempt, || None).await;
+    let Ok(PublishOutcome::Published(head)) = outcome else {
+        panic!("{outcome:?}");
+    };
+    fleet
+        .live()
+        .iter()
+        .for_each(|vm| vm.link.set_faults(down()));
+    fleet.record(RevisionEvent::Published {
+        at_ms: fleet.now_ms(),
+        head: head.clone(),
+    });
+    vm.accept(head, attempt.snapshot);
+    sleep(Duration::from_millis(rng.random_range(0..2000))).await;
+    let fresh = fleet.start_vm("vm-fresh", rng.random());
+    fresh.link.set_faults(down());
+    sleep(Duration::from_millis(IN_FORCE_MAX_MS + 1000)).await;
+    let events = fleet.events.borrow().clone();
+    (events, fleet.now_ms())
+}
+
 /// With the follower's rule off, some run must break the promise.
 #[test]
 fn following_any_head_is_caught() {
