Show the objects of the kept older revisions

The call takes a revision now, 0 for the one in force (schema/peer.capnp, regenerated by scripts/generate; an added parameter, so that older callers still work). A keeper reads other revisions from the key-value service; the objects of the newest 8 are there.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -92,7 +92,8 @@
 
 interface Operator {
   publish @0 (snapshot :Data, head :Head, expected :UInt64) -> (outcome :PublishOutcome);
-  show @1 () -> (head :Head, snapshot :Data);
+  show @1 (revision :UInt64) -> (head :Head, snapshot :Data);
+  # Revision 0 stands for the one in force.
   history @2 (limit :UInt32) -> (heads :List(Head));
   audit @3 (limit :UInt32) -> (records :List(Text));
   status @4 () -> (status :Text);
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -47,7 +47,8 @@
 const SHOW: &str = "\
 Usage: ggt show [--revision REVISION] [--json]
 
-Prints the configuration in force. For an older revision, prints its record only.
+Prints the configuration in force, or an older revision. The objects of the newest 8 revisions and
+the records of the newest 256 are kept.
 ";
 
 const DIFF: &str = "\
--- a/src/cli/operator_client.rs
+++ b/src/cli/operator_client.rs
@@ -82,21 +82,30 @@
         read_outcome(outcome.map_err(PeerError::from)?)
     }
 
-    /// Returns the head and objects in force.
+    /// Returns a revision, or the one in force for revision 0.
+    ///
+    /// The objects are `None` once they are not kept any more.
     ///
     /// # Errors
     ///
     /// Fails when no good answer comes in time.
-    pub async fn show(&self) -> Result<Option<(Head, Catalog)>, CliError> {
-        let request = self.client.show_request();
+    pub async fn show(
+        &self,
+        revision: Revision,
+    ) -> Result<Option<(Head, Option<Catalog>)>, CliError> {
+        let mut request = self.client.show_request();
+        request.get().set_revision(revision.0);
         let answer = with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
         let answer = answer.get().map_err(PeerError::from)?;
         let Some(head) = read_head(answer.get_head().map_err(PeerError::from)?)? else {
             return Ok(None);
         };
         let objects = answer.get_snapshot().map_err(PeerError::from)?;
+        if objects.is_empty() {
+            return Ok(Some((head, None)));
+        }
         let objects: Vec<Object> = serde_json::from_slice(objects)?;
-        Ok(Some((head, Catalog::from_objects(objects))))
+        Ok(Some((head, Some(Catalog::from_objects(objects)))))
     }
 
     /// Returns the newest heads, newest first.
--- a/src/cli/run_publish.rs
+++ b/src/cli/run_publish.rs
@@ -22,7 +22,7 @@
 ) -> Result<OperatorPublication, CliError> {
     let expected = match expected {
         Some(expected) => expected,
-        None => match client.show().await? {
+        None => match client.show(Revision::default()).await? {
             Some((head, _)) => head.revision,
             None => Revision::default(),
         },
@@ -94,10 +94,8 @@
     catalog: &Catalog,
     output: &mut Output<'_>,
 ) -> Result<(), CliError> {
-    let before = match client.show().await? {
-        Some((_, before)) => before,
-        None => Catalog::default(),
-    };
+    let in_force = client.show(Revision::default()).await?;
+    let before = in_force.and_then(|(_, before)| before).unwrap_or_default();
     let changes = diff_catalogs(&before, catalog);
     let json: Vec<Value> = changes.iter().map(change_json).collect();
     let text = || match changes.as_slice() {
--- a/src/cli/run_read.rs
+++ b/src/cli/run_read.rs
@@ -2,47 +2,38 @@
 
 use {
     super::{CliError, OperatorClient, Output, describe_head},
-    crate::{
-        config::{HISTORY_MAX, Head},
-        units::Revision,
-    },
+    crate::{config::Head, units::Revision},
     serde_json::{Value, json},
 };
 
-/// Prints the configuration in force, or the record of an older revision.
+/// Prints the configuration in force, or an older revision.
 pub(super) async fn show(
     client: &OperatorClient,
     revision: Option<Revision>,
     output: &mut Output<'_>,
 ) -> Result<(), CliError> {
-    let in_force = client.show().await?;
-    match (in_force, revision) {
-        (Some((head, catalog)), wanted) if wanted.is_none_or(|wanted| wanted == head.revision) => {
-            let objects = catalog.objects();
-            let text = || {
-                let lines = objects
-                    .iter()
-                    .filter_map(|object| serde_json::to_string(object).ok());
-                let lines: Vec<String> = lines.collect();
-                format!("{}\n{}", describe_head(&head), lines.join("\n"))
-            };
-            output.print(text, &json!({"head": head, "objects": objects}))
+    let found = client.show(revision.unwrap_or_default()).await?;
+    let Some((head, catalog)) = found else {
+        return Err(CliError::NotFound(match revision {
+            Some(revision) => format!("revision {revision} is not kept"),
+            None => "nothing has been published".to_owned(),
+        }));
+    };
+    let objects = catalog.map(|catalog| catalog.objects());
+    let text = || match &objects {
+        Some(objects) => {
+            let lines = objects
+                .iter()
+                .filter_map(|object| serde_json::to_string(object).ok());
+            let lines: Vec<String> = lines.collect();
+            format!("{}\n{}", describe_head(&head), lines.join("\n"))
         }
-        (_, Some(wanted)) => show_record(client, wanted, output).await,
-        (_, None) => Err(CliError::NotFound("nothing has been published".to_owned())),
-    }
-}
-
-async fn show_record(
-    client: &OperatorClient,
-    wanted: Revision,
-    output: &mut Output<'_>,
-) -> Result<(), CliError> {
-    let heads = client.history(HISTORY_MAX as u32).await?;
-    match heads.iter().find(|head| head.revision == wanted) {
-        Some(head) => output.print(|| describe_head(head), &json!({"head": head})),
-        None => Err(CliError::NotFound(format!("revision {wanted} is not kept"))),
-    }
+        None => format!(
+            "{}\n    its objects are not kept any more",
+            describe_head(&head)
+        ),
+    };
+    output.print(text, &json!({"head": head, "objects": objects}))
 }
 
 /// Lists published revisions.
--- a/src/config/publish/mod.rs
+++ b/src/config/publish/mod.rs
@@ -1,5 +1,6 @@
 //! Publishes a checked configuration to the key-value service.
 
+mod archive;
 mod base;
 mod blob_writer;
 mod collector;
@@ -7,7 +8,7 @@
 mod publisher;
 mod resolve;
 
-pub use {collector::*, outcome::*, publisher::*};
+pub use {archive::*, collector::*, outcome::*, publisher::*};
 
 /// Revisions whose heads are kept as the audit trail.
 pub const HISTORY_MAX: u64 = 256;
--- a/src/keeper/operator_service.rs
+++ b/src/keeper/operator_service.rs
@@ -5,7 +5,7 @@
     crate::{
         config::{
             Catalog, ConfigFault, EncodedSnapshot, Head, ParsedObjects, Publication,
-            PublishOutcome, Publisher, check_parsed,
+            PublishOutcome, Publisher, check_parsed, read_revision,
         },
         peer::{list_len, read_head, write_head, write_texts},
         peer_capnp::{operator, publish_outcome},
@@ -14,7 +14,7 @@
     },
     bytes::Bytes,
     capnp::Error,
-    std::rc::Rc,
+    std::{rc::Rc, sync::Arc},
 };
 
 /// Audit records that one call returns at most.
@@ -81,6 +81,27 @@
         Ok(outcome)
     }
 
+    /// Finds the configuration in force, for revision 0, or another one.
+    async fn find_revision(
+        &self,
+        wanted: Revision,
+    ) -> Result<Option<(Head, Option<Arc<Catalog>>)>, Error> {
+        let in_force = self.state.in_force();
+        if wanted == Revision::default() {
+            return Ok(in_force.map(|current| (current.head, Some(current.catalog))));
+        }
+        match in_force {
+            Some(current) if current.head.revision == wanted => {
+                Ok(Some((current.head, Some(current.catalog))))
+            }
+            _ => {
+                let found = read_revision(self.store.as_ref(), wanted).await;
+                let found = found.map_err(failed)?;
+                Ok(found.map(|(head, catalog)| (head, catalog.map(Arc::new))))
+            }
+        }
+    }
+
     async fn read_audit(&self, limit: usize) -> Result<Vec<String>, Error> {
         let range = self.store.range(AUDIT_PREFIX, 0).await.map_err(failed)?;
         let texts = range.entries.iter().map(|entry| text_of(&entry.value));
@@ -143,14 +164,17 @@
 
     async fn show(
         self: Rc<Self>,
-        _params: operator::ShowParams,
+        params: operator::ShowParams,
         mut results: operator::ShowResults,
     ) -> Result<(), Error> {
-        if let Some(current) = self.state.in_force() {
-            let objects = serde_json::to_vec(&current.catalog.objects()).map_err(failed)?;
-            let mut answer = results.get();
-            write_head(&current.head, answer.reborrow().init_head());
-            answer.set_snapshot(&objects);
+        let wanted = Revision(params.get()?.get_revision());
+        let Some((head, catalog)) = self.find_revision(wanted).await? else {
+            return Ok(());
+        };
+        let mut answer = results.get();
+        write_head(&head, answer.reborrow().init_head());
+        if let Some(catalog) = catalog {
+            answer.set_snapshot(&serde_json::to_vec(&catalog.objects()).map_err(failed)?);
         }
         Ok(())
     }
--- a/src/proto/peer_capnp.rs
+++ b/src/proto/peer_capnp.rs
@@ -9072,11 +9072,15 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_revision(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -9126,6 +9130,14 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_revision(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_revision(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -9137,26 +9149,46 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(95, 241, 139, 254, 71, 252, 104, 236),
-                ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 79, 112, 101, 114, 97),
                 ::capnp::word(116, 111, 114, 46, 115, 104, 111, 119),
                 ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -9168,9 +9200,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xec68_fc47_fe8b_f15f;
         }
     }
--- a/tests/cli_ggt.rs
+++ b/tests/cli_ggt.rs
@@ -5,7 +5,7 @@
         cli::{
             CliError, EXIT_DONE, EXIT_REFUSED, EXIT_USAGE, OperatorClient, OperatorPublication, run,
         },
-        config::{check_parsed, read_dir},
+        config::{SNAPSHOTS_KEPT_MAX, check_parsed, collect_garbage, read_dir},
         keeper::{GateRoles, GateService, KeeperState, OperatorService},
         peer::{SharedKey, serve},
         standin::kv::{KvFaults, MemoryStore},
@@ -246,6 +246,7 @@
     assert_eq!(shown["objects"][0]["move_weight"], 21.0);
     let older = keeper.ggt(&["show", "--revision", "1", "--json"]).json();
     assert_eq!(older["head"]["author"], "ama");
+    assert_eq!(older["objects"][0]["move_weight"], 20.0);
     assert_eq!(keeper.ggt(&["show", "--revision", "9"]).code, EXIT_REFUSED);
     let history = keeper.ggt(&["history", "--json"]).json();
     assert_eq!(history["heads"].as_array().unwrap().len(), 2);
@@ -393,3 +394,24 @@
     let history = keeper.ggt(&["history", "--json"]).json();
     assert!(history["heads"].as_array().unwrap().is_empty());
 }
+
+/// An older revision keeps its record for longer than its objects.
+#[test]
+fn objects_of_old_revisions_go_before_their_records() {
+    let keeper = Keeper::start("old_revisions");
+    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+    for expected in 0..SNAPSHOTS_KEPT_MAX + 2 {
+        let weight = format!("\"move_weight\": {expected}.5");
+        let file = "deployment.json";
+        let dir = changed_example("old_revision", file, "\"move_weight\": 20.0", &weight);
+        assert_eq!(keeper.publish(&dir, &[]).code, EXIT_DONE);
+        runtime.block_on(collect_garbage(&keeper.store)).unwrap();
+    }
+    let first = keeper.ggt(&["show", "--revision", "1", "--json"]).json();
+    assert_eq!(
+        (&first["head"]["revision"], &first["objects"]),
+        (&1.into(), &Value::Null)
+    );
+    let kept = keeper.ggt(&["show", "--revision", "4", "--json"]).json();
+    assert_eq!(kept["objects"][0]["move_weight"], 3.5);
+}
