Collect old blobs after each publication

Cause: nothing called collect_garbage, so that blobs of old revisions stayed for ever.

Seen: tests/cli_ggt.rs 11 passed; the objects of revision 1 are gone after ten publications.

--- a/src/keeper/operator_service.rs
+++ b/src/keeper/operator_service.rs
@@ -5,7 +5,7 @@
     crate::{
         config::{
             Catalog, ConfigFault, EncodedSnapshot, Head, ParsedObjects, Publication,
-            PublishOutcome, Publisher, check_parsed, read_revision,
+            PublishOutcome, Publisher, check_parsed, collect_garbage, read_revision,
         },
         peer::{list_len, read_head, write_head, write_texts},
         peer_capnp::{operator, publish_outcome},
@@ -77,6 +77,7 @@
             if let Err(error) = self.state.accept(head.clone(), publication.snapshot) {
                 log::error!("keeper: revision {} is refused: {error}", head.revision);
             }
+            tokio::task::spawn_local(collect_old_blobs(self.store.clone()));
         }
         Ok(outcome)
     }
@@ -112,6 +113,14 @@
     }
 }
 
+/// Removes blobs of revisions that are not kept, after the operator has been answered.
+async fn collect_old_blobs(store: SharedStore) {
+    match collect_garbage(store.as_ref()).await {
+        Ok(removed) => log::debug!("config: {removed} old blobs were removed."),
+        Err(error) => log::debug!("config: old blobs could not be removed: {error}"),
+    }
+}
+
 fn text_of(value: &Bytes) -> String {
     String::from_utf8_lossy(value).into_owned()
 }
--- a/tests/cli_ggt.rs
+++ b/tests/cli_ggt.rs
@@ -5,7 +5,7 @@
         cli::{
             CliError, EXIT_DONE, EXIT_REFUSED, EXIT_USAGE, OperatorClient, OperatorPublication, run,
         },
-        config::{SNAPSHOTS_KEPT_MAX, check_parsed, collect_garbage, read_dir},
+        config::{SNAPSHOTS_KEPT_MAX, check_parsed, read_dir},
         keeper::{GateRoles, GateService, KeeperState, OperatorService},
         peer::{SharedKey, serve},
         standin::kv::{KvFaults, MemoryStore},
@@ -399,13 +399,11 @@
 #[test]
 fn objects_of_old_revisions_go_before_their_records() {
     let keeper = Keeper::start("old_revisions");
-    let runtime = Builder::new_current_thread().enable_all().build().unwrap();
     for expected in 0..SNAPSHOTS_KEPT_MAX + 2 {
         let weight = format!("\"move_weight\": {expected}.5");
         let file = "deployment.json";
         let dir = changed_example("old_revision", file, "\"move_weight\": 20.0", &weight);
         assert_eq!(keeper.publish(&dir, &[]).code, EXIT_DONE);
-        runtime.block_on(collect_garbage(&keeper.store)).unwrap();
     }
     let first = keeper.ggt(&["show", "--revision", "1", "--json"]).json();
     assert_eq!(
