Test that each adapter answers in both data centres (red)

Runner states are told within the owner's data centre, and the records that all keepers watch hold no adapters.

--- a/tests/standin_cluster.rs
+++ b/tests/standin_cluster.rs
@@ -12,6 +12,8 @@
     greengagetrail::standin::ReferenceText,
     hyper::{Method, StatusCode},
     serde_json::json,
+    std::time::Duration,
+    tokio::time::{Instant, sleep},
 };
 
 #[tokio::test]
@@ -62,3 +64,39 @@
         assert_eq!(engine.record().await["overcommits"], 0);
     }
 }
+
+/// The wait for an adapter that no runner holds yet.
+const ADAPTER_LOAD_MAX: Duration = Duration::from_secs(15);
+
+#[tokio::test]
+async fn every_adapter_answers_at_the_entries_of_both_data_centres() {
+    let plan = ClusterPlan {
+        vms: 2,
+        adapters: 2,
+        ..ClusterPlan::default()
+    };
+    let cluster = Cluster::start_published(plan).await;
+    for adapter in ["adapter-0", "adapter-1"] {
+        for vm in &cluster.vms {
+            let start = Instant::now();
+            loop {
+                let answer = cluster
+                    .complete(vm.callers_address, adapter, "hello", 1)
+                    .await;
+                if answer
+                    .as_ref()
+                    .is_some_and(|answer| answer.status == StatusCode::OK)
+                {
+                    break;
+                }
+                let waited = start.elapsed();
+                assert!(
+                    waited < ADAPTER_LOAD_MAX,
+                    "{adapter} at {}: {answer:?}",
+                    vm.name
+                );
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
