--- a/examples/settings_page.rs
+++ b/examples/settings_page.rs
@@ -1,6 +1,9 @@
 //! Prints `docs/settings.md` from the settings themselves.
 
-use greengagetrail::{entry::EntrySettings, keeper::KeeperSettings, settings::markdown_table};
+use greengagetrail::{
+    entry::EntrySettings, keeper::KeeperSettings, load::LoadSettings, settings::markdown_table,
+    standin::StandinSettings,
+};
 
 fn main() {
     println!("# Settings\n");
@@ -13,5 +16,7 @@
     println!("all faults are told at once and the exit code is 2.\n");
     println!("This page is made by `cargo run --example settings_page > docs/settings.md`.\n");
     println!("## ggt-entry\n\n{}", markdown_table::<EntrySettings>());
-    print!("## ggt-keeper\n\n{}", markdown_table::<KeeperSettings>());
+    println!("## ggt-keeper\n\n{}", markdown_table::<KeeperSettings>());
+    println!("## ggt-standin\n\n{}", markdown_table::<StandinSettings>());
+    print!("## ggt-load\n\n{}", markdown_table::<LoadSettings>());
 }
--- a/tests/standin_cluster.rs
+++ b/tests/standin_cluster.rs
@@ -100,3 +100,36 @@
         }
     }
 }
+
+#[tokio::test]
+async fn a_booking_runs_once_per_key_at_whichever_entry() {
+    let cluster = Cluster::start_published(ClusterPlan::default()).await;
+    let entries = [0, 1, 2].map(|index| cluster.vms[index].callers_address);
+    let minted = cluster
+        .caller
+        .call(
+            Method::POST,
+            entries[0],
+            "/services/desk/.tickets?count=1",
+            &[],
+            "",
+        )
+        .await
+        .unwrap();
+    let minted = minted.json()["keys"][0].as_str().unwrap().to_owned();
+    for key in [minted.as_str(), "a-key-of-the-caller"] {
+        let mut statuses = Vec::new();
+        for entry in entries {
+            let headers = [("idempotency-key", key)];
+            let path = "/services/desk/book";
+            let answer = cluster
+                .caller
+                .call(Method::POST, entry, path, &headers, "{}")
+                .await;
+            statuses.push(answer.unwrap().status);
+        }
+        let expected = [StatusCode::OK, StatusCode::CONFLICT, StatusCode::CONFLICT];
+        assert_eq!(statuses, expected, "{key}");
+    }
+    assert_eq!(cluster.plain.record().await["runs"], 2);
+}
