Tell VMs of other data centres of the adapters that they ask for

Cause: every_adapter_answers_at_the_entries_of_both_data_centres was red: which adapters a runner holds was told in its owner's data centre only, so entries elsewhere refused with 503 for ever. Ruled out: adapters in the runner records (a write each, too many for the store); telling all VMs of every adapter (350 messages a change).

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -69,7 +69,7 @@
   exchangeHead @0 (head :Head, sender :Text) -> (head :Head);
   fetch @1 (digests :List(Text)) -> (blobs :List(Blob));
   reportDemand @2 (sender :Text, demand :List(Demand));
-  propose @3 (moves :List(Move)) -> (taken :UInt32);
+  propose @3 (sender :Text, moves :List(Move)) -> (runners :List(RunnerState));
   reportRunners @4 (runners :List(RunnerState));
   members @5 () -> (members :List(Member));
 }
--- a/src/keeper/fleet_task.rs
+++ b/src/keeper/fleet_task.rs
@@ -1,14 +1,17 @@
 //! Tells the fleet what changed around it, and the others what changed in it.
 
 use {
-    super::{Gossip, KeeperState, ListedVm, Proposal, VmState},
+    super::{Gossip, Interest, KeeperState, ListedVm, Proposal, VmState},
     crate::{
         config::Catalog,
         fleet::{FleetKeeper, FleetView, RunnerState, owner_of},
         units::{DataCentreName, VmName},
     },
-    std::{borrow::Cow, rc::Rc, sync::Arc, time::Duration},
-    tokio::sync::{mpsc, watch},
+    std::{borrow::Cow, cell::RefCell, rc::Rc, sync::Arc, time::Duration},
+    tokio::{
+        sync::{mpsc, watch},
+        time::Instant,
+    },
 };
 
 /// How long further changes of runners are gathered after some were passed on.
@@ -25,6 +28,7 @@
     state: KeeperState,
     fleet: Rc<FleetKeeper>,
     gossip: Rc<Gossip>,
+    interest: RefCell<Interest>,
 }
 
 impl FleetTask {
@@ -42,6 +46,7 @@
             state,
             fleet,
             gossip,
+            interest: RefCell::default(),
         }
     }
 
@@ -99,6 +104,7 @@
             versions.mark_unchanged();
             let owned = self.owned(news);
             if !owned.is_empty() {
+                self.tell_interested(&owned);
                 self.gossip.tell_data_centre(owned, &self.data_centre);
             }
             let changed = tokio::select! {
@@ -127,6 +133,13 @@
         Cow::Owned(states)
     }
 
+    fn tell_interested(&self, changed: &[RunnerState]) {
+        let interested = self.interest.borrow_mut().of(changed, Instant::now());
+        for (vm, states) in interested {
+            self.gossip.tell_vm(states, &vm);
+        }
+    }
+
     fn owned(&self, mut states: Vec<RunnerState>) -> Vec<RunnerState> {
         let catalog = self.catalog();
         let members = self.state.members();
@@ -150,10 +163,16 @@
     /// Carries out the moves that planners propose.
     pub async fn take_proposals(&self, mut proposals: mpsc::Receiver<Proposal>) {
         while let Some(proposal) = proposals.recv().await {
-            let taken = self.fleet.apply(proposal.moves, DECISION);
-            let _ = proposal
-                .taken
-                .send(u32::try_from(taken).unwrap_or(u32::MAX));
+            let wanted = proposal.moves.iter();
+            let runners: Vec<_> = wanted.map(|wanted| wanted.runner.clone()).collect();
+            self.fleet.apply(proposal.moves, DECISION);
+            self.interest
+                .borrow_mut()
+                .note(&runners, &proposal.sender, Instant::now());
+            let states = runners
+                .iter()
+                .filter_map(|runner| self.state.runner(runner));
+            let _ = proposal.answer.send(states.collect());
         }
     }
 
--- a/src/keeper/gossip.rs
+++ b/src/keeper/gossip.rs
@@ -90,6 +90,13 @@
         self.send_runners(states, near.map(|member| member.address).collect());
     }
 
+    /// Tells one keeper of changed runners. Needs a `LocalSet`.
+    pub fn tell_vm(self: &Rc<Self>, states: Vec<RunnerState>, vm: &VmName) {
+        let others = self.others().into_iter();
+        let found = others.filter(|member| member.vm == *vm);
+        self.send_runners(states, found.map(|member| member.address).collect());
+    }
+
     fn send_runners(self: &Rc<Self>, states: Vec<RunnerState>, addresses: Vec<SocketAddr>) {
         let states = Rc::new(states);
         for address in addresses {
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -8,11 +8,13 @@
 mod fleet_task;
 mod gate_service;
 mod gossip;
+mod interest;
 mod live_feed;
 mod membership_task;
 mod operator_service;
 mod peer_service;
 mod planning_task;
+mod proposer;
 mod run;
 mod settings;
 mod state;
@@ -21,7 +23,7 @@
 
 pub use {
     adapter_pull::*, configuration_task::*, demand_task::*, entry_service::*, error::*,
-    fleet_task::*, gate_service::*, gossip::*, live_feed::*, membership_task::*,
-    operator_service::*, peer_service::*, planning_task::*, run::*, settings::*, state::*,
-    status::*, vm_list::*,
+    fleet_task::*, gate_service::*, gossip::*, interest::*, live_feed::*, membership_task::*,
+    operator_service::*, peer_service::*, planning_task::*, proposer::*, run::*, settings::*,
+    state::*, status::*, vm_list::*,
 };
--- a/src/keeper/peer_service.rs
+++ b/src/keeper/peer_service.rs
@@ -7,9 +7,10 @@
         fleet::{Move, RunnerState},
         peer::{
             PeerError, list_len, read_demands, read_head, read_moves, read_runners, read_texts,
-            write_head, write_member,
+            write_head, write_member, write_runner,
         },
         peer_capnp::peer,
+        units::VmName,
     },
     capnp::Error,
     std::{net::SocketAddr, rc::Rc},
@@ -22,10 +23,12 @@
 /// Moves that another keeper proposes.
 #[derive(Debug)]
 pub struct Proposal {
+    /// Who proposes them.
+    pub sender: VmName,
     /// The moves.
     pub moves: Vec<Move>,
-    /// Takes the number of moves that this keeper carries out.
-    pub taken: oneshot::Sender<u32>,
+    /// Takes what their runners hold now.
+    pub answer: oneshot::Sender<Vec<RunnerState>>,
 }
 
 /// Where the calls of other keepers go.
@@ -103,11 +106,7 @@
     ) -> Result<(), Error> {
         let params = params.get()?;
         let report = DemandReport {
-            sender: params
-                .get_sender()?
-                .to_str()?
-                .parse()
-                .map_err(PeerError::from)?,
+            sender: read_vm(params.get_sender()?)?,
             demand: read_demands(params.get_demand()?)?,
         };
         self.inbox.demand.send(report).await.map_err(stopping)
@@ -118,15 +117,23 @@
         params: peer::ProposeParams,
         mut results: peer::ProposeResults,
     ) -> Result<(), Error> {
-        let moves = read_moves(params.get()?.get_moves()?)?;
-        let (taken, answer) = oneshot::channel();
-        let proposal = Proposal { moves, taken };
+        let params = params.get()?;
+        let (answer, states) = oneshot::channel();
+        let proposal = Proposal {
+            sender: read_vm(params.get_sender()?)?,
+            moves: read_moves(params.get_moves()?)?,
+            answer,
+        };
         self.inbox
             .proposals
             .send(proposal)
             .await
             .map_err(stopping)?;
-        results.get().set_taken(answer.await.map_err(stopping)?);
+        let states = states.await.map_err(stopping)?;
+        let mut slots = results.get().init_runners(list_len(states.len()));
+        for (index, state) in (0..).zip(&states) {
+            write_runner(state, slots.reborrow().get(index));
+        }
         Ok(())
     }
 
@@ -158,6 +165,10 @@
     }
 }
 
+fn read_vm(text: capnp::text::Reader<'_>) -> Result<VmName, PeerError> {
+    Ok(text.to_str()?.parse()?)
+}
+
 fn stopping(_: impl std::error::Error) -> Error {
     Error::overloaded("this keeper is stopping".to_owned())
 }
--- a/src/keeper/planning_task.rs
+++ b/src/keeper/planning_task.rs
@@ -1,20 +1,16 @@
 //! Decides placement for the data centres that this VM plans for.
 
 use {
-    super::{KeeperState, Proposal},
+    super::{KeeperState, Proposer},
     crate::{
-        fleet::{Move, owner_of},
+        fleet::Move,
         membership::{Member, jittered},
-        peer::{PeerClient, SharedKey},
         placement::{DemandTracker, PlanInput, plan},
         routing::{rendezvous_weight, stable_hash},
         units::{DataCentreName, VmName},
     },
     std::{cell::RefCell, rc::Rc, time::Duration},
-    tokio::{
-        sync::{mpsc, oneshot},
-        time::Instant,
-    },
+    tokio::time::Instant,
 };
 
 /// How long further losses are gathered before the plan.
@@ -39,27 +35,24 @@
 /// Decides placement for the data centres that this VM plans for.
 pub struct PlanningTask {
     vm: VmName,
-    key: SharedKey,
     state: KeeperState,
     tracker: Rc<RefCell<DemandTracker>>,
-    own: mpsc::Sender<Proposal>,
+    proposer: Proposer,
 }
 
 impl PlanningTask {
-    /// Prepares the task; moves for runners of this VM go to `own`.
+    /// Prepares the task.
     pub fn new(
         vm: VmName,
-        key: SharedKey,
         state: KeeperState,
         tracker: Rc<RefCell<DemandTracker>>,
-        own: mpsc::Sender<Proposal>,
+        proposer: Proposer,
     ) -> Self {
         Self {
             vm,
-            key,
             state,
             tracker,
-            own,
+            proposer,
         }
     }
 
@@ -72,7 +65,7 @@
             }
             let moves = self.plan_all();
             if !moves.is_empty() {
-                propose_moves(moves, &self.vm, &self.key, &self.state, &self.own).await;
+                self.proposer.propose(moves).await;
             }
         }
     }
@@ -101,47 +94,3 @@
         moves
     }
 }
-
-/// Proposes moves to the owners of their runners; those for runners of this VM go to `own`.
-pub async fn propose_moves(
-    moves: Vec<Move>,
-    vm: &VmName,
-    key: &SharedKey,
-    state: &KeeperState,
-    own: &mpsc::Sender<Proposal>,
-) {
-    for (owner, moves) in group_by_owner(moves, state) {
-        if owner.vm == *vm {
-            let (taken, _) = oneshot::channel();
-            let _ = own.send(Proposal { moves, taken }).await;
-            continue;
-        }
-        let sent = async {
-            let peer = PeerClient::connect(owner.address, key).await?;
-            peer.propose(&moves).await
-        };
-        if let Err(error) = sent.await {
-            log::debug!("keeper: {} took no moves: {error}", owner.vm);
-        }
-    }
-}
-
-fn group_by_owner(moves: Vec<Move>, state: &KeeperState) -> Vec<(Member, Vec<Move>)> {
-    let Some(current) = state.in_force() else {
-        return Vec::new();
-    };
-    let members = state.members();
-    let mut groups: Vec<(Member, Vec<Move>)> = Vec::new();
-    for wanted in moves {
-        let runner = current.catalog.runner(&wanted.runner);
-        let owner = runner.and_then(|it| owner_of(&it.name, &it.data_centre, &members));
-        let Some(owner) = owner else {
-            continue;
-        };
-        match groups.binary_search_by(|(known, _)| known.vm.cmp(&owner.vm)) {
-            Ok(position) => groups[position].1.push(wanted),
-            Err(position) => groups.insert(position, (owner.clone(), vec![wanted])),
-        }
-    }
-    groups
-}
--- /dev/null
+++ b/src/keeper/proposer.rs
@@ -0,0 +1,90 @@
+//! Brings moves to the owners of their runners.
+
+use {
+    super::{KeeperState, Proposal},
+    crate::{
+        fleet::{Move, RunnerState, owner_of},
+        membership::Member,
+        peer::{PeerClient, PeerError, SharedKey},
+        units::VmName,
+    },
+    tokio::sync::{mpsc, oneshot},
+};
+
+/// Brings moves to the owners of their runners.
+#[derive(Debug, Clone)]
+pub struct Proposer {
+    vm: VmName,
+    key: SharedKey,
+    state: KeeperState,
+    own: mpsc::Sender<Proposal>,
+    states: mpsc::Sender<Vec<RunnerState>>,
+}
+
+impl Proposer {
+    /// Prepares the proposer; moves for runners of this VM go to `own`, what other owners tell
+    /// of their runners goes to `states`.
+    pub fn new(
+        vm: VmName,
+        key: SharedKey,
+        state: KeeperState,
+        own: mpsc::Sender<Proposal>,
+        states: mpsc::Sender<Vec<RunnerState>>,
+    ) -> Self {
+        Self {
+            vm,
+            key,
+            state,
+            own,
+            states,
+        }
+    }
+
+    /// Proposes moves to the owners of their runners.
+    pub async fn propose(&self, moves: Vec<Move>) {
+        for (owner, moves) in group_by_owner(moves, &self.state) {
+            if owner.vm == self.vm {
+                self.propose_here(moves).await;
+            } else if let Err(error) = self.propose_to(&owner, &moves).await {
+                log::debug!("keeper: {} took no moves: {error}", owner.vm);
+            }
+        }
+    }
+
+    async fn propose_here(&self, moves: Vec<Move>) {
+        let (answer, _) = oneshot::channel();
+        let proposal = Proposal {
+            sender: self.vm.clone(),
+            moves,
+            answer,
+        };
+        let _ = self.own.send(proposal).await;
+    }
+
+    async fn propose_to(&self, owner: &Member, moves: &[Move]) -> Result<(), PeerError> {
+        let peer = PeerClient::connect(owner.address, &self.key).await?;
+        let states = peer.propose(&self.vm, moves).await?;
+        let _ = self.states.send(states).await;
+        Ok(())
+    }
+}
+
+fn group_by_owner(moves: Vec<Move>, state: &KeeperState) -> Vec<(Member, Vec<Move>)> {
+    let Some(current) = state.in_force() else {
+        return Vec::new();
+    };
+    let members = state.members();
+    let mut groups: Vec<(Member, Vec<Move>)> = Vec::new();
+    for wanted in moves {
+        let runner = current.catalog.runner(&wanted.runner);
+        let owner = runner.and_then(|it| owner_of(&it.name, &it.data_centre, &members));
+        let Some(owner) = owner else {
+            continue;
+        };
+        match groups.binary_search_by(|(known, _)| known.vm.cmp(&owner.vm)) {
+            Ok(position) => groups[position].1.push(wanted),
+            Err(position) => groups.insert(position, (owner.clone(), vec![wanted])),
+        }
+    }
+    groups
+}
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -4,7 +4,8 @@
     super::{
         AdapterPull, ConfigurationTask, DemandTask, EntryService, FleetTask, GateRoles,
         GateService, Gossip, KeeperError, KeeperSettings, KeeperState, MembershipTask,
-        OperatorService, PeerInbox, PeerService, PlanningTask, feed_live_keys, follow_vm_list,
+        OperatorService, PeerInbox, PeerService, PlanningTask, Proposer, feed_live_keys,
+        follow_vm_list,
     },
     crate::{
         config::Runner,
@@ -197,7 +198,14 @@
         let proposing = task.clone();
         spawn_local(async move { proposing.take_proposals(proposal_inbox).await });
         spawn_local(async move { task.write_audit().await });
-        let demand = self.start_planning(settings, proposals.clone());
+        let proposer = Proposer::new(
+            self.member.vm.clone(),
+            self.key.clone(),
+            self.state.clone(),
+            proposals.clone(),
+            states.clone(),
+        );
+        let demand = self.start_planning(settings, proposer);
         PeerInbox {
             offers,
             demand,
@@ -209,17 +217,12 @@
     fn start_planning(
         &self,
         settings: &KeeperSettings,
-        own: mpsc::Sender<super::Proposal>,
+        proposer: Proposer,
     ) -> mpsc::Sender<super::DemandReport> {
         let (demand, demand_inbox) = mpsc::channel(INBOX_MAX);
         let tracker = Rc::default();
-        let pull = AdapterPull::new(
-            self.member.vm.clone(),
-            self.member.data_centre.clone(),
-            self.key.clone(),
-            self.state.clone(),
-            own.clone(),
-        );
+        let home = self.member.data_centre.clone();
+        let pull = AdapterPull::new(home, self.state.clone(), proposer.clone());
         let task = Rc::new(DemandTask::new(
             self.member.vm.clone(),
             self.member.data_centre.clone(),
@@ -236,7 +239,7 @@
         spawn_local(async move { sharing.share_for_ever().await });
         *self.demand.borrow_mut() = Some(task);
         let vm = self.member.vm.clone();
-        let planning = PlanningTask::new(vm, self.key.clone(), self.state.clone(), tracker, own);
+        let planning = PlanningTask::new(vm, self.state.clone(), tracker, proposer);
         let interval = Duration::from_millis(settings.planning_interval_ms);
         spawn_local(async move { planning.run(interval).await });
         demand
--- a/src/peer/peer_client.rs
+++ b/src/peer/peer_client.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         Connection, PeerError, SharedKey, connect_peer, list_len, read_head, read_members,
-        with_timeout, write_demand, write_head, write_move, write_runner, write_texts,
+        read_runners, with_timeout, write_demand, write_head, write_move, write_runner,
+        write_texts,
     },
     crate::{
         config::{Digest, Head},
@@ -87,19 +88,26 @@
         read_members(answer.get()?.get_members()?)
     }
 
-    /// Proposes moves to the owner of their runners; returns how many it took.
+    /// Proposes moves to the owner of their runners; returns what these hold now.
+    ///
+    /// The owner tells `sender` of their changes for a while.
     ///
     /// # Errors
     ///
     /// Fails when no good answer comes in time.
-    pub async fn propose(&self, moves: &[Move]) -> Result<u32, PeerError> {
+    pub async fn propose(
+        &self,
+        sender: &VmName,
+        moves: &[Move],
+    ) -> Result<Vec<RunnerState>, PeerError> {
         let mut request = self.client.propose_request();
+        request.get().set_sender(sender.as_str());
         let mut slots = request.get().init_moves(list_len(moves.len()));
         for (index, wanted) in (0..).zip(moves) {
             write_move(wanted, slots.reborrow().get(index));
         }
         let answer = with_timeout(ANSWER_TIMEOUT, request.send().promise).await?;
-        Ok(answer.get()?.get_taken())
+        read_runners(answer.get()?.get_runners()?)
     }
 
     /// Reports what callers asked for at `sender`.
--- a/src/proto/peer_capnp.rs
+++ b/src/proto/peer_capnp.rs
@@ -5393,18 +5393,26 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_moves(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::move_::Owned>> {
+            pub fn get_sender(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_moves(&self) -> bool {
+            pub fn has_sender(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_moves(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::move_::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_moves(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5455,20 +5463,36 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_moves(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::move_::Owned>> {
+            pub fn get_sender(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
+            pub fn set_sender(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_sender(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_sender(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_moves(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::move_::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
             pub fn set_moves(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::move_::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
             }
             #[inline]
             pub fn init_moves(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::move_::Owned> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
             }
             #[inline]
             pub fn has_moves(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+                !self.builder.is_pointer_field_null(1)
             }
         }
 
@@ -5481,31 +5505,46 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 51] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(25, 236, 24, 142, 13, 178, 142, 244),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(112, 114, 111, 112, 111, 115, 101, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(109, 111, 118, 101, 115, 0, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5521,7 +5560,8 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::struct_list::Owned<crate::peer_capnp::move_::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::struct_list::Owned<crate::peer_capnp::move_::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5535,9 +5575,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
             pub(crate) const TYPE_ID: u64 = 0xf48e_b20d_8e18_ec19;
         }
     }
@@ -5595,7 +5635,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -5604,14 +5644,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_taken(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
+            pub fn get_runners(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::runner_state::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_runners(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5662,12 +5706,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_taken(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
+            pub fn get_runners(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::runner_state::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_taken(&mut self, value: u32)  {
-                self.builder.set_data_field::<u32>(0, value);
+            pub fn set_runners(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::runner_state::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_runners(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::runner_state::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_runners(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -5680,12 +5732,12 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 36] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(251, 21, 35, 165, 174, 112, 167, 179),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -5701,22 +5753,26 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(116, 97, 107, 101, 110, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 117, 110, 110, 101, 114, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(22, 205, 11, 85, 13, 8, 34, 204),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::struct_list::Owned<crate::peer_capnp::runner_state::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
