--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod key_problem;
 mod leaving;
 mod load_header;
+mod long_answer;
 mod models;
 mod open_requests;
 mod relay;
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -6,7 +6,7 @@
         http::{Readiness, serve_operations},
         peer::{SharedKey, spawn_entry_link},
         store::{EtcdStore, StoreTimeouts},
-        telemetry::{init_logs, init_metrics},
+        telemetry::{init_logs, init_metrics, keep_up_metrics},
     },
     std::{io, sync::Arc},
     thiserror::Error,
@@ -58,6 +58,7 @@
 pub async fn run(settings: EntrySettings) -> Result<(), RunError> {
     init_logs(settings.log_level, settings.log_format);
     let metrics = init_metrics().map_err(|cause| RunError::Metrics(cause.to_string()))?;
+    tokio::spawn(keep_up_metrics(metrics.clone()));
     let callers = bind("callers_address", settings.callers_address).await?;
     let operations = bind("operations_address", settings.operations_address).await?;
     let peers =
--- a/src/entry/service_dispatch.rs
+++ b/src/entry/service_dispatch.rs
@@ -3,20 +3,19 @@
 use {
     super::{
         Backend, BackendUse, Call, Claimed, DispatchError, Dispatched, Entry, LossCause,
-        ServiceRequest, choose_backend, loss_problem, retry_after,
+        ServiceRequest, choose_backend,
+        long_answer::{AnswerStart, LongAnswer, ReadStartError, read_start},
+        loss_problem, retry_after,
     },
     crate::http::{
-        Body, Connection, ENGINE_LEAVING, Exchange, Problem, ReadError, discard_body, has_header,
-        has_known_end, read_body, remove_connection_headers,
+        Body, ENGINE_LEAVING, Exchange, Problem, discard_body, has_header, has_known_end,
+        remove_connection_headers,
     },
-    hyper::{HeaderMap, Response, StatusCode},
+    hyper::{Response, StatusCode},
     std::{sync::Arc, time::Duration},
     tokio::time,
 };
 
-/// The largest answer of a plain service, in bytes.
-const ANSWER_MAX_BYTES: usize = 64 * 1024 * 1024;
-
 /// The most dispatches of one request.
 const TRIES_MAX: u32 = 4;
 
@@ -142,23 +141,35 @@
             response,
             connection,
         } = exchange;
-        let (mut head, body) = response.into_parts();
+        let (mut head, mut body) = response.into_parts();
         if !bodyless(head.status, &self.request.method) && !has_known_end(&head.headers) {
             let cause = LossCause::Broken("the answer has no known end".to_owned());
             return Err(self.lost(call, cause, in_flight.backend()));
         }
-        match read_body(body, ANSWER_MAX_BYTES, self.request.time_left()).await {
-            Ok(body) => {
+        let deadline = self.request.deadline;
+        match read_start(&mut body, deadline).await {
+            Ok(AnswerStart::Whole(whole)) => {
                 call.answer();
-                finish(connection, &mut head.headers);
-                Ok(Response::from_parts(head, Body::from(body)))
+                connection.recycle();
+                remove_connection_headers(&mut head.headers);
+                Ok(Response::from_parts(head, Body::from(whole)))
             }
-            Err(cause) => {
-                let cause = match cause {
-                    ReadError::TooSlow => LossCause::Silent,
-                    other => LossCause::Broken(other.to_string()),
+            Ok(AnswerStart::Part(held)) => {
+                call.answer();
+                remove_connection_headers(&mut head.headers);
+                let rest = LongAnswer {
+                    body,
+                    connection,
+                    in_use: in_flight,
+                    deadline,
                 };
-                Err(self.lost(call, cause, in_flight.backend()))
+                Ok(Response::from_parts(head, rest.into_body(held)))
+            }
+            Err(ReadStartError::TooSlow) => {
+                Err(self.lost(call, LossCause::Silent, in_flight.backend()))
+            }
+            Err(ReadStartError::Cut(cause)) => {
+                Err(self.lost(call, LossCause::Broken(cause), in_flight.backend()))
             }
         }
     }
@@ -217,11 +228,6 @@
     }
 }
 
-fn finish(connection: Connection, headers: &mut HeaderMap) {
-    connection.recycle();
-    remove_connection_headers(headers);
-}
-
 fn bodyless(status: StatusCode, method: &hyper::Method) -> bool {
     let without = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
     without.contains(&status) || method == hyper::Method::HEAD
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -14,7 +14,7 @@
         membership::{Heartbeat, Member},
         peer::{SharedKey, serve},
         store::{EtcdStore, SharedStore, StoreTimeouts},
-        telemetry::{init_logs, init_metrics},
+        telemetry::{init_logs, init_metrics, keep_up_metrics},
         units::Incarnation,
     },
     std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
@@ -58,6 +58,7 @@
     let operators = listen(settings.operator_address).await?;
     let operations = listen(settings.operations_address).await?;
     let metrics = init_metrics()?;
+    spawn_local(keep_up_metrics(metrics.clone()));
     let readiness = Readiness::default();
     let stop = CancellationToken::new();
     let render = move || metrics.render();
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -1,6 +1,10 @@
 //! The names of metrics, and the recorder that renders them.
 
-use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use {
+    metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle},
+    std::time::Duration,
+    tokio::time,
+};
 
 /// Histogram: seconds from a request's arrival to its first token.
 pub const FIRST_TOKEN_S: &str = "ggt_first_token_seconds";
@@ -22,6 +26,9 @@
     0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.036, 0.05, 0.1, 0.25, 0.54, 1.0, 2.5, 10.0,
 ];
 
+/// How often recorded samples are moved into their buckets.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Installs the metrics recorder of this process and returns its renderer.
 ///
 /// # Errors
@@ -32,3 +39,12 @@
         .set_buckets(&BUCKETS_S)?
         .install_recorder()
 }
+
+/// Moves recorded samples into their buckets, for ever; until then each one takes memory.
+pub async fn keep_up_metrics(metrics: PrometheusHandle) {
+    let mut ticks = time::interval(UPKEEP_INTERVAL);
+    loop {
+        ticks.tick().await;
+        metrics.run_upkeep();
+    }
+}
--- a/tests/entry_services.rs
+++ b/tests/entry_services.rs
@@ -343,3 +343,24 @@
     }
     assert!(leaving.received().is_empty());
 }
+
+#[tokio::test]
+async fn long_answers_are_passed_on_whole_or_visibly_cut() {
+    const LONG: usize = 3_000_000;
+    let desk = FakeBackend::start(|received| {
+        let body = "x".repeat(LONG);
+        let sent = if received.path == "/cut" {
+            LONG / 2
+        } else {
+            LONG
+        };
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {LONG}\r\n\r\n");
+        vec![Step::send(head + &body[..sent]), Step::Close]
+    })
+    .await;
+    let rig = Plan::new().service("desk", &[&desk], 5000).start().await;
+    let whole = rig.get("/services/desk/whole").await;
+    assert_eq!((whole.body.len(), whole.whole), (LONG, true));
+    let cut = rig.get("/services/desk/cut").await;
+    assert!(!cut.whole && cut.body.len() < LONG);
+}
--- a/tests/entry_streams.rs
+++ b/tests/entry_streams.rs
@@ -276,3 +276,44 @@
         Err(AnswerFault::Foreign(RequestId(1)))
     );
 }
+
+/// Opens an HTTP/2 connection with prior knowledge and asks for a stream.
+async fn complete_over_http2(rig: &Rig, tokens: u64) -> (String, bool) {
+    use {
+        greengagetrail::http::Body,
+        http_body_util::BodyExt,
+        hyper::{Request, client::conn::http2},
+        hyper_util::rt::{TokioExecutor, TokioIo},
+    };
+    let stream = tokio::net::TcpStream::connect(rig.address).await.unwrap();
+    let (mut sender, driver) = http2::handshake(TokioExecutor::new(), TokioIo::new(stream))
+        .await
+        .unwrap();
+    tokio::spawn(driver);
+    let body =
+        format!("{{\"model\":\"lots\",\"prompt\":\"x\",\"max_tokens\":{tokens},\"stream\":true}}");
+    let request = Request::post(format!("http://{}/v1/completions", rig.address))
+        .body(Body::from(body))
+        .unwrap();
+    let mut body = sender.send_request(request).await.unwrap().into_body();
+    let mut text = String::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return (text, false);
+        };
+        text += std::str::from_utf8(&frame.into_data().unwrap_or_default()).unwrap();
+    }
+    (text, true)
+}
+
+#[tokio::test]
+async fn callers_may_speak_http2() {
+    let engine = FakeBackend::start(answer_request).await;
+    let rig = Plan::new().engine("r-1", &engine).start().await;
+    let (text, whole) = complete_over_http2(&rig, 10).await;
+    assert!(whole && text.ends_with("data: [DONE]\n\n"), "{text}");
+    let broken = FakeBackend::start(|received| answer_with(received, StreamFault::Cut(0))).await;
+    let rig = Plan::new().engine("r-1", &broken).start().await;
+    let (text, whole) = complete_over_http2(&rig, 10).await;
+    assert!(!whole && text.contains("event: error"), "{text}");
+}
