--- a/src/standin/http_server.rs
+++ b/src/standin/http_server.rs
@@ -1,6 +1,7 @@
 //! The HTTP server that all stand-ins share.
 
 use {
+    super::{ConnectionSwitch, switched_io::SwitchedIo},
     bytes::Bytes,
     futures::future::BoxFuture,
     http_body_util::{BodyExt, Full, Limited, combinators::UnsyncBoxBody},
@@ -55,6 +56,7 @@
 #[derive(Debug)]
 pub struct ServerGuard {
     address: SocketAddr,
+    switch: ConnectionSwitch,
     task: JoinHandle<()>,
 }
 
@@ -63,6 +65,11 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Returns what makes the open connections go silent.
+    pub fn connection_switch(&self) -> ConnectionSwitch {
+        self.switch.clone()
+    }
 }
 
 impl Drop for ServerGuard {
@@ -82,11 +89,20 @@
 ) -> io::Result<ServerGuard> {
     let listener = TcpListener::bind(address).await?;
     let address = listener.local_addr()?;
-    let task = tokio::spawn(accept_loop(listener, service));
-    Ok(ServerGuard { address, task })
+    let switch = ConnectionSwitch::default();
+    let task = tokio::spawn(accept_loop(listener, service, switch.clone()));
+    Ok(ServerGuard {
+        address,
+        switch,
+        task,
+    })
 }
 
-async fn accept_loop<S: HttpService>(mut listener: TcpListener, service: Arc<S>) {
+async fn accept_loop<S: HttpService>(
+    mut listener: TcpListener,
+    service: Arc<S>,
+    switch: ConnectionSwitch,
+) {
     let Ok(address) = listener.local_addr() else {
         return;
     };
@@ -100,7 +116,9 @@
         }
         match timeout(SWITCH_CHECK_INTERVAL, listener.accept()).await {
             Ok(Ok((stream, _))) => {
-                connections.spawn(serve_connection(stream, service.clone()));
+                let _ = stream.set_nodelay(true);
+                let io = SwitchedIo::new(TokioIo::new(stream), switch.clone());
+                connections.spawn(serve_connection(io, service.clone()));
             }
             Ok(Err(_)) => sleep(SWITCH_CHECK_INTERVAL).await,
             Err(_) => {}
@@ -120,11 +138,10 @@
     }
 }
 
-async fn serve_connection<S: HttpService>(stream: TcpStream, service: Arc<S>) {
-    let _ = stream.set_nodelay(true);
+async fn serve_connection<S: HttpService>(io: SwitchedIo<TokioIo<TcpStream>>, service: Arc<S>) {
     let answer = service_fn(move |request| service.clone().answer(request));
     let builder = Builder::new(TokioExecutor::new());
-    let connection = builder.serve_connection(TokioIo::new(stream), answer);
+    let connection = builder.serve_connection(io, answer);
     let _ = connection.await;
 }
 
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -8,7 +8,11 @@
 mod reference_text;
 mod run;
 mod settings;
+mod switched_io;
 pub mod vms;
 pub mod weights;
 
-pub use {control::*, http_server::*, reference_text::*, run::*, settings::*};
+pub use {
+    control::*, http_server::*, reference_text::*, run::*, settings::*,
+    switched_io::ConnectionSwitch,
+};
--- a/src/standin/run.rs
+++ b/src/standin/run.rs
@@ -108,9 +108,10 @@
 ) -> io::Result<Vec<ServerGuard>> {
     let server = serve(address, service).await?;
     log::info!("standin: {kind} listens at {}", server.address());
+    let control = ControlService::new(control, server.connection_switch());
     let mut servers = vec![server];
     if let Some(address) = control_address {
-        servers.push(serve(address, Arc::new(ControlService(control))).await?);
+        servers.push(serve(address, Arc::new(control)).await?);
     }
     Ok(servers)
 }
--- a/tests/common/cluster.rs
+++ b/tests/common/cluster.rs
@@ -117,6 +117,16 @@
         assert!(answer.status.is_success(), "{}", answer.text());
     }
 
+    /// Runs a command, such as `silence` for all open connections.
+    pub async fn command(&self, name: &str) {
+        let path = format!("/commands/{name}");
+        let answer = Caller::new()
+            .post(self.control_address, &path, &json!({}))
+            .await;
+        let answer = answer.expect("the stand-in takes the command");
+        assert!(answer.status.is_success(), "{name}: {}", answer.status);
+    }
+
     /// Returns what the stand-in recorded.
     pub async fn record(&self) -> Value {
         let answer = Caller::new().get(self.control_address, "/record").await;
--- a/tests/standin_engine.rs
+++ b/tests/standin_engine.rs
@@ -406,3 +406,15 @@
     };
     timeout(PATIENCE, gone).await.unwrap();
 }
+
+#[tokio::test]
+async fn silenced_connections_stay_silent_while_new_ones_work() {
+    let (_engine, server, client) = start().await;
+    text_of(complete(&client, server.address(), false, None).await).await;
+    server.connection_switch().silence();
+    let pooled = complete(&client, server.address(), false, None);
+    assert!(timeout(Duration::from_millis(300), pooled).await.is_err());
+    let fresh: HttpClient = Client::builder(TokioExecutor::new()).build_http();
+    let answer = timeout(PATIENCE, complete(&fresh, server.address(), false, None)).await;
+    assert_eq!(answer.unwrap().status(), 200);
+}
