--- a/tests/standin_cluster.rs
+++ b/tests/standin_cluster.rs
@@ -9,11 +9,11 @@
 
 use {
     common::cluster::{Cluster, ClusterPlan},
-    greengagetrail::standin::ReferenceText,
+    greengagetrail::{load::StreamVerifier, standin::ReferenceText},
     hyper::{Method, StatusCode},
     serde_json::json,
     std::time::Duration,
-    tokio::time::{Instant, sleep},
+    tokio::time::{Instant, sleep, timeout},
 };
 
 #[tokio::test]
@@ -133,3 +133,27 @@
     }
     assert_eq!(cluster.plain.record().await["runs"], 2);
 }
+
+/// The longest silence before the first token that the test sets, in milliseconds.
+const FIRST_TOKEN_TIMEOUT_MS: u64 = 500;
+
+#[tokio::test]
+async fn silent_connections_to_engines_cost_a_bounded_wait() {
+    let mut plan = ClusterPlan::default();
+    plan.entry["first_token_timeout_ms"] = json!(FIRST_TOKEN_TIMEOUT_MS);
+    let cluster = Cluster::start_published(plan).await;
+    let entry = cluster.vms[0].callers_address;
+    for engine in &cluster.engines {
+        engine.command("silence").await;
+    }
+    // One timeout on the silent connection of each engine, and time to spare for a busy machine.
+    let longest = Duration::from_millis(FIRST_TOKEN_TIMEOUT_MS * 2) + Duration::from_secs(5);
+    let body = json!({"model": "model-0", "prompt": "hello", "max_tokens": 5, "stream": true});
+    let asked = cluster.caller.post(entry, "/v1/completions", &body);
+    let answer = timeout(longest, asked).await.unwrap().unwrap();
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+    let expected = ReferenceText::new("model-0", "hello");
+    let mut verifier = StreamVerifier::new(expected, 5);
+    verifier.take(&answer.body).unwrap();
+    assert_eq!(verifier.finish(), Ok(true));
+}
