--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -1,12 +1,14 @@
 //! A stand-in of a model engine.
 
 mod batch_queue;
+mod begin;
 mod control;
 mod events;
 mod faults;
 mod generation;
 mod inference;
 mod load_report;
+mod local_link;
 mod order_log;
 mod orders;
 mod prefix_cache;
--- a/src/standin/engine/orders.rs
+++ b/src/standin/engine/orders.rs
@@ -1,20 +1,21 @@
 //! How a stand-in engine takes and applies orders.
 
 use {
-    super::{Adapter, Model, OrderFate, Refusal, Stage, StandinEngine, standin_engine::State},
+    super::{
+        OrderFate, Stage, StandinEngine,
+        begin::{begin, is_load},
+        standin_engine::State,
+    },
     crate::{
         config::Fencing,
-        engine::{Action, Engine, EngineError, Order, OrderReply, Role, Status},
+        engine::{Action, Order, OrderReply, Role},
         standin::{BrokenOff, weights::LoadKind},
         units::{AdapterName, Incarnation, ModelName, OrderId},
     },
-    futures::future::{BoxFuture, FutureExt},
     std::time::Duration,
     tokio::time::sleep,
 };
 
-/// How long a caller in the same process waits for an answer that never comes, in milliseconds.
-const ANSWER_TIMEOUT_MS: u64 = 2_000;
 /// The time between two looks whether the last request on a model is done, in milliseconds.
 const IDLE_CHECK_INTERVAL_MS: u64 = 5;
 
@@ -194,94 +195,6 @@
     }
 }
 
-impl Engine for StandinEngine {
-    fn send(&self, order: Order) -> BoxFuture<'_, Result<OrderReply, EngineError>> {
-        async move {
-            self.check_link().await?;
-            let reply = self.receive(order).await;
-            reply.map_err(|cause| EngineError::Unknown(cause.to_string()))
-        }
-        .boxed()
-    }
-
-    fn status(&self) -> BoxFuture<'_, Result<Status, EngineError>> {
-        async move {
-            self.check_link().await?;
-            Ok(self.read_status())
-        }
-        .boxed()
-    }
-}
-
-impl StandinEngine {
-    async fn check_link(&self) -> Result<(), EngineError> {
-        let faults = self.faults();
-        if faults.down {
-            return Err(EngineError::Unreachable("connection refused".to_owned()));
-        }
-        if faults.silent {
-            sleep(Duration::from_millis(ANSWER_TIMEOUT_MS)).await;
-            return Err(EngineError::Unknown("no answer in time".to_owned()));
-        }
-        Ok(())
-    }
-}
-
-/// Starts an action; from here on a load takes memory.
-fn begin(state: &mut State, action: &Action) -> Result<(), Refusal> {
-    let State {
-        residents, record, ..
-    } = state;
-    match action {
-        Action::LoadModel {
-            model,
-            version,
-            memory_mib,
-        } => {
-            residents.add_model(Model {
-                name: model.clone(),
-                version: version.clone(),
-                memory_mib: *memory_mib,
-                stage: Stage::Loading,
-                running: 0,
-            })?;
-            record.model_loads += 1;
-        }
-        Action::LoadAdapter {
-            adapter,
-            model,
-            memory_mib,
-        } => {
-            residents.add_adapter(Adapter {
-                name: adapter.clone(),
-                model: model.clone(),
-                memory_mib: *memory_mib,
-                stage: Stage::Loading,
-                running: 0,
-            })?;
-            record.adapter_loads += 1;
-        }
-        Action::UnloadModel { model } => {
-            let model = residents.model_mut(model.as_str());
-            model.ok_or("the model is not in memory")?.stage = Stage::Unloading;
-            record.model_unloads += 1;
-        }
-        Action::UnloadAdapter { adapter } => {
-            let adapter = residents.adapter_mut(adapter.as_str());
-            adapter.ok_or("the adapter is not in memory")?.stage = Stage::Unloading;
-        }
-        Action::ChangeRole { .. } => record.role_changes += 1,
-    }
-    Ok(())
-}
-
-fn is_load(action: &Action) -> bool {
-    matches!(
-        action,
-        Action::LoadModel { .. } | Action::LoadAdapter { .. }
-    )
-}
-
 fn refused(reason: &str) -> OrderReply {
     OrderReply::Refused {
         reason: reason.to_owned(),
--- a/src/standin/kv/mod.rs
+++ b/src/standin/kv/mod.rs
@@ -1,5 +1,6 @@
 //! A stand-in of the key-value service.
 
+mod change_log;
 mod control;
 mod counts;
 mod faults;
--- a/src/standin/kv/state.rs
+++ b/src/standin/kv/state.rs
@@ -1,16 +1,13 @@
 //! The state of the key-value service, without input, output or clock.
 
 use {
-    super::Leases,
+    super::{Leases, change_log::ChangeLog},
     crate::store::{
         Change, Compare, Entry, Lease, LeaseId, Op, Range, StoreError, StoreVersion, Txn, TxnReply,
     },
     bytes::Bytes,
 };
 
-/// Changes kept for watches that start in the past.
-const LOG_MAX_CHANGES: usize = 20_000;
-
 #[derive(Debug, Clone)]
 struct StoredEntry {
     entry: Entry,
@@ -24,9 +21,8 @@
 pub struct KvState {
     entries: Vec<StoredEntry>,
     leases: Leases,
-    log: Vec<Change>,
+    log: ChangeLog,
     version: StoreVersion,
-    compacted: StoreVersion,
 }
 
 impl Default for KvState {
@@ -34,9 +30,8 @@
         Self {
             entries: Vec::new(),
             leases: Leases::default(),
-            log: Vec::new(),
+            log: ChangeLog::default(),
             version: StoreVersion(1),
-            compacted: StoreVersion(0),
         }
     }
 }
@@ -109,7 +104,7 @@
         }
         if changed {
             self.version = version;
-            self.trim_log();
+            self.log.trim();
         }
         Ok(TxnReply {
             succeeded,
@@ -162,18 +157,12 @@
         end: &str,
         since: StoreVersion,
     ) -> Result<Vec<Change>, StoreError> {
-        if since < self.compacted {
-            return Err(StoreError::Compacted);
-        }
-        let from = self.log.partition_point(|c| c.version() <= since);
-        let wanted = |c: &&Change| (start..end).contains(&c.key());
-        Ok(self.log[from..].iter().filter(wanted).cloned().collect())
+        self.log.since(start, end, since)
     }
 
     /// Forgets the changes up to and with `version`.
     pub fn compact(&mut self, version: StoreVersion) {
-        self.log.retain(|c| c.version() > version);
-        self.compacted = self.compacted.max(version);
+        self.log.compact(version);
     }
 
     fn position(&self, key: &str) -> Result<usize, usize> {
@@ -254,13 +243,6 @@
         for key in keys {
             self.delete(&key, self.version);
         }
-        self.trim_log();
-    }
-
-    fn trim_log(&mut self) {
-        if self.log.len() > LOG_MAX_CHANGES {
-            let cut = self.log[self.log.len() - LOG_MAX_CHANGES / 2].version();
-            self.compact(cut);
-        }
+        self.log.trim();
     }
 }
