--- a/src/placement/growth_step.rs
+++ b/src/placement/growth_step.rs
@@ -1,7 +1,13 @@
 //! Adds copies where they win enough answers.
 
 use {
-    super::{home_map, planner::Planner, room::Room, spread::Spread},
+    super::{
+        home_map,
+        planner::Planner,
+        relocation::Relocation,
+        room::Room,
+        spread::{CopyChange, Spread},
+    },
     std::collections::BTreeSet,
 };
 
@@ -20,10 +26,19 @@
 struct Candidate {
     model: usize,
     runner: usize,
-    room: Room,
+    way: Way,
     gain: f64,
 }
 
+/// How a runner comes to hold one more model.
+#[derive(Debug, PartialEq)]
+enum Way {
+    /// It has the room, or unloads copies.
+    Take(Room),
+    /// Other models are loaded elsewhere first.
+    Relocate(Vec<Relocation>),
+}
+
 impl Planner<'_> {
     /// Adds copies as long as one wins more answers than its moves cost.
     ///
@@ -40,7 +55,7 @@
                 return;
             };
             let changes = self.changes(&best);
-            self.take_up(best.runner, best.model, &best.room, false);
+            self.carry_out(&best);
             spread = spread.changed(&changes, &self.demand);
         }
     }
@@ -50,9 +65,7 @@
         let mut best: Option<Candidate> = None;
         for model in self.models_weighed(spread) {
             for mut candidate in self.candidates(model, spread) {
-                let changed = spread.changed(&self.changes(&candidate), &self.demand);
-                let won = lost_now - changed.lost_per_minute(&self.demand);
-                candidate.gain = won - self.cost(&candidate.room);
+                candidate.gain = self.gain(&candidate, spread, lost_now);
                 let beaten = best
                     .as_ref()
                     .is_some_and(|best| best.gain >= candidate.gain);
@@ -64,6 +77,23 @@
         best
     }
 
+    /// Returns the answers per minute that a candidate wins beyond what its moves cost.
+    ///
+    /// The copy must be worth its own load even once what it drives out is gone, else that
+    /// would come back in its place.
+    fn gain(&self, candidate: &Candidate, spread: &Spread, lost_now: f64) -> f64 {
+        let changes = self.changes(candidate);
+        let changed = spread.changed(&changes, &self.demand);
+        let lost_then = changed.lost_per_minute(&self.demand);
+        let gain = lost_now - lost_then - self.cost(&candidate.way);
+        if changes.len() == 1 {
+            return gain;
+        }
+        let without = spread.changed(&changes[1..], &self.demand);
+        let weight = self.input.catalog.deployment.move_weight;
+        gain.min(without.lost_per_minute(&self.demand) - lost_then - weight)
+    }
+
     /// Returns the models with the most demand among those whose runners are loaded.
     fn models_weighed(&self, spread: &Spread) -> Vec<usize> {
         let loaded = |&model: &usize| {
@@ -98,13 +128,11 @@
         let mut candidates = Vec::new();
         let (mut with_room, mut without) = (0, 0);
         for runner in runners {
-            let Some(room) = self.room(runner, model) else {
+            let Some(way) = self.way(runner, model) else {
                 continue;
             };
-            if self.takes_second_place(runner, &room) {
-                continue;
-            }
-            let count = if room == Room::Now {
+            let has_room = way == Way::Take(Room::Now);
+            let count = if has_room {
                 &mut with_room
             } else {
                 &mut without
@@ -114,7 +142,7 @@
                 candidates.push(Candidate {
                     model,
                     runner,
-                    room,
+                    way,
                     gain: 0.0,
                 });
             }
@@ -125,36 +153,48 @@
         candidates
     }
 
+    /// Finds a way for a runner to hold one more model.
+    fn way(&self, runner: usize, model: usize) -> Option<Way> {
+        let room = self.room(runner, model);
+        if let Some(room) = room {
+            return Some(Way::Take(room));
+        }
+        if self.loads_in(self.places[runner]) {
+            return None;
+        }
+        let image = &self.image.runners[runner];
+        let room_mib = image.free_mib + image.coming_mib(self.image.catalog);
+        let relocations = self.relocations(runner, model, room_mib);
+        relocations.map(Way::Relocate)
+    }
+
+    fn carry_out(&mut self, candidate: &Candidate) {
+        match &candidate.way {
+            Way::Take(room) => self.take_up(candidate.runner, candidate.model, room, false),
+            Way::Relocate(relocations) => {
+                for &(other, target) in relocations {
+                    self.take_up(target, other, &Room::Now, false);
+                }
+            }
+        }
+    }
+
     /// Finds free room in a second data centre for a hot model with copies in one.
     fn second_place(&self, spread: &Spread) -> Option<Candidate> {
         (0..self.demand.len())
             .filter(|&model| self.is_hot(model) && self.may_grow(model))
             .find_map(|model| {
-                let places = self.places_of(model, None);
+                let places = self.places_of(model);
                 if places.len() != 1 {
                     return None;
                 }
                 let candidates = self.candidates(model, spread).into_iter();
                 candidates
-                    .filter(|candidate| candidate.room == Room::Now)
+                    .filter(|candidate| candidate.way == Way::Take(Room::Now))
                     .find(|candidate| !places.contains(&self.places[candidate.runner]))
             })
     }
 
-    /// Tells whether making this room would leave a hot model in one data centre.
-    fn takes_second_place(&self, runner: usize, room: &Room) -> bool {
-        let Room::After(victims) = room else {
-            return false;
-        };
-        let copies = &self.image.runners[runner].copies;
-        let models = victims
-            .iter()
-            .filter_map(|&position| copies[position].model);
-        models
-            .filter(|&model| self.is_hot(model))
-            .any(|model| self.places_of(model, Some(runner)).len() < 2)
-    }
-
     /// Tells whether a model has so many callers that it is kept in two data centres.
     fn is_hot(&self, model: usize) -> bool {
         let weight = self.input.catalog.deployment.move_weight;
@@ -162,30 +202,40 @@
         per_minute >= (weight * HOT_FACTOR).max(1.0)
     }
 
-    /// Returns the data centres that hold a model, one runner left out.
-    fn places_of(&self, model: usize, without: Option<usize>) -> BTreeSet<usize> {
+    /// Returns the data centres that hold a model.
+    fn places_of(&self, model: usize) -> BTreeSet<usize> {
         let holders = self.image.holders(model);
-        let others = holders.filter(|&runner| Some(runner) != without);
-        others.map(|runner| self.places[runner]).collect()
+        holders.map(|runner| self.places[runner]).collect()
     }
 
-    fn cost(&self, room: &Room) -> f64 {
-        let unloads = match room {
-            Room::Now | Room::Coming => 0,
-            Room::After(victims) => victims.len(),
+    fn cost(&self, way: &Way) -> f64 {
+        let others = match way {
+            Way::Take(Room::Now | Room::Coming) => 0,
+            Way::Take(Room::After(victims)) => victims.len(),
+            Way::Relocate(relocations) => 2 * relocations.len(),
         };
-        self.input.catalog.deployment.move_weight * (1 + unloads) as f64
+        self.input.catalog.deployment.move_weight * (1 + others) as f64
     }
 
-    /// Returns the copies that a candidate adds and removes.
-    fn changes(&self, candidate: &Candidate) -> Vec<(usize, usize, bool)> {
-        let mut changes = vec![(candidate.model, candidate.runner, true)];
-        if let Room::After(victims) = &candidate.room {
-            let copies = &self.image.runners[candidate.runner].copies;
-            let models = victims
-                .iter()
-                .filter_map(|&position| copies[position].model);
-            changes.extend(models.map(|model| (model, candidate.runner, false)));
+    /// Returns the copies that a candidate adds and removes in the end.
+    fn changes(&self, candidate: &Candidate) -> Vec<CopyChange> {
+        let runner = candidate.runner;
+        let mut changes = vec![CopyChange::added(candidate.model, runner)];
+        match &candidate.way {
+            Way::Take(Room::After(victims)) => {
+                let copies = &self.image.runners[runner].copies;
+                let models = victims
+                    .iter()
+                    .filter_map(|&position| copies[position].model);
+                changes.extend(models.map(|model| CopyChange::removed(model, runner)));
+            }
+            Way::Relocate(relocations) => {
+                for &(other, target) in relocations {
+                    changes.push(CopyChange::added(other, target));
+                    changes.push(CopyChange::removed(other, runner));
+                }
+            }
+            Way::Take(Room::Now | Room::Coming) => {}
         }
         changes
     }
--- a/src/placement/minimum_step.rs
+++ b/src/placement/minimum_step.rs
@@ -78,50 +78,14 @@
         let runners = (0..self.image.runners.len()).filter(|&runner| self.places[runner] == place);
         let relocations = runners
             .filter(|&runner| self.image.may_take(runner, model))
-            .find_map(|runner| self.relocations(runner, model));
+            .find_map(|runner| {
+                let room_mib = self.room_at_most_mib(runner);
+                self.relocations(runner, model, room_mib)
+            });
         for (other, target) in relocations.unwrap_or_default() {
             self.take_up(target, other, &Room::Now, true);
         }
     }
-
-    /// Finds which models to load on which runners so that a model gets room on `runner`.
-    fn relocations(&self, runner: usize, model: usize) -> Option<Vec<(usize, usize)>> {
-        let size_mib = self.image.size_mib(model);
-        let mut room_mib = self.room_at_most_mib(runner);
-        let mut image = self.image.clone();
-        let mut relocations = Vec::new();
-        for copy in &self.image.runners[runner].copies {
-            let Some(other) = copy.model else {
-                continue;
-            };
-            if room_mib >= size_mib {
-                break;
-            }
-            if !copy.ready || copy.dropped || self.image.holders(other).count() > 1 {
-                continue;
-            }
-            let other_mib = self.image.size_mib(other);
-            let target = (0..image.runners.len()).find(|&target| {
-                target != runner
-                    && self.places[target] == self.places[runner]
-                    && image.may_take(target, other)
-                    && image.runners[target].free_mib >= other_mib
-            });
-            if let Some(target) = target {
-                image.load(target, other);
-                relocations.push((other, target));
-                room_mib += other_mib;
-            }
-        }
-        (room_mib >= size_mib).then_some(relocations)
-    }
-
-    fn loads_in(&self, place: usize) -> bool {
-        let runners = self.image.runners.iter().zip(&self.places);
-        let here = runners.filter(|(image, at)| image.usable && **at == place);
-        here.flat_map(|(image, _)| &image.copies)
-            .any(|copy| !copy.ready && !copy.dropped)
-    }
 }
 
 fn unloads(room: &Room) -> usize {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -12,6 +12,7 @@
 mod minimum_step;
 mod plan;
 mod planner;
+mod relocation;
 mod room;
 mod spread;
 
--- a/src/placement/spread.rs
+++ b/src/placement/spread.rs
@@ -18,6 +18,31 @@
     pub tokens_per_s: f64,
 }
 
+/// A copy that is added or removed.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CopyChange {
+    model: usize,
+    runner: usize,
+    added: bool,
+}
+
+impl CopyChange {
+    pub fn added(model: usize, runner: usize) -> Self {
+        Self {
+            model,
+            runner,
+            added: true,
+        }
+    }
+
+    pub fn removed(model: usize, runner: usize) -> Self {
+        Self {
+            added: false,
+            ..Self::added(model, runner)
+        }
+    }
+}
+
 /// How the demand spreads over the copies of an image.
 #[derive(Debug, Clone)]
 pub(super) struct Spread {
@@ -55,14 +80,14 @@
         spread
     }
 
-    /// Returns the spread with other copies of some models; `changes` adds or removes runners.
+    /// Returns the spread with other copies of some models.
     ///
     /// It is the one that [`Spread::new`] finds for such an image, so that estimates agree from
     /// one round of planning to the next.
-    pub fn changed(&self, changes: &[(usize, usize, bool)], demand: &[ModelDemand]) -> Self {
+    pub fn changed(&self, changes: &[CopyChange], demand: &[ModelDemand]) -> Self {
         let mut holders = self.holders.clone();
-        for &(model, runner, added) in changes {
-            change(&mut holders[model], runner, added);
+        for change in changes {
+            apply(change, &mut holders[change.model]);
         }
         Self::with_holders(self.capacities.clone(), holders, demand)
     }
@@ -122,11 +147,11 @@
     }
 }
 
-/// Adds a runner to a sorted list of holders or removes it.
-fn change(holders: &mut Vec<usize>, runner: usize, added: bool) {
-    match holders.binary_search(&runner) {
-        Err(position) if added => holders.insert(position, runner),
-        Ok(position) if !added => {
+/// Applies a change to the sorted holders of its model.
+fn apply(change: &CopyChange, holders: &mut Vec<usize>) {
+    match holders.binary_search(&change.runner) {
+        Err(position) if change.added => holders.insert(position, change.runner),
+        Ok(position) if !change.added => {
             holders.remove(position);
         }
         _ => {}
