Publish above heads that were heard of but not fetched yet

Cause: a publishing VM went only by the head that it had in force, although a newer one could be on its way to it while the service had been restored below that.

--- a/src/config/follow/follower.rs
+++ b/src/config/follow/follower.rs
@@ -76,6 +76,7 @@
 #[derive(Debug, Default)]
 pub struct Follower {
     current: Option<Configuration>,
+    newest_seen: Option<Head>,
     store_behind: Option<(Instant, Head)>,
     diverged: Option<Head>,
 }
@@ -95,6 +96,9 @@
     /// Takes note of a head that was heard of.
     pub fn observe(&mut self, head: &Head, origin: HeadOrigin) -> Standing {
         let standing = self.standing(head);
+        if standing == Standing::Newer {
+            self.note_newer(head);
+        }
         if origin == HeadOrigin::Store {
             self.note_store(head, standing);
         }
@@ -121,6 +125,20 @@
         }
     }
 
+    fn note_newer(&mut self, head: &Head) {
+        let seen = self.newest_seen.as_ref().map(|seen| seen.revision);
+        if seen < Some(head.revision) {
+            self.newest_seen = Some(head.clone());
+        }
+    }
+
+    /// Returns the newest head that was heard of or is in force; a publication goes above it.
+    pub fn newest_known(&self) -> Option<&Head> {
+        let in_force = self.current.as_ref().map(|current| &current.head);
+        let heads = self.newest_seen.iter().chain(in_force);
+        heads.max_by_key(|head| head.revision)
+    }
+
     fn note_store(&mut self, head: &Head, standing: Standing) {
         if standing != Standing::Older {
             self.store_behind = None;
--- a/src/keeper/operator_service.rs
+++ b/src/keeper/operator_service.rs
@@ -65,7 +65,7 @@
         };
         let outcome = self
             .publisher
-            .publish(&publication, || self.state.head())
+            .publish(&publication, || self.state.newest_known())
             .await
             .map_err(failed)?;
         if let PublishOutcome::Published(head) = &outcome {
--- a/src/keeper/state.rs
+++ b/src/keeper/state.rs
@@ -87,6 +87,11 @@
         inner.follower.current().map(|current| current.head.clone())
     }
 
+    /// Returns the newest head that was heard of or is in force.
+    pub fn newest_known(&self) -> Option<Head> {
+        self.inner.borrow().follower.newest_known().cloned()
+    }
+
     /// Takes note of a head that was heard of.
     pub fn observe_head(&self, head: &Head, origin: HeadOrigin) -> Standing {
         self.inner.borrow_mut().follower.observe(head, origin)
--- a/tests/common/follower_vm.rs
+++ b/tests/common/follower_vm.rs
@@ -143,11 +143,21 @@
         follower.current().map(|current| current.head.clone())
     }
 
+    /// Returns the newest head that was heard of.
+    pub fn newest_known(&self) -> Option<Head> {
+        self.follower.borrow().newest_known().cloned()
+    }
+
     /// Asks all live VMs for their heads and returns the newest.
     pub async fn ask_peers(&self) -> Option<Head> {
         sleep(LATENCY * 2).await;
-        let heads = self.peers().into_iter().filter_map(|peer| peer.head());
-        heads.chain(self.head()).max_by_key(|head| head.revision)
+        let heads = self
+            .peers()
+            .into_iter()
+            .filter_map(|peer| peer.newest_known());
+        heads
+            .chain(self.newest_known())
+            .max_by_key(|head| head.revision)
     }
 
     fn follows_anything(&self) -> bool {
--- a/tests/config_follow.rs
+++ b/tests/config_follow.rs
@@ -97,6 +97,17 @@
     assert_eq!(*follower.current().unwrap().catalog, sample_catalog(8));
 }
 
+#[tokio::test(start_paused = true)]
+async fn newest_known_head_counts_before_its_content_is_fetched() {
+    let mut follower = follower_at(5);
+    assert_eq!(follower.newest_known().unwrap().revision, Revision(5));
+    for (revision, newest) in [(8, 8), (7, 8), (9, 9), (4, 9)] {
+        follower.observe(&head(revision, &snapshot(2)), HeadOrigin::Peer);
+        assert_eq!(follower.newest_known().unwrap().revision, Revision(newest));
+        assert_eq!(follower.revision(), Revision(5));
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn snapshot_must_be_the_one_that_the_head_names() {
     let mut follower = follower_at(1);
--- a/tests/config_history.rs
+++ b/tests/config_history.rs
@@ -138,7 +138,7 @@
     let call = heads.call();
     let asked = vm.ask_peers().await;
     let known = || {
-        let heads = asked.clone().into_iter().chain(vm.head());
+        let heads = asked.clone().into_iter().chain(vm.newest_known());
         heads.max_by_key(|head| head.revision)
     };
     let outcome = publisher.publish(&attempt, known).await;
