--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -3,6 +3,7 @@
 use {
     super::CliError,
     crate::config::{ConfigFault, Head},
+    jiff::Timestamp,
     serde_json::{Value, json},
     std::io::Write,
 };
@@ -64,10 +65,23 @@
     })
 }
 
-/// Returns one line on a head.
+/// Returns what an operator needs to know of a head.
 pub fn describe_head(head: &Head) -> String {
     format!(
-        "revision {}  {}  {}  publish id {}\n    {}",
-        head.revision, head.author, head.published_at_ms, head.publish_id, head.message
+        "revision {}  {}  by {}  publish id {}\n    {}",
+        head.revision,
+        describe_time(head.published_at_ms),
+        head.author,
+        head.publish_id,
+        head.message
     )
 }
+
+/// Returns a time as RFC 3339 text in UTC.
+fn describe_time(unix_ms: u64) -> String {
+    let timestamp = i64::try_from(unix_ms).map(Timestamp::from_millisecond);
+    match timestamp {
+        Ok(Ok(timestamp)) => timestamp.to_string(),
+        _ => format!("{unix_ms} ms"),
+    }
+}
--- a/tests/cli_ggt.rs
+++ b/tests/cli_ggt.rs
@@ -3,9 +3,10 @@
 use {
     greengagetrail::{
         cli::{
-            CliError, EXIT_DONE, EXIT_REFUSED, EXIT_USAGE, OperatorClient, OperatorPublication, run,
+            CliError, EXIT_DONE, EXIT_REFUSED, EXIT_USAGE, OperatorClient, OperatorPublication,
+            describe_head, run,
         },
-        config::{SNAPSHOTS_KEPT_MAX, check_parsed, read_dir},
+        config::{Digest, Head, SNAPSHOTS_KEPT_MAX, check_parsed, read_dir},
         keeper::{GateRoles, GateService, KeeperState, OperatorService},
         peer::{SharedKey, serve},
         standin::kv::{KvFaults, MemoryStore},
@@ -413,3 +414,20 @@
     let kept = keeper.ggt(&["show", "--revision", "4", "--json"]).json();
     assert_eq!(kept["objects"][0]["move_weight"], 3.5);
 }
+
+#[test]
+fn heads_are_printed_for_people() {
+    let head = Head {
+        revision: Revision(7),
+        digest: Digest::of(b""),
+        publish_id: PublishId(10),
+        author: "ama".to_owned(),
+        message: "Captions get a second copy".to_owned(),
+        published_at_ms: 1_796_331_600_250,
+    };
+    assert_eq!(
+        describe_head(&head),
+        "revision 7  2026-12-03T21:00:00.25Z  by ama  publish id \
+         0000000000000000000000000000000a\n    Captions get a second copy"
+    );
+}
