Settle the fleet of the keeper's bench where its planner wants the copies

Cause: the planner's rows held traffic of moves that the fakes never carried out (14.5 KB/s quiet, 45 KB/s with 4 record writes a second, against 2.7 KB/s more for a member). Change: one copy per model in the home that the planner names, and no growth.

--- a/benches/keeper/fleet_size.rs
+++ b/benches/keeper/fleet_size.rs
@@ -2,9 +2,10 @@
 
 use {
     greengagetrail::{
-        config::{Adapter, Catalog, DataCentre, Fencing, Model, Runner},
+        config::{Adapter, Catalog, DataCentre, Fencing, Model, Placement, Runner},
         fleet::{Owner, RecordModel, RunnerRecord},
         membership::Member,
+        placement::HomeMap,
         units::{DataCentreName, Epoch, Incarnation, MemoryMib},
     },
     std::net::SocketAddr,
@@ -74,6 +75,7 @@
             models: (0..self.models)
                 .map(|index| model(index, version))
                 .collect(),
+            placements: (0..self.models).map(single_copy).collect(),
             adapters: (0..self.models * 3)
                 .map(|index| self.adapter(index))
                 .collect(),
@@ -110,8 +112,25 @@
         }
     }
 
-    /// Returns the record of a runner; the models are spread over the runners in turn.
-    pub fn record(self, index: usize, epoch: u64) -> RunnerRecord {
+    /// Returns the models of each runner: each model has one copy, where its planner wants it.
+    pub fn assign(self, catalog: &Catalog) -> Vec<Vec<usize>> {
+        let homes = HomeMap::new(catalog, &vec![true; self.runners]);
+        let mut held = vec![Vec::new(); self.runners];
+        for model in 0..self.models {
+            let name = format!("model-{model}").parse().unwrap();
+            let home = homes
+                .homes(catalog, &name)
+                .next()
+                .expect("every model has a home");
+            let near = (0..self.runners).filter(|&runner| self.data_centre(runner) == *home);
+            let emptiest = near.min_by_key(|&runner| held[runner].len()).unwrap();
+            held[emptiest].push(model);
+        }
+        held
+    }
+
+    /// Returns the record of a runner that holds some models.
+    pub fn record(self, index: usize, epoch: u64, models: &[usize]) -> RunnerRecord {
         let runner = self.runner(index, "127.0.0.1:1".parse().unwrap());
         let mut record = RunnerRecord::new(runner.name);
         record.owner = Some(Owner {
@@ -123,14 +142,22 @@
         record.epoch = Epoch(epoch);
         record.engine = Incarnation(1);
         record.adapter_pool_mib = runner.adapter_pool_mib;
-        let held = (0..self.models).filter(|model| model % self.runners == index);
-        let second = (0..self.models).filter(|model| (model + 7) % self.runners == index);
-        record.models = held.chain(second).map(resident).collect();
+        record.models = models.iter().copied().map(resident).collect();
         record.models.sort_by(|a, b| a.model.cmp(&b.model));
         record
     }
 }
 
+fn single_copy(index: usize) -> Placement {
+    Placement {
+        name: format!("placement-{index}").parse().unwrap(),
+        model: format!("model-{index}").parse().unwrap(),
+        data_centres: Vec::new(),
+        copies_min: 1,
+        copies_max: 1,
+    }
+}
+
 fn model(index: usize, version: &str) -> Model {
     let version = if index == 0 { version } else { "1" };
     Model {
--- a/benches/keeper/rig.rs
+++ b/benches/keeper/rig.rs
@@ -66,6 +66,7 @@
     keeper: Process,
     bytes: ByteCount,
     engine: SocketAddr,
+    held: Vec<Vec<usize>>,
     epoch: Cell<u64>,
     head: RefCell<Option<Head>>,
     peers: KeeperState,
@@ -104,6 +105,7 @@
             keeper,
             bytes,
             engine,
+            held: size.assign(&size.catalog(engine, "1")),
             epoch: Cell::new(1),
             head: RefCell::default(),
             peers,
@@ -265,7 +267,7 @@
     }
 
     async fn write_record(&self, index: usize) {
-        let record = self.size.record(index, self.epoch.get());
+        let record = self.size.record(index, self.epoch.get(), &self.held[index]);
         let value = serde_json::to_vec(&record).unwrap();
         put(&self.store, runner_key(&record.name), value).await;
     }
