--- a/src/entry/idempotency/claims.rs
+++ b/src/entry/idempotency/claims.rs
@@ -33,6 +33,9 @@
 /// The longest wait for a claim.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// The tries that find the store unreachable before a claim is given up.
+const UNREACHABLE_MAX: u32 = 3;
+
 /// The wait before a failed transaction is tried again.
 const TXN_RETRY: Duration = Duration::from_millis(25);
 
@@ -113,9 +116,11 @@
     /// Writes one batch; a transaction without an answer is repeated, which then finds what it did.
     async fn write_batch(&self, batch: Vec<PendingClaim>) -> Vec<PendingClaim> {
         let deadline = Instant::now() + CLAIM_TIMEOUT;
-        while Instant::now() < deadline {
+        let mut unreachable = 0;
+        while Instant::now() < deadline && unreachable < UNREACHABLE_MAX {
             match self.try_write(&batch).await {
                 Ok(reply) => return settle(batch, &reply),
+                Err(StoreError::Unreachable(_)) => unreachable += 1,
                 Err(cause) => log::debug!("entry: claims not written: {cause}"),
             }
             if batch.iter().all(|claim| claim.reply.is_closed()) {
--- a/tests/entry_services.rs
+++ b/tests/entry_services.rs
@@ -311,6 +311,7 @@
     assert!(booked.iter().all(|got| got.status == StatusCode::CREATED));
     assert_eq!(desk.received().len(), 200);
     let txns = rig.store.counts().txn;
+    println!("200 claims took {txns} transactions");
     assert!(txns <= 100, "200 claims took {txns} transactions");
 }
 
@@ -364,3 +365,41 @@
     let cut = rig.get("/services/desk/cut").await;
     assert!(!cut.whole && cut.body.len() < LONG);
 }
+
+#[tokio::test]
+async fn an_outage_of_the_store_refuses_claims_and_no_tickets() {
+    const BOOKINGS: usize = 100;
+    let desk = FakeBackend::start(booked).await;
+    let rig = Plan::new().service("desk", &[&desk], 5000).start().await;
+    let path = format!("/services/desk/.tickets?count={BOOKINGS}");
+    let minted = rig.post(&path, &[], "").await.json();
+    let tickets: Vec<String> = serde_json::from_value(minted["keys"].clone()).unwrap();
+    rig.store.set_faults(KvFaults {
+        down: true,
+        ..KvFaults::default()
+    });
+    let claims: Vec<String> = (0..BOOKINGS)
+        .map(|number| format!("sale-{number}"))
+        .collect();
+    let started = Instant::now();
+    let by_claim = futures::future::join_all(claims.iter().map(|key| book(&rig, Some(key)))).await;
+    let claims_took = started.elapsed();
+    let by_ticket =
+        futures::future::join_all(tickets.iter().map(|key| book(&rig, Some(key)))).await;
+    let refused = |answers: &[Answer]| {
+        let refused = answers.iter().filter(|got| got.outcome() == "not-run");
+        refused.count()
+    };
+    println!(
+        "refused of {BOOKINGS}: by claim {} (in {claims_took:?}), by ticket {}",
+        refused(&by_claim),
+        refused(&by_ticket)
+    );
+    assert_eq!((refused(&by_claim), refused(&by_ticket)), (BOOKINGS, 0));
+    assert!(
+        by_ticket
+            .iter()
+            .all(|got| got.status == StatusCode::CREATED)
+    );
+    assert_eq!(desk.received().len(), BOOKINGS);
+}
