--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -2,18 +2,20 @@
 
 use {
     super::{
-        DemandCounter, EntryMetrics, EntrySettings, Forwarder, InferenceRequest, KeyGuard,
-        LeavingRunners, OpenRequest, OpenRequests, Report, RouteFollower, ViewReceiver,
+        BodySpace, DemandCounter, EntryMetrics, EntrySettings, Forwarder, InferenceRequest,
+        KeyGuard, LeavingRunners, OpenRequest, OpenRequests, Report, ReservedSpace, RouteFollower,
+        ViewReceiver,
     },
     crate::{
         admission::{Admission, RetryBudget},
         fleet::Demand,
-        http::{Body, Client, Problem, REQUEST_ID, ReadError},
+        http::{Body, Client, Problem, REQUEST_ID, ReadError, read_body},
         routing::LoadBoard,
         store::SharedStore,
         telemetry::REQUESTS,
         units::{Incarnation, RequestId, RunnerName, ServiceName},
     },
+    bytes::Bytes,
     hyper::{Method, Request, Response, StatusCode, body::Incoming},
     std::{
         sync::{Arc, Mutex, PoisonError},
@@ -50,6 +52,7 @@
     pub(super) keys: KeyGuard,
     demand: DemandCounter,
     open: OpenRequests,
+    space: BodySpace,
     suspects: Mutex<Vec<RunnerName>>,
 }
 
@@ -70,6 +73,7 @@
             metrics: EntryMetrics::new(),
             keys: KeyGuard::new(&settings, parts.store, parts.forwarder),
             demand: DemandCounter::default(),
+            space: BodySpace::new(settings.bodies_max_bytes),
             open: OpenRequests::new(settings.open_requests_max),
             suspects: Mutex::default(),
             settings,
@@ -118,10 +122,19 @@
     }
 
     pub(super) fn open(&self) -> Result<OpenRequest, Problem> {
-        self.open.open().ok_or_else(|| {
-            let detail = "this entry has no place for another request";
-            Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "entry-full", detail)
-                .retry_after(FULL_RETRY_AFTER)
+        self.open.open().ok_or_else(entry_full)
+    }
+
+    /// Reads the body of a caller's request; its memory is reserved first.
+    pub(super) async fn read_body(&self, body: Incoming) -> Result<ReadBody, Problem> {
+        let limit_bytes = self.settings.body_max_bytes;
+        let space = self.space.reserve(&body, limit_bytes);
+        let space = space.ok_or_else(entry_full)?;
+        let timeout = Duration::from_millis(self.settings.read_timeout_ms);
+        let bytes = read_body(body, limit_bytes, timeout).await;
+        Ok(ReadBody {
+            bytes: bytes.map_err(read_problem)?,
+            space,
         })
     }
 
@@ -160,14 +173,22 @@
     pub(super) fn report_soon(&self) {
         self.report_wanted.notify_one();
     }
+}
 
-    pub(super) fn read_timeout(&self) -> Duration {
-        Duration::from_millis(self.settings.read_timeout_ms)
-    }
+/// The body of a caller's request.
+pub(super) struct ReadBody {
+    pub(super) bytes: Bytes,
+    pub(super) space: ReservedSpace,
+}
+
+fn entry_full() -> Problem {
+    let detail = "this entry has no place for another request";
+    Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "entry-full", detail)
+        .retry_after(FULL_RETRY_AFTER)
 }
 
 /// Describes a request whose body could not be read; it did not run.
-pub(super) fn read_problem(cause: ReadError) -> Problem {
+fn read_problem(cause: ReadError) -> Problem {
     let (status, kind) = match cause {
         ReadError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
         ReadError::TooSlow => (StatusCode::REQUEST_TIMEOUT, "body-too-slow"),
--- a/src/entry/inference_request.rs
+++ b/src/entry/inference_request.rs
@@ -1,7 +1,7 @@
 //! A caller's request to a model, as far as the entry reads it.
 
 use {
-    super::EventId,
+    super::{EventId, ReservedSpace},
     crate::{
         admission::ClassTargets,
         config::{Catalog, ServiceTarget},
@@ -84,6 +84,8 @@
     pub prefix_hash: Option<u64>,
     /// When it arrived.
     pub arrived: Instant,
+    /// The memory reserved for its body.
+    pub space: Option<ReservedSpace>,
 }
 
 impl InferenceRequest {
@@ -116,6 +118,7 @@
             class,
             prefix_hash,
             arrived: Instant::now(),
+            space: None,
         })
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,24 +2,32 @@
 
 mod attempt;
 mod backend;
+mod body_space;
 mod call;
 mod choose;
+mod copy_choice;
 mod demand;
 #[allow(clippy::module_inception)]
 mod entry;
 mod entry_metrics;
 mod event_id;
+mod forward_call;
 mod forward_link;
 mod forward_service;
 mod forward_wire;
 mod idempotency;
 mod inference;
 mod inference_request;
+mod joined;
+mod key_problem;
 mod leaving;
 mod load_header;
+mod long_answer;
 mod models;
 mod open_requests;
 mod relay;
+mod response_head;
+mod resume;
 mod routes;
 mod run;
 mod serve;
@@ -29,12 +37,14 @@
 mod settings;
 mod sse;
 mod stream_check;
+mod stream_source;
+mod ticket_call;
 mod view;
 
-use {attempt::*, entry::read_problem, relay::*};
+use {attempt::*, joined::*, key_problem::*, relay::*, response_head::*, stream_source::*};
 pub use {
-    backend::*, call::*, choose::*, demand::*, entry::*, entry_metrics::*, event_id::*,
-    forward_link::*, idempotency::*, inference_request::*, leaving::*, load_header::*,
+    backend::*, body_space::*, call::*, choose::*, demand::*, entry::*, entry_metrics::*,
+    event_id::*, forward_link::*, idempotency::*, inference_request::*, leaving::*, load_header::*,
     open_requests::*, routes::*, run::*, service_request::*, settings::*, sse::*, stream_check::*,
     view::*,
 };
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -2,64 +2,35 @@
 
 use {
     super::{
-        Attempt, Attempts, BreakReason, Call, Dispatched, DropReason, Entry, Idempotent,
-        InferenceRequest, OpenRequest, SseParser, StreamCheck, Verdict, parse_load,
+        Attempt, DropReason, Entry, InferenceRequest, Joined, OpenRequest, StreamCheck,
+        StreamFault, StreamSource, Verdict, parse_load,
     },
     crate::{
         admission::Permit,
-        http::{
-            Body, BodyError, Connection, Outcome, Problem, RESUMABLE, TOKENS_PER_EVENT, has_header,
-        },
-        routing::InFlight,
+        http::{Body, BodyError, Problem},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     futures::stream,
-    http_body_util::BodyExt,
-    hyper::{StatusCode, body::Incoming, header},
-    rand::RngExt,
     std::{sync::Arc, time::Duration},
-    tokio::{
-        task,
-        time::{self, Instant},
-    },
+    tokio::{task, time::Instant},
 };
 
-/// The most resumptions of a stream without a new token between them.
-const FRUITLESS_RESUMPTIONS_MAX: u32 = 3;
-
-/// The longest wait before the first resumption; it grows with each fruitless one.
-const RESUME_PAUSE_MAX: Duration = Duration::from_millis(20);
-
-/// The longest wait for the end of a body whose last event was read.
-const END_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// An answer on its way from a model engine to a caller.
 pub(super) struct Relay {
-    entry: Arc<Entry>,
-    request: InferenceRequest,
-    check: StreamCheck,
-    source: Option<Source>,
-    phase: Phase,
-    fruitless: u32,
+    pub(super) entry: Arc<Entry>,
+    pub(super) request: InferenceRequest,
+    pub(super) check: StreamCheck,
+    pub(super) source: Option<StreamSource>,
+    pub(super) phase: Phase,
+    pub(super) fruitless: u32,
     first_token_at: Option<Instant>,
     last_token_at: Option<Instant>,
     permit: Permit,
     _open: OpenRequest,
 }
 
-/// The stream that is being read.
-struct Source {
-    call: Call<Dispatched>,
-    body: Incoming,
-    connection: Connection,
-    in_flight: InFlight,
-    parser: SseParser,
-    alive_at: Instant,
-    resumable: bool,
-    tokens_per_event: u64,
-}
-
-enum Phase {
+/// What a relay does next.
+pub(super) enum Phase {
     Relaying,
     Finished,
     Failed(Problem),
@@ -67,14 +38,6 @@
     Ended,
 }
 
-/// Why a stream must be resumed.
-#[derive(Debug)]
-enum Fault {
-    Cut(String),
-    Silent,
-    Broken(BreakReason),
-}
-
 impl Relay {
     pub(super) fn new(
         entry: Arc<Entry>,
@@ -83,7 +46,7 @@
         permit: Permit,
         open: OpenRequest,
     ) -> Self {
-        let source = Source::new(attempt);
+        let source = StreamSource::new(attempt);
         let mut check = StreamCheck::new(request.id, source.resumable);
         check.set_tokens_per_event(source.tokens_per_event);
         Self {
@@ -102,7 +65,7 @@
 
     /// Turns the relay into a body for the caller.
     pub(super) fn into_body(self) -> Body {
-        let chunks = stream::unfold(self, |mut relay| async move {
+        let chunks = stream::unfold(Box::new(self), |mut relay| async move {
             let chunk = relay.next().await?;
             Some((chunk, relay))
         });
@@ -119,7 +82,9 @@
                 }
                 Phase::Finished => {
                     self.phase = Phase::Ended;
-                    self.recycle().await;
+                    if let Some(source) = self.source.take() {
+                        source.recycle().await;
+                    }
                 }
                 Phase::Failed(problem) => {
                     self.phase = Phase::Aborting;
@@ -145,7 +110,7 @@
         let limit = self.silence_limit();
         let read = match &mut self.source {
             Some(source) => source.read(limit).await,
-            None => Err(Fault::Cut("there is no stream".to_owned())),
+            None => Err(StreamFault::Cut("there is no stream".to_owned())),
         };
         let (bytes, fault) = match read {
             Ok(chunk) => self.accept(chunk),
@@ -168,12 +133,12 @@
         })
     }
 
-    fn accept(&mut self, chunk: Bytes) -> (Bytes, Option<Fault>) {
+    fn accept(&mut self, chunk: Bytes) -> (Bytes, Option<StreamFault>) {
         let Some(source) = &mut self.source else {
             return (Bytes::new(), None);
         };
         if let Err(cause) = source.parser.push(chunk) {
-            return (Bytes::new(), Some(Fault::Cut(cause.to_string())));
+            return (Bytes::new(), Some(StreamFault::Cut(cause.to_string())));
         }
         let mut accepted = Joined::default();
         while let Some(event) = source.parser.next_event() {
@@ -183,7 +148,9 @@
             match self.check.judge(&event) {
                 Verdict::Comment => source.alive_at = Instant::now(),
                 Verdict::Drop(reason) => count_drop(reason),
-                Verdict::Break(reason) => return (accepted.finish(), Some(Fault::Broken(reason))),
+                Verdict::Break(reason) => {
+                    return (accepted.finish(), Some(StreamFault::Broken(reason)));
+                }
                 Verdict::Deliver => {
                     source.alive_at = Instant::now();
                     accepted.push(event.raw);
@@ -220,80 +187,6 @@
             self.entry.count(&self.request, |demand| demand.late += 1);
         }
     }
-
-    /// Retires the connection and asks for the rest of the answer on another one.
-    async fn resume(&mut self, fault: Fault) {
-        let Some(source) = self.source.take() else {
-            return;
-        };
-        let runner = source.in_flight.runner().clone();
-        log::debug!(
-            "entry: stream {} broke at {runner}: {fault:?}",
-            self.request.id
-        );
-        metrics::counter!("ggt_stream_breaks_total").increment(1);
-        if matches!(fault, Fault::Silent) {
-            self.entry.suspect(&runner);
-            self.entry.client.close_idle(source.connection.address());
-        }
-        let call = source.call;
-        drop(source.connection);
-        let resumable = self.check.is_numbered() && source.resumable;
-        self.fruitless += 1;
-        if self.fruitless > FRUITLESS_RESUMPTIONS_MAX || (self.check.delivered() > 0 && !resumable)
-        {
-            self.fail(call.problem(StatusCode::BAD_GATEWAY, "stream-lost", fault.to_string()));
-            return;
-        }
-        time::sleep(resume_pause(self.fruitless)).await;
-        let after = (self.check.delivered() > 0).then(|| self.check.last_event_id());
-        let mut attempts = Attempts::new(&self.entry, &self.request);
-        attempts.avoid(runner);
-        let resumed = attempts
-            .run(call.repeat(Idempotent::inference()), after)
-            .await;
-        match resumed {
-            Ok(attempt) => self.go_on(attempt),
-            Err(problem) => self.fail(problem),
-        }
-    }
-
-    fn go_on(&mut self, attempt: Attempt) {
-        let status = attempt.exchange.response.status();
-        let source = Source::new(attempt);
-        if status != StatusCode::OK || (self.check.delivered() > 0 && !source.resumable) {
-            let detail = "the stream cannot be resumed";
-            let problem = source
-                .call
-                .problem(StatusCode::BAD_GATEWAY, "stream-lost", detail);
-            self.fail(problem);
-            return;
-        }
-        if source.resumable {
-            self.check.require_ids();
-        }
-        self.check.set_tokens_per_event(source.tokens_per_event);
-        self.source = Some(source);
-    }
-
-    fn fail(&mut self, problem: Problem) {
-        metrics::counter!("ggt_streams_lost_total").increment(1);
-        self.phase = Phase::Failed(Problem {
-            outcome: Outcome::Unknown,
-            ..problem
-        });
-    }
-
-    /// Keeps the connection for later if the engine ended the body properly.
-    async fn recycle(&mut self) {
-        let Some(mut source) = self.source.take() else {
-            return;
-        };
-        let end = time::timeout(END_TIMEOUT, source.body.frame()).await;
-        if matches!(end, Ok(None)) {
-            source.connection.recycle();
-        }
-    }
 }
 
 impl Drop for Relay {
@@ -311,44 +204,7 @@
     }
 }
 
-impl Source {
-    fn new(attempt: Attempt) -> Self {
-        let headers = attempt.exchange.response.headers();
-        let resumable = has_header(headers, RESUMABLE, "yes");
-        let tokens_per_event = headers
-            .get(TOKENS_PER_EVENT)
-            .and_then(|text| text.to_str().ok());
-        let tokens_per_event = tokens_per_event.and_then(|text| text.parse().ok());
-        Self {
-            call: attempt.call,
-            body: attempt.exchange.response.into_body(),
-            connection: attempt.exchange.connection,
-            in_flight: attempt.in_flight,
-            parser: SseParser::default(),
-            alive_at: Instant::now(),
-            resumable,
-            tokens_per_event: tokens_per_event.unwrap_or(1),
-        }
-    }
-
-    async fn read(&mut self, silence_limit: Duration) -> Result<Bytes, Fault> {
-        loop {
-            let frame = time::timeout_at(self.alive_at + silence_limit, self.body.frame()).await;
-            match frame {
-                Err(_) => return Err(Fault::Silent),
-                Ok(None) => return Err(Fault::Cut("the stream ended early".to_owned())),
-                Ok(Some(Err(cause))) => return Err(Fault::Cut(cause.to_string())),
-                Ok(Some(Ok(frame))) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(data);
-                    }
-                }
-            }
-        }
-    }
-}
-
-fn note_load(entry: &Entry, source: &Source, comment: &[u8]) {
+fn note_load(entry: &Entry, source: &StreamSource, comment: &[u8]) {
     let text = std::str::from_utf8(comment).unwrap_or_default();
     let load = text.strip_prefix("load ").and_then(parse_load);
     if let Some(load) = load {
@@ -357,49 +213,6 @@
     }
 }
 
-impl std::fmt::Display for Fault {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Cut(cause) => write!(f, "the stream was cut: {cause}"),
-            Self::Silent => f.write_str("the stream went silent"),
-            Self::Broken(reason) => write!(f, "the stream is broken: {reason:?}"),
-        }
-    }
-}
-
-/// Joins chunks, without a copy when there is only one.
-#[derive(Default)]
-struct Joined {
-    first: Bytes,
-    joined: BytesMut,
-}
-
-impl Joined {
-    fn push(&mut self, chunk: Bytes) {
-        if self.first.is_empty() {
-            self.first = chunk;
-            return;
-        }
-        if self.joined.is_empty() {
-            self.joined.extend_from_slice(&self.first);
-        }
-        self.joined.extend_from_slice(&chunk);
-    }
-
-    fn finish(self) -> Bytes {
-        match self.joined.is_empty() {
-            true => self.first,
-            false => self.joined.freeze(),
-        }
-    }
-}
-
-/// Draws the wait before a resumption.
-fn resume_pause(fruitless: u32) -> Duration {
-    let longest = RESUME_PAUSE_MAX * fruitless;
-    longest.mul_f64(rand::rng().random())
-}
-
 fn count_drop(reason: DropReason) {
     let reason = match reason {
         DropReason::Foreign => "foreign",
@@ -415,11 +228,3 @@
     )
     .into()
 }
-
-/// Returns whether a response is an event stream.
-pub(super) fn is_event_stream(attempt: &Attempt) -> bool {
-    let headers = attempt.exchange.response.headers();
-    let kind = headers.get(header::CONTENT_TYPE);
-    attempt.exchange.response.status() == StatusCode::OK
-        && kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
-}
--- a/src/entry/routes.rs
+++ b/src/entry/routes.rs
@@ -25,6 +25,7 @@
     /// The runners that can serve each model.
     pub runners: RouteTable,
     services: Vec<(ServiceName, Vec<Arc<Backend>>)>,
+    leaving: Vec<RunnerName>,
 }
 
 /// Always has the routes of the newest view.
@@ -96,15 +97,25 @@
             .services
             .iter()
             .filter_map(|service| plain_backends(service, former))
-            .inspect(|(_, backends)| mark_leaving(backends, &view.leaving))
             .collect();
         Self {
             runners: RouteTable::new(&view.catalog, home, &view.runners),
             services,
+            leaving: leaving_runners(&view),
             view,
         }
     }
 
+    /// Returns the runners that the platform lists as leaving, sorted.
+    pub fn leaving_runners(&self) -> &[RunnerName] {
+        &self.leaving
+    }
+
+    /// Returns whether the platform lists a backend server as leaving.
+    pub fn is_leaving(&self, address: SocketAddr) -> bool {
+        self.view.leaving.binary_search(&address).is_ok()
+    }
+
     /// Returns the backend servers of a plain service.
     pub fn service(&self, name: &ServiceName) -> &[Arc<Backend>] {
         let position = self.services.binary_search_by(|(found, _)| found.cmp(name));
@@ -121,6 +132,14 @@
     }
 }
 
+fn leaving_runners(view: &EntryView) -> Vec<RunnerName> {
+    let runners = view.catalog.runners.iter();
+    runners
+        .filter(|runner| view.leaving.binary_search(&runner.address).is_ok())
+        .map(|runner| runner.name.clone())
+        .collect()
+}
+
 fn plain_backends(service: &Service, former: &Routes) -> Option<(ServiceName, Vec<Arc<Backend>>)> {
     let ServiceTarget::Plain { backends, .. } = &service.target else {
         return None;
@@ -141,12 +160,6 @@
     Some((service.name.clone(), backends))
 }
 
-fn mark_leaving(backends: &[Arc<Backend>], leaving: &[SocketAddr]) {
-    for backend in backends {
-        backend.set_listed_leaving(leaving.binary_search(&backend.address).is_ok());
-    }
-}
-
 /// Keeps what was seen of a backend server that is still the same.
 fn keep_former(backend: Backend, former: &[Arc<Backend>]) -> Arc<Backend> {
     match find(former, &backend.name) {
--- a/src/fleet/runner_task.rs
+++ b/src/fleet/runner_task.rs
@@ -5,13 +5,12 @@
         AdapterLedger, AdapterPermit, AuditEvent, AuditRecord, Evidence, Extra, LedgerError,
         PendingOrder, QueuedMove, RecordError, RecordHandle, RunnerState, TaskContext,
         adapter_pool::adapter_window,
-        audit_log::wall_clock_ms,
         doubt::{Doubts, Verdict},
     },
     crate::{
         config::{Fencing, Runner},
         engine::{Engine, Role, Status},
-        units::{Epoch, ModelName, OrderId, RunnerName},
+        units::{Epoch, ModelName, OrderId, RunnerName, unix_now_ms},
     },
     std::{sync::Arc, time::Duration},
     tokio::time::timeout,
@@ -198,7 +197,7 @@
 
     pub(super) fn audit(&self, open: &PendingOrder, event: AuditEvent, decision: Option<&str>) {
         self.context.audit.note(AuditRecord {
-            at_ms: wall_clock_ms(),
+            at_ms: unix_now_ms(),
             vm: self.context.me.vm.clone(),
             runner: self.runner.name.clone(),
             epoch: self.handle.epoch(),
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -1,7 +1,7 @@
 //! Serves connections within limits, until it is stopped gracefully.
 
 use {
-    super::{Body, preface::wait_for_preface, stall_guard::StallGuard},
+    super::{Body, liveness, preface::wait_for_preface, stall_guard::StallGuard},
     hyper::{Request, Response, body::Incoming, service::service_fn},
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -131,7 +131,9 @@
         H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
-        let _ = stream.set_nodelay(true);
+        if liveness::set_up(&stream).is_err() {
+            return;
+        }
         if !self.has_started(&stream).await {
             return;
         }
--- a/src/placement/minimum_step.rs
+++ b/src/placement/minimum_step.rs
@@ -17,15 +17,17 @@
             let by_rate = rate(b.1).total_cmp(&rate(a.1));
             a.0.cmp(&b.0).then(by_rate).then(a.1.cmp(&b.1))
         });
+        let mut without_room = Vec::new();
         for (served, model) in lacking {
-            if !self.may_load(!served) {
-                continue;
-            }
-            if !self.take_up_best(model, place, !served) {
-                let name = self.image.catalog.models[model].name.clone();
-                self.plan.unplaced.push(name);
+            if self.may_load(!served) && !self.take_up_best(model, place, !served) {
+                without_room.push(model);
             }
         }
+        for model in without_room {
+            self.relocate_for(model, place);
+            let name = self.image.catalog.models[model].name.clone();
+            self.plan.unplaced.push(name);
+        }
     }
 
     /// Tells whether a model has too few copies and this data centre is to hold the next one.
@@ -61,48 +63,28 @@
                 by_room.then(free(b.1).total_cmp(&free(a.1)))
             });
         let Some((room, runner)) = best else {
-            return self.relocate_for(model, place);
+            return false;
         };
         self.take_up(runner, model, &room, urgent);
         true
     }
 
-    /// Makes room by loading the last copy of another model elsewhere first; once that serves,
-    /// the one in the way can be unloaded.
-    fn relocate_for(&mut self, model: usize, place: usize) -> bool {
-        let size_mib = self.image.size_mib(model);
-        for runner in 0..self.image.runners.len() {
-            let image = &self.image.runners[runner];
-            let too_small = image.runner.model_memory_mib().0 < size_mib;
-            if self.places[runner] != place || !image.usable || too_small {
-                continue;
-            }
-            let in_the_way: Vec<usize> =
-                image.copies.iter().filter_map(|copy| copy.model).collect();
-            for other in in_the_way {
-                if self.relocate(other, runner, place) {
-                    return true;
-                }
-            }
+    /// Makes room by loading the last copies of other models elsewhere first; once those serve,
+    /// the ones in the way can be unloaded.
+    fn relocate_for(&mut self, model: usize, place: usize) {
+        if self.loads_in(place) {
+            return;
         }
-        false
-    }
-
-    fn relocate(&mut self, model: usize, from: usize, place: usize) -> bool {
-        if self.image.holders(model).count() > 1 {
-            return false;
+        let runners = (0..self.image.runners.len()).filter(|&runner| self.places[runner] == place);
+        let relocations = runners
+            .filter(|&runner| self.image.may_take(runner, model))
+            .find_map(|runner| {
+                let room_mib = self.room_at_most_mib(runner);
+                self.relocations(runner, model, room_mib)
+            });
+        for (other, target) in relocations.unwrap_or_default() {
+            self.take_up(target, other, &Room::Now, true);
         }
-        let target = (0..self.image.runners.len()).find(|&runner| {
-            runner != from
-                && self.places[runner] == place
-                && self.image.may_take(runner, model)
-                && self.room(runner, model) == Some(Room::Now)
-        });
-        let Some(target) = target else {
-            return false;
-        };
-        self.take_up(target, model, &Room::Now, true);
-        true
     }
 }
 
--- a/tests/entry_inference.rs
+++ b/tests/entry_inference.rs
@@ -243,3 +243,39 @@
     assert!(!got.text().contains("[DONE]"));
     assert!(got.text().contains("\"outcome\":\"unknown\""));
 }
+
+#[tokio::test]
+async fn a_whole_answer_may_take_longer_than_a_first_token() {
+    let slow = FakeBackend::start(|received| {
+        let mut steps = vec![Step::Pause(std::time::Duration::from_millis(400))];
+        steps.extend(answer_request(received));
+        steps
+    })
+    .await;
+    let plan = Plan::new().engine("r-1", &slow);
+    let plan = plan.set("first_token_timeout_ms", 100.into());
+    let rig = plan
+        .set("whole_answer_timeout_ms", 10_000.into())
+        .start()
+        .await;
+    assert_eq!(
+        rig.complete("x", 4, false).await.completion(),
+        (answer("x", 4), true)
+    );
+    assert_eq!(slow.received().len(), 1);
+}
+
+#[tokio::test]
+async fn a_runner_that_the_platform_lists_as_leaving_gets_no_new_work() {
+    let leaving = FakeBackend::start(answer_request).await;
+    let well = FakeBackend::start(answer_request).await;
+    let plan = Plan::new().engine("r-1", &leaving).engine("r-2", &well);
+    let mut view = plan.view();
+    let rig = plan.start().await;
+    view.leaving = vec![leaving.address];
+    rig.views.send_replace(Arc::new(view));
+    for _ in 0..20 {
+        assert!(rig.complete("x", 1, true).await.completion().1);
+    }
+    assert!(leaving.received().is_empty());
+}
