--- a/src/fleet/runner_task.rs
+++ b/src/fleet/runner_task.rs
@@ -6,7 +6,6 @@
         PendingOrder, QueuedMove, RecordError, RecordHandle, RunnerState, TaskContext,
         adapter_pool::adapter_window,
         doubt::{Doubts, Verdict},
-        free_slot,
     },
     crate::{
         config::{Fencing, Runner},
@@ -158,7 +157,7 @@
         };
         let finished = self.handle.record().clone().settle(status, &evidence);
         self.handle
-            .change(&freed_slots(&finished), |record| {
+            .change(&Extra::default(), |record| {
                 record.settle(status, &evidence);
                 Ok::<_, LedgerError>(())
             })
@@ -234,14 +233,3 @@
     })
     .await
 }
-
-pub(super) fn freed_slots(orders: &[PendingOrder]) -> Extra {
-    Extra {
-        compare: Vec::new(),
-        ops: orders
-            .iter()
-            .filter_map(|open| open.load_slot)
-            .map(free_slot)
-            .collect(),
-    }
-}
