--- a/examples/policy_placement.rs
+++ b/examples/policy_placement.rs
@@ -241,7 +241,7 @@
 
     fn order(&mut self, planned: Move, now_ms: f64) {
         let left_s = match planned.change {
-            MoveChange::Load(_) => self.case.load_s,
+            MoveChange::Load(_) => load_s(self.case),
             _ => UNLOAD_S,
         };
         self.moves += 1;
@@ -279,7 +279,7 @@
         self.load_tokens = (self.load_tokens + rate).min(1.0);
         for running in &mut self.running {
             let waits = matches!(running.planned.change, MoveChange::Load(_))
-                && running.left_s == self.case.load_s;
+                && running.left_s == load_s(self.case);
             if waits && self.load_tokens < 1.0 {
                 continue;
             }
@@ -321,6 +321,12 @@
     }
 }
 
+/// Returns the seconds that one load takes when as many run as the store starts.
+fn load_s(case: &DeploymentCase) -> f64 {
+    let deployment = &case.catalog.deployment;
+    f64::from(deployment.model_loads_at_once_max) / deployment.model_loads_per_s
+}
+
 fn resident(model: &greengagetrail::config::Model) -> ModelResident {
     ModelResident {
         model: model.name.clone(),
--- a/examples/policy_support/deployment.rs
+++ b/examples/policy_support/deployment.rs
@@ -9,8 +9,6 @@
     pub catalog: Catalog,
     /// Requests per second at which every accelerator is busy.
     pub capacity_per_s: f64,
-    /// Seconds that one load takes at full speed.
-    pub load_s: f64,
     /// The share of each class among the requests, with priority and target.
     pub classes: &'static [(f64, u8, f64)],
     /// The share of the capacity that is asked for in each fifth of the trace.
@@ -39,7 +37,6 @@
         name: "maltgrain",
         catalog: catalog(18, 30, 4, 100, memory_mib, (5.0, 2.5, 3, 24)),
         capacity_per_s: 18.0 * TOKENS_PER_ACCELERATOR_S / TOKENS_MEAN,
-        load_s: 1.2,
         classes: &[(0.4, 0, 1_000.0), (0.4, 1, 3_000.0), (0.2, 2, 10_000.0)],
         phases: [0.5, 0.6, 0.85, 0.6, 0.75],
         steady: false,
@@ -52,7 +49,6 @@
         name: "kente",
         catalog: catalog(9, 13, 3, 60, memory_mib, (20.0, 1.0, 7, 56)),
         capacity_per_s: 9.0 * TOKENS_PER_ACCELERATOR_S / TOKENS_MEAN,
-        load_s: 5.0,
         classes: &[(0.4, 0, 3_000.0), (0.6, 2, 20_000.0)],
         phases: [0.35, 0.5, 0.9, 0.9, 0.5],
         steady: false,
--- a/examples/policy_support/engine.rs
+++ b/examples/policy_support/engine.rs
@@ -26,10 +26,11 @@
     pub target_ms: f64,
 }
 
+/// A request in the batch.
 #[derive(Debug, Clone, Copy)]
-struct Running {
-    job: Job,
-    prompt_left: f64,
+pub struct Running {
+    pub job: Job,
+    pub prompt_left: f64,
     tokens_left: f64,
 }
 
@@ -44,8 +45,9 @@
 /// A queueing model of one engine.
 #[derive(Debug, Clone, Default)]
 pub struct Engine {
-    waiting: Vec<Job>,
-    running: Vec<(Running, bool)>,
+    pub waiting: Vec<Job>,
+    /// The batch, with whether each prompt's prefix was in the cache.
+    pub running: Vec<(Running, bool)>,
     prefixes: VecDeque<u64>,
     /// How many times slower than it should be it is; 0 means healthy, infinite means silent.
     pub slowdown: f64,
