--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -69,7 +69,7 @@
   exchangeHead @0 (head :Head, sender :Text) -> (head :Head);
   fetch @1 (digests :List(Text)) -> (blobs :List(Blob));
   reportDemand @2 (sender :Text, demand :List(Demand));
-  propose @3 (moves :List(Move)) -> (taken :UInt32);
+  propose @3 (sender :Text, moves :List(Move)) -> (runners :List(RunnerState));
   reportRunners @4 (runners :List(RunnerState));
   members @5 () -> (members :List(Member));
 }
@@ -92,7 +92,8 @@
 
 interface Operator {
   publish @0 (snapshot :Data, head :Head, expected :UInt64) -> (outcome :PublishOutcome);
-  show @1 () -> (head :Head, snapshot :Data);
+  show @1 (revision :UInt64) -> (head :Head, snapshot :Data);
+  # Revision 0 stands for the one in force.
   history @2 (limit :UInt32) -> (heads :List(Head));
   audit @3 (limit :UInt32) -> (records :List(Text));
   status @4 () -> (status :Text);
