--- a/tests/common/follower_vm.rs
+++ b/tests/common/follower_vm.rs
@@ -50,6 +50,8 @@
     started: Instant,
     /// Whether a VM puts any head in force that it hears of; the mechanism is then off.
     pub follow_anything: bool,
+    /// Whether publishers go by the key-value service alone; the mechanism is then off.
+    pub ignore_known: Cell<bool>,
 }
 
 impl Fleet {
@@ -61,6 +63,7 @@
             events: RefCell::default(),
             started: Instant::now(),
             follow_anything,
+            ignore_known: Cell::new(false),
         })
     }
 
--- a/tests/config_history.rs
+++ b/tests/config_history.rs
@@ -60,6 +60,7 @@
     restores: Option<Restore>,
     kills: bool,
     follow_anything: bool,
+    ignore_known: bool,
 }
 
 /// What a run recorded.
@@ -92,6 +93,7 @@
 
 async fn run_fleet(seed: u64, plan: RunPlan) -> RunRecord {
     let fleet = Fleet::new(plan.follow_anything);
+    fleet.ignore_known.set(plan.ignore_known);
     let heads = Rc::new(HeadHistory::default());
     let mut rng = SmallRng::seed_from_u64(seed);
     for index in 0..VMS {
@@ -138,6 +140,9 @@
     let call = heads.call();
     let asked = vm.ask_peers().await;
     let known = || {
+        if fleet.ignore_known.get() {
+            return None;
+        }
         let heads = asked.clone().into_iter().chain(vm.newest_known());
         heads.max_by_key(|head| head.revision)
     };
@@ -381,6 +386,20 @@
     assert!(caught);
 }
 
+/// With publishers that go by the key-value service alone, some run must break the promise.
+#[test]
+fn ignoring_known_heads_is_caught() {
+    let plan = RunPlan {
+        restores: Some(Restore::Instant),
+        ignore_known: true,
+        ..RunPlan::default()
+    };
+    let two_winners =
+        |violation: &RevisionViolation| matches!(violation, RevisionViolation::TwoWinners(_));
+    let caught = (0..SEEDS).any(|seed| run(seed, plan).violations().iter().any(two_winners));
+    assert!(caught);
+}
+
 #[test]
 fn mutated_histories_are_rejected() {
     let record = assert_holds(1, RunPlan::default());
