--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        settings::Fault,
+        settings::{Fault, require_into},
         settings_struct,
         telemetry::{LogFormat, LogLevel},
         units::{DataCentreName, VmName},
@@ -67,14 +67,7 @@
 }
 
 fn check(settings: &EntrySettings, faults: &mut Vec<Fault>) {
-    let mut require = |holds: bool, field: &str, problem: &str| {
-        if !holds {
-            faults.push(Fault {
-                field: field.to_owned(),
-                problem: problem.to_owned(),
-            });
-        }
-    };
+    let mut require = require_into(faults);
     require(settings.threads > 0, "threads", "must be at least 1");
     require(
         !settings.store_addresses.is_empty(),
--- a/src/fleet/ownership.rs
+++ b/src/fleet/ownership.rs
@@ -2,12 +2,10 @@
 
 use crate::{
     membership::Member,
+    routing::{rendezvous_weight, stable_hash},
     units::{DataCentreName, RunnerName, VmName},
 };
 
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
-
 /// Names the member that should own a runner.
 ///
 /// The members in the runner's data centre come first; the others only count when it has none.
@@ -30,20 +28,5 @@
 }
 
 fn weight(runner: &RunnerName, vm: &VmName) -> u64 {
-    let runner_hash = fnv1a(runner.as_str());
-    let vm_hash = fnv1a(vm.as_str());
-    mix(runner_hash ^ mix(vm_hash))
-}
-
-fn fnv1a(text: &str) -> u64 {
-    text.bytes().fold(FNV_OFFSET, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
-    })
-}
-
-/// Spreads every bit of the input over the output (the finalizer of SplitMix64).
-fn mix(input: u64) -> u64 {
-    let once = (input ^ (input >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let twice = (once ^ (once >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    twice ^ (twice >> 31)
+    rendezvous_weight(stable_hash(runner.as_str()), vm.as_str())
 }
--- a/src/keeper/settings.rs
+++ b/src/keeper/settings.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        settings::Fault,
+        settings::{Fault, require_into},
         settings_struct,
         telemetry::{LogFormat, LogLevel},
         units::{DataCentreName, VmName},
@@ -55,14 +55,7 @@
 }
 
 fn check(settings: &KeeperSettings, faults: &mut Vec<Fault>) {
-    let mut require = |holds: bool, field: &str, problem: &str| {
-        if !holds {
-            faults.push(Fault {
-                field: field.to_owned(),
-                problem: problem.to_owned(),
-            });
-        }
-    };
+    let mut require = require_into(faults);
     require(
         !settings.store_addresses.is_empty(),
         "store_addresses",
--- a/src/load/settings.rs
+++ b/src/load/settings.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        settings::Fault,
+        settings::{Fault, require_into},
         settings_struct,
         telemetry::{LogFormat, LogLevel},
     },
@@ -149,14 +149,7 @@
 }
 
 fn check(settings: &LoadSettings, faults: &mut Vec<Fault>) {
-    let mut require = |holds: bool, field: &str, problem: &str| {
-        if !holds {
-            faults.push(Fault {
-                field: field.to_owned(),
-                problem: problem.to_owned(),
-            });
-        }
-    };
+    let mut require = require_into(faults);
     let positive = |value: f64| value.is_finite() && value > 0.0;
     require(
         !settings.entries.is_empty(),
--- a/src/standin/settings.rs
+++ b/src/standin/settings.rs
@@ -3,7 +3,7 @@
 use {
     super::{engine::EngineSettings, vms::ListedVm, weights::WeightLimits},
     crate::{
-        settings::Fault,
+        settings::{Fault, require_into},
         settings_struct,
         telemetry::{LogFormat, LogLevel},
     },
@@ -70,14 +70,7 @@
 }
 
 fn check(settings: &StandinSettings, faults: &mut Vec<Fault>) {
-    let mut require = |holds: bool, field: &str, problem: &str| {
-        if !holds {
-            faults.push(Fault {
-                field: field.to_owned(),
-                problem: problem.to_owned(),
-            });
-        }
-    };
+    let mut require = require_into(faults);
     require(settings.threads > 0, "threads", "must be at least 1");
     require(
         !settings.stand_ins.is_empty(),
