--- a/tests/common/policy_fleet.rs
+++ b/tests/common/policy_fleet.rs
@@ -5,6 +5,7 @@
     engine::ModelResident,
     fleet::{Move, MoveChange, RunnerState},
     placement::{DemandRate, PlanInput, Unloading, plan},
+    units::DataCentreName,
 };
 
 /// Rounds that a load or unload takes.
@@ -20,6 +21,9 @@
     pub catalog: Catalog,
     pub demand: Vec<DemandRate>,
     pub states: Vec<RunnerState>,
+    /// Whether planners see the runners of other data centres as they were a round ago.
+    pub lagging: bool,
+    older: Vec<RunnerState>,
     running: Vec<Running>,
 }
 
@@ -27,8 +31,11 @@
     pub fn new(catalog: Catalog, demand: Vec<DemandRate>) -> Self {
         let runners = catalog.runners.iter();
         let states = runners.map(|runner| super::policy::state(runner.name.as_str(), &[]));
+        let states: Vec<RunnerState> = states.collect();
         Self {
-            states: states.collect(),
+            older: states.clone(),
+            lagging: false,
+            states,
             catalog,
             demand,
             running: Vec::new(),
@@ -47,6 +54,7 @@
         let state = &mut self.states[runner % count];
         state.reachable = false;
         state.models.clear();
+        self.older[runner % count] = state.clone();
         let name = state.name.clone();
         self.running
             .retain(|running| running.planned.runner != name);
@@ -66,6 +74,7 @@
     pub fn round(&mut self) -> Vec<Move> {
         self.finish_running();
         let moves = self.planned();
+        self.older = self.states.clone();
         let at_once_max = self.catalog.deployment.model_loads_at_once_max as usize;
         let loads = moves
             .iter()
@@ -93,7 +102,8 @@
     fn planned(&self) -> Vec<Move> {
         let unloading: Vec<Unloading> = self.running.iter().filter_map(unloading).collect();
         let plan_for = |place| {
-            let mut input = PlanInput::new(&self.catalog, place, &self.states);
+            let view = self.view_of(place);
+            let mut input = PlanInput::new(&self.catalog, place, &view);
             input.demand = &self.demand;
             input.unloading = &unloading;
             plan(&input).moves
@@ -102,6 +112,16 @@
         places.flat_map(|place| plan_for(&place.name)).collect()
     }
 
+    fn view_of(&self, place: &DataCentreName) -> Vec<RunnerState> {
+        let runners = self.catalog.runners.iter();
+        let states = runners.zip(self.states.iter().zip(&self.older));
+        let seen = states.map(|(runner, (current, older))| {
+            let near = runner.data_centre == *place || !self.lagging;
+            if near { current } else { older }
+        });
+        seen.cloned().collect()
+    }
+
     fn start(&mut self, planned: &Move) {
         let state = self
             .states
--- a/tests/policy_placement.rs
+++ b/tests/policy_placement.rs
@@ -129,6 +129,7 @@
 fn any_fleet_keeps_its_memory_bounds_and_its_last_copies_and_settles() {
     check_drawn(400, |draw: &Draw| {
         let mut fleet = fleet_of(draw);
+        fleet.lagging = draw.0 >= 128;
         fleet.settle(ROUNDS_MAX);
         for fault in draw.3.iter().take(3) {
             fleet.break_runner(usize::from(*fault));
