--- a/tests/policy_admission.rs
+++ b/tests/policy_admission.rs
@@ -201,3 +201,74 @@
     );
     assert!(backoffs.windows(2).any(|pair| pair[0] != pair[1]));
 }
+
+/// The time for one token, alone and per other request that runs.
+const TOKEN_BASE_US: u64 = 15_000;
+const TOKEN_SLOPE_US: u64 = 1_000;
+/// Tokens of an answer and of its prompt, in chunks of ten.
+const CHUNKS: u32 = 6;
+const CHUNK: u64 = 10;
+/// The time between arrivals that loads the engine fully with 24 requests at once.
+const FULL_LOAD_GAP_US: u64 = 110_000;
+
+/// Answers one request on an engine that slows down with its load; tells whether in time.
+async fn answered(admission: Arc<Admission>, class: ClassTargets, arrived: Instant) -> bool {
+    let permit = match admission.admit(&model(), &class, arrived) {
+        Admit::Now(permit) => permit,
+        Admit::Wait(waiter) => match waiter.wait().await {
+            Ok(permit) => permit,
+            Err(_) => return false,
+        },
+        Admit::Refuse(_) => return false,
+    };
+    let mut first_token = arrived;
+    for chunk in 0..=CHUNKS {
+        let others = u64::from(admission.running(&model())).saturating_sub(1);
+        let token_us = TOKEN_BASE_US + TOKEN_SLOPE_US * others;
+        tokio::time::sleep(Duration::from_micros(token_us * CHUNK)).await;
+        if chunk == 0 {
+            first_token = Instant::now();
+            permit.record_first_token(&class, first_token);
+        }
+    }
+    let gap = first_token.elapsed() / (CHUNKS * CHUNK as u32);
+    permit.record_token_gap(&class, gap, Instant::now());
+    let gap_target = Duration::from_millis(class.between_tokens_target_ms);
+    first_token - arrived <= class.first_token_target() && gap <= gap_target
+}
+
+/// Sends `requests`, every fifth of the highest class; counts answers in time per second and
+/// the highest class's share of them.
+async fn goodput(requests: u64, gap_us: u64) -> (f64, f64) {
+    let admission = admission(128);
+    let started = Instant::now();
+    let mut tasks = Vec::new();
+    for index in 0..requests {
+        let class = if index % 5 == 0 { PHONE } else { CRITIQUE };
+        tasks.push(tokio::spawn(answered(
+            Arc::clone(&admission),
+            class,
+            Instant::now(),
+        )));
+        tokio::time::sleep(Duration::from_micros(gap_us)).await;
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    let (mut good, mut top_good) = (0.0, 0.0);
+    for (index, task) in tasks.into_iter().enumerate() {
+        let in_time = f64::from(u8::from(task.await.expect("no task panics")));
+        good += in_time;
+        top_good += if index % 5 == 0 { in_time } else { 0.0 };
+    }
+    (good / seconds, top_good * 5.0 / requests as f64)
+}
+
+#[tokio::test(start_paused = true)]
+async fn goodput_at_twice_the_capacity_stays_near_its_peak() {
+    let (full, _) = goodput(900, FULL_LOAD_GAP_US).await;
+    let (double, top) = goodput(1_800, FULL_LOAD_GAP_US / 2).await;
+    assert!(
+        double >= full * 0.95,
+        "{double} answers per second, {full} at full load"
+    );
+    assert!(top >= 0.99, "{top} of the highest class in time");
+}
