Show the audit trail record by record; measure the cost of control

Cause: ggt audit printed the ring as it lies in the store (cursors, arrays); nothing told what control costs a running keeper, and models without room went unsaid. Change: read_audit pages through the rings and keeps the newest; one line per record; a gauge of the keeper's processor time, a histogram of planning, a gauge and a warning for models without room.

--- a/benches/keeper/rig.rs
+++ b/benches/keeper/rig.rs
@@ -17,7 +17,6 @@
             EntryService, GateRoles, GateService, Gossip, KeeperState, PeerInbox, PeerService,
             planner_of,
         },
-        load::cpu_time,
         membership::{Member, jittered},
         peer::{EntryLink, PeerClient, SharedKey, serve, spawn_entry_link},
         standin::{
@@ -30,6 +29,7 @@
             Op, SharedStore, Store, Txn,
             keys::{member_key, runner_key},
         },
+        telemetry::cpu_time,
         units::{Incarnation, MemoryMib, PublishId, Revision, VmName},
     },
     serde_json::json,
--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -2,7 +2,11 @@
 
 use {
     super::CliError,
-    crate::config::{ConfigFault, Head},
+    crate::{
+        config::{ConfigFault, Head},
+        engine::Action,
+        fleet::{AuditEvent, AuditRecord},
+    },
     jiff::Timestamp,
     serde_json::{Value, json},
     std::io::Write,
@@ -85,3 +89,27 @@
         _ => format!("{unix_ms} ms"),
     }
 }
+
+/// Returns one line for a record of the audit trail.
+pub fn describe_audit(record: &AuditRecord) -> String {
+    let event = match record.event {
+        AuditEvent::Reserved => "reserved",
+        AuditEvent::Settled => "settled",
+    };
+    let action = match &record.action {
+        Action::LoadModel { model, version, .. } => format!("load {model} version {version}"),
+        Action::UnloadModel { model } => format!("unload {model}"),
+        Action::LoadAdapter { adapter, .. } => format!("load adapter {adapter}"),
+        Action::UnloadAdapter { adapter } => format!("unload adapter {adapter}"),
+        Action::ChangeRole { role } => format!("change role to {role:?}"),
+    };
+    let decision = record.decision.as_deref().unwrap_or("-");
+    format!(
+        "{} {} epoch {} by {}: {event} {action} ({decision}, order {})",
+        describe_time(record.at_ms),
+        record.runner,
+        record.epoch,
+        record.vm,
+        record.order
+    )
+}
--- a/src/cli/run_read.rs
+++ b/src/cli/run_read.rs
@@ -1,9 +1,9 @@
 //! The commands that read from a keeper, and the planned stop.
 
 use {
-    super::{CliError, OperatorClient, Output, describe_head},
-    crate::{config::Head, units::Revision},
-    serde_json::{Value, json},
+    super::{CliError, OperatorClient, Output, describe_audit, describe_head},
+    crate::{config::Head, fleet::AuditRecord, units::Revision},
+    serde_json::json,
 };
 
 /// Prints the configuration in force, or an older revision.
@@ -57,12 +57,13 @@
     output: &mut Output<'_>,
 ) -> Result<(), CliError> {
     let records = client.audit(limit).await?;
-    let parse = |record: &String| {
-        let parsed = serde_json::from_str(record);
-        parsed.unwrap_or_else(|_| Value::String(record.clone()))
+    let parsed = records.iter().map(|record| serde_json::from_str(record));
+    let records: Vec<AuditRecord> = parsed.collect::<Result<_, _>>()?;
+    let text = || {
+        let lines: Vec<String> = records.iter().map(describe_audit).collect();
+        lines.join("\n")
     };
-    let json: Vec<Value> = records.iter().map(parse).collect();
-    output.print(|| records.join("\n"), &json!({"records": json}))
+    output.print(text, &json!({"records": records}))
 }
 
 /// Prints what the keeper knows.
--- a/src/fleet/audit_log.rs
+++ b/src/fleet/audit_log.rs
@@ -1,13 +1,11 @@
 //! The audit trail of orders: a bounded ring per data centre, written in batches.
 
 use {
-    super::record_io::unchanged,
+    super::{AuditRecord, record_io::unchanged},
     crate::{
-        engine::Action,
         store::{Op, SharedStore, StoreError, StoreVersion, Txn, keys::AUDIT_PREFIX},
-        units::{DataCentreName, Epoch, OrderId, RunnerName, VmName},
+        units::DataCentreName,
     },
-    serde::{Deserialize, Serialize},
     std::sync::{Mutex, MutexGuard, PoisonError},
 };
 
@@ -20,37 +18,6 @@
 /// The name of the key that holds the number of batches written so far.
 const CURSOR: &str = "cursor";
 
-/// What became of an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum AuditEvent {
-    /// The order was written ahead and is about to be sent.
-    Reserved,
-    /// The engine finished the order, or it is known to have no further effect.
-    Settled,
-}
-
-/// One record of the audit trail of orders.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct AuditRecord {
-    /// When, in milliseconds since 1970.
-    pub at_ms: u64,
-    /// The VM that wrote it.
-    pub vm: VmName,
-    /// The runner.
-    pub runner: RunnerName,
-    /// The fencing number of the runner's owner.
-    pub epoch: Epoch,
-    /// The order.
-    pub order: OrderId,
-    /// What the order asks for.
-    pub action: Action,
-    /// What became of it.
-    pub event: AuditEvent,
-    /// The decision that the order follows from, if it is known here.
-    pub decision: Option<String>,
-}
-
 /// Collects audit records and writes them in batches.
 pub struct AuditLog {
     store: SharedStore,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod adapter_permits;
 mod adapter_pool;
 mod audit_log;
+mod audit_record;
 mod doubt;
 mod doubt_resolution;
 mod error;
@@ -24,8 +25,8 @@
 mod view;
 
 pub use {
-    adapter_ledger::*, adapter_permits::*, audit_log::*, error::*, fleet_keeper::*, ledger::*,
-    load_gate::*, ownership::*, record::*, record_handle::*, record_io::*, state::*,
-    state_board::*, view::*,
+    adapter_ledger::*, adapter_permits::*, audit_log::*, audit_record::*, error::*,
+    fleet_keeper::*, ledger::*, load_gate::*, ownership::*, record::*, record_handle::*,
+    record_io::*, state::*, state_board::*, view::*,
 };
 use {fleet_keeper::TaskContext, move_queue::QueuedMove};
--- a/src/keeper/operator_service.rs
+++ b/src/keeper/operator_service.rs
@@ -7,12 +7,12 @@
             Catalog, ConfigFault, EncodedSnapshot, Head, ParsedObjects, Publication,
             PublishOutcome, Publisher, check_parsed, collect_garbage, read_revision,
         },
+        fleet::read_audit,
         peer::{list_len, read_head, write_head, write_texts},
         peer_capnp::{operator, publish_outcome},
-        store::{SharedStore, keys::AUDIT_PREFIX},
+        store::SharedStore,
         units::{Incarnation, Revision, VmName, unix_now_ms},
     },
-    bytes::Bytes,
     capnp::Error,
     std::{rc::Rc, sync::Arc},
 };
@@ -104,12 +104,11 @@
     }
 
     async fn read_audit(&self, limit: usize) -> Result<Vec<String>, Error> {
-        let range = self.store.range(AUDIT_PREFIX, 0).await.map_err(failed)?;
-        let texts = range.entries.iter().map(|entry| text_of(&entry.value));
-        let mut lines: Vec<String> = texts.flat_map(|text| lines_of(&text)).collect();
-        lines.sort();
-        let first = lines.len().saturating_sub(limit);
-        Ok(lines.split_off(first))
+        let records = read_audit(self.store.as_ref(), limit)
+            .await
+            .map_err(failed)?;
+        let lines = records.iter().map(serde_json::to_string);
+        lines.collect::<Result<_, _>>().map_err(failed)
     }
 }
 
@@ -121,14 +120,6 @@
     }
 }
 
-fn text_of(value: &Bytes) -> String {
-    String::from_utf8_lossy(value).into_owned()
-}
-
-fn lines_of(text: &str) -> Vec<String> {
-    text.lines().map(str::to_owned).collect()
-}
-
 fn failed(error: impl std::fmt::Display) -> Error {
     Error::failed(error.to_string())
 }
--- a/src/keeper/planning_task.rs
+++ b/src/keeper/planning_task.rs
@@ -7,7 +7,8 @@
         membership::{Member, jittered},
         placement::{DemandTracker, PlanInput, plan},
         routing::{rendezvous_weight, stable_hash},
-        units::{DataCentreName, VmName},
+        telemetry::{CONTROL_CPU_S, PLANNING_S, UNPLACED_MODELS, cpu_time},
+        units::{DataCentreName, ModelName, VmName},
     },
     std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::time::Instant,
@@ -63,7 +64,10 @@
                 () = tokio::time::sleep(jittered(interval)) => {}
                 () = self.state.plan_wanted() => tokio::time::sleep(GATHER).await,
             }
+            let start = Instant::now();
             let moves = self.plan_all();
+            metrics::histogram!(PLANNING_S).record(start.elapsed());
+            record_control_cost();
             if !moves.is_empty() {
                 self.proposer.propose(moves).await;
             }
@@ -89,8 +93,24 @@
                 demand: &demand,
                 ..PlanInput::new(&current.catalog, &data_centre.name, &runners)
             };
-            moves.extend(plan(&input).moves);
+            let decided = plan(&input);
+            self.report_unplaced(&data_centre.name, &decided.unplaced);
+            moves.extend(decided.moves);
         }
         moves
     }
+
+    fn report_unplaced(&self, data_centre: &DataCentreName, unplaced: &[ModelName]) {
+        let gauge = metrics::gauge!(UNPLACED_MODELS, "data_centre" => data_centre.to_string());
+        gauge.set(unplaced.len() as f64);
+        for model in unplaced {
+            log::warn!("keeper: {data_centre} has no room for {model}.");
+        }
+    }
+}
+
+fn record_control_cost() {
+    if let Some(spent) = cpu_time(std::process::id()) {
+        metrics::gauge!(CONTROL_CPU_S).set(spent.as_secs_f64());
+    }
 }
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -3,7 +3,6 @@
 mod call;
 mod client;
 mod compare;
-mod cpu_time;
 mod latency;
 mod moves;
 mod open_loop;
@@ -20,7 +19,6 @@
 mod verify;
 
 pub use {
-    call::*, client::*, compare::*, cpu_time::*, latency::*, moves::*, open_loop::*, outcome::*,
-    plot::*, popularity::*, report::*, run::*, saturate::*, schedule::*, settings::*, tally::*,
-    verify::*,
+    call::*, client::*, compare::*, latency::*, moves::*, open_loop::*, outcome::*, plot::*,
+    popularity::*, report::*, run::*, saturate::*, schedule::*, settings::*, tally::*, verify::*,
 };
--- a/src/load/saturate.rs
+++ b/src/load/saturate.rs
@@ -1,7 +1,8 @@
 //! Sends as many requests as a number of workers can.
 
 use {
-    super::{LoadSettings, Outcome, ReasonCounts, Schedule, call, cpu_time, new_client},
+    super::{LoadSettings, Outcome, ReasonCounts, Schedule, call, new_client},
+    crate::telemetry::cpu_time,
     serde::{Deserialize, Serialize},
     std::{fmt, sync::Arc, time::Duration},
     tokio::{task::JoinSet, time::Instant},
--- a/src/telemetry/metric.rs
+++ b/src/telemetry/metric.rs
@@ -16,8 +16,12 @@
 pub const REQUESTS: &str = "ggt_requests_total";
 /// Counter: calls to the key-value service by `kind`.
 pub const STORE_CALLS: &str = "ggt_store_calls_total";
-/// Counter: seconds of processor time spent on control.
-pub const CONTROL_CPU_S: &str = "ggt_control_cpu_seconds_total";
+/// Gauge: seconds of processor time that the keeper has spent on control.
+pub const CONTROL_CPU_S: &str = "ggt_control_cpu_seconds";
+/// Histogram: seconds that deciding placement took.
+pub const PLANNING_S: &str = "ggt_planning_seconds";
+/// Gauge: models homed in a data centre that have too few copies and no room, by `data_centre`.
+pub const UNPLACED_MODELS: &str = "ggt_unplaced_models";
 /// Gauge: the revision of the configuration in force.
 pub const REVISION: &str = "ggt_configuration_revision";
 
--- a/tests/cluster_faults.rs
+++ b/tests/cluster_faults.rs
@@ -12,7 +12,13 @@
         cluster::{Cluster, ClusterPlan, OPERATOR_KEY},
         operator::{self, Told},
     },
-    greengagetrail::{standin::ReferenceText, units::Revision},
+    greengagetrail::{
+        engine::Action,
+        fleet::{AuditEvent, AuditRecord, read_audit},
+        standin::ReferenceText,
+        store::{EtcdStore, StoreTimeouts},
+        units::Revision,
+    },
     http_body_util::BodyExt,
     hyper::{Method, StatusCode},
     serde_json::{Value, json},
@@ -26,6 +32,10 @@
 const LEAVING_MAX: Duration = Duration::from_secs(5);
 /// Far longer than a change of owner takes.
 const RECOVERY_MAX: Duration = Duration::from_secs(30);
+const STORE_TIMEOUTS: StoreTimeouts = StoreTimeouts {
+    call_ms: 5_000,
+    watch_silence_ms: 5_000,
+};
 const POLL: Duration = Duration::from_millis(50);
 
 fn extra_model(cluster: &Cluster, name: &str) -> Vec<Value> {
@@ -404,3 +414,29 @@
     wait_until_listed(&cluster, "after-outage", Instant::now(), IN_FORCE_MAX).await;
     assert_memory_kept(&cluster).await;
 }
+
+#[tokio::test]
+async fn the_audit_trail_tells_which_order_followed_from_which_decision() {
+    let cluster = Cluster::start_published(ClusterPlan::default()).await;
+    let store = EtcdStore::new(vec![cluster.kv.address], STORE_TIMEOUTS);
+    let start = Instant::now();
+    loop {
+        let records = read_audit(&store, 100).await.unwrap();
+        let loads = records.iter().filter(|record| {
+            record.event == AuditEvent::Reserved
+                && matches!(record.action, Action::LoadModel { .. })
+                && record.decision.as_deref() == Some("placement")
+        });
+        let settled = |record: &AuditRecord| {
+            let is_settling = |other: &&AuditRecord| {
+                other.order == record.order && other.event == AuditEvent::Settled
+            };
+            records.iter().any(|other| is_settling(&other))
+        };
+        if loads.filter(|record| settled(record)).count() >= cluster.plan.models {
+            return;
+        }
+        assert!(start.elapsed() < RECOVERY_MAX, "{records:?}");
+        sleep(POLL).await;
+    }
+}
--- a/tests/standin_load.rs
+++ b/tests/standin_load.rs
@@ -4,7 +4,7 @@
     greengagetrail::{
         load::{
             Arrival, LoadReport, LoadSettings, MoveCounts, Popularity, Schedule, StreamVerifier,
-            WrongAnswer, parse_stat, plot_svg, run_compare, run_open_loop, verify_whole,
+            WrongAnswer, plot_svg, run_compare, run_open_loop, verify_whole,
         },
         settings::Settings,
         standin::{
@@ -13,6 +13,7 @@
             serve,
             weights::{WeightLimits, WeightSource, WeightStore},
         },
+        telemetry::parse_stat,
     },
     rand::{SeedableRng, rngs::SmallRng},
     serde_json::{Value, json},
