Share only what asks for further copies between planners

Cause: a planner's network at 350 nodes was 15 to 45 KB/s, most of it the counts of up to 960 models sent to and received from ten other planners every 30 s (38 KB each). Ruled out: proposals (none in a debug log of the settled fleet), connections (kept). Change: a planner shares the 100 counts with the most lost requests and tokens; models in the tail need no further copies, and a lost request always counts first.

--- a/src/keeper/demand_task.rs
+++ b/src/keeper/demand_task.rs
@@ -19,6 +19,9 @@
 /// How often a planner tells the others of the demand in its data centre.
 const SHARE_INTERVAL: Duration = Duration::from_secs(30);
 
+/// Counts that a planner shares at most; the tail of the models needs no further copies.
+const SHARED_COUNTS_MAX: usize = 100;
+
 /// Brings the demand of all entries to the planners of all data centres.
 pub struct DemandTask {
     vm: VmName,
@@ -102,7 +105,7 @@
     pub async fn share_for_ever(&self) {
         loop {
             tokio::time::sleep(jittered(SHARE_INTERVAL)).await;
-            let demand = self.to_planners.take();
+            let demand = largest(self.to_planners.take());
             if demand.is_empty() {
                 continue;
             }
@@ -156,6 +159,15 @@
     pub demand: Vec<Demand>,
 }
 
+/// Keeps the counts of lost requests first, then those of the most tokens.
+fn largest(mut demand: Vec<Demand>) -> Vec<Demand> {
+    let weight = |count: &Demand| (count.late.saturating_add(count.refused), count.tokens);
+    demand.sort_by_key(|count| std::cmp::Reverse(weight(count)));
+    demand.truncate(SHARED_COUNTS_MAX);
+    demand.sort_by(|a, b| (&a.model, &a.adapter).cmp(&(&b.model, &b.adapter)));
+    demand
+}
+
 /// Adds counts to a list that is sorted by model and adapter.
 fn merge(sums: &mut Vec<Demand>, counts: Vec<Demand>) {
     for count in counts {
--- a/src/keeper/proposer.rs
+++ b/src/keeper/proposer.rs
@@ -43,6 +43,7 @@
     /// Proposes moves to the owners of their runners.
     pub async fn propose(&self, moves: Vec<Move>) {
         for (owner, moves) in group_by_owner(moves, &self.state) {
+            log::debug!("keeper: proposes {} moves to {}.", moves.len(), owner.vm);
             if owner.vm == self.vm {
                 self.propose_here(moves).await;
             } else if let Err(error) = self.propose_to(&owner, &moves).await {
