--- /dev/null
+++ b/tests/peer_messages.rs
@@ -0,0 +1,147 @@
+//! Messages between processes: what is written is read back, and nothing else breaks a reader.
+
+use {
+    capnp::{
+        message::{Builder, ReaderOptions},
+        serialize,
+    },
+    greengagetrail::{
+        config::{Digest, Head},
+        engine::ModelResident,
+        fleet::{Demand, Move, MoveChange, RunnerState},
+        membership::Member,
+        peer::{
+            read_demands, read_head, read_members, read_moves, read_runner, read_runners,
+            write_demand, write_head, write_move, write_runner,
+        },
+        peer_capnp::{
+            entry_link::{report_params, runners_results},
+            head,
+            peer::propose_params,
+            runner_state,
+        },
+        units::{Epoch, Incarnation, PublishId, Revision},
+    },
+};
+
+fn state(models: &[u8]) -> RunnerState {
+    let resident = |number: &u8| ModelResident {
+        model: format!("model-{number}").parse().unwrap(),
+        version: number.to_string(),
+        ready: number % 2 == 0,
+    };
+    RunnerState {
+        name: "runner".parse().unwrap(),
+        epoch: Epoch(models.len() as u64),
+        incarnation: Incarnation(7),
+        leaving: models.len() % 2 == 0,
+        reachable: models.len() % 3 == 0,
+        models: models.iter().map(resident).collect(),
+        adapters: vec!["adapter".parse().unwrap()],
+    }
+}
+
+#[test]
+fn states_heads_demands_and_moves_are_read_back() {
+    bolero::check!()
+        .with_type::<(Vec<u8>, u64, String, u32)>()
+        .for_each(|(models, revision, author, count)| {
+            let mut message = Builder::new_default();
+            let known = state(models);
+            write_runner(&known, message.init_root());
+            let read = read_runner(message.get_root_as_reader().unwrap()).unwrap();
+            assert_eq!(read, known);
+
+            let known = Head {
+                revision: Revision(revision.saturating_add(1)),
+                digest: Digest::of(author.as_bytes()),
+                publish_id: PublishId(u128::from(*revision)),
+                author: author.clone(),
+                message: author.clone(),
+                published_at_ms: *revision,
+            };
+            let mut message = Builder::new_default();
+            write_head(&known, message.init_root());
+            let read = read_head(message.get_root_as_reader().unwrap()).unwrap();
+            assert_eq!(read, Some(known));
+
+            let known = Demand {
+                model: "model".parse().unwrap(),
+                adapter: (count % 2 == 0).then(|| "adapter".parse().unwrap()),
+                requests: *count,
+                tokens: count.wrapping_mul(7),
+                late: count / 2,
+                refused: count / 3,
+            };
+            let mut message = Builder::new_default();
+            let params = message.init_root::<report_params::Builder<'_>>();
+            write_demand(&known, params.init_demand(1).get(0));
+            let params: report_params::Reader<'_> = message.get_root_as_reader().unwrap();
+            assert_eq!(read_demands(params.get_demand().unwrap()).unwrap(), [known]);
+        });
+    let changes = [
+        MoveChange::Load("m".parse().unwrap()),
+        MoveChange::Unload("m".parse().unwrap()),
+        MoveChange::LoadAdapter("a".parse().unwrap()),
+        MoveChange::UnloadAdapter("a".parse().unwrap()),
+    ];
+    for change in changes {
+        let known = Move {
+            runner: "runner".parse().unwrap(),
+            change,
+            urgent: true,
+        };
+        let mut message = Builder::new_default();
+        let params = message.init_root::<propose_params::Builder<'_>>();
+        write_move(&known, params.init_moves(1).get(0));
+        let params: propose_params::Reader<'_> = message.get_root_as_reader().unwrap();
+        assert_eq!(read_moves(params.get_moves().unwrap()).unwrap(), [known]);
+    }
+}
+
+/// Reads a message as every kind that a process takes; only a panic fails.
+fn read_as_everything(bytes: &[u8]) {
+    let mut limits = ReaderOptions::new();
+    limits.traversal_limit_in_words(Some(64 * 1024));
+    let Ok(message) = serialize::read_message(bytes, limits) else {
+        return;
+    };
+    if let Ok(root) = message.get_root::<head::Reader<'_>>() {
+        let _ = read_head(root);
+    }
+    if let Ok(root) = message.get_root::<runner_state::Reader<'_>>() {
+        let _ = read_runner(root);
+    }
+    if let Ok(root) = message.get_root::<report_params::Reader<'_>>() {
+        let _ = root.get_demand().map(read_demands);
+    }
+    if let Ok(root) = message.get_root::<propose_params::Reader<'_>>() {
+        let _ = root.get_moves().map(read_moves);
+    }
+    if let Ok(root) = message.get_root::<runners_results::Reader<'_>>() {
+        let _ = root.get_runners().map(read_runners);
+        let _: Option<Vec<Member>> = root.get_members().ok().and_then(|it| read_members(it).ok());
+    }
+}
+
+#[test]
+fn any_bytes_are_read_or_refused_without_a_panic() {
+    bolero::check!().for_each(|bytes: &[u8]| read_as_everything(bytes));
+}
+
+#[test]
+fn a_flipped_byte_or_a_cut_breaks_no_reader() {
+    let mut message = Builder::new_default();
+    write_runner(&state(&[1, 2, 3, 4, 5]), message.init_root());
+    let whole = serialize::write_message_to_words(&message);
+    bolero::check!()
+        .with_type::<(u16, u8, u16)>()
+        .for_each(|(position, flip, end)| {
+            let mut bytes = whole.clone();
+            let position = usize::from(*position) % bytes.len();
+            bytes[position] ^= flip;
+            read_as_everything(&bytes);
+            bytes.truncate(usize::from(*end) % (bytes.len() + 1));
+            read_as_everything(&bytes);
+        });
+}
