Drain the keeper too; split the keeper's long files

Change: a drained keeper hands its runners over, leaves the members and answers until SIGTERM; the parts, the run and the runner versions stand in files of their own. Measured: an_operators_drain_hands_runners_over_and_stops_the_entry passes, with the other cluster tests.

--- /dev/null
+++ b/src/keeper/keeper_parts.rs
@@ -0,0 +1,250 @@
+//! The parts of a keeper, put together.
+
+use {
+    super::{
+        AdapterPull, ConfigurationTask, DemandReport, DemandTask, EntryService, FleetTask,
+        GateRoles, GateService, Gossip, HeadOffer, KeeperSettings, KeeperState, ListedVm,
+        MembershipTask, OperatorService, PeerInbox, PeerService, PlanningTask, Proposer,
+        feed_live_keys, follow_vm_list,
+    },
+    crate::{
+        config::Runner,
+        engine::{Engine, HttpEngine},
+        fleet::{FleetKeeper, FleetTiming, Owner},
+        membership::{Heartbeat, Member},
+        peer::{SharedKey, serve},
+        store::{EtcdStore, SharedStore, StoreTimeouts},
+        units::Incarnation,
+    },
+    std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration},
+    tokio::{
+        net::TcpListener,
+        sync::{mpsc, watch},
+        task::spawn_local,
+    },
+};
+
+/// Messages that may wait for a task.
+const INBOX_MAX: usize = 256;
+/// The longest silence of a watch, in milliseconds.
+const WATCH_SILENCE_MS: u64 = 7000;
+
+/// The parts that a keeper's tasks share.
+pub(super) struct KeeperParts {
+    member: Member,
+    key: SharedKey,
+    store: SharedStore,
+    pub(super) state: KeeperState,
+    pub(super) fleet: Rc<FleetKeeper>,
+    demand: RefCell<Option<Rc<DemandTask>>>,
+}
+
+impl KeeperParts {
+    /// Makes the parts; nothing runs yet.
+    pub(super) fn new(settings: &KeeperSettings) -> Self {
+        let member = Member {
+            vm: settings.vm.clone(),
+            data_centre: settings.data_centre.clone(),
+            address: settings.peer_address,
+            entry_address: settings.entry_peer_address,
+            incarnation: Incarnation::of_this_start(),
+        };
+        let timeouts = StoreTimeouts {
+            call_ms: settings.store_timeout_ms,
+            watch_silence_ms: WATCH_SILENCE_MS,
+        };
+        let addresses = settings.store_addresses.clone();
+        let store: SharedStore = Arc::new(EtcdStore::new(addresses, timeouts));
+        let fleet = Rc::new(new_fleet(settings, &member, store.clone()));
+        Self {
+            member,
+            key: SharedKey::new(settings.peer_key.as_bytes()),
+            store,
+            state: KeeperState::default(),
+            fleet,
+            demand: RefCell::default(),
+        }
+    }
+
+    /// Returns the heartbeat of this VM.
+    pub(super) fn heartbeat(&self, ttl_s: u64) -> Heartbeat {
+        Heartbeat::new(self.store.clone(), self.member.clone(), ttl_s)
+    }
+
+    /// Starts all tasks and listeners. Needs a `LocalSet`.
+    pub(super) fn start(
+        &self,
+        settings: &KeeperSettings,
+        peers: TcpListener,
+        operators: TcpListener,
+    ) {
+        let (offers, offer_inbox) = mpsc::channel(INBOX_MAX);
+        let (events, event_inbox) = mpsc::channel(INBOX_MAX);
+        // Without a list, every VM may own runners; with one, only those that it names.
+        let unread = settings.vm_list_address.map(|_| Vec::new());
+        let (listed, listed_vms) = watch::channel(unread);
+        let gossip = Rc::new(Gossip::new(
+            self.member.vm.clone(),
+            self.member.address,
+            self.key.clone(),
+            settings.seed_addresses.clone(),
+            self.state.clone(),
+            offers.clone(),
+        ));
+        let inbox = self.start_fleet(settings, gossip.clone(), listed_vms, offers.clone());
+        spawn_local(feed_live_keys(self.store.clone(), events));
+        if let Some(address) = settings.vm_list_address {
+            spawn_local(follow_vm_list(address, listed));
+        }
+        let membership = MembershipTask::new(self.state.clone(), self.fleet.clone(), offers);
+        spawn_local(async move { membership.run(event_inbox).await });
+        self.start_configuration(offer_inbox);
+        self.start_gossip(
+            &gossip,
+            Duration::from_millis(settings.exchange_interval_ms),
+        );
+        self.start_listeners(settings, gossip, inbox, peers, operators);
+    }
+
+    fn start_configuration(&self, offers: mpsc::Receiver<HeadOffer>) {
+        let new_task =
+            || ConfigurationTask::new(self.state.clone(), self.store.clone(), self.key.clone());
+        let following = new_task();
+        spawn_local(async move { following.run(offers).await });
+        let mending = new_task();
+        spawn_local(async move { mending.mend_history().await });
+    }
+
+    fn start_gossip(&self, gossip: &Rc<Gossip>, interval: Duration) {
+        spawn_local(gossip.clone().push_revisions());
+        let gossip = gossip.clone();
+        spawn_local(async move { gossip.exchange_for_ever(interval).await });
+    }
+
+    fn start_fleet(
+        &self,
+        settings: &KeeperSettings,
+        gossip: Rc<Gossip>,
+        listed: watch::Receiver<Option<Vec<ListedVm>>>,
+        offers: mpsc::Sender<HeadOffer>,
+    ) -> PeerInbox {
+        let (proposals, proposal_inbox) = mpsc::channel(INBOX_MAX);
+        let (states, state_inbox) = mpsc::channel(INBOX_MAX);
+        let task = Rc::new(FleetTask::new(
+            self.member.vm.clone(),
+            self.member.data_centre.clone(),
+            self.state.clone(),
+            self.fleet.clone(),
+            gossip,
+        ));
+        let following = task.clone();
+        spawn_local(async move { following.follow_view(listed).await });
+        let passing_on = task.clone();
+        spawn_local(async move { passing_on.pass_on_states().await });
+        let taking = task.clone();
+        spawn_local(async move { taking.take_reports(state_inbox).await });
+        let proposing = task.clone();
+        spawn_local(async move { proposing.take_proposals(proposal_inbox).await });
+        spawn_local(async move { task.write_audit().await });
+        let proposer = Proposer::new(
+            self.member.vm.clone(),
+            self.key.clone(),
+            self.state.clone(),
+            proposals.clone(),
+            states.clone(),
+        );
+        let demand = self.start_planning(settings, proposer);
+        PeerInbox {
+            offers,
+            demand,
+            proposals,
+            states,
+        }
+    }
+
+    fn start_planning(
+        &self,
+        settings: &KeeperSettings,
+        proposer: Proposer,
+    ) -> mpsc::Sender<DemandReport> {
+        let (demand, demand_inbox) = mpsc::channel(INBOX_MAX);
+        let tracker = Rc::default();
+        let home = self.member.data_centre.clone();
+        let pull = AdapterPull::new(home, self.state.clone(), proposer.clone());
+        let task = Rc::new(DemandTask::new(
+            self.member.vm.clone(),
+            self.member.data_centre.clone(),
+            self.key.clone(),
+            self.state.clone(),
+            Rc::clone(&tracker),
+            pull,
+        ));
+        let taking = task.clone();
+        spawn_local(async move { taking.take_peer_reports(demand_inbox).await });
+        let reporting = task.clone();
+        spawn_local(async move { reporting.report_for_ever().await });
+        let sharing = task.clone();
+        spawn_local(async move { sharing.share_for_ever().await });
+        *self.demand.borrow_mut() = Some(task);
+        let vm = self.member.vm.clone();
+        let planning = PlanningTask::new(vm, self.state.clone(), tracker, proposer);
+        let interval = Duration::from_millis(settings.planning_interval_ms);
+        spawn_local(async move { planning.run(interval).await });
+        demand
+    }
+
+    fn start_listeners(
+        &self,
+        settings: &KeeperSettings,
+        gossip: Rc<Gossip>,
+        inbox: PeerInbox,
+        peers: TcpListener,
+        operators: TcpListener,
+    ) {
+        let (reports, report_inbox) = mpsc::channel(INBOX_MAX);
+        if let Some(task) = self.demand.take() {
+            spawn_local(async move { task.take_entry_reports(report_inbox).await });
+        }
+        let processes = GateRoles::Processes {
+            key: self.key.clone(),
+            peer: PeerService::client(self.state.clone(), gossip, inbox),
+            entry: EntryService::client(self.state.clone(), reports),
+        };
+        spawn_local(serve(peers, move |mark| {
+            GateService::client(processes.clone(), mark)
+        }));
+        let operator = OperatorService::client(
+            self.member.vm.clone(),
+            self.member.incarnation,
+            self.state.clone(),
+            self.store.clone(),
+        );
+        let key = SharedKey::new(settings.operator_key.as_bytes());
+        let roles = GateRoles::Operators { key, operator };
+        spawn_local(serve(operators, move |mark| {
+            GateService::client(roles.clone(), mark)
+        }));
+    }
+}
+
+fn new_fleet(settings: &KeeperSettings, member: &Member, store: SharedStore) -> FleetKeeper {
+    let owner = Owner {
+        vm: member.vm.clone(),
+        incarnation: member.incarnation,
+    };
+    let timing = FleetTiming {
+        status_interval: Duration::from_millis(settings.status_interval_ms),
+        order_timeout: Duration::from_millis(settings.order_timeout_ms),
+    };
+    let timeout = timing.order_timeout;
+    let engines = move |runner: &Runner| -> Arc<dyn Engine> {
+        Arc::new(HttpEngine::new(runner.address, timeout))
+    };
+    FleetKeeper::new(
+        store,
+        Box::new(engines),
+        owner,
+        settings.data_centre.clone(),
+        timing,
+    )
+}
--- a/src/keeper/mod.rs
+++ b/src/keeper/mod.rs
@@ -9,6 +9,7 @@
 mod gate_service;
 mod gossip;
 mod interest;
+mod keeper_parts;
 mod live_feed;
 mod membership_task;
 mod operator_service;
@@ -16,6 +17,7 @@
 mod planning_task;
 mod proposer;
 mod run;
+mod runner_versions;
 mod settings;
 mod state;
 mod status;
@@ -24,6 +26,6 @@
 pub use {
     adapter_pull::*, configuration_task::*, demand_task::*, entry_service::*, error::*,
     fleet_task::*, gate_service::*, gossip::*, interest::*, live_feed::*, membership_task::*,
-    operator_service::*, peer_service::*, planning_task::*, proposer::*, run::*, settings::*,
-    state::*, status::*, vm_list::*,
+    operator_service::*, peer_service::*, planning_task::*, proposer::*, run::*,
+    runner_versions::*, settings::*, state::*, status::*, vm_list::*,
 };
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -1,38 +1,22 @@
-//! Puts the parts of a keeper together and runs them.
+//! Runs a keeper from its start to its planned stop.
 
 use {
-    super::{
-        AdapterPull, ConfigurationTask, DemandTask, EntryService, FleetTask, GateRoles,
-        GateService, Gossip, KeeperError, KeeperSettings, KeeperState, MembershipTask,
-        OperatorService, PeerInbox, PeerService, PlanningTask, Proposer, feed_live_keys,
-        follow_vm_list,
-    },
+    super::{KeeperError, KeeperSettings, keeper_parts::KeeperParts},
     crate::{
-        config::Runner,
-        engine::{Engine, HttpEngine},
-        fleet::{FleetKeeper, FleetTiming, Owner},
         http::{Readiness, serve_operations},
-        membership::{Heartbeat, Member},
-        peer::{SharedKey, serve},
-        store::{EtcdStore, SharedStore, StoreTimeouts},
         telemetry::{init_logs, init_metrics, keep_up_metrics},
-        units::Incarnation,
     },
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
+    std::{net::SocketAddr, time::Duration},
     tokio::{
         net::TcpListener,
-        signal::unix::{SignalKind, signal},
-        sync::{mpsc, watch},
-        task::{LocalSet, spawn_local},
+        signal::unix::{Signal, SignalKind, signal},
+        sync::watch,
+        task::{JoinHandle, LocalSet, spawn_local},
     },
     tokio_util::sync::CancellationToken,
 };
 
-/// Messages that may wait for a task.
-const INBOX_MAX: usize = 256;
-/// The longest silence of a watch, in milliseconds.
-const WATCH_SILENCE_MS: u64 = 7000;
-/// How often a draining keeper looks whether its handing over is done.
+/// The longest that a planned stop waits for the runners, and then for the lease.
 const HAND_OVER_MAX: Duration = Duration::from_secs(10);
 
 /// Runs a keeper until SIGTERM.
@@ -48,268 +32,98 @@
     LocalSet::new().block_on(&runtime, serve_keeper(settings))
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, KeeperError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|cause| KeeperError::Listen { address, cause })
-}
-
 async fn serve_keeper(settings: KeeperSettings) -> Result<(), KeeperError> {
+    let mut signals = Signals::new()?;
     let peers = listen(settings.peer_address).await?;
     let operators = listen(settings.operator_address).await?;
-    let operations = listen(settings.operations_address).await?;
-    let metrics = init_metrics()?;
-    spawn_local(keep_up_metrics(metrics.clone()));
-    let readiness = Readiness::default();
     let stop = CancellationToken::new();
-    let render = move || metrics.render();
-    spawn_local(serve_operations(
-        operations,
-        readiness.clone(),
-        render,
-        stop.clone(),
-    ));
-    let keeper = Keeper::new(&settings);
-    let (stop_heartbeat, heartbeat_stopped) = watch::channel(false);
-    let heartbeat = keeper.heartbeat(settings.lease_ttl_s);
-    let heartbeat = spawn_local(heartbeat.run(heartbeat_stopped));
+    let readiness = serve_health(settings.operations_address, &stop).await?;
+    let keeper = KeeperParts::new(&settings);
+    let membership = Membership::join(&keeper, settings.lease_ttl_s);
     keeper.start(&settings, peers, operators);
     readiness.set(true);
     log::info!("keeper: {} started.", settings.vm);
-    keeper.wait_for_stop().await?;
+    let drained = tokio::select! {
+        () = signals.stop() => false,
+        () = keeper.state.wait_for_drain() => true,
+    };
     readiness.set(false);
-    let handing_over = keeper.fleet.hand_over();
-    if tokio::time::timeout(HAND_OVER_MAX, handing_over)
-        .await
-        .is_err()
-    {
-        log::warn!("keeper: not all runners were handed over in time.");
+    hand_over(&keeper).await;
+    membership.leave().await;
+    if drained {
+        log::info!("keeper: {} is drained.", settings.vm);
+        signals.stop().await;
     }
-    stop_heartbeat.send_replace(true);
-    let _ = tokio::time::timeout(HAND_OVER_MAX, heartbeat).await;
     stop.cancel();
     log::info!("keeper: {} stopped.", settings.vm);
     Ok(())
 }
 
-/// The parts that a keeper's tasks share.
-struct Keeper {
-    member: Member,
-    key: SharedKey,
-    store: SharedStore,
-    state: KeeperState,
-    fleet: Rc<FleetKeeper>,
-    demand: RefCell<Option<Rc<DemandTask>>>,
+async fn listen(address: SocketAddr) -> Result<TcpListener, KeeperError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| KeeperError::Listen { address, cause })
 }
 
-impl Keeper {
-    fn new(settings: &KeeperSettings) -> Self {
-        let member = Member {
-            vm: settings.vm.clone(),
-            data_centre: settings.data_centre.clone(),
-            address: settings.peer_address,
-            entry_address: settings.entry_peer_address,
-            incarnation: Incarnation::of_this_start(),
-        };
-        let timeouts = StoreTimeouts {
-            call_ms: settings.store_timeout_ms,
-            watch_silence_ms: WATCH_SILENCE_MS,
-        };
-        let addresses = settings.store_addresses.clone();
-        let store: SharedStore = Arc::new(EtcdStore::new(addresses, timeouts));
-        let fleet = Rc::new(new_fleet(settings, &member, store.clone()));
-        Self {
-            member,
-            key: SharedKey::new(settings.peer_key.as_bytes()),
-            store,
-            state: KeeperState::default(),
-            fleet,
-            demand: RefCell::default(),
-        }
-    }
-
-    fn heartbeat(&self, ttl_s: u64) -> Heartbeat {
-        Heartbeat::new(self.store.clone(), self.member.clone(), ttl_s)
-    }
+async fn serve_health(
+    address: SocketAddr,
+    stop: &CancellationToken,
+) -> Result<Readiness, KeeperError> {
+    let listener = listen(address).await?;
+    let metrics = init_metrics()?;
+    spawn_local(keep_up_metrics(metrics.clone()));
+    let readiness = Readiness::default();
+    let render = move || metrics.render();
+    let served = serve_operations(listener, readiness.clone(), render, stop.clone());
+    spawn_local(served);
+    Ok(readiness)
+}
 
-    fn start(&self, settings: &KeeperSettings, peers: TcpListener, operators: TcpListener) {
-        let (offers, offer_inbox) = mpsc::channel(INBOX_MAX);
-        let (events, event_inbox) = mpsc::channel(INBOX_MAX);
-        // Without a list, every VM may own runners; with one, only those that it names.
-        let unread = settings.vm_list_address.map(|_| Vec::new());
-        let (listed, listed_vms) = watch::channel(unread);
-        let gossip = Rc::new(Gossip::new(
-            self.member.vm.clone(),
-            self.member.address,
-            self.key.clone(),
-            settings.seed_addresses.clone(),
-            self.state.clone(),
-            offers.clone(),
-        ));
-        let inbox = self.start_fleet(settings, gossip.clone(), listed_vms, offers.clone());
-        spawn_local(feed_live_keys(self.store.clone(), events));
-        if let Some(address) = settings.vm_list_address {
-            spawn_local(follow_vm_list(address, listed));
-        }
-        let membership = MembershipTask::new(self.state.clone(), self.fleet.clone(), offers);
-        spawn_local(async move { membership.run(event_inbox).await });
-        self.start_configuration(offer_inbox);
-        self.start_gossip(
-            &gossip,
-            Duration::from_millis(settings.exchange_interval_ms),
-        );
-        self.start_listeners(settings, gossip, inbox, peers, operators);
+async fn hand_over(keeper: &KeeperParts) {
+    let handing_over = keeper.fleet.hand_over();
+    let ended = tokio::time::timeout(HAND_OVER_MAX, handing_over).await;
+    if ended.is_err() {
+        log::warn!("keeper: not all runners were handed over in time.");
     }
+}
 
-    fn start_configuration(&self, offers: mpsc::Receiver<super::HeadOffer>) {
-        let new_task =
-            || ConfigurationTask::new(self.state.clone(), self.store.clone(), self.key.clone());
-        let following = new_task();
-        spawn_local(async move { following.run(offers).await });
-        let mending = new_task();
-        spawn_local(async move { mending.mend_history().await });
-    }
+/// The running heartbeat of this VM.
+struct Membership {
+    stop: watch::Sender<bool>,
+    heartbeat: JoinHandle<()>,
+}
 
-    fn start_gossip(&self, gossip: &Rc<Gossip>, interval: Duration) {
-        spawn_local(gossip.clone().push_revisions());
-        let gossip = gossip.clone();
-        spawn_local(async move { gossip.exchange_for_ever(interval).await });
+impl Membership {
+    fn join(keeper: &KeeperParts, ttl_s: u64) -> Self {
+        let (stop, stopped) = watch::channel(false);
+        let heartbeat = spawn_local(keeper.heartbeat(ttl_s).run(stopped));
+        Self { stop, heartbeat }
     }
 
-    fn start_fleet(
-        &self,
-        settings: &KeeperSettings,
-        gossip: Rc<Gossip>,
-        listed: watch::Receiver<Option<Vec<super::ListedVm>>>,
-        offers: mpsc::Sender<super::HeadOffer>,
-    ) -> PeerInbox {
-        let (proposals, proposal_inbox) = mpsc::channel(INBOX_MAX);
-        let (states, state_inbox) = mpsc::channel(INBOX_MAX);
-        let task = Rc::new(FleetTask::new(
-            self.member.vm.clone(),
-            self.member.data_centre.clone(),
-            self.state.clone(),
-            self.fleet.clone(),
-            gossip,
-        ));
-        let following = task.clone();
-        spawn_local(async move { following.follow_view(listed).await });
-        let passing_on = task.clone();
-        spawn_local(async move { passing_on.pass_on_states().await });
-        let taking = task.clone();
-        spawn_local(async move { taking.take_reports(state_inbox).await });
-        let proposing = task.clone();
-        spawn_local(async move { proposing.take_proposals(proposal_inbox).await });
-        spawn_local(async move { task.write_audit().await });
-        let proposer = Proposer::new(
-            self.member.vm.clone(),
-            self.key.clone(),
-            self.state.clone(),
-            proposals.clone(),
-            states.clone(),
-        );
-        let demand = self.start_planning(settings, proposer);
-        PeerInbox {
-            offers,
-            demand,
-            proposals,
-            states,
-        }
+    async fn leave(self) {
+        self.stop.send_replace(true);
+        let _ = tokio::time::timeout(HAND_OVER_MAX, self.heartbeat).await;
     }
+}
 
-    fn start_planning(
-        &self,
-        settings: &KeeperSettings,
-        proposer: Proposer,
-    ) -> mpsc::Sender<super::DemandReport> {
-        let (demand, demand_inbox) = mpsc::channel(INBOX_MAX);
-        let tracker = Rc::default();
-        let home = self.member.data_centre.clone();
-        let pull = AdapterPull::new(home, self.state.clone(), proposer.clone());
-        let task = Rc::new(DemandTask::new(
-            self.member.vm.clone(),
-            self.member.data_centre.clone(),
-            self.key.clone(),
-            self.state.clone(),
-            Rc::clone(&tracker),
-            pull,
-        ));
-        let taking = task.clone();
-        spawn_local(async move { taking.take_peer_reports(demand_inbox).await });
-        let reporting = task.clone();
-        spawn_local(async move { reporting.report_for_ever().await });
-        let sharing = task.clone();
-        spawn_local(async move { sharing.share_for_ever().await });
-        *self.demand.borrow_mut() = Some(task);
-        let vm = self.member.vm.clone();
-        let planning = PlanningTask::new(vm, self.state.clone(), tracker, proposer);
-        let interval = Duration::from_millis(settings.planning_interval_ms);
-        spawn_local(async move { planning.run(interval).await });
-        demand
-    }
+/// The signals that ask for a planned stop.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
 
-    fn start_listeners(
-        &self,
-        settings: &KeeperSettings,
-        gossip: Rc<Gossip>,
-        inbox: PeerInbox,
-        peers: TcpListener,
-        operators: TcpListener,
-    ) {
-        let (reports, report_inbox) = mpsc::channel(INBOX_MAX);
-        if let Some(task) = self.demand.take() {
-            spawn_local(async move { task.take_entry_reports(report_inbox).await });
-        }
-        let processes = GateRoles::Processes {
-            key: self.key.clone(),
-            peer: PeerService::client(self.state.clone(), gossip, inbox),
-            entry: EntryService::client(self.state.clone(), reports),
-        };
-        spawn_local(serve(peers, move |mark| {
-            GateService::client(processes.clone(), mark)
-        }));
-        let operator = OperatorService::client(
-            self.member.vm.clone(),
-            self.member.incarnation,
-            self.state.clone(),
-            self.store.clone(),
-        );
-        let key = SharedKey::new(settings.operator_key.as_bytes());
-        let roles = GateRoles::Operators { key, operator };
-        spawn_local(serve(operators, move |mark| {
-            GateService::client(roles.clone(), mark)
-        }));
+impl Signals {
+    fn new() -> Result<Self, KeeperError> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
     }
 
-    async fn wait_for_stop(&self) -> Result<(), KeeperError> {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
+    async fn stop(&mut self) {
         tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
         }
-        Ok(())
     }
 }
-
-fn new_fleet(settings: &KeeperSettings, member: &Member, store: SharedStore) -> FleetKeeper {
-    let owner = Owner {
-        vm: member.vm.clone(),
-        incarnation: member.incarnation,
-    };
-    let timing = FleetTiming {
-        status_interval: Duration::from_millis(settings.status_interval_ms),
-        order_timeout: Duration::from_millis(settings.order_timeout_ms),
-    };
-    let timeout = timing.order_timeout;
-    let engines = move |runner: &Runner| -> Arc<dyn Engine> {
-        Arc::new(HttpEngine::new(runner.address, timeout))
-    };
-    FleetKeeper::new(
-        store,
-        Box::new(engines),
-        owner,
-        settings.data_centre.clone(),
-        timing,
-    )
-}
--- a/src/keeper/state.rs
+++ b/src/keeper/state.rs
@@ -1,6 +1,7 @@
 //! What a keeper knows, shared by its tasks on one thread.
 
 use {
+    super::RunnerVersions,
     crate::{
         config::{
             AcceptError, Blob, Configuration, Digest, EncodedSnapshot, Follower, Head, HeadOrigin,
@@ -23,13 +24,6 @@
     pub peer: Option<SocketAddr>,
 }
 
-/// The state of a runner with the version at which it last changed.
-#[derive(Debug, Clone)]
-struct Versioned {
-    state: RunnerState,
-    changed: u64,
-}
-
 /// What an entry must be told since a version.
 #[derive(Debug)]
 pub struct RunnerNews {
@@ -50,7 +44,7 @@
     follower: Follower,
     roster: Roster,
     members_changed: u64,
-    runners: Vec<Versioned>,
+    runners: RunnerVersions,
     draining: bool,
     leaving: Vec<SocketAddr>,
 }
@@ -170,19 +164,12 @@
 
     /// Returns the state of a runner.
     pub fn runner(&self, name: &RunnerName) -> Option<RunnerState> {
-        let inner = self.inner.borrow();
-        let position = find(&inner.runners, name).ok()?;
-        Some(inner.runners[position].state.clone())
+        self.inner.borrow().runners.get(name).cloned()
     }
 
     /// Returns the states of all runners, sorted by name.
     pub fn runners(&self) -> Vec<RunnerState> {
-        self.inner
-            .borrow()
-            .runners
-            .iter()
-            .map(|known| known.state.clone())
-            .collect()
+        self.inner.borrow().runners.changed_since(0)
     }
 
     /// Takes newer states of runners; equal ones and those of an earlier owner are ignored.
@@ -190,13 +177,8 @@
     /// Returns those that were news.
     pub fn update_runners(&self, states: &[RunnerState]) -> Vec<RunnerState> {
         let version = self.raise_version();
-        let mut news = Vec::new();
         let urgent = !self.find_urgent(states).is_empty();
-        for state in states {
-            if self.update_runner(state, version) {
-                news.push(state.clone());
-            }
-        }
+        let news = self.inner.borrow_mut().runners.update(states, version);
         if !news.is_empty() {
             self.announce(version);
         }
@@ -206,37 +188,9 @@
         news
     }
 
-    fn update_runner(&self, state: &RunnerState, version: u64) -> bool {
-        let mut inner = self.inner.borrow_mut();
-        let next = || Versioned {
-            state: state.clone(),
-            changed: version,
-        };
-        match find(&inner.runners, &state.name) {
-            Ok(position) => {
-                let known = &mut inner.runners[position];
-                if known.state == *state || is_older(state, &known.state) {
-                    return false;
-                }
-                *known = next();
-            }
-            Err(position) => inner.runners.insert(position, next()),
-        }
-        true
-    }
-
     /// Returns the states that tell of a leaving or lost runner for the first time.
     pub fn find_urgent(&self, states: &[RunnerState]) -> Vec<RunnerState> {
-        let inner = self.inner.borrow();
-        let is_urgent = |state: &&RunnerState| match find(&inner.runners, &state.name) {
-            Ok(position) => {
-                let known = &inner.runners[position].state;
-                !is_older(state, known)
-                    && (state.leaving, state.reachable) != (known.leaving, known.reachable)
-            }
-            Err(_) => state.leaving || !state.reachable,
-        };
-        states.iter().filter(is_urgent).cloned().collect()
+        self.inner.borrow().runners.find_urgent(states)
     }
 
     /// Returns the backend servers that the platform lists as leaving, sorted.
@@ -260,6 +214,16 @@
         self.inner.borrow().draining
     }
 
+    /// Waits until this VM drains.
+    pub async fn wait_for_drain(&self) {
+        let mut versions = self.watch_version();
+        while !self.draining() {
+            if versions.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Starts draining this VM.
     pub fn start_draining(&self) {
         self.inner.borrow_mut().draining = true;
@@ -270,13 +234,12 @@
     /// Collects what changed after `known`.
     pub fn news_since(&self, known: u64) -> RunnerNews {
         let inner = self.inner.borrow();
-        let changed = inner.runners.iter().filter(|runner| runner.changed > known);
         let members_changed = inner.members_changed > known;
         RunnerNews {
             version: *self.version.borrow(),
             draining: inner.draining,
             leaving: inner.leaving.clone(),
-            runners: changed.map(|runner| runner.state.clone()).collect(),
+            runners: inner.runners.changed_since(known),
             members: if members_changed {
                 inner.roster.members()
             } else {
@@ -293,15 +256,3 @@
         self.version.send_replace(version);
     }
 }
-
-fn find(runners: &[Versioned], name: &RunnerName) -> Result<usize, usize> {
-    runners.binary_search_by(|known| known.state.name.cmp(name))
-}
-
-/// A leaving runner stays leaving for its start, whoever said so first.
-fn is_older(state: &RunnerState, known: &RunnerState) -> bool {
-    if state.incarnation != known.incarnation {
-        return (state.epoch, state.incarnation) < (known.epoch, known.incarnation);
-    }
-    state.epoch < known.epoch || (known.leaving && !state.leaving)
-}
--- a/tests/cluster_faults.rs
+++ b/tests/cluster_faults.rs
@@ -440,3 +440,25 @@
         sleep(POLL).await;
     }
 }
+
+#[tokio::test]
+async fn an_operators_drain_hands_runners_over_and_stops_the_entry() {
+    let mut cluster = Cluster::start_published(ClusterPlan::default()).await;
+    let (owner, epoch) = owner_of(&cluster, "runner-0").await;
+    operator::drain(cluster.vms[owner].operator_address, OPERATOR_KEY).await;
+    let watching = (owner + 1) % cluster.vms.len();
+    wait_for_epoch(&cluster, "runner-0", epoch, watching).await;
+    let status = cluster.vms[owner].entry.wait(RECOVERY_MAX);
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+    let keeper = cluster.vms[owner].operator_address;
+    let status = operator::status(keeper, OPERATOR_KEY).await.unwrap();
+    assert_eq!(status["draining"], true);
+    cluster.vms[owner].keeper.terminate();
+    let status = cluster.vms[owner].keeper.wait(Duration::from_secs(20));
+    assert!(status.is_some_and(|status| status.success()), "{status:?}");
+    let other = cluster.vms[watching].callers_address;
+    let answer = cluster
+        .complete(other, "model-0", "after the drain", 2)
+        .await;
+    assert_eq!(answer.unwrap().status, StatusCode::OK);
+}
--- a/tests/peer_messages.rs
+++ b/tests/peer_messages.rs
@@ -28,14 +28,14 @@
     let resident = |number: &u8| ModelResident {
         model: format!("model-{number}").parse().unwrap(),
         version: number.to_string(),
-        ready: number % 2 == 0,
+        ready: number.is_multiple_of(2),
     };
     RunnerState {
         name: "runner".parse().unwrap(),
         epoch: Epoch(models.len() as u64),
         incarnation: Incarnation(7),
-        leaving: models.len() % 2 == 0,
-        reachable: models.len() % 3 == 0,
+        leaving: models.len().is_multiple_of(2),
+        reachable: models.len().is_multiple_of(3),
         models: models.iter().map(resident).collect(),
         adapters: vec!["adapter".parse().unwrap()],
     }
@@ -67,7 +67,7 @@
 
             let known = Demand {
                 model: "model".parse().unwrap(),
-                adapter: (count % 2 == 0).then(|| "adapter".parse().unwrap()),
+                adapter: count.is_multiple_of(2).then(|| "adapter".parse().unwrap()),
                 requests: *count,
                 tokens: count.wrapping_mul(7),
                 late: count / 2,
