--- a/benches/entry_memory.rs
+++ b/benches/entry_memory.rs
@@ -15,7 +15,9 @@
 };
 
 /// The numbers of streams that are open at once, in turn.
-const OPEN: [usize; 5] = [0, 250, 500, 1000, 2000];
+const OPEN: [usize; 4] = [0, 240, 480, 960];
+/// The models, each alone on an engine, so that admission has a slot for every stream.
+const MODELS: usize = 16;
 /// The tokens of each stream, far more than are read.
 const TOKENS: u32 = 2000;
 /// The pause after opening, so that all streams flow.
@@ -55,8 +57,8 @@
     let mut streams = Vec::new();
     for index in 0..open {
         let body = json!({
-            "model": "model-0", "prompt": format!("stream {index}"), "max_tokens": TOKENS,
-            "stream": true
+            "model": format!("model-{}", index % MODELS), "prompt": format!("stream {index}"),
+            "max_tokens": TOKENS, "stream": true
         });
         let headers = [("content-type", "application/json")];
         let opening = cluster.caller.open(
@@ -84,8 +86,9 @@
 fn plan() -> ClusterPlan {
     ClusterPlan {
         vms: 1,
-        engines: 1,
-        models: 1,
+        engines: MODELS,
+        models: MODELS,
+        model_mib: 30_000,
         adapters: 0,
         engine: json!({
             "memory_mib": 40_000, "adapter_pool_mib": 2_000, "token_us": 36_000,
--- a/src/placement/home_map.rs
+++ b/src/placement/home_map.rs
@@ -26,6 +26,26 @@
     configured_mib: f64,
     free_mib: f64,
     largest_mib: u64,
+    /// What a first-fit packing of the homes so far leaves on each live runner.
+    left_mib: Vec<u64>,
+}
+
+impl Capacity {
+    fn has_runner_for(&self, size_mib: u64) -> bool {
+        self.left_mib.iter().any(|&left| left >= size_mib)
+    }
+
+    fn has_room_for(&self, size_mib: u64) -> bool {
+        self.free_mib >= size_mib as f64 && self.has_runner_for(size_mib)
+    }
+
+    fn take(&mut self, size_mib: u64) {
+        self.free_mib -= size_mib as f64;
+        let first = self.left_mib.iter_mut().find(|left| **left >= size_mib);
+        if let Some(left) = first {
+            *left -= size_mib;
+        }
+    }
 }
 
 impl HomeMap {
@@ -106,6 +126,7 @@
             configured_mib: 0.0,
             free_mib: 0.0,
             largest_mib: 0,
+            left_mib: Vec::new(),
         };
         for (runner, &live) in here {
             let memory = runner.model_memory_mib().0;
@@ -113,6 +134,7 @@
             if live {
                 capacity.free_mib += memory as f64 * FILL_MAX;
                 capacity.largest_mib = capacity.largest_mib.max(memory);
+                capacity.left_mib.push(memory);
             }
         }
         capacity
@@ -127,26 +149,25 @@
     order: &[usize],
     capacities: &mut [Capacity],
 ) -> Vec<usize> {
-    let size_mib = model.memory_mib.0 as f64;
+    let size_mib = model.memory_mib.0;
     let mut homes: Vec<usize> = Vec::new();
     for copy in 0..copies_min(catalog, &model.name) {
-        let fits = |&&place: &&usize| {
-            let capacity: &Capacity = &capacities[place];
-            capacity.largest_mib >= model.memory_mib.0 && capacity.free_mib >= size_mib
-        };
+        let fits = |&&place: &&usize| capacities[place].has_room_for(size_mib);
+        let has_runner = |&&place: &&usize| capacities[place].has_runner_for(size_mib);
         let fresh = order
             .iter()
             .find(|place| fits(place) && !homes.contains(place));
-        let any_live = |&&place: &&usize| capacities[place].largest_mib >= model.memory_mib.0;
+        let any_live = |&&place: &&usize| capacities[place].largest_mib >= size_mib;
         let chosen = fresh
             .or_else(|| order.iter().find(fits))
+            .or_else(|| order.iter().find(has_runner))
             .or_else(|| order.iter().filter(any_live).nth(copy))
             .or_else(|| order.iter().find(any_live))
             .or_else(|| order.first());
         let Some(&chosen) = chosen else {
             break;
         };
-        capacities[chosen].free_mib -= size_mib;
+        capacities[chosen].take(size_mib);
         homes.push(chosen);
     }
     homes
--- a/tests/policy_placement.rs
+++ b/tests/policy_placement.rs
@@ -12,7 +12,7 @@
     },
     common::policy_fleet::{LOAD_ROUNDS, PolicyFleet},
     greengagetrail::{
-        config::{Adapter, Catalog, DataCentre, Object, Placement, Runner},
+        config::{Adapter, Catalog, DataCentre, Fencing, Model, Object, Placement, Runner},
         fleet::{Demand, Move, MoveChange},
         placement::{DemandRate, DemandTracker, HomeMap, PlanInput, plan},
         units::MemoryMib,
@@ -373,3 +373,54 @@
     let forgotten = rate_after(1_800, 0).await;
     assert!(forgotten.requests_per_s < 0.5, "{forgotten:?}");
 }
+
+#[test]
+fn every_model_gets_a_copy_where_each_runner_has_room_for_just_one() {
+    for models in [8, 16, 32] {
+        let mut catalog = Catalog::default();
+        catalog.data_centres = ["north", "south"].map(one_data_centre).to_vec();
+        for index in 0..models {
+            catalog.runners.push(one_model_runner(index));
+            catalog.models.push(Model {
+                name: format!("model-{index:02}").parse().unwrap(),
+                version: "1".to_owned(),
+                memory_mib: MemoryMib(30_000),
+            });
+        }
+        let homes = HomeMap::new(&catalog, &vec![true; models]);
+        for data_centre in &catalog.data_centres {
+            let at_home = catalog.models.iter().filter(|model| {
+                let mut homes = homes.homes(&catalog, &model.name);
+                homes.any(|home| *home == data_centre.name)
+            });
+            let runners = catalog.runners.iter();
+            let here = runners.filter(|runner| runner.data_centre == data_centre.name);
+            assert_eq!(
+                at_home.count(),
+                here.count(),
+                "{models}: {}",
+                data_centre.name
+            );
+        }
+    }
+}
+
+fn one_data_centre(name: &str) -> DataCentre {
+    DataCentre {
+        name: name.parse().unwrap(),
+        region: "plains".parse().unwrap(),
+    }
+}
+
+fn one_model_runner(index: usize) -> Runner {
+    Runner {
+        name: format!("runner-{index:02}").parse().unwrap(),
+        address: format!("127.0.0.1:{}", 9000 + index).parse().unwrap(),
+        data_centre: ["north", "south"][index % 2].parse().unwrap(),
+        accelerators: 1,
+        memory_mib: MemoryMib(40_000),
+        adapter_pool_mib: MemoryMib(2_000),
+        fencing: Fencing::Honoured,
+        order_lateness_max_ms: 0,
+    }
+}
