--- a/tests/policy_placement.rs
+++ b/tests/policy_placement.rs
@@ -377,8 +377,10 @@
 #[test]
 fn every_model_gets_a_copy_where_each_runner_has_room_for_just_one() {
     for models in [8, 16, 32] {
-        let mut catalog = Catalog::default();
-        catalog.data_centres = ["north", "south"].map(one_data_centre).to_vec();
+        let mut catalog = Catalog {
+            data_centres: ["north", "south"].map(one_data_centre).to_vec(),
+            ..Catalog::default()
+        };
         for index in 0..models {
             catalog.runners.push(one_model_runner(index));
             catalog.models.push(Model {
