--- a/src/standin/plain/server.rs
+++ b/src/standin/plain/server.rs
@@ -45,16 +45,17 @@
             RequestFate::Busy | RequestFate::Leaving => return Ok(self.refuse(fate)),
             _ => {}
         }
-        let slow_ms = self.faults().slow_ms;
-        if slow_ms > 0 {
-            sleep(Duration::from_millis(slow_ms)).await;
-        }
         let path = head.uri.path();
         let response = if is_read(&head.method) {
             self.look_up(path)
         } else {
             self.run(&head.headers, path, body)
         };
+        // What has run stays run, also when the caller does not wait for the answer.
+        let slow_ms = self.faults().slow_ms;
+        if slow_ms > 0 {
+            sleep(Duration::from_millis(slow_ms)).await;
+        }
         match fate {
             RequestFate::AnswerLost => Err(BrokenOff),
             RequestFate::Failed => {
