Fuzz forwarded calls and the JSON that comes from outside

Cause: the decoders of forwarded calls, of engines' and the store's JSON and of the stand-in's requests had no target.

--- a/src/entry/forward_wire.rs
+++ b/src/entry/forward_wire.rs
@@ -11,7 +11,7 @@
 };
 
 /// Writes a call.
-pub(super) fn write_call(call: &ForwardedCall, mut to: forward::call_params::Builder<'_>) {
+pub fn write_call(call: &ForwardedCall, mut to: forward::call_params::Builder<'_>) {
     to.set_request_id(call.request_id.to_string());
     to.set_ticket(&call.ticket);
     to.set_service(call.service.as_str());
@@ -23,9 +23,11 @@
 }
 
 /// Reads a call.
-pub(super) fn read_call(
-    from: forward::call_params::Reader<'_>,
-) -> Result<ForwardedCall, PeerError> {
+///
+/// # Errors
+///
+/// Fails on a malformed field.
+pub fn read_call(from: forward::call_params::Reader<'_>) -> Result<ForwardedCall, PeerError> {
     Ok(ForwardedCall {
         request_id: from.get_request_id()?.to_str()?.parse()?,
         ticket: from.get_ticket()?.to_str()?.to_owned(),
@@ -38,7 +40,7 @@
 }
 
 /// Writes a reply.
-pub(super) fn write_reply(reply: &ForwardedReply, mut to: forward::call_results::Builder<'_>) {
+pub fn write_reply(reply: &ForwardedReply, mut to: forward::call_results::Builder<'_>) {
     to.set_status(reply.status);
     to.set_body(&reply.body);
     let headers = to.init_headers(list_len(reply.headers.len()));
@@ -46,9 +48,11 @@
 }
 
 /// Reads a reply.
-pub(super) fn read_reply(
-    from: forward::call_results::Reader<'_>,
-) -> Result<ForwardedReply, PeerError> {
+///
+/// # Errors
+///
+/// Fails on a malformed field.
+pub fn read_reply(from: forward::call_results::Reader<'_>) -> Result<ForwardedReply, PeerError> {
     Ok(ForwardedReply {
         status: from.get_status(),
         headers: read_headers(from.get_headers()?)?,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -44,7 +44,7 @@
 use {attempt::*, joined::*, key_problem::*, relay::*, response_head::*, stream_source::*};
 pub use {
     backend::*, body_space::*, call::*, choose::*, demand::*, entry::*, entry_metrics::*,
-    event_id::*, forward_link::*, idempotency::*, inference_request::*, leaving::*, load_header::*,
-    open_requests::*, routes::*, run::*, service_request::*, settings::*, sse::*, stream_check::*,
-    view::*,
+    event_id::*, forward_link::*, forward_wire::*, idempotency::*, inference_request::*,
+    leaving::*, load_header::*, open_requests::*, routes::*, run::*, service_request::*,
+    settings::*, sse::*, stream_check::*, view::*,
 };
--- a/tests/peer_messages.rs
+++ b/tests/peer_messages.rs
@@ -7,20 +7,23 @@
     },
     greengagetrail::{
         config::{Digest, Head},
-        engine::ModelResident,
-        fleet::{Demand, Move, MoveChange, RunnerState},
+        engine::{ModelResident, Order, OrderReply, Status},
+        entry::{ForwardedCall, ForwardedHeader, read_call, read_reply, write_call},
+        fleet::{AuditRecord, Demand, Move, MoveChange, RunnerRecord, RunnerState},
         membership::Member,
         peer::{
-            read_demands, read_head, read_members, read_moves, read_runner, read_runners,
-            write_demand, write_head, write_move, write_runner,
+            read_addresses, read_demands, read_head, read_members, read_moves, read_runner,
+            read_runners, write_demand, write_head, write_move, write_runner,
         },
         peer_capnp::{
             entry_link::{report_params, runners_results},
+            forward::{call_params, call_results},
             head,
             peer::propose_params,
             runner_state,
         },
-        units::{Epoch, Incarnation, PublishId, Revision},
+        standin::engine::RequestBody,
+        units::{Epoch, Incarnation, PublishId, RequestId, Revision},
     },
 };
 
@@ -115,11 +118,18 @@
     if let Ok(root) = message.get_root::<report_params::Reader<'_>>() {
         let _ = root.get_demand().map(read_demands);
     }
+    if let Ok(root) = message.get_root::<call_params::Reader<'_>>() {
+        let _ = read_call(root);
+    }
+    if let Ok(root) = message.get_root::<call_results::Reader<'_>>() {
+        let _ = read_reply(root);
+    }
     if let Ok(root) = message.get_root::<propose_params::Reader<'_>>() {
         let _ = root.get_moves().map(read_moves);
     }
     if let Ok(root) = message.get_root::<runners_results::Reader<'_>>() {
         let _ = root.get_runners().map(read_runners);
+        let _ = root.get_leaving().map(read_addresses);
         let _: Option<Vec<Member>> = root.get_members().ok().and_then(|it| read_members(it).ok());
     }
 }
@@ -145,3 +155,61 @@
             read_as_everything(&bytes);
         });
 }
+
+#[test]
+fn forwarded_calls_are_read_back() {
+    bolero::check!()
+        .with_type::<(String, Vec<u8>, u128)>()
+        .for_each(|(text, bytes, id)| {
+            let known = ForwardedCall {
+                request_id: RequestId(*id),
+                ticket: text.clone(),
+                service: "desk".parse().unwrap(),
+                method: "POST".to_owned(),
+                path: text.clone(),
+                headers: vec![ForwardedHeader {
+                    name: text.clone(),
+                    value: bytes.clone().into(),
+                }],
+                body: bytes.clone().into(),
+            };
+            let mut message = Builder::new_default();
+            write_call(&known, message.init_root());
+            let read = read_call(message.get_root_as_reader().unwrap()).unwrap();
+            assert_eq!(read, known);
+        });
+}
+
+/// Reads text as every JSON message that comes from outside; only a panic fails.
+fn read_as_json(text: &[u8]) {
+    let _ = serde_json::from_slice::<Status>(text);
+    let _ = serde_json::from_slice::<Order>(text);
+    let _ = serde_json::from_slice::<OrderReply>(text);
+    let _ = serde_json::from_slice::<Member>(text);
+    let _ = serde_json::from_slice::<Head>(text);
+    let _ = serde_json::from_slice::<Vec<AuditRecord>>(text);
+    if let Ok(record) = serde_json::from_slice::<RunnerRecord>(text) {
+        let _ = RunnerState::from(&record);
+    }
+    if let Ok(body) = serde_json::from_slice::<RequestBody>(text) {
+        let _ = body.to_generate(&hyper::HeaderMap::new());
+    }
+}
+
+#[test]
+fn broken_json_breaks_no_reader() {
+    let record = RunnerRecord::new("runner".parse().unwrap());
+    let chat = br#"{"model":"m","messages":[{"role":"user","content":[{"text":"a"}]}]}"#;
+    let whole = [serde_json::to_vec(&record).unwrap(), chat.to_vec()];
+    bolero::check!()
+        .with_type::<(bool, u16, u8, u16)>()
+        .for_each(|(which, position, flip, end)| {
+            let mut text = whole[usize::from(*which)].clone();
+            let position = usize::from(*position) % text.len();
+            text[position] ^= flip;
+            read_as_json(&text);
+            text.truncate(usize::from(*end) % (text.len() + 1));
+            read_as_json(&text);
+        });
+    bolero::check!().for_each(|bytes: &[u8]| read_as_json(bytes));
+}
