--- a/src/fleet/supervisor.rs
+++ b/src/fleet/supervisor.rs
@@ -117,10 +117,10 @@
     async fn wait_until_owned(&mut self) -> bool {
         while !self.is_closed() {
             tokio::select! {
-            biased;
-                           owned = self.owned.wait_for(|owned| *owned) => return owned.is_ok(),
-                           () = self.release.notified() => {}
-                       }
+                biased;
+                owned = self.owned.wait_for(|owned| *owned) => return owned.is_ok(),
+                () = self.release.notified() => {}
+            }
             if let Some(runner) = self.configured() {
                 self.give_up(&runner.name, runner.fencing).await;
             }
@@ -201,11 +201,11 @@
     async fn wait(&mut self, task: &mut RunnerTask) -> bool {
         let next_poll = Instant::now() + task.next_pause();
         tokio::select! {
-        biased;
-                   _ = self.owned.wait_for(|owned| !owned) => return false,
-                   Some(queued) = self.moves.recv() => task.enqueue(queued),
-                   () = sleep_until(next_poll) => {}
-               }
+            biased;
+            _ = self.owned.wait_for(|owned| !owned) => return false,
+            Some(queued) = self.moves.recv() => task.enqueue(queued),
+            () = sleep_until(next_poll) => {}
+        }
         while let Ok(queued) = self.moves.try_recv() {
             task.enqueue(queued);
         }
