Tell the revision in force as a metric at the publishing keeper too

Cause: seen by hand: the keeper that published had no ggt_configuration_revision, since only followed heads set it. Change: the state sets it when a configuration comes into force, whichever way it came. Measured: of_racing_publishers_… now looks at the metric of every keeper and passes.

--- a/src/keeper/configuration_task.rs
+++ b/src/keeper/configuration_task.rs
@@ -10,7 +10,6 @@
         membership::jittered,
         peer::{PeerBlobs, SharedKey},
         store::SharedStore,
-        telemetry::REVISION,
     },
     rand::seq::IndexedRandom,
     std::{net::SocketAddr, time::Duration},
@@ -63,7 +62,6 @@
         let revision = offer.head.revision;
         if self.fetch(&offer.head, offer.peer).await {
             log::info!("config: revision {revision} is in force.");
-            metrics::gauge!(REVISION).set(revision.0 as f64);
         } else {
             log::warn!("config: revision {revision} could not be fetched yet.");
             tokio::time::sleep(RETRY_PAUSE).await;
--- a/src/keeper/state.rs
+++ b/src/keeper/state.rs
@@ -9,6 +9,7 @@
         },
         fleet::RunnerState,
         membership::{Member, Roster},
+        telemetry::REVISION,
         units::{Revision, RunnerName},
     },
     std::{cell::RefCell, net::SocketAddr, rc::Rc},
@@ -105,6 +106,7 @@
         let taken = self.inner.borrow_mut().follower.accept(head, snapshot)?;
         if taken {
             self.revision.send_replace(revision);
+            metrics::gauge!(REVISION).set(revision.0 as f64);
             self.plan_wanted.notify_one();
         }
         Ok(taken)
--- a/tests/cluster_faults.rs
+++ b/tests/cluster_faults.rs
@@ -126,6 +126,12 @@
         }
     }
     wait_until_listed(&cluster, "raced-3", Instant::now(), IN_FORCE_MAX).await;
+    for vm in &cluster.vms {
+        let at = vm.keeper_operations_address;
+        let metrics = cluster.caller.get(at, "/metrics").await.unwrap().text();
+        let wanted = format!("ggt_configuration_revision {newest}");
+        assert!(metrics.contains(&wanted), "{}: {metrics}", vm.name);
+    }
 }
 
 #[tokio::test]
