Lay out the borders of the node that runs on the users' platform

Cause: the platform's protocol needs routes by host and prefix, generic forwarding, runners from discovery and orders by one fenced leader; the product has none of them under its own names.

--- /dev/null
+++ b/src/discovery/mod.rs
@@ -0,0 +1,5 @@
+//! The runners that the platform lists.
+
+mod runner_entry;
+
+pub use runner_entry::*;
--- /dev/null
+++ b/src/leader/mod.rs
@@ -0,0 +1,5 @@
+//! Registers the nodes, and elects the one that gives orders.
+
+mod term;
+
+pub use term::*;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,22 +6,30 @@
 pub mod admission;
 pub mod cli;
 pub mod config;
+pub mod copies;
+pub mod discovery;
+pub mod dispatch;
 pub mod engine;
 pub mod entry;
 pub mod fleet;
+pub mod gossip;
 pub mod history;
 pub mod http;
 pub mod keeper;
+pub mod leader;
 pub mod load;
 pub mod membership;
+pub mod node;
 pub mod peer;
 pub mod placement;
 pub mod proto;
+pub mod relay;
 pub mod routing;
 pub mod settings;
 pub mod standin;
 pub mod store;
 pub mod telemetry;
+pub mod traffic;
 pub mod units;
 
 #[doc(hidden)]
--- /dev/null
+++ b/src/traffic/route_map.rs
@@ -0,0 +1,54 @@
+//! Finds the route of a request.
+
+use super::{Route, TrafficConfig};
+
+/// A configuration with its routes sorted for look-up.
+#[derive(Debug)]
+pub struct RouteMap {
+    config: TrafficConfig,
+}
+
+impl RouteMap {
+    /// Compiles a configuration.
+    pub fn new(mut config: TrafficConfig) -> Self {
+        config.routes.sort_by(|a, b| key(a).cmp(&key(b)));
+        Self { config }
+    }
+
+    /// Returns the configuration.
+    pub fn config(&self) -> &TrafficConfig {
+        &self.config
+    }
+
+    /// Finds the route of a host whose prefix is the longest that begins the path.
+    ///
+    /// The host's port and case do not matter.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let host = strip_port(host).to_ascii_lowercase();
+        let mut end = path.len();
+        while let Some(slash) = path[..end].rfind('/') {
+            if let Some(route) = self.exact(&host, &path[..=slash]) {
+                return Some(route);
+            }
+            end = slash;
+        }
+        None
+    }
+
+    fn exact(&self, host: &str, prefix: &str) -> Option<&Route> {
+        let routes = &self.config.routes;
+        let found = routes.binary_search_by(|route| key(route).cmp(&(host, prefix)));
+        found.ok().map(|position| &routes[position])
+    }
+}
+
+fn key(route: &Route) -> (&str, &str) {
+    (&route.host, &route.path_prefix)
+}
+
+fn strip_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
