Build the callers' port and the forwarding of requests to runners

The node had no relay. This is the thin path: requests are read whole, tried at runners within the attempts, the budget and the time of their route, and answered from the runner's answer or by a problem document. Streams are cut after whole events and resumed where the route allows. Not yet run against runners; tests follow.

--- a/src/http/liveness.rs
+++ b/src/http/liveness.rs
@@ -19,7 +19,7 @@
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(10);
 
 /// Sets up a connection: small writes leave at once, and a vanished other end is noticed.
-pub(super) fn set_up(stream: &TcpStream) -> io::Result<()> {
+pub(crate) fn set_up(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(PROBE_AFTER)
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -18,3 +18,4 @@
     body::*, client::*, connection::*, error::*, header::*, listener::*, operations::*, problem::*,
     read::*,
 };
+pub(crate) use {liveness::set_up as set_up_liveness, stall_guard::StallGuard};
--- a/src/http/stall_guard.rs
+++ b/src/http/stall_guard.rs
@@ -15,7 +15,7 @@
 
 /// Fails a connection whose other end takes no bytes for too long.
 #[derive(Debug)]
-pub(super) struct StallGuard<T> {
+pub(crate) struct StallGuard<T> {
     inner: T,
     limit: Duration,
     deadline: Pin<Box<Sleep>>,
@@ -23,7 +23,7 @@
 }
 
 impl<T> StallGuard<T> {
-    pub(super) fn new(inner: T, limit: Duration) -> Self {
+    pub(crate) fn new(inner: T, limit: Duration) -> Self {
         Self {
             inner,
             limit,
--- /dev/null
+++ b/src/relay/attempt.rs
@@ -0,0 +1,235 @@
+//! One try of a request at one runner.
+
+use {
+    super::{
+        AnswerHead, Call, ForwardHead, Keep, Leaving, Refusal, Run, RunnerConnection, SendFault,
+    },
+    crate::{
+        dispatch::{Place, TryOutcome, Wanted},
+        http::Body,
+    },
+    http_body_util::BodyExt,
+    hyper::{Request, Response, StatusCode, body::Incoming},
+    std::time::Duration,
+    tokio::time,
+};
+
+/// How often a request may find no connection before it is refused.
+const UNSENT_MAX: u32 = 4;
+
+/// How many kept connections may turn out to be closed in one try.
+const STALE_MAX: usize = 4;
+
+/// The longest wait for the rest of an answer that is not passed on.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// A success whose body is yet to come.
+#[derive(Debug)]
+pub(super) struct Answered {
+    pub(super) place: Place,
+    pub(super) connection: RunnerConnection,
+    pub(super) keep: Keep,
+    pub(super) response: Response<Incoming>,
+}
+
+/// What became of a try.
+#[derive(Debug)]
+pub(super) enum Tried {
+    /// Not a byte left, or the runner did not run it, or gave no usable answer.
+    Nothing,
+    /// The runner answered with a failure.
+    Failure(Answered),
+    /// The runner answered with a success.
+    Success(Answered),
+}
+
+/// What the head of an answer means.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    NotRun(TryOutcome),
+    Unusable,
+    Failure,
+    Success,
+}
+
+impl Run {
+    /// Sends the request to the next runner, if it may be.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is to be no further try.
+    pub(super) async fn attempt(&mut self, last_event_id: Option<u64>) -> Result<Tried, Refusal> {
+        self.check_further_try()?;
+        let wanted = self.wanted();
+        let place = self.relay.dispatcher.place(&wanted).await;
+        let place =
+            place.map_err(|refused| self.progress.given_up(Some(refused.retry_after_ms)))?;
+        self.progress.tried.push(place.runner.key.clone());
+        let connections_max = self.relay.share_of(self.call.rules.connections_max);
+        for _ in 0..STALE_MAX {
+            let pool = &self.relay.pool;
+            let mut connection = match pool.connection(&place.runner, connections_max).await {
+                Ok(connection) => connection,
+                Err(cause) => {
+                    log::debug!("relay: no connection to {}: {cause}", place.runner.key.id);
+                    break;
+                }
+            };
+            let request = self.request(&place, last_event_id);
+            let before = self.progress.leave();
+            match connection.send(request).await {
+                Ok(response) => return Ok(self.judge(place, connection, response, before).await),
+                Err(SendFault::Unsent) => self.progress.never_left(before),
+                Err(SendFault::Broken(cause)) => {
+                    log::debug!("relay: {} broke off: {cause}", place.runner.key.id);
+                    place.finish(TryOutcome::Broken);
+                    return Ok(Tried::Nothing);
+                }
+            }
+        }
+        self.progress.unsent += 1;
+        place.finish(TryOutcome::Unreachable);
+        Ok(Tried::Nothing)
+    }
+
+    fn check_further_try(&mut self) -> Result<(), Refusal> {
+        let progress = &mut self.progress;
+        let rules = &self.call.rules;
+        let forbidden = progress.may_have_run && !rules.kind.is_repeatable();
+        if forbidden || progress.unsent > UNSENT_MAX {
+            return Err(progress.given_up(None));
+        }
+        if progress.sent == 0 {
+            return Ok(());
+        }
+        if progress.sent >= rules.attempts_max {
+            return Err(progress.given_up(None));
+        }
+        if !progress.paid && !self.relay.may_repeat(&rules.service) {
+            return Err(progress.given_up(None));
+        }
+        progress.paid = true;
+        Ok(())
+    }
+
+    fn wanted(&self) -> Wanted {
+        let rules = &self.call.rules;
+        Wanted {
+            service: rules.service.clone(),
+            generation: self.call.head.generation.clone(),
+            priority: rules.priority,
+            target_at: rules.target_at,
+            give_up_at: self.call.ends_at,
+            tried: self.progress.tried.clone(),
+        }
+    }
+
+    fn request(&self, place: &Place, last_event_id: Option<u64>) -> Request<Body> {
+        let call = &self.call;
+        let mut request = Request::new(Body::from(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.uri.clone();
+        let forward = ForwardHead {
+            runner: place.runner.key.clone(),
+            deadline_ms: call.left().as_millis() as u64,
+            priority: call.head.generation.is_some().then_some(place.priority),
+            last_event_id: last_event_id.or(call.head.last_event_id),
+        };
+        let mut headers = call.headers.clone();
+        self.relay.formats.write_forward(&mut headers, &forward);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Decides by the head of an answer what became of a try.
+    async fn judge(
+        &mut self,
+        place: Place,
+        connection: RunnerConnection,
+        response: Response<Incoming>,
+        before: Leaving,
+    ) -> Tried {
+        let (head, body) = response.into_parts();
+        let answer = self.relay.formats.read_answer(&head);
+        let response = Response::from_parts(head, body);
+        let keep = Keep::read(&response, answer.keep_alive_s);
+        let verdict = verdict(&self.call, response.status(), &answer, connection.reused);
+        let answered = Answered {
+            place,
+            connection,
+            keep,
+            response,
+        };
+        match verdict {
+            Verdict::Success => Tried::Success(answered),
+            Verdict::Failure => Tried::Failure(answered),
+            Verdict::NotRun(outcome) => {
+                self.progress.did_not_run(before);
+                answered.discard(outcome).await;
+                Tried::Nothing
+            }
+            Verdict::Unusable => {
+                log::debug!(
+                    "relay: {} gave no usable answer",
+                    answered.place.runner.key.id
+                );
+                answered.place.finish(TryOutcome::Broken);
+                Tried::Nothing
+            }
+        }
+    }
+}
+
+impl Answered {
+    /// Gives the place back, and the connection if the rest of the answer is short.
+    async fn discard(self, outcome: TryOutcome) {
+        self.place.finish(outcome);
+        let body = self.response.into_body().collect();
+        if matches!(time::timeout(DISCARD_TIMEOUT, body).await, Ok(Ok(_))) {
+            self.connection.recycle(self.keep);
+        }
+    }
+}
+
+fn verdict(call: &Call, status: StatusCode, answer: &AnswerHead, reused: bool) -> Verdict {
+    let belongs = match &answer.request_id {
+        Some(id) => *id == call.head.request_id,
+        // A stray answer can only come where an earlier request was.
+        None => !reused && !status.is_success(),
+    };
+    if !belongs || status.is_informational() {
+        return Verdict::Unusable;
+    }
+    let refused = status.is_client_error() || status.is_server_error();
+    if status == StatusCode::MISDIRECTED_REQUEST || answer.not_executed && refused {
+        return Verdict::NotRun(refusal_outcome(call, status));
+    }
+    if status.is_success() {
+        return match answer.signed {
+            true => Verdict::Success,
+            false => Verdict::Unusable,
+        };
+    }
+    match !call.is_repeatable() && promises_not_run(status) {
+        true => Verdict::Unusable,
+        false => Verdict::Failure,
+    }
+}
+
+fn refusal_outcome(call: &Call, status: StatusCode) -> TryOutcome {
+    match (status, &call.head.generation) {
+        (StatusCode::MISDIRECTED_REQUEST, Some(_)) => TryOutcome::Absent,
+        (StatusCode::MISDIRECTED_REQUEST, None) => TryOutcome::WrongRunner,
+        _ => TryOutcome::Shed,
+    }
+}
+
+/// Returns whether callers take a status as the promise that nothing ran.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
--- /dev/null
+++ b/src/relay/call.rs
@@ -0,0 +1,163 @@
+//! A caller's request, read whole, with the rules of its route.
+
+use {
+    super::{CallHead, Refusal, Relay},
+    crate::{
+        http::{ReadError, read_body, remove_connection_headers},
+        routing::stable_hash,
+        traffic::{CallerLimits, Route, RouteKind, RouteMap, ServiceId},
+    },
+    bytes::Bytes,
+    hyper::{
+        HeaderMap, Method, Request, Uri,
+        body::Incoming,
+        header,
+        http::{request::Parts, uri::PathAndQuery},
+    },
+    std::time::Duration,
+    tokio::time::Instant,
+};
+
+/// A request that is to be forwarded.
+#[derive(Debug)]
+pub(super) struct Call {
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) head: CallHead,
+    pub(super) rules: CallRules,
+    /// When it gets its final answer at the latest.
+    pub(super) ends_at: Instant,
+}
+
+/// What the configuration says of a request.
+#[derive(Debug, Clone)]
+pub(super) struct CallRules {
+    pub(super) service: ServiceId,
+    /// The connections that one runner takes from all nodes.
+    pub(super) connections_max: usize,
+    pub(super) kind: RouteKind,
+    pub(super) priority: u8,
+    pub(super) attempts_max: u32,
+    pub(super) target_at: Instant,
+}
+
+impl Call {
+    /// Returns what is left of the time.
+    pub(super) fn left(&self) -> Duration {
+        self.ends_at.saturating_duration_since(Instant::now())
+    }
+
+    pub(super) fn is_repeatable(&self) -> bool {
+        self.rules.kind.is_repeatable()
+    }
+
+    pub(super) fn is_stream(&self) -> bool {
+        matches!(self.rules.kind, RouteKind::Streaming { .. })
+    }
+}
+
+impl Relay {
+    /// Finds the route of a request and reads the request whole.
+    pub(super) async fn read_call(
+        &self,
+        request: Request<Incoming>,
+        arrived_at: Instant,
+    ) -> Result<Call, Refusal> {
+        let Some(map) = self.traffic.current() else {
+            return Err(Refusal::NoConfiguration);
+        };
+        let (parts, body) = request.into_parts();
+        let path = origin_form(&parts.uri)?;
+        let host = host(&parts).ok_or(Refusal::BadRequest("the request names no host"))?;
+        let route = map.find(host, path.path()).ok_or(Refusal::NoRoute)?;
+        let head = self.formats.read_call(&parts).map_err(Refusal::BadHead)?;
+        let limits = map.config().limits;
+        let timeout_ms = head.deadline_ms.map_or(route.timeout_ms, |deadline_ms| {
+            deadline_ms.min(route.timeout_ms)
+        });
+        let ends_at = arrived_at + Duration::from_millis(timeout_ms);
+        let rules = rules(&map, route, &head, arrived_at);
+        let body = read_whole(body, &limits, ends_at).await?;
+        Ok(Call {
+            method: parts.method,
+            uri: Uri::from(path),
+            headers: forwarded_headers(parts.headers),
+            body,
+            head,
+            rules,
+            ends_at,
+        })
+    }
+}
+
+fn rules(map: &RouteMap, route: &Route, head: &CallHead, arrived_at: Instant) -> CallRules {
+    let service = pick_target(route, &head.request_id);
+    let spec = map.config().service(&service);
+    CallRules {
+        connections_max: spec.map_or(usize::MAX, |spec| spec.connections_max),
+        service,
+        kind: route.kind,
+        priority: route.priority,
+        attempts_max: route.attempts_max,
+        target_at: arrived_at + Duration::from_millis(route.target_latency_ms),
+    }
+}
+
+/// Picks a target by the weights, the same for the same id.
+fn pick_target(route: &Route, request_id: &[u8]) -> ServiceId {
+    let first = &route.targets[0];
+    if route.targets.len() == 1 {
+        return first.service.clone();
+    }
+    let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
+    let mut drawn = stable_hash(&String::from_utf8_lossy(request_id)) % total.max(1);
+    for target in &route.targets {
+        let weight = u64::from(target.weight);
+        if drawn < weight {
+            return target.service.clone();
+        }
+        drawn -= weight;
+    }
+    first.service.clone()
+}
+
+async fn read_whole(
+    body: Incoming,
+    limits: &CallerLimits,
+    ends_at: Instant,
+) -> Result<Bytes, Refusal> {
+    let left = ends_at.saturating_duration_since(Instant::now());
+    let read = read_body(body, limits.body_max_bytes, left).await;
+    read.map_err(|cause| match cause {
+        ReadError::TooLarge { .. } => Refusal::BodyTooLarge,
+        ReadError::TooSlow => Refusal::BodyTooSlow,
+        ReadError::Cut(_) => Refusal::BadRequest("the body cannot be read"),
+    })
+}
+
+fn origin_form(uri: &Uri) -> Result<PathAndQuery, Refusal> {
+    let path = uri.path_and_query().cloned();
+    path.ok_or(Refusal::BadRequest("the request names no path"))
+}
+
+fn host(parts: &Parts) -> Option<&str> {
+    if let Some(host) = parts.uri.host() {
+        return Some(host);
+    }
+    let mut values = parts.headers.get_all(header::HOST).iter();
+    let host = values.next()?.to_str().ok()?;
+    values.next().is_none().then_some(host)
+}
+
+/// Keeps what goes on to a runner; the body is framed anew.
+fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
+    let host = headers.remove(header::HOST);
+    remove_connection_headers(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    if let Some(host) = host {
+        headers.insert(header::HOST, host);
+    }
+    headers
+}
--- /dev/null
+++ b/src/relay/event_splitter.rs
@@ -0,0 +1,122 @@
+//! Cuts a stream of bytes after whole events and reads the events' ids.
+
+use {
+    bytes::{Bytes, BytesMut},
+    thiserror::Error,
+};
+
+/// The largest event, in bytes.
+const EVENT_MAX_BYTES: usize = 1024 * 1024;
+
+/// Why a stream of events cannot be passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum EventFault {
+    /// An event is too large.
+    #[error("an event is larger than {EVENT_MAX_BYTES} bytes")]
+    TooLarge,
+    /// An id is not the next one.
+    #[error("the event {found} came where {expected} was due")]
+    Order {
+        /// The id that came.
+        found: u64,
+        /// The id that was due.
+        expected: u64,
+    },
+    /// An id is no number.
+    #[error("an event has an id that cannot be read")]
+    Id,
+}
+
+/// Passes whole events on, as long as their ids rise by one.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    rest: Bytes,
+    last_id: Option<u64>,
+}
+
+impl EventSplitter {
+    /// Makes a splitter for a stream that goes on after an event.
+    pub fn after(last_id: Option<u64>) -> Self {
+        Self {
+            rest: Bytes::new(),
+            last_id,
+        }
+    }
+
+    /// Returns the id of the last event that was passed on.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Returns whether a part of an event is left.
+    pub fn has_rest(&self) -> bool {
+        !self.rest.is_empty()
+    }
+
+    /// Adds a chunk and returns the bytes of all events that are whole now.
+    ///
+    /// Events before a fault are passed on; nothing may be added after it.
+    pub fn push(&mut self, chunk: Bytes) -> (Bytes, Option<EventFault>) {
+        let searched = self.rest.len();
+        let mut buffer = self.join(chunk);
+        let mut end = 0;
+        let mut fault = None;
+        let mut line = line_start(&buffer, searched);
+        while let Some(length) = memchr::memchr(b'\n', &buffer[line..]) {
+            let next = line + length + 1;
+            if matches!(&buffer[line..next], b"\n" | b"\r\n") {
+                fault = self.check(&buffer[end..next]).err();
+                if fault.is_some() {
+                    break;
+                }
+                end = next;
+            }
+            line = next;
+        }
+        let whole = buffer.split_to(end);
+        if buffer.len() > EVENT_MAX_BYTES {
+            fault = fault.or(Some(EventFault::TooLarge));
+        }
+        self.rest = buffer;
+        (whole, fault)
+    }
+
+    /// Checks that an event is the next one.
+    fn check(&mut self, event: &[u8]) -> Result<(), EventFault> {
+        let Some(found) = event_id(event)? else {
+            return Ok(());
+        };
+        match self.last_id.map(|id| id.saturating_add(1)) {
+            Some(expected) if expected != found => Err(EventFault::Order { found, expected }),
+            _ => {
+                self.last_id = Some(found);
+                Ok(())
+            }
+        }
+    }
+
+    fn join(&mut self, chunk: Bytes) -> Bytes {
+        if self.rest.is_empty() {
+            return chunk;
+        }
+        let mut joined = BytesMut::with_capacity(self.rest.len() + chunk.len());
+        joined.extend_from_slice(&self.rest);
+        joined.extend_from_slice(&chunk);
+        joined.freeze()
+    }
+}
+
+/// Returns where the line begins that holds the byte at `position`.
+fn line_start(buffer: &[u8], position: usize) -> usize {
+    let found = memchr::memrchr(b'\n', &buffer[..position]);
+    found.map_or(0, |newline| newline + 1)
+}
+
+fn event_id(event: &[u8]) -> Result<Option<u64>, EventFault> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let Some(line) = lines.find(|line| line.starts_with(b"id:")) else {
+        return Ok(None);
+    };
+    let text = std::str::from_utf8(&line[3..]).map_err(|_| EventFault::Id)?;
+    text.trim().parse().map(Some).map_err(|_| EventFault::Id)
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -1,5 +1,24 @@
 //! Forwards callers' requests to runners, by the rules of their routes.
 
+mod answer;
+mod attempt;
+mod call;
+mod event_splitter;
 mod head;
+mod plain_answer;
+mod progress;
+mod refusal;
+#[allow(clippy::module_inception)]
+mod relay;
+mod retry_budget;
+mod run;
+mod runner_connection;
+mod runner_pool;
+mod serve;
+mod stream_relay;
 
-pub use head::*;
+use {
+    attempt::*, call::*, progress::*, refusal::*, run::*, runner_connection::*, runner_pool::*,
+    stream_relay::*,
+};
+pub use {event_splitter::*, head::*, relay::*, retry_budget::*};
--- /dev/null
+++ b/src/relay/relay.rs
@@ -0,0 +1,103 @@
+//! The relay of a node.
+
+use {
+    super::{Progress, RetryBudget, Run, RunnerPool},
+    crate::{
+        dispatch::Dispatcher,
+        http::Body,
+        leader::PeerNode,
+        node::{Bounds, Formats},
+        traffic::{ServiceId, TrafficBoard},
+    },
+    hyper::{Request, Response, body::Incoming, header},
+    std::{
+        fmt,
+        sync::{Arc, OnceLock},
+    },
+    tokio::{sync::watch, time::Instant},
+    tokio_util::sync::CancellationToken,
+};
+
+/// Takes callers' requests and forwards them to runners.
+pub struct Relay {
+    pub(super) traffic: Arc<TrafficBoard>,
+    pub(super) dispatcher: Dispatcher,
+    pub(super) formats: Arc<dyn Formats>,
+    pub(super) bounds: Bounds,
+    peers: watch::Receiver<Vec<PeerNode>>,
+    pub(super) pool: Arc<RunnerPool>,
+    pub(super) budget: RetryBudget,
+    /// When the planned stop began.
+    pub(super) retired_at: OnceLock<Instant>,
+    /// Whether the time for open requests is over.
+    pub(super) closing: CancellationToken,
+}
+
+impl fmt::Debug for Relay {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Relay")
+    }
+}
+
+impl Relay {
+    /// Makes a relay.
+    pub fn new(
+        traffic: Arc<TrafficBoard>,
+        dispatcher: Dispatcher,
+        formats: Arc<dyn Formats>,
+        bounds: Bounds,
+        peers: watch::Receiver<Vec<PeerNode>>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            traffic,
+            dispatcher,
+            formats,
+            budget: RetryBudget::new(&bounds),
+            bounds,
+            peers,
+            pool: Arc::default(),
+            retired_at: OnceLock::new(),
+            closing: CancellationToken::new(),
+        })
+    }
+
+    /// Begins a planned stop: from now on answers ask callers to close their connections.
+    pub fn retire(&self) {
+        self.retired_at.get_or_init(Instant::now);
+    }
+
+    /// Answers a caller's request.
+    pub(super) async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let arrived_at = Instant::now();
+        let mut response = match self.read_call(request, arrived_at).await {
+            Ok(call) => {
+                let run = Run {
+                    relay: self.clone(),
+                    call,
+                    progress: Progress::default(),
+                };
+                run.answer().await
+            }
+            Err(refusal) => self.refuse(&refusal),
+        };
+        if self.retired_at.get().is_some() {
+            let close = header::HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
+    }
+
+    /// Returns this node's share of something that all nodes use together.
+    pub(super) fn share_of(&self, total: usize) -> usize {
+        (total / self.nodes()).max(1)
+    }
+
+    /// Takes a further try from the budget of a service; returns whether there is one.
+    pub(super) fn may_repeat(&self, service: &ServiceId) -> bool {
+        self.budget.try_repeat(service, self.nodes())
+    }
+
+    fn nodes(&self) -> usize {
+        self.peers.borrow().len() + 1
+    }
+}
--- /dev/null
+++ b/src/relay/run.rs
@@ -0,0 +1,96 @@
+//! The tries of one request, up to its answer.
+
+use {
+    super::{Answered, Call, LiveStream, Progress, Refusal, Relay, Tried, stream_response},
+    crate::{dispatch::TryOutcome, http::Body},
+    hyper::{Response, StatusCode},
+    std::sync::Arc,
+    tokio::time,
+};
+
+/// A request on its way.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) relay: Arc<Relay>,
+    pub(super) call: Call,
+    pub(super) progress: Progress,
+}
+
+/// The begin of an answer for the caller.
+#[derive(Debug)]
+pub(super) enum Answer {
+    /// A response as it stands.
+    Plain(Response<Body>),
+    /// A stream whose first events are there.
+    Stream(Response<()>, Box<LiveStream>),
+}
+
+impl Run {
+    /// Runs the request and returns the response for the caller.
+    pub(super) async fn answer(mut self) -> Response<Body> {
+        self.relay.budget.count_request(&self.call.rules.service);
+        let relay = self.relay.clone();
+        let ends_at = self.call.ends_at;
+        let first = relay.closing.run_until_cancelled(self.first_answer());
+        let first = time::timeout_at(ends_at, first).await;
+        match first.ok().flatten() {
+            Some(Ok(Answer::Plain(response))) => response,
+            Some(Ok(Answer::Stream(head, live))) => stream_response(self, head, *live),
+            Some(Err(refusal)) => self.fail(&refusal),
+            None => {
+                let refusal = self.progress.timed_out();
+                self.fail(&refusal)
+            }
+        }
+    }
+
+    /// Returns a runner's failure if there is one, else the system's own answer.
+    fn fail(mut self, refusal: &Refusal) -> Response<Body> {
+        match self.progress.failure.take() {
+            Some(failure) => failure,
+            None => self.relay.refuse(refusal),
+        }
+    }
+
+    async fn first_answer(&mut self) -> Result<Answer, Refusal> {
+        loop {
+            match self.attempt(None).await? {
+                Tried::Nothing => {}
+                Tried::Failure(answered) => {
+                    if let Some(answer) = self.take_failure(answered).await {
+                        return Ok(answer);
+                    }
+                }
+                Tried::Success(answered) => {
+                    if let Some(answer) = self.take_success(answered).await {
+                        return Ok(answer);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes a failure on, unless another try may do better.
+    async fn take_failure(&mut self, answered: Answered) -> Option<Answer> {
+        let status = answered.response.status();
+        let failure = answered.into_plain(&self.call, TryOutcome::Failed).await?;
+        let may_do_better = self.call.is_repeatable()
+            && status.is_server_error()
+            && status != StatusCode::GATEWAY_TIMEOUT
+            && self.progress.failure.is_none();
+        if may_do_better {
+            self.progress.failure = Some(failure);
+            return None;
+        }
+        Some(Answer::Plain(failure))
+    }
+
+    async fn take_success(&mut self, mut answered: Answered) -> Option<Answer> {
+        answered.place.first_event(time::Instant::now());
+        if self.call.is_stream() {
+            return answered.into_stream(&self.call).await;
+        }
+        let response = answered.into_plain(&self.call, TryOutcome::Complete).await;
+        response.map(Answer::Plain)
+    }
+}
--- /dev/null
+++ b/src/relay/runner_pool.rs
@@ -0,0 +1,196 @@
+//! The connections to runners.
+
+use {
+    super::RunnerConnection,
+    crate::{
+        discovery::{RunnerEntry, RunnerKey},
+        http::{Body, set_up_liveness},
+    },
+    hyper::client::conn::http1::{self, SendRequest},
+    hyper_util::rt::TokioIo,
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    thiserror::Error,
+    tokio::{
+        net::TcpStream,
+        task::AbortHandle,
+        time::{self, Instant},
+    },
+};
+
+/// The longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The longest wait for a kept connection to show that it is still there.
+const READY_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// How long a connection idles whose runner does not state a limit.
+const IDLE_UNSTATED: Duration = Duration::from_millis(800);
+
+/// The least time before a connection's limit at which it is no longer used.
+const MARGIN_MIN: Duration = Duration::from_millis(300);
+
+/// The largest answer head, in bytes.
+const HEAD_MAX_BYTES: usize = 64 * 1024;
+
+/// Why there is no connection to a runner; not a byte of the request left.
+#[derive(Debug, Error)]
+pub(super) enum ConnectFault {
+    /// This node's share of the runner's connections is used up.
+    #[error("all connections to the runner are in use")]
+    Full,
+    /// It did not come about in time.
+    #[error("the connection timed out")]
+    TimedOut,
+    /// It failed.
+    #[error("cannot connect: {0}")]
+    Failed(#[from] io::Error),
+    /// The protocol could not be begun.
+    #[error("cannot begin: {0}")]
+    Begin(#[from] hyper::Error),
+}
+
+/// An open connection.
+#[derive(Debug)]
+pub(super) struct OpenConnection {
+    pub(super) sender: SendRequest<Body>,
+    task: AbortHandle,
+    /// When it may no longer be used, while it idles.
+    usable_until: Instant,
+    _counted: Arc<()>,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[derive(Debug)]
+struct RunnerConnections {
+    runner: RunnerKey,
+    idle: Vec<OpenConnection>,
+    /// Shared by the open connections, which are counted by it.
+    count: Arc<()>,
+}
+
+impl RunnerConnections {
+    /// Closes the idle connections that may no longer be used.
+    fn prune(&mut self) {
+        let now = Instant::now();
+        let usable = |open: &OpenConnection| open.usable_until > now && !open.sender.is_closed();
+        self.idle.retain(usable);
+    }
+}
+
+/// The connections of a node to runners; one request at a time on each.
+#[derive(Debug, Default)]
+pub(super) struct RunnerPool(Mutex<Vec<RunnerConnections>>);
+
+impl RunnerPool {
+    /// Returns a connection to a runner, a kept one if there is one.
+    pub(super) async fn connection(
+        self: &Arc<Self>,
+        runner: &RunnerEntry,
+        connections_max: usize,
+    ) -> Result<RunnerConnection, ConnectFault> {
+        let made = |open, reused| RunnerConnection {
+            runner: runner.key.clone(),
+            open: Some(open),
+            pool: self.clone(),
+            reused,
+        };
+        while let Some(mut open) = self.take(&runner.key) {
+            let ready = time::timeout(READY_TIMEOUT, open.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) {
+                return Ok(made(open, true));
+            }
+        }
+        let counted = self.count(&runner.key, connections_max)?;
+        let connecting = connect(runner.address, counted);
+        match time::timeout(CONNECT_TIMEOUT, connecting).await {
+            Ok(connected) => Ok(made(connected?, false)),
+            Err(_) => Err(ConnectFault::TimedOut),
+        }
+    }
+
+    /// Keeps an idle connection.
+    pub(super) fn put(&self, runner: &RunnerKey, mut open: OpenConnection, limit_s: Option<u64>) {
+        let now = Instant::now();
+        let idle = limit_s.map_or(IDLE_UNSTATED, Duration::from_secs);
+        let margin = MARGIN_MIN.max(idle / 5);
+        open.usable_until = now + idle.saturating_sub(margin);
+        let mut runners = self.lock();
+        let Ok(position) = position(&runners, runner) else {
+            return;
+        };
+        runners[position].idle.push(open);
+    }
+
+    /// Takes the connection that was used last.
+    fn take(&self, runner: &RunnerKey) -> Option<OpenConnection> {
+        let mut runners = self.lock();
+        let position = position(&runners, runner).ok()?;
+        let idle = &mut runners[position].idle;
+        let now = Instant::now();
+        loop {
+            let open = idle.pop()?;
+            if open.usable_until > now && !open.sender.is_closed() {
+                return Some(open);
+            }
+        }
+    }
+
+    /// Counts a new connection, unless this node's share is used up.
+    fn count(&self, runner: &RunnerKey, connections_max: usize) -> Result<Arc<()>, ConnectFault> {
+        let mut runners = self.lock();
+        runners.retain_mut(|entry| {
+            entry.prune();
+            entry.runner == *runner || Arc::strong_count(&entry.count) > 1
+        });
+        let position = position(&runners, runner).unwrap_or_else(|position| {
+            let entry = RunnerConnections {
+                runner: runner.clone(),
+                idle: Vec::new(),
+                count: Arc::default(),
+            };
+            runners.insert(position, entry);
+            position
+        });
+        let entry = &mut runners[position];
+        if Arc::strong_count(&entry.count) > connections_max {
+            return Err(ConnectFault::Full);
+        }
+        Ok(entry.count.clone())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<RunnerConnections>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn position(runners: &[RunnerConnections], runner: &RunnerKey) -> Result<usize, usize> {
+    runners.binary_search_by(|entry| entry.runner.cmp(runner))
+}
+
+async fn connect(address: SocketAddr, counted: Arc<()>) -> Result<OpenConnection, ConnectFault> {
+    let stream = TcpStream::connect(address).await?;
+    set_up_liveness(&stream)?;
+    let (sender, driver) = http1::Builder::new()
+        .max_buf_size(HEAD_MAX_BYTES)
+        .handshake::<_, Body>(TokioIo::new(stream))
+        .await?;
+    let task = tokio::spawn(async move {
+        let _ = driver.await;
+    });
+    Ok(OpenConnection {
+        sender,
+        task: task.abort_handle(),
+        usable_until: Instant::now(),
+        _counted: counted,
+    })
+}
--- /dev/null
+++ b/src/relay/serve.rs
@@ -0,0 +1,115 @@
+//! The callers' port.
+
+use {
+    super::Relay,
+    crate::http::{StallGuard, set_up_liveness},
+    hyper::{server::conn::http1, service::service_fn},
+    hyper_util::{
+        rt::{TokioIo, TokioTimer},
+        server::graceful::{GracefulShutdown, Watcher},
+    },
+    std::{convert::Infallible, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        time::{self, Instant},
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// The wait after a failed `accept`, such as for want of file descriptors.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// The smallest head limit that the HTTP library allows, in bytes.
+const HEAD_LIMIT_MIN_BYTES: usize = 8192;
+
+/// The limits of callers before any configuration is known.
+const HEAD_MAX_DEFAULT_BYTES: usize = 16 * 1024;
+const IDLE_DEFAULT: Duration = Duration::from_secs(15);
+
+/// By how much connections are kept longer than callers may use them.
+const IDLE_SLACK: Duration = Duration::from_secs(1);
+
+/// The longest wait for a caller to take bytes of its answer.
+const STALL_MAX: Duration = Duration::from_secs(10);
+
+/// The part of the grace time that is left when open requests are given up.
+const GRACE_RESERVE: Duration = Duration::from_secs(1);
+
+/// The time for the last answers to leave.
+const LAST_ANSWERS: Duration = Duration::from_millis(300);
+
+impl Relay {
+    /// Serves callers until `stop`, then lets open requests finish.
+    ///
+    /// Returns whether all of them finished in time.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: CancellationToken) -> bool {
+        let open = GracefulShutdown::new();
+        while let Some(stream) = accept(&listener, &stop).await {
+            let served = self.clone().serve_connection(stream, open.watcher());
+            tokio::spawn(served);
+        }
+        drop(listener);
+        self.retire();
+        self.finish(open).await
+    }
+
+    async fn finish(&self, open: GracefulShutdown) -> bool {
+        let began = *self.retired_at.get_or_init(Instant::now);
+        let grace = Duration::from_secs_f64(self.bounds.grace_s).saturating_sub(GRACE_RESERVE);
+        let mut shutdown = Box::pin(open.shutdown());
+        if time::timeout_at(began + grace, &mut shutdown).await.is_ok() {
+            return true;
+        }
+        log::info!("relay: giving up the requests that are still open");
+        self.closing.cancel();
+        let _ = time::timeout(LAST_ANSWERS, shutdown).await;
+        false
+    }
+
+    async fn serve_connection(self: Arc<Self>, stream: TcpStream, open: Watcher) {
+        if set_up_liveness(&stream).is_err() {
+            return;
+        }
+        let builder = self.builder();
+        let service = service_fn(move |request| {
+            let response = self.clone().handle(request);
+            async move { Ok::<_, Infallible>(response.await) }
+        });
+        let stream = TokioIo::new(StallGuard::new(stream, STALL_MAX));
+        let connection = builder.serve_connection(stream, service);
+        if let Err(cause) = open.watch(connection).await {
+            log::debug!("relay: a caller's connection ended: {cause}");
+        }
+    }
+
+    fn builder(&self) -> http1::Builder {
+        let limits = self.traffic.current().map(|map| map.config().limits);
+        let head_max_bytes = limits.map_or(HEAD_MAX_DEFAULT_BYTES, |limits| limits.head_max_bytes);
+        // The library counts the idle time before a head as part of its time.
+        let idle = limits.map_or(IDLE_DEFAULT, |limits| {
+            Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms))
+        });
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(TokioTimer::new())
+            .header_read_timeout(idle + IDLE_SLACK)
+            .max_buf_size(head_max_bytes.max(HEAD_LIMIT_MIN_BYTES));
+        builder
+    }
+}
+
+/// Accepts the next connection; `None` after the stop.
+async fn accept(listener: &TcpListener, stop: &CancellationToken) -> Option<TcpStream> {
+    let accepting = async {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => return stream,
+                Err(cause) => {
+                    log::warn!("relay: cannot accept a connection: {cause}");
+                    time::sleep(ACCEPT_RETRY).await;
+                }
+            }
+        }
+    };
+    stop.run_until_cancelled(accepting).await
+}
