Follow the configuration, from the store and from peers

Cause: a node must have the newest configuration within configApplyMs, and a fresh one must have it also while the store is out. Change: a follower that reads once and then watches; a fetch from peers until one is in force; the control port that serves it; SIGTERM ends, SIGHUP does not. Measurement: none yet; it builds clean.

--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -1,7 +1,7 @@
 //! Runs a node as a process.
 
 use {
-    super::{NodeParts, NodeSettings},
+    super::{NodeParts, NodeSettings, stop_signal::stop_on_signal},
     thiserror::Error,
 };
 
@@ -24,5 +24,10 @@
 ///
 /// Fails when an address is taken.
 pub async fn run(_settings: NodeSettings, _parts: NodeParts) -> Result<(), NodeError> {
+    let stop = stop_on_signal().map_err(|cause| NodeError::Io {
+        what: "signals",
+        cause,
+    })?;
+    stop.cancelled().await;
     Ok(())
 }
--- a/src/traffic/mod.rs
+++ b/src/traffic/mod.rs
@@ -1,8 +1,9 @@
 //! The configuration of routes and services, as the platform's operators publish it.
 
 mod config;
+mod follow;
 mod names;
 mod route_map;
 mod traffic_board;
 
-pub use {config::*, names::*, route_map::*, traffic_board::*};
+pub use {config::*, follow::*, names::*, route_map::*, traffic_board::*};
--- a/src/traffic/route_map.rs
+++ b/src/traffic/route_map.rs
@@ -1,18 +1,22 @@
 //! Finds the route of a request.
 
-use super::{Route, TrafficConfig};
+use {
+    super::{Route, TrafficConfig},
+    bytes::Bytes,
+};
 
 /// A configuration with its routes sorted for look-up.
 #[derive(Debug)]
 pub struct RouteMap {
     config: TrafficConfig,
+    source: Bytes,
 }
 
 impl RouteMap {
-    /// Compiles a configuration.
-    pub fn new(mut config: TrafficConfig) -> Self {
+    /// Compiles a configuration; `source` is its published form.
+    pub fn new(mut config: TrafficConfig, source: Bytes) -> Self {
         config.routes.sort_by(|a, b| key(a).cmp(&key(b)));
-        Self { config }
+        Self { config, source }
     }
 
     /// Returns the configuration.
@@ -20,6 +24,11 @@
         &self.config
     }
 
+    /// Returns the published form, for peers.
+    pub fn source(&self) -> Bytes {
+        self.source.clone()
+    }
+
     /// Finds the route of a host whose prefix is the longest that begins the path.
     ///
     /// The host's port and case do not matter.
