Register nodes under a lease and elect the one that gives orders

One watch follows the nodes and the leader key; the seat is taken by a conditional write whose version is the fencing token. Order sending is a shell yet. Not tested yet.

--- /dev/null
+++ b/src/leader/duty.rs
@@ -0,0 +1,381 @@
+//! Keeps the lease, the node's key and, if it falls to this node, the leader key.
+
+use {
+    super::{Moment, StoredSeat, membership::Shared},
+    crate::{
+        membership::{Backoff, jittered},
+        store::{Compare, LeaseId, Op, StoreError, Txn, TxnReply},
+    },
+    bytes::Bytes,
+    rand::RngExt,
+    serde::Serialize,
+    std::{sync::Arc, time::Duration},
+    tokio::time::{Instant, sleep_until},
+};
+
+/// The first pause after a failed call.
+const BACKOFF_FIRST: Duration = Duration::from_millis(150);
+/// The longest pause after failed calls.
+const BACKOFF_LONGEST: Duration = Duration::from_millis(1_500);
+/// Renewals within one life of the lease.
+const RENEWALS_PER_LEASE: u32 = 3;
+/// How long nodes wait at most for one another on the first start.
+const FIRST_TRY_MAX_MS: u64 = 300;
+/// The time by which a node lets each younger one go first.
+const TURN_MS: u64 = 150;
+/// The largest number of younger nodes that a node lets go first.
+const TURNS_MAX: u32 = 6;
+/// How long a node that lost touch with the store lets the last leader come back first.
+const REUNION_MS: u64 = 1_000;
+
+/// What to do about the leader key.
+#[derive(Debug, PartialEq, Eq)]
+enum Election {
+    /// Another node leads, or nothing is known.
+    Wait,
+    /// This process holds the seat by the write of this version.
+    Adopt(u64),
+    /// An earlier start of this node holds the seat.
+    Inherit(StoredSeat),
+    /// Nobody leads.
+    Contend,
+}
+
+/// Keeps the lease, the node's key and the leader key.
+pub(super) struct Duty {
+    shared: Arc<Shared>,
+    backoff: Backoff,
+    registered: Option<LeaseId>,
+    renew_at: Instant,
+    /// When to try for the empty seat, and since when it is empty.
+    contend: Option<(Instant, Instant)>,
+    /// When the store last failed.
+    failed_at: Option<Instant>,
+    /// The newest fencing token that this process held and lost.
+    lost_token: u64,
+    /// From when on orders may be given by each try for the seat that may yet succeed.
+    pending_from: Option<Instant>,
+}
+
+impl Duty {
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self {
+            shared,
+            backoff: Backoff::new(BACKOFF_FIRST, BACKOFF_LONGEST),
+            registered: None,
+            renew_at: Instant::now(),
+            contend: None,
+            failed_at: None,
+            lost_token: 0,
+            pending_from: None,
+        }
+    }
+
+    /// Does what is due, for ever.
+    pub async fn run(mut self) {
+        loop {
+            match self.step().await {
+                Ok(()) => {
+                    self.backoff.reset();
+                    self.wait().await;
+                }
+                Err(error) => {
+                    log::debug!("leader: a call to the store failed: {error}");
+                    self.failed_at = Some(Instant::now());
+                    tokio::time::sleep(self.backoff.next_pause()).await;
+                }
+            }
+            self.shared.publish_peers();
+        }
+    }
+
+    async fn wait(&self) {
+        let due = match self.contend {
+            Some((contend_at, _)) => contend_at.min(self.renew_at),
+            None => self.renew_at,
+        };
+        tokio::select! {
+            () = sleep_until(due) => {}
+            () = self.shared.changed.notified() => {}
+        }
+    }
+
+    async fn step(&mut self) -> Result<(), StoreError> {
+        let result = self.keep_lease().await;
+        // A lapsed lease takes the seat with it.
+        if let Err(StoreError::LeaseLapsed(_)) = result {
+            self.drop_lease();
+            return self.keep_lease().await;
+        }
+        result?;
+        let elected = self.elect().await;
+        if let Err(StoreError::LeaseLapsed(_)) = elected {
+            self.drop_lease();
+        }
+        elected
+    }
+
+    fn drop_lease(&mut self) {
+        log::warn!("leader: the lease has lapsed.");
+        self.registered = None;
+        let mut standing = self.shared.standing();
+        standing.lease = None;
+        let token = standing.token.take();
+        drop(standing);
+        if let Some(token) = token {
+            self.lost_token = token;
+            self.shared.view().forget_seat(token, Instant::now());
+        }
+        self.shared.publish_term();
+    }
+
+    async fn keep_lease(&mut self) -> Result<(), StoreError> {
+        let lease = self.shared.standing().lease;
+        let lease = match lease {
+            None => self.grant().await?,
+            Some(lease) => {
+                let doubtful = self.shared.standing().doubtful_since.is_some();
+                if doubtful || Instant::now() >= self.renew_at {
+                    let sent = Moment::now(&self.shared.clock);
+                    self.shared.store.renew_lease(lease).await?;
+                    self.confirm(lease, sent);
+                }
+                lease
+            }
+        };
+        if self.registered != Some(lease) {
+            self.register(lease).await?;
+            self.registered = Some(lease);
+        }
+        Ok(())
+    }
+
+    async fn grant(&mut self) -> Result<LeaseId, StoreError> {
+        let sent = Moment::now(&self.shared.clock);
+        let ttl_s = self.shared.rules.lease.as_secs();
+        let lease = self.shared.store.grant_lease(ttl_s).await?;
+        self.confirm(lease.id, sent);
+        Ok(lease.id)
+    }
+
+    fn confirm(&mut self, lease: LeaseId, sent: Moment) {
+        let mut standing = self.shared.standing();
+        standing.lease = Some(lease);
+        standing.confirmed = sent;
+        let is_fresh = self
+            .shared
+            .rules
+            .is_fresh(Moment::now(&self.shared.clock).since(sent));
+        standing
+            .doubtful_since
+            .take_if(|since| is_fresh && sent.at >= *since);
+        drop(standing);
+        self.renew_at = Instant::now() + jittered(self.shared.rules.lease / RENEWALS_PER_LEASE);
+        self.shared.publish_term();
+    }
+
+    async fn register(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let key = format!("{}{}", self.shared.keys.nodes, self.shared.me.name);
+        let txn = Txn {
+            then: vec![put(key, &self.shared.me, Some(lease))],
+            ..Txn::default()
+        };
+        self.shared.store.txn(txn).await?;
+        Ok(())
+    }
+
+    async fn elect(&mut self) -> Result<(), StoreError> {
+        match self.look() {
+            Election::Wait => Ok(()),
+            Election::Adopt(token) => {
+                self.adopt(token);
+                Ok(())
+            }
+            Election::Inherit(former) => self.inherit(former).await,
+            Election::Contend => self.contend().await,
+        }
+    }
+
+    /// Decides what to do about the leader key, as last read.
+    fn look(&mut self) -> Election {
+        let shared = self.shared.clone();
+        let view = shared.view();
+        if !view.is_read {
+            return Election::Wait;
+        }
+        let Some(stored) = &view.seat else {
+            let version = view.version.0.unsigned_abs();
+            drop(view);
+            return self.look_at_empty_seat(version);
+        };
+        self.contend = None;
+        let Some(seat) = &stored.seat else {
+            return Election::Wait;
+        };
+        let token = stored.version.0.unsigned_abs();
+        if *seat == shared.seat {
+            return match token > self.lost_token {
+                true => Election::Adopt(token),
+                false => Election::Wait,
+            };
+        }
+        let stored = stored.clone();
+        let is_mine = seat.is_same_vm(&shared.seat);
+        drop(view);
+        self.yield_seat(token);
+        match is_mine {
+            true => Election::Inherit(stored),
+            false => Election::Wait,
+        }
+    }
+
+    /// Decides about a seat that is empty as of a version.
+    fn look_at_empty_seat(&mut self, version: u64) -> Election {
+        let mut standing = self.shared.standing();
+        match standing.token {
+            // The watch has not come to this node's own write yet.
+            Some(token) if token > version => return Election::Wait,
+            Some(token) => {
+                self.lost_token = token;
+                standing.token = None;
+            }
+            None => return Election::Contend,
+        }
+        drop(standing);
+        log::warn!("leader: the seat is gone.");
+        self.shared.publish_term();
+        Election::Contend
+    }
+
+    /// Gives up the seat when another write holds it.
+    fn yield_seat(&self, token: u64) {
+        let mut standing = self.shared.standing();
+        if standing.token.is_none_or(|mine| mine >= token) {
+            return;
+        }
+        standing.token = None;
+        drop(standing);
+        log::warn!("leader: another node leads.");
+        self.shared.publish_term();
+    }
+
+    fn adopt(&mut self, token: u64) {
+        let mut standing = self.shared.standing();
+        if standing.token.is_some_and(|known| known >= token) || standing.lease.is_none() {
+            return;
+        }
+        standing.token = Some(token);
+        if let Some(from) = self.pending_from.take() {
+            standing.orders_from = standing.orders_from.max(from);
+        }
+        let wait = standing.orders_from.duration_since(Instant::now());
+        drop(standing);
+        log::info!("leader: this node leads, with token {token}, and orders after {wait:?}.");
+        self.shared.publish_term();
+    }
+
+    async fn inherit(&mut self, former: StoredSeat) -> Result<(), StoreError> {
+        let key = self.shared.keys.leader.clone();
+        let compare = vec![Compare::ModifiedAt(key, former.version)];
+        // Both starts are one holder, and the earlier one is over.
+        self.take(compare, Instant::now()).await
+    }
+
+    async fn contend(&mut self) -> Result<(), StoreError> {
+        let (since, last) = {
+            let view = self.shared.view();
+            (view.since, view.last.clone())
+        };
+        let is_mine = last.as_ref().is_some_and(|last| {
+            let seat = last.seat.as_ref();
+            seat.is_some_and(|seat| seat.is_same_vm(&self.shared.seat))
+        });
+        let contend_at = match self.contend {
+            Some((contend_at, known)) if known == since => contend_at,
+            _ => Instant::now() + self.pause_before_try(last.is_some(), is_mine),
+        };
+        self.contend = Some((contend_at, since));
+        if Instant::now() < contend_at {
+            return Ok(());
+        }
+        let keys = &self.shared.keys;
+        let last_key = keys.last_leader.clone();
+        let compare = vec![
+            Compare::Absent(keys.leader.clone()),
+            match &last {
+                Some(last) => Compare::ModifiedAt(last_key, last.version),
+                None => Compare::Absent(last_key),
+            },
+        ];
+        let orders_from = match last {
+            Some(_) if !is_mine => since + self.shared.rules.handover,
+            _ => Instant::now(),
+        };
+        self.take(compare, orders_from).await
+    }
+
+    /// Returns how long this node lets others go first.
+    fn pause_before_try(&self, had_leader: bool, is_mine: bool) -> Duration {
+        if is_mine {
+            return Duration::ZERO;
+        }
+        if !had_leader {
+            return random_below(FIRST_TRY_MAX_MS);
+        }
+        let younger = self.shared.view().count_younger(&self.shared.me.name);
+        let turns = u64::from(younger.min(TURNS_MAX));
+        let lost_touch = self
+            .failed_at
+            .is_some_and(|at| at.elapsed() < self.shared.rules.lease);
+        let reunion_ms = if lost_touch { REUNION_MS } else { 0 };
+        Duration::from_millis(turns * TURN_MS + reunion_ms) + random_below(TURN_MS / 2)
+    }
+
+    /// Writes the leader key, and with it who led last.
+    async fn take(
+        &mut self,
+        compare: Vec<Compare>,
+        orders_from: Instant,
+    ) -> Result<(), StoreError> {
+        let Some(lease) = self.shared.standing().lease else {
+            return Ok(());
+        };
+        // A try whose answer is lost may still succeed, and is adopted when the key shows it.
+        self.pending_from = Some(
+            self.pending_from
+                .map_or(orders_from, |from| from.max(orders_from)),
+        );
+        let keys = &self.shared.keys;
+        let seat = &self.shared.seat;
+        let txn = Txn {
+            compare,
+            then: vec![
+                put(keys.leader.clone(), seat, Some(lease)),
+                put(keys.last_leader.clone(), seat, None),
+            ],
+            ..Txn::default()
+        };
+        let TxnReply {
+            succeeded, version, ..
+        } = self.shared.store.txn(txn).await?;
+        match succeeded {
+            true => self.adopt(version.0.unsigned_abs()),
+            // The watch brings the write that went before.
+            false => self.contend = None,
+        }
+        Ok(())
+    }
+}
+
+fn put(key: String, value: &impl Serialize, lease: Option<LeaseId>) -> Op {
+    let value = serde_json::to_vec(value).unwrap_or_default();
+    Op::Put {
+        key,
+        value: Bytes::from(value),
+        lease,
+    }
+}
+
+fn random_below(limit_ms: u64) -> Duration {
+    Duration::from_millis(rand::rng().random_range(0..limit_ms.max(1)))
+}
--- /dev/null
+++ b/src/leader/follow.rs
@@ -0,0 +1,82 @@
+//! Follows the keys of nodes and of the leader.
+
+use {
+    super::membership::Shared,
+    crate::{
+        membership::Backoff,
+        store::{Entry, StoreError, StoreVersion, prefix_end},
+    },
+    futures::StreamExt,
+    std::{sync::Arc, time::Duration},
+    tokio::time::timeout,
+};
+
+/// The first pause after a failed call.
+const BACKOFF_FIRST: Duration = Duration::from_millis(200);
+/// The longest pause after failed calls.
+const BACKOFF_LONGEST: Duration = Duration::from_secs(2);
+/// The longest that a watch may report nothing before it is opened anew; a connection can go
+/// silent for good.
+const SILENCE_MAX: Duration = Duration::from_secs(8);
+
+/// Keeps the view up to date; never ends.
+pub(super) async fn follow(shared: Arc<Shared>) {
+    let mut backoff = Backoff::new(BACKOFF_FIRST, BACKOFF_LONGEST);
+    let mut known = None;
+    loop {
+        let result = match known {
+            None => read_all(&shared).await,
+            Some(version) => watch_from(&shared, version).await,
+        };
+        match result {
+            Ok(version) => {
+                known = Some(version);
+                backoff.reset();
+                continue;
+            }
+            Err(StoreError::Compacted) => known = None,
+            Err(error) => log::debug!("leader: following the nodes failed: {error}"),
+        }
+        tokio::time::sleep(backoff.next_pause()).await;
+    }
+}
+
+async fn read_all(shared: &Shared) -> Result<StoreVersion, StoreError> {
+    let end = prefix_end(&shared.keys.prefix);
+    let mut start = shared.keys.prefix.clone();
+    let mut entries: Vec<Entry> = Vec::new();
+    let mut first_version = None;
+    loop {
+        let range = shared.store.range_between(&start, &end, 0).await?;
+        entries.extend(range.entries);
+        // The watch goes on from the oldest page, so that no change between pages is missed.
+        let version = *first_version.get_or_insert(range.version);
+        let last = entries.last().filter(|_| range.more);
+        let Some(last) = last else {
+            shared.replace(&entries, version);
+            return Ok(version);
+        };
+        start = format!("{}\0", last.key);
+    }
+}
+
+/// Watches until the watch ends or goes silent; returns from where to go on.
+async fn watch_from(shared: &Shared, since: StoreVersion) -> Result<StoreVersion, StoreError> {
+    let mut watch = shared.store.watch(&shared.keys.prefix, since);
+    let mut version = since;
+    while let Ok(next) = timeout(SILENCE_MAX, watch.next()).await {
+        let batch = match next {
+            Some(Ok(batch)) => batch,
+            Some(Err(StoreError::Compacted)) => return Err(StoreError::Compacted),
+            // What came before the end must not be read twice.
+            _ if version > since => return Ok(version),
+            Some(Err(error)) => return Err(error),
+            None => return Err(StoreError::Unknown("the watch ended".to_owned())),
+        };
+        version = version.max(batch.version);
+        if !batch.changes.is_empty() {
+            shared.apply(&batch.changes);
+        }
+    }
+    Ok(version)
+}
--- /dev/null
+++ b/src/leader/guard.rs
@@ -0,0 +1,43 @@
+//! Ends a term that this node's own clocks no longer cover.
+
+use {
+    super::{Moment, membership::Shared},
+    std::{sync::Arc, time::Duration},
+    tokio::time::{Instant, sleep},
+};
+
+/// The pause between two looks at the clocks.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Watches the clocks while this node holds a term; never ends.
+pub(super) async fn guard_term(shared: Arc<Shared>) {
+    let mut term = shared.term.subscribe();
+    while term.wait_for(Option::is_some).await.is_ok() {
+        let before = Moment::now(&shared.clock);
+        sleep(INTERVAL).await;
+        let now = Moment::now(&shared.clock);
+        let frozen = shared.rules.is_freeze(now.since(before), INTERVAL);
+        check(&shared, now, frozen);
+    }
+}
+
+fn check(shared: &Shared, now: Moment, frozen: bool) {
+    let mut standing = shared.standing();
+    let unconfirmed = now.since(standing.confirmed);
+    let lapsed = unconfirmed >= shared.rules.unconfirmed_max;
+    if !frozen && !lapsed {
+        return;
+    }
+    standing.doubtful_since = Some(Instant::now());
+    if frozen {
+        let from = Instant::now() + shared.rules.thaw_slack;
+        standing.orders_from = standing.orders_from.max(from);
+    }
+    drop(standing);
+    match frozen {
+        true => log::info!("leader: the process was frozen, the term is confirmed anew."),
+        false => log::warn!("leader: the term ends, unconfirmed for {unconfirmed:?}."),
+    }
+    shared.publish_term();
+    shared.changed.notify_one();
+}
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -1,5 +1,14 @@
 //! Registers the nodes, and elects the one that gives orders.
 
+mod boot_clock;
+mod cluster_view;
+mod duty;
+mod follow;
+mod guard;
+mod keys;
+mod membership;
+mod seat;
+mod tenure;
 mod term;
 
-pub use term::*;
+pub use {boot_clock::*, membership::*, seat::*, tenure::*, term::*};
--- /dev/null
+++ b/src/leader/seat.rs
@@ -0,0 +1,44 @@
+//! The key whose holder gives all orders.
+
+use {
+    super::PeerNode,
+    crate::{store::StoreVersion, traffic::NodeName},
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// Who wrote the leader key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seat {
+    /// The node.
+    pub node: NodeName,
+    /// Its address, so that a new VM of the same name is another holder.
+    pub address: SocketAddr,
+    /// Drawn at each start of the process.
+    pub nonce: u64,
+}
+
+impl Seat {
+    /// Makes the value that a start of a node writes.
+    pub fn new(me: &PeerNode, nonce: u64) -> Self {
+        Self {
+            node: me.name.clone(),
+            address: me.gossip_address,
+            nonce,
+        }
+    }
+
+    /// Returns whether both were written by one VM.
+    pub fn is_same_vm(&self, other: &Self) -> bool {
+        self.node == other.node && self.address == other.address
+    }
+}
+
+/// A seat as it stands in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredSeat {
+    /// Who wrote it; `None` when the value cannot be read.
+    pub seat: Option<Seat>,
+    /// The version of the write.
+    pub version: StoreVersion,
+}
--- a/src/leader/term.rs
+++ b/src/leader/term.rs
@@ -1,9 +1,14 @@
 //! Who the nodes are, and which of them gives orders.
 
-use {crate::traffic::NodeName, std::net::SocketAddr, tokio::time::Instant};
+use {
+    crate::traffic::NodeName,
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+    tokio::time::Instant,
+};
 
 /// A node that registered itself in the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerNode {
     /// Its name.
     pub name: NodeName,
