Choose runners by load over all nodes, follow the platform's list, and gossip

The board keeps runners by service with their entries, the notes that came after them, the load of this node and its peers, and the health by own tries. Requests that find no room or no copy wait by urgency and are refused when no place can be expected. Nodes exchange loads, demand and notes by datagrams.

--- a/src/discovery/runner_entry.rs
+++ b/src/discovery/runner_entry.rs
@@ -1,12 +1,16 @@
 //! What a runner says of itself.
 
 use {
-    crate::traffic::{AdapterId, ModelId, RunnerId, ServiceId, ZoneId},
+    crate::{
+        dispatch::Variant,
+        traffic::{AdapterId, ModelId, RunnerId, ServiceId, ZoneId},
+    },
+    serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
 
 /// One start of a runner: its name and the time of its start.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RunnerKey {
     /// Its name.
     pub id: RunnerId,
@@ -63,3 +67,20 @@
     /// The number of orders that it accepted.
     pub orders_accepted: u64,
 }
+
+impl RunnerEntry {
+    /// Returns whether the runner holds a model, or an adapter of it.
+    pub fn holds(&self, variant: &Variant) -> bool {
+        let found = self
+            .models
+            .binary_search_by(|held| held.model.cmp(&variant.model));
+        match (found, &variant.adapter) {
+            (Ok(_), None) => true,
+            (Ok(position), Some(adapter)) => {
+                let adapters = &self.models[position].adapters;
+                adapters.binary_search(adapter).is_ok()
+            }
+            (Err(_), _) => false,
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/board_state.rs
@@ -0,0 +1,233 @@
+//! What a node knows of runners, demand and waiting requests.
+
+use {
+    super::{
+        ModelDemand, Variant, peer_demand::PeerDemands, runner_slot::RunnerSlot,
+        service_runners::ServiceRunners,
+    },
+    crate::{
+        discovery::{RunnerEntry, RunnerKey},
+        traffic::{NodeName, ServiceId},
+    },
+    std::time::Duration,
+    tokio::time::Instant,
+};
+
+/// How long a runner's leaving is told to peers, and believed from them.
+const LEAVING_MS: u64 = 3_000;
+
+/// How long a request waits for room before it counts as demand for a further copy.
+const ROOM_WAIT_MS: u64 = 250;
+
+#[derive(Debug)]
+struct Leaving {
+    runner: RunnerKey,
+    until: Instant,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct BoardState {
+    services: Vec<ServiceRunners>,
+    pub(super) peers: PeerDemands,
+    leaving: Vec<Leaving>,
+    waiting_told: Vec<ModelDemand>,
+    last_id: u64,
+}
+
+impl BoardState {
+    pub(super) fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+
+    pub(super) fn services(&mut self) -> &mut [ServiceRunners] {
+        &mut self.services
+    }
+
+    /// Returns a service's runners, none at first.
+    pub(super) fn service(&mut self, name: &ServiceId) -> &mut ServiceRunners {
+        let found = self.services.binary_search_by(|known| known.name.cmp(name));
+        let position = found.unwrap_or_else(|position| {
+            let service = ServiceRunners::new(name.clone());
+            self.services.insert(position, service);
+            position
+        });
+        &mut self.services[position]
+    }
+
+    pub(super) fn slot(&mut self, key: &RunnerKey) -> Option<&mut RunnerSlot> {
+        let mut services = self.services.iter_mut();
+        services.find_map(|service| service.slot(key))
+    }
+
+    /// Takes over the list of runners; returns whether one is leaving that was not before.
+    pub(super) fn set_runners(&mut self, runners: Vec<RunnerEntry>, now: Instant) -> bool {
+        let mut left = Vec::new();
+        let slots = self
+            .services
+            .iter_mut()
+            .flat_map(|service| &mut service.slots);
+        let listed_before = slots.filter_map(|slot| {
+            let was_listed = std::mem::take(&mut slot.listed);
+            was_listed.then(|| slot.entry.key.clone())
+        });
+        let listed_before: Vec<RunnerKey> = listed_before.collect();
+        for entry in runners {
+            let key = entry.key.clone();
+            let service = self.service(&entry.service);
+            match service.position(&key) {
+                Ok(position) => {
+                    if service.slots[position].update(entry, now) {
+                        left.push(key);
+                    }
+                }
+                Err(position) => service.slots.insert(position, RunnerSlot::new(entry, now)),
+            }
+        }
+        for key in listed_before {
+            if self.slot(&key).is_some_and(|slot| !slot.listed) {
+                left.push(key);
+            }
+        }
+        for service in &mut self.services {
+            service
+                .slots
+                .retain(|slot| slot.listed || slot.own.requests > 0);
+        }
+        let any = !left.is_empty();
+        let until = now + Duration::from_millis(LEAVING_MS);
+        let leaving = left.into_iter().map(|runner| Leaving { runner, until });
+        self.leaving.extend(leaving);
+        any
+    }
+
+    pub(super) fn note(&mut self, key: &RunnerKey, variant: &Variant, held: bool, now: Instant) {
+        if let Some(slot) = self.slot(key) {
+            slot.note(variant, held, now);
+        }
+    }
+
+    /// Believes a peer that a runner is leaving.
+    pub(super) fn leaves(&mut self, key: &RunnerKey, now: Instant) {
+        if let Some(slot) = self.slot(key) {
+            slot.leaves(now + Duration::from_millis(LEAVING_MS));
+        }
+    }
+
+    /// Returns the runners whose leaving is to be told.
+    pub(super) fn leaving(&mut self, now: Instant) -> Vec<RunnerKey> {
+        self.leaving.retain(|leaving| now < leaving.until);
+        let runners = self.leaving.iter().map(|leaving| leaving.runner.clone());
+        runners.collect()
+    }
+
+    /// Forgets what is too old.
+    pub(super) fn expire(&mut self, now: Instant) {
+        self.peers.expire(now);
+        for service in &mut self.services {
+            service.demand.forget_old(now);
+            for slot in &mut service.slots {
+                slot.expire(now);
+            }
+        }
+    }
+
+    /// Returns the demand that this node sees.
+    pub(super) fn own_demand(&self, now: Instant) -> Vec<ModelDemand> {
+        let mut all = DemandSum::default();
+        for service in &self.services {
+            for (variant, per_s) in service.demand.rates(now) {
+                all.add(&service.name, variant, per_s, 0);
+            }
+            let room_wait = Duration::from_millis(ROOM_WAIT_MS);
+            for waiter in service.queue.iter() {
+                let counts = waiter.no_copy || now >= waiter.since + room_wait;
+                if let Some(variant) = waiter.ask.variant.as_ref().filter(|_| counts) {
+                    all.add(&service.name, variant, 0.0, 1);
+                }
+            }
+        }
+        all.0
+    }
+
+    /// Returns the demand over all nodes.
+    pub(super) fn demand(&self, now: Instant) -> Vec<ModelDemand> {
+        let mut all = DemandSum(self.own_demand(now));
+        for demand in self.peers.iter() {
+            let variant = Variant {
+                model: demand.model.clone(),
+                adapter: demand.adapter.clone(),
+            };
+            let (per_s, waiting) = (demand.requests_per_s, demand.waiting);
+            all.add(&demand.service, &variant, per_s, waiting);
+        }
+        all.0
+    }
+
+    /// Returns the own demand that has to be told: all of it, or where other numbers wait.
+    pub(super) fn untold_demand(&mut self, all: bool, now: Instant) -> Vec<ModelDemand> {
+        let demand = self.own_demand(now);
+        let told = std::mem::take(&mut self.waiting_told);
+        let changed = |demand: &ModelDemand| {
+            let found = told.binary_search_by(|known| known.key().cmp(&demand.key()));
+            found.map_or(0, |position| told[position].waiting) != demand.waiting
+        };
+        let due = demand.iter().filter(|demand| all || changed(demand));
+        let due = due.cloned().collect();
+        let waiting = demand.into_iter().filter(|demand| demand.waiting > 0);
+        self.waiting_told = waiting.collect();
+        due
+    }
+
+    /// Returns the own loads that have to be told.
+    pub(super) fn untold_loads(&mut self, all: bool) -> Vec<(RunnerKey, super::NodeLoad)> {
+        let slots = self
+            .services
+            .iter_mut()
+            .flat_map(|service| &mut service.slots);
+        let loads = slots.filter_map(|slot| {
+            let load = slot.untold_load(all)?;
+            Some((slot.entry.key.clone(), load))
+        });
+        loads.collect()
+    }
+
+    /// Takes over a peer's word on its load at a runner.
+    pub(super) fn peer_load(
+        &mut self,
+        node: &NodeName,
+        key: &RunnerKey,
+        load: super::NodeLoad,
+        now: Instant,
+    ) {
+        if let Some(slot) = self.slot(key) {
+            slot.peer_load(node, load, now);
+        }
+    }
+}
+
+/// Demand summed up by service and variant, sorted.
+#[derive(Debug, Default)]
+struct DemandSum(Vec<ModelDemand>);
+
+impl DemandSum {
+    fn add(&mut self, service: &ServiceId, variant: &Variant, per_s: f64, waiting: u32) {
+        let key = (service, &variant.model, variant.adapter.as_ref());
+        match self.0.binary_search_by(|known| known.key().cmp(&key)) {
+            Ok(position) => {
+                self.0[position].requests_per_s += per_s;
+                self.0[position].waiting += waiting;
+            }
+            Err(position) => {
+                let demand = ModelDemand {
+                    service: service.clone(),
+                    model: variant.model.clone(),
+                    adapter: variant.adapter.clone(),
+                    requests_per_s: per_s,
+                    waiting,
+                };
+                self.0.insert(position, demand);
+            }
+        }
+    }
+}
--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -1,10 +1,8 @@
 //! Gives each request a runner, or a refusal.
 
 use {
-    super::{Refused, RunnerBoard, TryOutcome, Wanted},
-    crate::discovery::RunnerEntry,
+    super::{Place, Refused, RunnerBoard, Wanted, board_shared::Start},
     std::sync::Arc,
-    tokio::time::Instant,
 };
 
 /// Gives requests their runners.
@@ -13,32 +11,6 @@
     board: Arc<RunnerBoard>,
 }
 
-/// A request's place at a runner; dropping it counts the request as cancelled.
-#[derive(Debug)]
-pub struct Place {
-    /// The runner.
-    pub runner: RunnerEntry,
-    /// The rank to tell the runner, from 0, the first, to 9.
-    pub priority: u8,
-    outcome: Option<TryOutcome>,
-}
-
-impl Place {
-    /// Notes that the first part of the answer came.
-    pub fn first_event(&mut self, _at: Instant) {}
-
-    /// Notes how the try ended, and gives the place back.
-    pub fn finish(mut self, outcome: TryOutcome) {
-        self.outcome = Some(outcome);
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        let _outcome = self.outcome.unwrap_or(TryOutcome::Cancelled);
-    }
-}
-
 impl Dispatcher {
     /// Makes a dispatcher over what a board knows.
     pub fn new(board: Arc<RunnerBoard>) -> Self {
@@ -53,19 +25,9 @@
     ///
     /// Fails once it is plain that no runner will be there in time.
     pub async fn place(&self, wanted: &Wanted) -> Result<Place, Refused> {
-        let runners = self.board.runners();
-        let found = runners.into_iter().find(|view| {
-            view.entry.service == wanted.service && !wanted.tried.contains(&view.entry.key)
-        });
-        match found {
-            Some(view) => Ok(Place {
-                runner: view.entry,
-                priority: wanted.priority,
-                outcome: None,
-            }),
-            None => Err(Refused {
-                retry_after_ms: 500,
-            }),
+        match self.board.shared.start(wanted)? {
+            Start::Placed(place) => Ok(place),
+            Start::Waits(waiting) => waiting.answer().await,
         }
     }
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -1,7 +1,26 @@
 //! Chooses runners for requests, from what all nodes know of their load and of what they hold.
 
 mod board;
+mod board_shared;
+mod board_state;
+mod choice;
+mod decaying_count;
+mod demand_meter;
 mod dispatcher;
+mod load;
+mod outlook;
+mod peer_demand;
+mod place;
+mod prefix_record;
+mod residency;
+mod runner_health;
+mod runner_slot;
+mod service_runners;
 mod types;
+mod wait_queue;
+mod waiting;
 
-pub use {board::*, dispatcher::*, types::*};
+pub use {
+    board::*, choice::*, decaying_count::*, dispatcher::*, load::*, place::*, prefix_record::*,
+    residency::*, runner_health::*, types::*,
+};
--- /dev/null
+++ b/src/dispatch/residency.rs
@@ -0,0 +1,97 @@
+//! Changes of what a runner holds that its entry does not show yet.
+
+use {
+    super::Variant,
+    crate::{
+        discovery::{ResidentModel, RunnerEntry},
+        traffic::{AdapterId, ModelId},
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::time::Instant,
+};
+
+/// How long a change counts that the entry never shows.
+const NOTE_MS: u64 = 5_000;
+
+#[derive(Debug)]
+struct PendingNote {
+    variant: Variant,
+    held: bool,
+    until: Instant,
+}
+
+/// The changes of one runner that its entry does not show yet.
+#[derive(Debug, Default)]
+pub struct ResidencyOverlay {
+    notes: Vec<PendingNote>,
+}
+
+impl ResidencyOverlay {
+    /// Adds a change; it replaces an older one of the same model or adapter.
+    pub fn note(&mut self, variant: &Variant, held: bool, now: Instant) {
+        let whole_model_goes = variant.adapter.is_none() && !held;
+        self.notes.retain(|note| {
+            let covered = whole_model_goes && note.variant.model == variant.model;
+            note.variant != *variant && !covered
+        });
+        self.notes.push(PendingNote {
+            variant: variant.clone(),
+            held,
+            until: now + Duration::from_millis(NOTE_MS),
+        });
+    }
+
+    /// Forgets the changes that a new entry shows.
+    pub fn settle(&mut self, entry: &RunnerEntry) {
+        self.notes
+            .retain(|note| entry.holds(&note.variant) != note.held);
+    }
+
+    /// Forgets changes that are too old; returns whether there were any.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let before = self.notes.len();
+        self.notes.retain(|note| now < note.until);
+        self.notes.len() != before
+    }
+
+    /// Returns an entry with the changes worked in.
+    pub fn apply(&self, base: &Arc<RunnerEntry>) -> Arc<RunnerEntry> {
+        if self.notes.is_empty() {
+            return base.clone();
+        }
+        let mut entry = RunnerEntry::clone(base);
+        for note in &self.notes {
+            match (&note.variant.adapter, note.held) {
+                (None, true) => add_model(&mut entry.models, &note.variant.model),
+                (None, false) => entry.models.retain(|held| held.model != note.variant.model),
+                (Some(adapter), held) => {
+                    set_adapter(&mut entry.models, &note.variant.model, adapter, held);
+                }
+            }
+        }
+        Arc::new(entry)
+    }
+}
+
+fn add_model(models: &mut Vec<ResidentModel>, model: &ModelId) {
+    if let Err(position) = models.binary_search_by(|held| held.model.cmp(model)) {
+        let resident = ResidentModel {
+            model: model.clone(),
+            version: 0,
+            adapters: Vec::new(),
+        };
+        models.insert(position, resident);
+    }
+}
+
+fn set_adapter(models: &mut [ResidentModel], model: &ModelId, adapter: &AdapterId, held: bool) {
+    let Ok(position) = models.binary_search_by(|known| known.model.cmp(model)) else {
+        return;
+    };
+    let adapters = &mut models[position].adapters;
+    match (adapters.binary_search(adapter), held) {
+        (Ok(position), false) => drop(adapters.remove(position)),
+        (Err(position), true) => adapters.insert(position, adapter.clone()),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/src/dispatch/runner_health.rs
@@ -0,0 +1,120 @@
+//! Whether a runner's answers are good, and how quick they are.
+
+use {super::TryOutcome, std::time::Duration, tokio::time::Instant};
+
+/// The weight of the newest try in the rates.
+const NEWEST_WEIGHT: f64 = 0.15;
+
+/// Tries before the rate of failures counts.
+const TRIES_MIN: u32 = 6;
+
+/// How far above the rate of its service the failures of a runner may be.
+const FAILURES_ABOVE: f64 = 0.3;
+
+const OUT_MIN_MS: u64 = 150;
+const OUT_MAX_MS: u64 = 2_400;
+const SHED_MS: u64 = 40;
+const WRONG_RUNNER_MS: u64 = 5_000;
+
+/// What this node's tries say of a runner.
+#[derive(Debug, Default)]
+pub struct RunnerHealth {
+    failure_rate: f64,
+    slowness: Option<f64>,
+    tries: u32,
+    out_until: Option<Instant>,
+    out_ms: u64,
+    probe_in_flight: bool,
+}
+
+impl RunnerHealth {
+    /// Returns whether the runner may get a request now.
+    pub fn admits(&self, now: Instant) -> bool {
+        self.out_until.is_none_or(|until| now >= until) && !self.probe_in_flight
+    }
+
+    /// Returns when it may get a request again, if it is out.
+    pub fn out_until(&self, now: Instant) -> Option<Instant> {
+        self.out_until.filter(|until| now < *until)
+    }
+
+    /// Notes that a request goes to the runner.
+    pub fn started(&mut self) {
+        self.probe_in_flight = self.out_ms > 0;
+    }
+
+    /// Notes that an answer began.
+    pub fn answered(&mut self) {
+        self.probe_in_flight = false;
+        self.out_ms = 0;
+    }
+
+    /// Notes how a try ended.
+    ///
+    /// `service_failure_rate` is that of the whole service; `may_eject` tells whether few enough
+    /// runners of the service are out.
+    pub fn ended(
+        &mut self,
+        outcome: TryOutcome,
+        service_failure_rate: f64,
+        may_eject: bool,
+        now: Instant,
+    ) {
+        self.probe_in_flight = false;
+        match outcome {
+            TryOutcome::Complete => {
+                self.rate(0.0);
+                self.out_until = None;
+                self.out_ms = 0;
+            }
+            TryOutcome::Unreachable => self.leave_out(now),
+            TryOutcome::WrongRunner => {
+                self.out_until = Some(now + Duration::from_millis(WRONG_RUNNER_MS));
+            }
+            TryOutcome::Shed => {
+                self.rate(1.0);
+                self.out_until = Some(now + Duration::from_millis(SHED_MS));
+                self.eject_if_outlier(service_failure_rate, may_eject, now);
+            }
+            TryOutcome::Failed | TryOutcome::Broken => {
+                self.rate(1.0);
+                self.eject_if_outlier(service_failure_rate, may_eject, now);
+            }
+            TryOutcome::Absent | TryOutcome::Cancelled => {}
+        }
+    }
+
+    /// Notes a time against that of the service's other runners; 1 is as quick as they are.
+    pub fn timed(&mut self, ratio: f64) {
+        let known = self.slowness.unwrap_or(1.0);
+        let newest = ratio.clamp(0.1, 10.0);
+        self.slowness = Some(known + (newest - known) * NEWEST_WEIGHT);
+    }
+
+    /// Returns how slow it is against the service's other runners; 1 is as quick as they are.
+    pub fn slowness(&self) -> f64 {
+        self.slowness.unwrap_or(1.0)
+    }
+
+    /// Returns the share of late tries that failed.
+    pub fn failure_rate(&self) -> f64 {
+        self.failure_rate
+    }
+
+    fn rate(&mut self, failed: f64) {
+        self.tries = self.tries.saturating_add(1);
+        self.failure_rate += (failed - self.failure_rate) * NEWEST_WEIGHT;
+    }
+
+    fn eject_if_outlier(&mut self, service_rate: f64, may_eject: bool, now: Instant) {
+        let outlier = self.failure_rate > service_rate + FAILURES_ABOVE;
+        if self.tries >= TRIES_MIN && outlier && may_eject {
+            self.leave_out(now);
+        }
+    }
+
+    fn leave_out(&mut self, now: Instant) {
+        self.out_ms = (self.out_ms * 2).clamp(OUT_MIN_MS, OUT_MAX_MS);
+        self.out_until = Some(now + Duration::from_millis(self.out_ms));
+    }
+}
--- /dev/null
+++ b/src/dispatch/runner_slot.rs
@@ -0,0 +1,233 @@
+//! One runner as a node knows it.
+
+use {
+    super::{
+        Candidate, NodeLoad, PrefixRecord, RequestLoad, ResidencyOverlay, RunnerHealth, RunnerView,
+        TotalLoad, Variant, wait_queue::Ask,
+    },
+    crate::{
+        discovery::{RunnerEntry, RunnerState},
+        traffic::{AdapterId, ModelId, NodeName, ZoneId},
+    },
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// The rounds of gossip in which a change of load is told.
+const TOLD_ROUNDS: u8 = 3;
+
+/// How long what a peer said counts without a new word of it.
+const PEER_LOAD_MS: u64 = 1_500;
+
+#[derive(Debug)]
+struct PeerLoad {
+    node: NodeName,
+    load: NodeLoad,
+    heard_at: Instant,
+}
+
+#[derive(Debug)]
+pub(super) struct RunnerSlot {
+    base: Arc<RunnerEntry>,
+    pub(super) entry: Arc<RunnerEntry>,
+    pub(super) listed: bool,
+    pub(super) health: RunnerHealth,
+    pub(super) own: NodeLoad,
+    overlay: ResidencyOverlay,
+    peers: Vec<PeerLoad>,
+    total: TotalLoad,
+    prefixes: PrefixRecord,
+    cold_until: Instant,
+    leaving_until: Option<Instant>,
+    untold_rounds: u8,
+    key_hash: u64,
+}
+
+impl RunnerSlot {
+    pub(super) fn new(entry: RunnerEntry, now: Instant) -> Self {
+        let mut hasher = DefaultHasher::new();
+        entry.key.hash(&mut hasher);
+        let cold_until = now + Duration::from_millis(entry.cold_remaining_ms);
+        let base = Arc::new(entry);
+        Self {
+            entry: base.clone(),
+            base,
+            listed: true,
+            health: RunnerHealth::default(),
+            own: NodeLoad::default(),
+            overlay: ResidencyOverlay::default(),
+            peers: Vec::new(),
+            total: TotalLoad::default(),
+            prefixes: PrefixRecord::default(),
+            cold_until,
+            leaving_until: None,
+            untold_rounds: 0,
+            key_hash: hasher.finish(),
+        }
+    }
+
+    /// Takes over a newer entry; returns whether the runner is leaving from now on.
+    pub(super) fn update(&mut self, entry: RunnerEntry, now: Instant) -> bool {
+        self.listed = true;
+        if *self.base == entry {
+            return false;
+        }
+        let leaves = entry.state != RunnerState::Ready && self.base.state == RunnerState::Ready;
+        self.cold_until = now + Duration::from_millis(entry.cold_remaining_ms);
+        self.base = Arc::new(entry);
+        self.overlay.settle(&self.base);
+        self.entry = self.overlay.apply(&self.base);
+        leaves
+    }
+
+    pub(super) fn note(&mut self, variant: &Variant, held: bool, now: Instant) {
+        if self.entry.holds(variant) == held {
+            return;
+        }
+        self.overlay.note(variant, held, now);
+        self.overlay.settle(&self.base);
+        self.entry = self.overlay.apply(&self.base);
+        if !held {
+            self.prefixes.clear();
+        }
+    }
+
+    /// Notes a peer's word that the runner is leaving.
+    pub(super) fn leaves(&mut self, until: Instant) {
+        self.leaving_until = self.leaving_until.max(Some(until));
+    }
+
+    /// Returns whether the runner may get requests at all.
+    pub(super) fn is_ready(&self, now: Instant) -> bool {
+        self.listed
+            && self.entry.state == RunnerState::Ready
+            && self.leaving_until.is_none_or(|until| now >= until)
+    }
+
+    pub(super) fn holds(&self, variant: Option<&Variant>) -> bool {
+        variant.is_none_or(|variant| self.entry.holds(variant))
+    }
+
+    pub(super) fn candidate(&self, ask: &Ask, zone: &ZoneId, now: Instant) -> Candidate {
+        Candidate {
+            slots: self.entry.slots,
+            own_requests: self.own.requests,
+            total: self.total,
+            kept_tokens: u64::from(self.prefixes.kept_tokens(&ask.chain)),
+            same_zone: self.entry.zone == *zone,
+            cold: now < self.cold_until,
+            slowness: self.health.slowness(),
+        }
+    }
+
+    /// Returns a number from 0 to 1 that all nodes find for a runner and a first prompt part.
+    pub(super) fn affinity(&self, first_hash: u64) -> f64 {
+        let mixed = (self.key_hash ^ first_hash).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        (mixed >> 40) as f64 / (1_u64 << 24) as f64
+    }
+
+    /// Counts a request in.
+    pub(super) fn reserve(&mut self, ask: &Ask) -> RequestLoad {
+        let kept = u64::from(self.prefixes.kept_tokens(&ask.chain));
+        let load = RequestLoad {
+            variant: ask.variant.clone(),
+            kv_tokens: ask.need.kv_tokens,
+            prefill_tokens: ask.need.prompt_tokens.saturating_sub(kept),
+        };
+        self.own.add(&load);
+        if let Some(capacity) = ask.need.kv_capacity_tokens {
+            self.prefixes.read(&ask.chain, capacity / 2);
+        }
+        self.health.started();
+        self.load_changed();
+        load
+    }
+
+    pub(super) fn prompt_read(&mut self, load: &mut RequestLoad) {
+        self.own.prompt_read(load);
+        self.load_changed();
+    }
+
+    pub(super) fn release(&mut self, load: &RequestLoad) {
+        self.own.remove(load);
+        self.load_changed();
+    }
+
+    pub(super) fn peer_load(&mut self, node: &NodeName, load: NodeLoad, now: Instant) {
+        let position = self.peers.binary_search_by(|peer| peer.node.cmp(node));
+        match (position, load.requests) {
+            (Ok(position), 0) => drop(self.peers.remove(position)),
+            (Ok(position), _) => {
+                self.peers[position].load = load;
+                self.peers[position].heard_at = now;
+            }
+            (Err(_), 0) => return,
+            (Err(position), _) => {
+                let peer = PeerLoad {
+                    node: node.clone(),
+                    load,
+                    heard_at: now,
+                };
+                self.peers.insert(position, peer);
+            }
+        }
+        self.sum_up();
+    }
+
+    /// Forgets what is too old.
+    pub(super) fn expire(&mut self, now: Instant) {
+        let kept_ms = Duration::from_millis(PEER_LOAD_MS);
+        let before = self.peers.len();
+        self.peers.retain(|peer| now < peer.heard_at + kept_ms);
+        if self.peers.len() != before {
+            self.sum_up();
+        }
+        if self.overlay.expire(now) {
+            self.entry = self.overlay.apply(&self.base);
+        }
+    }
+
+    /// Returns the own load if it has to be told to peers.
+    pub(super) fn untold_load(&mut self, all: bool) -> Option<NodeLoad> {
+        let due = self.untold_rounds > 0 || (all && self.own.requests > 0);
+        self.untold_rounds = self.untold_rounds.saturating_sub(1);
+        due.then(|| self.own.clone())
+    }
+
+    pub(super) fn view(&self) -> RunnerView {
+        let mut in_use: Vec<(ModelId, Option<AdapterId>, u32)> = Vec::new();
+        let peers = self.peers.iter().flat_map(|peer| &peer.load.in_use);
+        for (variant, count) in self.own.in_use.iter().chain(peers) {
+            let key = (&variant.model, &variant.adapter);
+            match in_use.binary_search_by(|(model, adapter, _)| (model, adapter).cmp(&key)) {
+                Ok(position) => in_use[position].2 += count,
+                Err(position) => {
+                    let used = (variant.model.clone(), variant.adapter.clone(), *count);
+                    in_use.insert(position, used);
+                }
+            }
+        }
+        RunnerView {
+            entry: RunnerEntry::clone(&self.entry),
+            in_flight: self.total.requests,
+            in_use,
+        }
+    }
+
+    fn load_changed(&mut self) {
+        self.untold_rounds = TOLD_ROUNDS;
+        self.sum_up();
+    }
+
+    fn sum_up(&mut self) {
+        self.total = TotalLoad::default();
+        self.total.add(&self.own);
+        for peer in &self.peers {
+            self.total.add(&peer.load);
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/service_runners.rs
@@ -0,0 +1,158 @@
+//! The runners of one service, and the requests that wait for them.
+
+use {
+    super::{
+        TryOutcome, Variant, cost_ms,
+        demand_meter::DemandMeter,
+        runner_slot::RunnerSlot,
+        wait_queue::{Ask, WaitQueue},
+    },
+    crate::{
+        discovery::RunnerKey,
+        traffic::{ModelId, ServiceId, ZoneId},
+    },
+    rand::RngExt,
+    tokio::time::Instant,
+};
+
+/// The weight of the newest time in the mean of a model.
+const NEWEST_WEIGHT: f64 = 0.05;
+
+/// What affinity among nodes is worth, in milliseconds.
+const AFFINITY_MS: f64 = 4.0;
+
+/// Costs that differ by less are equal, in milliseconds.
+const EQUAL_MS: f64 = 1.0;
+
+#[derive(Debug)]
+pub(super) struct ServiceRunners {
+    pub(super) name: ServiceId,
+    pub(super) slots: Vec<RunnerSlot>,
+    pub(super) queue: WaitQueue,
+    pub(super) demand: DemandMeter,
+    mean_times: Vec<(Option<ModelId>, f64)>,
+}
+
+/// What there is for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Chosen {
+    /// The position of a runner with room.
+    Runner(usize),
+    /// Runners hold what it wants but have no room; one of them may have at the instant.
+    Full(Option<Instant>),
+    /// No runner holds what it wants.
+    NoCopy,
+}
+
+impl ServiceRunners {
+    pub(super) fn new(name: ServiceId) -> Self {
+        Self {
+            name,
+            slots: Vec::new(),
+            queue: WaitQueue::default(),
+            demand: DemandMeter::default(),
+            mean_times: Vec::new(),
+        }
+    }
+
+    pub(super) fn position(&self, key: &RunnerKey) -> Result<usize, usize> {
+        self.slots.binary_search_by(|slot| slot.entry.key.cmp(key))
+    }
+
+    pub(super) fn slot(&mut self, key: &RunnerKey) -> Option<&mut RunnerSlot> {
+        let position = self.position(key).ok()?;
+        Some(&mut self.slots[position])
+    }
+
+    /// Chooses the runner at which a request loses the least time.
+    pub(super) fn choose(&self, ask: &Ask, zone: &ZoneId, now: Instant) -> Chosen {
+        let mut best: Option<(usize, f64)> = None;
+        let mut any_copy = false;
+        let mut retry_at: Option<Instant> = None;
+        let mut rng = rand::rng();
+        for (position, slot) in self.slots.iter().enumerate() {
+            let fits = slot.is_ready(now)
+                && slot.holds(ask.variant.as_ref())
+                && !ask.tried.contains(&slot.entry.key);
+            if !fits {
+                continue;
+            }
+            any_copy = true;
+            if !slot.health.admits(now) {
+                let until = slot.health.out_until(now);
+                retry_at = retry_at.into_iter().chain(until).min();
+                continue;
+            }
+            let Some(cost) = cost_ms(&ask.need, &slot.candidate(ask, zone, now)) else {
+                continue;
+            };
+            let affinity_ms = slot.affinity(ask.chain.first_hash()) * AFFINITY_MS;
+            let cost = cost + affinity_ms + rng.random_range(0.0..EQUAL_MS);
+            if best.is_none_or(|(_, least)| cost < least) {
+                best = Some((position, cost));
+            }
+        }
+        match best {
+            Some((position, _)) => Chosen::Runner(position),
+            None if any_copy => Chosen::Full(retry_at),
+            None => Chosen::NoCopy,
+        }
+    }
+
+    /// Returns whether a ready runner holds a model.
+    pub(super) fn has_copy(&self, model: &ModelId, now: Instant) -> bool {
+        let variant = Variant {
+            model: model.clone(),
+            adapter: None,
+        };
+        let mut slots = self.slots.iter();
+        slots.any(|slot| slot.is_ready(now) && slot.entry.holds(&variant))
+    }
+
+    /// Works in how a try ended; `time` is what the request took by its own measure.
+    pub(super) fn ended(
+        &mut self,
+        key: &RunnerKey,
+        variant: Option<&Variant>,
+        outcome: TryOutcome,
+        time: Option<f64>,
+        now: Instant,
+    ) {
+        let ratio = time.map(|time| self.time_ratio(variant.map(|v| &v.model), time));
+        let failure_rate = self.failure_rate();
+        let out = self.slots.iter().filter(|slot| !slot.health.admits(now));
+        let may_eject = (out.count() + 1) * 3 <= self.slots.len();
+        let Some(slot) = self.slot(key) else {
+            return;
+        };
+        if let Some(ratio) = ratio {
+            slot.health.timed(ratio);
+        }
+        slot.health.ended(outcome, failure_rate, may_eject, now);
+        if let (TryOutcome::Absent, Some(variant)) = (outcome, variant) {
+            slot.note(variant, false, now);
+        }
+    }
+
+    fn failure_rate(&self) -> f64 {
+        let rates = self.slots.iter().map(|slot| slot.health.failure_rate());
+        rates.sum::<f64>() / self.slots.len().max(1) as f64
+    }
+
+    /// Returns a time against the mean of its model, and works it into the mean.
+    fn time_ratio(&mut self, model: Option<&ModelId>, time: f64) -> f64 {
+        let times = &mut self.mean_times;
+        match times.binary_search_by(|(known, _)| known.as_ref().cmp(&model)) {
+            Ok(position) => {
+                let mean = &mut times[position].1;
+                let ratio = time / mean.max(f64::MIN_POSITIVE);
+                *mean += (time - *mean) * NEWEST_WEIGHT;
+                ratio
+            }
+            Err(position) => {
+                times.insert(position, (model.cloned(), time));
+                1.0
+            }
+        }
+    }
+}
--- a/src/dispatch/types.rs
+++ b/src/dispatch/types.rs
@@ -34,6 +34,18 @@
     pub retry_after_ms: u64,
 }
 
+impl Refused {
+    /// A refusal without a better estimate.
+    pub const SOON: Self = Self {
+        retry_after_ms: 500,
+    };
+
+    /// The refusal of a model that the service does not declare.
+    pub const UNKNOWN_MODEL: Self = Self {
+        retry_after_ms: 1_000,
+    };
+}
+
 /// How a try at a runner ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TryOutcome {
@@ -82,7 +94,7 @@
 }
 
 /// The demand for a model or one of its adapters, over all nodes.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ModelDemand {
     /// The service.
     pub service: ServiceId,
@@ -95,3 +107,10 @@
     /// Requests that wait for a copy now.
     pub waiting: u32,
 }
+
+impl ModelDemand {
+    /// Returns what is in demand.
+    pub fn key(&self) -> (&ServiceId, &ModelId, Option<&AdapterId>) {
+        (&self.service, &self.model, self.adapter.as_ref())
+    }
+}
--- /dev/null
+++ b/src/dispatch/wait_queue.rs
@@ -0,0 +1,128 @@
+//! The requests that wait for a runner.
+
+use {
+    super::{Need, Place, PromptChain, Refused, Variant, Wanted},
+    crate::{discovery::RunnerKey, relay::Generation, traffic::EngineSpec},
+    tokio::{sync::oneshot, time::Instant},
+};
+
+/// Requests that may wait for one service.
+const WAITERS_MAX: usize = 512;
+
+/// What a request asks for, worked out once.
+#[derive(Debug)]
+pub(super) struct Ask {
+    pub(super) variant: Option<Variant>,
+    pub(super) need: Need,
+    pub(super) chain: PromptChain,
+    pub(super) tried: Vec<RunnerKey>,
+    pub(super) priority: u8,
+    pub(super) target_at: Instant,
+    pub(super) give_up_at: Instant,
+}
+
+impl Ask {
+    /// Works out what a request asks for.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its service does not declare the model.
+    pub(super) fn new(wanted: &Wanted, engine: Option<&EngineSpec>) -> Result<Self, Refused> {
+        let generation = wanted.generation.as_ref();
+        let declared = match (generation, engine) {
+            (Some(generation), Some(engine)) => engine.model(&generation.model).is_some(),
+            _ => true,
+        };
+        if !declared {
+            return Err(Refused::UNKNOWN_MODEL);
+        }
+        Ok(Self {
+            variant: generation.map(Variant::of),
+            need: Need {
+                prompt_tokens: generation.map_or(0, |g| u64::from(g.prompt_tokens)),
+                kv_tokens: generation.map_or(0, kv_tokens),
+                kv_capacity_tokens: engine.map(|engine| engine.kv_capacity_tokens),
+                most_urgent: wanted.priority == 0,
+            },
+            chain: generation.map(PromptChain::of).unwrap_or_default(),
+            tried: wanted.tried.clone(),
+            priority: wanted.priority,
+            target_at: wanted.target_at,
+            give_up_at: wanted.give_up_at,
+        })
+    }
+}
+
+/// Returns the memory that a whole run probably needs.
+fn kv_tokens(generation: &Generation) -> u64 {
+    let output_max = u64::from(generation.output_tokens_max);
+    let output = match generation.output_tokens_hint {
+        Some(hint) => (u64::from(hint) * 5 / 4).min(output_max),
+        None => output_max * 3 / 5,
+    };
+    u64::from(generation.prompt_tokens) + output
+}
+
+pub(super) type Answer = Result<Place, Refused>;
+
+/// A request that waits.
+#[derive(Debug)]
+pub(super) struct Waiter {
+    pub(super) id: u64,
+    pub(super) ask: Ask,
+    pub(super) since: Instant,
+    /// Whether no runner holds what it wants.
+    pub(super) no_copy: bool,
+    pub(super) sender: oneshot::Sender<Answer>,
+}
+
+impl Waiter {
+    fn rank(&self, now: Instant) -> (u8, bool, Instant, u64) {
+        let ask = &self.ask;
+        (ask.priority, ask.target_at < now, ask.target_at, self.id)
+    }
+}
+
+/// The requests that wait for a service, the most urgent first.
+#[derive(Debug, Default)]
+pub(super) struct WaitQueue {
+    waiters: Vec<Waiter>,
+}
+
+impl WaitQueue {
+    /// Adds a request; returns the one that has to go if there are too many.
+    pub(super) fn insert(&mut self, waiter: Waiter, now: Instant) -> Option<Waiter> {
+        let rank = waiter.rank(now);
+        let position = self.waiters.partition_point(|known| known.rank(now) < rank);
+        self.waiters.insert(position, waiter);
+        (self.waiters.len() > WAITERS_MAX).then(|| self.waiters.pop())?
+    }
+
+    pub(super) fn remove(&mut self, id: u64) -> Option<Waiter> {
+        let position = self.waiters.iter().position(|waiter| waiter.id == id)?;
+        Some(self.waiters.remove(position))
+    }
+
+    pub(super) fn get(&self, id: u64) -> Option<&Waiter> {
+        self.waiters.iter().find(|waiter| waiter.id == id)
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.waiters.is_empty()
+    }
+
+    /// Takes all requests out, in order; those that can still be on time come before the late.
+    pub(super) fn take_ordered(&mut self, now: Instant) -> Vec<Waiter> {
+        self.waiters.sort_by_key(|waiter| waiter.rank(now));
+        std::mem::take(&mut self.waiters)
+    }
+
+    /// Puts requests back in the order in which they were taken.
+    pub(super) fn put_back(&mut self, waiters: Vec<Waiter>) {
+        self.waiters = waiters;
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Waiter> {
+        self.waiters.iter()
+    }
+}
--- /dev/null
+++ b/src/gossip/note_outbox.rs
@@ -0,0 +1,46 @@
+//! The changes of what runners hold that are still to be told.
+
+use {super::Item, crate::dispatch::ResidencyNote};
+
+/// How often a change is told, since datagrams get lost.
+const TOLD_ROUNDS: u8 = 3;
+
+#[derive(Debug)]
+struct Untold {
+    number: u64,
+    note: ResidencyNote,
+    rounds: u8,
+}
+
+/// Changes that are still to be told, in order.
+#[derive(Debug, Default)]
+pub(super) struct NoteOutbox {
+    untold: Vec<Untold>,
+    last_number: u64,
+}
+
+impl NoteOutbox {
+    pub(super) fn add(&mut self, note: &ResidencyNote) {
+        self.last_number += 1;
+        self.untold.push(Untold {
+            number: self.last_number,
+            note: note.clone(),
+            rounds: TOLD_ROUNDS,
+        });
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.untold.is_empty()
+    }
+
+    /// Returns the changes of the next round.
+    pub(super) fn round(&mut self) -> Vec<Item> {
+        let items = self.untold.iter_mut().map(|untold| {
+            untold.rounds -= 1;
+            Item::Note(untold.number, untold.note.clone())
+        });
+        let items = items.collect();
+        self.untold.retain(|untold| untold.rounds > 0);
+        items
+    }
+}
--- /dev/null
+++ b/src/gossip/sender_table.rs
@@ -0,0 +1,87 @@
+//! What was heard from whom, so that a change counts once.
+
+use {super::Sender, crate::traffic::NodeName, std::time::Duration, tokio::time::Instant};
+
+/// How long a silent sender is remembered.
+const SILENT_S: u64 = 30;
+
+/// Senders that are remembered at most.
+const SENDERS_MAX: usize = 2_048;
+
+#[derive(Debug)]
+struct Known {
+    node: NodeName,
+    start: u64,
+    highest: u64,
+    /// One bit for each number below the highest.
+    seen: u128,
+    heard_at: Instant,
+}
+
+/// The senders of late, sorted by name.
+#[derive(Debug, Default)]
+pub(super) struct SenderTable {
+    known: Vec<Known>,
+}
+
+impl SenderTable {
+    /// Notes a datagram of a sender.
+    pub(super) fn hear(&mut self, sender: &Sender, now: Instant) {
+        match self
+            .known
+            .binary_search_by(|known| known.node.cmp(&sender.node))
+        {
+            Ok(position) => {
+                let known = &mut self.known[position];
+                known.heard_at = now;
+                if known.start != sender.start {
+                    known.start = sender.start;
+                    known.highest = 0;
+                    known.seen = 0;
+                }
+            }
+            Err(position) if self.known.len() < SENDERS_MAX => {
+                let known = Known {
+                    node: sender.node.clone(),
+                    start: sender.start,
+                    highest: 0,
+                    seen: 0,
+                    heard_at: now,
+                };
+                self.known.insert(position, known);
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Returns whether a numbered change of a sender is new, and notes it.
+    pub(super) fn is_new(&mut self, node: &NodeName, number: u64) -> bool {
+        let Ok(position) = self.known.binary_search_by(|known| known.node.cmp(node)) else {
+            return false;
+        };
+        let known = &mut self.known[position];
+        if number > known.highest {
+            let step = number - known.highest;
+            let shifted = u32::try_from(step)
+                .ok()
+                .and_then(|s| known.seen.checked_shl(s));
+            let former = if step <= 128 { 1_u128 << (step - 1) } else { 0 };
+            known.seen = shifted.unwrap_or(0) | former;
+            known.highest = number;
+            return true;
+        }
+        let back = known.highest - number;
+        if back == 0 || back > 128 {
+            return false;
+        }
+        let bit = 1_u128 << (back - 1);
+        let new = known.seen & bit == 0;
+        known.seen |= bit;
+        new
+    }
+
+    pub(super) fn expire(&mut self, now: Instant) {
+        let kept = Duration::from_secs(SILENT_S);
+        self.known.retain(|known| now < known.heard_at + kept);
+    }
+}
