--- a/src/config/publish/base.rs
+++ b/src/config/publish/base.rs
@@ -21,7 +21,7 @@
     pub head_version: Option<StoreVersion>,
     /// The version of the last garbage collection.
     pub collection_version: Option<StoreVersion>,
-    /// The version of the whole key space.
+    /// The newest version of the whole key space that was seen before the swap.
     pub version: StoreVersion,
 }
 
--- a/src/config/publish/blob_writer.rs
+++ b/src/config/publish/blob_writer.rs
@@ -4,7 +4,7 @@
     super::{PublishError, base::Base},
     crate::{
         config::{Blob, Digest, EncodedSnapshot, Manifest},
-        store::{Op, Store, StoreError, Txn, keys::blob_key},
+        store::{Op, Store, StoreError, StoreVersion, Txn, keys::blob_key},
     },
     std::time::Duration,
 };
@@ -20,15 +20,17 @@
 
 /// Writes the blobs of a snapshot but those that the stored head refers to already.
 ///
-/// A blob that a garbage collection may have removed is written again.
+/// A blob that a garbage collection may have removed is written again. Returns the newest version
+/// of the key space that was seen.
 pub(super) async fn write_blobs(
     store: &dyn Store,
     snapshot: &EncodedSnapshot,
     base: &Base,
-) -> Result<(), PublishError> {
+) -> Result<StoreVersion, PublishError> {
     let stored = stored_digests(store, base).await?;
     let mut wanted = Manifest::decode(snapshot.blob(snapshot.digest())?)?.chunks;
     wanted.push(snapshot.digest());
+    let mut newest = base.version;
     let mut batch = Batch::default();
     for digest in wanted {
         if stored.binary_search(&digest).is_ok() {
@@ -36,12 +38,12 @@
         }
         let blob = snapshot.blob(digest)?;
         if batch.is_full_for(blob) {
-            batch.write(store).await?;
+            newest = newest.max(batch.write(store).await?);
             batch = Batch::default();
         }
         batch.push(blob);
     }
-    batch.write(store).await
+    Ok(newest.max(batch.write(store).await?))
 }
 
 /// Returns the digests that the stored head refers to, sorted.
@@ -90,9 +92,11 @@
     }
 
     /// Writes the batch, again when the answer is lost, as blobs are idempotent.
-    async fn write(&self, store: &dyn Store) -> Result<(), PublishError> {
+    ///
+    /// Returns the version of the key space after it.
+    async fn write(&self, store: &dyn Store) -> Result<StoreVersion, PublishError> {
         if self.ops.is_empty() {
-            return Ok(());
+            return Ok(StoreVersion::default());
         }
         let mut attempt = 0;
         loop {
@@ -102,7 +106,7 @@
                 ..Txn::default()
             };
             match store.txn(txn).await {
-                Ok(_) => return Ok(()),
+                Ok(reply) => return Ok(reply.version),
                 Err(StoreError::Unknown(_) | StoreError::Unreachable(_))
                     if attempt < WRITE_ATTEMPTS_MAX =>
                 {
--- a/src/config/publish/publisher.rs
+++ b/src/config/publish/publisher.rs
@@ -60,14 +60,14 @@
         let store = self.store.as_ref();
         for _ in 0..PUBLISH_ATTEMPTS_MAX {
             let target = publication.expected.next();
-            let (base, link) = Base::read(store, target).await?;
+            let (mut base, link) = Base::read(store, target).await?;
             if let Some(link) = link.filter(|link| link.publish_id == publication.publish_id) {
                 return Ok(PublishOutcome::Published(link));
             }
             if let Some(newer) = find_newer(&base, publication, known())? {
                 return Ok(publication.outcome_beside(newer));
             }
-            write_blobs(store, &publication.snapshot, &base).await?;
+            base.version = write_blobs(store, &publication.snapshot, &base).await?;
             if let Some(newer) = find_newer(&base, publication, known())? {
                 return Ok(publication.outcome_beside(newer));
             }
@@ -94,7 +94,7 @@
         snapshot: &EncodedSnapshot,
     ) -> Result<bool, PublishError> {
         let store = self.store.as_ref();
-        let (base, _) = Base::read(store, head.revision).await?;
+        let (mut base, _) = Base::read(store, head.revision).await?;
         if base
             .head
             .as_ref()
@@ -102,7 +102,7 @@
         {
             return Ok(true);
         }
-        write_blobs(store, snapshot, &base).await?;
+        base.version = write_blobs(store, snapshot, &base).await?;
         Ok(matches!(swap_head(store, &base, head).await?, Swap::Done))
     }
 
--- a/tests/config_publish.rs
+++ b/tests/config_publish.rs
@@ -164,6 +164,37 @@
     assert_eq!(outcome, Ok(PublishOutcome::Unknown(attempt.publish_id)));
 }
 
+/// The swap may have been seen before the restore undid it, whatever the service shows later.
+#[tokio::test(start_paused = true)]
+async fn restore_after_the_swap_leaves_the_outcome_open() {
+    let store = MemoryStore::new();
+    let publish = async |expected| {
+        let other = publication(1, expected);
+        publisher(&store).publish(&other, || None).await.unwrap()
+    };
+    publish(0).await;
+    let copy = store.copy_state();
+    publish(1).await;
+    let link = store.link();
+    link.set_faults(KvFaults {
+        lost_answers: 1,
+        ..KvFaults::default()
+    });
+    let attempt = publication(1, 2);
+    let publisher = Publisher::new(Arc::new(link));
+    let publishing = publisher.publish(&attempt, || None);
+    let restore = async {
+        tokio::time::sleep(std::time::Duration::from_millis(1000)).await;
+        store.restore(copy);
+        // The swap's answer is given up after 2 s, and the second question follows 100 ms later.
+        tokio::time::sleep(std::time::Duration::from_millis(1050)).await;
+        publish(1).await;
+        publish(2).await;
+    };
+    let (outcome, ()) = tokio::join!(publishing, restore);
+    assert_eq!(outcome, Ok(PublishOutcome::Unknown(attempt.publish_id)));
+}
+
 #[tokio::test(start_paused = true)]
 async fn nothing_is_half_published() {
     for calls in 0..12 {
