--- a/src/discovery/follow_runners.rs
+++ b/src/discovery/follow_runners.rs
@@ -21,7 +21,7 @@
 
 const BACKOFF_MIN_MS: u64 = 250;
 const BACKOFF_MAX_MS: u64 = 1_000;
-const PAGE_ENTRIES: usize = 500;
+const PAGE_ENTRIES: usize = 100_000;
 
 /// Keeps a board's list of runners equal to the platform's, and never ends.
 ///
