Plan the copies of models and adapters, and send the orders

A pure planner keeps one copy of each model, adds copies where the balanced load of a model's runners is well above another runner's, and loads adapters that are asked for. Each order carries the number of orders accepted that its view of the runner is of, so that late and lost orders cannot overfill a runner. Not tested yet.

--- /dev/null
+++ b/src/copies/adapter_step.rs
@@ -0,0 +1,157 @@
+//! Plans the copies of adapters.
+
+use {
+    super::{AdapterLoad, CopyState, draft::Draft},
+    crate::traffic::{AdapterId, ModelId},
+    std::time::Duration,
+};
+
+/// The adapters that may be on their way to one runner.
+const COMING_MAX: usize = 4;
+/// The requests in flight from which on an adapter is kept at a further runner.
+const LOAD_PER_COPY: f64 = 6.0;
+/// The requests in flight from which on an adapter is loaded ahead of requests.
+const AHEAD_MIN: f64 = 0.2;
+/// What it costs to drop another adapter first, in requests in flight.
+const EVICTION_COST: f64 = 2.0;
+/// How long an adapter stays at least after its last use.
+const STAY_MIN: Duration = Duration::from_millis(400);
+
+/// Loads the adapters that requests wait for, then those that are asked for regularly.
+pub(super) fn plan_adapters(draft: &mut Draft<'_>) {
+    let mut wanted: Vec<(&ModelId, &AdapterLoad)> = Vec::new();
+    for load in draft.input.loads {
+        let adapters = load.adapters.iter();
+        wanted.extend(adapters.map(|adapter| (&load.model, adapter)));
+    }
+    wanted.sort_by(|(_, a), (_, b)| {
+        let waiting = b.waiting.cmp(&a.waiting);
+        waiting.then(b.in_flight.total_cmp(&a.in_flight))
+    });
+    for (model, load) in wanted {
+        if draft.adapters_left == 0 {
+            return;
+        }
+        if count_copies(draft, model, &load.adapter) < copies_needed(load) {
+            add_copy(draft, model, load);
+        }
+    }
+}
+
+fn copies_needed(load: &AdapterLoad) -> usize {
+    if load.waiting == 0 && load.in_flight < AHEAD_MIN {
+        return 0;
+    }
+    ((load.in_flight / LOAD_PER_COPY).ceil() as usize).max(1)
+}
+
+fn count_copies(draft: &Draft<'_>, model: &ModelId, adapter: &AdapterId) -> usize {
+    let ready = draft.runners.iter().filter(|state| state.is_ready);
+    let copies = ready.filter_map(|state| state.copy(model));
+    let copies = copies.filter(|copy| copy.state != CopyState::Going);
+    copies
+        .filter(|copy| {
+            let mut adapters = copy.adapters.iter();
+            adapters.any(|known| known.adapter == *adapter && known.state != CopyState::Going)
+        })
+        .count()
+}
+
+/// A runner for an adapter.
+struct Candidate {
+    runner: usize,
+    evicted: Option<(ModelId, AdapterId)>,
+    cost: f64,
+}
+
+/// Loads an adapter at the best runner that holds its model, or makes room there.
+fn add_copy(draft: &mut Draft<'_>, model: &ModelId, load: &AdapterLoad) {
+    let mut best: Option<Candidate> = None;
+    for runner in 0..draft.runners.len() {
+        let state = &draft.runners[runner];
+        if !state.takes_orders || state.goal.is_some() || !draft.is_held(runner, model) {
+            continue;
+        }
+        let listed = state.copy(model).map(|copy| copy.adapters.as_slice());
+        let mut adapters = listed.unwrap_or_default().iter();
+        if adapters.any(|known| known.adapter == load.adapter) || count_coming(state) >= COMING_MAX
+        {
+            continue;
+        }
+        let Some(evicted) = make_way(draft, runner, model) else {
+            continue;
+        };
+        let cost = f64::from(state.in_flight)
+            + if evicted.is_some() {
+                EVICTION_COST
+            } else {
+                0.0
+            };
+        if best.as_ref().is_none_or(|best| cost < best.cost) {
+            best = Some(Candidate {
+                runner,
+                evicted,
+                cost,
+            });
+        }
+    }
+    let Some(Candidate {
+        runner, evicted, ..
+    }) = best
+    else {
+        return;
+    };
+    match evicted {
+        None => draft.load_adapter(runner, model.clone(), load.adapter.clone()),
+        Some((model, adapter)) => draft.unload_adapter(runner, model, adapter),
+    }
+}
+
+fn count_coming(state: &super::RunnerState) -> usize {
+    let adapters = state.models.iter().flat_map(|copy| &copy.adapters);
+    let coming = adapters.filter(|adapter| adapter.state == CopyState::Coming);
+    coming.count()
+}
+
+/// Returns the adapter that makes way for one of `model`: `Some(None)` if there is room, and
+/// `None` if there can be none.
+fn make_way(
+    draft: &Draft<'_>,
+    runner: usize,
+    model: &ModelId,
+) -> Option<Option<(ModelId, AdapterId)>> {
+    let state = &draft.runners[runner];
+    let engine = draft.input.engine;
+    let adapter_mb = engine.model(model)?.adapter_mb;
+    let (free_mb, free_slots) = state.adapter_room(engine);
+    if free_slots > 0 && free_mb >= adapter_mb {
+        return Some(None);
+    }
+    let mut idle: Option<(f64, &ModelId, &AdapterId)> = None;
+    for copy in &state.models {
+        let adapters = copy.adapters.iter();
+        for adapter in adapters.filter(|adapter| adapter.state == CopyState::Held) {
+            let unused = draft.input.now.duration_since(adapter.used_at);
+            if adapter.in_flight > 0 || unused < STAY_MIN {
+                continue;
+            }
+            let value = value_of(draft, &copy.model, &adapter.adapter) - unused.as_secs_f64();
+            if idle.is_none_or(|(least, ..)| value < least) {
+                idle = Some((value, &copy.model, &adapter.adapter));
+            }
+        }
+    }
+    let (_, model, adapter) = idle?;
+    Some(Some((model.clone(), adapter.clone())))
+}
+
+/// Returns what an adapter's copy is worth, in requests in flight.
+fn value_of(draft: &Draft<'_>, model: &ModelId, adapter: &AdapterId) -> f64 {
+    let Some(load) = draft.load(model) else {
+        return 0.0;
+    };
+    let mut adapters = load.adapters.iter();
+    let load = adapters.find(|load| load.adapter == *adapter);
+    let copies = count_copies(draft, model, adapter).max(1);
+    load.map_or(0.0, |load| 10.0 * load.in_flight / copies as f64)
+}
--- /dev/null
+++ b/src/copies/draft.rs
@@ -0,0 +1,150 @@
+//! The fleet as a plan leaves it, while the plan is made.
+
+use {
+    super::{
+        AdapterCopy, Balance, CopyState, ModelCopy, ModelLoad, PlanInput, PlannedOrder,
+        RunnerState, SharedLoad,
+    },
+    crate::{
+        node::Order,
+        traffic::{AdapterId, ModelId},
+    },
+};
+
+/// The fleet as a plan leaves it, and the orders so far.
+#[derive(Debug)]
+pub(super) struct Draft<'a> {
+    pub input: &'a PlanInput<'a>,
+    pub runners: Vec<RunnerState>,
+    pub orders: Vec<PlannedOrder>,
+    pub cold_loads_left: usize,
+    pub adapters_left: usize,
+}
+
+impl<'a> Draft<'a> {
+    pub fn new(input: &'a PlanInput<'a>) -> Self {
+        Self {
+            input,
+            runners: input.runners.to_vec(),
+            orders: Vec::new(),
+            cold_loads_left: input.cold_loads_left,
+            adapters_left: input.adapters_left,
+        }
+    }
+
+    pub fn load(&self, model: &ModelId) -> Option<&'a ModelLoad> {
+        let loads = self.input.loads;
+        let found = loads.binary_search_by(|load| load.model.cmp(model));
+        found.ok().map(|at| &loads[at])
+    }
+
+    pub fn in_flight(&self, model: &ModelId) -> f64 {
+        self.load(model).map_or(0.0, |load| load.in_flight)
+    }
+
+    /// Returns whether a runner holds a model, or will.
+    pub fn is_copy(&self, runner: usize, model: &ModelId) -> bool {
+        let runner = &self.runners[runner];
+        let listed = runner.copy(model);
+        let stays = listed.is_some_and(|copy| copy.state != CopyState::Going);
+        runner.is_ready && (stays || runner.goal.as_ref() == Some(model))
+    }
+
+    /// Returns whether a ready runner holds a model now.
+    pub fn is_held(&self, runner: usize, model: &ModelId) -> bool {
+        let runner = &self.runners[runner];
+        let listed = runner.copy(model);
+        runner.is_ready && listed.is_some_and(|copy| copy.state == CopyState::Held)
+    }
+
+    /// Returns the runners that hold a model or will.
+    pub fn copies(&self, model: &ModelId) -> Vec<usize> {
+        let all = 0..self.runners.len();
+        all.filter(|runner| self.is_copy(*runner, model)).collect()
+    }
+
+    /// Returns how many ready runners hold a model now.
+    pub fn count_held(&self, model: &ModelId) -> usize {
+        let all = 0..self.runners.len();
+        all.filter(|runner| self.is_held(*runner, model)).count()
+    }
+
+    /// Spreads the load over the copies.
+    pub fn balance(&self) -> Balance {
+        let loads = self.input.engine.models.iter().map(|spec| SharedLoad {
+            in_flight: self.in_flight(&spec.name),
+            runners: self.copies(&spec.name),
+        });
+        Balance::new(self.runners.len(), &loads.collect::<Vec<_>>())
+    }
+
+    /// Adds an order to drop a model, to make room for `goal`.
+    pub fn unload(&mut self, runner: usize, model: ModelId, goal: ModelId) {
+        let state = &mut self.runners[runner];
+        if let Ok(position) = state.position(&model) {
+            state.models[position].state = CopyState::Going;
+        }
+        state.goal = Some(goal.clone());
+        self.push(runner, Order::UnloadModel(model), Some(goal), false);
+    }
+
+    /// Adds an order to load a model.
+    pub fn load_model(&mut self, runner: usize, model: ModelId) {
+        let state = &mut self.runners[runner];
+        let is_cold = state.is_cold(&model);
+        let copy = ModelCopy {
+            model: model.clone(),
+            state: CopyState::Coming,
+            since: self.input.now,
+            in_flight: 0,
+            adapters: Vec::new(),
+        };
+        if let Err(position) = state.position(&model) {
+            state.models.insert(position, copy);
+        }
+        state.goal = None;
+        self.cold_loads_left -= usize::from(is_cold).min(self.cold_loads_left);
+        self.push(runner, Order::LoadModel(model), None, is_cold);
+    }
+
+    /// Adds an order to drop an adapter.
+    pub fn unload_adapter(&mut self, runner: usize, model: ModelId, adapter: AdapterId) {
+        let state = &mut self.runners[runner];
+        if let Ok(position) = state.position(&model) {
+            let adapters = &mut state.models[position].adapters;
+            if let Some(copy) = adapters.iter_mut().find(|copy| copy.adapter == adapter) {
+                copy.state = CopyState::Going;
+            }
+        }
+        self.push(runner, Order::UnloadAdapter(model, adapter), None, false);
+    }
+
+    /// Adds an order to load an adapter.
+    pub fn load_adapter(&mut self, runner: usize, model: ModelId, adapter: AdapterId) {
+        let copy = AdapterCopy {
+            adapter: adapter.clone(),
+            state: CopyState::Coming,
+            in_flight: 0,
+            used_at: self.input.now,
+        };
+        let state = &mut self.runners[runner];
+        if let Ok(position) = state.position(&model) {
+            let adapters = &mut state.models[position].adapters;
+            let place = adapters.partition_point(|known| known.adapter < adapter);
+            adapters.insert(place, copy);
+        }
+        self.adapters_left = self.adapters_left.saturating_sub(1);
+        self.push(runner, Order::LoadAdapter(model, adapter), None, false);
+    }
+
+    fn push(&mut self, runner: usize, order: Order, goal: Option<ModelId>, is_cold: bool) {
+        let state = &mut self.runners[runner];
+        state.takes_orders = false;
+        self.orders.push(PlannedOrder {
+            runner: state.key.clone(),
+            order,
+            goal,
+            is_cold,
+        });
+    }
+}
--- a/src/copies/mod.rs
+++ b/src/copies/mod.rs
@@ -1,6 +1,23 @@
 //! Decides which runner holds which model, and gives the orders.
 
+mod adapter_step;
+mod balance;
+mod doubts;
+mod draft;
+mod load_estimator;
+mod load_pacer;
+mod model_step;
+mod note_diff;
 mod order_book;
+mod order_desk;
 mod order_task;
+mod plan;
+mod plan_input;
+mod report_reading;
+mod runner_record;
+mod runner_state;
 
-pub use {order_book::*, order_task::*};
+pub use {
+    balance::*, doubts::*, load_estimator::*, load_pacer::*, order_book::*, order_task::*, plan::*,
+    plan_input::*, runner_state::*,
+};
--- /dev/null
+++ b/src/copies/plan.rs
@@ -0,0 +1,24 @@
+//! Plans the next orders to the runners of one service.
+
+use super::{
+    PlanInput, PlannedOrder,
+    adapter_step::plan_adapters,
+    draft::Draft,
+    model_step::{grow, keep_one_of_each, pursue_goals},
+};
+
+/// Plans the next orders, at most one for each runner.
+///
+/// A runner gets its next order once the one before is answered and a new plan is made.
+pub fn plan(input: &PlanInput<'_>) -> Vec<PlannedOrder> {
+    let mut draft = Draft::new(input);
+    if input.moves_models {
+        pursue_goals(&mut draft);
+        keep_one_of_each(&mut draft);
+    }
+    plan_adapters(&mut draft);
+    if input.moves_models {
+        grow(&mut draft);
+    }
+    draft.orders
+}
--- /dev/null
+++ b/src/copies/runner_record.rs
@@ -0,0 +1,529 @@
+//! The account of one runner: what it holds, and what it was told to hold.
+
+use {
+    super::{
+        AdapterCopy, CopyState, ModelCopy, PlannedOrder, RunnerState,
+        report_reading::rebuild_models,
+    },
+    crate::{
+        discovery::{ResidentModel, RunnerEntry, RunnerState as Readiness},
+        dispatch::RunnerView,
+        node::{Order, OrderReply, OrderUnknown, RunnerReport},
+        traffic::{AdapterId, EngineSpec, ModelId, ServiceId},
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::Instant,
+};
+
+/// How old a report may be.
+pub(super) const REPORT_LAG: Duration = Duration::from_millis(400);
+/// The pause before a report after an order that was not accepted as expected.
+const REPORT_PAUSE: Duration = Duration::from_millis(250);
+/// The pause before a report after an order without an answer.
+const UNKNOWN_PAUSE: Duration = Duration::from_millis(150);
+/// The pause before the next report while a load or unload lasts.
+const PROGRESS_PAUSE: Duration = Duration::from_millis(300);
+/// The pause after a report that did not come.
+const SILENCE_PAUSE: Duration = Duration::from_millis(500);
+/// The pause after an order that the runner refused.
+const REFUSED_PAUSE: Duration = Duration::from_secs(3);
+/// The pause after an order that met another runner.
+const WRONG_RUNNER_PAUSE: Duration = Duration::from_secs(1);
+/// The time after which an accepted adapter counts as loaded.
+const ADAPTER_TIME: Duration = Duration::from_millis(20);
+/// How long no request must use a dropped model until it counts as gone.
+const UNUSED_MIN: Duration = Duration::from_millis(150);
+/// How long room is made for a model at most.
+const GOAL_MAX: Duration = Duration::from_secs(10);
+/// The reports older than the known state after which they are believed.
+const STALE_REPORTS_MAX: u32 = 6;
+
+/// The account of one runner.
+#[derive(Debug)]
+pub(super) struct RunnerRecord {
+    pub service: ServiceId,
+    pub address: SocketAddr,
+    pub state: RunnerState,
+    /// The number of orders that the runner accepted, once known.
+    pub count: Option<u64>,
+    /// Whether an order or a report is under way.
+    pub in_call: bool,
+    /// An order that was sent and not answered, or not resolved.
+    sent: Option<Order>,
+    /// When to ask for a report.
+    ask_at: Option<Instant>,
+    stale_reports: u32,
+    quiet_until: Instant,
+    /// Whether an unknown order is in progress.
+    is_busy: bool,
+    /// The model on its way, and when it is due.
+    loading: Option<(ModelId, Instant)>,
+    /// The model that leaves, and since when no request uses it.
+    unloading: Option<(ModelId, Instant)>,
+    /// When the last order was accepted.
+    accepted_at: Option<Instant>,
+    adapters_due: Option<Instant>,
+    goal_until: Instant,
+}
+
+impl RunnerRecord {
+    /// Begins the account of a runner from its entry.
+    ///
+    /// An entry does not tell of an order in progress, so that only a runner that was never
+    /// ordered is taken as it says.
+    pub fn new(view: &RunnerView, now: Instant) -> Self {
+        let entry = &view.entry;
+        let is_fresh = entry.orders_accepted == 0;
+        let state = RunnerState {
+            key: entry.key.clone(),
+            zone: entry.zone.clone(),
+            is_ready: false,
+            takes_orders: false,
+            models: entry
+                .models
+                .iter()
+                .map(|held| held_copy(held, now))
+                .collect(),
+            goal: None,
+            in_memory: Vec::new(),
+            on_disk: Vec::new(),
+            in_flight: 0,
+            reserved_mb: 0.0,
+            reserved_slots: 0,
+            leaving: None,
+        };
+        Self {
+            service: entry.service.clone(),
+            address: entry.address,
+            state,
+            count: is_fresh.then_some(0),
+            in_call: false,
+            sent: None,
+            ask_at: (!is_fresh).then_some(now),
+            stale_reports: 0,
+            quiet_until: now,
+            is_busy: false,
+            loading: None,
+            unloading: None,
+            accepted_at: None,
+            adapters_due: None,
+            goal_until: now,
+        }
+    }
+
+    /// Works in the runner's present entry and load.
+    pub fn sync(&mut self, view: &RunnerView, now: Instant) {
+        let entry = &view.entry;
+        self.address = entry.address;
+        self.state.is_ready = entry.state == Readiness::Ready;
+        self.state.in_flight = view.in_flight;
+        self.state.in_memory.clone_from(&entry.in_memory);
+        self.state.on_disk.clone_from(&entry.on_disk);
+        self.sync_use(view, now);
+        self.sync_count(entry, now);
+        self.advance(now);
+    }
+
+    fn sync_use(&mut self, view: &RunnerView, now: Instant) {
+        for copy in &mut self.state.models {
+            copy.in_flight = 0;
+            for adapter in &mut copy.adapters {
+                adapter.in_flight = 0;
+            }
+        }
+        for (model, adapter, count) in &view.in_use {
+            let Ok(position) = self.state.position(model) else {
+                continue;
+            };
+            let copy = &mut self.state.models[position];
+            copy.in_flight += count;
+            let Some(adapter) = adapter else {
+                continue;
+            };
+            let mut adapters = copy.adapters.iter_mut();
+            if let Some(known) = adapters.find(|known| known.adapter == *adapter) {
+                known.in_flight += count;
+                known.used_at = now;
+            }
+        }
+    }
+
+    fn sync_count(&mut self, entry: &RunnerEntry, now: Instant) {
+        let Some(count) = self.count else {
+            return;
+        };
+        if entry.orders_accepted > count && !self.in_call {
+            self.ask_at.get_or_insert(now);
+        }
+        let Some((model, _)) = &self.loading else {
+            return;
+        };
+        if entry.orders_accepted == count && entry.models.iter().any(|held| held.model == *model) {
+            self.finish_load();
+        }
+    }
+
+    fn finish_load(&mut self) {
+        if let Some((model, _)) = self.loading.take()
+            && let Ok(position) = self.state.position(&model)
+        {
+            self.state.models[position].state = CopyState::Held;
+        }
+    }
+
+    /// Works in the passing of time.
+    fn advance(&mut self, now: Instant) {
+        if self.adapters_due.is_some_and(|due| now >= due) {
+            self.adapters_due = None;
+            self.finish_adapters();
+        }
+        if let Some((model, unused_since)) = self.unloading.take() {
+            self.advance_unload(model, unused_since, now);
+        }
+        if let Some((_, due)) = &self.loading
+            && now >= *due + PROGRESS_PAUSE
+        {
+            self.ask_at.get_or_insert(now);
+        }
+        if self.state.goal.is_some() && now >= self.goal_until {
+            self.state.goal = None;
+        }
+        self.state.takes_orders = self.takes_orders(now);
+    }
+
+    fn advance_unload(&mut self, model: ModelId, unused_since: Instant, now: Instant) {
+        let Ok(position) = self.state.position(&model) else {
+            return;
+        };
+        let is_used = self.state.models[position].in_flight > 0;
+        let unused_since = if is_used { now } else { unused_since };
+        if now.duration_since(unused_since) < UNUSED_MIN {
+            self.unloading = Some((model, unused_since));
+            return;
+        }
+        self.state.leaving = Some(self.state.models.remove(position));
+        if self.state.goal.is_none() {
+            self.ask_at.get_or_insert(now + REPORT_PAUSE);
+        }
+    }
+
+    fn finish_adapters(&mut self) {
+        // One whose order is not answered yet is not on its way for sure.
+        let unanswered = match &self.sent {
+            Some(Order::LoadAdapter(model, adapter)) => Some((model, adapter)),
+            _ => None,
+        };
+        for copy in &mut self.state.models {
+            let coming = copy.adapters.iter_mut().filter(|adapter| {
+                adapter.state == CopyState::Coming
+                    && unanswered != Some((&copy.model, &adapter.adapter))
+            });
+            coming.for_each(|adapter| adapter.state = CopyState::Held);
+        }
+    }
+
+    fn takes_orders(&self, now: Instant) -> bool {
+        let is_settled = self.sent.is_none() && self.ask_at.is_none() && !self.in_call;
+        let is_idle = !self.is_busy && self.loading.is_none() && self.unloading.is_none();
+        is_settled
+            && is_idle
+            && self.state.is_ready
+            && self.count.is_some()
+            && now >= self.quiet_until
+    }
+
+    /// Returns whether to ask for a report now.
+    pub fn wants_report(&self, now: Instant) -> bool {
+        !self.in_call && self.state.is_ready && self.ask_at.is_some_and(|at| now >= at)
+    }
+
+    /// Returns when to look at the account again.
+    pub fn next_due(&self) -> Option<Instant> {
+        let ask_at = self.ask_at.filter(|_| !self.in_call);
+        let load_due = self.loading.as_ref().map(|(_, due)| *due + PROGRESS_PAUSE);
+        let unload_due = self
+            .unloading
+            .as_ref()
+            .map(|(_, since)| *since + UNUSED_MIN);
+        [ask_at, load_due, unload_due, self.adapters_due]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// Notes that a report is being asked for.
+    pub fn asked(&mut self) {
+        self.in_call = true;
+        self.ask_at = None;
+        self.state.takes_orders = false;
+    }
+
+    /// Notes that an order is being sent.
+    pub fn sent(&mut self, planned: &PlannedOrder, now: Instant) {
+        self.in_call = true;
+        self.state.takes_orders = false;
+        self.sent = Some(planned.order.clone());
+        if planned.goal.is_some() && planned.goal != self.state.goal {
+            self.goal_until = now + GOAL_MAX;
+        }
+        self.state.goal.clone_from(&planned.goal);
+        match &planned.order {
+            Order::LoadModel(model) => self.insert_model(model, now),
+            Order::UnloadModel(model) => self.set_model(model, CopyState::Going),
+            Order::LoadAdapter(model, adapter) => self.insert_adapter(model, adapter, now),
+            Order::UnloadAdapter(model, adapter) => {
+                self.set_adapter(model, adapter, CopyState::Going);
+            }
+        }
+    }
+
+    /// Works in the answer to the order.
+    pub fn answered(
+        &mut self,
+        reply: &Result<OrderReply, OrderUnknown>,
+        engine: &EngineSpec,
+        now: Instant,
+    ) {
+        self.in_call = false;
+        let Ok(reply) = reply else {
+            self.ask_at = Some(now + UNKNOWN_PAUSE);
+            return;
+        };
+        let Some(order) = self.sent.take() else {
+            return;
+        };
+        match reply {
+            OrderReply::Accepted => self.accepted(order, engine, now),
+            OrderReply::AlreadyDone => self.already_done(order),
+            OrderReply::Fenced => self.undo(&order),
+            OrderReply::Conflict => {
+                self.undo(&order);
+                self.ask_at = Some(now + REPORT_PAUSE);
+            }
+            OrderReply::WrongRunner => {
+                self.undo(&order);
+                self.quiet_until = now + WRONG_RUNNER_PAUSE;
+            }
+            OrderReply::Refused => {
+                log::warn!("copies: {} refused {order:?}.", self.state.key.id);
+                self.undo(&order);
+                self.quiet_until = now + REFUSED_PAUSE;
+                self.ask_at = Some(now + REPORT_PAUSE);
+            }
+        }
+    }
+
+    fn accepted(&mut self, order: Order, engine: &EngineSpec, now: Instant) {
+        self.count = self.count.map(|count| count + 1);
+        self.accepted_at = Some(now);
+        match order {
+            Order::LoadModel(model) => {
+                // A runner that takes a load has finished the unload before.
+                self.state.leaving = None;
+                let time = self.load_time(&model, engine);
+                self.loading = Some((model, now + time));
+            }
+            Order::UnloadModel(model) => self.unloading = Some((model, now)),
+            Order::LoadAdapter(..) => self.adapters_due = Some(now + ADAPTER_TIME),
+            Order::UnloadAdapter(model, adapter) => self.remove_adapter(&model, &adapter),
+        }
+    }
+
+    fn already_done(&mut self, order: Order) {
+        match order {
+            Order::LoadModel(model) => self.set_model(&model, CopyState::Held),
+            Order::UnloadModel(model) => self.remove_model(&model),
+            Order::LoadAdapter(model, adapter) => {
+                self.set_adapter(&model, &adapter, CopyState::Held);
+            }
+            Order::UnloadAdapter(model, adapter) => {
+                // An adapter that goes at once counts as an accepted order.
+                self.count = self.count.map(|count| count + 1);
+                self.remove_adapter(&model, &adapter);
+            }
+        }
+    }
+
+    fn load_time(&self, model: &ModelId, engine: &EngineSpec) -> Duration {
+        let Some(spec) = engine.model(model) else {
+            return Duration::ZERO;
+        };
+        let seconds = if self.state.in_memory.binary_search(model).is_ok() {
+            spec.warm_s
+        } else if self.state.on_disk.binary_search(model).is_ok() {
+            spec.disk_s
+        } else {
+            spec.load_s
+        };
+        Duration::try_from_secs_f64(seconds).unwrap_or_default()
+    }
+
+    /// Takes back what was noted when the order was sent.
+    fn undo(&mut self, order: &Order) {
+        match order {
+            Order::LoadModel(model) => self.remove_model(model),
+            Order::UnloadModel(model) => self.set_model(model, CopyState::Held),
+            Order::LoadAdapter(model, adapter) => self.remove_adapter(model, adapter),
+            Order::UnloadAdapter(model, adapter) => {
+                self.set_adapter(model, adapter, CopyState::Held);
+            }
+        }
+    }
+
+    /// Works in a report.
+    pub fn reported(&mut self, report: &Result<RunnerReport, OrderUnknown>, now: Instant) {
+        self.in_call = false;
+        let Ok(report) = report else {
+            self.ask_at = Some(now + SILENCE_PAUSE);
+            return;
+        };
+        let born_unix_ms = self.state.key.born_unix_ms;
+        if report.born_unix_ms != born_unix_ms && report.born_unix_ms != 0 && born_unix_ms != 0 {
+            // The list of runners will bring the new start.
+            self.quiet_until = now + WRONG_RUNNER_PAUSE;
+            self.ask_at = Some(now + WRONG_RUNNER_PAUSE);
+            return;
+        }
+        let is_stale = self
+            .count
+            .is_some_and(|count| report.orders_accepted < count);
+        if is_stale && self.stale_reports < STALE_REPORTS_MAX {
+            self.stale_reports += 1;
+            self.ask_at = Some(now + PROGRESS_PAUSE);
+            return;
+        }
+        self.stale_reports = 0;
+        self.adopt(report, now);
+    }
+
+    fn adopt(&mut self, report: &RunnerReport, now: Instant) {
+        let is_same = self.count == Some(report.orders_accepted);
+        match self.sent.take() {
+            // A late arrival is refused once the runner has accepted another order.
+            Some(order) if is_same => self.undo(&order),
+            Some(Order::LoadModel(model)) if report.busy => self.loading = Some((model, now)),
+            Some(Order::UnloadModel(model)) if report.busy => self.unloading = Some((model, now)),
+            _ => {}
+        }
+        self.count = Some(report.orders_accepted);
+        let is_recent = is_same
+            && self
+                .accepted_at
+                .is_some_and(|at| now.duration_since(at) < REPORT_LAG);
+        let in_progress = report.busy || is_recent;
+        let mut going = self.unloading.take().map(|(model, _)| model);
+        if let Some(copy) = self.state.leaving.take_if(|_| report.busy) {
+            going = Some(copy.model);
+        }
+        if !in_progress {
+            self.state.leaving = None;
+        }
+        let loading = self.loading.take();
+        let coming = loading
+            .as_ref()
+            .map(|(model, _)| model)
+            .filter(|_| in_progress);
+        let going = going.filter(|_| in_progress);
+        let known = std::mem::take(&mut self.state.models);
+        self.state.models = rebuild_models(report, known, coming, going.as_ref(), now);
+        let is_listed = |model: &ModelId| report.models.iter().any(|held| held.model == *model);
+        self.loading = loading.filter(|(model, _)| in_progress && !is_listed(model));
+        self.unloading = going.filter(is_listed).map(|model| (model, now));
+        let is_known = self.loading.is_some() || self.unloading.is_some();
+        self.is_busy = report.busy && !is_known;
+        if !report.coming.is_empty() {
+            self.adapters_due = Some(now + ADAPTER_TIME);
+        }
+        if self.is_busy || self.loading.is_some() {
+            self.ask_at = Some(now + PROGRESS_PAUSE);
+        }
+    }
+
+    /// Returns what requests can be sent for, sorted.
+    pub fn held(&self) -> Vec<(ModelId, Option<AdapterId>)> {
+        let mut held = Vec::new();
+        let models = self.state.models.iter();
+        for copy in models.filter(|copy| copy.state == CopyState::Held) {
+            held.push((copy.model.clone(), None));
+            let adapters = copy.adapters.iter();
+            for adapter in adapters.filter(|adapter| adapter.state == CopyState::Held) {
+                held.push((copy.model.clone(), Some(adapter.adapter.clone())));
+            }
+        }
+        held
+    }
+
+    fn insert_model(&mut self, model: &ModelId, now: Instant) {
+        if let Err(position) = self.state.position(model) {
+            let copy = ModelCopy {
+                model: model.clone(),
+                state: CopyState::Coming,
+                since: now,
+                in_flight: 0,
+                adapters: Vec::new(),
+            };
+            self.state.models.insert(position, copy);
+        }
+    }
+
+    fn set_model(&mut self, model: &ModelId, state: CopyState) {
+        if let Ok(position) = self.state.position(model) {
+            self.state.models[position].state = state;
+        }
+    }
+
+    fn remove_model(&mut self, model: &ModelId) {
+        if let Ok(position) = self.state.position(model) {
+            self.state.models.remove(position);
+        }
+    }
+
+    fn adapters(&mut self, model: &ModelId) -> Option<&mut Vec<AdapterCopy>> {
+        let position = self.state.position(model).ok()?;
+        Some(&mut self.state.models[position].adapters)
+    }
+
+    fn insert_adapter(&mut self, model: &ModelId, adapter: &AdapterId, now: Instant) {
+        let Some(adapters) = self.adapters(model) else {
+            return;
+        };
+        let position = adapters.partition_point(|known| known.adapter < *adapter);
+        let copy = AdapterCopy {
+            adapter: adapter.clone(),
+            state: CopyState::Coming,
+            in_flight: 0,
+            used_at: now,
+        };
+        adapters.insert(position, copy);
+    }
+
+    fn set_adapter(&mut self, model: &ModelId, adapter: &AdapterId, state: CopyState) {
+        let adapters = self.adapters(model).into_iter().flatten();
+        for copy in adapters.filter(|copy| copy.adapter == *adapter) {
+            copy.state = state;
+        }
+    }
+
+    fn remove_adapter(&mut self, model: &ModelId, adapter: &AdapterId) {
+        if let Some(adapters) = self.adapters(model) {
+            adapters.retain(|copy| copy.adapter != *adapter);
+        }
+    }
+}
+
+/// Makes the copy of a model that a runner says it holds.
+pub(super) fn held_copy(held: &ResidentModel, now: Instant) -> ModelCopy {
+    let adapter = |adapter: &AdapterId| AdapterCopy {
+        adapter: adapter.clone(),
+        state: CopyState::Held,
+        in_flight: 0,
+        used_at: now,
+    };
+    ModelCopy {
+        model: held.model.clone(),
+        state: CopyState::Held,
+        since: now,
+        in_flight: 0,
+        adapters: held.adapters.iter().map(adapter).collect(),
+    }
+}
