Read the nodes' keys and the runners' list by prefix

Cause: the platform's store reads by prefix only; the reads between two keys failed and nobody led. Ruled out: the lease and the seat's write (never reached).

--- a/src/discovery/follow_runners.rs
+++ b/src/discovery/follow_runners.rs
@@ -5,7 +5,7 @@
     crate::{
         dispatch::RunnerBoard,
         node::Formats,
-        store::{Change, SharedStore, StoreError, StoreVersion, prefix_end},
+        store::{Change, SharedStore, StoreError, StoreVersion},
     },
     futures::StreamExt,
     rand::RngExt,
@@ -21,7 +21,7 @@
 
 const BACKOFF_MIN_MS: u64 = 250;
 const BACKOFF_MAX_MS: u64 = 1_000;
-const PAGE_ENTRIES: usize = 100_000;
+const ENTRIES_MAX: usize = 100_000;
 
 /// Keeps a board's list of runners equal to the platform's, and never ends.
 ///
@@ -83,21 +83,13 @@
 
 impl Follower {
     async fn read_whole(&mut self, after_outage: bool) -> Result<StoreVersion, StoreError> {
-        let mut page = self.store.range(&self.prefix, PAGE_ENTRIES).await?;
-        let since = page.version;
+        let range = self.store.range(&self.prefix, ENTRIES_MAX).await?;
+        let since = range.version;
         let mut read = Vec::new();
-        loop {
-            let last = page.entries.last().map(|entry| entry.key.clone());
-            for entry in page.entries {
-                if let Some(runner) = self.read_entry(&entry.key, &entry.value) {
-                    read.push((entry.key, runner));
-                }
+        for entry in range.entries {
+            if let Some(runner) = self.read_entry(&entry.key, &entry.value) {
+                read.push((entry.key, runner));
             }
-            let Some(last) = last.filter(|_| page.more) else {
-                break;
-            };
-            let (start, end) = (last + "\0", prefix_end(&self.prefix));
-            page = self.store.range_between(&start, &end, PAGE_ENTRIES).await?;
         }
         let grace = Duration::from_millis(MISSING_GRACE_MS);
         let grace_until = after_outage.then(|| Instant::now() + grace);
--- a/src/leader/follow.rs
+++ b/src/leader/follow.rs
@@ -4,7 +4,7 @@
     super::membership::Shared,
     crate::{
         membership::Backoff,
-        store::{Entry, StoreError, StoreVersion, prefix_end},
+        store::{StoreError, StoreVersion},
     },
     futures::StreamExt,
     std::{sync::Arc, time::Duration},
@@ -19,6 +19,9 @@
 /// silent for good.
 const SILENCE_MAX: Duration = Duration::from_secs(8);
 
+/// The most keys that are read.
+const KEYS_MAX: usize = 100_000;
+
 /// Keeps the view up to date; never ends.
 pub(super) async fn follow(shared: Arc<Shared>) {
     let mut backoff = Backoff::new(BACKOFF_FIRST, BACKOFF_LONGEST);
@@ -42,22 +45,9 @@
 }
 
 async fn read_all(shared: &Shared) -> Result<StoreVersion, StoreError> {
-    let end = prefix_end(&shared.keys.prefix);
-    let mut start = shared.keys.prefix.clone();
-    let mut entries: Vec<Entry> = Vec::new();
-    let mut first_version = None;
-    loop {
-        let range = shared.store.range_between(&start, &end, 0).await?;
-        entries.extend(range.entries);
-        // The watch goes on from the oldest page, so that no change between pages is missed.
-        let version = *first_version.get_or_insert(range.version);
-        let last = entries.last().filter(|_| range.more);
-        let Some(last) = last else {
-            shared.replace(&entries, version);
-            return Ok(version);
-        };
-        start = format!("{}\0", last.key);
-    }
+    let range = shared.store.range(&shared.keys.prefix, KEYS_MAX).await?;
+    shared.replace(&range.entries, range.version);
+    Ok(range.version)
 }
 
 /// Watches until the watch ends or goes silent; returns from where to go on.
