--- a/src/copies/adapter_step.rs
+++ b/src/copies/adapter_step.rs
@@ -1,7 +1,7 @@
 //! Plans the copies of adapters.
 
 use {
-    super::{AdapterLoad, CopyState, draft::Draft},
+    super::{AdapterLoad, CopyState, RunnerState, draft::Draft},
     crate::traffic::{AdapterId, ModelId},
     std::time::Duration,
 };
@@ -14,6 +14,10 @@
 const AHEAD_MIN: f64 = 0.2;
 /// What it costs to drop another adapter first, in requests in flight.
 const EVICTION_COST: f64 = 2.0;
+/// How much more loaded than another runner the holders of an adapter must be.
+const CROWDED_RATIO: f64 = 1.5;
+/// The least difference in requests in flight that is worth a further copy of an adapter.
+const CROWDED_GAP: f64 = 4.0;
 /// How long an adapter stays at least after its last use.
 const STAY_MIN: Duration = Duration::from_millis(400);
 
@@ -32,7 +36,8 @@
         if draft.adapters_left == 0 {
             return;
         }
-        if count_copies(draft, model, &load.adapter) < copies_needed(load) {
+        let copies = count_copies(draft, model, &load.adapter);
+        if copies < copies_needed(load) || is_crowded(draft, model, load) {
             add_copy(draft, model, load);
         }
     }
@@ -45,16 +50,40 @@
     ((load.in_flight / LOAD_PER_COPY).ceil() as usize).max(1)
 }
 
+/// Returns whether requests wait for an adapter whose runners have much more to do than another
+/// that holds the model.
+fn is_crowded(draft: &Draft<'_>, model: &ModelId, load: &AdapterLoad) -> bool {
+    if load.waiting == 0 {
+        return false;
+    }
+    let least = |with_adapter: bool| {
+        let all = 0..draft.runners.len();
+        let holders = all.filter(|runner| draft.is_held(*runner, model));
+        let holders = holders.map(|runner| &draft.runners[runner]);
+        let holders = holders.filter(|state| holds(state, model, &load.adapter) == with_adapter);
+        holders
+            .map(|state| f64::from(state.in_flight))
+            .min_by(f64::total_cmp)
+    };
+    match (least(true), least(false)) {
+        (Some(holder), Some(other)) => holder > other * CROWDED_RATIO + CROWDED_GAP,
+        _ => false,
+    }
+}
+
+fn holds(state: &RunnerState, model: &ModelId, adapter: &AdapterId) -> bool {
+    let adapters = state.copy(model).map(|copy| copy.adapters.as_slice());
+    let mut adapters = adapters.unwrap_or_default().iter();
+    adapters.any(|known| known.adapter == *adapter && known.state != CopyState::Going)
+}
+
 fn count_copies(draft: &Draft<'_>, model: &ModelId, adapter: &AdapterId) -> usize {
     let ready = draft.runners.iter().filter(|state| state.is_ready);
-    let copies = ready.filter_map(|state| state.copy(model));
-    let copies = copies.filter(|copy| copy.state != CopyState::Going);
-    copies
-        .filter(|copy| {
-            let mut adapters = copy.adapters.iter();
-            adapters.any(|known| known.adapter == *adapter && known.state != CopyState::Going)
-        })
-        .count()
+    let copies = ready.filter(|state| {
+        let copy = state.copy(model);
+        copy.is_some_and(|copy| copy.state != CopyState::Going) && holds(state, model, adapter)
+    });
+    copies.count()
 }
 
 /// A runner for an adapter.
@@ -107,7 +136,7 @@
     }
 }
 
-fn count_coming(state: &super::RunnerState) -> usize {
+fn count_coming(state: &RunnerState) -> usize {
     let adapters = state.models.iter().flat_map(|copy| &copy.adapters);
     let coming = adapters.filter(|adapter| adapter.state == CopyState::Coming);
     coming.count()
--- a/src/copies/order_desk.rs
+++ b/src/copies/order_desk.rs
@@ -10,7 +10,7 @@
         dispatch::{ModelDemand, ResidencyNote, RunnerView},
         leader::Term,
         node::{Order, OrderCall, OrderReply, OrderUnknown, RunnerReport},
-        traffic::{EngineSpec, ServiceId, TrafficConfig},
+        traffic::{AdapterId, EngineSpec, ModelId, ServiceId, TrafficConfig},
     },
     futures::{
         future::{BoxFuture, FutureExt},
@@ -143,7 +143,11 @@
             let record = &mut self.records[position];
             let held = record.held();
             record.sync(view, now);
-            push_changes(&mut self.notes, key, &held, &record.held());
+            let held_now = record.held();
+            push_changes(&mut self.notes, key, &held, &held_now);
+            if record.retells(now) {
+                push_changes(&mut self.notes, key, &listed(view), &held_now);
+            }
         }
     }
 
@@ -350,6 +354,18 @@
     }
 }
 
+/// Returns what a runner's entry lists, sorted.
+fn listed(view: &RunnerView) -> Vec<(ModelId, Option<AdapterId>)> {
+    let mut listed = Vec::new();
+    for held in &view.entry.models {
+        listed.push((held.model.clone(), None));
+        let adapters = held.adapters.iter().cloned();
+        listed.extend(adapters.map(|adapter| (held.model.clone(), Some(adapter))));
+    }
+    listed.sort();
+    listed
+}
+
 /// What is on its way to the runners of a service.
 struct Coming {
     cold_models: usize,
--- a/src/copies/order_task.rs
+++ b/src/copies/order_task.rs
@@ -53,6 +53,7 @@
     /// A term whose token a runner refused gives no more orders.
     pub async fn run(self) {
         let thaw_slack = Duration::from_millis(self.bounds.thaw_slack_ms);
+        let mut waiting = self.board.waiting_demand();
         let mut desk = OrderDesk::new(self);
         let mut quiet_until = Instant::now();
         loop {
@@ -71,7 +72,7 @@
             let due = due.into_iter().flatten().min();
             let due = due.map_or(now + INTERVAL, |due| due.min(now + INTERVAL));
             let due = due.max(now + INTERVAL_MIN);
-            wait(&mut desk, now + INTERVAL_MIN, due).await;
+            wait(&mut desk, &mut waiting, now + INTERVAL_MIN, due).await;
             let woken = Instant::now();
             if woken > due + FREEZE_MIN {
                 quiet_until = woken + thaw_slack;
@@ -81,10 +82,16 @@
 }
 
 /// Waits for the next answer, change or time; not shorter than until `earliest`.
-async fn wait(desk: &mut OrderDesk, earliest: Instant, due: Instant) {
+async fn wait(
+    desk: &mut OrderDesk,
+    waiting: &mut watch::Receiver<u64>,
+    earliest: Instant,
+    due: Instant,
+) {
     let done = tokio::select! {
         Some(done) = desk.calls.next() => Some(done),
         _ = desk.task.term.changed() => None,
+        Ok(()) = waiting.changed() => None,
         () = sleep_until(due) => None,
     };
     if let Some(done) = done {
--- a/src/copies/runner_record.rs
+++ b/src/copies/runner_record.rs
@@ -35,6 +35,8 @@
 const UNUSED_MIN: Duration = Duration::from_millis(150);
 /// How long room is made for a model at most.
 const GOAL_MAX: Duration = Duration::from_secs(10);
+/// The pause between two comparisons with the entry.
+const RETELL_INTERVAL: Duration = Duration::from_millis(1_000);
 /// The reports older than the known state after which they are believed.
 const STALE_REPORTS_MAX: u32 = 6;
 
@@ -64,6 +66,7 @@
     accepted_at: Option<Instant>,
     adapters_due: Option<Instant>,
     goal_until: Instant,
+    retold_at: Instant,
 }
 
 impl RunnerRecord {
@@ -108,6 +111,7 @@
             accepted_at: None,
             adapters_due: None,
             goal_until: now,
+            retold_at: now,
         }
     }
 
@@ -232,6 +236,17 @@
             && now >= self.quiet_until
     }
 
+    /// Returns whether to tell again what the entry does not show; what was told is forgotten
+    /// after a time, and the list of runners may stand still while the store is down.
+    pub fn retells(&mut self, now: Instant) -> bool {
+        let is_due = now.duration_since(self.retold_at) >= RETELL_INTERVAL;
+        let retells = is_due && self.count.is_some() && self.ask_at.is_none() && !self.in_call;
+        if retells {
+            self.retold_at = now;
+        }
+        retells
+    }
+
     /// Returns whether to ask for a report now.
     pub fn wants_report(&self, now: Instant) -> bool {
         !self.in_call && self.state.is_ready && self.ask_at.is_some_and(|at| now >= at)
--- /dev/null
+++ b/tests/leader_election.rs
@@ -0,0 +1,282 @@
+//! The nodes' list and the election, under faults of the key-value service and frozen VMs.
+
+mod common {
+    pub mod late_store;
+    pub mod nodes;
+}
+
+use {
+    common::{
+        late_store::LateStore,
+        nodes::{PREFIX, TestNode, bounds, peer, shared},
+    },
+    greengagetrail::{
+        standin::kv::{KvFaults, MemoryStore},
+        store::Store,
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::time::{Instant, sleep},
+};
+
+/// Longer than the lease, the turns and the wait for the former holder together.
+const FAILOVER: Duration = Duration::from_secs(10);
+
+fn down() -> KvFaults {
+    KvFaults {
+        down: true,
+        ..KvFaults::default()
+    }
+}
+
+async fn sleep_ms(ms: u64) {
+    sleep(Duration::from_millis(ms)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_first_leader_orders_at_once_and_all_nodes_know_one_another() {
+    let store = MemoryStore::new();
+    let nodes: Vec<_> = (0..7)
+        .map(|index| TestNode::start(shared(&store), index, bounds()))
+        .collect();
+    sleep_ms(800).await;
+    let leaders: Vec<_> = nodes.iter().filter_map(TestNode::term).collect();
+    assert_eq!(leaders.len(), 1);
+    assert!(leaders[0].orders_from <= Instant::now());
+    for (index, node) in nodes.iter().enumerate() {
+        let peers = node.membership.peers.borrow().clone();
+        assert_eq!(peers.len(), 6);
+        assert!(!peers.contains(&peer(index)));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn nodes_make_few_calls_once_they_have_started() {
+    let store = MemoryStore::new();
+    let _nodes: Vec<_> = (0..7)
+        .map(|index| TestNode::start(shared(&store), index, bounds()))
+        .collect();
+    sleep_ms(2_000).await;
+    let before = store.counts();
+    sleep_ms(30_000).await;
+    let after = store.counts();
+    assert_eq!(after.txn, before.txn);
+    assert_eq!(after.range, before.range);
+    assert!(after.renew_lease - before.renew_lease <= 7 * 42);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_successor_waits_until_the_former_leader_can_no_longer_order() {
+    let store = MemoryStore::new();
+    let mut nodes: Vec<_> = (0..3)
+        .map(|index| TestNode::start(shared(&store), index, bounds()))
+        .collect();
+    sleep_ms(3_000).await;
+    let first = nodes.iter().position(|node| node.term().is_some()).unwrap();
+    let token = nodes[first].term().unwrap().fencing_token;
+    let killed_at = Instant::now();
+    drop(nodes.remove(first));
+    sleep(FAILOVER).await;
+    let terms: Vec<_> = nodes.iter().filter_map(TestNode::term).collect();
+    assert_eq!(terms.len(), 1);
+    assert!(terms[0].fencing_token > token);
+    let wait = terms[0].orders_from - killed_at;
+    // A renewal may have come just before; then comes the lease, then the handover.
+    assert!(wait >= Duration::from_millis(1_700 + 3_200), "{wait:?}");
+    assert!(wait <= Duration::from_millis(3_000 + 3_300), "{wait:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_planned_stop_hands_over_at_once_and_drops_the_node_from_the_peers() {
+    let store = MemoryStore::new();
+    let mut nodes: Vec<_> = (0..3)
+        .map(|index| TestNode::start(shared(&store), index, bounds()))
+        .collect();
+    sleep_ms(3_000).await;
+    let first = nodes.iter().position(|node| node.term().is_some()).unwrap();
+    let stopped = nodes.remove(first);
+    let mut term = stopped.membership.term.clone();
+    stopped.membership.leave().await;
+    assert!(term.borrow_and_update().is_none());
+    let left_at = Instant::now();
+    sleep_ms(1_000).await;
+    let terms: Vec<_> = nodes.iter().filter_map(TestNode::term).collect();
+    assert_eq!(terms.len(), 1);
+    let wait = terms[0].orders_from - left_at;
+    assert!(wait >= Duration::from_millis(3_200) && wait <= Duration::from_millis(3_300));
+    sleep_ms(6_000).await;
+    assert!(
+        nodes
+            .iter()
+            .all(|node| node.membership.peers.borrow().len() == 1)
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_restarted_leader_takes_its_own_seat_without_a_wait() {
+    let store = MemoryStore::new();
+    let node = TestNode::start(shared(&store), 0, bounds());
+    sleep_ms(1_000).await;
+    let token = node.term().unwrap().fencing_token;
+    drop(node);
+    sleep_ms(500).await;
+    let node = TestNode::start(shared(&store), 0, bounds());
+    sleep_ms(500).await;
+    let term = node.term().unwrap();
+    assert!(term.fencing_token > token);
+    assert!(term.orders_from <= Instant::now());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_new_vm_of_the_same_name_is_another_holder() {
+    let store = MemoryStore::new();
+    let node = TestNode::start(shared(&store), 0, bounds());
+    sleep_ms(1_000).await;
+    drop(node);
+    let mut moved = peer(0);
+    moved.gossip_address = "10.9.9.9:7380".parse().unwrap();
+    let node = TestNode::start_as(shared(&store), moved, bounds());
+    sleep_ms(1_000).await;
+    assert!(node.term().is_none());
+    sleep(FAILOVER).await;
+    assert!(node.term().is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn with_fences_a_leader_outlasts_an_outage_and_stays() {
+    let store = MemoryStore::new();
+    let nodes: Vec<_> = (0..4)
+        .map(|index| TestNode::start(shared(&store), index, bounds()))
+        .collect();
+    sleep_ms(3_000).await;
+    let first = nodes.iter().position(|node| node.term().is_some()).unwrap();
+    store.set_faults(down());
+    sleep_ms(9_000).await;
+    assert!(nodes[first].term().is_some());
+    store.set_faults(KvFaults::default());
+    sleep_ms(5_000).await;
+    // The leases lapsed meanwhile, and the last leader comes back first.
+    let leaders: Vec<_> = (0..4).filter(|at| nodes[*at].term().is_some()).collect();
+    assert_eq!(leaders, [first]);
+    assert!(nodes[first].term().unwrap().orders_from <= Instant::now());
+    assert!(
+        nodes
+            .iter()
+            .all(|node| node.membership.peers.borrow().len() == 3)
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_fences_a_leader_stops_before_its_lease_can_lapse() {
+    let store = MemoryStore::new();
+    let mut bounds = bounds();
+    bounds.fencing_enforced = false;
+    let link = store.link();
+    let cut = TestNode::start(shared(&link), 0, bounds);
+    sleep_ms(1_000).await;
+    let other = TestNode::start(shared(&store), 1, bounds);
+    sleep_ms(2_000).await;
+    assert!(cut.term().is_some());
+    link.set_faults(down());
+    let mut term = cut.membership.term.clone();
+    term.wait_for(Option::is_none).await.unwrap();
+    let stopped_at = Instant::now();
+    sleep(FAILOVER).await;
+    let next = other.term().unwrap();
+    assert!(next.orders_from >= stopped_at + Duration::from_millis(3_200));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_was_cut_off_yields_to_its_successor() {
+    let store = MemoryStore::new();
+    let link = store.link();
+    let cut = TestNode::start(shared(&link), 0, bounds());
+    sleep_ms(1_000).await;
+    let other = TestNode::start(shared(&store), 1, bounds());
+    sleep_ms(1_000).await;
+    link.set_faults(down());
+    sleep(FAILOVER).await;
+    assert!(other.term().is_some());
+    link.set_faults(KvFaults::default());
+    sleep_ms(3_000).await;
+    assert!(cut.term().is_none());
+    assert!(other.term().is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_take_whose_answer_is_lost_is_adopted_once() {
+    let store = MemoryStore::new();
+    let node = TestNode::start(shared(&store), 0, bounds());
+    // The lease and the entry are there; the next write is the one that takes the seat.
+    sleep_ms(1).await;
+    store.set_faults(KvFaults {
+        lost_answers: 1,
+        ..KvFaults::default()
+    });
+    sleep_ms(3_500).await;
+    let token = node.term().unwrap().fencing_token;
+    let key = format!("{PREFIX}leader");
+    let range = store.range(&key, 1).await.unwrap();
+    assert_eq!(range.entries[0].modified.0 as u64, token);
+    sleep_ms(10_000).await;
+    assert_eq!(node.term().unwrap().fencing_token, token);
+}
+
+#[tokio::test(start_paused = true)]
+async fn late_and_lost_writes_leave_one_leader_with_the_stored_token() {
+    for seed in 0..40 {
+        let store = MemoryStore::new();
+        let nodes: Vec<_> = (0..4)
+            .map(|index| {
+                let late = LateStore::new(shared(&store), seed * 10 + index as u64, 40);
+                TestNode::start(Arc::new(late), index, bounds())
+            })
+            .collect();
+        sleep_ms(30_000).await;
+        let terms: Vec<_> = nodes.iter().filter_map(TestNode::term).collect();
+        assert_eq!(terms.len(), 1, "seed {seed}");
+        let key = format!("{PREFIX}leader");
+        let range = store.range(&key, 1).await.unwrap();
+        let version = range.entries[0].modified.0 as u64;
+        assert_eq!(version, terms[0].fencing_token, "seed {seed}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_frozen_leader_gives_no_orders_until_its_term_is_confirmed() {
+    let store = MemoryStore::new();
+    let node = TestNode::start(shared(&store), 0, bounds());
+    sleep_ms(1_000).await;
+    let token = node.term().unwrap().fencing_token;
+    let mut term = node.membership.term.clone();
+    term.mark_unchanged();
+    store.set_faults(KvFaults {
+        slow_ms: 5,
+        ..KvFaults::default()
+    });
+    node.suspend(Duration::from_millis(900));
+    term.changed().await.unwrap();
+    assert!(term.borrow_and_update().is_none());
+    let woken = Instant::now();
+    term.changed().await.unwrap();
+    let confirmed = term.borrow().unwrap();
+    assert_eq!(confirmed.fencing_token, token);
+    assert!(confirmed.orders_from >= woken + Duration::from_millis(300));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_watch_that_goes_silent_or_forgets_is_replaced() {
+    let store = MemoryStore::new();
+    let link = store.link();
+    let node = TestNode::start(shared(&link), 0, bounds());
+    sleep_ms(1_000).await;
+    link.set_faults(KvFaults {
+        watch_silent: true,
+        ..KvFaults::default()
+    });
+    let _other = TestNode::start(shared(&store), 1, bounds());
+    sleep_ms(1_000).await;
+    assert!(node.membership.peers.borrow().is_empty());
+    link.set_faults(KvFaults::default());
+    sleep_ms(9_000).await;
+    assert_eq!(node.membership.peers.borrow().len(), 1);
+}
