Take the number of accepted orders from reports only

Cause: the counter in a runner's entry counts heartbeats, not orders; the leader read it as orders, found it always ahead and asked for a report at every pass. Ruled out: reports that cannot be read (they were read).

--- a/src/copies/runner_record.rs
+++ b/src/copies/runner_record.rs
@@ -23,6 +23,8 @@
 const UNKNOWN_PAUSE: Duration = Duration::from_millis(150);
 /// The pause before the next report while a load or unload lasts.
 const PROGRESS_PAUSE: Duration = Duration::from_millis(300);
+/// How long before its end a load may show in the entry.
+const ENTRY_EARLY: Duration = Duration::from_millis(200);
 /// The pause after a report that did not come.
 const SILENCE_PAUSE: Duration = Duration::from_millis(500);
 /// The pause after an order that the runner refused.
@@ -72,11 +74,9 @@
 impl RunnerRecord {
     /// Begins the account of a runner from its entry.
     ///
-    /// An entry does not tell of an order in progress, so that only a runner that was never
-    /// ordered is taken as it says.
+    /// An entry tells neither of an order in progress nor how many were accepted; a report does.
     pub fn new(view: &RunnerView, now: Instant) -> Self {
         let entry = &view.entry;
-        let is_fresh = entry.orders_accepted == 0;
         let state = RunnerState {
             key: entry.key.clone(),
             zone: entry.zone.clone(),
@@ -99,10 +99,10 @@
             service: entry.service.clone(),
             address: entry.address,
             state,
-            count: is_fresh.then_some(0),
+            count: None,
             in_call: false,
             sent: None,
-            ask_at: (!is_fresh).then_some(now),
+            ask_at: Some(now),
             stale_reports: 0,
             quiet_until: now,
             is_busy: false,
@@ -124,7 +124,7 @@
         self.state.in_memory.clone_from(&entry.in_memory);
         self.state.on_disk.clone_from(&entry.on_disk);
         self.sync_use(view, now);
-        self.sync_count(entry, now);
+        self.sync_load(entry, now);
         self.advance(now);
     }
 
@@ -152,17 +152,14 @@
         }
     }
 
-    fn sync_count(&mut self, entry: &RunnerEntry, now: Instant) {
-        let Some(count) = self.count else {
+    /// Takes a load as finished once the entry lists the model about when it is due; an entry
+    /// may be older than the load.
+    fn sync_load(&mut self, entry: &RunnerEntry, now: Instant) {
+        let Some((model, due)) = &self.loading else {
             return;
         };
-        if entry.orders_accepted > count && !self.in_call {
-            self.ask_at.get_or_insert(now);
-        }
-        let Some((model, _)) = &self.loading else {
-            return;
-        };
-        if entry.orders_accepted == count && entry.models.iter().any(|held| held.model == *model) {
+        let is_listed = entry.models.iter().any(|held| held.model == *model);
+        if is_listed && now + ENTRY_EARLY >= *due {
             self.finish_load();
         }
     }
--- a/src/discovery/runner_entry.rs
+++ b/src/discovery/runner_entry.rs
@@ -64,8 +64,6 @@
     pub in_memory: Vec<ModelId>,
     /// The models whose weights lie on its disk, sorted.
     pub on_disk: Vec<ModelId>,
-    /// The number of orders that it accepted.
-    pub orders_accepted: u64,
 }
 
 impl RunnerEntry {
--- a/tests/common/relay_rig.rs
+++ b/tests/common/relay_rig.rs
@@ -246,7 +246,6 @@
         models: Vec::new(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
-        orders_accepted: 0,
     }
 }
 
