--- a/src/discovery/runner_entry.rs
+++ b/src/discovery/runner_entry.rs
@@ -64,7 +64,7 @@
     pub in_memory: Vec<ModelId>,
     /// The models whose weights lie on its disk, sorted.
     pub on_disk: Vec<ModelId>,
-    /// The number of orders that it accepted.
+    /// The number of orders that it accepted, where its entry tells; else 0.
     pub orders_accepted: u64,
 }
 
