--- /dev/null
+++ b/src/http/call.rs
@@ -0,0 +1,64 @@
+//! Short calls: a request at hand for a whole answer.
+
+use {
+    super::{Body, Client, Exchange, SendError},
+    bytes::Bytes,
+    http_body_util::{BodyExt, Limited},
+    hyper::{
+        Request, Response,
+        header::{CONTENT_TYPE, HOST, HeaderValue},
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::timeout,
+};
+
+impl Client {
+    /// Sends a request with a JSON body and reads its whole answer.
+    ///
+    /// A connection on which no answer comes in time is never used again, nor are those that
+    /// idle beside it. Dropping the future closes the connection.
+    ///
+    /// # Errors
+    ///
+    /// With [`SendError::Broken`] the request may have run; with the others it never left.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Body>,
+        limits: CallLimits,
+    ) -> Result<Response<Bytes>, SendError> {
+        let host = HeaderValue::from_str(&address.to_string());
+        let host = host.map_err(|cause| SendError::NotConnected(cause.to_string()))?;
+        let headers = request.headers_mut();
+        headers.insert(HOST, host);
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        let exchange = async {
+            let exchange = self.send(address, request).await?;
+            read_whole(exchange, limits.answer_max_bytes).await
+        };
+        match timeout(limits.timeout, exchange).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                self.close_idle(address);
+                Err(SendError::Broken("no answer in time".to_owned()))
+            }
+        }
+    }
+}
+
+/// The limits of a short call.
+#[derive(Debug, Clone, Copy)]
+pub struct CallLimits {
+    /// The longest wait for the whole answer.
+    pub timeout: Duration,
+    /// The largest body of an answer.
+    pub answer_max_bytes: usize,
+}
+
+async fn read_whole(exchange: Exchange, max_bytes: usize) -> Result<Response<Bytes>, SendError> {
+    let (head, body) = exchange.response.into_parts();
+    let body = Limited::new(body, max_bytes).collect().await;
+    let body = body.map_err(|cause| SendError::Broken(cause.to_string()))?;
+    exchange.connection.recycle();
+    Ok(Response::from_parts(head, body.to_bytes()))
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,7 +1,7 @@
 //! The client for backend servers: HTTP/1.1, one request at a time on each connection.
 
 use {
-    super::{Body, Connection, SendError, idle::IdleConnections, liveness},
+    super::{Body, Connection, Liveness, SendError, idle::IdleConnections, liveness},
     hyper::{Request, Response, body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
@@ -18,6 +18,7 @@
 #[derive(Debug, Clone)]
 pub struct Client {
     connect_timeout: Duration,
+    liveness: Liveness,
     idle: Arc<IdleConnections>,
 }
 
@@ -33,8 +34,14 @@
 impl Client {
     /// Makes a client without connections.
     pub fn new(connect_timeout: Duration) -> Self {
+        Self::with_liveness(connect_timeout, Liveness::PATIENT)
+    }
+
+    /// Makes a client without connections that gives up silent ones as told.
+    pub fn with_liveness(connect_timeout: Duration, liveness: Liveness) -> Self {
         Self {
             connect_timeout,
+            liveness,
             idle: Arc::default(),
         }
     }
@@ -98,7 +105,7 @@
     async fn connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
         let stream = TcpStream::connect(address).await.map_err(connect_error)?;
         let failed = |cause: String| SendError::NotConnected(cause);
-        liveness::set_up(&stream).map_err(|cause| failed(cause.to_string()))?;
+        liveness::set_up_with(&stream, self.liveness).map_err(|cause| failed(cause.to_string()))?;
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(HEAD_MAX_BYTES)
             .handshake::<_, Body>(TokioIo::new(stream))
--- a/src/http/liveness.rs
+++ b/src/http/liveness.rs
@@ -6,8 +6,28 @@
     tokio::net::TcpStream,
 };
 
-/// How long a connection may be quiet before it is probed.
-const PROBE_AFTER: Duration = Duration::from_secs(5);
+/// When the kernel gives up a connection whose other end is silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Liveness {
+    /// How long a connection may be quiet before it is probed.
+    probe_after: Duration,
+    /// How long bytes and probes may stay without an acknowledgement.
+    unacknowledged_max: Duration,
+}
+
+impl Liveness {
+    /// For connections that carry requests of callers.
+    pub const PATIENT: Self = Self {
+        probe_after: Duration::from_secs(5),
+        unacknowledged_max: Duration::from_secs(10),
+    };
+
+    /// For connections on which silence is long but the other end must be there.
+    pub const PROMPT: Self = Self {
+        probe_after: Duration::from_secs(1),
+        unacknowledged_max: Duration::from_secs(2),
+    };
+}
 
 /// The time between two probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -15,17 +35,18 @@
 /// The probes without an answer after which a connection is closed.
 const PROBES_MAX: u32 = 5;
 
-/// How long sent bytes may stay without an acknowledgement.
-const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(10);
-
 /// Sets up a connection: small writes leave at once, and a vanished other end is noticed.
 pub(crate) fn set_up(stream: &TcpStream) -> io::Result<()> {
+    set_up_with(stream, Liveness::PATIENT)
+}
+
+pub(super) fn set_up_with(stream: &TcpStream, liveness: Liveness) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
-        .with_time(PROBE_AFTER)
+        .with_time(liveness.probe_after)
         .with_interval(PROBE_INTERVAL)
         .with_retries(PROBES_MAX);
     let socket = SockRef::from(stream);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))
+    socket.set_tcp_user_timeout(Some(liveness.unacknowledged_max))
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP listeners, the client for backend servers, and problem documents.
 
 mod body;
+mod call;
 mod client;
 mod connection;
 mod error;
@@ -15,7 +16,7 @@
 mod stall_guard;
 
 pub use {
-    body::*, client::*, connection::*, error::*, header::*, listener::*, operations::*, problem::*,
-    read::*,
+    body::*, call::*, client::*, connection::*, error::*, header::*, listener::*,
+    liveness::Liveness, operations::*, problem::*, read::*,
 };
 pub(crate) use {liveness::set_up as set_up_liveness, stall_guard::StallGuard};
