Refuse streams before their callers give up, and notice silent runners sooner

The dispatcher now gets that limit. A silent runner connection counts as gone after about 2 s instead of 10. 34 relay tests pass.

--- a/src/http/liveness.rs
+++ b/src/http/liveness.rs
@@ -6,26 +6,40 @@
     tokio::net::TcpStream,
 };
 
-/// How long a connection may be quiet before it is probed.
-const PROBE_AFTER: Duration = Duration::from_secs(5);
-
-/// The time between two probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// The probes without an answer after which a connection is closed.
-const PROBES_MAX: u32 = 5;
+/// When the other end of a connection counts as gone.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Liveness {
+    /// How long a connection may be quiet before it is probed.
+    pub(crate) probe_after: Duration,
+    /// The time between two probes.
+    pub(crate) probe_interval: Duration,
+    /// The probes without an answer after which a connection is closed.
+    pub(crate) probes_max: u32,
+    /// How long sent bytes may stay without an acknowledgement.
+    pub(crate) unacknowledged_max: Duration,
+}
 
-/// How long sent bytes may stay without an acknowledgement.
-const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(10);
+/// For connections whose other end is rarely gone without a word.
+const USUAL: Liveness = Liveness {
+    probe_after: Duration::from_secs(5),
+    probe_interval: Duration::from_secs(1),
+    probes_max: 5,
+    unacknowledged_max: Duration::from_secs(10),
+};
 
 /// Sets up a connection: small writes leave at once, and a vanished other end is noticed.
 pub(crate) fn set_up(stream: &TcpStream) -> io::Result<()> {
+    set_up_with(stream, &USUAL)
+}
+
+/// Sets up a connection like [`set_up`], with limits of its own.
+pub(crate) fn set_up_with(stream: &TcpStream, liveness: &Liveness) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
-        .with_time(PROBE_AFTER)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(PROBES_MAX);
+        .with_time(liveness.probe_after)
+        .with_interval(liveness.probe_interval)
+        .with_retries(liveness.probes_max);
     let socket = SockRef::from(stream);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))
+    socket.set_tcp_user_timeout(Some(liveness.unacknowledged_max))
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -18,4 +18,7 @@
     body::*, client::*, connection::*, error::*, header::*, listener::*, operations::*, problem::*,
     read::*,
 };
-pub(crate) use {liveness::set_up as set_up_liveness, stall_guard::StallGuard};
+pub(crate) use {
+    liveness::{Liveness, set_up as set_up_liveness, set_up_with as set_up_liveness_with},
+    stall_guard::StallGuard,
+};
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -10,7 +10,7 @@
     },
     http_body_util::BodyExt,
     hyper::{Request, Response, StatusCode, body::Incoming},
-    std::time::Duration,
+    std::{error::Error, io, time::Duration},
     tokio::time,
 };
 
@@ -84,10 +84,14 @@
                 }
                 Ok(Err(SendFault::Unsent)) => self.progress.never_left(before),
                 Err(_) => {
+                    self.relay.pool.close_idle(&place.runner.key);
                     place.finish(TryOutcome::Broken);
                     return Err(Refusal::TimedOut);
                 }
                 Ok(Err(SendFault::Broken(cause))) => {
+                    if went_silent(&cause) {
+                        self.relay.pool.close_idle(&place.runner.key);
+                    }
                     log::debug!("relay: {} broke off: {cause}", place.runner.key.id);
                     place.finish(TryOutcome::Broken);
                     return Ok(Tried::Nothing);
@@ -126,7 +130,7 @@
             generation: self.call.head.generation.clone(),
             priority: rules.priority,
             target_at: rules.target_at,
-            give_up_at: self.call.ends_at,
+            give_up_at: self.call.ends_at.min(rules.given_up_at),
             tried: self.progress.tried.clone(),
         }
     }
@@ -231,6 +235,12 @@
     }
 }
 
+/// Returns whether a connection broke because its other end no longer answered.
+fn went_silent(cause: &hyper::Error) -> bool {
+    let cause = cause.source().and_then(|source| source.downcast_ref());
+    cause.is_some_and(|cause: &io::Error| cause.kind() == io::ErrorKind::TimedOut)
+}
+
 /// Returns whether callers take a status as the promise that nothing ran.
 fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -18,6 +18,18 @@
     tokio::time::Instant,
 };
 
+/// Callers give a silent stream up after the longest of this time ...
+const PATIENCE_MIN_MS: u64 = 2000;
+
+/// ... so many times the time within which the first event has its full worth ...
+const PATIENCE_TARGETS: u64 = 4;
+
+/// ... and so many times the longest pause that is on time.
+const PATIENCE_GAPS: u64 = 8;
+
+/// The part of that time that is left for a refusal to arrive.
+const PATIENCE_RESERVE_MS: u64 = 100;
+
 /// A request that is to be forwarded.
 #[derive(Debug)]
 pub(super) struct Call {
@@ -41,6 +53,8 @@
     pub(super) priority: u8,
     pub(super) attempts_max: u32,
     pub(super) target_at: Instant,
+    /// When the caller gives the request up for want of a first event.
+    pub(super) given_up_at: Instant,
 }
 
 impl Call {
@@ -53,6 +67,11 @@
         self.rules.kind.is_repeatable()
     }
 
+    /// Returns the event after which the caller wants a stream to go on.
+    pub(super) fn resumes_after(&self) -> Option<u64> {
+        self.head.last_event_id.filter(|_| self.is_repeatable())
+    }
+
     pub(super) fn is_stream(&self) -> bool {
         matches!(self.rules.kind, RouteKind::Streaming { .. })
     }
@@ -102,9 +121,21 @@
         priority: route.priority,
         attempts_max: route.attempts_max,
         target_at: arrived_at + Duration::from_millis(route.target_latency_ms),
+        given_up_at: arrived_at + patience(route),
     }
 }
 
+/// Returns how long a caller waits for the first event of a stream, less the way to it.
+fn patience(route: &Route) -> Duration {
+    let RouteKind::Streaming { gap_target_ms, .. } = route.kind else {
+        return Duration::from_millis(route.timeout_ms);
+    };
+    let for_target_ms = PATIENCE_TARGETS * route.target_latency_ms;
+    let for_gap_ms = PATIENCE_GAPS * gap_target_ms;
+    let patience_ms = PATIENCE_MIN_MS.max(for_target_ms).max(for_gap_ms);
+    Duration::from_millis(patience_ms - PATIENCE_RESERVE_MS)
+}
+
 /// Picks a target by the weights, the same for the same id.
 fn pick_target(route: &Route, request_id: &[u8]) -> ServiceId {
     let first = &route.targets[0];
--- a/src/relay/runner_connection.rs
+++ b/src/relay/runner_connection.rs
@@ -13,7 +13,7 @@
     /// Not a byte of it left.
     Unsent,
     /// It may have run.
-    Broken(String),
+    Broken(hyper::Error),
 }
 
 /// A connection in use; dropping it closes it, which cancels its request.
@@ -38,7 +38,7 @@
         let sent = open.sender.try_send_request(request).await;
         sent.map_err(|mut failure| match failure.take_message() {
             Some(_) => SendFault::Unsent,
-            None => SendFault::Broken(failure.into_error().to_string()),
+            None => SendFault::Broken(failure.into_error()),
         })
     }
 
--- a/src/relay/runner_pool.rs
+++ b/src/relay/runner_pool.rs
@@ -4,7 +4,7 @@
     super::{RunnerConnection, Unwritten, WriteWatch},
     crate::{
         discovery::{RunnerEntry, RunnerKey},
-        http::{Body, set_up_liveness},
+        http::{Body, Liveness, set_up_liveness_with},
     },
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
@@ -34,6 +34,14 @@
 /// The least time before a connection's limit at which it is no longer used.
 const MARGIN_MIN: Duration = Duration::from_millis(300);
 
+/// Callers give a silent stream up after a few seconds, so a runner that is gone must show sooner.
+const LIVENESS: Liveness = Liveness {
+    probe_after: Duration::from_secs(1),
+    probe_interval: Duration::from_secs(1),
+    probes_max: 2,
+    unacknowledged_max: Duration::from_millis(1800),
+};
+
 /// The largest answer head, in bytes.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
 
@@ -135,6 +143,14 @@
         runners[position].idle.push(open);
     }
 
+    /// Closes the idle connections to a runner, after one of them went silent.
+    pub(super) fn close_idle(&self, runner: &RunnerKey) {
+        let mut runners = self.lock();
+        if let Ok(position) = position(&runners, runner) {
+            runners[position].idle.clear();
+        }
+    }
+
     /// Takes the connection that was used last.
     fn take(&self, runner: &RunnerKey) -> Option<OpenConnection> {
         let mut runners = self.lock();
@@ -183,7 +199,7 @@
 
 async fn connect(address: SocketAddr, counted: Arc<()>) -> Result<OpenConnection, ConnectFault> {
     let stream = TcpStream::connect(address).await?;
-    set_up_liveness(&stream)?;
+    set_up_liveness_with(&stream, &LIVENESS)?;
     let stream = WriteWatch::new(stream);
     let unwritten = stream.unwritten();
     let (sender, driver) = http1::Builder::new()
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -39,7 +39,7 @@
 impl Answered {
     /// Waits for the first event; `None` if the stream breaks off before it.
     pub(super) async fn into_stream(self, call: &Call) -> Option<Answer> {
-        let (head, mut live) = self.split_stream(call.head.last_event_id);
+        let (head, mut live) = self.split_stream(call.resumes_after());
         match live.read().await {
             Ok(true) => {
                 live.place.first_event(Instant::now());
--- a/tests/common/relay_rig.rs
+++ b/tests/common/relay_rig.rs
@@ -104,8 +104,11 @@
 pub struct Setup {
     pub kind: RouteKind,
     pub runners: usize,
+    /// The requests that a runner processes at once.
+    pub slots: u32,
     pub attempts_max: u32,
     pub timeout_ms: u64,
+    pub target_latency_ms: u64,
     pub retry_budget_slack: f64,
     pub limits: CallerLimits,
     pub configured: bool,
@@ -116,8 +119,10 @@
         Self {
             kind,
             runners: 3,
+            slots: 8,
             attempts_max: 3,
             timeout_ms: 3000,
+            target_latency_ms: 1000,
             retry_budget_slack: 50.0,
             limits: CallerLimits {
                 head_max_bytes: 16_384,
@@ -164,7 +169,12 @@
             traffic.offer(RouteMap::new(config(&setup), bytes::Bytes::new()));
         }
         let board = Arc::new(RunnerBoard::new("z".into(), traffic.clone()));
-        board.set_runners(at.iter().enumerate().map(entry).collect());
+        board.set_runners(
+            at.iter()
+                .enumerate()
+                .map(|at| entry(at, setup.slots))
+                .collect(),
+        );
         let dispatcher = Dispatcher::new(board);
         let peers = watch::Sender::new(Vec::new()).subscribe();
         let formats = Arc::new(TestFormats);
@@ -210,7 +220,7 @@
         path_prefix: "/p/".into(),
         kind: setup.kind,
         timeout_ms: setup.timeout_ms,
-        target_latency_ms: 1000,
+        target_latency_ms: setup.target_latency_ms,
         priority: 0,
         attempts_max: setup.attempts_max,
         session_affinity: false,
@@ -231,7 +241,7 @@
     }
 }
 
-fn entry((index, address): (usize, &SocketAddr)) -> RunnerEntry {
+fn entry((index, address): (usize, &SocketAddr), slots: u32) -> RunnerEntry {
     RunnerEntry {
         key: RunnerKey {
             id: format!("i-{index}").as_str().into(),
@@ -240,7 +250,7 @@
         service: "s".into(),
         address: *address,
         zone: "z".into(),
-        slots: 8,
+        slots,
         state: RunnerState::Ready,
         cold_remaining_ms: 0,
         models: Vec::new(),
--- a/tests/relay_callers.rs
+++ b/tests/relay_callers.rs
@@ -272,3 +272,45 @@
         rig.received().len()
     );
 }
+
+#[tokio::test]
+async fn a_caller_that_leaves_while_it_waits_is_not_sent_on() {
+    let mut setup = Setup::new(Idempotent);
+    (setup.runners, setup.slots) = (1, 1);
+    let rig = RelayRig::start(setup, |_, received| {
+        let pause = Step::Pause(Duration::from_millis(500));
+        std::iter::once(pause)
+            .chain(signed(received, 200, "", "ok"))
+            .collect()
+    })
+    .await;
+    let (mut first, mut second) = (rig.caller().await, rig.caller().await);
+    first.send("", "").await;
+    sleep(Duration::from_millis(100)).await;
+    second.send("", "").await;
+    sleep(Duration::from_millis(100)).await;
+    drop(second);
+    assert_eq!(first.read().await.status, 200);
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(rig.received().len(), 1);
+}
+
+#[tokio::test]
+async fn a_stream_without_a_runner_is_refused_before_its_caller_gives_up() {
+    let mut setup = Setup::new(STREAM_ONCE);
+    (
+        setup.runners,
+        setup.slots,
+        setup.timeout_ms,
+        setup.target_latency_ms,
+    ) = (1, 1, 9000, 100);
+    let rig = RelayRig::start(setup, hang).await;
+    let mut first = rig.caller().await;
+    first.send("", "").await;
+    sleep(Duration::from_millis(100)).await;
+    let began = Instant::now();
+    let answer = rig.call("").await;
+    assert!(began.elapsed() < Duration::from_millis(2000));
+    assert_eq!(answer.status, 503);
+    assert!(answer.head.contains("x-retry-after-ms"));
+}
