--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -19,4 +19,7 @@
     body::*, call::*, client::*, connection::*, error::*, header::*, listener::*,
     liveness::Liveness, operations::*, problem::*, read::*,
 };
-pub(crate) use {liveness::set_up as set_up_liveness, stall_guard::StallGuard};
+pub(crate) use {
+    liveness::{set_up as set_up_liveness, set_up_with as set_up_liveness_with},
+    stall_guard::StallGuard,
+};
--- a/src/relay/runner_pool.rs
+++ b/src/relay/runner_pool.rs
@@ -1,10 +1,10 @@
 //! The connections to runners.
 
 use {
-    super::RunnerConnection,
+    super::{RunnerConnection, Unwritten, WriteWatch},
     crate::{
         discovery::{RunnerEntry, RunnerKey},
-        http::{Body, set_up_liveness},
+        http::{Body, Liveness, set_up_liveness_with},
     },
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
@@ -23,7 +23,7 @@
 };
 
 /// The longest wait for a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The longest wait for a kept connection to show that it is still there.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
@@ -34,6 +34,14 @@
 /// The least time before a connection's limit at which it is no longer used.
 const MARGIN_MIN: Duration = Duration::from_millis(300);
 
+/// Callers give a silent stream up after a few seconds, so a runner that is gone must show sooner.
+const LIVENESS: Liveness = Liveness {
+    probe_after: Duration::from_secs(1),
+    probe_interval: Duration::from_secs(1),
+    probes_max: 2,
+    unacknowledged_max: Duration::from_millis(1800),
+};
+
 /// The largest answer head, in bytes.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
 
@@ -59,6 +67,7 @@
 pub(super) struct OpenConnection {
     pub(super) sender: SendRequest<Body>,
     task: AbortHandle,
+    unwritten: Unwritten,
     /// When it may no longer be used, while it idles.
     usable_until: Instant,
     _counted: Arc<()>,
@@ -118,8 +127,11 @@
         }
     }
 
-    /// Keeps an idle connection.
+    /// Keeps an idle connection, unless the runner answered before it read the whole request.
     pub(super) fn put(&self, runner: &RunnerKey, mut open: OpenConnection, limit_s: Option<u64>) {
+        if open.unwritten.get() || open.sender.is_closed() {
+            return;
+        }
         let now = Instant::now();
         let idle = limit_s.map_or(IDLE_UNSTATED, Duration::from_secs);
         let margin = MARGIN_MIN.max(idle / 5);
@@ -131,6 +143,14 @@
         runners[position].idle.push(open);
     }
 
+    /// Closes the idle connections to a runner, after one of them went silent.
+    pub(super) fn close_idle(&self, runner: &RunnerKey) {
+        let mut runners = self.lock();
+        if let Ok(position) = position(&runners, runner) {
+            runners[position].idle.clear();
+        }
+    }
+
     /// Takes the connection that was used last.
     fn take(&self, runner: &RunnerKey) -> Option<OpenConnection> {
         let mut runners = self.lock();
@@ -179,7 +199,9 @@
 
 async fn connect(address: SocketAddr, counted: Arc<()>) -> Result<OpenConnection, ConnectFault> {
     let stream = TcpStream::connect(address).await?;
-    set_up_liveness(&stream)?;
+    set_up_liveness_with(&stream, LIVENESS)?;
+    let stream = WriteWatch::new(stream);
+    let unwritten = stream.unwritten();
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(HEAD_MAX_BYTES)
         .handshake::<_, Body>(TokioIo::new(stream))
@@ -190,6 +212,7 @@
     Ok(OpenConnection {
         sender,
         task: task.abort_handle(),
+        unwritten,
         usable_until: Instant::now(),
         _counted: counted,
     })
