Stop the election's loop from spinning after the seat was taken

Cause: the time of the try stayed set after it succeeded, so that the loop woke at once until the watch brought the write; with a watch gone silent for up to 8 s. Seen as a test run that never ended. The time is cleared with the answer, and two looks lie 5 ms apart at least.

--- a/src/leader/duty.rs
+++ b/src/leader/duty.rs
@@ -4,7 +4,7 @@
     super::{Moment, StoredSeat, membership::Shared},
     crate::{
         membership::{Backoff, jittered},
-        store::{Compare, LeaseId, Op, StoreError, Txn, TxnReply},
+        store::{Compare, LeaseId, Op, StoreError, Txn},
     },
     bytes::Bytes,
     rand::RngExt,
@@ -16,7 +16,9 @@
 /// The first pause after a failed call.
 const BACKOFF_FIRST: Duration = Duration::from_millis(150);
 /// The longest pause after failed calls.
-const BACKOFF_LONGEST: Duration = Duration::from_millis(1_500);
+const BACKOFF_LONGEST: Duration = Duration::from_millis(700);
+/// The shortest pause between two looks at what is due.
+const PAUSE_MIN: Duration = Duration::from_millis(5);
 /// Renewals within one life of the lease.
 const RENEWALS_PER_LEASE: u32 = 3;
 /// How long nodes wait at most for one another on the first start.
@@ -94,6 +96,7 @@
             Some((contend_at, _)) => contend_at.min(self.renew_at),
             None => self.renew_at,
         };
+        let due = due.max(Instant::now() + PAUSE_MIN);
         tokio::select! {
             () = sleep_until(due) => {}
             () = self.shared.changed.notified() => {}
@@ -355,13 +358,11 @@
             ],
             ..Txn::default()
         };
-        let TxnReply {
-            succeeded, version, ..
-        } = self.shared.store.txn(txn).await?;
-        match succeeded {
-            true => self.adopt(version.0.unsigned_abs()),
-            // The watch brings the write that went before.
-            false => self.contend = None,
+        let reply = self.shared.store.txn(txn).await?;
+        // After a refusal the watch brings the write that went before.
+        self.contend = None;
+        if reply.succeeded {
+            self.adopt(reply.version.0.unsigned_abs());
         }
         Ok(())
     }
