Test the choice, the queue, the runner list and the gossip

Found by the tests: without prompt parts all nodes preferred one and the same idle runner (the tie was broken by a hash of nothing); the estimate of a wait counted less urgent requests as ahead. Both are mended. The tests run on the paused clock; the datagram codec is fuzzed.

--- a/src/dispatch/board_shared.rs
+++ b/src/dispatch/board_shared.rs
@@ -4,8 +4,8 @@
     super::{
         Place, Refused, Wanted,
         board_state::BoardState,
-        outlook::{Outlook, copy_outlook, room_outlook},
-        service_runners::{Chosen, ServiceRunners},
+        outlook::{goes_on, next_look, outlook},
+        service_runners::Chosen,
         wait_queue::{Answer, Ask, Waiter},
         waiting::{Verdict, Waiting},
     },
@@ -20,9 +20,6 @@
     },
 };
 
-/// The shortest time between two looks at a request that waits.
-const LOOK_MS: u64 = 20;
-
 #[derive(Debug)]
 pub(super) struct BoardShared {
     pub(super) zone: ZoneId,
@@ -38,8 +35,8 @@
 
 /// An answer to a waiting request, given once the state is unlocked.
 pub(super) struct Grant {
-    sender: oneshot::Sender<Answer>,
-    answer: Answer,
+    pub(super) sender: oneshot::Sender<Answer>,
+    pub(super) answer: Answer,
 }
 
 /// What a request gets at first.
@@ -187,7 +184,9 @@
             if let Some(slot) = service.slot(key) {
                 slot.release(&place.load);
             }
-            service.demand.finished(variant.map(|v| &v.model), now);
+            if outcome.held_place() {
+                service.demand.finished(variant.map(|v| &v.model), now);
+            }
             service.ended(key, variant, outcome, place.time(now), now);
             self.pump(service, grants, now);
         });
@@ -199,113 +198,8 @@
         self.waiting_demand.send_modify(|count| *count += 1);
         self.gossip_now.notify_one();
     }
-
-    fn pump(self: &Arc<Self>, service: &mut ServiceRunners, grants: &mut Vec<Grant>, now: Instant) {
-        if service.queue.is_empty() {
-            return;
-        }
-        let mut blocked = Vec::new();
-        let mut kept = Vec::new();
-        for mut waiter in service.queue.take_ordered(now) {
-            let first_try = waiter.ask.tried.is_empty();
-            if first_try && blocked.contains(&waiter.ask.variant) {
-                kept.push(waiter);
-                continue;
-            }
-            match service.choose(&waiter.ask, &self.zone, now) {
-                Chosen::Runner(position) => {
-                    let place = self.seat(service, position, &waiter.ask, now);
-                    let sender = waiter.sender;
-                    let answer = Ok(place);
-                    grants.push(Grant { sender, answer });
-                    continue;
-                }
-                chosen => waiter.no_copy = chosen == Chosen::NoCopy,
-            }
-            if first_try {
-                blocked.push(waiter.ask.variant.clone());
-            }
-            kept.push(waiter);
-        }
-        service.queue.put_back(kept);
-    }
-
-    fn seat(
-        self: &Arc<Self>,
-        service: &mut ServiceRunners,
-        position: usize,
-        ask: &Ask,
-        now: Instant,
-    ) -> Place {
-        let name = service.name.clone();
-        let slot = &mut service.slots[position];
-        let load = slot.reserve(ask);
-        self.gossip_soon.notify_one();
-        Place {
-            runner: slot.entry.clone(),
-            priority: ask.priority.min(9),
-            service: name,
-            load,
-            output_tokens: ask.need.kv_tokens.saturating_sub(ask.need.prompt_tokens),
-            started_at: now,
-            first_event_at: None,
-            outcome: None,
-            board: self.clone(),
-        }
-    }
 }
 
 fn engine_of<'a>(map: Option<&'a RouteMap>, service: &ServiceId) -> Option<&'a EngineSpec> {
     map?.config().service(service)?.engine.as_ref()
 }
-
-fn outlook(
-    service: &ServiceRunners,
-    engine: Option<&EngineSpec>,
-    ask: &Ask,
-    chosen: Chosen,
-    id: u64,
-    now: Instant,
-) -> Outlook {
-    match chosen {
-        Chosen::NoCopy => copy_outlook(service, engine, ask, now),
-        _ => room_outlook(service, ask.variant.as_ref().map(|v| &v.model), id, now),
-    }
-}
-
-/// Returns when to decide whether a request goes on waiting.
-fn next_look(ask: &Ask, chosen: Chosen, outlook: Outlook, since: Instant, now: Instant) -> Instant {
-    let left = ask.give_up_at.saturating_duration_since(now);
-    let mut at = now + left / 2;
-    if chosen == Chosen::NoCopy {
-        at = at.min((since + outlook.patience()).max(now + left / 8));
-    }
-    if let Chosen::Full(Some(retry_at)) = chosen {
-        at = at.min(retry_at);
-    }
-    let soonest = now + Duration::from_millis(LOOK_MS);
-    at.max(soonest).min(ask.give_up_at)
-}
-
-/// Returns whether a place can be expected in time.
-fn goes_on(waiter: &Waiter, chosen: Chosen, outlook: Outlook, now: Instant) -> bool {
-    let left = waiter.ask.give_up_at.saturating_duration_since(now);
-    let total = waiter
-        .ask
-        .give_up_at
-        .saturating_duration_since(waiter.since);
-    if left.is_zero() {
-        return false;
-    }
-    match chosen {
-        Chosen::NoCopy => {
-            let possible = left > Duration::from_millis(outlook.least_ms);
-            possible && now < waiter.since + outlook.patience()
-        }
-        _ if left * 2 > total => true,
-        _ => {
-            let expected = outlook.expected_ms.map(Duration::from_millis);
-            expected.is_some_and(|expected| expected < left)
-        }
-    }
-}
--- a/src/dispatch/board_state.rs
+++ b/src/dispatch/board_state.rs
@@ -60,18 +60,17 @@
         services.find_map(|service| service.slot(key))
     }
 
+    fn slots(&mut self) -> impl Iterator<Item = &mut RunnerSlot> {
+        let services = self.services.iter_mut();
+        services.flat_map(|service| &mut service.slots)
+    }
+
     /// Takes over the list of runners; returns whether one is leaving that was not before.
     pub(super) fn set_runners(&mut self, runners: Vec<RunnerEntry>, now: Instant) -> bool {
         let mut left = Vec::new();
-        let slots = self
-            .services
-            .iter_mut()
-            .flat_map(|service| &mut service.slots);
-        let listed_before = slots.filter_map(|slot| {
-            let was_listed = std::mem::take(&mut slot.listed);
-            was_listed.then(|| slot.entry.key.clone())
-        });
-        let listed_before: Vec<RunnerKey> = listed_before.collect();
+        for slot in self.slots() {
+            slot.seen = false;
+        }
         for entry in runners {
             let key = entry.key.clone();
             let service = self.service(&entry.service);
@@ -84,9 +83,10 @@
                 Err(position) => service.slots.insert(position, RunnerSlot::new(entry, now)),
             }
         }
-        for key in listed_before {
-            if self.slot(&key).is_some_and(|slot| !slot.listed) {
-                left.push(key);
+        for slot in self.slots() {
+            if slot.listed && !slot.seen {
+                slot.listed = false;
+                left.push(slot.entry.key.clone());
             }
         }
         for service in &mut self.services {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -15,6 +15,7 @@
 mod residency;
 mod runner_health;
 mod runner_slot;
+mod seating;
 mod service_runners;
 mod types;
 mod wait_queue;
--- a/src/dispatch/outlook.rs
+++ b/src/dispatch/outlook.rs
@@ -1,8 +1,12 @@
 //! How long a request will probably wait for a place.
 
 use {
-    super::{Refused, service_runners::ServiceRunners, wait_queue::Ask},
-    crate::traffic::{EngineSpec, ModelId},
+    super::{
+        Refused,
+        service_runners::{Chosen, ServiceRunners},
+        wait_queue::{Ask, Waiter},
+    },
+    crate::traffic::EngineSpec,
     rand::RngExt,
     std::time::Duration,
     tokio::time::Instant,
@@ -11,6 +15,12 @@
 /// The time in which a missing adapter is usually there, in milliseconds.
 const ADAPTER_MS: u64 = 150;
 
+/// The shortest time between two looks at a request that waits, in milliseconds.
+const LOOK_MS: u64 = 20;
+
+/// The requests ahead from which the wait is taken to be as long as it seems.
+const AHEAD_MIN: usize = 8;
+
 /// The shortest time in which a missing adapter can be there, in milliseconds.
 const ADAPTER_LEAST_MS: u64 = 20;
 
@@ -54,7 +64,7 @@
 }
 
 /// Estimates the wait for a runner that will hold what is wanted.
-pub(super) fn copy_outlook(
+fn copy_outlook(
     service: &ServiceRunners,
     engine: Option<&EngineSpec>,
     ask: &Ask,
@@ -86,22 +96,78 @@
 }
 
 /// Estimates the wait for room at runners that hold what is wanted.
-pub(super) fn room_outlook(
-    service: &ServiceRunners,
-    model: Option<&ModelId>,
-    id: u64,
-    now: Instant,
-) -> Outlook {
-    let waiters = service.queue.iter().take_while(|waiter| waiter.id != id);
-    let same_model = waiters.filter(|waiter| {
-        let wanted = waiter.ask.variant.as_ref();
-        wanted.map(|variant| &variant.model) == model
-    });
+fn room_outlook(service: &ServiceRunners, ask: &Ask, id: u64, now: Instant) -> Outlook {
+    let (model, rank) = (ask.model(), ask.rank(id, now));
+    let waiters = service.queue.iter();
+    let same_model = waiters.filter(|w| w.ask.model() == model && w.rank(now) < rank);
     let ahead = same_model.count();
     let per_s = service.demand.finishes_per_s(model, now);
     let expected_ms = ((ahead + 1) as f64 / per_s.max(RATE_MIN_PER_S) * 1_000.0) as u64;
+    let known = per_s >= RATE_MIN_PER_S;
     Outlook {
-        expected_ms: (per_s >= RATE_MIN_PER_S).then_some(expected_ms),
-        least_ms: 0,
+        expected_ms: known.then_some(expected_ms),
+        least_ms: if known && ahead >= AHEAD_MIN {
+            expected_ms / 2
+        } else {
+            0
+        },
+    }
+}
+
+/// Estimates the wait of a request for which there is no runner now.
+pub(super) fn outlook(
+    service: &ServiceRunners,
+    engine: Option<&EngineSpec>,
+    ask: &Ask,
+    chosen: Chosen,
+    id: u64,
+    now: Instant,
+) -> Outlook {
+    match chosen {
+        Chosen::NoCopy => copy_outlook(service, engine, ask, now),
+        _ => room_outlook(service, ask, id, now),
+    }
+}
+
+/// Returns when to decide whether a request goes on waiting.
+pub(super) fn next_look(
+    ask: &Ask,
+    chosen: Chosen,
+    outlook: Outlook,
+    since: Instant,
+    now: Instant,
+) -> Instant {
+    let left = ask.give_up_at.saturating_duration_since(now);
+    let mut at = now + left / 2;
+    if chosen == Chosen::NoCopy {
+        at = at.min((since + outlook.patience()).max(now + left / 8));
+    }
+    if let Chosen::Full(Some(retry_at)) = chosen {
+        at = at.min(retry_at);
+    }
+    let soonest = now + Duration::from_millis(LOOK_MS);
+    at.max(soonest).min(ask.give_up_at)
+}
+
+/// Returns whether a place can be expected in time.
+pub(super) fn goes_on(waiter: &Waiter, chosen: Chosen, outlook: Outlook, now: Instant) -> bool {
+    let left = waiter.ask.give_up_at.saturating_duration_since(now);
+    let total = waiter
+        .ask
+        .give_up_at
+        .saturating_duration_since(waiter.since);
+    if left.is_zero() {
+        return false;
+    }
+    match chosen {
+        Chosen::NoCopy => {
+            let possible = left > Duration::from_millis(outlook.least_ms);
+            possible && now < waiter.since + outlook.patience()
+        }
+        _ if left * 2 > total => true,
+        _ => {
+            let expected = outlook.expected_ms.map(Duration::from_millis);
+            expected.is_some_and(|expected| expected < left)
+        }
     }
 }
--- a/src/dispatch/place.rs
+++ b/src/dispatch/place.rs
@@ -28,8 +28,10 @@
     pub fn first_event(&mut self, at: Instant) {
         if self.first_event_at.is_none() {
             self.first_event_at = Some(at);
-            let board = self.board.clone();
-            board.first_event(self, at);
+            if self.load.variant.is_some() {
+                let board = self.board.clone();
+                board.first_event(self, at);
+            }
         }
     }
 
--- a/src/dispatch/prefix_record.rs
+++ b/src/dispatch/prefix_record.rs
@@ -36,8 +36,8 @@
     }
 
     /// Returns a number that is the same on all nodes for requests that share their first part.
-    pub fn first_hash(&self) -> u64 {
-        self.links.first().map_or(0, |link| link.hash)
+    pub fn first_hash(&self) -> Option<u64> {
+        self.links.first().map(|link| link.hash)
     }
 }
 
--- a/src/dispatch/runner_health.rs
+++ b/src/dispatch/runner_health.rs
@@ -12,7 +12,7 @@
 const FAILURES_ABOVE: f64 = 0.3;
 
 const OUT_MIN_MS: u64 = 150;
-const OUT_MAX_MS: u64 = 2_400;
+const OUT_MAX_MS: u64 = 1_200;
 const SHED_MS: u64 = 40;
 const WRONG_RUNNER_MS: u64 = 5_000;
 
--- a/src/dispatch/runner_slot.rs
+++ b/src/dispatch/runner_slot.rs
@@ -35,6 +35,8 @@
     base: Arc<RunnerEntry>,
     pub(super) entry: Arc<RunnerEntry>,
     pub(super) listed: bool,
+    /// Whether the list that is being taken over has it.
+    pub(super) seen: bool,
     pub(super) health: RunnerHealth,
     pub(super) own: NodeLoad,
     overlay: ResidencyOverlay,
@@ -57,6 +59,7 @@
             entry: base.clone(),
             base,
             listed: true,
+            seen: true,
             health: RunnerHealth::default(),
             own: NodeLoad::default(),
             overlay: ResidencyOverlay::default(),
@@ -72,7 +75,11 @@
 
     /// Takes over a newer entry; returns whether the runner is leaving from now on.
     pub(super) fn update(&mut self, entry: RunnerEntry, now: Instant) -> bool {
-        self.listed = true;
+        self.seen = true;
+        if !self.listed {
+            self.listed = true;
+            self.leaving_until = None;
+        }
         if *self.base == entry {
             return false;
         }
--- /dev/null
+++ b/src/dispatch/seating.rs
@@ -0,0 +1,75 @@
+//! Gives places to requests, the most urgent first.
+
+use {
+    super::{
+        Place,
+        board_shared::{BoardShared, Grant},
+        service_runners::{Chosen, ServiceRunners},
+        wait_queue::Ask,
+    },
+    std::sync::Arc,
+    tokio::time::Instant,
+};
+
+impl BoardShared {
+    /// Gives places to the waiting requests of a service that can have them now.
+    pub(super) fn pump(
+        self: &Arc<Self>,
+        service: &mut ServiceRunners,
+        grants: &mut Vec<Grant>,
+        now: Instant,
+    ) {
+        if service.queue.is_empty() {
+            return;
+        }
+        let mut blocked = Vec::new();
+        let mut kept = Vec::new();
+        for mut waiter in service.queue.take_ordered(now) {
+            let first_try = waiter.ask.tried.is_empty();
+            if first_try && blocked.contains(&waiter.ask.variant) {
+                kept.push(waiter);
+                continue;
+            }
+            match service.choose(&waiter.ask, &self.zone, now) {
+                Chosen::Runner(position) => {
+                    let place = self.seat(service, position, &waiter.ask, now);
+                    let sender = waiter.sender;
+                    let answer = Ok(place);
+                    grants.push(Grant { sender, answer });
+                    continue;
+                }
+                chosen => waiter.no_copy = chosen == Chosen::NoCopy,
+            }
+            if first_try {
+                blocked.push(waiter.ask.variant.clone());
+            }
+            kept.push(waiter);
+        }
+        service.queue.put_back(kept);
+    }
+
+    /// Seats a request at a runner.
+    pub(super) fn seat(
+        self: &Arc<Self>,
+        service: &mut ServiceRunners,
+        position: usize,
+        ask: &Ask,
+        now: Instant,
+    ) -> Place {
+        let name = service.name.clone();
+        let slot = &mut service.slots[position];
+        let load = slot.reserve(ask);
+        self.gossip_soon.notify_one();
+        Place {
+            runner: slot.entry.clone(),
+            priority: ask.priority.min(9),
+            service: name,
+            load,
+            output_tokens: ask.need.kv_tokens.saturating_sub(ask.need.prompt_tokens),
+            started_at: now,
+            first_event_at: None,
+            outcome: None,
+            board: self.clone(),
+        }
+    }
+}
--- a/src/dispatch/service_runners.rs
+++ b/src/dispatch/service_runners.rs
@@ -18,7 +18,7 @@
 /// The weight of the newest time in the mean of a model.
 const NEWEST_WEIGHT: f64 = 0.05;
 
-/// What affinity among nodes is worth, in milliseconds.
+/// What affinity among nodes, or chance where there is none, is worth, in milliseconds.
 const AFFINITY_MS: f64 = 4.0;
 
 /// Costs that differ by less are equal, in milliseconds.
@@ -86,7 +86,10 @@
             let Some(cost) = cost_ms(&ask.need, &slot.candidate(ask, zone, now)) else {
                 continue;
             };
-            let affinity_ms = slot.affinity(ask.chain.first_hash()) * AFFINITY_MS;
+            let affinity_ms = match ask.chain.first_hash() {
+                Some(hash) => slot.affinity(hash) * AFFINITY_MS,
+                None => rng.random_range(0.0..AFFINITY_MS),
+            };
             let cost = cost + affinity_ms + rng.random_range(0.0..EQUAL_MS);
             if best.is_none_or(|(_, least)| cost < least) {
                 best = Some((position, cost));
--- a/src/dispatch/types.rs
+++ b/src/dispatch/types.rs
@@ -67,6 +67,16 @@
     Cancelled,
 }
 
+impl TryOutcome {
+    /// Returns whether the request took up a place at the runner.
+    pub fn held_place(self) -> bool {
+        match self {
+            Self::Complete | Self::Failed | Self::Broken | Self::Cancelled => true,
+            Self::Shed | Self::Absent | Self::WrongRunner | Self::Unreachable => false,
+        }
+    }
+}
+
 /// A change of what a runner holds, known before the runner's entry shows it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ResidencyNote {
--- a/src/dispatch/wait_queue.rs
+++ b/src/dispatch/wait_queue.rs
@@ -2,13 +2,21 @@
 
 use {
     super::{Need, Place, PromptChain, Refused, Variant, Wanted},
-    crate::{discovery::RunnerKey, relay::Generation, traffic::EngineSpec},
+    crate::{
+        discovery::RunnerKey,
+        relay::Generation,
+        traffic::{EngineSpec, ModelId},
+    },
+    std::time::Duration,
     tokio::{sync::oneshot, time::Instant},
 };
 
 /// Requests that may wait for one service.
 const WAITERS_MAX: usize = 512;
 
+/// The time from a place to the first part of the answer, in milliseconds.
+const ANSWER_MS: u64 = 50;
+
 /// What a request asks for, worked out once.
 #[derive(Debug)]
 pub(super) struct Ask {
@@ -51,8 +59,20 @@
             give_up_at: wanted.give_up_at,
         })
     }
+
+    pub(super) fn rank(&self, id: u64, now: Instant) -> Rank {
+        let late = self.target_at < now + Duration::from_millis(ANSWER_MS);
+        (self.priority, late, self.target_at, id)
+    }
+
+    pub(super) fn model(&self) -> Option<&ModelId> {
+        self.variant.as_ref().map(|variant| &variant.model)
+    }
 }
 
+/// The order of requests that wait: by urgency, those in time, what is due first, by age.
+pub(super) type Rank = (u8, bool, Instant, u64);
+
 /// Returns the memory that a whole run probably needs.
 fn kv_tokens(generation: &Generation) -> u64 {
     let output_max = u64::from(generation.output_tokens_max);
@@ -77,9 +97,8 @@
 }
 
 impl Waiter {
-    fn rank(&self, now: Instant) -> (u8, bool, Instant, u64) {
-        let ask = &self.ask;
-        (ask.priority, ask.target_at < now, ask.target_at, self.id)
+    pub(super) fn rank(&self, now: Instant) -> Rank {
+        self.ask.rank(self.id, now)
     }
 }
 
--- /dev/null
+++ b/tests/common/board_rig.rs
@@ -0,0 +1,159 @@
+//! A board with runners, and requests for them.
+
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+use {
+    greengagetrail::{
+        discovery::{ResidentModel, RunnerEntry, RunnerKey, RunnerState},
+        dispatch::{Dispatcher, Place, ResidencyNote, RunnerBoard, Wanted},
+        relay::Generation,
+        traffic::{
+            CallerLimits, ConfigVersion, EngineSpec, ModelSpec, RouteMap, ServiceSpec,
+            TrafficBoard, TrafficConfig,
+        },
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::time::Instant,
+};
+
+pub const ENGINES: &str = "engines";
+pub const DESK: &str = "desk";
+pub const SLOTS: u32 = 4;
+
+pub struct Rig {
+    pub board: Arc<RunnerBoard>,
+    pub dispatcher: Dispatcher,
+}
+
+/// Makes a board in the zone "east" with a configuration of an engine and a plain service.
+pub fn rig(runners: Vec<RunnerEntry>) -> Rig {
+    let traffic = Arc::new(TrafficBoard::default());
+    assert!(traffic.offer(RouteMap::new(config())));
+    let board = Arc::new(RunnerBoard::new("east".into(), traffic));
+    board.set_runners(runners);
+    let dispatcher = Dispatcher::new(board.clone());
+    Rig { board, dispatcher }
+}
+
+fn config() -> TrafficConfig {
+    let models = ["m1", "m2", "rare"].map(|name| ModelSpec {
+        name: name.into(),
+        weights_mb: 10.0,
+        load_s: 1.0,
+        warm_s: 0.5,
+        disk_s: 0.7,
+        adapters: 2,
+        adapter_mb: 1.0,
+    });
+    let engine = EngineSpec {
+        slots: SLOTS,
+        kv_capacity_tokens: 10_000,
+        weights_mb: 20.0,
+        adapter_slots: 2,
+        loads_per_s: 1.0,
+        models: models.into(),
+    };
+    let service = |name: &str, engine| ServiceSpec {
+        name: name.into(),
+        connections_max: 100,
+        engine,
+    };
+    TrafficConfig {
+        version: ConfigVersion(1),
+        routes: Vec::new(),
+        services: vec![service(DESK, None), service(ENGINES, Some(engine))],
+        limits: CallerLimits {
+            head_max_bytes: 1,
+            body_max_bytes: 1,
+            head_timeout_ms: 1,
+            idle_timeout_ms: 1,
+        },
+    }
+}
+
+/// Describes a ready runner in the zone "east" that holds models with adapters.
+pub fn runner(name: &str, models: &[(&str, &[&str])]) -> RunnerEntry {
+    let models = models.iter().map(|(model, adapters)| ResidentModel {
+        model: (*model).into(),
+        version: 1,
+        adapters: adapters.iter().map(|name| (*name).into()).collect(),
+    });
+    RunnerEntry {
+        key: RunnerKey {
+            id: name.into(),
+            born_unix_ms: 1,
+        },
+        service: ENGINES.into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "east".into(),
+        slots: SLOTS,
+        state: RunnerState::Ready,
+        cold_remaining_ms: 0,
+        models: models.collect(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+        orders_accepted: 0,
+    }
+}
+
+/// Describes a ready runner of the plain service.
+pub fn desk(name: &str) -> RunnerEntry {
+    RunnerEntry {
+        service: DESK.into(),
+        ..runner(name, &[])
+    }
+}
+
+/// Wants a short generation with a model or "model/adapter" within ten seconds.
+pub fn wanted(model: &str) -> Wanted {
+    let (model, adapter) = match model.split_once('/') {
+        Some((model, adapter)) => (model, Some(adapter.into())),
+        None => (model, None),
+    };
+    let generation = Generation {
+        model: model.into(),
+        adapter,
+        prompt_tokens: 100,
+        output_tokens_max: 100,
+        output_tokens_hint: None,
+        parts: Vec::new(),
+    };
+    Wanted {
+        service: ENGINES.into(),
+        generation: Some(generation),
+        priority: 1,
+        target_at: Instant::now() + Duration::from_secs(1),
+        give_up_at: Instant::now() + Duration::from_secs(10),
+        tried: Vec::new(),
+    }
+}
+
+/// Wants an answer of the plain service.
+pub fn wanted_desk() -> Wanted {
+    Wanted {
+        service: DESK.into(),
+        generation: None,
+        ..wanted("m1")
+    }
+}
+
+pub fn note(runner: &str, model: &str, adapter: Option<&str>, held: bool) -> ResidencyNote {
+    ResidencyNote {
+        runner: runner.into(),
+        born_unix_ms: 1,
+        model: model.into(),
+        adapter: adapter.map(Into::into),
+        held,
+    }
+}
+
+pub fn name(place: &Place) -> &str {
+    place.runner.key.id.as_str()
+}
+
+/// Lets other tasks go on.
+pub async fn settle() {
+    for _ in 0..20 {
+        tokio::task::yield_now().await;
+    }
+}
--- /dev/null
+++ b/tests/discovery_follow.rs
@@ -0,0 +1,224 @@
+//! Following the platform's list of runners through changes and outages.
+
+#[path = "common/board_rig.rs"]
+mod board_rig;
+
+use {
+    board_rig::*,
+    bytes::Bytes,
+    greengagetrail::{
+        discovery::{RunnerEntry, follow_runners},
+        node::{FormatError, Formats, StoreKeys},
+        relay::{AnswerHead, CallHead, ForwardHead, HeadError},
+        standin::kv::{KvFaults, MemoryStore},
+        store::{LeaseId, Op, Store, Txn},
+        traffic::TrafficConfig,
+    },
+    hyper::{HeaderMap, http},
+    std::{sync::Arc, time::Duration},
+    tokio::time::{Instant, sleep},
+};
+
+/// Reads entries of the form "BORN MODEL".
+struct TextFormats;
+
+impl Formats for TextFormats {
+    fn keys(&self) -> StoreKeys {
+        StoreKeys {
+            config: "config".to_owned(),
+            runners_prefix: "runners/".to_owned(),
+            own_prefix: "own/".to_owned(),
+        }
+    }
+
+    fn read_runner(&self, key: &str, bytes: &[u8]) -> Result<RunnerEntry, FormatError> {
+        let wrong = || FormatError {
+            what: "a runner",
+            reason: "wrong".to_owned(),
+        };
+        let text = std::str::from_utf8(bytes).map_err(|_| wrong())?;
+        let (born, model) = text.split_once(' ').ok_or_else(wrong)?;
+        let name = key.strip_prefix("runners/").ok_or_else(wrong)?;
+        let mut entry = runner(name, &[(model, &[])]);
+        entry.key.born_unix_ms = born.parse().map_err(|_| wrong())?;
+        Ok(entry)
+    }
+
+    fn read_config(&self, _: &[u8]) -> Result<TrafficConfig, FormatError> {
+        unreachable!()
+    }
+
+    fn read_call(&self, _: &http::request::Parts) -> Result<CallHead, HeadError> {
+        unreachable!()
+    }
+
+    fn write_forward(&self, _: &mut HeaderMap, _: &ForwardHead) {}
+
+    fn read_answer(&self, _: &http::response::Parts) -> AnswerHead {
+        unreachable!()
+    }
+
+    fn write_retry_after(&self, _: &mut HeaderMap, _: u64) {}
+}
+
+struct Follow {
+    /// The platform's side of the store.
+    store: MemoryStore,
+    /// The node's side.
+    link: MemoryStore,
+    rig: Rig,
+}
+
+async fn follow(entries: &[(&str, &str)]) -> Follow {
+    let store = MemoryStore::new();
+    for (name, value) in entries {
+        put(&store, name, value, None).await;
+    }
+    let link = store.link();
+    let rig = rig(Vec::new());
+    let (shared, formats) = (Arc::new(link.clone()), Arc::new(TextFormats));
+    tokio::spawn(follow_runners(shared, formats, rig.board.clone()));
+    sleep(ms(50)).await;
+    Follow { store, link, rig }
+}
+
+async fn put(store: &MemoryStore, name: &str, value: &str, lease: Option<LeaseId>) {
+    let op = Op::Put {
+        key: format!("runners/{name}"),
+        value: Bytes::copy_from_slice(value.as_bytes()),
+        lease,
+    };
+    run(store, op).await;
+}
+
+async fn remove(store: &MemoryStore, name: &str) {
+    let key = format!("runners/{name}");
+    run(store, Op::Delete { key }).await;
+}
+
+async fn run(store: &MemoryStore, op: Op) {
+    let txn = Txn {
+        then: vec![op],
+        ..Txn::default()
+    };
+    assert!(store.txn(txn).await.unwrap().succeeded);
+}
+
+impl Follow {
+    fn names(&self) -> String {
+        let runners = self.rig.board.runners();
+        let names = runners.iter().map(|view| {
+            let key = &view.entry.key;
+            format!("{}{}", key.id, key.born_unix_ms)
+        });
+        names.collect::<Vec<_>>().join(" ")
+    }
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+const DOWN: KvFaults = KvFaults {
+    down: true,
+    silent: false,
+    slow_ms: 0,
+    lost_answers: 0,
+    lost_calls: 0,
+    watch_silent: false,
+    watch_stale: false,
+};
+
+#[tokio::test(start_paused = true)]
+async fn changes_are_seen_well_within_the_time_to_drain() {
+    let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
+    assert_eq!(follow.names(), "a1 b1");
+    for round in 0..5 {
+        put(&follow.store, "c", "1 m1", None).await;
+        sleep(ms(100)).await;
+        remove(&follow.store, "c").await;
+        put(&follow.store, "d", &format!("{round} m1"), None).await;
+        sleep(ms(1_000)).await;
+        assert_eq!(follow.names(), format!("a1 b1 d{round}"));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn many_changes_cost_few_calls() {
+    let follow = follow(&[("a", "1 m1")]).await;
+    let before = follow.rig.board.runners().len();
+    assert_eq!(before, 1);
+    let start = Instant::now();
+    let mut receiver_changes = 0;
+    let mut last = String::new();
+    while start.elapsed() < ms(8_000) {
+        put(
+            &follow.store,
+            "a",
+            &format!("{} m1", start.elapsed().as_millis()),
+            None,
+        )
+        .await;
+        sleep(ms(20)).await;
+        if follow.names() != last {
+            last = follow.names();
+            receiver_changes += 1;
+        }
+    }
+    assert!((5..=12).contains(&receiver_changes), "{receiver_changes}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_cannot_be_read_names_no_runner() {
+    let follow = follow(&[("a", "1 m1"), ("b", "broken"), ("c", "1 m1")]).await;
+    assert_eq!(follow.names(), "a1 c1");
+    put(&follow.store, "a", "\u{0}", None).await;
+    sleep(ms(1_000)).await;
+    assert_eq!(follow.names(), "c1");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_takes_no_runner_away() {
+    let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
+    follow.link.set_faults(DOWN);
+    sleep(ms(100)).await;
+    remove(&follow.store, "a").await;
+    remove(&follow.store, "b").await;
+    sleep(ms(10_000)).await;
+    assert_eq!(follow.names(), "a1 b1");
+    follow.link.set_faults(KvFaults::default());
+    sleep(ms(1_500)).await;
+    assert_eq!(follow.names(), "a1 b1");
+    // One of them registers itself again, the other does not.
+    put(&follow.store, "b", "1 m1", None).await;
+    sleep(ms(2_000)).await;
+    assert_eq!(follow.names(), "b1");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_watch_that_was_cut_without_an_outage_keeps_nothing_alive() {
+    let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
+    let state = follow.store.copy_state();
+    remove(&follow.store, "a").await;
+    let after = follow.store.copy_state();
+    drop(state);
+    follow.store.restore(after);
+    sleep(ms(1_200)).await;
+    assert_eq!(follow.names(), "b1");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_that_restarts_under_its_name_is_another() {
+    let follow = follow(&[("a", "1 m1")]).await;
+    put(&follow.store, "a", "2 m1", None).await;
+    sleep(ms(1_000)).await;
+    assert_eq!(follow.names(), "a2");
+}
+
+#[tokio::test(start_paused = true)]
+async fn more_entries_than_a_page_are_all_read() {
+    let names: Vec<_> = (0..1_234).map(|number| format!("r{number:04}")).collect();
+    let entries: Vec<_> = names.iter().map(|name| (name.as_str(), "1 m1")).collect();
+    let follow = follow(&entries).await;
+    assert_eq!(follow.rig.board.runners().len(), 1_234);
+}
--- /dev/null
+++ b/tests/dispatch_waiting.rs
@@ -0,0 +1,263 @@
+//! The order in which waiting requests get places, and which are refused.
+
+#[path = "common/board_rig.rs"]
+mod board_rig;
+
+use {
+    board_rig::*,
+    greengagetrail::{
+        dispatch::{Place, Refused, TryOutcome, Wanted},
+        relay::PromptPart,
+    },
+    std::time::Duration,
+    tokio::{
+        task::JoinHandle,
+        time::{Instant, advance, sleep},
+    },
+};
+
+type Answer = Result<Place, Refused>;
+
+async fn wait_for(rig: &Rig, wanted: Wanted) -> JoinHandle<Answer> {
+    let dispatcher = rig.dispatcher.clone();
+    let task = tokio::spawn(async move { dispatcher.place(&wanted).await });
+    settle().await;
+    task
+}
+
+/// Takes all places of the only runner.
+async fn fill(rig: &Rig, model: &str) -> Vec<Place> {
+    let mut places = Vec::new();
+    for _ in 0..SLOTS {
+        places.push(rig.dispatcher.place(&wanted(model)).await.unwrap());
+    }
+    places
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_freed_place_goes_to_the_most_urgent_then_to_the_first_due() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    let mut places = fill(&rig, "m1").await;
+    let now = Instant::now();
+    let of = |priority, target_ms| Wanted {
+        priority,
+        target_at: now + ms(target_ms),
+        ..wanted("m1")
+    };
+    // The last can no longer be on time, so it comes after the others of its rank.
+    let waiting = [of(2, 500), of(1, 900), of(1, 700), of(1, 10), of(2, 400)];
+    let mut tasks = Vec::new();
+    for wanted in waiting {
+        tasks.push(wait_for(&rig, wanted).await);
+    }
+    advance(ms(20)).await;
+    for expected in [2, 1, 3, 4, 0] {
+        places.remove(0).finish(TryOutcome::Complete);
+        settle().await;
+        let done: Vec<_> = (0..tasks.len())
+            .filter(|index| tasks[*index].is_finished())
+            .collect();
+        assert!(done.contains(&expected), "{expected}: {done:?}");
+        let task = std::mem::replace(&mut tasks[expected], tokio::spawn(std::future::pending()));
+        places.push(task.await.unwrap().unwrap());
+        assert!(!tasks.iter().any(JoinHandle::is_finished));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_newcomer_does_not_overtake_a_large_request_that_waits() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    let place = rig.dispatcher.place(&wanted("m1")).await.unwrap();
+    let mut large = wanted("m1");
+    large.generation.as_mut().unwrap().prompt_tokens = 9_900;
+    let large = wait_for(&rig, large).await;
+    let small = wait_for(&rig, wanted("m1")).await;
+    assert!(!large.is_finished() && !small.is_finished());
+    drop(place);
+    settle().await;
+    assert!(large.is_finished() && !small.is_finished());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_for_one_model_does_not_hold_up_another() {
+    let rig = rig(vec![
+        runner("a", &[("m1", &[])]),
+        runner("b", &[("m2", &[])]),
+    ]);
+    let _places = fill(&rig, "m1").await;
+    let blocked = wait_for(&rig, wanted("m1")).await;
+    let free = wait_for(&rig, wanted("m2")).await;
+    assert!(free.is_finished() && !blocked.is_finished());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_waits_for_a_copy_that_comes() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    let adapter = wait_for(&rig, wanted("m1/a1")).await;
+    let model = wait_for(&rig, wanted("m2")).await;
+    sleep(ms(60)).await;
+    rig.board.note_residency(&note("a", "m1", Some("a1"), true));
+    settle().await;
+    assert!(adapter.is_finished() && !model.is_finished());
+    sleep(ms(1_200)).await;
+    rig.board.note_residency(&note("a", "m2", None, true));
+    assert!(model.await.unwrap().is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_copy_that_cannot_come_in_time_is_refused_at_once() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    let mut short = wanted("rare");
+    short.give_up_at = Instant::now() + ms(300);
+    let refused = wait_for(&rig, short).await;
+    assert!(refused.is_finished());
+    let refused = refused.await.unwrap().unwrap_err();
+    assert!((1_000..3_000).contains(&refused.retry_after_ms));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_copy_that_does_not_come_is_given_up_well_before_the_end() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    let started = Instant::now();
+    let refused = rig.dispatcher.place(&wanted("m1/a1")).await;
+    assert!(refused.is_err());
+    assert!(started.elapsed() < ms(3_000), "{:?}", started.elapsed());
+    let started = Instant::now();
+    assert!(rig.dispatcher.place(&wanted("rare")).await.is_err());
+    let waited = started.elapsed();
+    assert!(waited > ms(2_000) && waited <= ms(5_000), "{waited:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_undeclared_model_is_refused_at_once() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    let started = Instant::now();
+    assert!(rig.dispatcher.place(&wanted("unknown")).await.is_err());
+    assert_eq!(started.elapsed(), ms(0));
+    assert_eq!(rig.board.demand(), []);
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_any_progress_half_of_the_time_is_waited() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    let _places = fill(&rig, "m1").await;
+    let started = Instant::now();
+    assert!(rig.dispatcher.place(&wanted("m1")).await.is_err());
+    assert_eq!(started.elapsed(), ms(5_000));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_long_queue_refuses_those_that_it_cannot_serve() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    let mut places = fill(&rig, "m1").await;
+    let mut waiting = Vec::new();
+    for _ in 0..40 {
+        let mut patient = wanted("m1");
+        patient.target_at += ms(5_000);
+        waiting.push(wait_for(&rig, patient).await);
+    }
+    // Four requests end in a second.
+    for _ in 0..8 {
+        sleep(ms(250)).await;
+        places.remove(0).finish(TryOutcome::Complete);
+        settle().await;
+        if let Some(done) = waiting.iter().position(JoinHandle::is_finished) {
+            places.push(waiting.remove(done).await.unwrap().unwrap());
+        }
+    }
+    // It is due after all others.
+    let mut short = wanted("m1");
+    short.target_at += ms(10_000);
+    short.give_up_at = Instant::now() + ms(2_000);
+    let started = Instant::now();
+    let refused = rig.dispatcher.place(&short).await.unwrap_err();
+    assert_eq!(started.elapsed(), ms(0));
+    assert!(refused.retry_after_ms > 2_000);
+    let urgent = Wanted {
+        priority: 0,
+        ..short
+    };
+    let urgent = wait_for(&rig, urgent).await;
+    assert!(!urgent.is_finished());
+    places.pop();
+    assert!(urgent.await.unwrap().is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_withdrawn_request_gives_its_place_to_the_next() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    let mut places = fill(&rig, "m1").await;
+    let first = wait_for(&rig, wanted("m1")).await;
+    let second = wait_for(&rig, wanted("m1")).await;
+    first.abort();
+    settle().await;
+    places.pop();
+    settle().await;
+    assert!(second.is_finished());
+    assert_eq!(rig.board.runners()[0].in_flight, SLOTS);
+    // A place that was granted but never taken over comes back too.
+    let third = wait_for(&rig, wanted("m1")).await;
+    places.pop();
+    third.abort();
+    drop(second.await.unwrap());
+    settle().await;
+    assert_eq!(rig.board.runners()[0].in_flight, SLOTS - 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn too_many_waiting_requests_push_out_the_least_urgent() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    let _places = fill(&rig, "m1").await;
+    let mut least = wanted("m1");
+    least.priority = 3;
+    let least = wait_for(&rig, least).await;
+    let mut others = Vec::new();
+    for _ in 0..512 {
+        others.push(wait_for(&rig, wanted("m1")).await);
+    }
+    assert!(least.is_finished());
+    assert!(least.await.unwrap().is_err());
+    assert!(!others.iter().any(JoinHandle::is_finished));
+}
+
+/// Gives a wanted generation prompt parts, with their tokens.
+fn with_parts(mut wanted: Wanted, parts: &[(u64, u32)]) -> Wanted {
+    let generation = wanted.generation.as_mut().unwrap();
+    let parts = parts.iter().map(|&(id, tokens)| PromptPart { id, tokens });
+    generation.parts = parts.collect();
+    generation.prompt_tokens = generation.parts.iter().map(|part| part.tokens).sum();
+    wanted
+}
+
+#[tokio::test(start_paused = true)]
+async fn shared_prompt_parts_draw_requests_to_one_runner() {
+    let rig = rig(vec![
+        runner("a", &[("m1", &[])]),
+        runner("b", &[("m1", &[])]),
+    ]);
+    let parts = |own| with_parts(wanted("m1"), &[(7, 600), (own, 10)]);
+    let first = rig.dispatcher.place(&parts(1)).await.unwrap();
+    let home = name(&first).to_owned();
+    first.finish(TryOutcome::Complete);
+    for own in 2..20 {
+        let mut place = rig.dispatcher.place(&parts(own)).await.unwrap();
+        place.first_event(Instant::now());
+        assert_eq!(name(&place), home);
+        place.finish(TryOutcome::Complete);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_tried_runner_is_not_chosen_again() {
+    let rig = rig(vec![desk("a"), desk("b")]);
+    let mut wanted = wanted_desk();
+    let first = rig.dispatcher.place(&wanted).await.unwrap();
+    wanted.tried.push(first.runner.key.clone());
+    first.finish(TryOutcome::Failed);
+    let second = rig.dispatcher.place(&wanted).await.unwrap();
+    assert_ne!(second.runner.key, wanted.tried[0]);
+}
--- /dev/null
+++ b/tests/gossip_exchange.rs
@@ -0,0 +1,260 @@
+//! The datagrams between nodes, and what two nodes learn from each other.
+
+#[path = "common/board_rig.rs"]
+mod board_rig;
+
+use {
+    board_rig::*,
+    greengagetrail::{
+        copies::OrderListener,
+        discovery::RunnerKey,
+        dispatch::{ModelDemand, NodeLoad, Variant},
+        gossip::{DATAGRAM_BYTES_MAX, DatagramError, Gossip, Item, Sender, decode, encode},
+        leader::PeerNode,
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        net::UdpSocket,
+        sync::watch,
+        time::{Instant, sleep},
+    },
+};
+
+fn sender() -> Sender {
+    Sender {
+        node: "n1".into(),
+        start: 77,
+        config_version: 5,
+    }
+}
+
+fn items(count: u64) -> Vec<Item> {
+    let load = |number| {
+        let key = RunnerKey {
+            id: format!("runner-{number}").as_str().into(),
+            born_unix_ms: 1_700_000_000_000 + number,
+        };
+        let variant = Variant {
+            model: "m1".into(),
+            adapter: Some("a1".into()),
+        };
+        let load = NodeLoad {
+            requests: 3,
+            kv_tokens: 5_000,
+            prefill_tokens: 100,
+            in_use: vec![(variant, 3)],
+        };
+        [
+            Item::Load(key.clone(), load),
+            Item::Leaving(key),
+            Item::Note(number, note("a", "m1", None, true)),
+            Item::Demand(ModelDemand {
+                service: "s".into(),
+                model: "m1".into(),
+                adapter: None,
+                requests_per_s: 1.5,
+                waiting: 2,
+            }),
+        ]
+    };
+    (0..count).flat_map(load).collect()
+}
+
+#[test]
+fn datagrams_are_small_and_hold_everything_in_order() {
+    for count in [0, 1, 7, 300] {
+        let datagrams = encode(&sender(), items(count));
+        assert!(datagrams.iter().all(|d| d.len() <= DATAGRAM_BYTES_MAX));
+        let read: Vec<_> = datagrams.iter().map(|d| decode(d).unwrap()).collect();
+        assert!(read.iter().all(|datagram| datagram.sender == sender()));
+        let all: Vec<_> = read.into_iter().flat_map(|d| d.items).collect();
+        assert_eq!(all, items(count));
+    }
+}
+
+#[test]
+fn an_item_that_is_too_large_goes_alone() {
+    let mut all = items(2);
+    let in_use = (0..200).map(|number| {
+        let variant = Variant {
+            model: format!("model-{number:04}").as_str().into(),
+            adapter: None,
+        };
+        (variant, 1)
+    });
+    let load = NodeLoad {
+        in_use: in_use.collect(),
+        ..NodeLoad::default()
+    };
+    let key = RunnerKey {
+        id: "r".into(),
+        born_unix_ms: 1,
+    };
+    all.insert(3, Item::Load(key, load));
+    let datagrams = encode(&sender(), all.clone());
+    let read = datagrams.iter().flat_map(|d| decode(d).unwrap().items);
+    assert_eq!(read.collect::<Vec<_>>(), all);
+}
+
+#[test]
+fn any_bytes_are_read_without_a_panic() {
+    bolero::check!().for_each(|bytes| {
+        let _ = decode(bytes);
+    });
+}
+
+#[test]
+fn a_damaged_datagram_is_not_taken() {
+    let datagram = encode(&sender(), items(2)).remove(0);
+    bolero::check!()
+        .with_type::<(usize, u8)>()
+        .for_each(|&(position, flip)| {
+            let mut damaged = datagram.clone();
+            let position = position % damaged.len();
+            damaged[position] ^= flip;
+            assert_eq!(decode(&damaged).is_ok(), flip == 0);
+            assert!(decode(&datagram[..position]).is_err());
+        });
+    assert_eq!(decode(b"GET / HTTP/1.1"), Err(DatagramError::Foreign));
+}
+
+struct Node {
+    rig: Rig,
+    gossip: Arc<Gossip>,
+    address: std::net::SocketAddr,
+}
+
+/// Starts two nodes that know each other and the same runners, each given by `runners`.
+async fn two_nodes() -> (Node, Node) {
+    let sockets = [socket().await, socket().await];
+    let addresses = [
+        sockets[0].local_addr().unwrap(),
+        sockets[1].local_addr().unwrap(),
+    ];
+    let [first, second] = sockets;
+    let a = node("n1", first, addresses[0], addresses[1]);
+    let b = node("n2", second, addresses[1], addresses[0]);
+    (a, b)
+}
+
+async fn socket() -> UdpSocket {
+    UdpSocket::bind("127.0.0.1:0").await.unwrap()
+}
+
+fn node(
+    name: &str,
+    socket: UdpSocket,
+    address: std::net::SocketAddr,
+    peer: std::net::SocketAddr,
+) -> Node {
+    let rig = rig(vec![
+        runner("a", &[("m1", &[])]),
+        runner("b", &[("m2", &[])]),
+    ]);
+    let peer = PeerNode {
+        name: "peer".into(),
+        gossip_address: peer,
+        control_address: peer,
+    };
+    let (sender, peers) = watch::channel(vec![peer]);
+    std::mem::forget(sender);
+    let gossip = Gossip::new(name.into(), peers, rig.board.clone(), socket);
+    tokio::spawn(gossip.clone().run());
+    Node {
+        rig,
+        gossip,
+        address,
+    }
+}
+
+/// Waits until something holds, and returns how long that took.
+async fn until(what: &str, holds: impl Fn() -> bool) -> Duration {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < Duration::from_secs(10), "{what}");
+        sleep(Duration::from_millis(2)).await;
+    }
+    start.elapsed()
+}
+
+fn in_flight(node: &Node) -> u32 {
+    node.rig.board.runners()[0].in_flight
+}
+
+#[tokio::test]
+async fn nodes_learn_of_each_others_load_demand_and_notes() {
+    let (a, b) = two_nodes().await;
+    let place = a.rig.dispatcher.place(&wanted("m1")).await.unwrap();
+    until("the load is told", || in_flight(&b) == 1).await;
+    drop(place);
+    until("its end is told", || in_flight(&b) == 0).await;
+
+    let demand = b.rig.board.demand();
+    assert_eq!(demand.len(), 1);
+    assert_eq!(demand[0].model, "m1".into());
+
+    a.gossip.changed(&[note("a", "m2", None, true)]);
+    let holds = |node: &Node| node.rig.board.runners()[0].entry.models.len() == 2;
+    assert!(holds(&a));
+    until("the note is told", || holds(&b)).await;
+    // The repetitions of an old note must not undo a newer one.
+    a.gossip.changed(&[note("a", "m2", None, false)]);
+    until("the other note is told", || !holds(&b)).await;
+    sleep(Duration::from_millis(400)).await;
+    assert!(!holds(&b));
+
+    until("the configuration is told", || {
+        let config = b.gossip.newest_config();
+        let known = config.borrow().as_ref().map(|config| config.version.0);
+        known == Some(1)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_request_that_waits_for_a_copy_is_told_at_once() {
+    let (a, b) = two_nodes().await;
+    let mut waiting = b.rig.board.waiting_demand();
+    let dispatcher = a.rig.dispatcher.clone();
+    let task = tokio::spawn(async move { dispatcher.place(&wanted("rare")).await });
+    waiting.changed().await.unwrap();
+    let demand = b.rig.board.demand();
+    assert_eq!(demand[0].waiting, 1);
+    task.abort();
+    until("the end of the wait is told", || {
+        b.rig.board.demand()[0].waiting == 0
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_silent_peer_and_foreign_datagrams_leave_no_trace() {
+    let (a, b) = two_nodes().await;
+    let stranger = socket().await;
+    for bytes in [&b"hello"[..], &[0; 3_000], b"ggt\x01\0\0\0\0junk"] {
+        stranger.send_to(bytes, b.address).await.unwrap();
+    }
+    let key = RunnerKey {
+        id: "a".into(),
+        born_unix_ms: 1,
+    };
+    let load = NodeLoad {
+        requests: 2,
+        ..NodeLoad::default()
+    };
+    let datagram = encode(&sender_named("lost"), [Item::Load(key, load)]).remove(0);
+    stranger.send_to(&datagram, b.address).await.unwrap();
+    until("the peer is heard", || in_flight(&b) == 2).await;
+    let took = until("the peer is forgotten", || in_flight(&b) == 0).await;
+    assert!(took > Duration::from_millis(1_000), "{took:?}");
+    let place = a.rig.dispatcher.place(&wanted("m1")).await.unwrap();
+    until("others are still heard", || in_flight(&b) == 1).await;
+    drop(place);
+}
+
+fn sender_named(name: &str) -> Sender {
+    Sender {
+        node: name.into(),
+        ..sender()
+    }
+}
