Let slowness fade, try all runners again at last, and weigh entries by their age

A slow runner would never have been timed again and so stayed slow for good; a request whose only holder refused it would have waited for a second copy; a refusal during a load counted as the runner's failure. Requests count as late by the measured time to the first part of the answer.

--- a/src/dispatch/board_shared.rs
+++ b/src/dispatch/board_shared.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Place, Refused, Wanted,
+        Place, Refused, TryOutcome, Wanted,
         board_state::BoardState,
         outlook::{goes_on, next_look, outlook},
         service_runners::Chosen,
@@ -92,7 +92,7 @@
         self.with_state(|state, grants| {
             let id = state.next_id();
             let service = state.service(&wanted.service);
-            if let Some(variant) = &ask.variant {
+            if let Some(variant) = ask.variant.as_ref().filter(|_| ask.tried.is_empty()) {
                 service.demand.asked(variant, now);
             }
             let chosen = service.choose(&ask, &self.zone, now);
@@ -107,6 +107,7 @@
                 return Err(outlook.refusal());
             }
             let no_copy = chosen == Chosen::NoCopy;
+            let first_for_copy = no_copy && !service.queue.wants_copy(ask.variant.as_ref());
             let (sender, receiver) = oneshot::channel();
             let look_at = next_look(&ask, chosen, outlook, now, now);
             let waiter = Waiter {
@@ -116,14 +117,15 @@
                 no_copy,
                 sender,
             };
-            if let Some(last) = service.queue.insert(waiter, now) {
+            let answer_at = service.answer_at(now);
+            if let Some(last) = service.queue.insert(waiter, answer_at) {
                 let answer = Err(outlook.refusal());
                 let sender = last.sender;
                 grants.push(Grant { sender, answer });
             }
             if !no_copy {
                 self.pump(service, grants, now);
-            } else {
+            } else if first_for_copy {
                 self.tell_waiting();
             }
             Ok(Start::Waits(Waiting {
@@ -165,6 +167,7 @@
     pub(super) fn first_event(self: &Arc<Self>, place: &mut Place, now: Instant) {
         self.with_state(|state, grants| {
             let service = state.service(&place.service);
+            service.answered_after(now - place.started_at);
             if let Some(slot) = service.slot(&place.runner.key) {
                 slot.prompt_read(&mut place.load);
                 slot.health.answered();
@@ -176,7 +179,7 @@
 
     /// Gives a place back.
     pub(super) fn release(self: &Arc<Self>, place: &Place, now: Instant) {
-        let outcome = place.outcome.unwrap_or(super::TryOutcome::Cancelled);
+        let outcome = place.outcome.unwrap_or(TryOutcome::Cancelled);
         let variant = place.load.variant.as_ref();
         let key = &place.runner.key;
         self.with_state(|state, grants| {
@@ -184,6 +187,9 @@
             if let Some(slot) = service.slot(key) {
                 slot.release(&place.load);
             }
+            if place.load.variant.is_none() && outcome == TryOutcome::Complete {
+                service.answered_after(now - place.started_at);
+            }
             if outcome.held_place() {
                 service.demand.finished(variant.map(|v| &v.model), now);
             }
--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -6,7 +6,7 @@
 const PREFILL_TOKENS_PER_MS: f64 = 26.0;
 
 /// The unread tokens that a runner may have waiting.
-const PREFILL_WAITING_TOKENS: u64 = 10_400;
+const PREFILL_WAITING_TOKENS: u64 = 7_800;
 
 /// The time that one more running request costs the request, in milliseconds.
 const RUNNING_MS: f64 = 1.0;
--- a/src/dispatch/outlook.rs
+++ b/src/dispatch/outlook.rs
@@ -97,9 +97,10 @@
 
 /// Estimates the wait for room at runners that hold what is wanted.
 fn room_outlook(service: &ServiceRunners, ask: &Ask, id: u64, now: Instant) -> Outlook {
-    let (model, rank) = (ask.model(), ask.rank(id, now));
+    let answer_at = service.answer_at(now);
+    let (model, rank) = (ask.model(), ask.rank(id, answer_at));
     let waiters = service.queue.iter();
-    let same_model = waiters.filter(|w| w.ask.model() == model && w.rank(now) < rank);
+    let same_model = waiters.filter(|w| w.ask.model() == model && w.rank(answer_at) < rank);
     let ahead = same_model.count();
     let per_s = service.demand.finishes_per_s(model, now);
     let expected_ms = ((ahead + 1) as f64 / per_s.max(RATE_MIN_PER_S) * 1_000.0) as u64;
--- a/src/dispatch/residency.rs
+++ b/src/dispatch/residency.rs
@@ -13,11 +13,14 @@
 /// How long a change counts that the entry never shows.
 const NOTE_MS: u64 = 5_000;
 
+/// How old an entry may be when it arrives; it says more than changes from before.
+const ENTRY_AGE_MS: u64 = 2_500;
+
 #[derive(Debug)]
 struct PendingNote {
     variant: Variant,
     held: bool,
-    until: Instant,
+    noted_at: Instant,
 }
 
 /// The changes of one runner that its entry does not show yet.
@@ -37,20 +40,29 @@
         self.notes.push(PendingNote {
             variant: variant.clone(),
             held,
-            until: now + Duration::from_millis(NOTE_MS),
+            noted_at: now,
+        });
+    }
+
+    /// Forgets the changes that a changed entry shows, or that are older than it.
+    pub fn settle(&mut self, entry: &RunnerEntry, now: Instant) {
+        let age = Duration::from_millis(ENTRY_AGE_MS);
+        self.notes.retain(|note| {
+            let shown = entry.holds(&note.variant) == note.held;
+            !shown && now < note.noted_at + age
         });
     }
 
-    /// Forgets the changes that a new entry shows.
-    pub fn settle(&mut self, entry: &RunnerEntry) {
-        self.notes
-            .retain(|note| entry.holds(&note.variant) != note.held);
+    /// Returns whether a change of a model or adapter is not confirmed yet.
+    pub fn is_pending(&self, variant: &Variant) -> bool {
+        self.notes.iter().any(|note| note.variant == *variant)
     }
 
     /// Forgets changes that are too old; returns whether there were any.
     pub fn expire(&mut self, now: Instant) -> bool {
         let before = self.notes.len();
-        self.notes.retain(|note| now < note.until);
+        let kept = Duration::from_millis(NOTE_MS);
+        self.notes.retain(|note| now < note.noted_at + kept);
         self.notes.len() != before
     }
 
--- a/src/dispatch/runner_health.rs
+++ b/src/dispatch/runner_health.rs
@@ -11,6 +11,9 @@
 /// How far above the rate of its service the failures of a runner may be.
 const FAILURES_ABOVE: f64 = 0.3;
 
+/// The span over which slowness is forgotten, in seconds.
+const SLOWNESS_FADE_S: f64 = 4.0;
+
 const OUT_MIN_MS: u64 = 150;
 const OUT_MAX_MS: u64 = 1_200;
 const SHED_MS: u64 = 40;
@@ -20,7 +23,7 @@
 #[derive(Debug, Default)]
 pub struct RunnerHealth {
     failure_rate: f64,
-    slowness: Option<f64>,
+    slowness: Option<(f64, Instant)>,
     tries: u32,
     out_until: Option<Instant>,
     out_ms: u64,
@@ -85,15 +88,21 @@
     }
 
     /// Notes a time against that of the service's other runners; 1 is as quick as they are.
-    pub fn timed(&mut self, ratio: f64) {
-        let known = self.slowness.unwrap_or(1.0);
+    pub fn timed(&mut self, ratio: f64, now: Instant) {
+        let known = self.slowness(now);
         let newest = ratio.clamp(0.1, 10.0);
-        self.slowness = Some(known + (newest - known) * NEWEST_WEIGHT);
+        self.slowness = Some((known + (newest - known) * NEWEST_WEIGHT, now));
     }
 
     /// Returns how slow it is against the service's other runners; 1 is as quick as they are.
-    pub fn slowness(&self) -> f64 {
-        self.slowness.unwrap_or(1.0)
+    ///
+    /// Without new times this goes back to 1, so that a runner gets another chance.
+    pub fn slowness(&self, now: Instant) -> f64 {
+        let Some((slowness, timed_at)) = self.slowness else {
+            return 1.0;
+        };
+        let elapsed_s = now.saturating_duration_since(timed_at).as_secs_f64();
+        1.0 + (slowness - 1.0) * (-elapsed_s / SLOWNESS_FADE_S).exp()
     }
 
     /// Returns the share of late tries that failed.
--- a/src/dispatch/runner_slot.rs
+++ b/src/dispatch/runner_slot.rs
@@ -86,7 +86,7 @@
         let leaves = entry.state != RunnerState::Ready && self.base.state == RunnerState::Ready;
         self.cold_until = now + Duration::from_millis(entry.cold_remaining_ms);
         self.base = Arc::new(entry);
-        self.overlay.settle(&self.base);
+        self.overlay.settle(&self.base, now);
         self.entry = self.overlay.apply(&self.base);
         leaves
     }
@@ -96,7 +96,7 @@
             return;
         }
         self.overlay.note(variant, held, now);
-        self.overlay.settle(&self.base);
+        self.overlay.settle(&self.base, now);
         self.entry = self.overlay.apply(&self.base);
         if !held {
             self.prefixes.clear();
@@ -115,6 +115,11 @@
             && self.leaving_until.is_none_or(|until| now >= until)
     }
 
+    /// Returns whether only a note, and no entry yet, tells of a model or adapter.
+    pub(super) fn is_unconfirmed(&self, variant: Option<&Variant>) -> bool {
+        variant.is_some_and(|variant| self.overlay.is_pending(variant))
+    }
+
     pub(super) fn holds(&self, variant: Option<&Variant>) -> bool {
         variant.is_none_or(|variant| self.entry.holds(variant))
     }
@@ -127,7 +132,7 @@
             kept_tokens: u64::from(self.prefixes.kept_tokens(&ask.chain)),
             same_zone: self.entry.zone == *zone,
             cold: now < self.cold_until,
-            slowness: self.health.slowness(),
+            slowness: self.health.slowness(now),
         }
     }
 
--- a/src/dispatch/seating.rs
+++ b/src/dispatch/seating.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Place,
+        Place, Variant,
         board_shared::{BoardShared, Grant},
         service_runners::{Chosen, ServiceRunners},
         wait_queue::Ask,
@@ -22,11 +22,13 @@
         if service.queue.is_empty() {
             return;
         }
-        let mut blocked = Vec::new();
+        let mut blocked: Vec<(Option<Variant>, bool)> = Vec::new();
         let mut kept = Vec::new();
-        for mut waiter in service.queue.take_ordered(now) {
+        for mut waiter in service.queue.take_ordered(service.answer_at(now)) {
             let first_try = waiter.ask.tried.is_empty();
-            if first_try && blocked.contains(&waiter.ask.variant) {
+            let known = blocked.iter().find(|(v, _)| *v == waiter.ask.variant);
+            if let Some((_, no_copy)) = known.filter(|_| first_try) {
+                waiter.no_copy = *no_copy;
                 kept.push(waiter);
                 continue;
             }
@@ -41,7 +43,7 @@
                 chosen => waiter.no_copy = chosen == Chosen::NoCopy,
             }
             if first_try {
-                blocked.push(waiter.ask.variant.clone());
+                blocked.push((waiter.ask.variant.clone(), waiter.no_copy));
             }
             kept.push(waiter);
         }
--- a/src/dispatch/service_runners.rs
+++ b/src/dispatch/service_runners.rs
@@ -12,10 +12,11 @@
         traffic::{ModelId, ServiceId, ZoneId},
     },
     rand::RngExt,
+    std::time::Duration,
     tokio::time::Instant,
 };
 
-/// The weight of the newest time in the mean of a model.
+/// The weight of the newest time in a mean.
 const NEWEST_WEIGHT: f64 = 0.05;
 
 /// What affinity among nodes, or chance where there is none, is worth, in milliseconds.
@@ -31,6 +32,7 @@
     pub(super) queue: WaitQueue,
     pub(super) demand: DemandMeter,
     mean_times: Vec<(Option<ModelId>, f64)>,
+    answer_time_s: f64,
 }
 
 /// What there is for a request.
@@ -52,6 +54,7 @@
             queue: WaitQueue::default(),
             demand: DemandMeter::default(),
             mean_times: Vec::new(),
+            answer_time_s: 0.0,
         }
     }
 
@@ -65,7 +68,17 @@
     }
 
     /// Chooses the runner at which a request loses the least time.
+    ///
+    /// Runners that have had the request are chosen only if no other holds what it wants.
     pub(super) fn choose(&self, ask: &Ask, zone: &ZoneId, now: Instant) -> Chosen {
+        let first = self.choose_among(ask, false, zone, now);
+        if first == Chosen::NoCopy && !ask.tried.is_empty() {
+            return self.choose_among(ask, true, zone, now);
+        }
+        first
+    }
+
+    fn choose_among(&self, ask: &Ask, tried: bool, zone: &ZoneId, now: Instant) -> Chosen {
         let mut best: Option<(usize, f64)> = None;
         let mut any_copy = false;
         let mut retry_at: Option<Instant> = None;
@@ -73,7 +86,7 @@
         for (position, slot) in self.slots.iter().enumerate() {
             let fits = slot.is_ready(now)
                 && slot.holds(ask.variant.as_ref())
-                && !ask.tried.contains(&slot.entry.key);
+                && ask.tried.contains(&slot.entry.key) == tried;
             if !fits {
                 continue;
             }
@@ -129,14 +142,27 @@
             return;
         };
         if let Some(ratio) = ratio {
-            slot.health.timed(ratio);
+            slot.health.timed(ratio, now);
+        }
+        let not_ready_yet = outcome == TryOutcome::Shed && slot.is_unconfirmed(variant);
+        if !not_ready_yet {
+            slot.health.ended(outcome, failure_rate, may_eject, now);
         }
-        slot.health.ended(outcome, failure_rate, may_eject, now);
         if let (TryOutcome::Absent, Some(variant)) = (outcome, variant) {
             slot.note(variant, false, now);
         }
     }
 
+    /// Notes the time from a place to the first part of the answer.
+    pub(super) fn answered_after(&mut self, time: Duration) {
+        self.answer_time_s += (time.as_secs_f64() - self.answer_time_s) * NEWEST_WEIGHT;
+    }
+
+    /// Returns the instant before which a request that gets its place now will not be answered.
+    pub(super) fn answer_at(&self, now: Instant) -> Instant {
+        now + Duration::from_secs_f64(self.answer_time_s)
+    }
+
     fn failure_rate(&self) -> f64 {
         let rates = self.slots.iter().map(|slot| slot.health.failure_rate());
         rates.sum::<f64>() / self.slots.len().max(1) as f64
--- a/src/dispatch/wait_queue.rs
+++ b/src/dispatch/wait_queue.rs
@@ -7,16 +7,12 @@
         relay::Generation,
         traffic::{EngineSpec, ModelId},
     },
-    std::time::Duration,
     tokio::{sync::oneshot, time::Instant},
 };
 
 /// Requests that may wait for one service.
 const WAITERS_MAX: usize = 512;
 
-/// The time from a place to the first part of the answer, in milliseconds.
-const ANSWER_MS: u64 = 50;
-
 /// What a request asks for, worked out once.
 #[derive(Debug)]
 pub(super) struct Ask {
@@ -60,8 +56,9 @@
         })
     }
 
-    pub(super) fn rank(&self, id: u64, now: Instant) -> Rank {
-        let late = self.target_at < now + Duration::from_millis(ANSWER_MS);
+    /// Returns its place in the order; `answer_at` is when it would be answered.
+    pub(super) fn rank(&self, id: u64, answer_at: Instant) -> Rank {
+        let late = self.target_at < answer_at;
         (self.priority, late, self.target_at, id)
     }
 
@@ -97,8 +94,8 @@
 }
 
 impl Waiter {
-    pub(super) fn rank(&self, now: Instant) -> Rank {
-        self.ask.rank(self.id, now)
+    pub(super) fn rank(&self, answer_at: Instant) -> Rank {
+        self.ask.rank(self.id, answer_at)
     }
 }
 
@@ -110,9 +107,12 @@
 
 impl WaitQueue {
     /// Adds a request; returns the one that has to go if there are too many.
-    pub(super) fn insert(&mut self, waiter: Waiter, now: Instant) -> Option<Waiter> {
-        let rank = waiter.rank(now);
-        let position = self.waiters.partition_point(|known| known.rank(now) < rank);
+    pub(super) fn insert(&mut self, waiter: Waiter, answer_at: Instant) -> Option<Waiter> {
+        self.waiters.sort_by_key(|waiter| waiter.rank(answer_at));
+        let rank = waiter.rank(answer_at);
+        let position = self
+            .waiters
+            .partition_point(|known| known.rank(answer_at) < rank);
         self.waiters.insert(position, waiter);
         (self.waiters.len() > WAITERS_MAX).then(|| self.waiters.pop())?
     }
@@ -126,13 +126,19 @@
         self.waiters.iter().find(|waiter| waiter.id == id)
     }
 
+    /// Returns whether a request waits because no runner holds a variant.
+    pub(super) fn wants_copy(&self, variant: Option<&Variant>) -> bool {
+        let mut waiters = self.waiters.iter();
+        waiters.any(|waiter| waiter.no_copy && waiter.ask.variant.as_ref() == variant)
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.waiters.is_empty()
     }
 
     /// Takes all requests out, in order; those that can still be on time come before the late.
-    pub(super) fn take_ordered(&mut self, now: Instant) -> Vec<Waiter> {
-        self.waiters.sort_by_key(|waiter| waiter.rank(now));
+    pub(super) fn take_ordered(&mut self, answer_at: Instant) -> Vec<Waiter> {
+        self.waiters.sort_by_key(|waiter| waiter.rank(answer_at));
         std::mem::take(&mut self.waiters)
     }
 
--- a/src/gossip/gossip.rs
+++ b/src/gossip/gossip.rs
@@ -33,7 +33,7 @@
 const FULL_ROUND_MS: u64 = 500;
 
 /// The shortest time between two rounds when something is urgent.
-const URGENT_ROUND_MS: u64 = 5;
+const URGENT_ROUND_MS: u64 = 10;
 
 /// The time after which a socket that failed is read again.
 const SOCKET_PAUSE_MS: u64 = 20;
--- a/tests/dispatch_board.rs
+++ b/tests/dispatch_board.rs
@@ -56,6 +56,18 @@
     assert!(place_now(&rig, "m1/a1").await.is_none());
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_changed_entry_wins_over_a_note_from_before() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    rig.board.note_residency(&note("a", "m1", None, false));
+    advance(Duration::from_secs(1)).await;
+    rig.board.set_runners(vec![runner("a", &[("m1", &["a1"])])]);
+    assert!(place_now(&rig, "m1").await.is_none());
+    advance(Duration::from_secs(2)).await;
+    rig.board.set_runners(vec![runner("a", &[("m1", &["a2"])])]);
+    assert!(place_now(&rig, "m1").await.is_some());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_note_that_no_entry_confirms_is_forgotten() {
     let rig = rig(vec![runner("a", &[("m1", &[])])]);
@@ -119,6 +131,36 @@
     assert_eq!(rig.board.runners()[0].in_flight, 1);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_slow_runner_gets_less_and_later_another_chance() {
+    let rig = rig(vec![desk("a"), desk("b"), desk("c")]);
+    let mut asked_a = [0, 0];
+    for round in 0..300 {
+        let wanted = wanted_desk();
+        let place = rig.dispatcher.place(&wanted).await.unwrap();
+        let is_a = name(&place) == "a";
+        asked_a[usize::from(round >= 100)] += u32::from(is_a);
+        advance(Duration::from_millis(if is_a { 250 } else { 50 })).await;
+        place.finish(TryOutcome::Complete);
+    }
+    let [_, late] = asked_a;
+    assert!((1..50).contains(&late), "{late}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_refusal_while_a_copy_is_only_noted_leaves_the_runner_in() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    rig.board.note_residency(&note("a", "m2", None, true));
+    for _ in 0..20 {
+        let place = place_now(&rig, "m2").await.unwrap();
+        place.finish(TryOutcome::Shed);
+    }
+    assert!(place_now(&rig, "m1").await.is_some());
+    let place = place_now(&rig, "m1").await.unwrap();
+    place.finish(TryOutcome::Shed);
+    assert!(place_now(&rig, "m1").await.is_none());
+}
+
 fn outlier_rig() -> Rig {
     rig(["a", "b", "c", "d", "e", "f"].map(desk).into())
 }
--- a/tests/dispatch_waiting.rs
+++ b/tests/dispatch_waiting.rs
@@ -260,4 +260,7 @@
     first.finish(TryOutcome::Failed);
     let second = rig.dispatcher.place(&wanted).await.unwrap();
     assert_ne!(second.runner.key, wanted.tried[0]);
+    // Once all have been tried, they are tried again.
+    wanted.tried.push(second.runner.key.clone());
+    assert!(rig.dispatcher.place(&wanted).await.is_ok());
 }
