--- a/tests/common/board_rig.rs
+++ b/tests/common/board_rig.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test uses a part of it")]
 
 use {
+    bytes::Bytes,
     greengagetrail::{
         discovery::{ResidentModel, RunnerEntry, RunnerKey, RunnerState},
         dispatch::{Dispatcher, Place, ResidencyNote, RunnerBoard, Wanted},
@@ -28,7 +29,7 @@
 /// Makes a board in the zone "east" with a configuration of an engine and a plain service.
 pub fn rig(runners: Vec<RunnerEntry>) -> Rig {
     let traffic = Arc::new(TrafficBoard::default());
-    assert!(traffic.offer(RouteMap::new(config())));
+    assert!(traffic.offer(RouteMap::new(config(), Bytes::new())));
     let board = Arc::new(RunnerBoard::new("east".into(), traffic));
     board.set_runners(runners);
     let dispatcher = Dispatcher::new(board.clone());
