Leave a publication open when VMs know more than a restored store

Mend: after a swap of its own a publication that meets a known head above the stored one is told as unknown. Ruled out: telling it from the store alone, as that state is one in which the swap never ran. Before: restore_to_the_state_before_the_swap_is_told_by_known_heads fails (told as a conflict); after: passes with the other 13 of config_publish.

--- a/src/config/publish/base.rs
+++ b/src/config/publish/base.rs
@@ -61,6 +61,12 @@
         ]
     }
 
+    /// Returns the stored revision; zero when there is none.
+    pub fn revision(&self) -> Revision {
+        let head = self.head.as_ref();
+        head.map_or(Revision::default(), |head| head.revision)
+    }
+
     /// Returns the newer of the stored head and one that is known otherwise.
     pub fn newest(&self, known: Option<Head>) -> Option<Head> {
         let heads = self.head.clone().into_iter().chain(known);
--- a/src/config/publish/publisher.rs
+++ b/src/config/publish/publisher.rs
@@ -58,20 +58,22 @@
         check_text("author", &publication.author, AUTHOR_MAX_BYTES)?;
         check_text("message", &publication.message, MESSAGE_MAX_BYTES)?;
         let store = self.store.as_ref();
+        let mut swapped = false;
         for _ in 0..PUBLISH_ATTEMPTS_MAX {
             let target = publication.expected.next();
             let (mut base, link) = Base::read(store, target).await?;
             if let Some(link) = link.filter(|link| link.publish_id == publication.publish_id) {
                 return Ok(PublishOutcome::Published(link));
             }
-            if let Some(newer) = find_newer(&base, publication, known())? {
-                return Ok(publication.outcome_beside(newer));
+            if let Some(outcome) = judge(&base, publication, known(), swapped)? {
+                return Ok(outcome);
             }
             base.version = write_blobs(store, &publication.snapshot, &base).await?;
-            if let Some(newer) = find_newer(&base, publication, known())? {
-                return Ok(publication.outcome_beside(newer));
+            if let Some(outcome) = judge(&base, publication, known(), swapped)? {
+                return Ok(outcome);
             }
             let head = publication.head(target);
+            swapped = true;
             match swap_head(store, &base, &head).await? {
                 Swap::Done => return Ok(PublishOutcome::Published(head)),
                 Swap::Overtaken => {}
@@ -139,6 +141,32 @@
     Ok(())
 }
 
+/// Returns how the publication ends when another head than the expected one is the newest.
+///
+/// A service that holds less than is known was restored from an older copy, which may have undone
+/// a swap of this publication after VMs saw it.
+fn judge(
+    base: &Base,
+    publication: &Publication,
+    known: Option<Head>,
+    swapped: bool,
+) -> Result<Option<PublishOutcome>, PublishError> {
+    let newer = match find_newer(base, publication, known) {
+        Err(_) if swapped => return Ok(Some(PublishOutcome::Unknown(publication.publish_id))),
+        found => found?,
+    };
+    let Some(newer) = newer else {
+        return Ok(None);
+    };
+    let behind = base.revision() < newer.revision;
+    Ok(Some(match publication.outcome_beside(newer) {
+        PublishOutcome::Conflict(_) if swapped && behind => {
+            PublishOutcome::Unknown(publication.publish_id)
+        }
+        outcome => outcome,
+    }))
+}
+
 /// Returns the head that is newer than the one the publication was made from.
 fn find_newer(
     base: &Base,
--- a/tests/config_publish.rs
+++ b/tests/config_publish.rs
@@ -195,6 +195,37 @@
     assert_eq!(outcome, Ok(PublishOutcome::Unknown(attempt.publish_id)));
 }
 
+/// The copy is as new as all that the publisher read; only VMs that saw the swap tell of it.
+#[tokio::test(start_paused = true)]
+async fn restore_to_the_state_before_the_swap_is_told_by_known_heads() {
+    let store = MemoryStore::new();
+    let publish = async |expected| {
+        let other = publication(1, expected);
+        publisher(&store).publish(&other, || None).await.unwrap()
+    };
+    publish(0).await;
+    let copy = store.copy_state();
+    let link = store.link();
+    link.set_faults(KvFaults {
+        lost_answers: 1,
+        ..KvFaults::default()
+    });
+    let attempt = publication(1, 1);
+    let known = std::sync::Mutex::new(None);
+    let publishing = Publisher::new(Arc::new(link));
+    let publishing = publishing.publish(&attempt, || known.lock().unwrap().clone());
+    let restore = async {
+        tokio::time::sleep(std::time::Duration::from_millis(1000)).await;
+        let PublishOutcome::Published(next) = publish(2).await else {
+            panic!("the swap took no effect");
+        };
+        *known.lock().unwrap() = Some(next);
+        store.restore(copy);
+    };
+    let (outcome, ()) = tokio::join!(publishing, restore);
+    assert_eq!(outcome, Ok(PublishOutcome::Unknown(attempt.publish_id)));
+}
+
 #[tokio::test(start_paused = true)]
 async fn nothing_is_half_published() {
     for calls in 0..12 {
