--- /dev/null
+++ b/tests/traffic_follow.rs
@@ -0,0 +1,191 @@
+//! Following the configuration in the store, under faults of the store.
+
+#[path = "common/traffic_configs.rs"]
+mod traffic_configs;
+
+use {
+    bytes::Bytes,
+    greengagetrail::{
+        node::{FormatError, Formats, StoreKeys},
+        relay::{AnswerHead, CallHead, ForwardHead, HeadError},
+        standin::kv::{KvFaults, MemoryStore},
+        store::{Op, Store, Txn},
+        traffic::{ConfigFollower, ConfigVersion, TrafficBoard, TrafficConfig},
+    },
+    hyper::{HeaderMap, http},
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{sync::Arc, time::Duration},
+    tokio::time::{Instant, sleep},
+    traffic_configs::config,
+};
+
+const KEY: &str = "configuration";
+
+/// The time within which a version must be in force.
+const IN_FORCE_MAX: Duration = Duration::from_millis(2_000);
+
+/// Configurations that are no more than their version in digits.
+struct VersionFormats;
+
+impl Formats for VersionFormats {
+    fn keys(&self) -> StoreKeys {
+        StoreKeys {
+            config: KEY.to_owned(),
+            runners_prefix: "runners/".to_owned(),
+            own_prefix: "own/".to_owned(),
+        }
+    }
+
+    fn read_config(&self, bytes: &[u8]) -> Result<TrafficConfig, FormatError> {
+        let text = String::from_utf8_lossy(bytes);
+        let version = text.parse().map_err(|_| FormatError {
+            what: "configuration",
+            reason: text.into_owned(),
+        })?;
+        Ok(config(version, Vec::new()))
+    }
+
+    fn read_runner(
+        &self,
+        _key: &str,
+        _bytes: &[u8],
+    ) -> Result<greengagetrail::discovery::RunnerEntry, FormatError> {
+        unimplemented!()
+    }
+
+    fn read_call(&self, _head: &http::request::Parts) -> Result<CallHead, HeadError> {
+        unimplemented!()
+    }
+
+    fn write_forward(&self, _headers: &mut HeaderMap, _forward: &ForwardHead) {}
+
+    fn read_answer(&self, _head: &http::response::Parts) -> AnswerHead {
+        unimplemented!()
+    }
+
+    fn write_retry_after(&self, _headers: &mut HeaderMap, _after_ms: u64) {}
+}
+
+fn follow(store: &MemoryStore) -> Arc<TrafficBoard> {
+    let board = Arc::new(TrafficBoard::default());
+    let formats = Arc::new(VersionFormats);
+    let follower = ConfigFollower::new(Arc::new(store.clone()), formats, board.clone());
+    tokio::spawn(follower.run());
+    board
+}
+
+async fn write(store: &MemoryStore, key: &str, text: &str) {
+    let put = Op::Put {
+        key: key.to_owned(),
+        value: Bytes::copy_from_slice(text.as_bytes()),
+        lease: None,
+    };
+    let txn = Txn {
+        then: vec![put],
+        ..Txn::default()
+    };
+    store.txn(txn).await.unwrap();
+}
+
+async fn reaches(board: &TrafficBoard, version: u64) -> bool {
+    let deadline = Instant::now() + IN_FORCE_MAX;
+    while Instant::now() < deadline {
+        if board.version() == Some(ConfigVersion(version)) {
+            return true;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    false
+}
+
+#[tokio::test(start_paused = true)]
+async fn versions_come_into_force_as_they_are_written() {
+    let store = MemoryStore::new();
+    let board = follow(&store.link());
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(board.version(), None);
+    for version in [1, 7, 40] {
+        write(&store, KEY, &version.to_string()).await;
+        assert!(reaches(&board, version).await, "{version}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_is_older_unreadable_or_under_another_key_changes_nothing() {
+    let store = MemoryStore::new();
+    write(&store, KEY, "10").await;
+    let board = follow(&store.link());
+    assert!(reaches(&board, 10).await);
+    for (key, text) in [
+        (KEY, "9"),
+        (KEY, "?"),
+        ("configuration-of-others", "99"),
+        ("configuration/x", "98"),
+    ] {
+        write(&store, key, text).await;
+        sleep(IN_FORCE_MAX).await;
+        assert_eq!(board.version(), Some(ConfigVersion(10)), "{key} {text}");
+    }
+    write(&store, KEY, "11").await;
+    assert!(reaches(&board, 11).await);
+}
+
+/// A neighbour that sorts before the key must not hide it.
+#[tokio::test(start_paused = true)]
+async fn the_key_is_found_among_neighbours() {
+    let store = MemoryStore::new();
+    write(&store, "configuration-of-others", "99").await;
+    write(&store, KEY, "5").await;
+    write(&store, "config", "98").await;
+    let board = follow(&store.link());
+    assert!(reaches(&board, 5).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_compacted_history_is_read_over() {
+    let store = MemoryStore::new();
+    write(&store, KEY, "1").await;
+    let link = store.link();
+    let board = follow(&link);
+    assert!(reaches(&board, 1).await);
+    link.set_faults(KvFaults {
+        down: true,
+        ..KvFaults::default()
+    });
+    write(&store, KEY, "2").await;
+    let mut state = store.copy_state();
+    state.compact(state.version());
+    store.restore(state);
+    link.set_faults(KvFaults::default());
+    assert!(reaches(&board, 2).await);
+}
+
+/// Seeded faults come and go; the version never falls, and the last one is in force soon after.
+#[tokio::test(start_paused = true)]
+async fn the_version_never_falls_and_catches_up_after_faults() {
+    for seed in 0..60 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let store = MemoryStore::new();
+        let link = store.link();
+        let board = follow(&link);
+        let (mut version, mut seen) = (0, None);
+        for _ in 0..40 {
+            version += rng.random_range(1..5);
+            write(&store, KEY, &version.to_string()).await;
+            link.set_faults(KvFaults {
+                down: rng.random_range(0..4) == 0,
+                silent: rng.random_range(0..6) == 0,
+                slow_ms: rng.random_range(0..300),
+                ..KvFaults::default()
+            });
+            sleep(Duration::from_millis(rng.random_range(0..900))).await;
+            let now = board.version();
+            assert!(now >= seen, "seed {seed}: {seen:?} to {now:?}");
+            seen = now;
+        }
+        link.set_faults(KvFaults::default());
+        sleep(Duration::from_millis(2_500)).await;
+        let last = Some(ConfigVersion(version));
+        assert_eq!(board.version(), last, "seed {seed}");
+    }
+}
