--- a/tests/common/board_rig.rs
+++ b/tests/common/board_rig.rs
@@ -93,7 +93,6 @@
         models: models.collect(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
-        orders_accepted: 0,
     }
 }
 
