--- a/src/http/liveness.rs
+++ b/src/http/liveness.rs
@@ -32,7 +32,7 @@
     pub const PROMPT: Self = Self {
         probe_after: Duration::from_secs(1),
         probe_interval: Duration::from_secs(1),
-        probes_max: 2,
+        probes_max: 1,
         unacknowledged_max: Duration::from_secs(2),
     };
 }
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -38,6 +38,9 @@
     pub gossip_port: u16,
     /// The platform's store.
     pub store_address: SocketAddr,
+    /// How long the store keeps its history; no watch may be quiet for longer.
+    #[serde(default = "default_history_s")]
+    pub store_history_s: f64,
     /// The open descriptors that the process may have.
     #[serde(default = "default_descriptors")]
     pub descriptors_max: usize,
@@ -124,6 +127,10 @@
     1
 }
 
+fn default_history_s() -> f64 {
+    20.0
+}
+
 fn default_descriptors() -> usize {
     1024
 }
