--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -72,6 +72,12 @@
         self.head.last_event_id.filter(|_| self.is_repeatable())
     }
 
+    /// Frees what is only needed to send the request again.
+    pub(super) fn forget_request(&mut self) {
+        self.headers = HeaderMap::new();
+        self.body = Bytes::new();
+    }
+
     pub(super) fn is_stream(&self) -> bool {
         matches!(self.rules.kind, RouteKind::Streaming { .. })
     }
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -22,6 +22,9 @@
 /// The smallest head limit that the HTTP library allows, in bytes.
 const HEAD_LIMIT_MIN_BYTES: usize = 8192;
 
+/// What is allowed beyond the limit, as it may not count all of a head.
+const HEAD_SLACK_BYTES: usize = 1024;
+
 /// The limits of callers before any configuration is known.
 const HEAD_MAX_DEFAULT_BYTES: usize = 16 * 1024;
 const IDLE_DEFAULT: Duration = Duration::from_secs(15);
@@ -93,7 +96,7 @@
         builder
             .timer(TokioTimer::new())
             .header_read_timeout(idle + IDLE_SLACK)
-            .max_buf_size(head_max_bytes.max(HEAD_LIMIT_MIN_BYTES));
+            .max_buf_size((head_max_bytes + HEAD_SLACK_BYTES).max(HEAD_LIMIT_MIN_BYTES));
         builder
     }
 }
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -7,11 +7,11 @@
         http::{Body, BodyError},
     },
     bytes::Bytes,
-    futures::{StreamExt, stream},
+    futures::{FutureExt, StreamExt, future::BoxFuture, stream},
     http_body_util::BodyExt,
     hyper::{Response, body::Incoming},
-    std::pin::Pin,
-    tokio::time::{self, Instant, Sleep},
+    tokio::time::{self, Instant},
+    tokio_util::sync::CancellationToken,
 };
 
 /// A stream at one runner.
@@ -33,7 +33,8 @@
     run: Run,
     live: Option<LiveStream>,
     last_id: Option<u64>,
-    expiry: Pin<Box<Sleep>>,
+    /// Ends the stream early, and says why.
+    cut: BoxFuture<'static, &'static str>,
 }
 
 impl Answered {
@@ -112,34 +113,47 @@
 }
 
 /// Makes the response whose body is the stream.
-pub(super) fn stream_response(run: Run, head: Response<()>, live: LiveStream) -> Response<Body> {
-    let expiry = Box::pin(time::sleep_until(run.call.ends_at));
+pub(super) fn stream_response(
+    mut run: Run,
+    head: Response<()>,
+    live: LiveStream,
+) -> Response<Body> {
+    let cut = cut(run.relay.closing.clone(), run.call.ends_at).boxed();
+    if !run.call.is_repeatable() {
+        run.call.forget_request();
+    }
     let state = CallerStream {
         run,
         last_id: None,
         live: Some(live),
-        expiry,
+        cut,
     };
     let events = stream::unfold(Some(Box::new(state)), next_events).boxed();
     head.map(|()| Body::Stream(events))
 }
 
+/// Waits until a stream must end, and returns why.
+async fn cut(closing: CancellationToken, ends_at: Instant) -> &'static str {
+    tokio::select! {
+        () = time::sleep_until(ends_at) => "the time is over",
+        () = closing.cancelled() => "the node stops",
+    }
+}
+
 type NextEvents = (Result<Bytes, BodyError>, Option<Box<CallerStream>>);
 
 async fn next_events(state: Option<Box<CallerStream>>) -> Option<NextEvents> {
     let mut state = state?;
-    let relay = state.run.relay.clone();
     let CallerStream {
         run,
         live,
         last_id,
-        expiry,
+        cut,
     } = &mut *state;
     let next = tokio::select! {
         biased;
         next = next_or_resume(run, live, last_id) => next,
-        () = expiry => Err("the time is over".to_owned()),
-        () = relay.closing.cancelled() => Err("the node stops".to_owned()),
+        cause = cut => Err(cause.to_owned()),
     };
     match next {
         Ok(Some(events)) => Some((Ok(events), Some(state))),
--- a/tests/common/relay_rig.rs
+++ b/tests/common/relay_rig.rs
@@ -10,8 +10,8 @@
         node::{Bounds, FormatError, Formats, StoreKeys},
         relay::{AnswerHead, CallHead, ForwardHead, HeadError, Relay},
         traffic::{
-            CallerLimits, ConfigVersion, Route, RouteKind, RouteMap, ServiceSpec, Target,
-            TrafficBoard, TrafficConfig,
+            CallerLimits, ConfigVersion, Route, RouteKind, RouteMap, ServiceId, ServiceSpec,
+            Target, TrafficBoard, TrafficConfig,
         },
     },
     hyper::{HeaderMap, http},
@@ -104,6 +104,8 @@
 pub struct Setup {
     pub kind: RouteKind,
     pub runners: usize,
+    /// The weights of the services, which the runners belong to in turn.
+    pub weights: Vec<u32>,
     /// The requests that a runner processes at once.
     pub slots: u32,
     pub attempts_max: u32,
@@ -119,6 +121,7 @@
         Self {
             kind,
             runners: 3,
+            weights: vec![1],
             slots: 8,
             attempts_max: 3,
             timeout_ms: 3000,
@@ -169,12 +172,7 @@
             traffic.offer(RouteMap::new(config(&setup), bytes::Bytes::new()));
         }
         let board = Arc::new(RunnerBoard::new("z".into(), traffic.clone()));
-        board.set_runners(
-            at.iter()
-                .enumerate()
-                .map(|at| entry(at, setup.slots))
-                .collect(),
-        );
+        board.set_runners(at.iter().enumerate().map(|at| entry(at, &setup)).collect());
         let dispatcher = Dispatcher::new(board);
         let peers = watch::Sender::new(Vec::new()).subscribe();
         let formats = Arc::new(TestFormats);
@@ -214,6 +212,16 @@
 }
 
 fn config(setup: &Setup) -> TrafficConfig {
+    let weights = setup.weights.iter().enumerate();
+    let targets = weights.map(|(index, weight)| Target {
+        service: service_name(index),
+        weight: *weight,
+    });
+    let services = (0..setup.weights.len()).map(|index| ServiceSpec {
+        name: service_name(index),
+        connections_max: 100,
+        engine: None,
+    });
     let route = Route {
         name: "r".into(),
         host: "h".into(),
@@ -224,33 +232,30 @@
         priority: 0,
         attempts_max: setup.attempts_max,
         session_affinity: false,
-        targets: vec![Target {
-            service: "s".into(),
-            weight: 1,
-        }],
+        targets: targets.collect(),
     };
     TrafficConfig {
         version: ConfigVersion(1),
         routes: vec![route],
-        services: vec![ServiceSpec {
-            name: "s".into(),
-            connections_max: 100,
-            engine: None,
-        }],
+        services: services.collect(),
         limits: setup.limits,
     }
 }
 
-fn entry((index, address): (usize, &SocketAddr), slots: u32) -> RunnerEntry {
+fn service_name(index: usize) -> ServiceId {
+    format!("s{index}").as_str().into()
+}
+
+fn entry((index, address): (usize, &SocketAddr), setup: &Setup) -> RunnerEntry {
     RunnerEntry {
         key: RunnerKey {
             id: format!("i-{index}").as_str().into(),
             born_unix_ms: 1,
         },
-        service: "s".into(),
+        service: service_name(index % setup.weights.len()),
         address: *address,
         zone: "z".into(),
-        slots,
+        slots: setup.slots,
         state: RunnerState::Ready,
         cold_remaining_ms: 0,
         models: Vec::new(),
@@ -296,10 +301,15 @@
 impl RawCaller {
     /// Sends a request; `headers` are whole lines.
     pub async fn send(&mut self, headers: &str, body: &str) {
+        self.send_as("q", headers, body).await;
+    }
+
+    /// Sends a request with an id of its own.
+    pub async fn send_as(&mut self, id: &str, headers: &str, body: &str) {
         let length = body.len();
         let text = format!(
-            "POST /p/x?y=1 HTTP/1.1\r\nhost: h\r\nx-request-id: q\r\ncontent-length: {length}\r\n\
-             {headers}\r\n{body}"
+            "POST /p/x?y=1 HTTP/1.1\r\nhost: h\r\nx-request-id: {id}\r\n\
+             content-length: {length}\r\n{headers}\r\n{body}"
         );
         self.write(&text).await;
     }
--- a/tests/relay_forward.rs
+++ b/tests/relay_forward.rs
@@ -345,3 +345,26 @@
     }
     assert_eq!(accepted.await.unwrap().len(), 2);
 }
+
+#[tokio::test]
+async fn a_split_follows_its_weights_and_the_same_id_goes_the_same_way() {
+    let mut setup = Setup::new(Idempotent);
+    (setup.runners, setup.weights) = (2, vec![9, 1]);
+    let rig = RelayRig::start(setup, |_, received| signed(received, 200, "", "ok")).await;
+    let mut caller = rig.caller().await;
+    for round in 0..2 {
+        for number in 0..200 {
+            caller.send_as(&format!("id-{number}"), "", "").await;
+            assert_eq!(caller.read().await.status, 200, "round {round}");
+        }
+    }
+    let few = rig.runners[1].received();
+    assert!((20..=80).contains(&few.len()), "{}", few.len());
+    let (first, second) = few.split_at(few.len() / 2);
+    let ids = |part: &[Received]| -> Vec<_> {
+        part.iter()
+            .map(|one| one.header("x-request-id").unwrap().to_owned())
+            .collect()
+    };
+    assert_eq!(ids(first), ids(second));
+}
