--- a/tests/common/relay_rig.rs
+++ b/tests/common/relay_rig.rs
@@ -261,7 +261,6 @@
         models: Vec::new(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
-        orders_accepted: 0,
     }
 }
 
