--- a/src/relay/runner_pool.rs
+++ b/src/relay/runner_pool.rs
@@ -34,14 +34,6 @@
 /// The least time before a connection's limit at which it is no longer used.
 const MARGIN_MIN: Duration = Duration::from_millis(300);
 
-/// Callers give a silent stream up after a few seconds, so a runner that is gone must show sooner.
-const LIVENESS: Liveness = Liveness {
-    probe_after: Duration::from_secs(1),
-    probe_interval: Duration::from_secs(1),
-    probes_max: 2,
-    unacknowledged_max: Duration::from_millis(1800),
-};
-
 /// The largest answer head, in bytes.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
 
@@ -199,7 +191,7 @@
 
 async fn connect(address: SocketAddr, counted: Arc<()>) -> Result<OpenConnection, ConnectFault> {
     let stream = TcpStream::connect(address).await?;
-    set_up_liveness_with(&stream, LIVENESS)?;
+    set_up_liveness_with(&stream, Liveness::PROMPT)?;
     let stream = WriteWatch::new(stream);
     let unwritten = stream.unwritten();
     let (sender, driver) = http1::Builder::new()
