Refuse at once what an overload would make late, instead of holding it

Cause: a test that plays three runners and three nodes at twice their capacity showed refused requests held for 4 to 7 s each (of a deadline of 8 s), because those that turn late go behind all newcomers and the estimate did not see that.

--- a/src/dispatch/board_shared.rs
+++ b/src/dispatch/board_shared.rs
@@ -4,16 +4,13 @@
     super::{
         Place, Refused, TryOutcome, Wanted,
         board_state::BoardState,
-        outlook::{goes_on, next_look, outlook},
+        prospect::{Case, Prospect},
         service_runners::Chosen,
         wait_queue::{Answer, Ask, Waiter},
         waiting::{Verdict, Waiting},
     },
     crate::traffic::{EngineSpec, RouteMap, ServiceId, TrafficBoard, ZoneId},
-    std::{
-        sync::{Arc, Mutex, PoisonError},
-        time::Duration,
-    },
+    std::sync::{Arc, Mutex, PoisonError},
     tokio::{
         sync::{Notify, oneshot, watch},
         time::Instant,
@@ -92,8 +89,10 @@
         self.with_state(|state, grants| {
             let id = state.next_id();
             let service = state.service(&wanted.service);
-            if let Some(variant) = ask.variant.as_ref().filter(|_| ask.tried.is_empty()) {
-                service.demand.asked(variant, now);
+            if ask.tried.is_empty() {
+                service
+                    .demand
+                    .asked(ask.variant.as_ref(), ask.priority, now);
             }
             let chosen = service.choose(&ask, &self.zone, now);
             if let Chosen::Runner(position) = chosen
@@ -101,15 +100,21 @@
             {
                 return Ok(Start::Placed(self.seat(service, position, &ask, now)));
             }
-            let left = ask.give_up_at.saturating_duration_since(now);
-            let outlook = outlook(service, engine, &ask, chosen, id, now);
-            if left < Duration::from_millis(outlook.least_ms) || left.is_zero() {
-                return Err(outlook.refusal());
-            }
+            let case = Case {
+                service,
+                engine,
+                ask: &ask,
+                id,
+                since: now,
+                now,
+            };
+            let look_at = match case.prospect(chosen) {
+                Prospect::Wait(until) => until,
+                Prospect::Refuse(refused) => return Err(refused),
+            };
             let no_copy = chosen == Chosen::NoCopy;
             let first_for_copy = no_copy && !service.queue.wants_copy(ask.variant.as_ref());
             let (sender, receiver) = oneshot::channel();
-            let look_at = next_look(&ask, chosen, outlook, now, now);
             let waiter = Waiter {
                 id,
                 ask,
@@ -119,7 +124,7 @@
             };
             let answer_at = service.answer_at(now);
             if let Some(last) = service.queue.insert(waiter, answer_at) {
-                let answer = Err(outlook.refusal());
+                let answer = Err(Refused::SOON);
                 let sender = last.sender;
                 grants.push(Grant { sender, answer });
             }
@@ -149,13 +154,21 @@
                 return Verdict::Answered;
             };
             let chosen = service.choose(&waiter.ask, &self.zone, now);
-            let outlook = outlook(service, engine, &waiter.ask, chosen, id, now);
-            if !goes_on(waiter, chosen, outlook, now) {
-                let refusal = Verdict::Refuse(outlook.refusal());
-                service.queue.remove(id);
-                return refusal;
+            let case = Case {
+                service,
+                engine,
+                ask: &waiter.ask,
+                id,
+                since: waiter.since,
+                now,
+            };
+            match case.prospect(chosen) {
+                Prospect::Wait(until) => Verdict::Wait(until),
+                Prospect::Refuse(refused) => {
+                    service.queue.remove(id);
+                    Verdict::Refuse(refused)
+                }
             }
-            Verdict::Wait(next_look(&waiter.ask, chosen, outlook, waiter.since, now))
         })
     }
 
@@ -191,7 +204,7 @@
                 service.answered_after(now - place.started_at);
             }
             if outcome.held_place() {
-                service.demand.finished(variant.map(|v| &v.model), now);
+                service.demand.freed(variant.map(|v| &v.model), now);
             }
             service.ended(key, variant, outcome, place.time(now), now);
             self.pump(service, grants, now);
--- a/src/dispatch/board_state.rs
+++ b/src/dispatch/board_state.rs
@@ -136,7 +136,7 @@
     pub(super) fn own_demand(&self, now: Instant) -> Vec<ModelDemand> {
         let mut all = DemandSum::default();
         for service in &self.services {
-            for (variant, per_s) in service.demand.rates(now) {
+            for (variant, per_s) in service.demand.variants(now) {
                 all.add(&service.name, variant, per_s, 0);
             }
             let room_wait = Duration::from_millis(ROOM_WAIT_MS);
--- a/src/dispatch/demand_meter.rs
+++ b/src/dispatch/demand_meter.rs
@@ -1,69 +1,144 @@
-//! Counts the requests for each model and adapter.
+//! Counts the requests for each model and adapter, and the places that come free.
 
 use {
-    super::{DecayingCount, Variant},
+    super::{DecayingCount, Variant, peak_rate::PeakRate},
     crate::traffic::ModelId,
     tokio::time::Instant,
 };
 
-/// Below this rate a count is forgotten.
+/// Below this rate a count is forgotten, and says nothing.
 const FORGOTTEN_PER_S: f64 = 0.01;
 
-/// Variants that are counted at most.
-const VARIANTS_MAX: usize = 4_096;
+/// The lowest rate of free places that says something.
+const FREE_MIN_PER_S: f64 = 0.2;
 
-/// The requests for the variants of one service, and the rate at which places come free.
+/// Counts of each kind at most.
+const COUNTS_MAX: usize = 4_096;
+
+/// The requests for one service, and the places that come free there.
 #[derive(Debug, Default)]
 pub(super) struct DemandMeter {
-    asked: Vec<(Variant, DecayingCount)>,
-    finished: Vec<(Option<ModelId>, DecayingCount)>,
+    variants: Vec<(Variant, DecayingCount)>,
+    asked: Vec<((Option<ModelId>, u8), DecayingCount)>,
+    freed: Vec<(Option<ModelId>, Freed)>,
+}
+
+#[derive(Debug)]
+struct Freed {
+    count: DecayingCount,
+    peak: PeakRate,
+}
+
+/// The rates of a model, or of a plain service, as one rank of requests sees them.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct ModelRates {
+    /// Places that come free.
+    pub(super) free_per_s: f64,
+    /// Requests of the rank and of more urgent ones.
+    pub(super) asked_per_s: f64,
+    /// Requests that are more urgent.
+    pub(super) more_urgent_per_s: f64,
 }
 
 impl DemandMeter {
-    pub(super) fn asked(&mut self, variant: &Variant, now: Instant) {
-        match self.asked.binary_search_by(|(known, _)| known.cmp(variant)) {
-            Ok(position) => self.asked[position].1.add(now),
-            Err(position) if self.asked.len() < VARIANTS_MAX => {
-                let mut count = DecayingCount::new(now);
-                count.add(now);
-                self.asked.insert(position, (variant.clone(), count));
+    /// Counts a request.
+    pub(super) fn asked(&mut self, variant: Option<&Variant>, priority: u8, now: Instant) {
+        if let Some(variant) = variant {
+            let found = self
+                .variants
+                .binary_search_by(|(known, _)| known.cmp(variant));
+            match found {
+                Ok(at) => self.variants[at].1.add(now),
+                Err(at) if self.variants.len() < COUNTS_MAX => {
+                    self.variants.insert(at, (variant.clone(), one(now)));
+                }
+                Err(_) => {}
+            }
+        }
+        let key = (variant.map(|variant| &variant.model), priority);
+        let found = self
+            .asked
+            .binary_search_by(|((model, rank), _)| (model.as_ref(), *rank).cmp(&key));
+        match found {
+            Ok(at) => self.asked[at].1.add(now),
+            Err(at) if self.asked.len() < COUNTS_MAX => {
+                self.asked
+                    .insert(at, ((key.0.cloned(), priority), one(now)));
             }
             Err(_) => {}
         }
     }
 
-    pub(super) fn finished(&mut self, model: Option<&ModelId>, now: Instant) {
-        match self
-            .finished
-            .binary_search_by(|(known, _)| known.as_ref().cmp(&model))
-        {
-            Ok(position) => self.finished[position].1.add(now),
-            Err(position) if self.finished.len() < VARIANTS_MAX => {
-                let mut count = DecayingCount::new(now);
-                count.add(now);
-                self.finished.insert(position, (model.cloned(), count));
+    /// Counts a place that came free.
+    pub(super) fn freed(&mut self, model: Option<&ModelId>, now: Instant) {
+        let found = self
+            .freed
+            .binary_search_by(|(known, _)| known.as_ref().cmp(&model));
+        match found {
+            Ok(at) => {
+                let freed = &mut self.freed[at].1;
+                freed.count.add(now);
+                freed.peak.see(freed.count.per_s(now), now);
+            }
+            Err(at) if self.freed.len() < COUNTS_MAX => {
+                let freed = Freed {
+                    count: one(now),
+                    peak: PeakRate::new(now),
+                };
+                self.freed.insert(at, (model.cloned(), freed));
             }
             Err(_) => {}
         }
     }
 
-    /// Returns how many requests a second end of late.
-    pub(super) fn finishes_per_s(&self, model: Option<&ModelId>, now: Instant) -> f64 {
+    /// Returns the rates as a rank sees them; `None` if hardly any place came free.
+    pub(super) fn rates_of(
+        &self,
+        model: Option<&ModelId>,
+        priority: u8,
+        now: Instant,
+    ) -> Option<ModelRates> {
         let found = self
-            .finished
+            .freed
             .binary_search_by(|(known, _)| known.as_ref().cmp(&model));
-        found.map_or(0.0, |position| self.finished[position].1.per_s(now))
+        let freed = &self.freed[found.ok()?].1;
+        let (rate, peak) = (freed.count.per_s(now), freed.peak.per_s(now));
+        let mut rates = ModelRates {
+            free_per_s: (rate + peak.max(rate)) / 2.0,
+            asked_per_s: 0.0,
+            more_urgent_per_s: 0.0,
+        };
+        if rate < FREE_MIN_PER_S {
+            return None;
+        }
+        for ((known, rank), count) in &self.asked {
+            if known.as_ref() == model && *rank <= priority {
+                rates.asked_per_s += count.per_s(now);
+                if *rank < priority {
+                    rates.more_urgent_per_s += count.per_s(now);
+                }
+            }
+        }
+        Some(rates)
     }
 
-    pub(super) fn rates(&self, now: Instant) -> impl Iterator<Item = (&Variant, f64)> {
-        let rates = self.asked.iter();
-        rates.map(move |(variant, count)| (variant, count.per_s(now)))
+    /// Returns the requests a second for each variant.
+    pub(super) fn variants(&self, now: Instant) -> impl Iterator<Item = (&Variant, f64)> {
+        let variants = self.variants.iter();
+        variants.map(move |(variant, count)| (variant, count.per_s(now)))
     }
 
     pub(super) fn forget_old(&mut self, now: Instant) {
-        self.asked
-            .retain(|(_, count)| count.per_s(now) >= FORGOTTEN_PER_S);
-        self.finished
-            .retain(|(_, count)| count.per_s(now) >= FORGOTTEN_PER_S);
+        let counts = |count: &DecayingCount| count.per_s(now) >= FORGOTTEN_PER_S;
+        self.variants.retain(|(_, count)| counts(count));
+        self.asked.retain(|(_, count)| counts(count));
+        self.freed
+            .retain(|(_, freed)| freed.peak.per_s(now) >= FORGOTTEN_PER_S || counts(&freed.count));
     }
 }
+
+fn one(now: Instant) -> DecayingCount {
+    let mut count = DecayingCount::new(now);
+    count.add(now);
+    count
+}
--- /dev/null
+++ b/src/dispatch/peak_rate.rs
@@ -0,0 +1,34 @@
+//! The highest rate of late.
+
+use tokio::time::Instant;
+
+/// The span over which a peak is forgotten, in seconds.
+const FADE_S: f64 = 10.0;
+
+/// The highest rate that was seen of late.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PeakRate {
+    per_s: f64,
+    at: Instant,
+}
+
+impl PeakRate {
+    pub(super) fn new(now: Instant) -> Self {
+        Self {
+            per_s: 0.0,
+            at: now,
+        }
+    }
+
+    pub(super) fn see(&mut self, per_s: f64, now: Instant) {
+        if per_s >= self.per_s(now) {
+            self.per_s = per_s;
+            self.at = now;
+        }
+    }
+
+    pub(super) fn per_s(&self, now: Instant) -> f64 {
+        let elapsed_s = now.saturating_duration_since(self.at).as_secs_f64();
+        self.per_s * (-elapsed_s / FADE_S).exp()
+    }
+}
--- /dev/null
+++ b/tests/dispatch_overload.rs
@@ -0,0 +1,163 @@
+//! More requests than the runners can serve: who is served, and who is refused.
+
+#[path = "common/board_rig.rs"]
+mod board_rig;
+
+use {
+    board_rig::*,
+    greengagetrail::{discovery::RunnerEntry, dispatch::TryOutcome},
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{
+        sync::Mutex as FairMutex,
+        time::{Instant, sleep},
+    },
+};
+
+const RUNNERS: usize = 3;
+const NODES: usize = 3;
+const PROMPT_TOKENS: u32 = 1_000;
+const TOKENS_PER_MS: u64 = 26;
+const TARGET_MS: u64 = 800;
+const DEADLINE_MS: u64 = 8_000;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Served {
+    asked: u32,
+    on_time: u32,
+    late: u32,
+    refused: u32,
+    held_ms: u64,
+}
+
+struct Fleet {
+    nodes: Vec<Rig>,
+    /// Each runner reads one prompt at a time.
+    readers: Vec<FairMutex<()>>,
+    served: Mutex<[Served; 2]>,
+}
+
+fn runners() -> Vec<RunnerEntry> {
+    let names = (0..RUNNERS).map(|index| format!("r{index}"));
+    let runners = names.map(|name| RunnerEntry {
+        slots: 32,
+        ..runner(&name, &[("m1", &[])])
+    });
+    runners.collect()
+}
+
+impl Fleet {
+    fn new() -> Arc<Self> {
+        Arc::new(Self {
+            nodes: (0..NODES)
+                .map(|_| rig_with_memory(runners(), 122_968))
+                .collect(),
+            readers: (0..RUNNERS).map(|_| FairMutex::new(())).collect(),
+            served: Mutex::default(),
+        })
+    }
+
+    /// Lets the nodes tell each other their load every 100 ms.
+    async fn gossip(self: Arc<Self>) {
+        for round in 0_u64.. {
+            sleep(Duration::from_millis(100)).await;
+            for (from, node) in self.nodes.iter().enumerate() {
+                let report = node.board.tell(round % 5 == 0);
+                let others = self.nodes.iter().enumerate();
+                for (_, other) in others.filter(|(to, _)| *to != from) {
+                    let name = format!("n{from}");
+                    other.board.hear(&name.as_str().into(), report.clone());
+                }
+                node.board.expire();
+            }
+        }
+    }
+
+    async fn request(self: Arc<Self>, node: usize, priority: u8) {
+        let start = Instant::now();
+        let mut wanted = wanted("m1");
+        let generation = wanted.generation.as_mut().unwrap();
+        generation.prompt_tokens = PROMPT_TOKENS;
+        wanted.priority = priority;
+        wanted.target_at = start + Duration::from_millis(TARGET_MS);
+        wanted.give_up_at = start + Duration::from_millis(DEADLINE_MS);
+        let place = self.nodes[node].dispatcher.place(&wanted).await;
+        let mut first_ms = None;
+        if let Ok(mut place) = place {
+            let index: usize = name(&place)[1..].parse().unwrap();
+            {
+                let _reads = self.readers[index].lock().await;
+                sleep(Duration::from_millis(
+                    u64::from(PROMPT_TOKENS) / TOKENS_PER_MS,
+                ))
+                .await;
+            }
+            place.first_event(Instant::now());
+            first_ms = Some(start.elapsed().as_millis() as u64);
+            sleep(Duration::from_millis(600)).await;
+            place.finish(TryOutcome::Complete);
+        }
+        let served = &mut self.served.lock().unwrap()[usize::from(priority)];
+        served.asked += 1;
+        match first_ms {
+            Some(ms) if ms <= TARGET_MS => served.on_time += 1,
+            Some(ms) if ms <= DEADLINE_MS => served.late += 1,
+            Some(_) => {}
+            None => {
+                served.refused += 1;
+                served.held_ms += start.elapsed().as_millis() as u64;
+            }
+        }
+    }
+}
+
+/// Sends requests of both ranks in turn for 20 s, and waits for their ends.
+async fn play(every_ms: u64) -> [Served; 2] {
+    let fleet = Fleet::new();
+    let gossip = tokio::spawn(fleet.clone().gossip());
+    let mut tasks = Vec::new();
+    for number in 0..20_000 / every_ms {
+        let node = number as usize % NODES;
+        let priority = (number / NODES as u64 % 2) as u8;
+        tasks.push(tokio::spawn(fleet.clone().request(node, priority)));
+        sleep(Duration::from_millis(every_ms)).await;
+    }
+    for task in tasks {
+        task.await.unwrap();
+    }
+    gossip.abort();
+    let served = *fleet.served.lock().unwrap();
+    for class in served.iter().filter(|class| class.refused > 0) {
+        let held_ms = class.held_ms / u64::from(class.refused);
+        assert!(held_ms < TARGET_MS / 4, "{class:?}");
+    }
+    served
+}
+
+/// Three runners read 78 prompts a second.
+#[tokio::test(start_paused = true)]
+async fn below_capacity_all_are_on_time() {
+    for served in play(16).await {
+        assert!(served.on_time * 100 >= served.asked * 98, "{served:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn under_overload_the_more_urgent_are_on_time_and_the_runners_busy() {
+    let [urgent, other] = play(8).await;
+    assert!(urgent.on_time * 100 >= urgent.asked * 98, "{urgent:?}");
+    let served = urgent.on_time + urgent.late + other.on_time + other.late;
+    assert!(served * 10 >= 20 * 78 * 9, "{served}");
+    assert!(other.refused > 0, "{other:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn under_heavy_overload_what_can_be_on_time_comes_first() {
+    let [urgent, other] = play(4).await;
+    let on_time = urgent.on_time + other.on_time;
+    let late = urgent.late + other.late;
+    assert!(on_time > late, "{urgent:?} {other:?}");
+    assert!(urgent.on_time + urgent.late > other.on_time + other.late);
+}
