Tell peers which runners cannot be reached, and believe a leaving until a newer list

Cause: each of seven nodes found out by a lost try of its own that a runner is gone. A node that the store turns away would have used a runner again three seconds after its peers saw it leave. Ruled out: believing a peer for good, since an entry may lapse in an outage and come back; own answers of late and a list that is surely newer say more.

--- a/src/dispatch/board.rs
+++ b/src/dispatch/board.rs
@@ -32,6 +32,8 @@
     pub demand: Vec<ModelDemand>,
     /// Runners that are leaving or gone.
     pub leaving: Vec<RunnerKey>,
+    /// Runners that it could not reach since the last round.
+    pub unreachable: Vec<RunnerKey>,
     /// Changes of what runners hold.
     pub notes: Vec<ResidencyNote>,
 }
@@ -106,6 +108,9 @@
             for key in &report.leaving {
                 state.leaves(key, now);
             }
+            for key in &report.unreachable {
+                state.suspect(key, now);
+            }
             for note in &report.notes {
                 let (key, variant) = split(note);
                 state.note(&key, &variant, note.held, now);
@@ -123,6 +128,7 @@
             loads: state.untold_loads(all),
             demand: state.untold_demand(all, now),
             leaving: state.leaving(now),
+            unreachable: state.unreachable(),
             notes: Vec::new(),
         })
     }
--- a/src/dispatch/board_shared.rs
+++ b/src/dispatch/board_shared.rs
@@ -183,7 +183,7 @@
             service.answered_after(now - place.started_at);
             if let Some(slot) = service.slot(&place.runner.key) {
                 slot.prompt_read(&mut place.load);
-                slot.health.answered();
+                slot.health.answered(now);
             }
             self.pump(service, grants, now);
         });
@@ -208,6 +208,9 @@
             }
             service.ended(key, variant, outcome, place.time(now), now);
             self.pump(service, grants, now);
+            if outcome == TryOutcome::Unreachable && state.failed_to_reach(key) {
+                self.gossip_now.notify_one();
+            }
         });
         self.gossip_soon.notify_one();
     }
--- a/src/dispatch/board_state.rs
+++ b/src/dispatch/board_state.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        ModelDemand, Variant, peer_demand::PeerDemands, runner_slot::RunnerSlot,
-        service_runners::ServiceRunners,
+        ModelDemand, Variant, demand_sum::DemandSum, peer_demand::PeerDemands,
+        runner_slot::RunnerSlot, service_runners::ServiceRunners,
     },
     crate::{
         discovery::{RunnerEntry, RunnerKey},
@@ -13,7 +13,7 @@
     tokio::time::Instant,
 };
 
-/// How long a runner's leaving is told to peers, and believed from them.
+/// How long a runner's leaving is told to peers.
 const LEAVING_MS: u64 = 3_000;
 
 /// How long a request waits for room before it counts as demand for a further copy.
@@ -30,6 +30,7 @@
     services: Vec<ServiceRunners>,
     pub(super) peers: PeerDemands,
     leaving: Vec<Leaving>,
+    unreachable: Vec<RunnerKey>,
     waiting_told: Vec<ModelDemand>,
     last_id: u64,
 }
@@ -110,10 +111,31 @@
     /// Believes a peer that a runner is leaving.
     pub(super) fn leaves(&mut self, key: &RunnerKey, now: Instant) {
         if let Some(slot) = self.slot(key) {
-            slot.leaves(now + Duration::from_millis(LEAVING_MS));
+            slot.leaves(now);
         }
     }
 
+    /// Takes over a peer's word that a runner cannot be reached.
+    pub(super) fn suspect(&mut self, key: &RunnerKey, now: Instant) {
+        if let Some(slot) = self.slot(key) {
+            slot.health.suspect(now);
+        }
+    }
+
+    /// Returns the runners that could not be reached since the last round.
+    pub(super) fn unreachable(&mut self) -> Vec<RunnerKey> {
+        std::mem::take(&mut self.unreachable)
+    }
+
+    /// Notes a runner that could not be reached; returns whether that is news.
+    pub(super) fn failed_to_reach(&mut self, key: &RunnerKey) -> bool {
+        let news = !self.unreachable.contains(key);
+        if news {
+            self.unreachable.push(key.clone());
+        }
+        news
+    }
+
     /// Returns the runners whose leaving is to be told.
     pub(super) fn leaving(&mut self, now: Instant) -> Vec<RunnerKey> {
         self.leaving.retain(|leaving| now < leaving.until);
@@ -205,29 +227,3 @@
         }
     }
 }
-
-/// Demand summed up by service and variant, sorted.
-#[derive(Debug, Default)]
-struct DemandSum(Vec<ModelDemand>);
-
-impl DemandSum {
-    fn add(&mut self, service: &ServiceId, variant: &Variant, per_s: f64, waiting: u32) {
-        let key = (service, &variant.model, variant.adapter.as_ref());
-        match self.0.binary_search_by(|known| known.key().cmp(&key)) {
-            Ok(position) => {
-                self.0[position].requests_per_s += per_s;
-                self.0[position].waiting += waiting;
-            }
-            Err(position) => {
-                let demand = ModelDemand {
-                    service: service.clone(),
-                    model: variant.model.clone(),
-                    adapter: variant.adapter.clone(),
-                    requests_per_s: per_s,
-                    waiting,
-                };
-                self.0.insert(position, demand);
-            }
-        }
-    }
-}
--- /dev/null
+++ b/src/dispatch/peer_loads.rs
@@ -0,0 +1,61 @@
+//! The load that other nodes put on a runner.
+
+use {
+    super::{NodeLoad, TotalLoad, Variant},
+    crate::traffic::NodeName,
+    std::time::Duration,
+    tokio::time::Instant,
+};
+
+/// How long what a peer said counts without a new word of it.
+const PEER_LOAD_MS: u64 = 1_500;
+
+#[derive(Debug)]
+struct PeerLoad {
+    node: NodeName,
+    load: NodeLoad,
+    heard_at: Instant,
+}
+
+/// The load that other nodes put on a runner, sorted by node.
+#[derive(Debug, Default)]
+pub(super) struct PeerLoads(Vec<PeerLoad>);
+
+impl PeerLoads {
+    /// Takes over a node's word; no requests end its load.
+    pub(super) fn hear(&mut self, node: &NodeName, load: NodeLoad, now: Instant) {
+        let position = self.0.binary_search_by(|peer| peer.node.cmp(node));
+        match (position, load.requests) {
+            (Ok(position), 0) => drop(self.0.remove(position)),
+            (Ok(position), _) => {
+                self.0[position].load = load;
+                self.0[position].heard_at = now;
+            }
+            (Err(_), 0) => {}
+            (Err(position), _) => {
+                let peer = PeerLoad {
+                    node: node.clone(),
+                    load,
+                    heard_at: now,
+                };
+                self.0.insert(position, peer);
+            }
+        }
+    }
+
+    /// Forgets what is too old; returns whether there was any.
+    pub(super) fn expire(&mut self, now: Instant) -> bool {
+        let kept = Duration::from_millis(PEER_LOAD_MS);
+        let before = self.0.len();
+        self.0.retain(|peer| now < peer.heard_at + kept);
+        self.0.len() != before
+    }
+
+    pub(super) fn add_to(&self, total: &mut TotalLoad) {
+        self.0.iter().for_each(|peer| total.add(&peer.load));
+    }
+
+    pub(super) fn in_use(&self) -> impl Iterator<Item = &(Variant, u32)> {
+        self.0.iter().flat_map(|peer| &peer.load.in_use)
+    }
+}
--- a/src/dispatch/runner_health.rs
+++ b/src/dispatch/runner_health.rs
@@ -16,6 +16,7 @@
 
 const OUT_MIN_MS: u64 = 150;
 const OUT_MAX_MS: u64 = 1_200;
+const SUSPECT_MS: u64 = 300;
 const SHED_MS: u64 = 40;
 const WRONG_RUNNER_MS: u64 = 5_000;
 
@@ -25,6 +26,7 @@
     failure_rate: f64,
     slowness: Option<(f64, Instant)>,
     tries: u32,
+    answered_at: Option<Instant>,
     out_until: Option<Instant>,
     out_ms: u64,
     probe_in_flight: bool,
@@ -47,11 +49,21 @@
     }
 
     /// Notes that an answer began.
-    pub fn answered(&mut self) {
+    pub fn answered(&mut self, now: Instant) {
+        self.answered_at = Some(now);
         self.probe_in_flight = false;
         self.out_ms = 0;
     }
 
+    /// Notes that a peer cannot reach the runner; own answers of late say more.
+    pub fn suspect(&mut self, now: Instant) {
+        let trust = Duration::from_millis(SUSPECT_MS);
+        if self.answered_at.is_none_or(|at| now >= at + trust) && self.admits(now) {
+            self.out_ms = self.out_ms.max(OUT_MIN_MS);
+            self.out_until = Some(now + trust);
+        }
+    }
+
     /// Notes how a try ended.
     ///
     /// `service_failure_rate` is that of the whole service; `may_eject` tells whether few enough
@@ -68,7 +80,7 @@
             TryOutcome::Complete => {
                 self.rate(0.0);
                 self.out_until = None;
-                self.out_ms = 0;
+                self.answered(now);
             }
             TryOutcome::Unreachable => self.leave_out(now),
             TryOutcome::WrongRunner => {
--- a/src/dispatch/runner_slot.rs
+++ b/src/dispatch/runner_slot.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Candidate, NodeLoad, PrefixRecord, RequestLoad, ResidencyOverlay, RunnerHealth, RunnerView,
-        TotalLoad, Variant, wait_queue::Ask,
+        TotalLoad, Variant, peer_loads::PeerLoads, wait_queue::Ask,
     },
     crate::{
         discovery::{RunnerEntry, RunnerState},
@@ -20,15 +20,11 @@
 /// The rounds of gossip in which a change of load is told.
 const TOLD_ROUNDS: u8 = 3;
 
-/// How long what a peer said counts without a new word of it.
-const PEER_LOAD_MS: u64 = 1_500;
+/// How old the own list of runners may be.
+const LIST_AGE_MS: u64 = 2_500;
 
-#[derive(Debug)]
-struct PeerLoad {
-    node: NodeName,
-    load: NodeLoad,
-    heard_at: Instant,
-}
+/// How long a peer's word that a runner is leaving counts if no list comes.
+const LEAVING_MS: u64 = 60_000;
 
 #[derive(Debug)]
 pub(super) struct RunnerSlot {
@@ -40,11 +36,11 @@
     pub(super) health: RunnerHealth,
     pub(super) own: NodeLoad,
     overlay: ResidencyOverlay,
-    peers: Vec<PeerLoad>,
+    peers: PeerLoads,
     total: TotalLoad,
     prefixes: PrefixRecord,
     cold_until: Instant,
-    leaving_until: Option<Instant>,
+    leaving_heard_at: Option<Instant>,
     untold_rounds: u8,
     key_hash: u64,
 }
@@ -63,11 +59,11 @@
             health: RunnerHealth::default(),
             own: NodeLoad::default(),
             overlay: ResidencyOverlay::default(),
-            peers: Vec::new(),
+            peers: PeerLoads::default(),
             total: TotalLoad::default(),
             prefixes: PrefixRecord::default(),
             cold_until,
-            leaving_until: None,
+            leaving_heard_at: None,
             untold_rounds: 0,
             key_hash: hasher.finish(),
         }
@@ -76,10 +72,12 @@
     /// Takes over a newer entry; returns whether the runner is leaving from now on.
     pub(super) fn update(&mut self, entry: RunnerEntry, now: Instant) -> bool {
         self.seen = true;
-        if !self.listed {
-            self.listed = true;
-            self.leaving_until = None;
+        let list_age = Duration::from_millis(LIST_AGE_MS);
+        let is_newer = self.leaving_heard_at.is_some_and(|at| now >= at + list_age);
+        if !self.listed || is_newer {
+            self.leaving_heard_at = None;
         }
+        self.listed = true;
         if *self.base == entry {
             return false;
         }
@@ -104,15 +102,18 @@
     }
 
     /// Notes a peer's word that the runner is leaving.
-    pub(super) fn leaves(&mut self, until: Instant) {
-        self.leaving_until = self.leaving_until.max(Some(until));
+    ///
+    /// It counts until the own list is surely newer.
+    pub(super) fn leaves(&mut self, now: Instant) {
+        self.leaving_heard_at = Some(now);
     }
 
     /// Returns whether the runner may get requests at all.
     pub(super) fn is_ready(&self, now: Instant) -> bool {
+        let leaving = Duration::from_millis(LEAVING_MS);
         self.listed
             && self.entry.state == RunnerState::Ready
-            && self.leaving_until.is_none_or(|until| now >= until)
+            && self.leaving_heard_at.is_none_or(|at| now >= at + leaving)
     }
 
     /// Returns whether only a note, and no entry yet, tells of a model or adapter.
@@ -170,32 +171,13 @@
     }
 
     pub(super) fn peer_load(&mut self, node: &NodeName, load: NodeLoad, now: Instant) {
-        let position = self.peers.binary_search_by(|peer| peer.node.cmp(node));
-        match (position, load.requests) {
-            (Ok(position), 0) => drop(self.peers.remove(position)),
-            (Ok(position), _) => {
-                self.peers[position].load = load;
-                self.peers[position].heard_at = now;
-            }
-            (Err(_), 0) => return,
-            (Err(position), _) => {
-                let peer = PeerLoad {
-                    node: node.clone(),
-                    load,
-                    heard_at: now,
-                };
-                self.peers.insert(position, peer);
-            }
-        }
+        self.peers.hear(node, load, now);
         self.sum_up();
     }
 
     /// Forgets what is too old.
     pub(super) fn expire(&mut self, now: Instant) {
-        let kept_ms = Duration::from_millis(PEER_LOAD_MS);
-        let before = self.peers.len();
-        self.peers.retain(|peer| now < peer.heard_at + kept_ms);
-        if self.peers.len() != before {
+        if self.peers.expire(now) {
             self.sum_up();
         }
         if self.overlay.expire(now) {
@@ -212,8 +194,7 @@
 
     pub(super) fn view(&self) -> RunnerView {
         let mut in_use: Vec<(ModelId, Option<AdapterId>, u32)> = Vec::new();
-        let peers = self.peers.iter().flat_map(|peer| &peer.load.in_use);
-        for (variant, count) in self.own.in_use.iter().chain(peers) {
+        for (variant, count) in self.own.in_use.iter().chain(self.peers.in_use()) {
             let key = (&variant.model, &variant.adapter);
             match in_use.binary_search_by(|(model, adapter, _)| (model, adapter).cmp(&key)) {
                 Ok(position) => in_use[position].2 += count,
@@ -238,8 +219,6 @@
     fn sum_up(&mut self) {
         self.total = TotalLoad::default();
         self.total.add(&self.own);
-        for peer in &self.peers {
-            self.total.add(&peer.load);
-        }
+        self.peers.add_to(&mut self.total);
     }
 }
--- a/src/gossip/datagram.rs
+++ b/src/gossip/datagram.rs
@@ -42,6 +42,8 @@
     Leaving(RunnerKey),
     /// A change of what a runner holds, with its number.
     Note(u64, ResidencyNote),
+    /// A runner that it could not reach.
+    Unreachable(RunnerKey),
 }
 
 /// A datagram.
--- a/src/gossip/gossip.rs
+++ b/src/gossip/gossip.rs
@@ -135,6 +135,7 @@
         };
         let mut items = lock(&self.outbox).round();
         items.extend(report.leaving.into_iter().map(Item::Leaving));
+        items.extend(report.unreachable.into_iter().map(Item::Unreachable));
         items.extend(report.demand.into_iter().map(Item::Demand));
         let loads = report.loads.into_iter();
         items.extend(loads.map(|(key, load)| Item::Load(key, load)));
@@ -189,6 +190,7 @@
                         report.notes.push(note);
                     }
                     Item::Note(..) => {}
+                    Item::Unreachable(key) => report.unreachable.push(key),
                 }
             }
         }
--- a/tests/dispatch_board.rs
+++ b/tests/dispatch_board.rs
@@ -276,6 +276,37 @@
     rig.board.hear(&"peer".into(), report);
     assert!(place_now(&rig, "m1").await.is_none());
     assert!(place_now(&rig, "m2").await.is_some());
+    // A list that may be from before does not bring it back, a newer one does.
+    let list = || vec![runner("a", &[("m1", &[])]), runner("b", &[("m2", &[])])];
+    advance(Duration::from_secs(1)).await;
+    rig.board.set_runners(list());
+    assert!(place_now(&rig, "m1").await.is_none());
+    advance(Duration::from_secs(10)).await;
+    assert!(place_now(&rig, "m1").await.is_none());
+    rig.board.set_runners(list());
+    assert!(place_now(&rig, "m1").await.is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_that_a_peer_cannot_reach_is_left_out_for_a_moment() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    let place = place_now(&rig, "m1").await.unwrap();
+    place.finish(TryOutcome::Unreachable);
+    let report = rig.board.tell(false);
+    assert_eq!(report.unreachable, [key("a")]);
+    assert_eq!(rig.board.tell(true).unreachable, []);
+
+    let peer = board_rig::rig(vec![runner("a", &[("m1", &[])])]);
+    peer.board.hear(&"n1".into(), report.clone());
+    assert!(place_now(&peer, "m1").await.is_none());
+    advance(Duration::from_millis(350)).await;
+    place_now(&peer, "m1")
+        .await
+        .unwrap()
+        .finish(TryOutcome::Complete);
+    // Own answers of late say more than a peer's failure.
+    peer.board.hear(&"n1".into(), report);
+    assert!(place_now(&peer, "m1").await.is_some());
 }
 
 #[tokio::test(start_paused = true)]
--- a/tests/gossip_exchange.rs
+++ b/tests/gossip_exchange.rs
@@ -46,7 +46,8 @@
         };
         [
             Item::Load(key.clone(), load),
-            Item::Leaving(key),
+            Item::Leaving(key.clone()),
+            Item::Unreachable(key),
             Item::Note(number, note("a", "m1", None, true)),
             Item::Demand(ModelDemand {
                 service: "s".into(),
