--- a/src/dispatch/runner_slot.rs
+++ b/src/dispatch/runner_slot.rs
@@ -35,6 +35,8 @@
     base: Arc<RunnerEntry>,
     pub(super) entry: Arc<RunnerEntry>,
     pub(super) listed: bool,
+    /// Whether the list that is being taken over has it.
+    pub(super) seen: bool,
     pub(super) health: RunnerHealth,
     pub(super) own: NodeLoad,
     overlay: ResidencyOverlay,
@@ -57,6 +59,7 @@
             entry: base.clone(),
             base,
             listed: true,
+            seen: true,
             health: RunnerHealth::default(),
             own: NodeLoad::default(),
             overlay: ResidencyOverlay::default(),
@@ -72,14 +75,18 @@
 
     /// Takes over a newer entry; returns whether the runner is leaving from now on.
     pub(super) fn update(&mut self, entry: RunnerEntry, now: Instant) -> bool {
-        self.listed = true;
+        self.seen = true;
+        if !self.listed {
+            self.listed = true;
+            self.leaving_until = None;
+        }
         if *self.base == entry {
             return false;
         }
         let leaves = entry.state != RunnerState::Ready && self.base.state == RunnerState::Ready;
         self.cold_until = now + Duration::from_millis(entry.cold_remaining_ms);
         self.base = Arc::new(entry);
-        self.overlay.settle(&self.base);
+        self.overlay.settle(&self.base, now);
         self.entry = self.overlay.apply(&self.base);
         leaves
     }
@@ -89,7 +96,7 @@
             return;
         }
         self.overlay.note(variant, held, now);
-        self.overlay.settle(&self.base);
+        self.overlay.settle(&self.base, now);
         self.entry = self.overlay.apply(&self.base);
         if !held {
             self.prefixes.clear();
@@ -108,6 +115,11 @@
             && self.leaving_until.is_none_or(|until| now >= until)
     }
 
+    /// Returns whether only a note, and no entry yet, tells of a model or adapter.
+    pub(super) fn is_unconfirmed(&self, variant: Option<&Variant>) -> bool {
+        variant.is_some_and(|variant| self.overlay.is_pending(variant))
+    }
+
     pub(super) fn holds(&self, variant: Option<&Variant>) -> bool {
         variant.is_none_or(|variant| self.entry.holds(variant))
     }
@@ -120,7 +132,7 @@
             kept_tokens: u64::from(self.prefixes.kept_tokens(&ask.chain)),
             same_zone: self.entry.zone == *zone,
             cold: now < self.cold_until,
-            slowness: self.health.slowness(),
+            slowness: self.health.slowness(now),
         }
     }
 
