--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -130,7 +130,7 @@
             generation: self.call.head.generation.clone(),
             priority: rules.priority,
             target_at: rules.target_at,
-            give_up_at: self.call.ends_at.min(rules.given_up_at),
+            give_up_at: self.call.give_up_at(),
             tried: self.progress.tried.clone(),
         }
     }
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -39,6 +39,8 @@
     pub(super) body: Bytes,
     pub(super) head: CallHead,
     pub(super) rules: CallRules,
+    /// Since when its caller waits for an event.
+    pub(super) waits_since: Instant,
     /// When it gets its final answer at the latest.
     pub(super) ends_at: Instant,
 }
@@ -53,8 +55,8 @@
     pub(super) priority: u8,
     pub(super) attempts_max: u32,
     pub(super) target_at: Instant,
-    /// When the caller gives the request up for want of a first event.
-    pub(super) given_up_at: Instant,
+    /// How long the caller waits for an event before it gives the request up.
+    pub(super) patience: Duration,
 }
 
 impl Call {
@@ -67,6 +69,11 @@
         self.rules.kind.is_repeatable()
     }
 
+    /// Returns when it is of no more use that a runner takes the request.
+    pub(super) fn give_up_at(&self) -> Instant {
+        self.ends_at.min(self.waits_since + self.rules.patience)
+    }
+
     /// Returns the event after which the caller wants a stream to go on.
     pub(super) fn resumes_after(&self) -> Option<u64> {
         self.head.last_event_id.filter(|_| self.is_repeatable())
@@ -112,6 +119,7 @@
             body,
             head,
             rules,
+            waits_since: arrived_at,
             ends_at,
         })
     }
@@ -127,11 +135,11 @@
         priority: route.priority,
         attempts_max: route.attempts_max,
         target_at: arrived_at + Duration::from_millis(route.target_latency_ms),
-        given_up_at: arrived_at + patience(route),
+        patience: patience(route),
     }
 }
 
-/// Returns how long a caller waits for the first event of a stream, less the way to it.
+/// Returns how long a caller waits for an event of a stream, less the way to it.
 fn patience(route: &Route) -> Duration {
     let RouteKind::Streaming { gap_target_ms, .. } = route.kind else {
         return Duration::from_millis(route.timeout_ms);
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -199,6 +199,7 @@
 
 /// Goes on at another runner after the last event that was passed on.
 async fn resume(run: &mut Run, last_id: Option<u64>) -> Result<LiveStream, String> {
+    run.call.waits_since = Instant::now();
     loop {
         match run.attempt(last_id).await {
             Ok(Tried::Nothing) => {}
--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -227,3 +227,35 @@
             assert_eq!(parts.last_id(), splitter.last_id());
         });
 }
+
+#[tokio::test]
+async fn a_stream_that_breaks_late_waits_for_another_runner() {
+    let mut setup = Setup::new(RESUMABLE);
+    (setup.runners, setup.slots) = (2, 1);
+    (setup.target_latency_ms, setup.timeout_ms) = (100, 9000);
+    let rig = RelayRig::start(setup, |_, received| {
+        let late = received.header("x-request-id") == Some("q");
+        match (late, received.header("last-event-id")) {
+            // Longer than a caller waits for the first event.
+            (true, None) => then(
+                events(received, 1, 3),
+                [Step::Pause(Duration::from_millis(2200)), Step::Close],
+            ),
+            (true, Some(_)) => whole(received),
+            (false, _) => then(
+                vec![Step::Pause(Duration::from_millis(600))],
+                whole(received),
+            ),
+        }
+    })
+    .await;
+    let busy = async {
+        sleep(Duration::from_millis(2000)).await;
+        let mut other = rig.caller().await;
+        other.send_as("w", "", "").await;
+        other.read().await
+    };
+    let (late, busy) = tokio::join!(rig.call(""), busy);
+    assert_eq!((late.body, late.complete), (text(1, LAST), true));
+    assert_eq!((busy.body, busy.complete), (text(1, LAST), true));
+}
