Count runners that hang until their callers leave as broken; resume streams first

Callers leave at or before the time at which the relay would give a silent runner up, so such tries counted as cancelled and the runner went on to be chosen. A stream that broke asks for a place first and until its caller gives up.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -3,15 +3,16 @@
 use {
     super::{
         AnswerHead, Call, ForwardHead, Keep, Leaving, Refusal, Run, RunnerConnection, SendFault,
+        SentPlace,
     },
     crate::{
-        dispatch::{Place, TryOutcome, Wanted},
+        dispatch::{TryOutcome, Wanted},
         http::Body,
     },
     http_body_util::BodyExt,
     hyper::{Request, Response, StatusCode, body::Incoming},
     std::{error::Error, io, time::Duration},
-    tokio::time,
+    tokio::time::{self, Instant},
 };
 
 /// How often a request may find no connection before it is refused.
@@ -26,7 +27,7 @@
 /// A success whose body is yet to come.
 #[derive(Debug)]
 pub(super) struct Answered {
-    pub(super) place: Place,
+    pub(super) place: SentPlace,
     pub(super) connection: RunnerConnection,
     pub(super) keep: Keep,
     pub(super) response: Response<Incoming>,
@@ -64,6 +65,7 @@
         let place = self.relay.dispatcher.place(&wanted).await;
         let place =
             place.map_err(|refused| self.progress.given_up(Some(refused.retry_after_ms)))?;
+        let place = SentPlace::new(place, self.call.patience());
         self.progress.tried.push(place.runner.key.clone());
         let connections_max = self.relay.share_of(self.call.rules.connections_max);
         for _ in 0..STALE_MAX {
@@ -103,6 +105,11 @@
         Ok(Tried::Nothing)
     }
 
+    /// Returns whether a further try is still allowed and of use.
+    pub(super) fn may_wait(&mut self) -> bool {
+        self.check_further_try().is_ok() && Instant::now() < self.call.give_up_at()
+    }
+
     fn check_further_try(&mut self) -> Result<(), Refusal> {
         let progress = &mut self.progress;
         let rules = &self.call.rules;
@@ -129,13 +136,13 @@
             service: rules.service.clone(),
             generation: self.call.head.generation.clone(),
             priority: rules.priority,
-            target_at: rules.target_at,
+            target_at: self.call.target_at,
             give_up_at: self.call.give_up_at(),
             tried: self.progress.tried.clone(),
         }
     }
 
-    fn request(&self, place: &Place, last_event_id: Option<u64>) -> Request<Body> {
+    fn request(&self, place: &SentPlace, last_event_id: Option<u64>) -> Request<Body> {
         let call = &self.call;
         let mut request = Request::new(Body::from(call.body.clone()));
         *request.method_mut() = call.method.clone();
@@ -155,7 +162,7 @@
     /// Decides by the head of an answer what became of a try.
     async fn judge(
         &mut self,
-        place: Place,
+        place: SentPlace,
         connection: RunnerConnection,
         response: Response<Incoming>,
         before: Leaving,
@@ -193,7 +200,7 @@
 
 impl Answered {
     /// Gives the place back, and the connection if the rest of the answer is short.
-    async fn discard(self, outcome: TryOutcome) {
+    pub(super) async fn discard(self, outcome: TryOutcome) {
         self.place.finish(outcome);
         let body = self.response.into_body().collect();
         if matches!(time::timeout(DISCARD_TIMEOUT, body).await, Ok(Ok(_))) {
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -39,6 +39,8 @@
     pub(super) body: Bytes,
     pub(super) head: CallHead,
     pub(super) rules: CallRules,
+    /// When the next event is due for its full worth.
+    pub(super) target_at: Instant,
     /// Since when its caller waits for an event.
     pub(super) waits_since: Instant,
     /// When it gets its final answer at the latest.
@@ -54,7 +56,6 @@
     pub(super) kind: RouteKind,
     pub(super) priority: u8,
     pub(super) attempts_max: u32,
-    pub(super) target_at: Instant,
     /// How long the caller waits for an event before it gives the request up.
     pub(super) patience: Duration,
 }
@@ -69,6 +70,20 @@
         self.rules.kind.is_repeatable()
     }
 
+    /// Returns how long its caller waits for the next part of its answer.
+    pub(super) fn patience(&self) -> Duration {
+        self.rules.patience.min(self.left())
+    }
+
+    /// Begins to wait for the next event of a stream that broke.
+    ///
+    /// More is lost with a stream that has begun than with one that has not, so it goes first.
+    pub(super) fn wait_anew(&mut self) {
+        self.waits_since = Instant::now();
+        self.target_at = self.give_up_at();
+        self.rules.priority = 0;
+    }
+
     /// Returns when it is of no more use that a runner takes the request.
     pub(super) fn give_up_at(&self) -> Instant {
         self.ends_at.min(self.waits_since + self.rules.patience)
@@ -110,7 +125,8 @@
             deadline_ms.min(route.timeout_ms)
         });
         let ends_at = arrived_at + Duration::from_millis(timeout_ms);
-        let rules = rules(&map, route, &head, arrived_at);
+        let target_at = arrived_at + Duration::from_millis(route.target_latency_ms);
+        let rules = rules(&map, route, &head);
         let body = read_whole(body, &limits, ends_at).await?;
         Ok(Call {
             method: parts.method,
@@ -119,13 +135,14 @@
             body,
             head,
             rules,
+            target_at,
             waits_since: arrived_at,
             ends_at,
         })
     }
 }
 
-fn rules(map: &RouteMap, route: &Route, head: &CallHead, arrived_at: Instant) -> CallRules {
+fn rules(map: &RouteMap, route: &Route, head: &CallHead) -> CallRules {
     let service = pick_target(route, &head.request_id);
     let spec = map.config().service(&service);
     CallRules {
@@ -134,7 +151,6 @@
         kind: route.kind,
         priority: route.priority,
         attempts_max: route.attempts_max,
-        target_at: arrived_at + Duration::from_millis(route.target_latency_ms),
         patience: patience(route),
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -14,12 +14,13 @@
 mod run;
 mod runner_connection;
 mod runner_pool;
+mod sent_place;
 mod serve;
 mod stream_relay;
 mod write_watch;
 
 use {
     attempt::*, call::*, progress::*, refusal::*, run::*, runner_connection::*, runner_pool::*,
-    stream_relay::*, write_watch::*,
+    sent_place::*, stream_relay::*, write_watch::*,
 };
 pub use {event_splitter::*, head::*, relay::*, retry_budget::*};
--- a/src/relay/plain_answer.rs
+++ b/src/relay/plain_answer.rs
@@ -1,9 +1,9 @@
 //! Answers that are no streams of events.
 
 use {
-    super::{Answered, Call, Keep, RunnerConnection, answer},
+    super::{Answered, Call, Keep, RunnerConnection, SentPlace, answer},
     crate::{
-        dispatch::{Place, TryOutcome},
+        dispatch::TryOutcome,
         http::{Body, BodyError},
     },
     bytes::{Bytes, BytesMut},
@@ -20,7 +20,7 @@
 struct PartRead {
     read: Bytes,
     body: Incoming,
-    place: Place,
+    place: SentPlace,
     connection: RunnerConnection,
     keep: Keep,
     ends_at: Instant,
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -5,7 +5,7 @@
     crate::{dispatch::TryOutcome, http::Body},
     hyper::{Response, StatusCode},
     std::sync::Arc,
-    tokio::time::{self, Instant},
+    tokio::time,
 };
 
 /// A request on its way.
@@ -89,7 +89,7 @@
         if self.call.is_stream() {
             return answered.into_stream(&self.call).await;
         }
-        answered.place.first_event(Instant::now());
+        answered.place.heard(self.call.left());
         let response = answered.into_plain(&self.call, TryOutcome::Complete).await;
         response.map(Answer::Plain)
     }
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -1,23 +1,30 @@
 //! Streams of events, passed on as they come.
 
 use {
-    super::{Answer, Answered, Call, EventSplitter, Keep, Run, RunnerConnection, Tried, answer},
+    super::{
+        Answer, Answered, Call, EventSplitter, Keep, Run, RunnerConnection, SentPlace, Tried,
+        answer,
+    },
     crate::{
-        dispatch::{Place, TryOutcome},
+        dispatch::TryOutcome,
         http::{Body, BodyError},
     },
     bytes::Bytes,
     futures::{FutureExt, StreamExt, future::BoxFuture, stream},
     http_body_util::BodyExt,
     hyper::{Response, body::Incoming},
+    std::time::Duration,
     tokio::time::{self, Instant},
     tokio_util::sync::CancellationToken,
 };
 
+/// The pause before a place is asked for again, while the caller still waits for the next event.
+const RESUME_PAUSE: Duration = Duration::from_millis(100);
+
 /// A stream at one runner.
 #[derive(Debug)]
 pub(super) struct LiveStream {
-    place: Place,
+    place: SentPlace,
     connection: RunnerConnection,
     keep: Keep,
     body: Incoming,
@@ -43,7 +50,7 @@
         let (head, mut live) = self.split_stream(call.resumes_after());
         match live.read().await {
             Ok(true) => {
-                live.place.first_event(Instant::now());
+                live.place.heard(call.patience());
                 Some(Answer::Stream(head, Box::new(live)))
             }
             Ok(false) => {
@@ -175,7 +182,7 @@
         };
         match stream.read().await {
             Ok(true) => {
-                stream.place.first_event(Instant::now());
+                stream.place.heard(run.call.patience());
                 *last_id = stream.splitter.last_id();
                 return Ok(Some(std::mem::take(&mut stream.ready)));
             }
@@ -199,12 +206,13 @@
 
 /// Goes on at another runner after the last event that was passed on.
 async fn resume(run: &mut Run, last_id: Option<u64>) -> Result<LiveStream, String> {
-    run.call.waits_since = Instant::now();
+    run.call.wait_anew();
     loop {
         match run.attempt(last_id).await {
             Ok(Tried::Nothing) => {}
-            Ok(Tried::Failure(answered)) => answered.place.finish(TryOutcome::Failed),
+            Ok(Tried::Failure(answered)) => answered.discard(TryOutcome::Failed).await,
             Ok(Tried::Success(answered)) => return Ok(answered.split_stream(last_id).1),
+            Err(_) if run.may_wait() => time::sleep(RESUME_PAUSE).await,
             Err(_) => return Err("no other runner goes on with the stream".to_owned()),
         }
     }
--- a/tests/relay_callers.rs
+++ b/tests/relay_callers.rs
@@ -7,7 +7,7 @@
 
 use {
     common::{
-        fake_backend::{Received, Step},
+        fake_backend::{FakeBackend, Received, Step},
         relay_rig::{
             PATIENCE, RESUMABLE, RelayRig, STREAM_ONCE, Setup, chunk, event, events, signed,
             stream_end,
@@ -314,3 +314,27 @@
     assert_eq!(answer.status, 503);
     assert!(answer.head.contains("x-retry-after-ms"));
 }
+
+#[tokio::test]
+async fn a_runner_that_hangs_until_callers_leave_is_left_out() {
+    let hanging = FakeBackend::start(|_| vec![Step::Watch]).await;
+    let mut runners = vec![hanging];
+    for _ in 0..3 {
+        runners.push(FakeBackend::start(|received| signed(received, 200, "", "ok")).await);
+    }
+    let at: Vec<_> = runners.iter().map(|runner| runner.address).collect();
+    let rig = RelayRig::over(Setup::new(NonIdempotent), runners, &at).await;
+    let mut served = 0;
+    for _ in 0..10 {
+        let callers = (0..20).map(|_| async {
+            let mut caller = rig.caller().await;
+            caller.send("x-deadline-ms: 200\r\n", "").await;
+            // Leaves shortly before the relay would answer.
+            let answer = timeout(Duration::from_millis(190), caller.read()).await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        });
+        let answers = futures::future::join_all(callers).await;
+        served += answers.into_iter().filter(|good| *good).count();
+    }
+    assert!(served >= 170, "{served} of 200 were served");
+}
