Pace the prompts that a runner is sent, so that its streams make no pauses

A runner reads prompts between the tokens of all its streams, three steps an event, so that four prompts at once are a pause of over 250 ms for each of them. Nodes tell each other every 30 ms instead of 100 while something changes, since the pace needs it.

--- a/src/dispatch/board.rs
+++ b/src/dispatch/board.rs
@@ -125,7 +125,7 @@
     pub fn tell(&self, all: bool) -> NodeReport {
         let now = Instant::now();
         self.shared.with_state(|state, _| NodeReport {
-            loads: state.untold_loads(all),
+            loads: state.untold_loads(all, now),
             demand: state.untold_demand(all, now),
             leaving: state.leaving(now),
             unreachable: state.unreachable(),
--- a/src/dispatch/board_shared.rs
+++ b/src/dispatch/board_shared.rs
@@ -85,10 +85,11 @@
         let now = Instant::now();
         let map = self.traffic.current();
         let engine = engine_of(map.as_deref(), &wanted.service);
-        let ask = Ask::new(wanted, engine)?;
         self.with_state(|state, grants| {
             let id = state.next_id();
             let service = state.service(&wanted.service);
+            let paced = service.pace_budget.tokens(map.as_deref(), &wanted.service);
+            let ask = Ask::new(wanted, engine, paced)?;
             if ask.tried.is_empty() {
                 service
                     .demand
--- a/src/dispatch/board_state.rs
+++ b/src/dispatch/board_state.rs
@@ -202,13 +202,17 @@
     }
 
     /// Returns the own loads that have to be told.
-    pub(super) fn untold_loads(&mut self, all: bool) -> Vec<(RunnerKey, super::NodeLoad)> {
+    pub(super) fn untold_loads(
+        &mut self,
+        all: bool,
+        now: Instant,
+    ) -> Vec<(RunnerKey, super::NodeLoad)> {
         let slots = self
             .services
             .iter_mut()
             .flat_map(|service| &mut service.slots);
         let loads = slots.filter_map(|slot| {
-            let load = slot.untold_load(all)?;
+            let load = slot.untold_load(all, now)?;
             Some((slot.entry.key.clone(), load))
         });
         loads.collect()
--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -3,10 +3,7 @@
 use super::TotalLoad;
 
 /// Tokens of prompts that a runner reads in a millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 26.0;
-
-/// The unread tokens that a runner may have waiting.
-const PREFILL_WAITING_TOKENS: u64 = 7_800;
+pub(super) const PREFILL_TOKENS_PER_MS: f64 = 26.0;
 
 /// The time that one more running request costs the request, in milliseconds.
 const RUNNING_MS: f64 = 1.0;
@@ -29,6 +26,8 @@
     pub kv_tokens: u64,
     /// Tokens that a runner's requests share; `None` at plain services.
     pub kv_capacity_tokens: Option<u64>,
+    /// Tokens of prompts that a runner may be sent within a short time.
+    pub paced_tokens_max: u64,
     /// Whether no request is more urgent.
     pub most_urgent: bool,
 }
@@ -42,6 +41,8 @@
     pub own_requests: u32,
     /// The load from all nodes.
     pub total: TotalLoad,
+    /// Tokens of prompts that it has yet to read, or was sent of late.
+    pub paced_tokens: u64,
     /// Tokens of the request's prompt that it keeps.
     pub kept_tokens: u64,
     /// Whether it is in the node's data centre.
@@ -88,12 +89,10 @@
     } else {
         0
     };
-    let waiting_max = if need.most_urgent {
-        PREFILL_WAITING_TOKENS * 3 / 2
-    } else {
-        PREFILL_WAITING_TOKENS
-    };
+    let unread = need.prompt_tokens.saturating_sub(candidate.kept_tokens);
+    let paced_tokens = candidate.paced_tokens;
+    let paced = paced_tokens == 0 || paced_tokens + unread <= need.paced_tokens_max;
     total.requests < candidate.slots + overhang
         && total.kv_tokens + need.kv_tokens <= capacity
-        && total.prefill_tokens <= waiting_max
+        && paced
 }
--- a/src/dispatch/load.rs
+++ b/src/dispatch/load.rs
@@ -47,6 +47,8 @@
     pub kv_tokens: u64,
     /// Tokens of prompts that the runner has yet to read.
     pub prefill_tokens: u64,
+    /// Tokens of prompts that were sent of late, whether read or not.
+    pub recent_tokens: u64,
     /// Requests in flight by variant, sorted; empty at plain services.
     pub in_use: Vec<(Variant, u32)>,
 }
--- a/src/dispatch/peer_loads.rs
+++ b/src/dispatch/peer_loads.rs
@@ -1,7 +1,7 @@
 //! The load that other nodes put on a runner.
 
 use {
-    super::{NodeLoad, TotalLoad, Variant},
+    super::{NodeLoad, TotalLoad, Variant, prompt_pace::PACE},
     crate::traffic::NodeName,
     std::time::Duration,
     tokio::time::Instant,
@@ -55,6 +55,27 @@
         self.0.iter().for_each(|peer| total.add(&peer.load));
     }
 
+    /// Returns the tokens that runners have yet to read or were sent of late.
+    pub(super) fn prompt_tokens(&self, now: Instant) -> u64 {
+        let tokens = self.0.iter().map(|peer| {
+            let is_recent = now < peer.heard_at + PACE;
+            let recent = if is_recent {
+                peer.load.recent_tokens
+            } else {
+                0
+            };
+            recent.max(peer.load.prefill_tokens)
+        });
+        tokens.sum()
+    }
+
+    /// Returns when the prompts that a peer sent of late are no longer recent.
+    pub(super) fn next_pace(&self, now: Instant) -> Option<Instant> {
+        let with_recent = self.0.iter().filter(|peer| peer.load.recent_tokens > 0);
+        let ends = with_recent.map(|peer| peer.heard_at + PACE);
+        ends.filter(|end| now < *end).min()
+    }
+
     pub(super) fn in_use(&self) -> impl Iterator<Item = &(Variant, u32)> {
         self.0.iter().flat_map(|peer| &peer.load.in_use)
     }
--- a/src/dispatch/prospect.rs
+++ b/src/dispatch/prospect.rs
@@ -49,7 +49,7 @@
         }
         match chosen {
             Chosen::NoCopy => self.copy_prospect(),
-            Chosen::Full(retry_at) => match (self.room_prospect(), retry_at) {
+            Chosen::Full(retry_at) => match (self.room_prospect(retry_at), retry_at) {
                 (Prospect::Wait(at), Some(retry_at)) => self.wait(at.min(retry_at)),
                 (prospect, _) => prospect,
             },
--- a/src/dispatch/runner_slot.rs
+++ b/src/dispatch/runner_slot.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Candidate, NodeLoad, PrefixRecord, RequestLoad, ResidencyOverlay, RunnerHealth, RunnerView,
-        TotalLoad, Variant, peer_loads::PeerLoads, wait_queue::Ask,
+        TotalLoad, Variant, peer_loads::PeerLoads, prompt_pace::PromptPace, wait_queue::Ask,
     },
     crate::{
         discovery::{RunnerEntry, RunnerState},
@@ -39,6 +39,7 @@
     peers: PeerLoads,
     total: TotalLoad,
     prefixes: PrefixRecord,
+    pace: PromptPace,
     cold_until: Instant,
     leaving_heard_at: Option<Instant>,
     untold_rounds: u8,
@@ -62,6 +63,7 @@
             peers: PeerLoads::default(),
             total: TotalLoad::default(),
             prefixes: PrefixRecord::default(),
+            pace: PromptPace::default(),
             cold_until,
             leaving_heard_at: None,
             untold_rounds: 0,
@@ -126,10 +128,12 @@
     }
 
     pub(super) fn candidate(&self, ask: &Ask, zone: &ZoneId, now: Instant) -> Candidate {
+        let own_tokens = self.own.prefill_tokens.max(self.pace.tokens(now));
         Candidate {
             slots: self.entry.slots,
             own_requests: self.own.requests,
             total: self.total,
+            paced_tokens: own_tokens + self.peers.prompt_tokens(now),
             kept_tokens: u64::from(self.prefixes.kept_tokens(&ask.chain)),
             same_zone: self.entry.zone == *zone,
             cold: now < self.cold_until,
@@ -143,8 +147,14 @@
         (mixed >> 40) as f64 / (1_u64 << 24) as f64
     }
 
+    /// Returns when a prompt that was sent of late is no longer recent.
+    pub(super) fn next_pace(&self, now: Instant) -> Option<Instant> {
+        let own = self.pace.next(now);
+        own.into_iter().chain(self.peers.next_pace(now)).min()
+    }
+
     /// Counts a request in.
-    pub(super) fn reserve(&mut self, ask: &Ask) -> RequestLoad {
+    pub(super) fn reserve(&mut self, ask: &Ask, now: Instant) -> RequestLoad {
         let kept = u64::from(self.prefixes.kept_tokens(&ask.chain));
         let load = RequestLoad {
             variant: ask.variant.clone(),
@@ -152,6 +162,7 @@
             prefill_tokens: ask.need.prompt_tokens.saturating_sub(kept),
         };
         self.own.add(&load);
+        self.pace.send(load.prefill_tokens, now);
         if let Some(capacity) = ask.need.kv_capacity_tokens {
             self.prefixes.read(&ask.chain, capacity / 2);
         }
@@ -186,10 +197,13 @@
     }
 
     /// Returns the own load if it has to be told to peers.
-    pub(super) fn untold_load(&mut self, all: bool) -> Option<NodeLoad> {
+    pub(super) fn untold_load(&mut self, all: bool, now: Instant) -> Option<NodeLoad> {
         let due = self.untold_rounds > 0 || (all && self.own.requests > 0);
         self.untold_rounds = self.untold_rounds.saturating_sub(1);
-        due.then(|| self.own.clone())
+        due.then(|| NodeLoad {
+            recent_tokens: self.pace.tokens(now),
+            ..self.own.clone()
+        })
     }
 
     pub(super) fn view(&self) -> RunnerView {
--- a/src/dispatch/seating.rs
+++ b/src/dispatch/seating.rs
@@ -60,7 +60,7 @@
     ) -> Place {
         let name = service.name.clone();
         let slot = &mut service.slots[position];
-        let load = slot.reserve(ask);
+        let load = slot.reserve(ask, now);
         self.gossip_soon.notify_one();
         Place {
             runner: slot.entry.clone(),
--- a/src/dispatch/service_runners.rs
+++ b/src/dispatch/service_runners.rs
@@ -4,6 +4,7 @@
     super::{
         TryOutcome, Variant, cost_ms,
         demand_meter::DemandMeter,
+        pace_budget::PaceBudget,
         runner_slot::RunnerSlot,
         wait_queue::{Ask, WaitQueue},
     },
@@ -31,6 +32,7 @@
     pub(super) slots: Vec<RunnerSlot>,
     pub(super) queue: WaitQueue,
     pub(super) demand: DemandMeter,
+    pub(super) pace_budget: PaceBudget,
     mean_times: Vec<(Option<ModelId>, f64)>,
     answer_time_s: f64,
 }
@@ -53,6 +55,7 @@
             slots: Vec::new(),
             queue: WaitQueue::default(),
             demand: DemandMeter::default(),
+            pace_budget: PaceBudget::default(),
             mean_times: Vec::new(),
             answer_time_s: 0.0,
         }
@@ -96,7 +99,12 @@
                 retry_at = retry_at.into_iter().chain(until).min();
                 continue;
             }
-            let Some(cost) = cost_ms(&ask.need, &slot.candidate(ask, zone, now)) else {
+            let mut candidate = slot.candidate(ask, zone, now);
+            let Some(cost) = cost_ms(&ask.need, &candidate) else {
+                candidate.paced_tokens = 0;
+                if cost_ms(&ask.need, &candidate).is_some() {
+                    retry_at = retry_at.into_iter().chain(slot.next_pace(now)).min();
+                }
                 continue;
             };
             let affinity_ms = match ask.chain.first_hash() {
--- a/src/dispatch/wait_queue.rs
+++ b/src/dispatch/wait_queue.rs
@@ -31,7 +31,11 @@
     /// # Errors
     ///
     /// Fails when its service does not declare the model.
-    pub(super) fn new(wanted: &Wanted, engine: Option<&EngineSpec>) -> Result<Self, Refused> {
+    pub(super) fn new(
+        wanted: &Wanted,
+        engine: Option<&EngineSpec>,
+        paced_tokens_max: u64,
+    ) -> Result<Self, Refused> {
         let generation = wanted.generation.as_ref();
         let declared = match (generation, engine) {
             (Some(generation), Some(engine)) => engine.model(&generation.model).is_some(),
@@ -46,6 +50,7 @@
                 prompt_tokens: generation.map_or(0, |g| u64::from(g.prompt_tokens)),
                 kv_tokens: generation.map_or(0, kv_tokens),
                 kv_capacity_tokens: engine.map(|engine| engine.kv_capacity_tokens),
+                paced_tokens_max,
                 most_urgent: wanted.priority == 0,
             },
             chain: generation.map(PromptChain::of).unwrap_or_default(),
--- a/src/gossip/gossip.rs
+++ b/src/gossip/gossip.rs
@@ -24,10 +24,10 @@
 };
 
 /// The time between two rounds while something changes.
-const ROUND_MS: u64 = 100;
+const ROUND_MS: u64 = 30;
 
 /// What each peer adds to it in larger systems.
-const ROUND_PEER_MS: u64 = 2;
+const ROUND_PEER_MS: u64 = 4;
 
 /// The longest time between two rounds; each of these tells everything.
 const FULL_ROUND_MS: u64 = 500;
--- a/tests/dispatch_board.rs
+++ b/tests/dispatch_board.rs
@@ -211,6 +211,7 @@
         requests,
         kv_tokens: u64::from(requests) * 200,
         prefill_tokens: 0,
+        recent_tokens: 0,
         in_use: vec![(variant(model), requests)],
     }
 }
--- a/tests/dispatch_choice.rs
+++ b/tests/dispatch_choice.rs
@@ -9,6 +9,7 @@
     prompt_tokens: 1_000,
     kv_tokens: 1_200,
     kv_capacity_tokens: Some(50_000),
+    paced_tokens_max: 4_500,
     most_urgent: false,
 };
 
@@ -16,6 +17,7 @@
     prompt_tokens: 0,
     kv_tokens: 0,
     kv_capacity_tokens: None,
+    paced_tokens_max: 0,
     most_urgent: false,
 };
 
@@ -28,6 +30,7 @@
             kv_tokens: u64::from(requests) * 1_200,
             prefill_tokens: 0,
         },
+        paced_tokens: 0,
         kept_tokens: 0,
         same_zone: true,
         cold: false,
@@ -102,6 +105,22 @@
     assert_eq!(cost_ms(&PLAIN, &candidate(8)), None);
 }
 
+#[test]
+fn prompts_are_paced_unless_there_is_none() {
+    let mut reading = candidate(2);
+    reading.paced_tokens = 3_500;
+    assert!(cost_ms(&ENGINE, &reading).is_some());
+    reading.paced_tokens = 3_501;
+    assert_eq!(cost_ms(&ENGINE, &reading), None);
+    reading.kept_tokens = 1;
+    assert!(cost_ms(&ENGINE, &reading).is_some());
+    let large = Need {
+        prompt_tokens: 9_000,
+        ..ENGINE
+    };
+    assert!(cost_ms(&large, &candidate(2)).is_some());
+}
+
 #[test]
 fn memory_must_fit_unless_the_runner_is_empty() {
     let large = Need {
--- a/tests/gossip_exchange.rs
+++ b/tests/gossip_exchange.rs
@@ -42,6 +42,7 @@
             requests: 3,
             kv_tokens: 5_000,
             prefill_tokens: 100,
+            recent_tokens: 0,
             in_use: vec![(variant, 3)],
         };
         [
