Let large prompts through the pace before small ones starve them

A prompt of over half the span's tokens would have waited for an empty span that smaller prompts of other models keep filling; half of it free is enough now. Found by reasoning; the test holds the bounds of the choice.

--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -90,9 +90,17 @@
         0
     };
     let unread = need.prompt_tokens.saturating_sub(candidate.kept_tokens);
-    let paced_tokens = candidate.paced_tokens;
-    let paced = paced_tokens == 0 || paced_tokens + unread <= need.paced_tokens_max;
+    let paced = is_paced(candidate.paced_tokens, unread, need.paced_tokens_max);
     total.requests < candidate.slots + overhang
         && total.kv_tokens + need.kv_tokens <= capacity
         && paced
 }
+
+/// Returns whether a prompt may be sent after those of late.
+///
+/// A large one needs only half of the span's tokens to be free, so that small ones cannot keep it
+/// waiting for good.
+fn is_paced(sent: u64, prompt: u64, max: u64) -> bool {
+    let half = max / 2;
+    sent == 0 || sent + prompt <= max || (prompt > half && sent <= half)
+}
--- a/tests/dispatch_choice.rs
+++ b/tests/dispatch_choice.rs
@@ -119,6 +119,10 @@
         ..ENGINE
     };
     assert!(cost_ms(&large, &candidate(2)).is_some());
+    reading.paced_tokens = 2_250;
+    assert!(cost_ms(&large, &reading).is_some());
+    reading.paced_tokens = 2_251;
+    assert_eq!(cost_ms(&large, &reading), None);
 }
 
 #[test]
