--- a/src/dispatch/prompt_pace.rs
+++ b/src/dispatch/prompt_pace.rs
@@ -5,6 +5,9 @@
 /// The span over which prompts are counted.
 pub(super) const PACE: Duration = Duration::from_millis(250);
 
+/// The span within which prompts count as sent at once.
+const TOGETHER: Duration = Duration::from_millis(10);
+
 /// The prompts that were sent within the span, the oldest first.
 ///
 /// A runner reads prompts between the tokens of the streams that it runs, so that many prompts at
@@ -17,8 +20,10 @@
 impl PromptPace {
     pub(super) fn send(&mut self, tokens: u64, now: Instant) {
         self.sent.retain(|(at, _)| now < *at + PACE);
-        if tokens > 0 {
-            self.sent.push((now, tokens));
+        match self.sent.last_mut() {
+            Some((at, sum)) if now < *at + TOGETHER => *sum += tokens,
+            _ if tokens > 0 => self.sent.push((now, tokens)),
+            _ => {}
         }
     }
 
