Tell another runner's 421 from a missing model

A 421 of a generation always counted as a missing model, so a node went on to ask an address that another runner had taken. The answer's head now says which runner it is.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -171,7 +171,7 @@
         let answer = self.relay.formats.read_answer(&head);
         let response = Response::from_parts(head, body);
         let keep = Keep::read(&response, answer.keep_alive_s);
-        let verdict = verdict(&self.call, response.status(), &answer, connection.reused);
+        let verdict = verdict(&self.call, response.status(), &answer, &connection);
         let answered = Answered {
             place,
             connection,
@@ -209,18 +209,27 @@
     }
 }
 
-fn verdict(call: &Call, status: StatusCode, answer: &AnswerHead, reused: bool) -> Verdict {
+fn verdict(
+    call: &Call,
+    status: StatusCode,
+    answer: &AnswerHead,
+    connection: &RunnerConnection,
+) -> Verdict {
     let belongs = match &answer.request_id {
         Some(id) => *id == call.head.request_id,
         // A stray answer can only come where an earlier request was.
-        None => !reused && !status.is_success(),
+        None => !connection.reused && !status.is_success(),
     };
     if !belongs || status.is_informational() {
         return Verdict::Unusable;
     }
     let refused = status.is_client_error() || status.is_server_error();
     if status == StatusCode::MISDIRECTED_REQUEST || answer.not_executed && refused {
-        return Verdict::NotRun(refusal_outcome(call, status));
+        let other = answer
+            .runner
+            .as_ref()
+            .is_some_and(|id| *id != connection.runner.id);
+        return Verdict::NotRun(refusal_outcome(call, status, other));
     }
     if status.is_success() {
         return match answer.signed {
@@ -234,10 +243,11 @@
     }
 }
 
-fn refusal_outcome(call: &Call, status: StatusCode) -> TryOutcome {
-    match (status, &call.head.generation) {
-        (StatusCode::MISDIRECTED_REQUEST, Some(_)) => TryOutcome::Absent,
-        (StatusCode::MISDIRECTED_REQUEST, None) => TryOutcome::WrongRunner,
+fn refusal_outcome(call: &Call, status: StatusCode, other_runner: bool) -> TryOutcome {
+    match status {
+        StatusCode::MISDIRECTED_REQUEST if other_runner => TryOutcome::WrongRunner,
+        StatusCode::MISDIRECTED_REQUEST if call.head.generation.is_some() => TryOutcome::Absent,
+        StatusCode::MISDIRECTED_REQUEST => TryOutcome::WrongRunner,
         _ => TryOutcome::Shed,
     }
 }
--- a/src/relay/head.rs
+++ b/src/relay/head.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         discovery::RunnerKey,
-        traffic::{AdapterId, ModelId},
+        traffic::{AdapterId, ModelId, RunnerId},
     },
     bytes::Bytes,
     thiserror::Error,
@@ -81,6 +81,8 @@
     pub signed: bool,
     /// Whether it states that the request did not run.
     pub not_executed: bool,
+    /// The runner that answers, where it names itself.
+    pub runner: Option<RunnerId>,
     /// How long the connection may idle, where it says so.
     pub keep_alive_s: Option<u64>,
 }
--- a/tests/common/relay_rig.rs
+++ b/tests/common/relay_rig.rs
@@ -87,6 +87,7 @@
             request_id: id.map(|id| id.as_bytes().to_vec().into()),
             signed: head.headers.contains_key("x-signature"),
             not_executed: head.headers.contains_key("x-not-executed"),
+            runner: None,
             keep_alive_s: number(&head.headers, "x-idle-s"),
         }
     }
