Test the order task against lost, late and unanswered orders

Found by it: a runner that drains with a report due, and a load that was overdue, made the task pass every 5 ms; the task went on after its membership ended.

--- a/src/copies/order_desk.rs
+++ b/src/copies/order_desk.rs
@@ -145,8 +145,9 @@
             record.sync(view, now);
             let held_now = record.held();
             push_changes(&mut self.notes, key, &held, &held_now);
-            if record.retells(now) {
-                push_changes(&mut self.notes, key, &listed(view), &held_now);
+            let listed = listed(view);
+            if record.retells(listed != held_now, now) {
+                push_changes(&mut self.notes, key, &listed, &held_now);
             }
         }
     }
--- a/src/copies/order_task.rs
+++ b/src/copies/order_task.rs
@@ -48,7 +48,7 @@
 }
 
 impl OrderTask {
-    /// Runs for ever.
+    /// Runs until the membership ends.
     ///
     /// A term whose token a runner refused gives no more orders.
     pub async fn run(self) {
@@ -73,6 +73,9 @@
             let due = due.map_or(now + INTERVAL, |due| due.min(now + INTERVAL));
             let due = due.max(now + INTERVAL_MIN);
             wait(&mut desk, &mut waiting, now + INTERVAL_MIN, due).await;
+            if desk.task.term.has_changed().is_err() {
+                return;
+            }
             let woken = Instant::now();
             if woken > due + FREEZE_MIN {
                 quiet_until = woken + thaw_slack;
--- a/src/copies/runner_record.rs
+++ b/src/copies/runner_record.rs
@@ -38,7 +38,9 @@
 /// How long room is made for a model at most.
 const GOAL_MAX: Duration = Duration::from_secs(10);
 /// The pause between two comparisons with the entry.
-const RETELL_INTERVAL: Duration = Duration::from_millis(1_000);
+const COMPARE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How long the entry may lag behind an order.
+const ENTRY_LAG: Duration = Duration::from_millis(3_000);
 /// The reports older than the known state after which they are believed.
 const STALE_REPORTS_MAX: u32 = 6;
 
@@ -68,7 +70,9 @@
     accepted_at: Option<Instant>,
     adapters_due: Option<Instant>,
     goal_until: Instant,
-    retold_at: Instant,
+    compared_at: Instant,
+    /// When the last report was taken over.
+    adopted_at: Option<Instant>,
 }
 
 impl RunnerRecord {
@@ -111,7 +115,8 @@
             accepted_at: None,
             adapters_due: None,
             goal_until: now,
-            retold_at: now,
+            compared_at: now,
+            adopted_at: None,
         }
     }
 
@@ -233,15 +238,29 @@
             && now >= self.quiet_until
     }
 
-    /// Returns whether to tell again what the entry does not show; what was told is forgotten
-    /// after a time, and the list of runners may stand still while the store is down.
-    pub fn retells(&mut self, now: Instant) -> bool {
-        let is_due = now.duration_since(self.retold_at) >= RETELL_INTERVAL;
-        let retells = is_due && self.count.is_some() && self.ask_at.is_none() && !self.in_call;
-        if retells {
-            self.retold_at = now;
+    /// Compares the account with what the entry lists; returns whether to tell it again.
+    ///
+    /// What was told is forgotten after a time, and the list of runners may stand still while the
+    /// store is down; but a late order may also have changed what the runner holds, so that a
+    /// report is asked for first.
+    pub fn retells(&mut self, differs: bool, now: Instant) -> bool {
+        let passed = |since: Option<Instant>, time| {
+            since.is_none_or(|since| now.duration_since(since) >= time)
+        };
+        let is_settled = self.count.is_some() && self.sent.is_none() && !self.in_call;
+        let is_due = passed(Some(self.compared_at), COMPARE_INTERVAL);
+        if !is_settled || !is_due || self.ask_at.is_some() {
+            return false;
+        }
+        self.compared_at = now;
+        if !differs || !passed(self.accepted_at, ENTRY_LAG) {
+            return false;
+        }
+        let is_checked = !passed(self.adopted_at, COMPARE_INTERVAL * 2);
+        if !is_checked {
+            self.ask_at = Some(now);
         }
-        retells
+        is_checked
     }
 
     /// Returns whether to ask for a report now.
@@ -251,8 +270,10 @@
 
     /// Returns when to look at the account again.
     pub fn next_due(&self) -> Option<Instant> {
-        let ask_at = self.ask_at.filter(|_| !self.in_call);
+        let ask_at = self.ask_at.filter(|_| !self.in_call && self.state.is_ready);
+        let asks = self.ask_at.is_some() || self.in_call;
         let load_due = self.loading.as_ref().map(|(_, due)| *due + PROGRESS_PAUSE);
+        let load_due = load_due.filter(|_| !asks);
         let unload_due = self
             .unloading
             .as_ref()
@@ -418,6 +439,7 @@
             _ => {}
         }
         self.count = Some(report.orders_accepted);
+        self.adopted_at = Some(now);
         let is_recent = is_same
             && self
                 .accepted_at
--- /dev/null
+++ b/tests/common/engines.rs
@@ -0,0 +1,29 @@
+//! Engines with models of given sizes.
+
+use greengagetrail::traffic::{EngineSpec, ModelId, ModelSpec};
+
+/// Returns the name of a model.
+pub fn model_id(index: usize) -> ModelId {
+    format!("m{index:02}").as_str().into()
+}
+
+/// Returns engines of 200 GB with models of the given sizes.
+pub fn engine(sizes_mb: &[f64]) -> EngineSpec {
+    let model = |(index, size_mb): (usize, &f64)| ModelSpec {
+        name: model_id(index),
+        weights_mb: *size_mb,
+        load_s: 1.2,
+        warm_s: 0.57,
+        disk_s: 0.74,
+        adapters: 10,
+        adapter_mb: 40.0,
+    };
+    EngineSpec {
+        slots: 32,
+        kv_capacity_tokens: 120_000,
+        weights_mb: 200_000.0,
+        adapter_slots: 8,
+        loads_per_s: 2.5,
+        models: sizes_mb.iter().enumerate().map(model).collect(),
+    }
+}
--- /dev/null
+++ b/tests/copies_orders.rs
@@ -0,0 +1,286 @@
+//! The order task against runners that lose and delay orders.
+
+mod common {
+    pub mod bounds;
+    pub mod engines;
+    pub mod fake_fleet;
+}
+
+use {
+    bytes::Bytes,
+    common::{
+        bounds::bounds,
+        engines::{engine, model_id},
+        fake_fleet::{FakeFleet, FleetLink, OrderFaults},
+    },
+    greengagetrail::{
+        copies::OrderTask,
+        dispatch::{ModelDemand, NodeReport, RunnerBoard},
+        leader::Term,
+        node::{Order, OrderReply},
+        traffic::{
+            CallerLimits, ConfigVersion, EngineSpec, ModelId, RouteMap, ServiceSpec, TrafficBoard,
+            TrafficConfig,
+        },
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        sync::watch,
+        task::JoinSet,
+        time::{Instant, sleep},
+    },
+};
+
+/// The pause between two writes of a runner's entry.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+struct Rig {
+    fleet: Arc<FakeFleet>,
+    board: Arc<RunnerBoard>,
+    term: watch::Sender<Option<Term>>,
+    _tasks: JoinSet<()>,
+}
+
+fn config(engine: EngineSpec) -> TrafficConfig {
+    TrafficConfig {
+        version: ConfigVersion(1),
+        routes: Vec::new(),
+        services: vec![ServiceSpec {
+            name: "writer".into(),
+            connections_max: 200,
+            engine: Some(engine),
+        }],
+        limits: CallerLimits {
+            head_max_bytes: 16_384,
+            body_max_bytes: 4_194_304,
+            head_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+    }
+}
+
+/// Starts the task on a fleet that holds what is listed, with a term that begins now.
+fn start(engine: EngineSpec, held: &[&[usize]], seed: u64) -> Rig {
+    let traffic = Arc::new(TrafficBoard::default());
+    traffic.offer(RouteMap::new(config(engine.clone()), Bytes::new()));
+    let board = Arc::new(RunnerBoard::new("z0".into(), traffic.clone()));
+    let held = held
+        .iter()
+        .map(|models| models.iter().map(|index| model_id(*index)).collect())
+        .collect();
+    let fleet = FakeFleet::new(engine, board.clone(), held, seed);
+    let (term, receiver) = watch::channel(Some(Term {
+        fencing_token: 7,
+        orders_from: Instant::now(),
+    }));
+    let task = OrderTask {
+        board: board.clone(),
+        traffic,
+        control: Arc::new(FleetLink(fleet.clone())),
+        term: receiver,
+        listener: Arc::new(FleetLink(fleet.clone())),
+        node: "front-0".into(),
+        bounds: bounds(),
+    };
+    let mut tasks = JoinSet::new();
+    tasks.spawn(fleet.clone().run(HEARTBEAT));
+    tasks.spawn(task.run());
+    Rig {
+        fleet,
+        board,
+        term,
+        _tasks: tasks,
+    }
+}
+
+async fn sleep_ms(ms: u64) {
+    sleep(Duration::from_millis(ms)).await;
+}
+
+fn demand(model: ModelId, adapter: Option<&str>, requests_per_s: f64, waiting: u32) -> ModelDemand {
+    ModelDemand {
+        service: "writer".into(),
+        model,
+        adapter: adapter.map(Into::into),
+        requests_per_s,
+        waiting,
+    }
+}
+
+impl Rig {
+    /// Lets another node tell what is asked for.
+    fn ask(&self, demand: Vec<ModelDemand>) {
+        let report = NodeReport {
+            demand,
+            ..NodeReport::default()
+        };
+        self.board.hear(&"front-9".into(), report);
+    }
+
+    fn assert_kept_rules(&self) {
+        let seen = self.fleet.seen();
+        assert_eq!(seen.violations, Vec::<String>::new());
+        let starts = &seen.cold_starts;
+        let bounds = bounds();
+        let window = Duration::from_secs_f64(bounds.ceiling_window_s);
+        let max = (self.fleet.engine.loads_per_s * bounds.ceiling_window_s * 1.1 + 3.0) as usize;
+        for end in starts {
+            let inside = starts
+                .iter()
+                .filter(|at| *at <= end && *end - **at < window);
+            assert!(inside.count() <= max);
+        }
+    }
+}
+
+fn small_engine() -> EngineSpec {
+    engine(&[72_700.0, 65_100.0, 34_300.0, 72_700.0, 65_100.0, 34_300.0])
+}
+
+#[tokio::test(start_paused = true)]
+async fn models_without_a_copy_are_loaded_and_nothing_else_is_ordered() {
+    let rig = start(small_engine(), &[&[0, 1], &[2, 3], &[]], 1);
+    sleep_ms(10_000).await;
+    for index in 0..6 {
+        assert_eq!(rig.fleet.count_held(&model_id(index)), 1);
+    }
+    assert_eq!(rig.fleet.seen().orders.len(), 2);
+    rig.assert_kept_rules();
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_adapter_that_requests_wait_for_is_there_within_fifty_milliseconds() {
+    let rig = start(small_engine(), &[&[0, 1], &[2, 3], &[4, 5]], 1);
+    sleep_ms(3_000).await;
+    let asked_at = Instant::now();
+    rig.ask(vec![demand(model_id(1), Some("a3"), 1.0, 1)]);
+    sleep_ms(200).await;
+    let seen = rig.fleet.seen();
+    let (told_at, note) = seen.notes.last().unwrap();
+    assert!(note.held && note.adapter.as_ref().unwrap().as_str() == "a3");
+    assert!(*told_at - asked_at <= Duration::from_millis(50));
+    let views = rig.board.runners();
+    let held = |view: &greengagetrail::dispatch::RunnerView| {
+        let models = view.entry.models.iter();
+        models.flat_map(|held| &held.adapters).count()
+    };
+    assert_eq!(views.iter().map(held).sum::<usize>(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_order_is_given_before_its_time_or_with_a_token_that_was_refused() {
+    let rig = start(small_engine(), &[&[0, 1], &[2, 3], &[]], 1);
+    rig.term.send_replace(None);
+    sleep_ms(5_000).await;
+    assert!(rig.fleet.seen().orders.is_empty());
+    let from = Instant::now() + Duration::from_millis(3_200);
+    let term = |fencing_token| Term {
+        fencing_token,
+        orders_from: from,
+    };
+    rig.term.send_replace(Some(term(9)));
+    sleep_ms(3_900).await;
+    let first = rig.fleet.seen().orders[0].0;
+    assert!(first >= from);
+    sleep_ms(2_000).await;
+    // The runner has seen token 9, so that it refuses 5; no order follows, to any runner.
+    let before = rig.fleet.seen().orders.len();
+    rig.term.send_replace(Some(term(5)));
+    sleep_ms(2_000).await;
+    rig.ask(vec![demand(model_id(4), Some("a1"), 1.0, 1)]);
+    sleep_ms(1_000).await;
+    rig.fleet.restart(0);
+    rig.ask(vec![demand(model_id(3), Some("a1"), 1.0, 1)]);
+    sleep_ms(10_000).await;
+    let seen = rig.fleet.seen();
+    let later: Vec<OrderReply> = seen.orders[before..].iter().map(|seen| seen.3).collect();
+    assert_eq!(later, [OrderReply::Fenced]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn requests_are_told_of_an_unload_before_it_is_ordered() {
+    let sizes = [72_700.0, 72_700.0, 72_700.0, 72_700.0];
+    let rig = start(engine(&sizes), &[&[0, 1], &[0, 2], &[0, 3]], 1);
+    sleep_ms(4_000).await;
+    rig.ask(vec![demand(model_id(1), None, 60.0, 30)]);
+    sleep_ms(6_000).await;
+    let seen = rig.fleet.seen();
+    let unloads = seen.orders.iter();
+    let mut unloads = unloads.filter(|(.., order, _)| matches!(order, Order::UnloadModel(_)));
+    let (ordered_at, ..) = unloads.next().expect("nothing made way");
+    let (told_at, _) = seen.notes.iter().find(|(_, note)| !note.held).unwrap();
+    assert!(told_at < ordered_at);
+    drop(seen);
+    assert!(rig.fleet.count_held(&model_id(1)) >= 2);
+    assert!(rig.fleet.count_held(&model_id(0)) >= 1);
+    rig.assert_kept_rules();
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_models_of_a_draining_runner_are_loaded_elsewhere() {
+    let rig = start(small_engine(), &[&[0, 1], &[2, 3], &[4, 5], &[]], 1);
+    sleep_ms(2_000).await;
+    rig.fleet.runners()[0].is_draining = true;
+    sleep_ms(6_000).await;
+    assert_eq!(rig.fleet.count_held(&model_id(0)), 1);
+    assert_eq!(rig.fleet.count_held(&model_id(1)), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_and_late_orders_overfill_no_runner_and_all_models_come_back() {
+    for seed in 0..4 {
+        let sizes = [72_700.0, 65_100.0, 34_300.0, 65_500.0];
+        let sizes: Vec<f64> = (0..12).map(|index| sizes[index % 4]).collect();
+        let held: [&[usize]; 7] = [&[0, 1], &[2, 3], &[4, 5], &[6, 7], &[8, 9], &[10, 11], &[]];
+        let rig = start(engine(&sizes), &held, seed);
+        let mut rng = SmallRng::seed_from_u64(seed);
+        rig.fleet.set_faults(OrderFaults {
+            lost_percent: 5,
+            late_percent: 15,
+            unanswered_percent: 15,
+        });
+        for _ in 0..30 {
+            let mut wanted = Vec::new();
+            for _ in 0..6 {
+                let model = model_id(rng.random_range(0..12));
+                let adapter = format!("a{}", rng.random_range(1..10));
+                let adapter = rng.random_bool(0.7).then_some(adapter);
+                let waiting = rng.random_range(0..4);
+                let rate = rng.random_range(0.0..25.0);
+                wanted.push(demand(model, adapter.as_deref(), rate, waiting));
+            }
+            wanted.sort_by(|a, b| a.key().cmp(&b.key()));
+            wanted.dedup_by(|a, b| a.key() == b.key());
+            rig.ask(wanted);
+            if rng.random_bool(0.04) {
+                rig.fleet.restart(rng.random_range(0..7));
+            }
+            sleep_ms(rng.random_range(50..1_000)).await;
+        }
+        rig.assert_kept_rules();
+        rig.fleet.set_faults(OrderFaults::default());
+        rig.ask(Vec::new());
+        sleep_ms(40_000).await;
+        rig.assert_kept_rules();
+        for index in 0..12 {
+            let held = rig.fleet.count_held(&model_id(index));
+            assert!(held >= 1, "seed {seed}: no copy of {index}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_new_holder_asks_runners_that_were_ordered_before_it_orders() {
+    let rig = start(small_engine(), &[&[0, 1], &[2, 3], &[]], 1);
+    sleep_ms(10_000).await;
+    let reports = rig.fleet.seen().reports;
+    let term = Term {
+        fencing_token: 8,
+        orders_from: Instant::now(),
+    };
+    rig.term.send_replace(Some(term));
+    sleep_ms(2_000).await;
+    assert_eq!(rig.fleet.seen().reports, reports + 3);
+    assert_eq!(rig.fleet.seen().orders.len(), 2);
+}
--- a/tests/copies_plan.rs
+++ b/tests/copies_plan.rs
@@ -1,11 +1,15 @@
 //! The planner: memory, places, last copies, pace, growth and rest.
 
 mod common {
+    pub mod engines;
     pub mod plan_fleet;
 }
 
 use {
-    common::plan_fleet::{PlanFleet, engine, model_id},
+    common::{
+        engines::{engine, model_id},
+        plan_fleet::PlanFleet,
+    },
     greengagetrail::copies::{Balance, LoadPacer, SharedLoad},
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::time::Duration,
--- a/tests/leader_election.rs
+++ b/tests/leader_election.rs
@@ -1,14 +1,16 @@
 //! The nodes' list and the election, under faults of the key-value service and frozen VMs.
 
 mod common {
+    pub mod bounds;
     pub mod late_store;
     pub mod nodes;
 }
 
 use {
     common::{
+        bounds::bounds,
         late_store::LateStore,
-        nodes::{PREFIX, TestNode, bounds, peer, shared},
+        nodes::{PREFIX, TestNode, peer, shared},
     },
     greengagetrail::{
         standin::kv::{KvFaults, MemoryStore},
