Wait out the former holder's time also after a restart of the process

Cause: a node that took the seat while it still had to wait, and was then started anew, found itself the last leader and ordered at once.

--- a/src/leader/duty.rs
+++ b/src/leader/duty.rs
@@ -1,7 +1,7 @@
 //! Keeps the lease, the node's key and, if it falls to this node, the leader key.
 
 use {
-    super::{Moment, StoredSeat, membership::Shared},
+    super::{Moment, Seat, StoredSeat, membership::Shared},
     crate::{
         membership::{Backoff, jittered},
         store::{Compare, LeaseId, Op, StoreError, Txn},
@@ -216,7 +216,7 @@
             return Election::Wait;
         };
         let token = stored.version.0.unsigned_abs();
-        if *seat == shared.seat {
+        if seat.is_same_start(&shared.seat) {
             return match token > self.lost_token {
                 true => Election::Adopt(token),
                 false => Election::Wait,
@@ -281,7 +281,8 @@
         let key = self.shared.keys.leader.clone();
         let compare = vec![Compare::ModifiedAt(key, former.version)];
         // Both starts are one holder, and the earlier one is over.
-        self.take(compare, Instant::now()).await
+        let orders_from = self.take_over(former.seat.as_ref());
+        self.take(compare, orders_from).await
     }
 
     async fn contend(&mut self) -> Result<(), StoreError> {
@@ -311,8 +312,9 @@
             },
         ];
         let orders_from = match last {
-            Some(_) if !is_mine => since + self.shared.rules.handover,
-            _ => Instant::now(),
+            Some(last) if is_mine => self.take_over(last.seat.as_ref()),
+            Some(_) => since + self.shared.rules.handover,
+            None => Instant::now(),
         };
         self.take(compare, orders_from).await
     }
@@ -334,6 +336,14 @@
         Duration::from_millis(turns * TURN_MS + reunion_ms) + random_below(TURN_MS / 2)
     }
 
+    /// Returns from when on this start may order after an earlier one of the same VM, which may
+    /// itself have had to wait for its predecessor.
+    fn take_over(&self, former: Option<&Seat>) -> Instant {
+        let from_ms = former.map_or(u64::MAX, |seat| seat.orders_from_boot_ms);
+        let wait = Duration::from_millis(from_ms).saturating_sub(self.shared.clock.now());
+        Instant::now() + wait.min(self.shared.rules.handover)
+    }
+
     /// Writes the leader key, and with it who led last.
     async fn take(
         &mut self,
@@ -349,7 +359,12 @@
                 .map_or(orders_from, |from| from.max(orders_from)),
         );
         let keys = &self.shared.keys;
-        let seat = &self.shared.seat;
+        let from = orders_from.max(self.shared.standing().orders_from);
+        let wait = from.duration_since(Instant::now());
+        let seat = &Seat {
+            orders_from_boot_ms: (self.shared.clock.now() + wait).as_millis() as u64,
+            ..self.shared.seat.clone()
+        };
         let txn = Txn {
             compare,
             then: vec![
--- a/src/leader/seat.rs
+++ b/src/leader/seat.rs
@@ -16,6 +16,9 @@
     pub address: SocketAddr,
     /// Drawn at each start of the process.
     pub nonce: u64,
+    /// From when on it may order, by the VM's own boot clock; a new start of the process has to
+    /// wait as long.
+    pub orders_from_boot_ms: u64,
 }
 
 impl Seat {
@@ -25,9 +28,15 @@
             node: me.name.clone(),
             address: me.gossip_address,
             nonce,
+            orders_from_boot_ms: 0,
         }
     }
 
+    /// Returns whether both were written by one start of a process.
+    pub fn is_same_start(&self, other: &Self) -> bool {
+        self.nonce == other.nonce && self.is_same_vm(other)
+    }
+
     /// Returns whether both were written by one VM.
     pub fn is_same_vm(&self, other: &Self) -> bool {
         self.node == other.node && self.address == other.address
--- a/tests/common/nodes.rs
+++ b/tests/common/nodes.rs
@@ -17,6 +17,11 @@
 /// The prefix of the nodes' keys.
 pub const PREFIX: &str = "own/";
 
+thread_local! {
+    /// When the VMs of a test started; their clocks outlast the nodes.
+    static ORIGIN: Instant = Instant::now();
+}
+
 /// A node and its clock.
 pub struct TestNode {
     pub membership: Membership,
@@ -33,7 +38,7 @@
     pub fn start_as(store: SharedStore, me: PeerNode, bounds: Bounds) -> Self {
         let suspended = Arc::new(Mutex::new(Duration::ZERO));
         let added = suspended.clone();
-        let origin = Instant::now();
+        let origin = ORIGIN.with(|origin| *origin);
         let clock = BootClock::new(move || origin.elapsed() + *added.lock().unwrap());
         Self {
             membership: Membership::start_with_clock(store, PREFIX, me, bounds, clock),
