--- a/tests/common/nodes.rs
+++ b/tests/common/nodes.rs
@@ -17,6 +17,11 @@
 /// The prefix of the nodes' keys.
 pub const PREFIX: &str = "own/";
 
+thread_local! {
+    /// When the VMs of a test started; their clocks outlast the nodes.
+    static ORIGIN: Instant = Instant::now();
+}
+
 /// A node and its clock.
 pub struct TestNode {
     pub membership: Membership,
@@ -33,7 +38,7 @@
     pub fn start_as(store: SharedStore, me: PeerNode, bounds: Bounds) -> Self {
         let suspended = Arc::new(Mutex::new(Duration::ZERO));
         let added = suspended.clone();
-        let origin = Instant::now();
+        let origin = ORIGIN.with(|origin| *origin);
         let clock = BootClock::new(move || origin.elapsed() + *added.lock().unwrap());
         Self {
             membership: Membership::start_with_clock(store, PREFIX, me, bounds, clock),
@@ -65,21 +70,3 @@
 pub fn shared(store: &MemoryStore) -> SharedStore {
     Arc::new(store.clone())
 }
-
-/// Returns the platform's usual bounds.
-pub fn bounds() -> Bounds {
-    Bounds {
-        drain_ms: 2_000,
-        grace_s: 8.0,
-        config_apply_ms: 2_000,
-        retry_budget_ratio: 0.2,
-        budget_window_s: 10.0,
-        retry_budget_slack: 54.0,
-        lease_ms: 3_000,
-        thaw_slack_ms: 300,
-        fencing_enforced: true,
-        ceiling_window_s: 5.0,
-        contact_ms: 3_000,
-        lease_min_ms: 1_000,
-    }
-}
