--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -17,10 +17,11 @@
 mod sent_place;
 mod serve;
 mod stream_relay;
+mod verdict;
 mod write_watch;
 
 use {
     attempt::*, call::*, progress::*, refusal::*, run::*, runner_connection::*, runner_pool::*,
-    sent_place::*, stream_relay::*, write_watch::*,
+    sent_place::*, stream_relay::*, verdict::*, write_watch::*,
 };
 pub use {event_splitter::*, head::*, relay::*, retry_budget::*};
--- /dev/null
+++ b/src/relay/verdict.rs
@@ -0,0 +1,70 @@
+//! What the head of a runner's answer means.
+
+use {
+    super::{AnswerHead, Call, RunnerConnection},
+    crate::dispatch::TryOutcome,
+    hyper::StatusCode,
+};
+
+/// What the head of an answer means.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Verdict {
+    NotRun(TryOutcome),
+    Unusable,
+    Failure,
+    Success,
+}
+
+/// Reads from the head of an answer what became of a try.
+pub(super) fn verdict(
+    call: &Call,
+    status: StatusCode,
+    answer: &AnswerHead,
+    connection: &RunnerConnection,
+) -> Verdict {
+    let belongs = match &answer.request_id {
+        Some(id) => *id == call.head.request_id,
+        // A stray answer can only come where an earlier request was.
+        None => !connection.reused && !status.is_success(),
+    };
+    if !belongs || status.is_informational() {
+        return Verdict::Unusable;
+    }
+    let refused = status.is_client_error() || status.is_server_error();
+    if status == StatusCode::MISDIRECTED_REQUEST || answer.not_executed && refused {
+        let other = answer
+            .runner
+            .as_ref()
+            .is_some_and(|id| *id != connection.runner.id);
+        return Verdict::NotRun(refusal_outcome(call, status, other));
+    }
+    if status.is_success() {
+        return match answer.signed {
+            true => Verdict::Success,
+            false => Verdict::Unusable,
+        };
+    }
+    match !call.is_repeatable() && promises_not_run(status) {
+        true => Verdict::Unusable,
+        false => Verdict::Failure,
+    }
+}
+
+fn refusal_outcome(call: &Call, status: StatusCode, other_runner: bool) -> TryOutcome {
+    match status {
+        StatusCode::MISDIRECTED_REQUEST if other_runner => TryOutcome::WrongRunner,
+        StatusCode::MISDIRECTED_REQUEST if call.head.generation.is_some() => TryOutcome::Absent,
+        StatusCode::MISDIRECTED_REQUEST => TryOutcome::WrongRunner,
+        _ => TryOutcome::Shed,
+    }
+}
+
+/// Returns whether callers take a status as the promise that nothing ran.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
