Adopt a seat only under the lease that it is bound to

Cause: a take whose answer was lost succeeded, the node was cut off, its lease lapsed and another node led; when the cut ended the node's watch brought the old write first, and the node took itself for the leader, beside the other one.

--- a/src/leader/duty.rs
+++ b/src/leader/duty.rs
@@ -216,7 +216,10 @@
             return Election::Wait;
         };
         let token = stored.version.0.unsigned_abs();
-        if seat.is_same_start(&shared.seat) {
+        // A seat of an earlier lease is gone, or goes with it; the view may be behind.
+        let lease = shared.standing().lease;
+        let is_bound = lease.is_some_and(|lease| lease.0 == seat.lease);
+        if seat.is_same_start(&shared.seat) && is_bound {
             return match token > self.lost_token {
                 true => Election::Adopt(token),
                 false => Election::Wait,
@@ -271,6 +274,11 @@
         if let Some(from) = self.pending_from.take() {
             standing.orders_from = standing.orders_from.max(from);
         }
+        let unconfirmed = Moment::now(&self.shared.clock).since(standing.confirmed);
+        if !self.shared.rules.is_fresh(unconfirmed) {
+            // The lease may have lapsed since the seat was read.
+            standing.doubtful_since.get_or_insert(Instant::now());
+        }
         let wait = standing.orders_from.duration_since(Instant::now());
         drop(standing);
         log::info!("leader: this node leads, with token {token}, and orders after {wait:?}.");
@@ -362,6 +370,7 @@
         let from = orders_from.max(self.shared.standing().orders_from);
         let wait = from.duration_since(Instant::now());
         let seat = &Seat {
+            lease: lease.0,
             orders_from_boot_ms: (self.shared.clock.now() + wait).as_millis() as u64,
             ..self.shared.seat.clone()
         };
--- a/src/leader/seat.rs
+++ b/src/leader/seat.rs
@@ -16,6 +16,8 @@
     pub address: SocketAddr,
     /// Drawn at each start of the process.
     pub nonce: u64,
+    /// The lease that the key is bound to.
+    pub lease: i64,
     /// From when on it may order, by the VM's own boot clock; a new start of the process has to
     /// wait as long.
     pub orders_from_boot_ms: u64,
@@ -28,6 +30,7 @@
             node: me.name.clone(),
             address: me.gossip_address,
             nonce,
+            lease: 0,
             orders_from_boot_ms: 0,
         }
     }
