Wait for an adapter while its runner is busy with another order

Cause: requests for an adapter were refused after 0.875 s, while a runner in the middle of a load or unload takes no adapter order for up to 6 s; the caller's one try more met the same.

--- a/src/dispatch/copy_prospect.rs
+++ b/src/dispatch/copy_prospect.rs
@@ -14,6 +14,9 @@
 /// The time from the wish for a model to the order to load it.
 const ORDER: Duration = Duration::from_millis(500);
 
+/// The time for which a busy runner may put off what it is ordered to load.
+const BUSY_RUNNER: Duration = Duration::from_millis(2_500);
+
 /// The time in which a runner of a service without any is expected.
 const RUNNER: Duration = Duration::from_millis(1_000);
 
@@ -30,7 +33,7 @@
     /// Decides whether the request waits for a copy.
     pub(super) fn copy_prospect(&self) -> Prospect {
         let arrival = self.arrival();
-        let patience = arrival.expected.mul_f64(2.5) + ORDER;
+        let patience = arrival.expected.mul_f64(2.5) + BUSY_RUNNER;
         let until = (self.since + patience).min(self.share_over(SHARE_MAX));
         if self.left() <= arrival.least || self.now >= until {
             return self.refuse(arrival.expected);
