Refuse in an overload above 1.1 times what is served again; wait longer for adapters only

Cause: the longer waits held urgent requests for 0.5 to 1.1 s before their refusal under a lasting overload (dispatch_overload, which wants a quarter of the target) and an absent model for 5.5 s (dispatch_waiting, at most 5 s).

--- a/src/dispatch/copy_prospect.rs
+++ b/src/dispatch/copy_prospect.rs
@@ -14,7 +14,7 @@
 /// The time from the wish for a model to the order to load it.
 const ORDER: Duration = Duration::from_millis(500);
 
-/// The time for which a busy runner may put off what it is ordered to load.
+/// The time for which a busy runner may put off the load of an adapter.
 const BUSY_RUNNER: Duration = Duration::from_millis(2_500);
 
 /// The time in which a runner of a service without any is expected.
@@ -27,13 +27,14 @@
 struct Arrival {
     expected: Duration,
     least: Duration,
+    delay_max: Duration,
 }
 
 impl Case<'_> {
     /// Decides whether the request waits for a copy.
     pub(super) fn copy_prospect(&self) -> Prospect {
         let arrival = self.arrival();
-        let patience = arrival.expected.mul_f64(2.5) + BUSY_RUNNER;
+        let patience = arrival.expected.mul_f64(2.5) + arrival.delay_max;
         let until = (self.since + patience).min(self.share_over(SHARE_MAX));
         if self.left() <= arrival.least || self.now >= until {
             return self.refuse(arrival.expected);
@@ -45,6 +46,7 @@
         let unknown = Arrival {
             expected: RUNNER,
             least: Duration::ZERO,
+            delay_max: ORDER,
         };
         let Some(variant) = &self.ask.variant else {
             return unknown;
@@ -53,12 +55,14 @@
             return Arrival {
                 expected: ADAPTER,
                 least: ADAPTER_LEAST,
+                delay_max: BUSY_RUNNER,
             };
         }
         let spec = self.engine.and_then(|engine| engine.model(&variant.model));
         spec.map_or(unknown, |spec| Arrival {
             expected: seconds(spec.load_s) + ORDER,
             least: seconds(spec.warm_s),
+            delay_max: ORDER,
         })
     }
 }
--- a/src/dispatch/room_prospect.rs
+++ b/src/dispatch/room_prospect.rs
@@ -10,7 +10,7 @@
 const OPEN_SHARE_MIN: f64 = 0.05;
 
 /// The requests for each place that comes free up to which nearly all can be served.
-const LOAD_MAX: f64 = 3.0;
+const LOAD_MAX: f64 = 1.1;
 
 /// The requests ahead from which a queue says something.
 const AHEAD_MIN: usize = 2;
