Split the start of a node into its steps

Cause: node::run was one function of a hundred lines. Change: a Node with what its tasks share and a method for each step; the order of the starts is the same but for the membership, which now starts before the followers.

--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -55,59 +55,11 @@
     let metrics = init_metrics().map_err(|cause| NodeError::Metrics(cause.to_string()))?;
     tokio::spawn(keep_up_metrics(metrics.clone()));
     let stop = stop_on_signal().map_err(io_error("signals"))?;
-    let traffic = Arc::new(TrafficBoard::default());
-    let board = Arc::new(RunnerBoard::new(
-        settings.data_centre.clone(),
-        traffic.clone(),
-    ));
-    let follower = ConfigFollower::new(parts.store.clone(), parts.formats.clone(), traffic.clone());
-    tokio::spawn(follower.run());
-    tokio::spawn(follow_runners(
-        parts.store.clone(),
-        parts.formats.clone(),
-        board.clone(),
-    ));
-    let membership = Membership::start(
-        parts.store.clone(),
-        &parts.formats.keys().own_prefix,
-        own_address(&settings),
-        settings.bounds,
-    );
-    let gossip = Gossip::new(
-        settings.node.clone(),
-        membership.peers.clone(),
-        board.clone(),
-        sockets.gossip,
-    );
-    tokio::spawn(gossip.clone().run());
-    let orders = OrderTask {
-        board: board.clone(),
-        traffic: traffic.clone(),
-        control: parts.control.clone(),
-        term: membership.term.clone(),
-        listener: gossip.clone(),
-        node: settings.node.clone(),
-        bounds: settings.bounds,
-    };
-    tokio::spawn(orders.run());
-    let known = membership.peers.clone();
-    let seeds = settings.seed_addresses.clone();
-    tokio::spawn(fetch_from_peers(
-        parts.formats.clone(),
-        traffic.clone(),
-        move || {
-            let peers = known.borrow();
-            let addresses = peers.iter().map(|peer| peer.control_address);
-            addresses.chain(seeds.iter().copied()).collect()
-        },
-    ));
-    let relay = Relay::new(
-        traffic.clone(),
-        Dispatcher::new(board.clone()),
-        parts.formats.clone(),
-        settings.bounds,
-        membership.peers.clone(),
-    );
+    let node = Node::new(settings, parts);
+    node.follow_platform();
+    node.give_orders(sockets.gossip);
+    node.ask_peers();
+    let relay = node.relay();
     let readiness = Readiness::default();
     let ended = CancellationToken::new();
     let render = move || metrics.render();
@@ -118,8 +70,8 @@
         ended.clone(),
     ));
     let control = ControlPort {
-        traffic: traffic.clone(),
-        board: board.clone(),
+        traffic: node.traffic.clone(),
+        board: node.board.clone(),
         render_metrics: Arc::new(render),
     };
     tokio::spawn(control.serve(sockets.control, ended.clone()));
@@ -127,21 +79,99 @@
     let served = tokio::spawn(relay.clone().serve(sockets.callers, closing.clone()));
     log::info!("node: started");
     tokio::select! {
-        () = become_ready(&traffic, &board, &readiness) => {}
+        () = become_ready(&node.traffic, &node.board, &readiness) => {}
         () = stop.cancelled() => {}
     }
     stop.cancelled().await;
     log::info!("node: stopping");
     readiness.set(false);
     relay.retire();
-    let balanced = time::sleep(BALANCER_DELAY);
-    tokio::join!(membership.leave(), balanced);
+    tokio::join!(node.membership.leave(), time::sleep(BALANCER_DELAY));
     closing.cancel();
     let finished = served.await.unwrap_or(false);
     log::info!("node: stopped, all requests finished: {finished}");
     Ok(())
 }
 
+/// What the tasks of a node share.
+struct Node {
+    settings: NodeSettings,
+    parts: NodeParts,
+    traffic: Arc<TrafficBoard>,
+    board: Arc<RunnerBoard>,
+    membership: Membership,
+}
+
+impl Node {
+    fn new(settings: NodeSettings, parts: NodeParts) -> Self {
+        let traffic = Arc::new(TrafficBoard::default());
+        let board = RunnerBoard::new(settings.data_centre.clone(), traffic.clone());
+        let membership = Membership::start(
+            parts.store.clone(),
+            &parts.formats.keys().own_prefix,
+            own_address(&settings),
+            settings.bounds,
+        );
+        Self {
+            settings,
+            parts,
+            traffic,
+            board: Arc::new(board),
+            membership,
+        }
+    }
+
+    /// Follows the configuration and the list of runners.
+    fn follow_platform(&self) {
+        let (store, formats) = (&self.parts.store, &self.parts.formats);
+        let config = ConfigFollower::new(store.clone(), formats.clone(), self.traffic.clone());
+        tokio::spawn(config.run());
+        let runners = follow_runners(store.clone(), formats.clone(), self.board.clone());
+        tokio::spawn(runners);
+    }
+
+    /// Exchanges state with the peers, and gives orders while this node leads.
+    fn give_orders(&self, socket: UdpSocket) {
+        let node = self.settings.node.clone();
+        let peers = self.membership.peers.clone();
+        let gossip = Gossip::new(node.clone(), peers, self.board.clone(), socket);
+        tokio::spawn(gossip.clone().run());
+        let orders = OrderTask {
+            board: self.board.clone(),
+            traffic: self.traffic.clone(),
+            control: self.parts.control.clone(),
+            term: self.membership.term.clone(),
+            listener: gossip,
+            node,
+            bounds: self.settings.bounds,
+        };
+        tokio::spawn(orders.run());
+    }
+
+    /// Asks peers and seeds for a configuration until there is one.
+    fn ask_peers(&self) {
+        let known = self.membership.peers.clone();
+        let seeds = self.settings.seed_addresses.clone();
+        let addresses = move || {
+            let peers = known.borrow();
+            let addresses = peers.iter().map(|peer| peer.control_address);
+            addresses.chain(seeds.iter().copied()).collect()
+        };
+        let formats = self.parts.formats.clone();
+        tokio::spawn(fetch_from_peers(formats, self.traffic.clone(), addresses));
+    }
+
+    fn relay(&self) -> Arc<Relay> {
+        Relay::new(
+            self.traffic.clone(),
+            Dispatcher::new(self.board.clone()),
+            self.parts.formats.clone(),
+            self.settings.bounds,
+            self.membership.peers.clone(),
+        )
+    }
+}
+
 /// Sets readiness once requests can be routed.
 async fn become_ready(traffic: &TrafficBoard, board: &RunnerBoard, readiness: &Readiness) {
     let mut configs = traffic.subscribe();
