Plan copies by the strain that they take off the runners

Now the further copy is chosen that lowers the sum over runners of load squared most, less what the load costs by its source; an idle last copy makes way if its own runner can load it again without the weight store, and comes back when asked for; before any request the number of copies stands for the load.

--- a/src/copies/draft.rs
+++ b/src/copies/draft.rs
@@ -3,14 +3,20 @@
 use {
     super::{
         AdapterCopy, Balance, CopyState, ModelCopy, ModelLoad, PlanInput, PlannedOrder,
-        RunnerState, SharedLoad,
+        RunnerState, SharedLoad, model_step::Candidate,
     },
     crate::{
         node::Order,
-        traffic::{AdapterId, ModelId},
+        traffic::{AdapterId, ModelId, ModelSpec},
     },
 };
 
+/// The requests in flight for each copy of a model with several, before any load is known.
+const PRESUMED_PER_COPY: f64 = 8.0;
+
+/// The estimated requests in flight below which a model is idle: about 11 s after its last one.
+const IDLE_IN_FLIGHT: f64 = 0.011;
+
 /// The fleet as a plan leaves it, and the orders so far.
 #[derive(Debug)]
 pub(super) struct Draft<'a> {
@@ -39,9 +45,34 @@
     }
 
     pub fn in_flight(&self, model: &ModelId) -> f64 {
+        if self.input.loads.is_empty() {
+            return self.presumed_in_flight(model);
+        }
         self.load(model).map_or(0.0, |load| load.in_flight)
     }
 
+    /// Returns the load by the number of copies, which tells the busy models before any request.
+    fn presumed_in_flight(&self, model: &ModelId) -> f64 {
+        match self.copies(model).len() {
+            0 | 1 => 0.0,
+            copies => copies as f64 * PRESUMED_PER_COPY,
+        }
+    }
+
+    /// Returns whether a model has not been asked for of late.
+    pub fn is_idle(&self, model: &ModelId) -> bool {
+        let load = self.load(model);
+        !self.input.loads.is_empty()
+            && load.is_none_or(|load| load.waiting == 0 && load.in_flight < IDLE_IN_FLIGHT)
+    }
+
+    /// Returns whether a ready runner can load a model without the weight store.
+    pub fn is_at_hand(&self, model: &ModelId) -> bool {
+        self.runners
+            .iter()
+            .any(|runner| runner.is_ready && !runner.is_cold(model))
+    }
+
     /// Returns whether a runner holds a model, or will.
     pub fn is_copy(&self, runner: usize, model: &ModelId) -> bool {
         let runner = &self.runners[runner];
@@ -78,6 +109,23 @@
         Balance::new(self.runners.len(), &loads.collect::<Vec<_>>())
     }
 
+    /// Spreads the load over the copies as they would be after a move.
+    pub fn balance_with(&self, spec: &ModelSpec, candidate: &Candidate) -> Balance {
+        let loads = self.input.engine.models.iter().map(|known| {
+            let mut runners = self.copies(&known.name);
+            if known.name == spec.name {
+                runners.push(candidate.runner);
+            } else if candidate.evicted.contains(&known.name) {
+                runners.retain(|runner| *runner != candidate.runner);
+            }
+            SharedLoad {
+                in_flight: self.in_flight(&known.name),
+                runners,
+            }
+        });
+        Balance::new(self.runners.len(), &loads.collect::<Vec<_>>())
+    }
+
     /// Adds an order to drop a model, to make room for `goal`.
     pub fn unload(&mut self, runner: usize, model: ModelId, goal: ModelId) {
         let state = &mut self.runners[runner];
