--- /dev/null
+++ b/examples/policy_day_bound/bound.rs
@@ -0,0 +1,162 @@
+//! The most worth that placement and admission could earn.
+
+use crate::{
+    demand::Ask,
+    fleet::Fleet,
+    flow::{ArcId, Network},
+    site::Site,
+};
+
+/// What a placement is allowed to know and to drop.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Placement {
+    /// Any runner works on any model at any time.
+    Anything,
+    /// One copy of each model stays; the other places follow demand after the time in seconds.
+    KeepsCopies { lag_s: usize },
+}
+
+/// What was earned.
+#[derive(Debug, Clone, Default)]
+pub struct Earned {
+    pub earned: f64,
+    pub owed: f64,
+}
+
+impl Earned {
+    /// Returns the share of what was owed.
+    pub fn share(&self) -> f64 {
+        if self.owed > 0.0 {
+            self.earned / self.owed
+        } else {
+            1.0
+        }
+    }
+}
+
+/// A day as the bound sees it.
+#[derive(Debug)]
+pub struct Case<'a> {
+    pub site: &'a Site,
+    pub asks: &'a [Ask],
+    pub fleets: &'a [Fleet],
+}
+
+struct Source<'a> {
+    ask: &'a Ask,
+    in_time: Vec<ArcId>,
+    late: Vec<ArcId>,
+}
+
+impl Case<'_> {
+    /// Returns what can be earned of the requests that are wanted if there were no others.
+    pub fn earned(&self, placement: Placement, wanted: impl Fn(&Ask) -> bool) -> Earned {
+        let mut network = Network::default();
+        let (source, sink) = (network.node(), network.node());
+        let slots = self.slots(&mut network, sink, placement);
+        let mut earned = Earned::default();
+        let mut sources = Vec::new();
+        for ask in self.asks.iter().filter(|ask| wanted(ask)) {
+            earned.owed += ask.worth;
+            let Some(model) = ask.model else {
+                let in_time = 1.0 - ask.lost - ask.only_late;
+                earned.earned += ask.worth * (in_time + ask.only_late * ask.late_share);
+                continue;
+            };
+            sources.push(self.source(&mut network, source, &slots, ask, model));
+        }
+        network.send(source, sink);
+        for source in sources {
+            let sum = |arcs: &[ArcId]| arcs.iter().map(|arc| network.flow(*arc)).sum::<f64>();
+            let worth = source.ask.worth / source.ask.work_s;
+            earned.earned +=
+                worth * (sum(&source.in_time) + sum(&source.late) * source.ask.late_share);
+        }
+        earned
+    }
+
+    /// Adds the work that each model can get in each second; returns the nodes by second and model.
+    fn slots(&self, network: &mut Network, sink: usize, placement: Placement) -> Vec<Vec<usize>> {
+        let models = self.site.models.len();
+        let mut slots = Vec::new();
+        for (second, fleet) in self.fleets.iter().enumerate() {
+            let all = network.node();
+            network.arc(all, sink, fleet.runners, 0.0);
+            let copies = self.copies(second, fleet, placement);
+            let nodes = (0..models).map(|model| {
+                let node = network.node();
+                network.arc(node, all, copies[model].min(fleet.runners), 0.0);
+                node
+            });
+            slots.push(nodes.collect());
+        }
+        slots
+    }
+
+    /// Returns how many runners can work on each model.
+    ///
+    /// Each counts as held once, also where there are fewer places than models.
+    fn copies(&self, second: usize, fleet: &Fleet, placement: Placement) -> Vec<f64> {
+        let models = self.site.models.len();
+        let Placement::KeepsCopies { lag_s } = placement else {
+            return vec![fleet.runners; models];
+        };
+        let spare = (fleet.places - models as f64).max(0.0);
+        let mut work = vec![0.0; models];
+        let seen = second.saturating_sub(lag_s);
+        for ask in self.asks.iter().filter(|ask| ask.second == seen) {
+            if let Some(model) = ask.model {
+                work[model] += ask.work_s;
+            }
+        }
+        // A copy is a whole one: what is left over goes to the model that lacks the most.
+        let mut copies = vec![1.0; models];
+        for _ in 0..spare as usize {
+            let lacks = |model: &usize| work[*model] / copies[*model];
+            let next = (0..models).max_by(|one, other| lacks(one).total_cmp(&lacks(other)));
+            if let Some(model) = next {
+                copies[model] += 1.0;
+            }
+        }
+        copies
+    }
+
+    fn source<'a>(
+        &self,
+        network: &mut Network,
+        source: usize,
+        slots: &[Vec<usize>],
+        ask: &'a Ask,
+        model: usize,
+    ) -> Source<'a> {
+        let class = &self.site.classes[ask.class];
+        let worth = ask.worth / ask.work_s;
+        let servable = ask.work_s * (1.0 - ask.lost);
+        let node = network.node();
+        network.arc(source, node, servable, 0.0);
+        let timely = network.node();
+        network.arc(
+            node,
+            timely,
+            ask.work_s * (1.0 - ask.lost - ask.only_late),
+            0.0,
+        );
+        let within = |limit_ms: f64| {
+            let last = ask.second + (limit_ms / 1e3).ceil() as usize;
+            ask.second..(last + 1).min(slots.len())
+        };
+        let in_time = within(class.aim_ms)
+            .map(|second| network.arc(timely, slots[second][model], f64::INFINITY, worth));
+        let in_time = in_time.collect();
+        let late = within(class.deadline_ms).map(|second| {
+            network.arc(
+                node,
+                slots[second][model],
+                f64::INFINITY,
+                worth * ask.late_share,
+            )
+        });
+        let late = late.collect();
+        Source { ask, in_time, late }
+    }
+}
--- /dev/null
+++ b/examples/policy_day_bound/flow.rs
@@ -0,0 +1,101 @@
+//! The flow of the most worth through a network, by successive best paths.
+
+/// Amounts below this are taken for nothing.
+const NOTHING: f64 = 1e-9;
+
+#[derive(Debug, Clone)]
+struct Arc {
+    to: usize,
+    room: f64,
+    worth: f64,
+}
+
+/// A network whose arcs have a capacity and a worth for each unit that flows.
+#[derive(Debug, Default)]
+pub struct Network {
+    arcs: Vec<Arc>,
+    from: Vec<Vec<usize>>,
+}
+
+/// An arc of a network.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ArcId(usize);
+
+impl Network {
+    /// Adds a node.
+    pub fn node(&mut self) -> usize {
+        self.from.push(Vec::new());
+        self.from.len() - 1
+    }
+
+    /// Adds an arc.
+    pub fn arc(&mut self, from: usize, to: usize, capacity: f64, worth: f64) -> ArcId {
+        let id = self.arcs.len();
+        self.arcs.push(Arc {
+            to,
+            room: capacity,
+            worth,
+        });
+        self.arcs.push(Arc {
+            to: from,
+            room: 0.0,
+            worth: -worth,
+        });
+        self.from[from].push(id);
+        self.from[to].push(id + 1);
+        ArcId(id)
+    }
+
+    /// Returns what flows through an arc.
+    pub fn flow(&self, arc: ArcId) -> f64 {
+        self.arcs[arc.0 + 1].room
+    }
+
+    /// Sends as much as brings worth, and returns the worth of all.
+    pub fn send(&mut self, source: usize, sink: usize) -> f64 {
+        let mut total = 0.0;
+        while let Some((worth, path)) = self.best_path(source, sink) {
+            let rooms = path.iter().map(|id| self.arcs[*id].room);
+            let amount = rooms.fold(f64::INFINITY, f64::min);
+            for id in path {
+                self.arcs[id].room -= amount;
+                self.arcs[id ^ 1].room += amount;
+            }
+            total += worth * amount;
+        }
+        total
+    }
+
+    /// Returns the path of the most worth that has room, if it brings any.
+    fn best_path(&self, source: usize, sink: usize) -> Option<(f64, Vec<usize>)> {
+        let mut best = vec![f64::NEG_INFINITY; self.from.len()];
+        let mut by = vec![usize::MAX; self.from.len()];
+        let mut queued = vec![false; self.from.len()];
+        let mut queue = std::collections::VecDeque::from([source]);
+        best[source] = 0.0;
+        while let Some(node) = queue.pop_front() {
+            queued[node] = false;
+            for id in &self.from[node] {
+                let arc = &self.arcs[*id];
+                let worth = best[node] + arc.worth;
+                if arc.room > NOTHING && worth > best[arc.to] + NOTHING {
+                    best[arc.to] = worth;
+                    by[arc.to] = *id;
+                    if !std::mem::replace(&mut queued[arc.to], true) {
+                        queue.push_back(arc.to);
+                    }
+                }
+            }
+        }
+        if best[sink] <= NOTHING {
+            return None;
+        }
+        let mut path = Vec::new();
+        let mut node = sink;
+        while node != source {
+            path.push(by[node]);
+            node = self.arcs[by[node] ^ 1].to;
+        }
+        Some((best[sink], path))
+    }
+}
