Measure what the exchange between nodes costs one node at 7 to 350 nodes

Cause: docs/CAPACITY.md named gossip of everybody to everybody as its first suspect at 350 nodes and had no figure. How: one real node (its board, its dispatcher, its socket on loopback) under the foreseen callers' load, against stand-in peers that send what it sends. Before: nothing measured. Ruled out: a longer round or a smaller fan-out alone.

--- /dev/null
+++ b/examples/gossip_scale/node.rs
@@ -0,0 +1,238 @@
+//! The node under measurement, on a thread of its own.
+
+use {
+    bytes::Bytes,
+    greengagetrail::{
+        discovery::{ResidentModel, RunnerEntry, RunnerKey, RunnerState},
+        dispatch::{Dispatcher, RunnerBoard, TryOutcome, Wanted},
+        gossip::Gossip,
+        leader::PeerNode,
+        relay::Generation,
+        traffic::{
+            CallerLimits, ConfigVersion, EngineSpec, ModelSpec, RouteMap, ServiceSpec,
+            TrafficBoard, TrafficConfig,
+        },
+    },
+    rand::RngExt,
+    rustix::time::{ClockId, clock_gettime},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+            mpsc,
+        },
+        thread::JoinHandle,
+        time::Duration,
+    },
+    tokio::{net::UdpSocket, sync::watch, time::Instant},
+};
+
+/// Requests a second of one node, and how long one lasts: 2,700 a second over 350 nodes, 278
+/// tokens at 36 ms.
+const REQUESTS_PER_S: f64 = 7.7;
+const REQUEST: Duration = Duration::from_secs(10);
+const FIRST_TOKEN: Duration = Duration::from_millis(300);
+
+/// Models that a runner holds.
+const RESIDENT: usize = 2;
+
+pub struct Node {
+    pub address: SocketAddr,
+    busy_us: Arc<AtomicU64>,
+    stopping: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl Node {
+    /// Starts it with a share of the foreseen requests already running.
+    pub fn start(peers: Vec<SocketAddr>, runners: usize, models: usize) -> io::Result<Self> {
+        let (told, address) = mpsc::channel();
+        let (busy_us, stopping) = (
+            Arc::new(AtomicU64::new(0)),
+            Arc::new(AtomicBool::new(false)),
+        );
+        let (busy, stop) = (busy_us.clone(), stopping.clone());
+        let thread = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build();
+            let Ok(runtime) = runtime else { return };
+            runtime.block_on(async {
+                let Ok(socket) = UdpSocket::bind("127.0.0.1:0").await else {
+                    return;
+                };
+                let Ok(address) = socket.local_addr() else {
+                    return;
+                };
+                let board = board(runners, models);
+                tokio::spawn(Gossip::new("me".into(), all(&peers), board.clone(), socket).run());
+                if told.send(address).is_err() {
+                    return;
+                }
+                call(Dispatcher::new(board), models);
+                while !stop.load(Ordering::Relaxed) {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    let now = clock_gettime(ClockId::ThreadCPUTime);
+                    let us = now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1_000;
+                    busy.store(us, Ordering::Relaxed);
+                }
+            });
+        });
+        let address = address
+            .recv()
+            .map_err(|_| io::Error::other("the node did not start"))?;
+        Ok(Self {
+            address,
+            busy_us,
+            stopping,
+            thread,
+        })
+    }
+
+    /// Returns the processor time that its thread took so far.
+    pub fn busy(&self) -> Duration {
+        Duration::from_micros(self.busy_us.load(Ordering::Relaxed))
+    }
+
+    /// Ends its thread.
+    pub fn stop(self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        drop(self.thread.join());
+    }
+}
+
+fn all(peers: &[SocketAddr]) -> watch::Receiver<Vec<PeerNode>> {
+    let peers = peers.iter().enumerate().map(|(number, address)| PeerNode {
+        name: format!("peer-{number}").as_str().into(),
+        gossip_address: *address,
+        control_address: *address,
+    });
+    let (sender, receiver) = watch::channel(peers.collect());
+    // The list never changes; the sender outlives all that watch it.
+    std::mem::forget(sender);
+    receiver
+}
+
+/// Sends requests that go on and on.
+fn call(dispatcher: Dispatcher, models: usize) {
+    let running = (REQUESTS_PER_S * REQUEST.as_secs_f64()) as usize;
+    for number in 0..running {
+        let age = REQUEST.mul_f64(number as f64 / running as f64);
+        tokio::spawn(one_after_the_other(
+            dispatcher.clone(),
+            models,
+            REQUEST - age,
+        ));
+    }
+}
+
+async fn one_after_the_other(dispatcher: Dispatcher, models: usize, first: Duration) {
+    let mut lasts = first;
+    loop {
+        let model = rand::rng().random_range(0..models);
+        match dispatcher.place(&wanted(model)).await {
+            Ok(mut place) => {
+                tokio::time::sleep(FIRST_TOKEN.min(lasts)).await;
+                place.first_event(Instant::now());
+                tokio::time::sleep(lasts.saturating_sub(FIRST_TOKEN)).await;
+                place.finish(TryOutcome::Complete);
+            }
+            Err(_) => tokio::time::sleep(lasts).await,
+        }
+        lasts = REQUEST;
+    }
+}
+
+fn wanted(model: usize) -> Wanted {
+    let generation = Generation {
+        model: model_name(model).as_str().into(),
+        adapter: None,
+        prompt_tokens: 1_000,
+        output_tokens_max: 278,
+        output_tokens_hint: None,
+        parts: Vec::new(),
+    };
+    Wanted {
+        service: "engines".into(),
+        generation: Some(generation),
+        priority: 1,
+        target_at: Instant::now() + Duration::from_secs(1),
+        give_up_at: Instant::now() + Duration::from_secs(10),
+        tried: Vec::new(),
+    }
+}
+
+fn model_name(number: usize) -> String {
+    format!("model-{number:04}")
+}
+
+fn board(runners: usize, models: usize) -> Arc<RunnerBoard> {
+    let traffic = Arc::new(TrafficBoard::default());
+    traffic.offer(RouteMap::new(config(models), Bytes::new()));
+    let board = Arc::new(RunnerBoard::new("east".into(), traffic));
+    board.set_runners((0..runners).map(|number| runner(number, models)).collect());
+    board
+}
+
+fn runner(number: usize, models: usize) -> RunnerEntry {
+    let held = (0..RESIDENT).map(|place| model_name((number * RESIDENT + place) % models));
+    let mut held: Vec<String> = held.collect();
+    held.sort();
+    let held = held.iter().map(|name| ResidentModel {
+        model: name.as_str().into(),
+        version: 1,
+        adapters: Vec::new(),
+    });
+    RunnerEntry {
+        key: RunnerKey {
+            id: format!("engines-east-{number:04}").as_str().into(),
+            born_unix_ms: 1_700_000_000_000,
+        },
+        service: "engines".into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: "east".into(),
+        slots: 64,
+        state: RunnerState::Ready,
+        cold_remaining_ms: 0,
+        models: held.collect(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+fn config(models: usize) -> TrafficConfig {
+    let models = (0..models).map(|number| ModelSpec {
+        name: model_name(number).as_str().into(),
+        weights_mb: 70_000.0,
+        load_s: 6.0,
+        warm_s: 0.6,
+        disk_s: 1.3,
+        adapters: 0,
+        adapter_mb: 0.0,
+    });
+    let engine = EngineSpec {
+        slots: 64,
+        kv_capacity_tokens: 140_000_000,
+        weights_mb: 200_000.0,
+        adapter_slots: 8,
+        loads_per_s: 1.0,
+        models: models.collect(),
+    };
+    TrafficConfig {
+        version: ConfigVersion(1),
+        routes: Vec::new(),
+        services: vec![ServiceSpec {
+            name: "engines".into(),
+            connections_max: 1_000,
+            engine: Some(engine),
+        }],
+        limits: CallerLimits {
+            head_max_bytes: 1,
+            body_max_bytes: 1,
+            head_timeout_ms: 1,
+            idle_timeout_ms: 1,
+        },
+    }
+}
--- /dev/null
+++ b/examples/gossip_scale/peers.rs
@@ -0,0 +1,143 @@
+//! Stand-in peers that send what they are sent.
+
+use {
+    greengagetrail::gossip::{Sender, decode, encode},
+    std::{
+        io,
+        net::{SocketAddr, UdpSocket},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread::JoinHandle,
+        time::Duration,
+    },
+};
+
+/// How long a peer waits for a datagram before it looks whether it should stop.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Datagrams so far.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Counts {
+    pub at_one_peer: u64,
+    pub bytes_at_one_peer: u64,
+    pub fed: u64,
+    pub bytes_fed: u64,
+}
+
+impl Counts {
+    /// Returns what came since an earlier count.
+    pub fn since(self, before: Self) -> Self {
+        Self {
+            at_one_peer: self.at_one_peer - before.at_one_peer,
+            bytes_at_one_peer: self.bytes_at_one_peer - before.bytes_at_one_peer,
+            fed: self.fed - before.fed,
+            bytes_fed: self.bytes_fed - before.bytes_fed,
+        }
+    }
+}
+
+/// Peers: the first one reads what it is sent and answers for all, the others share a socket that
+/// nobody reads.
+pub struct PeerSet {
+    first: UdpSocket,
+    others: UdpSocket,
+    count: usize,
+    counts: Arc<Mutex<Counts>>,
+}
+
+/// The thread that sends for all peers.
+pub struct Feeder {
+    stopping: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl PeerSet {
+    /// Binds the sockets.
+    pub fn new(count: usize) -> io::Result<Self> {
+        let first = UdpSocket::bind("127.0.0.1:0")?;
+        first.set_read_timeout(Some(LOOK))?;
+        Ok(Self {
+            first,
+            others: UdpSocket::bind("127.0.0.1:0")?,
+            count,
+            counts: Arc::default(),
+        })
+    }
+
+    /// Returns the address of each peer.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let first = self.first.local_addr().into_iter();
+        let others = self.others.local_addr().into_iter();
+        first.chain(others.cycle().take(self.count - 1)).collect()
+    }
+
+    /// Returns the datagrams so far.
+    pub fn counts(&self) -> Counts {
+        *lock(&self.counts)
+    }
+
+    /// Sends each datagram that the first peer gets back to the node, once in each peer's name.
+    pub fn feed(&self, node: SocketAddr) -> Feeder {
+        let stopping = Arc::new(AtomicBool::new(false));
+        let (stop, counts, count) = (stopping.clone(), self.counts.clone(), self.count);
+        let first = self.first.try_clone();
+        let thread = std::thread::spawn(move || {
+            let Ok(socket) = first else { return };
+            let mut buffer = vec![0; 8_192];
+            while !stop.load(Ordering::Relaxed) {
+                let Ok((length, _)) = socket.recv_from(&mut buffer) else {
+                    continue;
+                };
+                {
+                    let mut counts = lock(&counts);
+                    counts.at_one_peer += 1;
+                    counts.bytes_at_one_peer += length as u64;
+                }
+                answer_for_all(&socket, &buffer[..length], node, count, &counts);
+            }
+        });
+        Feeder { stopping, thread }
+    }
+}
+
+fn answer_for_all(
+    socket: &UdpSocket,
+    bytes: &[u8],
+    node: SocketAddr,
+    count: usize,
+    counts: &Mutex<Counts>,
+) {
+    let Ok(datagram) = decode(bytes) else { return };
+    for peer in 0..count {
+        let sender = Sender {
+            node: format!("peer-{peer}").as_str().into(),
+            start: peer as u64,
+            config_version: datagram.sender.config_version,
+        };
+        for bytes in encode(&sender, datagram.items.iter().cloned()) {
+            if socket.send_to(&bytes, node).is_ok() {
+                let mut counts = lock(counts);
+                counts.fed += 1;
+                counts.bytes_fed += bytes.len() as u64;
+            }
+        }
+        // All peers at once would overrun the node's socket.
+        if peer % 16 == 15 {
+            std::thread::sleep(Duration::from_micros(300));
+        }
+    }
+}
+
+impl Feeder {
+    /// Ends the thread.
+    pub fn stop(self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        drop(self.thread.join());
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
