--- a/examples/gossip_scale/main.rs
+++ b/examples/gossip_scale/main.rs
@@ -25,8 +25,10 @@
 const MEASURE: Duration = Duration::from_secs(8);
 
 fn main() -> std::io::Result<()> {
-    println!("| nodes | runners | models | sent/s | KB/s sent | taken/s | KB/s taken | core |");
-    println!("|---|---|---|---|---|---|---|---|");
+    println!(
+        "| nodes | runners | models | sent/s | KB/s sent | of it demand | taken/s | KB/s taken | core |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|");
     for (nodes, runners, models) in SIZES {
         let peers = PeerSet::new(nodes - 1)?;
         let node = Node::start(peers.addresses(), runners, models)?;
@@ -49,9 +51,10 @@
     let peers = (nodes - 1) as u64;
     let (datagrams, bytes) = (counts.at_one_peer * peers, counts.bytes_at_one_peer * peers);
     println!(
-        "| {nodes} | {runners} | {models} | {:.0} | {:.1} | {:.0} | {:.1} | {:.2}% |",
+        "| {nodes} | {runners} | {models} | {:.0} | {:.1} | {:.0}% | {:.0} | {:.1} | {:.2}% |",
         datagrams as f64 / seconds,
         kb(datagrams, bytes),
+        100.0 * counts.demand_bytes as f64 / counts.bytes_at_one_peer as f64,
         counts.fed as f64 / seconds,
         kb(counts.fed, counts.bytes_fed),
         core * 100.0,
--- a/examples/gossip_scale/peers.rs
+++ b/examples/gossip_scale/peers.rs
@@ -1,7 +1,7 @@
 //! Stand-in peers that send what they are sent.
 
 use {
-    greengagetrail::gossip::{Sender, decode, encode},
+    greengagetrail::gossip::{Item, Sender, decode, encode},
     std::{
         io,
         net::{SocketAddr, UdpSocket},
@@ -22,6 +22,8 @@
 pub struct Counts {
     pub at_one_peer: u64,
     pub bytes_at_one_peer: u64,
+    /// Bytes of what is told of demand.
+    pub demand_bytes: u64,
     pub fed: u64,
     pub bytes_fed: u64,
 }
@@ -32,6 +34,7 @@
         Self {
             at_one_peer: self.at_one_peer - before.at_one_peer,
             bytes_at_one_peer: self.bytes_at_one_peer - before.bytes_at_one_peer,
+            demand_bytes: self.demand_bytes - before.demand_bytes,
             fed: self.fed - before.fed,
             bytes_fed: self.bytes_fed - before.bytes_fed,
         }
@@ -110,6 +113,7 @@
     counts: &Mutex<Counts>,
 ) {
     let Ok(datagram) = decode(bytes) else { return };
+    lock(counts).demand_bytes += demand_bytes(&datagram.items);
     for peer in 0..count {
         let sender = Sender {
             node: format!("peer-{peer}").as_str().into(),
@@ -130,6 +134,12 @@
     }
 }
 
+fn demand_bytes(items: &[Item]) -> u64 {
+    let demand = items.iter().filter(|item| matches!(item, Item::Demand(_)));
+    let bytes = demand.filter_map(|item| postcard::to_allocvec(item).ok());
+    bytes.map(|bytes| bytes.len() as u64).sum()
+}
+
 impl Feeder {
     /// Ends the thread.
     pub fn stop(self) {
