--- a/src/copies/model_step.rs
+++ b/src/copies/model_step.rs
@@ -25,7 +25,7 @@
 /// How many further copies one plan looks for.
 const GROWTH_TRIES: usize = 4;
 /// The load of a model's runners from which idle last copies make way, as a share of the slots.
-const MAKE_WAY_SHARE: f64 = 0.25;
+const MAKE_WAY_SHARE: f64 = 0.4;
 /// What the value of a last copy adds when copies are compared.
 const LAST_COPY_VALUE: f64 = 3.0;
 /// How many models one plan weighs further copies of.
--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -12,7 +12,7 @@
 const PLAIN_FULL_MS: f64 = 60.0;
 
 /// The time that it is worth to stay in the data centre, in milliseconds.
-const OTHER_ZONE_MS: f64 = 12.0;
+const OTHER_ZONE_MS: f64 = 4.0;
 
 /// The time that a runner loses while it is slow after its start, in milliseconds.
 const COLD_MS: f64 = 60.0;
