Give the parts of the entry their folders

They are moved as they are into inference, stream, service, forward, limits and view; what several folders use is visible in crate::entry, the crate's own names stay as they were. The messages of forwarded calls move from idempotency to forward, which alone makes and reads them.

--- a/src/entry/forward_call.rs
+++ b/src/entry/forward/forward_call.rs
@@ -1,11 +1,9 @@
 //! Calls whose ticket another entry has minted.
 
 use {
-    super::{
-        Entry, ForwardedCall, ForwardedHeader, ForwardedReply, KeyVerdict, ServicePath,
-        ServiceRequest, Ticket, key_problem, owner_gone,
-    },
+    super::{ForwardedCall, ForwardedHeader, ForwardedReply},
     crate::{
+        entry::{Entry, KeyVerdict, ServicePath, ServiceRequest, Ticket, key_problem, owner_gone},
         http::{Body, Problem},
         membership::Member,
     },
@@ -21,7 +19,7 @@
 
 impl Entry {
     /// Has the entry that minted a ticket dispatch the call.
-    pub(super) async fn forward(
+    pub(in crate::entry) async fn forward(
         &self,
         request: ServiceRequest,
         ticket: &Ticket,
--- a/src/entry/forward_link.rs
+++ b/src/entry/forward/forward_link.rs
@@ -2,11 +2,12 @@
 
 use {
     super::{
-        Entry, ForwardError, ForwardedCall, ForwardedReply, Forwarder,
+        ForwardError, ForwardedCall, ForwardedReply, Forwarder,
         forward_service::ForwardGate,
         forward_wire::{read_reply, write_call},
     },
     crate::{
+        entry::Entry,
         membership::Member,
         peer::{Connection, PeerError, SharedKey, connect_forward, serve, with_timeout},
         peer_capnp::forward,
--- a/src/entry/forward_service.rs
+++ b/src/entry/forward/forward_service.rs
@@ -1,11 +1,9 @@
 //! Serves the calls that other entries forward to this one.
 
 use {
-    super::{
-        Entry,
-        forward_wire::{read_call, write_reply},
-    },
+    super::forward_wire::{read_call, write_reply},
     crate::{
+        entry::Entry,
         peer::{LoginMark, SharedKey},
         peer_capnp::{forward, gate},
     },
--- a/src/entry/idempotency/key_guard.rs
+++ b/src/entry/idempotency/key_guard.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Forwarder, HeldKey, Ticket,
+        HeldKey, Ticket,
         claim_batch::ClaimOutcome,
         claims::Claims,
         key_memory::{KeyDigest, KeyMemory, KeyTaken},
@@ -10,6 +10,7 @@
     },
     crate::{
         entry::EntrySettings,
+        entry::Forwarder,
         peer::SharedKey,
         store::SharedStore,
         units::{Incarnation, RequestId, ServiceName},
--- a/src/entry/idempotency/mod.rs
+++ b/src/entry/idempotency/mod.rs
@@ -7,11 +7,10 @@
 mod claim_batch;
 mod claim_lease;
 mod claims;
-mod forward;
 mod held_key;
 mod key_guard;
 mod key_memory;
 mod ticket;
 mod ticket_book;
 
-pub use {forward::*, held_key::*, key_guard::*, ticket::*};
+pub use {held_key::*, key_guard::*, ticket::*};
--- a/src/entry/inference.rs
+++ b/src/entry/inference/answer.rs
@@ -1,12 +1,13 @@
 //! Answers requests to models, whole and streamed.
 
 use {
-    super::{
-        Attempt, Attempts, Call, Dispatched, Entry, Idempotent, InferenceRequest,
-        InferenceRequestError, LossCause, OpenRequest, Relay, is_event_stream, loss_problem,
-    },
+    super::{Attempt, Attempts, InferenceRequest, InferenceRequestError},
     crate::{
         admission::{Admit, Permit},
+        entry::{
+            Call, Dispatched, Entry, Idempotent, LossCause, OpenRequest, Relay, is_event_stream,
+            loss_problem,
+        },
         http::{
             Body, Problem, RESUMABLE, ReadError, SERVICE_CLASS, has_known_end, read_body,
             remove_connection_headers,
@@ -22,7 +23,7 @@
 const ANSWER_MAX_BYTES: usize = 16 * 1024 * 1024;
 
 impl Entry {
-    pub(super) async fn infer(
+    pub(in crate::entry) async fn infer(
         self: &Arc<Self>,
         id: RequestId,
         request: Request<Incoming>,
--- a/src/entry/attempt.rs
+++ b/src/entry/inference/attempts.rs
@@ -1,11 +1,12 @@
 //! Finds a runner that answers a request to a model, over as many tries as are allowed.
 
 use {
-    super::{
-        Call, Claimed, DispatchError, Dispatched, Entry, EventId, Idempotent, InferenceRequest,
-        LossCause, is_foreign, loss_problem, parse_load, retry_after,
-    },
+    super::{InferenceRequest, parse_load},
     crate::{
+        entry::{
+            Call, Claimed, DispatchError, Dispatched, Entry, EventId, Idempotent, LossCause,
+            is_foreign, loss_problem, retry_after,
+        },
         http::{ENGINE_LEAVING, ENGINE_LOAD, Exchange, Problem, discard_body, has_header},
         routing::{Choice, InFlight},
         units::RunnerName,
@@ -23,23 +24,23 @@
 
 /// A response of a runner whose body is yet to be read.
 #[derive(Debug)]
-pub(super) struct Attempt {
-    pub(super) call: Call<Dispatched>,
-    pub(super) exchange: Exchange,
-    pub(super) in_flight: InFlight,
+pub(in crate::entry) struct Attempt {
+    pub(in crate::entry) call: Call<Dispatched>,
+    pub(in crate::entry) exchange: Exchange,
+    pub(in crate::entry) in_flight: InFlight,
 }
 
 /// The tries to get a response for one request.
-pub(super) struct Attempts<'a> {
-    pub(super) entry: &'a Entry,
-    pub(super) request: &'a InferenceRequest,
-    pub(super) tried: Vec<RunnerName>,
+pub(in crate::entry) struct Attempts<'a> {
+    pub(in crate::entry) entry: &'a Entry,
+    pub(in crate::entry) request: &'a InferenceRequest,
+    pub(in crate::entry) tried: Vec<RunnerName>,
     tries: u32,
     retry_after: Option<Duration>,
 }
 
 impl<'a> Attempts<'a> {
-    pub(super) fn new(entry: &'a Entry, request: &'a InferenceRequest) -> Self {
+    pub(in crate::entry) fn new(entry: &'a Entry, request: &'a InferenceRequest) -> Self {
         Self {
             entry,
             request,
@@ -50,7 +51,7 @@
     }
 
     /// Passes over a runner as long as there are others.
-    pub(super) fn avoid(&mut self, runner: RunnerName) {
+    pub(in crate::entry) fn avoid(&mut self, runner: RunnerName) {
         self.tried.push(runner);
     }
 
@@ -59,7 +60,7 @@
     /// # Errors
     ///
     /// Returns the problem to be told to the caller.
-    pub(super) async fn run(
+    pub(in crate::entry) async fn run(
         &mut self,
         mut call: Call<Claimed>,
         after: Option<EventId>,
@@ -116,7 +117,7 @@
     }
 
     /// Counts a failed try; returns whether another one is allowed.
-    pub(super) fn count_try(&mut self) -> bool {
+    pub(in crate::entry) fn count_try(&mut self) -> bool {
         self.tries += 1;
         self.tries < TRIES_MAX
     }
@@ -211,7 +212,7 @@
         Ok(call.repeat(Idempotent::inference()))
     }
 
-    pub(super) fn try_retry(&self) -> Option<Duration> {
+    pub(in crate::entry) fn try_retry(&self) -> Option<Duration> {
         let service = &self.request.class.service;
         self.entry.try_retry(service, self.tries + 1)
     }
--- a/src/entry/inference_request.rs
+++ b/src/entry/inference/inference_request.rs
@@ -1,10 +1,10 @@
 //! A caller's request to a model, as far as the entry reads it.
 
 use {
-    super::{EventId, ReservedSpace},
     crate::{
         admission::ClassTargets,
         config::{Catalog, ServiceTarget},
+        entry::{EventId, ReservedSpace},
         http::{Body, DEADLINE_MS, LAST_EVENT_ID, PRIORITY, REQUEST_ID},
         routing::stable_hash,
         units::{AdapterName, ModelName, RequestId, ServiceName},
--- a/src/entry/models.rs
+++ b/src/entry/inference/models.rs
@@ -1,8 +1,7 @@
 //! `/v1/models`: the models and adapters that callers may name.
 
 use {
-    super::Entry,
-    crate::{config::Catalog, http::Body},
+    crate::{config::Catalog, entry::Entry, http::Body},
     hyper::{Response, header},
     serde::Serialize,
 };
@@ -24,7 +23,7 @@
 }
 
 impl Entry {
-    pub(super) fn list_models(&self) -> Response<Body> {
+    pub(in crate::entry) fn list_models(&self) -> Response<Body> {
         let routes = self.routes.current();
         let list = ModelList {
             object: "list",
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,50 +1,23 @@
 //! The entry: callers' HTTP, routing and streams.
 
-mod attempt;
-mod backend;
-mod body_space;
 mod call;
-mod choose;
-mod copy_choice;
-mod demand;
 #[allow(clippy::module_inception)]
 mod entry;
 mod entry_metrics;
-mod event_id;
-mod forward_call;
-mod forward_link;
-mod forward_service;
-mod forward_wire;
+mod forward;
 mod idempotency;
 mod inference;
-mod inference_request;
-mod joined;
-mod key_problem;
-mod leaving;
-mod load_header;
-mod long_answer;
-mod models;
-mod open_requests;
-mod relay;
+mod limits;
 mod response_head;
-mod resume;
-mod routes;
 mod run;
 mod serve;
-mod service_call;
-mod service_dispatch;
-mod service_request;
+mod service;
 mod settings;
-mod sse;
-mod stream_check;
-mod stream_source;
-mod ticket_call;
+mod stream;
 mod view;
 
-use {attempt::*, joined::*, key_problem::*, relay::*, response_head::*, stream_source::*};
+use response_head::*;
 pub use {
-    backend::*, body_space::*, call::*, choose::*, demand::*, entry::*, entry_metrics::*,
-    event_id::*, forward_link::*, forward_wire::*, idempotency::*, inference_request::*,
-    leaving::*, load_header::*, open_requests::*, routes::*, run::*, service_request::*,
-    settings::*, sse::*, stream_check::*, view::*,
+    call::*, entry::*, entry_metrics::*, forward::*, idempotency::*, inference::*, limits::*,
+    run::*, service::*, settings::*, stream::*, view::*,
 };
--- a/src/entry/key_problem.rs
+++ b/src/entry/service/key_problem.rs
@@ -1,12 +1,16 @@
 //! Problems with idempotency keys.
 
-use {super::KeyVerdict, crate::http::Problem, hyper::StatusCode, std::time::Duration};
+use {
+    crate::{entry::KeyVerdict, http::Problem},
+    hyper::StatusCode,
+    std::time::Duration,
+};
 
 /// When to come back after a claim failed.
 const CLAIM_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Describes why a key does not allow a dispatch.
-pub(super) fn key_problem(verdict: &KeyVerdict) -> Problem {
+pub(in crate::entry) fn key_problem(verdict: &KeyVerdict) -> Problem {
     match verdict {
         KeyVerdict::Used(status) => {
             let detail = "the idempotency key was used before";
@@ -31,7 +35,7 @@
 }
 
 /// Describes a ticket whose entry cannot be reached.
-pub(super) fn owner_gone() -> Problem {
+pub(in crate::entry) fn owner_gone() -> Problem {
     let detail = "the entry that minted the ticket is gone";
     Problem::unknown(StatusCode::BAD_GATEWAY, "ticket-owner-gone", detail)
 }
--- /dev/null
+++ b/src/entry/service/mod.rs
@@ -0,0 +1,13 @@
+//! Requests to plain services: read, claimed, sent to a backend server and answered.
+
+mod backend;
+mod backend_choice;
+mod key_problem;
+mod long_answer;
+mod service_call;
+mod service_dispatch;
+mod service_request;
+mod ticket_call;
+
+pub(super) use key_problem::*;
+pub use {backend::*, backend_choice::*, service_request::*};
--- a/src/entry/service_call.rs
+++ b/src/entry/service/service_call.rs
@@ -1,8 +1,9 @@
 //! Answers requests to plain services.
 
 use {
-    super::{Entry, HeldKey, KeyVerdict, ServicePath, ServiceRequest, key_problem},
+    super::{ServicePath, ServiceRequest, key_problem},
     crate::{
+        entry::{Entry, HeldKey, KeyVerdict},
         http::{Body, NEXT_IDEMPOTENCY_KEY, Outcome, Problem},
         units::RequestId,
     },
@@ -11,7 +12,7 @@
 };
 
 impl Entry {
-    pub(super) async fn call_service(
+    pub(in crate::entry) async fn call_service(
         self: &Arc<Self>,
         id: RequestId,
         request: Request<Incoming>,
@@ -76,7 +77,7 @@
     }
 
     /// Dispatches a call whose key is held for it.
-    pub(super) async fn call_held(
+    pub(in crate::entry) async fn call_held(
         &self,
         request: ServiceRequest,
         held: HeldKey,
--- a/src/entry/service_dispatch.rs
+++ b/src/entry/service/service_dispatch.rs
@@ -2,14 +2,17 @@
 
 use {
     super::{
-        Backend, BackendUse, Call, Claimed, DispatchError, Dispatched, Entry, LossCause,
-        ServiceRequest, choose_backend,
+        Backend, BackendUse, ServiceRequest, choose_backend,
         long_answer::{AnswerStart, LongAnswer, ReadStartError, read_start},
-        loss_problem, retry_after,
     },
-    crate::http::{
-        Body, ENGINE_LEAVING, Exchange, Problem, discard_body, has_header, has_known_end,
-        remove_connection_headers,
+    crate::{
+        entry::{
+            Call, Claimed, DispatchError, Dispatched, Entry, LossCause, loss_problem, retry_after,
+        },
+        http::{
+            Body, ENGINE_LEAVING, Exchange, Problem, discard_body, has_header, has_known_end,
+            remove_connection_headers,
+        },
     },
     hyper::{Response, StatusCode},
     std::{sync::Arc, time::Duration},
--- a/src/entry/service_request.rs
+++ b/src/entry/service/service_request.rs
@@ -1,9 +1,9 @@
 //! A caller's request to a plain service.
 
 use {
-    super::{Idempotent, Routes},
     crate::{
         config::ServiceTarget,
+        entry::{Idempotent, Routes},
         http::{Body, IDEMPOTENCY_KEY, Problem, REQUEST_ID, remove_connection_headers},
         units::{RequestId, ServiceName},
     },
--- a/src/entry/ticket_call.rs
+++ b/src/entry/service/ticket_call.rs
@@ -1,9 +1,10 @@
 //! Mints tickets for callers.
 
 use {
-    super::{Entry, ServicePath, unknown_service},
+    super::{ServicePath, unknown_service},
     crate::{
         config::ServiceTarget,
+        entry::Entry,
         http::{Body, Problem},
         units::ServiceName,
     },
@@ -23,7 +24,7 @@
 }
 
 impl Entry {
-    pub(super) fn mint_tickets(
+    pub(in crate::entry) fn mint_tickets(
         &self,
         path: &ServicePath,
         method: &Method,
--- a/src/entry/relay.rs
+++ b/src/entry/stream/relay.rs
@@ -1,12 +1,10 @@
 //! Relays the stream of a model engine and resumes it where it breaks.
 
 use {
-    super::{
-        Attempt, DropReason, Entry, InferenceRequest, Joined, OpenRequest, StreamCheck,
-        StreamFault, StreamSource, Verdict, parse_load,
-    },
+    super::{DropReason, Joined, StreamCheck, StreamFault, StreamSource, Verdict},
     crate::{
         admission::Permit,
+        entry::{Attempt, Entry, InferenceRequest, OpenRequest, parse_load},
         http::{Body, BodyError, Problem},
     },
     bytes::Bytes,
@@ -16,7 +14,7 @@
 };
 
 /// An answer on its way from a model engine to a caller.
-pub(super) struct Relay {
+pub(in crate::entry) struct Relay {
     pub(super) entry: Arc<Entry>,
     pub(super) request: InferenceRequest,
     pub(super) check: StreamCheck,
@@ -39,7 +37,7 @@
 }
 
 impl Relay {
-    pub(super) fn new(
+    pub(in crate::entry) fn new(
         entry: Arc<Entry>,
         request: InferenceRequest,
         attempt: Attempt,
@@ -64,7 +62,7 @@
     }
 
     /// Turns the relay into a body for the caller.
-    pub(super) fn into_body(self) -> Body {
+    pub(in crate::entry) fn into_body(self) -> Body {
         let chunks = stream::unfold(Box::new(self), |mut relay| async move {
             let chunk = relay.next().await?;
             Some((chunk, relay))
--- a/src/entry/resume.rs
+++ b/src/entry/stream/resume.rs
@@ -1,8 +1,11 @@
 //! Resumes a broken stream on another connection.
 
 use {
-    super::{Attempt, Attempts, Idempotent, Phase, Relay, StreamFault, StreamSource},
-    crate::http::{Outcome, Problem},
+    super::{Phase, Relay, StreamFault, StreamSource},
+    crate::{
+        entry::{Attempt, Attempts, Idempotent},
+        http::{Outcome, Problem},
+    },
     hyper::StatusCode,
     rand::RngExt,
     std::time::Duration,
--- a/src/entry/stream_source.rs
+++ b/src/entry/stream/stream_source.rs
@@ -1,8 +1,9 @@
 //! One stream of a model engine, as long as it lasts.
 
 use {
-    super::{Attempt, BreakReason, Call, Dispatched, SseParser},
+    super::{BreakReason, SseParser},
     crate::{
+        entry::{Attempt, Call, Dispatched},
         http::{Connection, RESUMABLE, TOKENS_PER_EVENT, has_header},
         routing::InFlight,
     },
--- a/src/entry/routes.rs
+++ b/src/entry/view/routes.rs
@@ -1,10 +1,11 @@
 //! Where requests can go by the newest view.
 
 use {
-    super::{Backend, EntryView, ViewReceiver},
+    super::{EntryView, ViewReceiver},
     crate::{
         admission::Admission,
         config::{Service, ServiceTarget},
+        entry::Backend,
         routing::RouteTable,
         units::{DataCentreName, Incarnation, RunnerName, ServiceName},
     },
