Break the import cycles of fleet, placement and store

adapter_pool and runner_task: the size of the adapter window is a method of TaskContext, which has a file of its own; QueuedMove too, so that runner_task no longer leans on move_queue. planner and room: the enum Room stands alone, the search for room is room_search. etcd_store and watch_reader: the reader holds the link and the silence limit instead of the store; what each call does first is in call. No behaviour changes; the tests of fleet, placement and store pass.

--- a/src/fleet/adapter_pool.rs
+++ b/src/fleet/adapter_pool.rs
@@ -1,17 +1,11 @@
 //! The size and use of the adapter pool of one owned runner.
 
 use {
-    super::{Extra, LedgerError, RecordError, TaskContext, runner_task::RunnerTask},
-    crate::{
-        config::Runner,
-        units::{AdapterName, MemoryMib},
-    },
+    super::{Extra, LedgerError, RecordError, runner_task::RunnerTask},
+    crate::units::{AdapterName, MemoryMib},
     std::sync::Arc,
 };
 
-/// The part of the adapter pool that an owner may fill before it reads its record again.
-const WINDOW_DIVISOR: u64 = 4;
-
 impl RunnerTask {
     /// Brings the reserved adapter pool to the configured size when everything fits.
     pub(super) async fn resize_pool(&mut self) -> Result<(), RecordError> {
@@ -22,7 +16,7 @@
             return Ok(());
         }
         let runner = self.runner.clone();
-        let window = adapter_window(&self.context, &runner);
+        let window = self.context.adapter_window(&runner);
         let resized = self
             .handle
             .change(&Extra::default(), |record| {
@@ -56,16 +50,3 @@
         self.adapters.used_mib(&size_of) + former
     }
 }
-
-/// Returns how much adapter memory an owner may order before it reads its record again.
-pub(super) fn adapter_window(context: &TaskContext, runner: &Runner) -> MemoryMib {
-    let catalog = Arc::clone(&context.view.borrow().catalog);
-    let largest = catalog
-        .adapters
-        .iter()
-        .map(|adapter| adapter.memory_mib)
-        .max();
-    let part = MemoryMib(runner.adapter_pool_mib.0 / WINDOW_DIVISOR);
-    part.max(largest.unwrap_or_default())
-        .min(runner.adapter_pool_mib)
-}
--- a/src/fleet/fleet_keeper.rs
+++ b/src/fleet/fleet_keeper.rs
@@ -2,48 +2,19 @@
 
 use {
     super::{
-        AdapterPermits, AuditLog, FleetView, LoadGate, Move, Owner, RunnerRecord, RunnerState,
-        StateBoard, adapter_share, owner_of, supervisor::Supervisor,
+        AdapterPermits, AuditLog, EngineFactory, FleetTiming, FleetView, LoadGate, Move, Owner,
+        RunnerRecord, RunnerState, StateBoard, TaskContext, adapter_share, owner_of,
+        supervisor::Supervisor,
     },
     crate::{
-        config::Runner,
-        engine::Engine,
         membership::Member,
         store::{SharedStore, StoreError},
         units::{DataCentreName, RunnerName, VmName},
     },
-    std::{
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Duration,
-    },
+    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
     tokio::sync::watch,
 };
 
-/// Opens the order interface of a runner.
-pub type EngineFactory = dyn Fn(&Runner) -> Arc<dyn Engine> + Send + Sync;
-
-/// How often and how long runner tasks wait.
-#[derive(Debug, Clone, Copy)]
-pub struct FleetTiming {
-    /// The time between two polls of an engine.
-    pub status_interval: Duration,
-    /// The longest wait for an engine's answer.
-    pub order_timeout: Duration,
-}
-
-/// What the runner tasks of a process share.
-pub(super) struct TaskContext {
-    pub(super) store: SharedStore,
-    pub(super) engines: Box<EngineFactory>,
-    pub(super) me: Owner,
-    pub(super) timing: FleetTiming,
-    pub(super) gate: Arc<LoadGate>,
-    pub(super) adapter_permits: Arc<AdapterPermits>,
-    pub(super) audit: AuditLog,
-    pub(super) board: StateBoard,
-    pub(super) view: watch::Sender<Arc<FleetView>>,
-}
-
 /// Owns this VM's share of the runners; must be used within a tokio runtime.
 pub struct FleetKeeper {
     context: Arc<TaskContext>,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod move_queue;
 mod order_sender;
 mod ownership;
+mod queued_move;
 mod record;
 mod record_handle;
 mod record_io;
@@ -22,11 +23,25 @@
 mod state;
 mod state_board;
 mod supervisor;
+mod task_context;
 mod view;
 
 pub use {
-    adapter_ledger::*, adapter_permits::*, audit_log::*, audit_record::*, error::*,
-    fleet_keeper::*, ledger::*, load_gate::*, ownership::*, record::*, record_handle::*,
-    record_io::*, state::*, state_board::*, view::*,
+    adapter_ledger::*,
+    adapter_permits::*,
+    audit_log::*,
+    audit_record::*,
+    error::*,
+    fleet_keeper::*,
+    ledger::*,
+    load_gate::*,
+    ownership::*,
+    record::*,
+    record_handle::*,
+    record_io::*,
+    state::*,
+    state_board::*,
+    task_context::{EngineFactory, FleetTiming},
+    view::*,
 };
-use {fleet_keeper::TaskContext, move_queue::QueuedMove};
+use {queued_move::QueuedMove, task_context::TaskContext};
--- a/src/fleet/move_queue.rs
+++ b/src/fleet/move_queue.rs
@@ -2,41 +2,20 @@
 
 use {
     super::{
-        AuditEvent, Extra, LedgerError, LoadWait, Move, MoveChange, PendingOrder, RecordError,
-        read_records, record_io::unchanged, record_key, runner_task::RunnerTask,
+        AuditEvent, Extra, LedgerError, LoadWait, MoveChange, PendingOrder, QueuedMove,
+        RecordError, read_records, record_io::unchanged, record_key, runner_task::RunnerTask,
     },
     crate::{
         engine::{Action, Order},
         store::Compare,
         units::{ModelName, OrderId},
     },
-    std::time::Duration,
     tokio::time::Instant,
 };
 
-/// How long a move that can't be carried out is tried again.
-const MOVE_LASTING_S: u64 = 30;
 /// The most records that are read to find another copy of a model.
 const COPIES_READ_MAX: usize = 8;
 
-/// A move that waits to be carried out.
-#[derive(Debug)]
-pub(super) struct QueuedMove {
-    wanted: Move,
-    decision: String,
-    until: Instant,
-}
-
-impl QueuedMove {
-    pub(super) fn new(wanted: Move, decision: String) -> Self {
-        Self {
-            wanted,
-            decision,
-            until: Instant::now() + Duration::from_secs(MOVE_LASTING_S),
-        }
-    }
-}
-
 /// What became of a move.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum MoveOutcome {
--- a/src/fleet/runner_task.rs
+++ b/src/fleet/runner_task.rs
@@ -4,7 +4,6 @@
     super::{
         AdapterLedger, AdapterPermit, AuditEvent, AuditRecord, Evidence, Extra, LedgerError,
         PendingOrder, QueuedMove, RecordError, RecordHandle, RunnerState, TaskContext,
-        adapter_pool::adapter_window,
         doubt::{Doubts, Verdict},
     },
     crate::{
@@ -55,7 +54,7 @@
         engine: Arc<dyn Engine>,
     ) -> Result<Self, RecordError> {
         let me = context.me.clone();
-        let window = adapter_window(&context, &runner);
+        let window = context.adapter_window(&runner);
         let fencing = runner.fencing;
         let store = Arc::clone(&context.store);
         let known_epoch = context.board.known_epoch(&runner.name);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -14,6 +14,7 @@
 mod planner;
 mod relocation;
 mod room;
+mod room_search;
 mod spread;
 
 pub use {
--- /dev/null
+++ b/src/placement/room_search.rs
@@ -0,0 +1,84 @@
+//! Finds room on a runner, and what may be unloaded to make some.
+
+use super::{home_map, planner::Planner, room::Room};
+
+impl Planner<'_> {
+    /// Finds the room for a copy of a model on a runner, or `None` when there can't be any.
+    pub fn room(&self, runner: usize, model: usize) -> Option<Room> {
+        let image = &self.image.runners[runner];
+        let size_mib = self.image.size_mib(model);
+        if image.free_mib >= size_mib {
+            return Some(Room::Now);
+        }
+        let mut room_mib = image.free_mib + image.coming_mib(self.image.catalog);
+        if room_mib >= size_mib {
+            return Some(Room::Coming);
+        }
+        let mut victims = Vec::new();
+        for (position, size) in self.victims(runner) {
+            victims.push(position);
+            room_mib += size;
+            if room_mib >= size_mib {
+                return Some(Room::After(victims));
+            }
+        }
+        None
+    }
+
+    /// Returns the memory of a runner that is free, is being freed or may be freed.
+    pub fn room_at_most_mib(&self, runner: usize) -> u64 {
+        let image = &self.image.runners[runner];
+        let victims: u64 = self.victims(runner).iter().map(|(_, size)| size).sum();
+        image.free_mib + image.coming_mib(self.image.catalog) + victims
+    }
+
+    /// Tells whether a copy may be unloaded.
+    ///
+    /// A copy goes only while another one serves in this data centre, or one in a data centre
+    /// that ranks higher for the model. Planners that act at the same time on older views so
+    /// never unload the last copy between them.
+    pub fn may_drop(&self, runner: usize, position: usize) -> bool {
+        let copy = self.image.runners[runner].copies[position];
+        let Some(model) = copy.model else {
+            return !copy.dropped;
+        };
+        if !copy.ready || copy.dropped {
+            return false;
+        }
+        let place = self.places[runner];
+        let rank = self.homes.rank(model, place);
+        let mut others = 0;
+        let mut backed = false;
+        for other in self.image.ready_holders(model) {
+            if other == runner {
+                continue;
+            }
+            others += 1;
+            let elsewhere = self.places[other];
+            backed |= elsewhere == place || self.homes.rank(model, elsewhere) < rank;
+        }
+        let name = &self.image.catalog.models[model].name;
+        backed && others >= home_map::copies_min(self.image.catalog, name)
+    }
+
+    /// Returns the copies on a runner that may be unloaded with their sizes, the least wanted
+    /// first.
+    fn victims(&self, runner: usize) -> Vec<(usize, u64)> {
+        let copies = self.image.runners[runner].copies.iter().enumerate();
+        let mut victims: Vec<_> = copies
+            .filter(|(position, _)| self.may_drop(runner, *position))
+            .filter_map(|(position, copy)| Some((position, copy.model?)))
+            .collect();
+        victims.sort_by(|a, b| {
+            let share = |model: usize| {
+                let holders = self.image.ready_holders(model).count().max(1);
+                self.demand[model].tokens_per_s / holders as f64
+            };
+            share(a.1).total_cmp(&share(b.1)).then(a.cmp(b))
+        });
+        victims
+            .into_iter()
+            .map(|(position, model)| (position, self.image.size_mib(model)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/store/call.rs
@@ -0,0 +1,16 @@
+//! What each call to the key-value service does before it is sent.
+
+use {super::StoreError, crate::telemetry::STORE_CALLS, bytes::Bytes, serde::Serialize};
+
+/// Counts a call in the metrics.
+pub(super) fn count_call(kind: &'static str) {
+    metrics::counter!(STORE_CALLS, "kind" => kind).increment(1);
+}
+
+/// Writes a request as JSON.
+pub(super) fn encode(request: &impl Serialize) -> Result<Bytes, StoreError> {
+    match serde_json::to_vec(request) {
+        Ok(text) => Ok(text.into()),
+        Err(cause) => Err(StoreError::Refused(cause.to_string())),
+    }
+}
--- a/src/store/etcd_store.rs
+++ b/src/store/etcd_store.rs
@@ -4,6 +4,7 @@
     super::{
         Changes, Entry, Lease, LeaseId, Range, Store, StoreError, StoreVersion, Txn, TxnReply,
         answer::{read_first, read_whole},
+        call::{count_call, encode},
         gateway::{
             Base64, Int64, LeaseGrantRequest, LeaseRequest, LeaseResponse, RangeRequest,
             RangeResponse, TxnRequest, TxnResponse,
@@ -12,14 +13,11 @@
         prefix_end,
         watch_reader::{WatchReader, watch_stream},
     },
-    crate::telemetry::STORE_CALLS,
-    bytes::Bytes,
     futures::{
         future::{BoxFuture, FutureExt},
         stream::BoxStream,
     },
     hyper::StatusCode,
-    serde::Serialize,
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -42,8 +40,8 @@
 /// The key-value service over HTTP.
 #[derive(Debug)]
 pub struct EtcdStore {
-    pub(super) link: HttpLink,
-    pub(super) watch_silence: Duration,
+    link: HttpLink,
+    watch_silence: Duration,
 }
 
 impl EtcdStore {
@@ -171,20 +169,12 @@
         prefix: &'a str,
         since: StoreVersion,
     ) -> BoxStream<'a, Result<Changes, StoreError>> {
-        watch_stream(WatchReader::new(self, prefix, since))
-    }
-}
-
-/// Counts a call in the metrics.
-pub(super) fn count_call(kind: &'static str) {
-    metrics::counter!(STORE_CALLS, "kind" => kind).increment(1);
-}
-
-/// Writes a request as JSON.
-pub(super) fn encode(request: &impl Serialize) -> Result<Bytes, StoreError> {
-    match serde_json::to_vec(request) {
-        Ok(text) => Ok(text.into()),
-        Err(cause) => Err(StoreError::Refused(cause.to_string())),
+        watch_stream(WatchReader::new(
+            &self.link,
+            self.watch_silence,
+            prefix,
+            since,
+        ))
     }
 }
 
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's key-value service, as this system uses it.
 
 mod answer;
+mod call;
 mod error;
 mod etcd_store;
 pub mod gateway;
--- a/src/store/watch_reader.rs
+++ b/src/store/watch_reader.rs
@@ -2,17 +2,18 @@
 
 use {
     super::{
-        Change, Changes, EtcdStore, StoreError, StoreVersion,
+        Change, Changes, StoreError, StoreVersion,
         answer::{read_message, status_error},
-        etcd_store::{count_call, encode},
+        call::{count_call, encode},
         gateway::{Base64, Int64, WatchCreateRequest, WatchRequest, WatchResponse},
-        http_link::Answer,
+        http_link::{Answer, HttpLink},
         prefix_end,
     },
     bytes::{Bytes, BytesMut},
     futures::stream::{self, BoxStream, StreamExt},
     http_body_util::BodyExt,
     hyper::body::Incoming,
+    std::time::Duration,
     tokio::time::timeout,
 };
 
@@ -23,7 +24,9 @@
 
 /// A watch that survives the loss of its connection.
 pub(super) struct WatchReader<'a> {
-    store: &'a EtcdStore,
+    link: &'a HttpLink,
+    /// The longest silence of one connection.
+    silence_limit: Duration,
     prefix: &'a str,
     since: StoreVersion,
     connection: Option<Connection>,
@@ -51,9 +54,15 @@
 }
 
 impl<'a> WatchReader<'a> {
-    pub(super) fn new(store: &'a EtcdStore, prefix: &'a str, since: StoreVersion) -> Self {
+    pub(super) fn new(
+        link: &'a HttpLink,
+        silence_limit: Duration,
+        prefix: &'a str,
+        since: StoreVersion,
+    ) -> Self {
         Self {
-            store,
+            link,
+            silence_limit,
             prefix,
             since,
             connection: None,
@@ -67,7 +76,7 @@
                 Some(connection) => connection,
                 None => self.open().await?,
             };
-            let message = timeout(self.store.watch_silence, connection.next_message()).await;
+            let message = timeout(self.silence_limit, connection.next_message()).await;
             match message {
                 Ok(Ok(line)) => {
                     connection.gave_messages = true;
@@ -90,7 +99,7 @@
             progress_notify: true,
         };
         let body = encode(&WatchRequest { create_request })?;
-        let response = self.store.link.open(WATCH_PATH, body, false).await?;
+        let response = self.link.open(WATCH_PATH, body, false).await?;
         if !response.status().is_success() {
             return Err(status_error(&Answer {
                 status: response.status(),
