State the shared checks of settings and the start of a runtime once

Requirements holds the checks that the settings of entry, keeper, load and stand-ins each wrote out; worker_runtime makes the runtime of three daemons; Store::range is a default method over range_between, which two stores wrote alike. Messages of faults are the same: tests/settings.rs, cli_ggt, store_etcd and standin_kv pass.

--- a/src/bin/ggt-entry.rs
+++ b/src/bin/ggt-entry.rs
@@ -3,7 +3,7 @@
 use {
     greengagetrail::{
         entry::{self, EntrySettings, RunError},
-        settings::run_daemon,
+        settings::{run_daemon, worker_runtime},
     },
     std::process::ExitCode,
 };
@@ -13,10 +13,7 @@
 }
 
 fn run(settings: EntrySettings) -> Result<(), RunError> {
-    tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(settings.threads)
-        .enable_all()
-        .build()
+    worker_runtime(settings.threads)
         .map_err(RunError::runtime)?
         .block_on(entry::run(settings))
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        settings::{Fault, require_into},
+        settings::{Fault, Requirements},
         settings_struct,
         telemetry::{LogFormat, LogLevel},
         units::{DataCentreName, VmName},
@@ -67,26 +67,14 @@
 }
 
 fn check(settings: &EntrySettings, faults: &mut Vec<Fault>) {
-    let mut require = require_into(faults);
-    require(settings.threads > 0, "threads", "must be at least 1");
-    require(
-        !settings.store_addresses.is_empty(),
-        "store_addresses",
-        "must name an address",
-    );
-    require(
-        settings.peer_key.len() >= 16,
-        "peer_key",
-        "must have at least 16 bytes",
-    );
-    require(
+    let mut require = Requirements::new(faults);
+    require.at_least("threads", settings.threads as u64, 1);
+    require.addresses("store_addresses", &settings.store_addresses);
+    require.key("peer_key", &settings.peer_key);
+    require.holds(
         settings.bodies_max_bytes >= settings.body_max_bytes as u64,
         "bodies_max_bytes",
         "must be at least body_max_bytes",
     );
-    require(
-        settings.report_interval_ms > 0,
-        "report_interval_ms",
-        "must be at least 1",
-    );
+    require.at_least("report_interval_ms", settings.report_interval_ms, 1);
 }
--- a/src/keeper/settings.rs
+++ b/src/keeper/settings.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        settings::{Fault, require_into},
+        settings::{Fault, Requirements},
         settings_struct,
         telemetry::{LogFormat, LogLevel},
         units::{DataCentreName, VmName},
@@ -55,40 +55,12 @@
 }
 
 fn check(settings: &KeeperSettings, faults: &mut Vec<Fault>) {
-    let mut require = require_into(faults);
-    require(
-        !settings.store_addresses.is_empty(),
-        "store_addresses",
-        "must name an address",
-    );
-    require(
-        settings.peer_key.len() >= 16,
-        "peer_key",
-        "must have at least 16 bytes",
-    );
-    require(
-        settings.operator_key.len() >= 16,
-        "operator_key",
-        "must have at least 16 bytes",
-    );
-    require(
-        settings.lease_ttl_s >= 2,
-        "lease_ttl_s",
-        "must be at least 2",
-    );
-    require(
-        settings.status_interval_ms > 0,
-        "status_interval_ms",
-        "must be at least 1",
-    );
-    require(
-        settings.planning_interval_ms > 0,
-        "planning_interval_ms",
-        "must be at least 1",
-    );
-    require(
-        settings.exchange_interval_ms > 0,
-        "exchange_interval_ms",
-        "must be at least 1",
-    );
+    let mut require = Requirements::new(faults);
+    require.addresses("store_addresses", &settings.store_addresses);
+    require.key("peer_key", &settings.peer_key);
+    require.key("operator_key", &settings.operator_key);
+    require.at_least("lease_ttl_s", settings.lease_ttl_s, 2);
+    require.at_least("status_interval_ms", settings.status_interval_ms, 1);
+    require.at_least("planning_interval_ms", settings.planning_interval_ms, 1);
+    require.at_least("exchange_interval_ms", settings.exchange_interval_ms, 1);
 }
--- a/src/load/run.rs
+++ b/src/load/run.rs
@@ -5,10 +5,9 @@
         LoadMode, LoadReport, LoadSettings, plot_svg, read_moves, run_compare, run_open_loop,
         run_saturate,
     },
-    crate::telemetry::init_logs,
+    crate::{settings::worker_runtime, telemetry::init_logs},
     serde::Serialize,
     std::{fmt::Display, fs, io, sync::Arc},
-    tokio::runtime::Builder,
 };
 
 /// Runs a load and writes its report.
@@ -18,12 +17,7 @@
 /// Fails when a file cannot be written, or when an answer was wrong.
 pub fn run(settings: LoadSettings) -> io::Result<()> {
     init_logs(settings.log_level, settings.log_format);
-    let mut builder = Builder::new_multi_thread();
-    let runtime = builder
-        .worker_threads(settings.threads)
-        .enable_all()
-        .build()?;
-    runtime.block_on(run_mode(Arc::new(settings)))
+    worker_runtime(settings.threads)?.block_on(run_mode(Arc::new(settings)))
 }
 
 async fn run_mode(settings: Arc<LoadSettings>) -> io::Result<()> {
--- a/src/load/settings.rs
+++ b/src/load/settings.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        settings::{Fault, require_into},
+        settings::{Fault, Requirements},
         settings_struct,
         telemetry::{LogFormat, LogLevel},
     },
@@ -149,21 +149,19 @@
 }
 
 fn check(settings: &LoadSettings, faults: &mut Vec<Fault>) {
-    let mut require = require_into(faults);
-    let positive = |value: f64| value.is_finite() && value > 0.0;
-    require(
-        !settings.entries.is_empty(),
-        "entries",
-        "must name an address",
-    );
-    require(!settings.names.is_empty(), "names", "must name a model");
-    require(!settings.classes.is_empty(), "classes", "must name a class");
-    require(
-        settings.classes.iter().all(|class| positive(class.share)),
+    let mut require = Requirements::new(faults);
+    require.addresses("entries", &settings.entries);
+    require.holds(!settings.names.is_empty(), "names", "must name a model");
+    require.holds(!settings.classes.is_empty(), "classes", "must name a class");
+    require.holds(
+        settings
+            .classes
+            .iter()
+            .all(|class| class.share.is_finite() && class.share > 0.0),
         "classes",
         "each share must be above 0",
     );
-    require(
+    require.holds(
         settings
             .classes
             .iter()
@@ -171,7 +169,7 @@
         "classes",
         "tokens_min must not be above tokens_max",
     );
-    require(
+    require.holds(
         settings
             .classes
             .iter()
@@ -179,30 +177,14 @@
         "classes",
         "a booking or read must name its service",
     );
-    require(
-        positive(settings.duration_s),
-        "duration_s",
-        "must be above 0",
-    );
-    require(
-        positive(settings.rate_per_s),
-        "rate_per_s",
-        "must be above 0",
-    );
-    require(
-        positive(settings.burst_factor),
-        "burst_factor",
-        "must be above 0",
-    );
-    require(positive(settings.burst_s), "burst_s", "must be above 0");
-    require(
-        positive(settings.burst_gap_s),
-        "burst_gap_s",
-        "must be above 0",
-    );
-    require(settings.threads > 0, "threads", "must be at least 1");
-    require(settings.workers > 0, "workers", "must be at least 1");
-    require(
+    require.positive("duration_s", settings.duration_s);
+    require.positive("rate_per_s", settings.rate_per_s);
+    require.positive("burst_factor", settings.burst_factor);
+    require.positive("burst_s", settings.burst_s);
+    require.positive("burst_gap_s", settings.burst_gap_s);
+    require.at_least("threads", settings.threads as u64, 1);
+    require.at_least("workers", settings.workers as u64, 1);
+    require.holds(
         settings.mode != LoadMode::Compare || settings.direct_address.is_some(),
         "direct_address",
         "must be given to compare",
--- a/src/settings/daemon.rs
+++ b/src/settings/daemon.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{Invocation, Settings, SettingsError, load_settings},
-    std::{fmt::Display, process::ExitCode},
+    std::{fmt::Display, io, process::ExitCode},
+    tokio::runtime::{Builder, Runtime},
 };
 
 /// The exit code for a wrong command line or wrong settings.
@@ -37,6 +38,16 @@
     }
 }
 
+/// Makes the runtime of a daemon with some worker threads.
+///
+/// # Errors
+///
+/// Fails when a thread cannot be started.
+pub fn worker_runtime(threads: usize) -> io::Result<Runtime> {
+    let mut builder = Builder::new_multi_thread();
+    builder.worker_threads(threads).enable_all().build()
+}
+
 fn report(program: &str, error: &SettingsError) -> ExitCode {
     eprintln!("{program}: {error}");
     eprintln!("Try '{program} --help'.");
--- a/src/settings/field.rs
+++ b/src/settings/field.rs
@@ -69,15 +69,3 @@
         }
     }
 }
-
-/// Returns a check that records a fault in a field when a condition does not hold.
-pub fn require_into(faults: &mut Vec<Fault>) -> impl FnMut(bool, &str, &str) {
-    |holds, field, problem| {
-        if !holds {
-            faults.push(Fault {
-                field: field.to_owned(),
-                problem: problem.to_owned(),
-            });
-        }
-    }
-}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,5 +5,6 @@
 mod field;
 mod load;
 mod macros;
+mod requirements;
 
-pub use {daemon::*, error::*, field::*, load::*};
+pub use {daemon::*, error::*, field::*, load::*, requirements::*};
--- a/src/standin/kv/memory_store.rs
+++ b/src/standin/kv/memory_store.rs
@@ -179,14 +179,6 @@
 }
 
 impl Store for MemoryStore {
-    fn range<'a>(
-        &'a self,
-        prefix: &'a str,
-        limit: usize,
-    ) -> BoxFuture<'a, Result<Range, StoreError>> {
-        async move { self.range_between(prefix, &prefix_end(prefix), limit).await }.boxed()
-    }
-
     fn range_between<'a>(
         &'a self,
         start: &'a str,
--- a/src/standin/run.rs
+++ b/src/standin/run.rs
@@ -11,12 +11,9 @@
         vms::VmList,
         weights::{WeightLimits, WeightSource, WeightStore},
     },
-    crate::telemetry::init_logs,
+    crate::{settings::worker_runtime, telemetry::init_logs},
     std::{io, net::SocketAddr, sync::Arc},
-    tokio::{
-        runtime::Builder,
-        signal::unix::{SignalKind, signal},
-    },
+    tokio::signal::unix::{SignalKind, signal},
 };
 
 /// Runs the stand-ins until SIGTERM or SIGINT.
@@ -26,12 +23,7 @@
 /// Fails when an address cannot be listened at.
 pub fn run(settings: StandinSettings) -> io::Result<()> {
     init_logs(settings.log_level, settings.log_format);
-    let mut builder = Builder::new_multi_thread();
-    let runtime = builder
-        .worker_threads(settings.threads)
-        .enable_all()
-        .build()?;
-    runtime.block_on(run_until_stopped(settings.stand_ins))
+    worker_runtime(settings.threads)?.block_on(run_until_stopped(settings.stand_ins))
 }
 
 async fn run_until_stopped(specs: Vec<StandinSpec>) -> io::Result<()> {
--- a/src/standin/settings.rs
+++ b/src/standin/settings.rs
@@ -3,7 +3,7 @@
 use {
     super::{engine::EngineSettings, vms::ListedVm, weights::WeightLimits},
     crate::{
-        settings::{Fault, require_into},
+        settings::{Fault, Requirements},
         settings_struct,
         telemetry::{LogFormat, LogLevel},
     },
@@ -70,9 +70,9 @@
 }
 
 fn check(settings: &StandinSettings, faults: &mut Vec<Fault>) {
-    let mut require = require_into(faults);
-    require(settings.threads > 0, "threads", "must be at least 1");
-    require(
+    let mut require = Requirements::new(faults);
+    require.at_least("threads", settings.threads as u64, 1);
+    require.holds(
         !settings.stand_ins.is_empty(),
         "stand_ins",
         "must name a stand-in",
--- a/src/store/etcd_store.rs
+++ b/src/store/etcd_store.rs
@@ -10,7 +10,6 @@
             RangeResponse, TxnRequest, TxnResponse,
         },
         http_link::{Answer, HttpLink},
-        prefix_end,
         watch_reader::{WatchReader, watch_stream},
     },
     futures::{
@@ -131,14 +130,6 @@
 }
 
 impl Store for EtcdStore {
-    fn range<'a>(
-        &'a self,
-        prefix: &'a str,
-        limit: usize,
-    ) -> BoxFuture<'a, Result<Range, StoreError>> {
-        async move { self.read_range(prefix, &prefix_end(prefix), limit).await }.boxed()
-    }
-
     fn range_between<'a>(
         &'a self,
         start: &'a str,
--- a/src/store/kv.rs
+++ b/src/store/kv.rs
@@ -3,7 +3,10 @@
 use {
     super::StoreError,
     bytes::Bytes,
-    futures::{future::BoxFuture, stream::BoxStream},
+    futures::{
+        future::{BoxFuture, FutureExt},
+        stream::BoxStream,
+    },
     std::{fmt, sync::Arc},
 };
 
@@ -171,7 +174,9 @@
         &'a self,
         prefix: &'a str,
         limit: usize,
-    ) -> BoxFuture<'a, Result<Range, StoreError>>;
+    ) -> BoxFuture<'a, Result<Range, StoreError>> {
+        async move { self.range_between(prefix, &prefix_end(prefix), limit).await }.boxed()
+    }
 
     /// Reads the keys from `start` up to and without `end`, at most `limit` of them.
     ///
