--- a/tests/common/fleet_faults.rs
+++ b/tests/common/fleet_faults.rs
@@ -1,8 +1,9 @@
 //! A faulty store link and a model engine with true memory accounting, both seeded.
 
 use {
+    super::faulty_store::{FaultyStore, TxnFaults},
     bytes::Bytes,
-    futures::{FutureExt, future::BoxFuture, stream::BoxStream},
+    futures::{FutureExt, future::BoxFuture},
     greengagetrail::{
         config::Fencing,
         engine::{
@@ -10,11 +11,7 @@
         },
         fleet::RECORD_PREFIX,
         history::{CopyChange, CopyEvent, MemoryChange, MemoryEvent},
-        standin::kv::MemoryStore,
-        store::{
-            Changes, Compare, Lease, LeaseId, Op, Range, Store, StoreError, StoreVersion, Txn,
-            TxnReply,
-        },
+        store::{Compare, Op, SharedStore, StoreError, Txn, TxnReply},
         units::{AdapterName, Epoch, Incarnation, MemoryMib, ModelName, OrderId},
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
@@ -131,14 +128,16 @@
 }
 
 /// One VM's way to the store.
-pub struct StoreLink {
-    pub store: MemoryStore,
+pub type StoreLink = FaultyStore<LinkFaults>;
+
+/// What a frozen VM and the faults of the run do to its transactions.
+pub struct LinkFaults {
     pub gate: Gate,
     pub faults: Faults,
 }
 
-impl StoreLink {
-    async fn faulty_txn(&self, txn: Txn) -> Result<TxnReply, StoreError> {
+impl LinkFaults {
+    async fn faulty_txn(&self, store: &SharedStore, txn: Txn) -> Result<TxnReply, StoreError> {
         self.gate.pass().await;
         sleep(self.faults.dice.ms(0, 10)).await;
         self.gate.pass().await;
@@ -153,7 +152,7 @@
         }
         let txn = self.without_compare(txn);
         if self.faults.strike(2) {
-            let (store, late) = (self.store.clone(), self.faults.dice.ms(0, 4000));
+            let (store, late) = (store.clone(), self.faults.dice.ms(0, 4000));
             tokio::spawn(async move {
                 sleep(late).await;
                 let _ = store.txn(txn).await;
@@ -161,9 +160,9 @@
             self.faults.no_answer().await;
             return unknown;
         }
-        let reply = match self.forgotten(&txn).await {
+        let reply = match self.forgotten(store, &txn).await {
             Some(reply) => reply,
-            None => self.store.txn(txn).await?,
+            None => store.txn(txn).await?,
         };
         if self.faults.strike(3) {
             self.faults.no_answer().await;
@@ -187,7 +186,7 @@
     }
 
     /// Answers a write that adds an order without making it.
-    async fn forgotten(&self, txn: &Txn) -> Option<TxnReply> {
+    async fn forgotten(&self, store: &SharedStore, txn: &Txn) -> Option<TxnReply> {
         if self.faults.without != Without::WriteAhead {
             return None;
         }
@@ -198,7 +197,7 @@
             let json: serde_json::Value = serde_json::from_slice(value).unwrap();
             json["orders"].as_array().map_or(0, Vec::len)
         };
-        let old = self.store.range(key, 1).await.ok()?;
+        let old = store.range(key, 1).await.ok()?;
         let old = old.entries.first()?;
         let adds = is_record(key) && orders(value) > orders(&old.value);
         adds.then(|| TxnReply {
@@ -229,42 +228,13 @@
     key.starts_with(RECORD_PREFIX)
 }
 
-impl Store for StoreLink {
-    fn range<'a>(&'a self, prefix: &'a str, n: usize) -> BoxFuture<'a, Result<Range, StoreError>> {
-        self.store.range(prefix, n)
-    }
-
-    fn range_between<'a>(
-        &'a self,
-        start: &'a str,
-        end: &'a str,
-        limit: usize,
-    ) -> BoxFuture<'a, Result<Range, StoreError>> {
-        self.store.range_between(start, end, limit)
-    }
-
-    fn txn(&self, txn: Txn) -> BoxFuture<'_, Result<TxnReply, StoreError>> {
-        self.faulty_txn(txn).boxed()
-    }
-
-    fn grant_lease(&self, ttl_s: u64) -> BoxFuture<'_, Result<Lease, StoreError>> {
-        self.store.grant_lease(ttl_s)
-    }
-
-    fn renew_lease(&self, id: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
-        self.store.renew_lease(id)
-    }
-
-    fn revoke_lease(&self, id: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
-        self.store.revoke_lease(id)
-    }
-
-    fn watch<'a>(
+impl TxnFaults for LinkFaults {
+    fn txn<'a>(
         &'a self,
-        prefix: &'a str,
-        since: StoreVersion,
-    ) -> BoxStream<'a, Result<Changes, StoreError>> {
-        self.store.watch(prefix, since)
+        inner: &'a SharedStore,
+        txn: Txn,
+    ) -> BoxFuture<'a, Result<TxnReply, StoreError>> {
+        self.faulty_txn(inner, txn).boxed()
     }
 }
 
--- a/tests/common/fleet_run.rs
+++ b/tests/common/fleet_run.rs
@@ -2,7 +2,7 @@
 
 use {
     super::fleet_faults::{
-        Dice, EngineLink, FakeEngine, Faults, Gate, Histories, StoreLink, Without,
+        Dice, EngineLink, FakeEngine, Faults, Gate, Histories, LinkFaults, StoreLink, Without,
     },
     greengagetrail::{
         config::{Adapter, Catalog, Deployment, Fencing, Model, Runner},
@@ -233,9 +233,11 @@
 
     fn keeper(self: &Arc<Self>, owner: Owner, gate: Gate) -> FleetKeeper {
         let link = StoreLink {
-            store: self.store.clone(),
-            gate: gate.clone(),
-            faults: self.faults.clone(),
+            inner: Arc::new(self.store.clone()),
+            faults: LinkFaults {
+                gate: gate.clone(),
+                faults: self.faults.clone(),
+            },
         };
         let world = Arc::clone(self);
         let engines = move |runner: &Runner| -> Arc<dyn Engine> {
--- a/tests/common/late_store.rs
+++ b/tests/common/late_store.rs
@@ -1,14 +1,9 @@
 //! A store some of whose writes arrive long after their caller gave up.
 
 use {
-    futures::{
-        future::{BoxFuture, FutureExt},
-        stream::BoxStream,
-    },
-    greengagetrail::store::{
-        Changes, Lease, LeaseId, Op, Range, SharedStore, Store, StoreError, StoreVersion, Txn,
-        TxnReply,
-    },
+    super::faulty_store::{FaultyStore, TxnFaults},
+    futures::future::{BoxFuture, FutureExt},
+    greengagetrail::store::{Op, SharedStore, StoreError, Txn, TxnReply},
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::{sync::Mutex, time::Duration},
     tokio::time::sleep,
@@ -20,8 +15,10 @@
 const LATE_MAX_MS: u64 = 4000;
 
 /// Passes calls on, but delays a share of the writes past their caller's patience.
-pub struct LateStore {
-    inner: SharedStore,
+pub type LateStore = FaultyStore<LateWrites>;
+
+/// Draws the writes that are late.
+pub struct LateWrites {
     rng: Mutex<SmallRng>,
     late_percent: u32,
 }
@@ -29,13 +26,15 @@
 impl LateStore {
     /// Delays a share of the writes to `inner`.
     pub fn new(inner: SharedStore, seed: u64, late_percent: u32) -> Self {
-        Self {
-            inner,
+        let faults = LateWrites {
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
             late_percent,
-        }
+        };
+        Self { inner, faults }
     }
+}
 
+impl LateWrites {
     /// Draws the delay of a late write, or `None` for one that goes through at once.
     fn draw_delay(&self, txn: &Txn) -> Option<Duration> {
         let mut rng = self.rng.lock().unwrap();
@@ -45,29 +44,16 @@
     }
 }
 
-impl Store for LateStore {
-    fn range<'a>(
+impl TxnFaults for LateWrites {
+    fn txn<'a>(
         &'a self,
-        prefix: &'a str,
-        limit: usize,
-    ) -> BoxFuture<'a, Result<Range, StoreError>> {
-        self.inner.range(prefix, limit)
-    }
-
-    fn range_between<'a>(
-        &'a self,
-        start: &'a str,
-        end: &'a str,
-        limit: usize,
-    ) -> BoxFuture<'a, Result<Range, StoreError>> {
-        self.inner.range_between(start, end, limit)
-    }
-
-    fn txn(&self, txn: Txn) -> BoxFuture<'_, Result<TxnReply, StoreError>> {
+        inner: &'a SharedStore,
+        txn: Txn,
+    ) -> BoxFuture<'a, Result<TxnReply, StoreError>> {
         let Some(delay) = self.draw_delay(&txn) else {
-            return self.inner.txn(txn);
+            return inner.txn(txn);
         };
-        let inner = self.inner.clone();
+        let inner = inner.clone();
         async move {
             tokio::spawn(async move {
                 sleep(delay).await;
@@ -78,24 +64,4 @@
         }
         .boxed()
     }
-
-    fn grant_lease(&self, ttl_s: u64) -> BoxFuture<'_, Result<Lease, StoreError>> {
-        self.inner.grant_lease(ttl_s)
-    }
-
-    fn renew_lease(&self, id: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
-        self.inner.renew_lease(id)
-    }
-
-    fn revoke_lease(&self, id: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
-        self.inner.revoke_lease(id)
-    }
-
-    fn watch<'a>(
-        &'a self,
-        prefix: &'a str,
-        since: StoreVersion,
-    ) -> BoxStream<'a, Result<Changes, StoreError>> {
-        self.inner.watch(prefix, since)
-    }
 }
--- a/tests/config_history.rs
+++ b/tests/config_history.rs
@@ -2,6 +2,8 @@
 
 #[path = "common/catalogs.rs"]
 mod catalogs;
+#[path = "common/faulty_store.rs"]
+mod faulty_store;
 #[path = "common/follower_vm.rs"]
 mod follower_vm;
 #[path = "common/head_register.rs"]
--- a/tests/config_publish.rs
+++ b/tests/config_publish.rs
@@ -4,6 +4,8 @@
 mod catalogs;
 #[path = "common/failing_store.rs"]
 mod failing_store;
+#[path = "common/faulty_store.rs"]
+mod faulty_store;
 #[path = "common/late_store.rs"]
 mod late_store;
 #[path = "common/publications.rs"]
@@ -32,6 +34,19 @@
     Publisher::new(Arc::new(store.clone()))
 }
 
+async fn publish(store: &MemoryStore, models: usize, expected: u64) -> PublishOutcome {
+    let published = publication(models, expected);
+    let outcome = publisher(store).publish(&published, || None).await;
+    outcome.unwrap()
+}
+
+fn one_lost_answer() -> KvFaults {
+    KvFaults {
+        lost_answers: 1,
+        ..KvFaults::default()
+    }
+}
+
 async fn fetch(store: &MemoryStore, head: &Head) -> Result<EncodedSnapshot, SnapshotError> {
     let source = StoreBlobs::new(store);
     fetch_snapshot(head.digest, &[], &[&source], &FetchPolicy::default()).await
@@ -66,10 +81,7 @@
 #[tokio::test(start_paused = true)]
 async fn loser_is_told_of_the_winner() {
     let store = MemoryStore::new();
-    let first = publisher(&store)
-        .publish(&publication(1, 0), || None)
-        .await
-        .unwrap();
+    let first = publish(&store, 1, 0).await;
     let PublishOutcome::Published(winner) = first else {
         panic!("{first:?}");
     };
@@ -84,10 +96,7 @@
     let store = MemoryStore::new();
     let attempt = publication(1, 0);
     let first = publisher(&store).publish(&attempt, || None).await.unwrap();
-    publisher(&store)
-        .publish(&publication(2, 1), || None)
-        .await
-        .unwrap();
+    publish(&store, 2, 1).await;
     assert_eq!(
         publisher(&store).publish(&attempt, || None).await.unwrap(),
         first
@@ -140,17 +149,11 @@
 #[tokio::test(start_paused = true)]
 async fn outage_after_the_swap_leaves_the_outcome_open() {
     let store = MemoryStore::new();
-    publisher(&store)
-        .publish(&publication(1, 0), || None)
-        .await
-        .unwrap();
+    publish(&store, 1, 0).await;
     let link = store.link();
     // The manifest is the only new blob, so that the second write is the swap.
     let attempt = publication(1, 1);
-    link.set_faults(KvFaults {
-        lost_answers: 1,
-        ..KvFaults::default()
-    });
+    link.set_faults(one_lost_answer());
     let publisher = Publisher::new(Arc::new(link.clone()));
     let publishing = publisher.publish(&attempt, || None);
     let outage = async {
@@ -168,18 +171,11 @@
 #[tokio::test(start_paused = true)]
 async fn restore_after_the_swap_leaves_the_outcome_open() {
     let store = MemoryStore::new();
-    let publish = async |expected| {
-        let other = publication(1, expected);
-        publisher(&store).publish(&other, || None).await.unwrap()
-    };
-    publish(0).await;
+    publish(&store, 1, 0).await;
     let copy = store.copy_state();
-    publish(1).await;
+    publish(&store, 1, 1).await;
     let link = store.link();
-    link.set_faults(KvFaults {
-        lost_answers: 1,
-        ..KvFaults::default()
-    });
+    link.set_faults(one_lost_answer());
     let attempt = publication(1, 2);
     let publisher = Publisher::new(Arc::new(link));
     let publishing = publisher.publish(&attempt, || None);
@@ -188,8 +184,8 @@
         store.restore(copy);
         // The swap's answer is given up after 2 s, and the second question follows 100 ms later.
         tokio::time::sleep(std::time::Duration::from_millis(1050)).await;
-        publish(1).await;
-        publish(2).await;
+        publish(&store, 1, 1).await;
+        publish(&store, 1, 2).await;
     };
     let (outcome, ()) = tokio::join!(publishing, restore);
     assert_eq!(outcome, Ok(PublishOutcome::Unknown(attempt.publish_id)));
@@ -199,24 +195,17 @@
 #[tokio::test(start_paused = true)]
 async fn restore_to_the_state_before_the_swap_is_told_by_known_heads() {
     let store = MemoryStore::new();
-    let publish = async |expected| {
-        let other = publication(1, expected);
-        publisher(&store).publish(&other, || None).await.unwrap()
-    };
-    publish(0).await;
+    publish(&store, 1, 0).await;
     let copy = store.copy_state();
     let link = store.link();
-    link.set_faults(KvFaults {
-        lost_answers: 1,
-        ..KvFaults::default()
-    });
+    link.set_faults(one_lost_answer());
     let attempt = publication(1, 1);
     let known = std::sync::Mutex::new(None);
     let publishing = Publisher::new(Arc::new(link));
     let publishing = publishing.publish(&attempt, || known.lock().unwrap().clone());
     let restore = async {
         tokio::time::sleep(std::time::Duration::from_millis(1000)).await;
-        let PublishOutcome::Published(next) = publish(2).await else {
+        let PublishOutcome::Published(next) = publish(&store, 1, 2).await else {
             panic!("the swap took no effect");
         };
         *known.lock().unwrap() = Some(next);
@@ -230,10 +219,7 @@
 async fn nothing_is_half_published() {
     for calls in 0..12 {
         let store = MemoryStore::new();
-        publisher(&store)
-            .publish(&publication(1, 0), || None)
-            .await
-            .unwrap();
+        publish(&store, 1, 0).await;
         let link = store.link();
         let failing = failing_store::FailingStore::new(Arc::new(link), calls);
         let outcome = Publisher::new(Arc::new(failing))
@@ -254,16 +240,10 @@
 #[tokio::test(start_paused = true)]
 async fn revision_goes_above_the_known_one_after_a_restore() {
     let store = MemoryStore::new();
-    publisher(&store)
-        .publish(&publication(1, 0), || None)
-        .await
-        .unwrap();
+    publish(&store, 1, 0).await;
     let copy = store.copy_state();
     for expected in 1..4 {
-        publisher(&store)
-            .publish(&publication(2, expected), || None)
-            .await
-            .unwrap();
+        publish(&store, 2, expected).await;
     }
     let known = publisher(&store).head().await.unwrap().unwrap();
     store.restore(copy);
@@ -284,15 +264,9 @@
 #[tokio::test(start_paused = true)]
 async fn known_head_is_written_back_after_a_restore() {
     let store = MemoryStore::new();
-    publisher(&store)
-        .publish(&publication(1, 0), || None)
-        .await
-        .unwrap();
+    publish(&store, 1, 0).await;
     let copy = store.copy_state();
-    publisher(&store)
-        .publish(&publication(20, 1), || None)
-        .await
-        .unwrap();
+    publish(&store, 20, 1).await;
     let known = publisher(&store).head().await.unwrap().unwrap();
     let snapshot = EncodedSnapshot::encode(&sample_catalog(20)).unwrap();
     store.restore(copy);
@@ -339,10 +313,7 @@
 async fn collection_never_removes_what_a_publisher_relies_on() {
     for delay_ms in 0..60 {
         let store = MemoryStore::new();
-        publisher(&store)
-            .publish(&publication(1, 0), || None)
-            .await
-            .unwrap();
+        publish(&store, 1, 0).await;
         // Content that a loser left behind, which the next publication will need.
         let abandoned = failing_store::FailingStore::new(Arc::new(store.clone()), 3);
         let _ = Publisher::new(Arc::new(abandoned))
--- a/tests/fleet_memory.rs
+++ b/tests/fleet_memory.rs
@@ -1,5 +1,7 @@
 //! Accelerator memory is never overcommitted, whatever fails and when.
 
+#[path = "common/faulty_store.rs"]
+mod faulty_store;
 #[path = "common/fleet_faults.rs"]
 mod fleet_faults;
 #[path = "common/fleet_run.rs"]
--- a/tests/fleet_permits.rs
+++ b/tests/fleet_permits.rs
@@ -1,5 +1,7 @@
 //! The weight store's limits hold over all VMs.
 
+#[path = "common/faulty_store.rs"]
+mod faulty_store;
 #[path = "common/fleet_faults.rs"]
 mod fleet_faults;
 #[path = "common/fleet_run.rs"]
--- a/tests/fleet_reachable.rs
+++ b/tests/fleet_reachable.rs
@@ -1,5 +1,7 @@
 //! The last copy of a model is never unloaded, however owners race.
 
+#[path = "common/faulty_store.rs"]
+mod faulty_store;
 #[path = "common/fleet_faults.rs"]
 mod fleet_faults;
 #[path = "common/fleet_run.rs"]
--- a/tests/leader_election.rs
+++ b/tests/leader_election.rs
@@ -2,6 +2,7 @@
 
 mod common {
     pub mod bounds;
+    pub mod faulty_store;
     pub mod late_store;
     pub mod nodes;
 }
@@ -13,6 +14,7 @@
         nodes::{PREFIX, TestNode, peer, shared},
     },
     greengagetrail::{
+        leader::Term,
         standin::kv::{KvFaults, MemoryStore},
         store::Store,
     },
@@ -30,6 +32,22 @@
     }
 }
 
+fn start_nodes(store: &MemoryStore, count: usize) -> Vec<TestNode> {
+    let start = |index| TestNode::start(shared(store), index, bounds());
+    (0..count).map(start).collect()
+}
+
+/// Returns the terms that the nodes hold.
+fn terms(nodes: &[TestNode]) -> Vec<Term> {
+    nodes.iter().filter_map(TestNode::term).collect()
+}
+
+/// Returns the node that holds a term.
+fn holder(nodes: &[TestNode]) -> usize {
+    let holds = |node: &TestNode| node.term().is_some();
+    nodes.iter().position(holds).unwrap()
+}
+
 async fn sleep_ms(ms: u64) {
     sleep(Duration::from_millis(ms)).await;
 }
@@ -37,11 +55,9 @@
 #[tokio::test(start_paused = true)]
 async fn the_first_leader_orders_at_once_and_all_nodes_know_one_another() {
     let store = MemoryStore::new();
-    let nodes: Vec<_> = (0..7)
-        .map(|index| TestNode::start(shared(&store), index, bounds()))
-        .collect();
+    let nodes = start_nodes(&store, 7);
     sleep_ms(800).await;
-    let leaders: Vec<_> = nodes.iter().filter_map(TestNode::term).collect();
+    let leaders = terms(&nodes);
     assert_eq!(leaders.len(), 1);
     assert!(leaders[0].orders_from <= Instant::now());
     for (index, node) in nodes.iter().enumerate() {
@@ -54,9 +70,7 @@
 #[tokio::test(start_paused = true)]
 async fn nodes_make_few_calls_once_they_have_started() {
     let store = MemoryStore::new();
-    let _nodes: Vec<_> = (0..7)
-        .map(|index| TestNode::start(shared(&store), index, bounds()))
-        .collect();
+    let _nodes = start_nodes(&store, 7);
     sleep_ms(2_000).await;
     let before = store.counts();
     sleep_ms(30_000).await;
@@ -69,16 +83,14 @@
 #[tokio::test(start_paused = true)]
 async fn a_successor_waits_until_the_former_leader_can_no_longer_order() {
     let store = MemoryStore::new();
-    let mut nodes: Vec<_> = (0..3)
-        .map(|index| TestNode::start(shared(&store), index, bounds()))
-        .collect();
+    let mut nodes = start_nodes(&store, 3);
     sleep_ms(3_000).await;
-    let first = nodes.iter().position(|node| node.term().is_some()).unwrap();
+    let first = holder(&nodes);
     let token = nodes[first].term().unwrap().fencing_token;
     let killed_at = Instant::now();
     drop(nodes.remove(first));
     sleep(FAILOVER).await;
-    let terms: Vec<_> = nodes.iter().filter_map(TestNode::term).collect();
+    let terms = terms(&nodes);
     assert_eq!(terms.len(), 1);
     assert!(terms[0].fencing_token > token);
     let wait = terms[0].orders_from - killed_at;
@@ -90,18 +102,16 @@
 #[tokio::test(start_paused = true)]
 async fn a_planned_stop_hands_over_at_once_and_drops_the_node_from_the_peers() {
     let store = MemoryStore::new();
-    let mut nodes: Vec<_> = (0..3)
-        .map(|index| TestNode::start(shared(&store), index, bounds()))
-        .collect();
+    let mut nodes = start_nodes(&store, 3);
     sleep_ms(3_000).await;
-    let first = nodes.iter().position(|node| node.term().is_some()).unwrap();
+    let first = holder(&nodes);
     let stopped = nodes.remove(first);
     let mut term = stopped.membership.term.clone();
     stopped.membership.leave().await;
     assert!(term.borrow_and_update().is_none());
     let left_at = Instant::now();
     sleep_ms(1_000).await;
-    let terms: Vec<_> = nodes.iter().filter_map(TestNode::term).collect();
+    let terms = terms(&nodes);
     assert_eq!(terms.len(), 1);
     let wait = terms[0].orders_from - left_at;
     assert!(wait >= Duration::from_millis(3_200) && wait <= Duration::from_millis(3_300));
@@ -146,11 +156,9 @@
 #[tokio::test(start_paused = true)]
 async fn with_fences_a_leader_outlasts_an_outage_and_stays() {
     let store = MemoryStore::new();
-    let nodes: Vec<_> = (0..4)
-        .map(|index| TestNode::start(shared(&store), index, bounds()))
-        .collect();
+    let nodes = start_nodes(&store, 4);
     sleep_ms(3_000).await;
-    let first = nodes.iter().position(|node| node.term().is_some()).unwrap();
+    let first = holder(&nodes);
     store.set_faults(down());
     sleep_ms(9_000).await;
     assert!(nodes[first].term().is_some());
@@ -234,7 +242,7 @@
             })
             .collect();
         sleep_ms(30_000).await;
-        let terms: Vec<_> = nodes.iter().filter_map(TestNode::term).collect();
+        let terms = terms(&nodes);
         assert_eq!(terms.len(), 1, "seed {seed}");
         let key = format!("{PREFIX}leader");
         let range = store.range(&key, 1).await.unwrap();
