Use the field's terms in comments

Only comments change: told, heard of, news, asked for and the like become reported, received, update, requested; a refused caller's time to come back is its Retry-After.

--- a/src/admission/controller.rs
+++ b/src/admission/controller.rs
@@ -18,9 +18,9 @@
 
 /// Shards of the gates, each under its own lock.
 const SHARDS: usize = 32;
-/// The shortest wait that a refused caller is told.
+/// The shortest `Retry-After` of a refusal.
 const RETRY_AFTER_MIN_MS: u64 = 100;
-/// The longest wait that a refused caller is told.
+/// The longest `Retry-After` of a refusal.
 const RETRY_AFTER_MAX_MS: u64 = 30_000;
 
 type Shard = Vec<(ModelName, Gate)>;
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Tells how many requests of a model may run at once at most; the limit in force adapts
+    /// Sets the most concurrent requests of a model; the limit in force adapts
     /// below that.
     pub fn set_capacity(self: &Arc<Self>, model: &ModelName, slots_max: u32) {
         self.with_gate(model, |gate| gate.set_capacity(slots_max));
--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -29,7 +29,7 @@
     pub grant: Grant,
 }
 
-/// What the gate says to a new request.
+/// The gate's decision on a new request.
 #[derive(Debug)]
 pub(super) enum Verdict {
     Run,
--- a/src/admission/slot_limit.rs
+++ b/src/admission/slot_limit.rs
@@ -2,7 +2,7 @@
 
 use {std::time::Duration, tokio::time::Instant};
 
-/// The slots of a model whose capacity was not told.
+/// The slots of a model whose capacity is unknown.
 pub(super) const SLOTS_DEFAULT: u32 = 64;
 /// What remains of the limit after a congested answer.
 const DECREASE_FACTOR: f64 = 0.9;
--- a/src/config/fault.rs
+++ b/src/config/fault.rs
@@ -30,7 +30,7 @@
     pub object: String,
     /// The field, with dots and brackets down to the faulty part; empty for the whole object.
     pub field: String,
-    /// What is wrong and what is wanted.
+    /// What is wrong and what is expected.
     pub problem: String,
 }
 
--- a/src/config/object.rs
+++ b/src/config/object.rs
@@ -9,7 +9,7 @@
     std::net::SocketAddr,
 };
 
-/// One configured object, told apart by its `kind` field.
+/// One configured object; its `kind` field is the discriminant.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum Object {
--- a/src/config/publish/outcome.rs
+++ b/src/config/publish/outcome.rs
@@ -1,4 +1,4 @@
-//! What a publication asks for, and how it can end.
+//! The input of a publication, and its possible outcomes.
 
 use {
     crate::{
@@ -63,7 +63,7 @@
     Published(Head),
     /// It did not and will not take effect, as another revision is newer than the expected one.
     Conflict(Head),
-    /// It may have taken effect; the key-value service gave no answer that tells.
+    /// The outcome is ambiguous: no answer of the key-value service settles it.
     Unknown(PublishId),
 }
 
--- a/src/config/publish/resolve.rs
+++ b/src/config/publish/resolve.rs
@@ -10,7 +10,7 @@
     std::time::Duration,
 };
 
-/// How often the key-value service is asked before the outcome stays unknown.
+/// The most reads of the key-value service before the outcome stays unknown.
 const RESOLVE_ATTEMPTS_MAX: u32 = 6;
 /// The wait before the second question; it doubles with each one.
 const RESOLVE_BACKOFF_MS: u64 = 100;
@@ -26,7 +26,7 @@
     Unknown,
 }
 
-/// Asks until the outcome is certain or the attempts are used up.
+/// Reads until the outcome is certain or the attempts are used up.
 pub(super) async fn resolve(store: &dyn Store, base: &Base, head: &Head) -> Resolution {
     let mut inquiry = Inquiry {
         store,
--- a/src/config/read/shape.rs
+++ b/src/config/read/shape.rs
@@ -41,7 +41,7 @@
     List(&'static Shape),
     /// An object with fields.
     Object(&'static [FieldShape]),
-    /// An object whose first-named field says which fields it has.
+    /// An object whose first-named field is the discriminant of its other fields.
     Tagged(
         &'static str,
         &'static [(&'static str, &'static [FieldShape])],
--- a/src/config/snapshot/blob.rs
+++ b/src/config/snapshot/blob.rs
@@ -19,7 +19,7 @@
         Self { digest, data }
     }
 
-    /// Checks that some content has a wanted digest.
+    /// Verifies the digest of some content.
     ///
     /// # Errors
     ///
--- a/src/config/snapshot/error.rs
+++ b/src/config/snapshot/error.rs
@@ -14,7 +14,7 @@
     /// The configuration as a whole is too large.
     #[error("the configuration is too large to publish: {0}")]
     TooLarge(&'static str),
-    /// A blob does not have the digest that it was asked for by.
+    /// A blob does not match the digest that was requested.
     #[error("blob {0} has other content than its digest says")]
     WrongDigest(Digest),
     /// A blob is not there.
--- a/src/engine/api.rs
+++ b/src/engine/api.rs
@@ -23,7 +23,7 @@
     pub action: Action,
 }
 
-/// What an order asks for.
+/// The action of an order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "action", rename_all = "snake_case")]
 pub enum Action {
@@ -81,7 +81,7 @@
 pub enum OrderReply {
     /// The order is done.
     Done,
-    /// The order runs; the status tells when it is done.
+    /// The order is in progress; the status shows its completion.
     Accepted,
     /// The order carried an old fencing number.
     Fenced {
@@ -145,7 +145,7 @@
     /// With [`EngineError::Unknown`] the order may still take effect.
     fn send(&self, order: Order) -> BoxFuture<'_, Result<OrderReply, EngineError>>;
 
-    /// Asks for the engine's status.
+    /// Queries the engine's status.
     ///
     /// # Errors
     ///
--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -24,7 +24,7 @@
     tokio::{sync::Notify, time::Instant},
 };
 
-/// When to come back after a refusal for want of a place.
+/// The `Retry-After` of a refusal for lack of capacity.
 const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// What an entry works with besides its settings.
@@ -169,7 +169,7 @@
         self.budget.try_retry(service, attempt, &mut rand::rng())
     }
 
-    /// Has the keeper told soon that a copy is wanted.
+    /// Triggers an early report to the keeper, since a copy is missing.
     pub(super) fn report_soon(&self) {
         self.report_wanted.notify_one();
     }
--- a/src/entry/forward/forward_link.rs
+++ b/src/entry/forward/forward_link.rs
@@ -28,7 +28,7 @@
 /// The longest wait for the answer of another entry.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(120);
 
-/// A call on its way to another entry.
+/// A call to be forwarded to another entry.
 #[derive(Debug)]
 pub struct OutgoingCall {
     address: SocketAddr,
--- a/src/entry/idempotency/key_memory.rs
+++ b/src/entry/idempotency/key_memory.rs
@@ -11,7 +11,7 @@
 /// The number of shards, each under its own lock.
 const SHARDS: usize = 16;
 
-/// The keys remembered in one shard; the store still knows the ones forgotten.
+/// The keys cached in one shard; evicted ones are still in the store.
 const KEYS_PER_SHARD_MAX: usize = 4096;
 
 /// The requests remembered that released one key.
--- a/src/entry/idempotency/ticket.rs
+++ b/src/entry/idempotency/ticket.rs
@@ -22,7 +22,7 @@
 #[error("not a ticket")]
 pub struct TicketError;
 
-/// What a ticket says, before its authentication code was looked at.
+/// The fields of a ticket before its authentication code is verified.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ticket {
     /// The VM whose entry minted it.
--- a/src/entry/inference/attempts.rs
+++ b/src/entry/inference/attempts.rs
@@ -19,7 +19,7 @@
 /// The most tries of one request, or of one resumption of its stream.
 const TRIES_MAX: u32 = 4;
 
-/// When to come back if no engine said it.
+/// The `Retry-After` when no engine gave one.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A response of a runner whose body is yet to be read.
--- a/src/entry/inference/load_header.rs
+++ b/src/entry/inference/load_header.rs
@@ -2,7 +2,7 @@
 
 use crate::{engine::Load, routing::LoadReport, units::Incarnation};
 
-/// Reads `waiting=N running=N kv_used_permille=N incarnation=N`; unknown fields are passed over.
+/// Reads `waiting=N running=N kv_used_permille=N incarnation=N`; unknown fields are ignored.
 ///
 /// Returns `None` when a known field is missing or not a number.
 pub fn parse_load(text: &str) -> Option<LoadReport> {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -29,7 +29,7 @@
     /// An address or thread cannot be had.
     #[error("{what}: {cause}")]
     Io {
-        /// What was wanted.
+        /// The resource that was requested.
         what: String,
         /// Why not.
         cause: io::Error,
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -24,7 +24,7 @@
 const FINISH_POLL: Duration = Duration::from_millis(10);
 
 impl Entry {
-    /// Serves callers until `stop` or until the view says to drain.
+    /// Serves callers until `stop` or until the view asks to drain.
     ///
     /// On either, readiness fails first; after the drain delay no connection is accepted any
     /// more, and open requests are finished. Returns whether all of them finished in time.
--- a/src/entry/service/backend.rs
+++ b/src/entry/service/backend.rs
@@ -51,7 +51,7 @@
         }
     }
 
-    /// Counts a request on its way to this backend server.
+    /// Counts a request in flight to this backend server.
     pub fn enter(self: &Arc<Self>) -> BackendUse {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         BackendUse(self.clone())
--- a/src/entry/service/key_problem.rs
+++ b/src/entry/service/key_problem.rs
@@ -6,7 +6,7 @@
     std::time::Duration,
 };
 
-/// When to come back after a claim failed.
+/// The `Retry-After` of a failed claim.
 const CLAIM_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Describes why a key does not allow a dispatch.
--- a/src/entry/service/long_answer.rs
+++ b/src/entry/service/long_answer.rs
@@ -64,7 +64,7 @@
     }
 }
 
-/// The rest of an answer on its way to the caller.
+/// The remainder of an answer that is being relayed to the caller.
 pub(super) struct LongAnswer {
     pub(super) body: Incoming,
     pub(super) connection: Connection,
--- a/src/entry/service/service_call.rs
+++ b/src/entry/service/service_call.rs
@@ -43,7 +43,7 @@
         answered.await.unwrap_or_else(|_| Err(interrupted()))
     }
 
-    /// Runs a call that may not be repeated; it goes on when the caller goes away.
+    /// Runs a call that is not idempotent; it continues after the caller disconnects.
     async fn call_once(
         self: &Arc<Self>,
         request: ServiceRequest,
--- a/src/entry/service/service_dispatch.rs
+++ b/src/entry/service/service_dispatch.rs
@@ -22,7 +22,7 @@
 /// The most dispatches of one request.
 const TRIES_MAX: u32 = 4;
 
-/// When to come back if no backend server said it.
+/// The `Retry-After` when no backend server gave one.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The backend servers that a request was sent to.
@@ -35,7 +35,7 @@
 
 /// Why one dispatch brought no answer.
 enum Failure {
-    /// It did not run there; `busy` if the backend server asks for less work.
+    /// It did not run there; `busy` if the backend server is overloaded.
     NotRun { call: Call<Claimed>, busy: bool },
     /// It may have run.
     Lost {
--- a/src/entry/stream/joined.rs
+++ b/src/entry/stream/joined.rs
@@ -1,4 +1,4 @@
-//! Joins chunks.
+//! Joins the chunks of one read into one buffer.
 
 use bytes::{Bytes, BytesMut};
 
--- a/src/entry/stream/resume.rs
+++ b/src/entry/stream/resume.rs
@@ -19,7 +19,7 @@
 const RESUME_PAUSE_MAX: Duration = Duration::from_millis(20);
 
 impl Relay {
-    /// Retires the connection and asks for the rest of the answer on another one.
+    /// Drops the connection and requests the rest of the answer on another one.
     pub(super) async fn resume(&mut self, fault: StreamFault) {
         let Some(source) = self.source.take() else {
             return;
--- a/src/entry/stream/stream_check.rs
+++ b/src/entry/stream/stream_check.rs
@@ -10,7 +10,7 @@
 /// The data of the event that ends a stream.
 const DONE: &[u8] = b"[DONE]";
 
-/// The field whose value, unless `null`, says that the last token was generated.
+/// The field whose value, unless `null`, marks the last token.
 static FINISH_REASON: LazyLock<Finder<'static>> =
     LazyLock::new(|| Finder::new(b"\"finish_reason\":"));
 
--- a/src/entry/view/entry_view.rs
+++ b/src/entry/view/entry_view.rs
@@ -14,7 +14,7 @@
 /// A receiver of the newest view.
 pub type ViewReceiver = watch::Receiver<Arc<EntryView>>;
 
-/// What an entry knows of the deployment at one moment.
+/// The deployment as an entry sees it at one moment.
 #[derive(Debug, Clone, Default)]
 pub struct EntryView {
     /// The revision in force, or `None` before the first one.
@@ -34,7 +34,7 @@
 /// What an entry reports to the keeper of its VM.
 #[derive(Debug, Clone, Default)]
 pub struct Report {
-    /// What callers asked for since the last report.
+    /// The demand since the last report.
     pub demand: Vec<Demand>,
     /// Runners that look dead or leaving from here.
     pub suspects: Vec<RunnerName>,
--- a/src/entry/view/mod.rs
+++ b/src/entry/view/mod.rs
@@ -1,4 +1,4 @@
-//! What the entry knows of the deployment and tells the keeper: view, routes, demand.
+//! The view from the keeper, the routes made from it, and the demand that is reported back.
 
 mod demand_counter;
 mod entry_view;
--- a/src/entry/view/routes.rs
+++ b/src/entry/view/routes.rs
@@ -39,7 +39,7 @@
 }
 
 impl RouteFollower {
-    /// Follows a view, and tells the admission what the runners can take.
+    /// Follows a view, and updates admission with the capacity of the runners.
     pub fn new(home: DataCentreName, admission: Arc<Admission>, receiver: ViewReceiver) -> Self {
         let follower = Self {
             home,
--- a/src/fleet/audit_record.rs
+++ b/src/fleet/audit_record.rs
@@ -35,7 +35,7 @@
     pub epoch: Epoch,
     /// The order.
     pub order: OrderId,
-    /// What the order asks for.
+    /// The action of the order.
     pub action: Action,
     /// What became of it.
     pub event: AuditEvent,
--- a/src/fleet/doubt.rs
+++ b/src/fleet/doubt.rs
@@ -1,4 +1,4 @@
-//! Decides when an order of which nothing is heard can change nothing any more.
+//! Decides when an order without an answer can no longer take effect.
 
 use {
     super::{FormerOwner, Owner, PendingOrder, RunnerRecord},
@@ -17,7 +17,7 @@
     Former(Owner, Epoch),
 }
 
-/// What one owner knows of orders in doubt.
+/// The evidence that one owner has on orders in doubt.
 #[derive(Debug)]
 pub(super) struct Doubts {
     me: Owner,
--- a/src/fleet/load_gate.rs
+++ b/src/fleet/load_gate.rs
@@ -71,7 +71,7 @@
     ///
     /// # Errors
     ///
-    /// Tells why the load must wait.
+    /// Returns why the load must wait.
     pub async fn turn(
         &self,
         limits: &Deployment,
--- a/src/fleet/record_handle.rs
+++ b/src/fleet/record_handle.rs
@@ -15,7 +15,7 @@
 /// How often a change is tried again on a newer version of the record.
 const CHANGE_TRIES: usize = 4;
 
-/// What a transaction asks and writes besides the record.
+/// The conditions and writes of a transaction besides the record.
 #[derive(Debug, Clone, Default)]
 pub struct Extra {
     /// Further conditions.
--- a/src/fleet/runner_task.rs
+++ b/src/fleet/runner_task.rs
@@ -35,7 +35,7 @@
     pub(super) fenced_by: Option<Epoch>,
     /// Whether a status was seen after all earlier owners' adapter orders were bounded.
     pub(super) adapters_known: bool,
-    /// The adapter loads that the engine is about.
+    /// The permits of adapter loads in progress.
     pub(super) permits: Vec<(OrderId, AdapterPermit)>,
     pub(super) moves: Vec<QueuedMove>,
     /// The time to the next poll while an order is fresh.
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,4 +1,4 @@
-//! What is known of a runner, and the changes wanted on it.
+//! The last known state of a runner, and the moves planned for it.
 
 use {
     crate::{
@@ -8,7 +8,7 @@
     serde::{Deserialize, Serialize},
 };
 
-/// What a keeper knows of one runner.
+/// The last known state of one runner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunnerState {
     /// The runner.
@@ -27,7 +27,7 @@
     pub adapters: Vec<AdapterName>,
 }
 
-/// What callers asked of one model, or of one of its adapters, since the last report.
+/// The demand for one model, or for one of its adapters, since the last report.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Demand {
     /// The model.
@@ -44,7 +44,7 @@
     pub refused: u32,
 }
 
-/// A change that the planner wants on a runner.
+/// A change that the planner requests on a runner.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Move {
     /// The runner.
--- a/src/fleet/state_board.rs
+++ b/src/fleet/state_board.rs
@@ -45,7 +45,7 @@
         });
     }
 
-    /// Takes over what a runner's record says; the adapters stay as last reported.
+    /// Applies a runner's record; the adapters stay as last reported.
     pub fn observe(&self, record: &RunnerRecord) {
         let mut state = RunnerState::from(record);
         if let Some(known) = self.find(&record.name)
@@ -56,7 +56,7 @@
         self.publish(state);
     }
 
-    /// Forgets runners that are not wanted any more.
+    /// Removes runners that are no longer configured.
     pub fn retain(&self, is_wanted: impl Fn(&RunnerName) -> bool) {
         self.states.send_if_modified(|states| {
             let unwanted = states.iter().any(|state| !is_wanted(&state.name));
--- a/src/fleet/supervisor.rs
+++ b/src/fleet/supervisor.rs
@@ -69,7 +69,7 @@
         });
     }
 
-    /// Has the record told that this VM sends nothing more, unless it should own the runner.
+    /// Records that this VM sends no more orders, unless it should own the runner.
     pub(super) fn release(&self) {
         if !*self.owned.borrow() {
             self.release.notify_one();
--- a/src/fleet/view.rs
+++ b/src/fleet/view.rs
@@ -1,4 +1,4 @@
-//! What all runner tasks of a process know of the fleet.
+//! The view of the fleet that all runner tasks of a process share.
 
 use {
     super::Owner,
--- a/src/history/answer_check.rs
+++ b/src/history/answer_check.rs
@@ -16,7 +16,7 @@
 pub struct AnswerEvent {
     /// The request.
     pub request: RequestId,
-    /// The text that was asked for.
+    /// The text that was requested.
     pub wanted: String,
     /// The text that came.
     pub got: String,
--- a/src/history/revision_event.rs
+++ b/src/history/revision_event.rs
@@ -8,19 +8,19 @@
 /// One event of a run, in the order in which the recorder saw them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum RevisionEvent {
-    /// An operator was told that the publication took effect.
+    /// The publication was reported to an operator as effective.
     Published {
         /// When, in milliseconds since the start of the run.
         at_ms: u64,
         /// The published head.
         head: Head,
     },
-    /// An operator was told that the publication did not and will not take effect.
+    /// The publication was reported to an operator as not effective, now and later.
     NotPublished {
         /// The attempt.
         publish_id: PublishId,
     },
-    /// An operator was told that the outcome is not known.
+    /// The outcome was reported to an operator as unknown.
     Unresolved {
         /// The attempt.
         publish_id: PublishId,
--- a/src/history/run_check.rs
+++ b/src/history/run_check.rs
@@ -2,7 +2,7 @@
 
 use thiserror::Error;
 
-/// What a caller was told of one try.
+/// The outcome of one try as reported to its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Told {
     /// It was answered.
@@ -23,13 +23,13 @@
         /// The try.
         attempt: String,
     },
-    /// The caller was told the outcome of a try.
+    /// The outcome of a try was reported to the caller.
     Told {
         /// What must run at most once.
         key: String,
         /// The try.
         attempt: String,
-        /// What the caller was told.
+        /// The reported outcome.
         told: Told,
     },
 }
@@ -40,7 +40,7 @@
     /// A key ran more than once.
     #[error("{0} ran more than once")]
     RanTwice(String),
-    /// A try ran although its caller was told that it did not.
+    /// A try ran although it was reported as not run.
     #[error("the try {0} ran, but its caller was told that it did not")]
     NotRunIsFalse(String),
     /// A try was answered that never ran.
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -32,12 +32,12 @@
 }
 
 impl Client {
-    /// Makes a client without connections.
+    /// Makes a client with an empty pool.
     pub fn new(connect_timeout: Duration) -> Self {
         Self::with_liveness(connect_timeout, Liveness::PATIENT)
     }
 
-    /// Makes a client without connections that gives up silent ones as told.
+    /// Makes a client with an empty pool that closes silent connections by `liveness`.
     pub fn with_liveness(connect_timeout: Duration, liveness: Liveness) -> Self {
         Self {
             connect_timeout,
--- a/src/http/header.rs
+++ b/src/http/header.rs
@@ -10,13 +10,13 @@
 pub const DEADLINE_MS: &str = "x-deadline-ms";
 /// Names the service whose class a request belongs to.
 pub const SERVICE_CLASS: &str = "x-service-class";
-/// Says `no` on a refusal whose request did not run.
+/// Is `no` on a refusal whose request did not run.
 pub const REQUEST_RAN: &str = "x-request-ran";
-/// Says `yes` when a backend server takes no new work any more.
+/// Is `yes` when a backend server is draining.
 pub const ENGINE_LEAVING: &str = "x-engine-leaving";
 /// Carries an engine's load.
 pub const ENGINE_LOAD: &str = "x-engine-load";
-/// Says `yes` when a stream can be resumed.
+/// Is `yes` when a stream can be resumed.
 pub const RESUMABLE: &str = "x-resumable";
 /// The tokens in each event of a stream but the last, which may have fewer; 1 if absent.
 pub const TOKENS_PER_EVENT: &str = "x-tokens-per-event";
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -19,7 +19,7 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// The wait after a failed `accept`, such as for want of file descriptors.
+/// The wait after a failed `accept`, such as for lack of file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
 /// How often a quiet HTTP/2 connection is pinged.
--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -28,7 +28,7 @@
     pub detail: String,
     /// Whether the request ran.
     pub outcome: Outcome,
-    /// When to come back.
+    /// The `Retry-After` of the response.
     pub retry_after: Option<Duration>,
     /// The status that an earlier try of the same request was answered with.
     pub earlier_status: Option<u16>,
@@ -69,7 +69,7 @@
         }
     }
 
-    /// Says when to come back.
+    /// Sets the `Retry-After`.
     pub fn retry_after(mut self, wait: Duration) -> Self {
         self.retry_after = Some(wait);
         self
--- a/src/keeper/demand_task.rs
+++ b/src/keeper/demand_task.rs
@@ -16,7 +16,7 @@
 
 /// How often an entry's demand goes to the planner of its data centre.
 const REPORT_INTERVAL: Duration = Duration::from_secs(10);
-/// How often a planner tells the others of the demand in its data centre.
+/// How often a planner reports the demand of its data centre to the others.
 const SHARE_INTERVAL: Duration = Duration::from_secs(30);
 
 /// Counts that a planner shares at most; the tail of the models needs no further copies.
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Tells the planners of other data centres of the demand in this one.
+    /// Reports the demand of this data centre to the planners of the others.
     pub async fn share_for_ever(&self) {
         loop {
             tokio::time::sleep(jittered(SHARE_INTERVAL)).await;
@@ -155,7 +155,7 @@
 pub struct DemandReport {
     /// The reporting VM.
     pub sender: VmName,
-    /// What callers asked for.
+    /// The demand.
     pub demand: Vec<Demand>,
 }
 
--- a/src/keeper/entry_service.rs
+++ b/src/keeper/entry_service.rs
@@ -1,4 +1,4 @@
-//! What the entry of this VM asks of its keeper.
+//! Serves the calls of the entry of this VM.
 
 use {
     super::KeeperState,
@@ -19,7 +19,7 @@
 /// How long changes of runners are gathered into one answer.
 const GATHER: Duration = Duration::from_millis(10);
 
-/// What the entry of this VM asks of its keeper.
+/// Serves the calls of the entry of this VM.
 pub struct EntryService {
     state: KeeperState,
     reports: mpsc::Sender<Report>,
--- a/src/keeper/fleet_task.rs
+++ b/src/keeper/fleet_task.rs
@@ -1,4 +1,4 @@
-//! Tells the fleet what changed around it, and the others what changed in it.
+//! Updates the fleet with its inputs, and publishes its changes to other keepers.
 
 use {
     super::{Gossip, Interest, KeeperState, ListedVm, Proposal, VmState},
@@ -21,7 +21,7 @@
 /// What the audit trail names as the cause of a planner's move.
 const DECISION: &str = "placement";
 
-/// Tells the fleet what changed around it, and the others what changed in it.
+/// Updates the fleet with its inputs, and publishes its changes to other keepers.
 pub struct FleetTask {
     vm: VmName,
     data_centre: DataCentreName,
--- a/src/keeper/gossip.rs
+++ b/src/keeper/gossip.rs
@@ -1,5 +1,5 @@
-//! Spreads heads and runner states among keepers, and finds members while the key-value
-//! service is away.
+//! Gossips heads and runner states among keepers, and finds members while the key-value
+//! service is unavailable.
 
 use {
     super::{HeadOffer, KeeperState},
@@ -15,10 +15,10 @@
     tokio::sync::mpsc,
 };
 
-/// Keepers that are told at once of news.
+/// The fan-out of an update: keepers that are notified at once.
 const FANOUT: usize = 3;
 
-/// Spreads news among keepers.
+/// Gossips updates among keepers.
 #[derive(Debug)]
 pub struct Gossip {
     vm: VmName,
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Tells some keepers of each new revision in force. Needs a `LocalSet`.
+    /// Notifies some keepers of each new revision in force. Needs a `LocalSet`.
     pub async fn push_revisions(self: Rc<Self>) {
         let mut revisions = self.state.watch_revision();
         while revisions.changed().await.is_ok() {
@@ -76,12 +76,12 @@
         }
     }
 
-    /// Tells some keepers of leaving or lost runners. Needs a `LocalSet`.
+    /// Notifies some keepers of leaving or lost runners. Needs a `LocalSet`.
     pub fn push_runners(self: &Rc<Self>, states: Vec<RunnerState>) {
         self.send_runners(states, self.pick_some());
     }
 
-    /// Tells the keepers of this data centre of changed runners. Needs a `LocalSet`.
+    /// Notifies the keepers of this data centre of changed runners. Needs a `LocalSet`.
     pub fn tell_data_centre(self: &Rc<Self>, states: Vec<RunnerState>, home: &DataCentreName) {
         let near = self
             .others()
@@ -90,7 +90,7 @@
         self.send_runners(states, near.map(|member| member.address).collect());
     }
 
-    /// Tells one keeper of changed runners. Needs a `LocalSet`.
+    /// Notifies one keeper of changed runners. Needs a `LocalSet`.
     pub fn tell_vm(self: &Rc<Self>, states: Vec<RunnerState>, vm: &VmName) {
         let others = self.others().into_iter();
         let found = others.filter(|member| member.vm == *vm);
--- a/src/keeper/interest.rs
+++ b/src/keeper/interest.rs
@@ -1,4 +1,4 @@
-//! Which VMs want to hear of changes of which runners.
+//! The VMs that subscribe to changes of each runner.
 
 use {
     crate::{
@@ -9,10 +9,10 @@
     tokio::time::Instant,
 };
 
-/// How long a VM is told of a runner's changes after its last proposal.
+/// How long a subscription lasts after the last proposal of the VM.
 const INTEREST_MAX: Duration = Duration::from_secs(150);
 
-/// Which VMs want to hear of changes of which runners, because they send work there.
+/// The VMs that subscribe to changes of each runner, because they send work there.
 #[derive(Debug, Default)]
 pub struct Interest {
     /// Sorted by VM and runner.
--- a/src/keeper/operator_service.rs
+++ b/src/keeper/operator_service.rs
@@ -1,4 +1,4 @@
-//! What operators ask of a keeper.
+//! Serves the operators' calls.
 
 use {
     super::{KeeperState, KeeperStatus},
@@ -22,7 +22,7 @@
 /// The name that faults give to what an operator sent.
 const PUBLISHED_FILE: &str = "published objects";
 
-/// What operators ask of a keeper.
+/// Serves the operators' calls.
 pub struct OperatorService {
     vm: VmName,
     incarnation: Incarnation,
--- a/src/keeper/peer_service.rs
+++ b/src/keeper/peer_service.rs
@@ -1,4 +1,4 @@
-//! What other keepers ask of this one.
+//! Serves the calls of other keepers.
 
 use {
     super::{DemandReport, Gossip, HeadOffer, KeeperState},
@@ -44,7 +44,7 @@
     pub states: mpsc::Sender<Vec<RunnerState>>,
 }
 
-/// What other keepers ask of this one.
+/// Serves the calls of other keepers.
 pub struct PeerService {
     state: KeeperState,
     gossip: Rc<Gossip>,
--- a/src/keeper/runner_versions.rs
+++ b/src/keeper/runner_versions.rs
@@ -30,7 +30,7 @@
 
     /// Takes newer states; equal ones and those of an earlier owner are ignored.
     ///
-    /// Returns those that were news.
+    /// Returns those that were new.
     pub fn update(&mut self, states: &[RunnerState], version: u64) -> Vec<RunnerState> {
         let mut news = Vec::new();
         for state in states {
@@ -77,7 +77,7 @@
     }
 }
 
-/// A leaving runner stays leaving for its start, whoever said so first.
+/// A leaving runner stays leaving for its start, whichever source reported it first.
 fn is_older(state: &RunnerState, known: &RunnerState) -> bool {
     if state.incarnation != known.incarnation {
         return (state.epoch, state.incarnation) < (known.epoch, known.incarnation);
--- a/src/keeper/state.rs
+++ b/src/keeper/state.rs
@@ -1,4 +1,4 @@
-//! What a keeper knows, shared by its tasks on one thread.
+//! The state of a keeper, shared by its tasks on one thread.
 
 use {
     super::RunnerVersions,
@@ -16,7 +16,7 @@
     tokio::sync::{Notify, watch},
 };
 
-/// A head that was heard of, and who has its content.
+/// A head that was received, and a peer that has its content.
 #[derive(Debug, Clone)]
 pub struct HeadOffer {
     /// The head.
@@ -25,7 +25,7 @@
     pub peer: Option<SocketAddr>,
 }
 
-/// What an entry must be told since a version.
+/// The changes for an entry since a version.
 #[derive(Debug)]
 pub struct RunnerNews {
     /// The version reached.
@@ -50,7 +50,7 @@
     leaving: Vec<SocketAddr>,
 }
 
-/// What a keeper knows, shared by its tasks on one thread.
+/// The state of a keeper, shared by its tasks on one thread.
 #[derive(Debug, Clone)]
 pub struct KeeperState {
     inner: Rc<RefCell<Inner>>,
@@ -89,7 +89,7 @@
         self.inner.borrow().follower.newest_known().cloned()
     }
 
-    /// Takes note of a head that was heard of.
+    /// Records a head that was received.
     pub fn observe_head(&self, head: &Head, origin: HeadOrigin) -> Standing {
         self.inner.borrow_mut().follower.observe(head, origin)
     }
@@ -176,7 +176,7 @@
 
     /// Takes newer states of runners; equal ones and those of an earlier owner are ignored.
     ///
-    /// Returns those that were news.
+    /// Returns those that were new.
     pub fn update_runners(&self, states: &[RunnerState]) -> Vec<RunnerState> {
         let version = self.raise_version();
         let urgent = !self.find_urgent(states).is_empty();
--- a/src/keeper/vm_list.rs
+++ b/src/keeper/vm_list.rs
@@ -20,7 +20,7 @@
 /// The largest list accepted, in bytes.
 const LIST_MAX_BYTES: usize = 1024 * 1024;
 
-/// What the platform says of a VM.
+/// The state of a VM in the platform's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum VmState {
@@ -37,7 +37,7 @@
     pub vm: VmName,
     /// Where it is reached.
     pub address: SocketAddr,
-    /// What the platform says of it.
+    /// Its state in the platform's list.
     pub state: VmState,
 }
 
--- a/src/load/moves.rs
+++ b/src/load/moves.rs
@@ -53,7 +53,8 @@
     }
 }
 
-/// Reads the moves that the engines behind these control listeners made; one away adds nothing.
+/// Reads the moves that the engines behind these control listeners made; an unreachable one
+/// adds nothing.
 pub async fn read_moves(addresses: &[SocketAddr]) -> MoveCounts {
     let client = new_client();
     let mut counts = MoveCounts::default();
--- a/src/load/schedule.rs
+++ b/src/load/schedule.rs
@@ -13,7 +13,7 @@
     pub at: Duration,
     /// Its class.
     pub class: usize,
-    /// What it is.
+    /// Its kind.
     pub kind: CallKind,
     /// The model or adapter.
     pub name: String,
--- a/src/load/settings.rs
+++ b/src/load/settings.rs
@@ -22,7 +22,7 @@
     Saturate,
 }
 
-/// What a request of a class is.
+/// The kind of a class of requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CallKind {
@@ -76,7 +76,7 @@
 pub struct DemandShift {
     /// When it happens, in seconds after the start.
     pub at_s: f64,
-    /// What the rate is multiplied with from then on.
+    /// The factor on the rate from then on.
     #[serde(default = "unchanged")]
     pub rate_factor: f64,
     /// By how many ranks the popularity of models moves on.
--- a/src/load/verify.rs
+++ b/src/load/verify.rs
@@ -10,7 +10,7 @@
 /// What is wrong with an answer that looked good.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum WrongAnswer {
-    /// Its text is not the one that the request asked for.
+    /// Its text is not the one that was requested.
     #[error("foreign text")]
     Foreign,
     /// It ended as if whole but was not.
@@ -128,7 +128,7 @@
 ///
 /// # Errors
 ///
-/// Fails when its text is not exactly the one wanted.
+/// Fails when its text is not exactly the expected one.
 pub fn verify_whole(expected: ReferenceText, tokens: u32, body: &[u8]) -> Result<(), WrongAnswer> {
     let answer: Answer<'_> = serde_json::from_slice(body).map_err(|_| WrongAnswer::Unreadable)?;
     let text: String = answer.choices.iter().map(|choice| &*choice.text).collect();
--- a/src/membership/heartbeat.rs
+++ b/src/membership/heartbeat.rs
@@ -15,7 +15,7 @@
 const BACKOFF_FIRST: Duration = Duration::from_millis(500);
 /// The longest pause after failed calls.
 const BACKOFF_LONGEST: Duration = Duration::from_secs(5);
-/// Renewals within one life of the lease.
+/// Renewals within one TTL of the lease.
 const RENEWALS_PER_TTL: u32 = 3;
 
 /// Keeps the lease of this VM and the member entry bound to it.
@@ -47,7 +47,7 @@
         }
     }
 
-    /// Tells that this VM leaves on purpose, so that nobody waits for its return.
+    /// Marks this VM as leaving on purpose, so that no one waits for its return.
     async fn leave(&self, lease: LeaseId) -> Result<(), StoreError> {
         let key = leaving_key(&self.member.vm);
         let value = Bytes::from(self.member.incarnation.to_string());
--- a/src/membership/member.rs
+++ b/src/membership/member.rs
@@ -6,7 +6,7 @@
     std::net::SocketAddr,
 };
 
-/// One entry VM as the others see it; its key in the store lives as long as its lease.
+/// One entry VM as the others see it; its key in the store is bound to its lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Member {
--- a/src/peer/entry_link.rs
+++ b/src/peer/entry_link.rs
@@ -16,19 +16,19 @@
     },
 };
 
-/// How long a keeper may hold a call that waits for news.
+/// The longest that a keeper holds a long poll.
 pub const LONG_POLL_MAX: Duration = Duration::from_secs(5);
 /// The longest wait for any answer of the keeper.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
 /// The pause before connecting again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(250);
-/// Reports that may wait while the keeper is away; older ones are kept, newer ones dropped.
+/// Reports that are queued while the keeper is unreachable; when full, newer ones are dropped.
 const REPORTS_MAX: usize = 64;
 
 /// The entry's ends of the link.
 #[derive(Debug)]
 pub struct EntryLink {
-    /// The newest view; it keeps its last value while the keeper is away.
+    /// The newest view; it keeps its last value while the keeper is unreachable.
     pub views: watch::Receiver<Arc<EntryView>>,
     /// Takes reports for the keeper.
     pub reports: mpsc::Sender<Report>,
--- a/src/peer/peer_client.rs
+++ b/src/peer/peer_client.rs
@@ -90,7 +90,7 @@
 
     /// Proposes moves to the owner of their runners; returns what these hold now.
     ///
-    /// The owner tells `sender` of their changes for a while.
+    /// The owner notifies `sender` of their changes for a while.
     ///
     /// # Errors
     ///
@@ -110,7 +110,7 @@
         read_runners(answer.get()?.get_runners()?)
     }
 
-    /// Reports what callers asked for at `sender`.
+    /// Reports the demand at `sender`.
     ///
     /// # Errors
     ///
--- a/src/peer/serve.rs
+++ b/src/peer/serve.rs
@@ -18,7 +18,7 @@
 const CONNECTIONS_MAX: usize = 512;
 /// The longest that a connection may stay without logging in.
 const LOGIN_TIMEOUT: Duration = Duration::from_secs(5);
-/// The pause after a failed accept, such as for want of file descriptors.
+/// The pause after a failed accept, such as for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// The largest message, in words of 8 bytes.
 const MESSAGE_MAX_WORDS: usize = 2 * 1024 * 1024;
@@ -31,7 +31,7 @@
     options
 }
 
-/// Tells a listener that a connection has logged in.
+/// Signals to a listener that a connection has logged in.
 #[derive(Debug, Clone, Default)]
 pub struct LoginMark(Rc<Cell<bool>>);
 
--- a/src/placement/cleanup_step.rs
+++ b/src/placement/cleanup_step.rs
@@ -1,4 +1,4 @@
-//! Unloads copies that the configuration no longer wants.
+//! Unloads copies that are no longer configured.
 
 use super::{home_map, planner::Planner};
 
--- a/src/placement/minimum_step.rs
+++ b/src/placement/minimum_step.rs
@@ -49,7 +49,7 @@
         count(&holders) < wanted_here
     }
 
-    /// Takes up a copy on the best runner of a data centre; what needs the fewest unloads is
+    /// Places a copy on the best runner of a data centre; what needs the fewest unloads is
     /// best, then the one with the most free memory.
     fn take_up_best(&mut self, model: usize, place: usize, urgent: bool) -> bool {
         let runners = 0..self.image.runners.len();
--- a/src/placement/plan.rs
+++ b/src/placement/plan.rs
@@ -1,4 +1,4 @@
-//! What the planner is told and what it says.
+//! The input and output of the planner.
 
 use {
     super::DemandRate,
@@ -9,7 +9,7 @@
     },
 };
 
-/// Tokens that one accelerator generates per second at full load, unless told otherwise.
+/// Tokens that one accelerator generates per second at full load, unless configured otherwise.
 const TOKENS_PER_ACCELERATOR_S: f64 = 1_000.0;
 
 /// Memory of a runner that is held besides its residents, such as by an order in doubt.
@@ -30,7 +30,7 @@
     pub model: ModelName,
 }
 
-/// What the planner of one data centre is told.
+/// The input of the planner of one data centre.
 #[derive(Debug, Clone, Copy)]
 pub struct PlanInput<'a> {
     /// The configuration.
@@ -68,10 +68,10 @@
     }
 }
 
-/// What the planner says.
+/// The output of the planner.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Plan {
-    /// The changes wanted now, urgent ones first; each can start at once.
+    /// The moves to start now, urgent ones first; each can start at once.
     pub moves: Vec<Move>,
     /// The models homed here that have too few copies and found no room.
     pub unplaced: Vec<ModelName>,
--- a/src/placement/planner.rs
+++ b/src/placement/planner.rs
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Takes up a copy of a model on a runner: loads it if there is room now, else unloads what
+    /// Places a copy of a model on a runner: loads it if there is room now, else unloads what
     /// is in the way.
     pub fn take_up(&mut self, runner: usize, model: usize, room: &Room, urgent: bool) {
         match room {
--- a/src/placement/relocation.rs
+++ b/src/placement/relocation.rs
@@ -6,7 +6,7 @@
 pub(super) type Relocation = (usize, usize);
 
 impl Planner<'_> {
-    /// Finds last copies on `runner` to load elsewhere in its data centre, the least asked for
+    /// Finds last copies on `runner` to load elsewhere in its data centre, the least in demand
     /// first, so that a model gets room beside `room_mib` that there is without.
     pub fn relocations(
         &self,
@@ -37,7 +37,7 @@
         (room_mib >= size_mib && !relocations.is_empty()).then_some(relocations)
     }
 
-    /// Returns the models whose only copy is on a runner, the least asked for first.
+    /// Returns the models whose only copy is on a runner, the least in demand first.
     fn last_copies(&self, runner: usize) -> Vec<usize> {
         let copies = self.image.runners[runner].copies.iter();
         let ready = copies.filter(|copy| copy.ready && !copy.dropped);
--- a/src/routing/load_board.rs
+++ b/src/routing/load_board.rs
@@ -93,7 +93,7 @@
         })
     }
 
-    /// Forgets idle runners that `keep` does not want.
+    /// Removes idle runners that `keep` rejects.
     pub fn retain(&self, mut keep: impl FnMut(&RunnerName) -> bool) {
         for shard in &self.shards {
             lock(shard).retain(|(name, load)| load.in_flight() > 0 || keep(name));
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,6 +1,6 @@
 //! Decides which runner a request goes to.
 //!
-//! [`RouteTable`] says which runners can serve a model, [`LoadBoard`] how busy each one is and
+//! [`RouteTable`] holds which runners can serve a model, [`LoadBoard`] how busy each one is and
 //! whether it failed of late, and [`choose`] picks one.
 
 mod choice;
--- a/src/routing/runner_load.rs
+++ b/src/routing/runner_load.rs
@@ -1,4 +1,4 @@
-//! What this process knows of the load of one runner.
+//! The load of one runner as seen from this process.
 
 use {
     crate::{engine::Load, units::Incarnation},
@@ -22,7 +22,7 @@
     pub load: Load,
 }
 
-/// What this process knows of the load of one runner.
+/// The load of one runner as seen from this process.
 #[derive(Debug, Default)]
 pub(super) struct RunnerLoad {
     in_flight: u32,
--- a/src/settings/error.rs
+++ b/src/settings/error.rs
@@ -10,7 +10,7 @@
 pub struct Fault {
     /// The field, or empty for the file as a whole.
     pub field: String,
-    /// What is wrong and what is wanted.
+    /// What is wrong and what is expected.
     pub problem: String,
 }
 
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -7,7 +7,7 @@
     std::path::{Path, PathBuf},
 };
 
-/// What the command line of a daemon asks for.
+/// The parsed command line of a daemon.
 #[derive(Debug)]
 pub enum Invocation<S> {
     /// Run with these settings.
--- a/src/standin/engine/faults.rs
+++ b/src/standin/engine/faults.rs
@@ -12,7 +12,7 @@
     pub down: bool,
     /// Requests are taken but never answered.
     pub silent: bool,
-    /// The engine says that it is leaving and takes no new work.
+    /// The engine is draining: it announces it and takes no new work.
     pub leaving: bool,
     /// Orders that are lost without effect.
     pub lost_orders: u32,
--- a/src/standin/engine/generation.rs
+++ b/src/standin/engine/generation.rs
@@ -69,7 +69,8 @@
     ///
     /// # Errors
     ///
-    /// Refuses what it has no memory, place or leave for.
+    /// Refuses a request while it drains, its queue is full or the model is not resident, and a
+    /// resumption that it does not support.
     pub fn generate(&self, request: GenerateRequest) -> Result<Generation, GenerateRefusal> {
         if let Err(refusal) = self.admit(&request) {
             self.state().record.refused += 1;
@@ -216,7 +217,7 @@
         time
     }
 
-    /// Lets time pass; what a late timer took too long is made up for.
+    /// Sleeps; the overrun of a late timer is deducted from later sleeps.
     async fn spend(&mut self, time: Duration) -> Result<(), BrokenOff> {
         if time.is_zero() {
             return Ok(());
--- a/src/standin/engine/inference.rs
+++ b/src/standin/engine/inference.rs
@@ -19,7 +19,7 @@
 const RESUMABLE: HeaderName = HeaderName::from_static("x-resumable");
 const TOKENS_PER_EVENT: HeaderName = HeaderName::from_static("x-tokens-per-event");
 
-/// When a refused caller may come back, in seconds.
+/// The `Retry-After` of a refusal, in seconds.
 const RETRY_AFTER_S: HeaderValue = HeaderValue::from_static("1");
 const YES: HeaderValue = HeaderValue::from_static("yes");
 const NO: HeaderValue = HeaderValue::from_static("no");
--- a/src/standin/engine/load_report.rs
+++ b/src/standin/engine/load_report.rs
@@ -2,7 +2,7 @@
 
 use {crate::engine::Load, std::time::Duration, tokio::time::Instant};
 
-/// Reports a load that is at least `lag` old while it is asked for often.
+/// Reports a load that is at least `lag` old while it is polled often.
 #[derive(Debug)]
 pub(super) struct LoadReport {
     reported: Load,
--- a/src/standin/engine/record.rs
+++ b/src/standin/engine/record.rs
@@ -10,7 +10,7 @@
 pub struct EngineRecord {
     /// The changes after which more memory was taken than there is.
     pub overcommits: u64,
-    /// The most memory taken beyond what there is.
+    /// The largest overcommit of memory.
     pub overcommit_worst_mib: MemoryMib,
     /// Loads of models that were applied.
     pub model_loads: u64,
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Notes the memory taken beyond what there is.
+    /// Records an overcommit of memory.
     pub(super) fn note_overcommit(&mut self, over: MemoryMib) {
         if over > MemoryMib(0) {
             self.overcommits += 1;
--- a/src/standin/engine/request.rs
+++ b/src/standin/engine/request.rs
@@ -29,7 +29,7 @@
     /// The messages of a chat.
     #[serde(default)]
     pub messages: Vec<Message>,
-    /// The tokens wanted.
+    /// The tokens requested.
     #[serde(default)]
     pub max_tokens: Option<u32>,
     /// The newer name of `max_tokens`.
@@ -55,7 +55,7 @@
 pub struct Message {
     /// Who wrote it.
     pub role: String,
-    /// What it says: a text, or a list of parts.
+    /// The content: a text, or a list of parts.
     #[serde(default)]
     pub content: serde_json::Value,
 }
--- a/src/standin/engine/sse.rs
+++ b/src/standin/engine/sse.rs
@@ -13,7 +13,7 @@
 const LOAD_INTERVAL_MS: u64 = 250;
 /// The last event of a whole stream.
 const DONE: &[u8] = b"data: [DONE]\n\n";
-/// A token that no request asked for.
+/// A token that belongs to no request.
 const FOREIGN_NAME: &str = "another-request";
 
 /// The events of one answer.
--- a/src/standin/engine/standin_engine.rs
+++ b/src/standin/engine/standin_engine.rs
@@ -93,7 +93,7 @@
         self.state().record.clone()
     }
 
-    /// Starts the engine anew: its memory is empty, what runs and loads is lost.
+    /// Restarts the engine: its memory is empty, requests and loads in progress are lost.
     pub fn restart(&self) {
         let mut state = self.state();
         state.incarnation = state.incarnation.next();
--- a/src/standin/http_server.rs
+++ b/src/standin/http_server.rs
@@ -163,7 +163,7 @@
 ///
 /// # Errors
 ///
-/// Fails with the answer 400 when the body is not the wanted JSON.
+/// Fails with the answer 400 when the body is not the expected JSON.
 pub async fn read_json<T: DeserializeOwned>(
     request: Request<Incoming>,
 ) -> Result<T, Response<Body>> {
--- a/src/standin/kv/counts.rs
+++ b/src/standin/kv/counts.rs
@@ -46,7 +46,7 @@
     }
 }
 
-/// Counters that several tasks raise.
+/// Counters that several tasks increment.
 #[derive(Debug, Default)]
 pub(super) struct CallCounters {
     counters: [AtomicU64; 6],
--- a/src/standin/kv/memory_store.rs
+++ b/src/standin/kv/memory_store.rs
@@ -36,7 +36,7 @@
     counters: CallCounters,
     /// The number of restores; a watch ends when it rises.
     pub(super) restores: watch::Sender<u64>,
-    /// Told of each change.
+    /// Notified of each change.
     pub(super) changed: watch::Sender<()>,
 }
 
--- a/src/standin/run.rs
+++ b/src/standin/run.rs
@@ -1,4 +1,4 @@
-//! Runs the stand-ins of a process until it is told to stop.
+//! Runs the stand-ins of a process until a signal stops it.
 
 use {
     super::{
--- a/src/standin/weights/store.rs
+++ b/src/standin/weights/store.rs
@@ -47,13 +47,13 @@
 /// What the limits saw.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WeightRecord {
-    /// Model loads that were asked for.
+    /// Model loads that were requested.
     pub model_loads: u64,
     /// Model loads that had to wait for the rate.
     pub model_loads_delayed: u64,
     /// The most model loads in flight at once.
     pub model_loads_at_once: u32,
-    /// Adapter loads that were asked for.
+    /// Adapter loads that were requested.
     pub adapter_loads: u64,
     /// The most adapter loads in flight at once.
     pub adapter_loads_at_once: u32,
--- a/src/store/call.rs
+++ b/src/store/call.rs
@@ -1,4 +1,4 @@
-//! What each call to the key-value service does before it is sent.
+//! Encoding and counting of the calls to the key-value service.
 
 use {super::StoreError, crate::telemetry::STORE_CALLS, bytes::Bytes, serde::Serialize};
 
--- a/src/store/gateway/txn.rs
+++ b/src/store/gateway/txn.rs
@@ -49,9 +49,9 @@
     pub target: CompareTarget,
     /// The key.
     pub key: Base64,
-    /// The version wanted when the target is `Create`.
+    /// The version expected when the target is `Create`.
     pub create_revision: Int64,
-    /// The version wanted when the target is `Mod`.
+    /// The version expected when the target is `Mod`.
     pub mod_revision: Int64,
 }
 
--- a/src/store/gateway/watch.rs
+++ b/src/store/gateway/watch.rs
@@ -37,7 +37,7 @@
     pub created: bool,
     /// Whether the service ends the watch.
     pub canceled: bool,
-    /// The oldest version kept, when the watch asked for an older one.
+    /// The oldest version kept, when the watch requested an older one.
     pub compact_revision: Int64,
     /// The changes, in order.
     pub events: Vec<WatchEvent>,
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -7,7 +7,7 @@
 
 pub use {id::*, name::*, size::*, wall_clock::*};
 
-/// The text of a value could not be read as the wanted unit.
+/// The text of a value could not be read as the expected unit.
 #[derive(Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{text:?} is not a valid {wanted}: {reason}")]
 pub struct UnitError {
