--- a/tests/entry_services.rs
+++ b/tests/entry_services.rs
@@ -29,6 +29,15 @@
     rig.post(PATH, &headers, "{\"lot\":7}").await
 }
 
+/// Demands that a key was refused since it was used before.
+#[track_caller]
+fn assert_used_before(answer: &Answer) {
+    assert_eq!(
+        (answer.status, answer.outcome().as_str()),
+        (StatusCode::CONFLICT, "unknown")
+    );
+}
+
 #[tokio::test]
 async fn passes_calls_on_and_answers_back() {
     let desk = FakeBackend::start(booked).await;
@@ -148,16 +157,10 @@
         StatusCode::CREATED
     );
     let again = book(&rigs[0], Some("sale-1")).await;
-    assert_eq!(
-        (again.status, again.outcome().as_str()),
-        (StatusCode::CONFLICT, "unknown")
-    );
+    assert_used_before(&again);
     assert_eq!(again.json()["earlier_status"], 201);
     let elsewhere = book(&rigs[1], Some("sale-1")).await;
-    assert_eq!(
-        (elsewhere.status, elsewhere.outcome().as_str()),
-        (StatusCode::CONFLICT, "unknown")
-    );
+    assert_used_before(&elsewhere);
     assert_eq!(desk.received().len(), 1);
     let racing = futures::future::join_all((0..20).map(|n| book(&rigs[n % 2], Some("sale-2"))));
     let won = racing
@@ -208,10 +211,7 @@
         let got = book(&rig, Some(&next)).await;
         assert_eq!(got.status, StatusCode::CREATED);
         let again = book(&rig, Some(&next)).await;
-        assert_eq!(
-            (again.status, again.outcome().as_str()),
-            (StatusCode::CONFLICT, "unknown")
-        );
+        assert_used_before(&again);
         next = got.header("next-idempotency-key").unwrap().to_owned();
     }
     assert_eq!(desk.received().len(), 5);
@@ -287,10 +287,7 @@
     assert_eq!((got.status, got.text()), (StatusCode::CREATED, "booked"));
     for rig in [&first, &second] {
         let again = book(rig, Some(ticket)).await;
-        assert_eq!(
-            (again.status, again.outcome().as_str()),
-            (StatusCode::CONFLICT, "unknown")
-        );
+        assert_used_before(&again);
     }
     cluster.forget("vm-1");
     let orphan = minted["keys"][1].as_str().unwrap();
--- a/tests/fleet_keeper.rs
+++ b/tests/fleet_keeper.rs
@@ -89,6 +89,15 @@
         )
     }
 
+    /// Starts a keeper that is alone, and waits until it has read the state of its runner.
+    async fn owner_of_runner(&self, vm: &str) -> FleetKeeper {
+        let keeper = self.keeper(vm);
+        keeper.update(self.view(&[vm]));
+        self.wait_for(&keeper, |state| state.incarnation == Incarnation(1))
+            .await;
+        keeper
+    }
+
     async fn record(&self) -> RunnerRecord {
         let key = format!("{RECORD_PREFIX}r0");
         let found = self.store.range(&key, 1).await.unwrap();
@@ -158,10 +167,7 @@
 async fn a_runner_is_taken_filled_left_alone_and_handed_over() {
     for fencing in [Fencing::Honoured, Fencing::Ignored] {
         let rig = Rig::new(fencing);
-        let keeper = rig.keeper("vm0");
-        keeper.update(rig.view(&["vm0"]));
-        rig.wait_for(&keeper, |state| state.incarnation == Incarnation(1))
-            .await;
+        let keeper = rig.owner_of_runner("vm0").await;
         assert_eq!(keeper.apply(load("m"), "test"), 1);
         rig.wait_for(&keeper, |state| serves(state, "m")).await;
         keeper.apply(on_r0(MoveChange::LoadAdapter("a".parse().unwrap())), "test");
@@ -198,10 +204,7 @@
 /// Returns how long a lost load keeps its memory.
 async fn time_kept_by_lost_load(fencing: Fencing) -> Duration {
     let rig = Rig::new(fencing);
-    let keeper = rig.keeper("vm0");
-    keeper.update(rig.view(&["vm0"]));
-    rig.wait_for(&keeper, |state| state.incarnation == Incarnation(1))
-        .await;
+    let keeper = rig.owner_of_runner("vm0").await;
     sleep(Duration::from_secs(2)).await;
     rig.engines[0].set_faults(EngineFaults {
         lost_orders: 1,
@@ -266,10 +269,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_store_outage_neither_loses_the_runner_nor_sends_orders() {
     let rig = Rig::new(Fencing::Honoured);
-    let keeper = rig.keeper("vm0");
-    keeper.update(rig.view(&["vm0"]));
-    rig.wait_for(&keeper, |state| state.incarnation == Incarnation(1))
-        .await;
+    let keeper = rig.owner_of_runner("vm0").await;
     rig.store.set_faults(KvFaults {
         down: true,
         ..KvFaults::default()
@@ -286,10 +286,7 @@
 async fn an_owner_overtakes_the_fencing_number_that_the_engine_knows() {
     let mut rig = Rig::new(Fencing::Honoured);
     for vm in ["vm0", "vm1", "vm2"] {
-        let keeper = rig.keeper(vm);
-        keeper.update(rig.view(&[vm]));
-        rig.wait_for(&keeper, |state| state.incarnation == Incarnation(1))
-            .await;
+        let keeper = rig.owner_of_runner(vm).await;
         sleep(Duration::from_secs(3)).await;
         keeper.hand_over().await;
     }
