--- a/src/config/publish/mod.rs
+++ b/src/config/publish/mod.rs
@@ -7,10 +7,6 @@
 mod outcome;
 mod publisher;
 mod resolve;
+mod retention;
 
-pub use {archive::*, collector::*, outcome::*, publisher::*};
-
-/// Revisions whose heads are kept as the audit trail.
-pub const HISTORY_MAX: u64 = 256;
-/// Revisions whose content is kept.
-pub const SNAPSHOTS_KEPT_MAX: u64 = 8;
+pub use {archive::*, collector::*, outcome::*, publisher::*, retention::*};
