--- a/src/entry/forward_link.rs
+++ b/src/entry/forward/forward_link.rs
@@ -2,11 +2,12 @@
 
 use {
     super::{
-        Entry, ForwardError, ForwardedCall, ForwardedReply, Forwarder,
+        ForwardError, ForwardedCall, ForwardedReply, Forwarder,
         forward_service::ForwardGate,
         forward_wire::{read_reply, write_call},
     },
     crate::{
+        entry::Entry,
         membership::Member,
         peer::{Connection, PeerError, SharedKey, connect_forward, serve, with_timeout},
         peer_capnp::forward,
@@ -27,7 +28,7 @@
 /// The longest wait for the answer of another entry.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(120);
 
-/// A call on its way to another entry.
+/// A call to be forwarded to another entry.
 #[derive(Debug)]
 pub struct OutgoingCall {
     address: SocketAddr,
--- a/src/entry/routes.rs
+++ b/src/entry/view/routes.rs
@@ -1,10 +1,11 @@
 //! Where requests can go by the newest view.
 
 use {
-    super::{Backend, EntryView, ViewReceiver},
+    super::{EntryView, ViewReceiver},
     crate::{
         admission::Admission,
         config::{Service, ServiceTarget},
+        entry::Backend,
         routing::RouteTable,
         units::{DataCentreName, Incarnation, RunnerName, ServiceName},
     },
@@ -38,7 +39,7 @@
 }
 
 impl RouteFollower {
-    /// Follows a view, and tells the admission what the runners can take.
+    /// Follows a view, and updates admission with the capacity of the runners.
     pub fn new(home: DataCentreName, admission: Arc<Admission>, receiver: ViewReceiver) -> Self {
         let follower = Self {
             home,
--- a/src/standin/kv/memory_store.rs
+++ b/src/standin/kv/memory_store.rs
@@ -36,7 +36,7 @@
     counters: CallCounters,
     /// The number of restores; a watch ends when it rises.
     pub(super) restores: watch::Sender<u64>,
-    /// Told of each change.
+    /// Notified of each change.
     pub(super) changed: watch::Sender<()>,
 }
 
@@ -179,14 +179,6 @@
 }
 
 impl Store for MemoryStore {
-    fn range<'a>(
-        &'a self,
-        prefix: &'a str,
-        limit: usize,
-    ) -> BoxFuture<'a, Result<Range, StoreError>> {
-        async move { self.range_between(prefix, &prefix_end(prefix), limit).await }.boxed()
-    }
-
     fn range_between<'a>(
         &'a self,
         start: &'a str,
