Use fresh connections to a runner that sent a stray answer

Ruled out: health, retry budget, timeouts (no answer took over 50 ms).

A stray answer now ends the reuse of connections to its runner for 5 s. Failing first: a_runner_that_answers_twice_spoils_one_request_only (5 of 10 spoilt).

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -177,19 +177,23 @@
                 answered.discard(outcome).await;
                 Tried::Nothing
             }
-            Verdict::Unusable => {
-                log::debug!(
-                    "relay: {} gave no usable answer",
-                    answered.place.runner.key.id
-                );
-                answered.place.finish(TryOutcome::Broken);
-                Tried::Nothing
+            Verdict::Stray => {
+                self.relay.pool.distrust(&answered.connection.runner);
+                answered.unusable()
             }
+            Verdict::Unusable => answered.unusable(),
         }
     }
 }
 
 impl Answered {
+    /// Gives the place back and closes the connection.
+    fn unusable(self) -> Tried {
+        log::debug!("relay: {} gave no usable answer", self.place.runner.key.id);
+        self.place.finish(TryOutcome::Broken);
+        Tried::Nothing
+    }
+
     /// Gives the place back, and the connection if the rest of the answer is short.
     pub(super) async fn discard(self, outcome: TryOutcome) {
         self.place.finish(outcome);
--- a/src/relay/runner_pool.rs
+++ b/src/relay/runner_pool.rs
@@ -34,6 +34,9 @@
 /// The least time before a connection's limit at which it is no longer used.
 const MARGIN_MIN: Duration = Duration::from_millis(300);
 
+/// How long no connection is reused to a runner that sent an answer nobody asked for.
+const STRAY_QUARANTINE: Duration = Duration::from_secs(5);
+
 /// The largest answer head, in bytes.
 const HEAD_MAX_BYTES: usize = 64 * 1024;
 
@@ -75,6 +78,8 @@
 struct RunnerConnections {
     runner: RunnerKey,
     idle: Vec<OpenConnection>,
+    /// Until when each request gets a connection of its own.
+    distrusted_until: Option<Instant>,
     /// Shared by the open connections, which are counted by it.
     count: Arc<()>,
 }
@@ -86,6 +91,15 @@
         let usable = |open: &OpenConnection| open.usable_until > now && !open.sender.is_closed();
         self.idle.retain(usable);
     }
+
+    fn is_distrusted(&self) -> bool {
+        self.distrusted_until
+            .is_some_and(|until| Instant::now() < until)
+    }
+
+    fn is_needed(&self) -> bool {
+        Arc::strong_count(&self.count) > 1 || self.is_distrusted()
+    }
 }
 
 /// The connections of a node to runners; one request at a time on each.
@@ -132,7 +146,9 @@
         let Ok(position) = position(&runners, runner) else {
             return;
         };
-        runners[position].idle.push(open);
+        if !runners[position].is_distrusted() {
+            runners[position].idle.push(open);
+        }
     }
 
     /// Closes the idle connections to a runner, after one of them went silent.
@@ -143,6 +159,15 @@
         }
     }
 
+    /// Stops reusing connections to a runner for a while, after a stray answer on one of them.
+    pub(super) fn distrust(&self, runner: &RunnerKey) {
+        let mut runners = self.lock();
+        if let Ok(position) = position(&runners, runner) {
+            runners[position].idle.clear();
+            runners[position].distrusted_until = Some(Instant::now() + STRAY_QUARANTINE);
+        }
+    }
+
     /// Takes the connection that was used last.
     fn take(&self, runner: &RunnerKey) -> Option<OpenConnection> {
         let mut runners = self.lock();
@@ -162,12 +187,13 @@
         let mut runners = self.lock();
         runners.retain_mut(|entry| {
             entry.prune();
-            entry.runner == *runner || Arc::strong_count(&entry.count) > 1
+            entry.runner == *runner || entry.is_needed()
         });
         let position = position(&runners, runner).unwrap_or_else(|position| {
             let entry = RunnerConnections {
                 runner: runner.clone(),
                 idle: Vec::new(),
+                distrusted_until: None,
                 count: Arc::default(),
             };
             runners.insert(position, entry);
--- a/src/relay/verdict.rs
+++ b/src/relay/verdict.rs
@@ -10,6 +10,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Verdict {
     NotRun(TryOutcome),
+    /// It may answer an earlier request on the same connection.
+    Stray,
     Unusable,
     Failure,
     Success,
@@ -27,6 +29,9 @@
         // A stray answer can only come where an earlier request was.
         None => !connection.reused && !status.is_success(),
     };
+    if !belongs && connection.reused {
+        return Verdict::Stray;
+    }
     if !belongs || status.is_informational() {
         return Verdict::Unusable;
     }
--- a/tests/relay_forward.rs
+++ b/tests/relay_forward.rs
@@ -274,6 +274,28 @@
     assert_eq!(rig.call("").await.status, 502);
 }
 
+/// Every answer is followed by a second one, which spoils the next request on its connection.
+#[tokio::test]
+async fn a_runner_that_answers_twice_spoils_one_request_only() {
+    let script = |_, received: &Received| {
+        let answer = signed(received, 200, "x-idle-s: 5\r\n", "answer");
+        let pause = vec![Step::Pause(Duration::from_millis(3))];
+        [answer.clone(), pause, answer].concat()
+    };
+    let mut setup = Setup::new(NonIdempotent);
+    setup.runners = 1;
+    let rig = RelayRig::start(setup, script).await;
+    let mut caller = rig.caller().await;
+    let mut statuses = Vec::new();
+    for number in 0..10 {
+        caller.send_as(&format!("q-{number}"), "", "body").await;
+        statuses.push(caller.read().await.status);
+    }
+    let spoilt = statuses.iter().filter(|status| **status == 502).count();
+    let good = statuses.iter().filter(|status| **status == 200).count();
+    assert!(spoilt <= 1 && spoilt + good == 10, "{statuses:?}");
+}
+
 #[tokio::test]
 async fn a_connection_that_is_reset_before_the_request_arrives_is_not_called_unsent() {
     let runner = FakeBackend::start_with(|_| Accept::ResetAfter(10), |_| Vec::new()).await;
