Count a publication as told only if its VM lives to tell it

The harness was wrong. The writes of a killed VM's publication still run on, as calls that had left.

As strict: what used to be checked of every publication's effect is now checked also of those that no one was told of. A revision in force at a VM that stays up must be in force everywhere within the bound (new: RevisionViolation::Partial), and never go back (as before).

--- a/src/history/revision_check.rs
+++ b/src/history/revision_check.rs
@@ -36,12 +36,21 @@
         /// The accepted revision.
         revision: Revision,
     },
+    /// A VM did not get a revision that came into force elsewhere, whoever was told of it.
+    #[error("{vm} did not get revision {revision}, which was in force elsewhere")]
+    Partial {
+        /// The VM.
+        vm: VmName,
+        /// The revision.
+        revision: Revision,
+    },
 }
 
 /// Checks a history of a run that ended at `end_ms`.
 ///
 /// Each VM must have an accepted revision, or a later one, `bound_ms` after its acceptance or
-/// after the start of the VM, whichever is later.
+/// after the start of the VM, whichever is later. The same holds for a revision that came into
+/// force at a VM which stays up for `bound_ms`, even if its operator was told nothing.
 pub fn check_revisions(
     events: &[RevisionEvent],
     bound_ms: u64,
@@ -51,6 +60,7 @@
     violations.extend(find_two_winners(events));
     violations.extend(find_false_refusals(events));
     violations.extend(find_late(events, bound_ms, end_ms));
+    violations.extend(find_partial(events, bound_ms, end_ms));
     violations
 }
 
@@ -145,6 +155,45 @@
     delays_ms
 }
 
+fn find_partial(events: &[RevisionEvent], bound_ms: u64, end_ms: u64) -> Vec<RevisionViolation> {
+    let mut violations = Vec::new();
+    let lives = find_lives(events, end_ms);
+    for (at_ms, revision) in lasting_revisions(events, &lives, bound_ms) {
+        for life in &lives {
+            let due_ms = life.start_ms.max(at_ms) + bound_ms;
+            if due_ms <= life.stop_ms && !had_in_force(events, life, revision, due_ms) {
+                violations.push(RevisionViolation::Partial {
+                    vm: life.vm.clone(),
+                    revision,
+                });
+            }
+        }
+    }
+    violations
+}
+
+/// Returns when each revision first came into force at a VM that stayed up for `bound_ms`.
+fn lasting_revisions(
+    events: &[RevisionEvent],
+    lives: &[Life],
+    bound_ms: u64,
+) -> Vec<(u64, Revision)> {
+    let mut lasting: Vec<(u64, Revision)> = Vec::new();
+    for event in events {
+        let RevisionEvent::InForce { at_ms, vm, head } = event else {
+            continue;
+        };
+        let lasts = |life: &Life| life.vm == vm && life.stop_ms >= at_ms + bound_ms;
+        let known = lasting
+            .iter()
+            .any(|(_, revision)| *revision == head.revision);
+        if !known && lives.iter().any(lasts) {
+            lasting.push((*at_ms, head.revision));
+        }
+    }
+    lasting
+}
+
 /// One life of a VM, from its start to its stop.
 struct Life<'a> {
     vm: &'a VmName,
--- a/tests/common/follower_vm.rs
+++ b/tests/common/follower_vm.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// Returns whether the VM is up.
+    pub fn is_up(&self) -> bool {
+        self.up.get()
+    }
+
     /// Returns the head in force.
     pub fn head(&self) -> Option<Head> {
         let follower = self.follower.borrow();
