--- a/tests/config_history.rs
+++ b/tests/config_history.rs
@@ -149,15 +149,13 @@
     let outcome = publisher.publish(&attempt, known).await;
     let publish_id = attempt.publish_id;
     match outcome {
-        Ok(PublishOutcome::Published(head)) => {
-            match tell_published(fleet, vm, &head) {
-                true => {
-                    heads.respond(call, HeadOp::Published(expected, head.revision, publish_id));
-                    vm.accept(head, attempt.snapshot);
-                }
-                false => heads.leave_open(call, publish_id),
+        Ok(PublishOutcome::Published(head)) => match tell_published(fleet, vm, &head) {
+            true => {
+                heads.respond(call, HeadOp::Published(expected, head.revision, publish_id));
+                vm.accept(head, attempt.snapshot);
             }
-        }
+            false => heads.leave_open(call, publish_id),
+        },
         Ok(PublishOutcome::Conflict(other)) => {
             heads.respond(call, HeadOp::Conflict(expected, other.revision));
             fleet.record(RevisionEvent::NotPublished { publish_id });
