--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -7,6 +7,8 @@
 mod http_link;
 pub mod keys;
 mod kv;
+mod live_watch;
+mod monitored_store;
 mod watch_reader;
 
-pub use {error::*, etcd_store::*, kv::*};
+pub use {error::*, etcd_store::*, kv::*, live_watch::*, monitored_store::*};
--- /dev/null
+++ b/src/store/monitored_store.rs
@@ -0,0 +1,136 @@
+//! Notes outages of the key-value service by the calls that pass through.
+
+use {
+    super::{
+        Changes, Lease, LeaseId, Range, SharedStore, Store, StoreError, StoreVersion, Txn, TxnReply,
+    },
+    futures::{
+        StreamExt,
+        future::{BoxFuture, FutureExt},
+        stream::BoxStream,
+    },
+    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    tokio::time::Instant,
+};
+
+#[derive(Debug, Default)]
+struct Observed {
+    is_out: bool,
+    returned_at: Option<Instant>,
+}
+
+/// Whether the service answers this process, and since when.
+///
+/// It is judged by reads and renewals of leases; a watch may be cut without an outage, and a write
+/// may be refused for other reasons.
+#[derive(Debug, Default)]
+pub struct StoreHealth(Mutex<Observed>);
+
+impl StoreHealth {
+    /// Returns when the latest outage ended; now, while it lasts.
+    pub fn outage_end(&self) -> Option<Instant> {
+        let observed = self.lock();
+        match observed.is_out {
+            true => Some(Instant::now()),
+            false => observed.returned_at,
+        }
+    }
+
+    fn note<T>(&self, answer: &Result<T, StoreError>) {
+        match answer {
+            Ok(_) | Err(StoreError::LeaseLapsed(_) | StoreError::Compacted) => self.note_answer(),
+            Err(StoreError::Unreachable(_) | StoreError::Unknown(_) | StoreError::Refused(_)) => {
+                self.lock().is_out = true;
+            }
+        }
+    }
+
+    fn note_answer(&self) {
+        let mut observed = self.lock();
+        if observed.is_out {
+            observed.is_out = false;
+            observed.returned_at = Some(Instant::now());
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Observed> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A store that notes outages.
+pub struct MonitoredStore {
+    inner: SharedStore,
+    health: Arc<StoreHealth>,
+}
+
+impl MonitoredStore {
+    /// Makes a store that passes calls on to another one.
+    pub fn new(inner: SharedStore) -> Self {
+        Self {
+            inner,
+            health: Arc::default(),
+        }
+    }
+
+    /// Returns what is noted.
+    pub fn health(&self) -> Arc<StoreHealth> {
+        self.health.clone()
+    }
+
+    async fn noted<T>(&self, call: BoxFuture<'_, Result<T, StoreError>>) -> Result<T, StoreError> {
+        let answer = call.await;
+        self.health.note(&answer);
+        answer
+    }
+}
+
+impl Store for MonitoredStore {
+    fn range<'a>(
+        &'a self,
+        prefix: &'a str,
+        limit: usize,
+    ) -> BoxFuture<'a, Result<Range, StoreError>> {
+        self.noted(self.inner.range(prefix, limit)).boxed()
+    }
+
+    fn range_between<'a>(
+        &'a self,
+        start: &'a str,
+        end: &'a str,
+        limit: usize,
+    ) -> BoxFuture<'a, Result<Range, StoreError>> {
+        self.noted(self.inner.range_between(start, end, limit))
+            .boxed()
+    }
+
+    fn txn(&self, txn: Txn) -> BoxFuture<'_, Result<TxnReply, StoreError>> {
+        self.inner.txn(txn)
+    }
+
+    fn grant_lease(&self, ttl_s: u64) -> BoxFuture<'_, Result<Lease, StoreError>> {
+        self.inner.grant_lease(ttl_s)
+    }
+
+    fn renew_lease(&self, id: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
+        self.noted(self.inner.renew_lease(id)).boxed()
+    }
+
+    fn revoke_lease(&self, id: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
+        self.inner.revoke_lease(id)
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        since: StoreVersion,
+    ) -> BoxStream<'a, Result<Changes, StoreError>> {
+        let watch = self.inner.watch(prefix, since);
+        let answered = |changes: &Result<Changes, StoreError>| {
+            if changes.is_ok() {
+                self.health.note_answer();
+            }
+        };
+        watch.inspect(answered).boxed()
+    }
+}
--- a/src/traffic/follow.rs
+++ b/src/traffic/follow.rs
@@ -5,7 +5,7 @@
     crate::{
         membership::Backoff,
         node::Formats,
-        store::{Change, Entry, SharedStore, StoreError, StoreVersion},
+        store::{Change, Entry, SharedStore, StoreError, StoreVersion, live_watch},
     },
     bytes::Bytes,
     futures::StreamExt,
@@ -56,7 +56,7 @@
             Err(cause) => return cause,
         };
         backoff.reset();
-        let mut changes = self.store.watch(&key, since);
+        let mut changes = live_watch(&*self.store, &key, since);
         while let Some(batch) = changes.next().await {
             match batch {
                 Ok(batch) => {
--- a/tests/traffic_follow.rs
+++ b/tests/traffic_follow.rs
@@ -9,7 +9,7 @@
         node::{FormatError, Formats, StoreKeys},
         relay::{AnswerHead, CallHead, ForwardHead, HeadError},
         standin::kv::{KvFaults, MemoryStore},
-        store::{Op, Store, Txn},
+        store::{Op, Store, Txn, WATCH_SILENCE_MAX},
         traffic::{ConfigFollower, ConfigVersion, TrafficBoard, TrafficConfig},
     },
     hyper::{HeaderMap, http},
@@ -160,6 +160,22 @@
     assert!(reaches(&board, 2).await);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_silent_watch_is_given_up() {
+    let store = MemoryStore::new();
+    write(&store, KEY, "1").await;
+    let link = store.link();
+    let board = follow(&link);
+    assert!(reaches(&board, 1).await);
+    link.set_faults(KvFaults {
+        watch_silent: true,
+        ..KvFaults::default()
+    });
+    write(&store, KEY, "2").await;
+    sleep(WATCH_SILENCE_MAX).await;
+    assert!(reaches(&board, 2).await);
+}
+
 /// Seeded faults come and go; the version never falls, and the last one is in force soon after.
 #[tokio::test(start_paused = true)]
 async fn the_version_never_falls_and_catches_up_after_faults() {
