Keep what vanished in an outage for 2 s after it; learn from peers while cut off

List of runners. Grace for entries that vanished was given only by a read that followed a failed read of the same follower. Three ways round it, each with a test seen to fail with the old rule put back: - the store's leases lapse at its return, and the watch tells of it after the first good read (entries_that_lapse_at_the_return_of_the_store_stay_for_two_seconds); - the watch waits through the outage, so that no read of this follower fails (an_outage_that_other_calls_met_keeps_what_a_waiting_watch_tells_as_gone); - a second read within the grace (a_second_read_within_the_grace_takes_nothing_away). The end of the outage now comes from all reads and renewals of the process. A runner that leaves a store that has been stable for 3 s is out in under 1.9 s (a_runner_that_leaves_a_stable_store_...).

A node that the store turns away lapses from the others' lists, so they stopped telling it anything, and the newest version that it heard of was not used. Gossip now answers whoever was heard in the last 5 s, and begins with the seeds of the settings while no peer is known; a newer version that is heard of is fetched from its holder or any other peer, if the store does not give it within 0.4 s. A node that starts in an outage has the list of runners from a peer (control port, /runners) until it has read the store.

follow_runners became RunnerFollower, Gossip::new takes the seeds; the existing tests changed only in these calls.

--- a/src/discovery/runner_entry.rs
+++ b/src/discovery/runner_entry.rs
@@ -19,7 +19,7 @@
 }
 
 /// Whether a runner takes requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunnerState {
     /// It takes requests.
     Ready,
@@ -31,7 +31,7 @@
 }
 
 /// A model that a runner holds.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ResidentModel {
     /// The model.
     pub model: ModelId,
@@ -42,7 +42,7 @@
 }
 
 /// A runner's entry in the platform's list.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunnerEntry {
     /// The runner and its start.
     pub key: RunnerKey,
--- a/src/discovery/runner_list.rs
+++ b/src/discovery/runner_list.rs
@@ -37,10 +37,23 @@
         self.listed = kept;
     }
 
+    /// Takes over that a key was removed; its entry is gone, at once or after `grace_until`.
+    pub fn remove(&mut self, key: &str, grace_until: Option<Instant>) {
+        let Ok(position) = self.position(key) else {
+            return;
+        };
+        match grace_until {
+            Some(until) => {
+                self.listed[position].missing = true;
+                self.missing_until = Some(until);
+            }
+            None => drop(self.listed.remove(position)),
+        }
+    }
+
     /// Takes over what was written under a key; `None` names no runner.
     pub fn put(&mut self, key: &str, entry: Option<RunnerEntry>) {
-        let position = self.listed.binary_search_by(|l| l.key.as_str().cmp(key));
-        match (position, entry) {
+        match (self.position(key), entry) {
             (Ok(position), Some(entry)) => {
                 self.listed[position].entry = entry;
                 self.listed[position].missing = false;
@@ -58,11 +71,21 @@
         }
     }
 
+    fn position(&self, key: &str) -> Result<usize, usize> {
+        self.listed
+            .binary_search_by(|listed| listed.key.as_str().cmp(key))
+    }
+
     /// Returns when entries that vanished in an outage are gone.
     pub fn missing_until(&self) -> Option<Instant> {
         self.missing_until
     }
 
+    /// Keeps the entries that vanished in an outage for longer.
+    pub fn keep_missing_until(&mut self, until: Instant) {
+        self.missing_until = self.missing_until.map(|_| until);
+    }
+
     /// Drops the entries that vanished in an outage.
     pub fn drop_missing(&mut self) {
         self.listed.retain(|listed| !listed.missing);
--- a/src/gossip/gossip.rs
+++ b/src/gossip/gossip.rs
@@ -13,6 +13,7 @@
     },
     rand::RngExt,
     std::{
+        net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -53,6 +54,7 @@
     node: NodeName,
     start: u64,
     peers: watch::Receiver<Vec<PeerNode>>,
+    seeds: Vec<SocketAddr>,
     board: Arc<RunnerBoard>,
     socket: UdpSocket,
     outbox: Mutex<NoteOutbox>,
@@ -62,9 +64,12 @@
 
 impl Gossip {
     /// Makes the exchange of a node over a bound socket.
+    ///
+    /// The nodes at `seeds` are told while no peer is known.
     pub fn new(
         node: NodeName,
         peers: watch::Receiver<Vec<PeerNode>>,
+        seeds: Vec<SocketAddr>,
         board: Arc<RunnerBoard>,
         socket: UdpSocket,
     ) -> Arc<Self> {
@@ -72,6 +77,7 @@
             node,
             start: rand::rng().random(),
             peers,
+            seeds,
             board,
             socket,
             outbox: Mutex::default(),
@@ -140,11 +146,7 @@
         let loads = report.loads.into_iter();
         items.extend(loads.map(|(key, load)| Item::Load(key, load)));
         let datagrams = encode(&sender, items);
-        let addresses: Vec<_> = {
-            let peers = self.peers.borrow();
-            peers.iter().map(|peer| peer.gossip_address).collect()
-        };
-        for address in addresses {
+        for address in self.addresses() {
             for datagram in &datagrams {
                 if let Err(cause) = self.socket.send_to(datagram, address).await {
                     log::debug!("gossip: {address} cannot be told: {cause}");
@@ -153,11 +155,24 @@
         }
     }
 
+    /// Returns the peers, and those that were heard of late though the store does not list them.
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        let mut addresses: Vec<_> = peers.iter().map(|peer| peer.gossip_address).collect();
+        if addresses.is_empty() {
+            addresses.extend(&self.seeds);
+        }
+        addresses.extend(lock(&self.senders).addresses(Instant::now()));
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
     async fn take_datagrams(&self) {
         let mut buffer = vec![0; DATAGRAM_BYTES_MAX * 4];
         loop {
-            let read = match self.socket.recv_from(&mut buffer).await {
-                Ok((length, _)) => decode(&buffer[..length]),
+            let (read, address) = match self.socket.recv_from(&mut buffer).await {
+                Ok((length, address)) => (decode(&buffer[..length]), address),
                 Err(cause) => {
                     log::debug!("gossip: the socket failed: {cause}");
                     sleep(Duration::from_millis(SOCKET_PAUSE_MS)).await;
@@ -165,19 +180,19 @@
                 }
             };
             match read {
-                Ok(datagram) if datagram.sender.node != self.node => self.hear(datagram),
+                Ok(datagram) if datagram.sender.node != self.node => self.hear(datagram, address),
                 Ok(_) => {}
                 Err(cause) => log::debug!("gossip: {cause}"),
             }
         }
     }
 
-    fn hear(&self, datagram: Datagram) {
+    fn hear(&self, datagram: Datagram, address: SocketAddr) {
         let sender = datagram.sender;
         let mut report = NodeReport::default();
         {
             let mut senders = lock(&self.senders);
-            senders.hear(&sender, Instant::now());
+            senders.hear(&sender, address, Instant::now());
             for item in datagram.items {
                 match item {
                     Item::Load(key, load) => report.loads.push((key, load)),
--- a/src/gossip/sender_table.rs
+++ b/src/gossip/sender_table.rs
@@ -1,16 +1,25 @@
 //! What was heard from whom, so that a change counts once.
 
-use {super::Sender, crate::traffic::NodeName, std::time::Duration, tokio::time::Instant};
+use {
+    super::Sender,
+    crate::traffic::NodeName,
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::Instant,
+};
 
 /// How long a silent sender is remembered.
 const SILENT_S: u64 = 30;
 
+/// How long a sender is told as well though it is no known peer.
+const ANSWERED_S: u64 = 5;
+
 /// Senders that are remembered at most.
 const SENDERS_MAX: usize = 2_048;
 
 #[derive(Debug)]
 struct Known {
     node: NodeName,
+    address: SocketAddr,
     start: u64,
     highest: u64,
     /// One bit for each number below the highest.
@@ -26,7 +35,7 @@
 
 impl SenderTable {
     /// Notes a datagram of a sender.
-    pub(super) fn hear(&mut self, sender: &Sender, now: Instant) {
+    pub(super) fn hear(&mut self, sender: &Sender, address: SocketAddr, now: Instant) {
         match self
             .known
             .binary_search_by(|known| known.node.cmp(&sender.node))
@@ -34,6 +43,7 @@
             Ok(position) => {
                 let known = &mut self.known[position];
                 known.heard_at = now;
+                known.address = address;
                 if known.start != sender.start {
                     known.start = sender.start;
                     known.highest = 0;
@@ -43,6 +53,7 @@
             Err(position) if self.known.len() < SENDERS_MAX => {
                 let known = Known {
                     node: sender.node.clone(),
+                    address,
                     start: sender.start,
                     highest: 0,
                     seen: 0,
@@ -80,6 +91,16 @@
         new
     }
 
+    /// Returns where datagrams came from of late.
+    pub(super) fn addresses(&self, now: Instant) -> Vec<SocketAddr> {
+        let span = Duration::from_secs(ANSWERED_S);
+        let recent = self
+            .known
+            .iter()
+            .filter(|known| now < known.heard_at + span);
+        recent.map(|known| known.address).collect()
+    }
+
     pub(super) fn expire(&mut self, now: Instant) {
         let kept = Duration::from_secs(SILENT_S);
         self.known.retain(|known| now < known.heard_at + kept);
--- a/src/node/control_port.rs
+++ b/src/node/control_port.rs
@@ -6,6 +6,7 @@
         http::{Body, ListenerLimits, serve_http},
         traffic::TrafficBoard,
     },
+    bytes::Bytes,
     hyper::{Request, Response, StatusCode, body::Incoming},
     std::{future::ready, sync::Arc, time::Duration},
     tokio::net::TcpListener,
@@ -15,6 +16,9 @@
 /// The path of the published form of the configuration in force.
 pub const CONFIG_PATH: &str = "/configuration";
 
+/// The path of the list of runners.
+pub const RUNNERS_PATH: &str = "/runners";
+
 /// The limits of the control listener.
 const LIMITS: ListenerLimits = ListenerLimits {
     head_max_bytes: 16 * 1024,
@@ -48,11 +52,21 @@
                 Some(map) => Response::new(Body::from(map.source())),
                 None => status(StatusCode::NOT_FOUND),
             },
+            RUNNERS_PATH => self.runners(),
             "/healthz" => status(StatusCode::OK),
             "/metrics" => Response::new(Body::from((self.render_metrics)())),
             _ => status(StatusCode::NOT_FOUND),
         }
     }
+
+    fn runners(&self) -> Response<Body> {
+        let views = self.board.runners();
+        let entries: Vec<_> = views.iter().map(|view| &view.entry).collect();
+        match serde_json::to_vec(&entries) {
+            Ok(text) => Response::new(Body::from(Bytes::from(text))),
+            Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
+        }
+    }
 }
 
 fn status(status: StatusCode) -> Response<Body> {
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -1,15 +1,19 @@
 //! Runs a node as a process.
 
 use {
-    super::{ControlPort, NodeParts, NodeSettings, fetch_from_peers, stop_signal::stop_on_signal},
+    super::{
+        ControlPort, NodeParts, NodeSettings, PeerAddresses, PeerConfigFollower,
+        fetch_peer_runners, stop_signal::stop_on_signal,
+    },
     crate::{
         copies::OrderTask,
-        discovery::follow_runners,
+        discovery::RunnerFollower,
         dispatch::{Dispatcher, RunnerBoard},
         gossip::Gossip,
         http::{Readiness, serve_operations},
         leader::{Membership, PeerNode},
         relay::Relay,
+        store::{MonitoredStore, StoreHealth},
         telemetry::{init_logs, init_metrics, keep_up_metrics},
         traffic::{ConfigFollower, TrafficBoard},
     },
@@ -17,6 +21,7 @@
     thiserror::Error,
     tokio::{
         net::{TcpListener, UdpSocket},
+        sync::watch,
         time,
     },
     tokio_util::sync::CancellationToken,
@@ -57,8 +62,9 @@
     let stop = stop_on_signal().map_err(io_error("signals"))?;
     let node = Node::new(settings, parts);
     node.follow_platform();
-    node.give_orders(sockets.gossip);
-    node.ask_peers();
+    let gossip = node.gossip(sockets.gossip);
+    node.give_orders(gossip.clone());
+    node.follow_peers(&gossip);
     let relay = node.relay();
     let readiness = Readiness::default();
     let ended = CancellationToken::new();
@@ -97,13 +103,17 @@
 struct Node {
     settings: NodeSettings,
     parts: NodeParts,
+    store_health: Arc<StoreHealth>,
     traffic: Arc<TrafficBoard>,
     board: Arc<RunnerBoard>,
     membership: Membership,
 }
 
 impl Node {
-    fn new(settings: NodeSettings, parts: NodeParts) -> Self {
+    fn new(settings: NodeSettings, mut parts: NodeParts) -> Self {
+        let store = MonitoredStore::new(parts.store);
+        let store_health = store.health();
+        parts.store = Arc::new(store);
         let traffic = Arc::new(TrafficBoard::default());
         let board = RunnerBoard::new(settings.data_centre.clone(), traffic.clone());
         let membership = Membership::start(
@@ -115,6 +125,7 @@
         Self {
             settings,
             parts,
+            store_health,
             traffic,
             board: Arc::new(board),
             membership,
@@ -126,39 +137,60 @@
         let (store, formats) = (&self.parts.store, &self.parts.formats);
         let config = ConfigFollower::new(store.clone(), formats.clone(), self.traffic.clone());
         tokio::spawn(config.run());
-        let runners = follow_runners(store.clone(), formats.clone(), self.board.clone());
-        tokio::spawn(runners);
+        let (lists, peer_list) = watch::channel(Vec::new());
+        let runners = RunnerFollower::new(
+            store.clone(),
+            self.store_health.clone(),
+            formats.clone(),
+            self.board.clone(),
+            peer_list,
+        );
+        tokio::spawn(fetch_peer_runners(self.peers(), runners.is_read(), lists));
+        tokio::spawn(runners.run());
+    }
+
+    fn peers(&self) -> PeerAddresses {
+        PeerAddresses {
+            peers: self.membership.peers.clone(),
+            seeds: self.settings.seed_addresses.clone(),
+        }
     }
 
-    /// Exchanges state with the peers, and gives orders while this node leads.
-    fn give_orders(&self, socket: UdpSocket) {
+    /// Exchanges state with the peers.
+    fn gossip(&self, socket: UdpSocket) -> Arc<Gossip> {
+        let port = self.settings.gossip_port;
+        let seeds = self.settings.seed_addresses.iter();
+        let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), port)).collect();
         let node = self.settings.node.clone();
         let peers = self.membership.peers.clone();
-        let gossip = Gossip::new(node.clone(), peers, self.board.clone(), socket);
+        let gossip = Gossip::new(node, peers, seeds, self.board.clone(), socket);
         tokio::spawn(gossip.clone().run());
+        gossip
+    }
+
+    /// Gives orders while this node leads.
+    fn give_orders(&self, gossip: Arc<Gossip>) {
         let orders = OrderTask {
             board: self.board.clone(),
             traffic: self.traffic.clone(),
             control: self.parts.control.clone(),
             term: self.membership.term.clone(),
             listener: gossip,
-            node,
+            node: self.settings.node.clone(),
             bounds: self.settings.bounds,
         };
         tokio::spawn(orders.run());
     }
 
-    /// Asks peers and seeds for a configuration until there is one.
-    fn ask_peers(&self) {
-        let known = self.membership.peers.clone();
-        let seeds = self.settings.seed_addresses.clone();
-        let addresses = move || {
-            let peers = known.borrow();
-            let addresses = peers.iter().map(|peer| peer.control_address);
-            addresses.chain(seeds.iter().copied()).collect()
-        };
-        let formats = self.parts.formats.clone();
-        tokio::spawn(fetch_from_peers(formats, self.traffic.clone(), addresses));
+    /// Takes the configuration from peers where the store does not give it.
+    fn follow_peers(&self, gossip: &Gossip) {
+        let follower = PeerConfigFollower::new(
+            self.parts.formats.clone(),
+            self.traffic.clone(),
+            self.peers(),
+            gossip.newest_config(),
+        );
+        tokio::spawn(follower.run());
     }
 
     fn relay(&self) -> Arc<Relay> {
--- a/tests/discovery_follow.rs
+++ b/tests/discovery_follow.rs
@@ -7,16 +7,19 @@
     board_rig::*,
     bytes::Bytes,
     greengagetrail::{
-        discovery::{RunnerEntry, follow_runners},
+        discovery::{RunnerEntry, RunnerFollower},
         node::{FormatError, Formats, StoreKeys},
         relay::{AnswerHead, CallHead, ForwardHead, HeadError},
         standin::kv::{KvFaults, MemoryStore},
-        store::{LeaseId, Op, Store, Txn},
+        store::{LeaseId, MonitoredStore, Op, Store, Txn, WATCH_SILENCE_MAX},
         traffic::TrafficConfig,
     },
     hyper::{HeaderMap, http},
     std::{sync::Arc, time::Duration},
-    tokio::time::{Instant, sleep},
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep},
+    },
 };
 
 /// Reads entries of the form "BORN MODEL".
@@ -66,6 +69,9 @@
     store: MemoryStore,
     /// The node's side.
     link: MemoryStore,
+    /// The node's store with its record of outages.
+    monitored: Arc<MonitoredStore>,
+    peer_list: watch::Sender<Vec<RunnerEntry>>,
     rig: Rig,
 }
 
@@ -74,12 +80,26 @@
     for (name, value) in entries {
         put(&store, name, value, None).await;
     }
-    let link = store.link();
-    let rig = rig(Vec::new());
-    let (shared, formats) = (Arc::new(link.clone()), Arc::new(TextFormats));
-    tokio::spawn(follow_runners(shared, formats, rig.board.clone()));
+    let follow = follow_on(store.clone(), store.link()).await;
     sleep(ms(50)).await;
-    Follow { store, link, rig }
+    follow
+}
+
+async fn follow_on(store: MemoryStore, link: MemoryStore) -> Follow {
+    let rig = rig(Vec::new());
+    let monitored = Arc::new(MonitoredStore::new(Arc::new(link.clone())));
+    let (peer_list, lists) = watch::channel(Vec::new());
+    let (health, formats) = (monitored.health(), Arc::new(TextFormats));
+    let board = rig.board.clone();
+    let follower = RunnerFollower::new(monitored.clone(), health, formats, board, lists);
+    tokio::spawn(follower.run());
+    Follow {
+        store,
+        link,
+        monitored,
+        peer_list,
+        rig,
+    }
 }
 
 async fn put(store: &MemoryStore, name: &str, value: &str, lease: Option<LeaseId>) {
@@ -195,6 +215,112 @@
     assert_eq!(follow.names(), "b1");
 }
 
+/// Leases that the store ends at its return, told by a watch after the first read.
+#[tokio::test(start_paused = true)]
+async fn entries_that_lapse_at_the_return_of_the_store_stay_for_two_seconds() {
+    let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
+    follow.link.set_faults(DOWN);
+    sleep(ms(5_000)).await;
+    follow.link.set_faults(KvFaults::default());
+    sleep(ms(1_100)).await;
+    remove(&follow.store, "a").await;
+    remove(&follow.store, "b").await;
+    sleep(ms(300)).await;
+    assert_eq!(follow.names(), "a1 b1");
+    put(&follow.store, "b", "1 m1", None).await;
+    sleep(ms(2_000)).await;
+    assert_eq!(follow.names(), "b1");
+}
+
+/// The watch waits through the outage, so that only a call beside it meets the outage.
+#[tokio::test(start_paused = true)]
+async fn an_outage_that_other_calls_met_keeps_what_a_waiting_watch_tells_as_gone() {
+    let follow = follow(&[("a", "1 m1")]).await;
+    sleep(ms(5_000)).await;
+    follow.link.set_faults(KvFaults {
+        silent: true,
+        ..KvFaults::default()
+    });
+    assert!(follow.monitored.range("own/", 1).await.is_err());
+    remove(&follow.store, "a").await;
+    follow.link.set_faults(KvFaults::default());
+    sleep(ms(300)).await;
+    assert_eq!(follow.names(), "a1");
+    sleep(ms(2_000)).await;
+    assert_eq!(follow.names(), "");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_that_leaves_a_stable_store_is_out_within_the_time_to_drain() {
+    let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
+    follow.link.set_faults(DOWN);
+    sleep(ms(5_000)).await;
+    follow.link.set_faults(KvFaults::default());
+    // From then on the store counts as stable.
+    sleep(ms(3_000)).await;
+    let left_at = Instant::now();
+    remove(&follow.store, "a").await;
+    while follow.names() != "b1" {
+        assert!(left_at.elapsed() < ms(1_900));
+        sleep(ms(10)).await;
+    }
+}
+
+/// The watch is cut again within the grace; the entry must not go any sooner.
+#[tokio::test(start_paused = true)]
+async fn a_second_read_within_the_grace_takes_nothing_away() {
+    let follow = follow(&[("a", "1 m1")]).await;
+    follow.link.set_faults(DOWN);
+    sleep(ms(100)).await;
+    remove(&follow.store, "a").await;
+    sleep(ms(3_000)).await;
+    follow.link.set_faults(KvFaults::default());
+    sleep(ms(1_050)).await;
+    follow.store.restore(follow.store.copy_state());
+    sleep(ms(450)).await;
+    assert_eq!(follow.names(), "a1");
+    sleep(ms(2_000)).await;
+    assert_eq!(follow.names(), "");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_watch_is_given_up() {
+    let follow = follow(&[("a", "1 m1")]).await;
+    follow.link.set_faults(KvFaults {
+        watch_silent: true,
+        ..KvFaults::default()
+    });
+    put(&follow.store, "b", "1 m1", None).await;
+    sleep(WATCH_SILENCE_MAX + ms(1_500)).await;
+    assert_eq!(follow.names(), "a1 b1");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_starts_in_an_outage_takes_the_list_of_a_peer() {
+    let store = MemoryStore::new();
+    let link = store.link();
+    link.set_faults(DOWN);
+    let follow = follow_on(store, link).await;
+    sleep(ms(2_000)).await;
+    assert_eq!(follow.names(), "");
+    let list = vec![runner("a", &[("m1", &[])]), runner("b", &[("m1", &[])])];
+    follow.peer_list.send_replace(list.clone());
+    sleep(ms(10)).await;
+    assert_eq!(follow.names(), "a1 b1");
+    // The store returns with one entry only; the other one has the grace of an outage.
+    put(&follow.store, "a", "1 m1", None).await;
+    follow.link.set_faults(KvFaults::default());
+    sleep(ms(1_500)).await;
+    assert_eq!(follow.names(), "a1 b1");
+    sleep(ms(2_000)).await;
+    assert_eq!(follow.names(), "a1");
+    // Once the store was read, it alone counts.
+    follow.link.set_faults(DOWN);
+    follow.peer_list.send_replace(list);
+    sleep(ms(5_000)).await;
+    assert_eq!(follow.names(), "a1");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_watch_that_was_cut_without_an_outage_keeps_nothing_alive() {
     let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
--- a/tests/gossip_exchange.rs
+++ b/tests/gossip_exchange.rs
@@ -160,7 +160,7 @@
     };
     let (sender, peers) = watch::channel(vec![peer]);
     std::mem::forget(sender);
-    let gossip = Gossip::new(name.into(), peers, rig.board.clone(), socket);
+    let gossip = Gossip::new(name.into(), peers, Vec::new(), rig.board.clone(), socket);
     tokio::spawn(gossip.clone().run());
     Node {
         rig,
--- /dev/null
+++ b/tests/node_peers.rs
@@ -0,0 +1,286 @@
+//! What a node learns from its peers while it does not reach the store.
+
+#[path = "common/board_rig.rs"]
+mod board_rig;
+#[path = "common/traffic_configs.rs"]
+mod traffic_configs;
+
+use {
+    board_rig::{Rig, rig, runner, wanted},
+    bytes::Bytes,
+    greengagetrail::{
+        discovery::{RunnerEntry, RunnerFollower},
+        gossip::{Gossip, PeerConfig},
+        leader::PeerNode,
+        node::{
+            ControlPort, FormatError, Formats, PeerAddresses, PeerConfigFollower, StoreKeys,
+            fetch_peer_runners,
+        },
+        relay::{AnswerHead, CallHead, ForwardHead, HeadError},
+        standin::kv::{KvFaults, MemoryStore},
+        store::MonitoredStore,
+        traffic::{ConfigVersion, NodeName, RouteMap, TrafficBoard, TrafficConfig},
+    },
+    hyper::{HeaderMap, http},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, UdpSocket},
+        sync::watch,
+        time::{Instant, sleep},
+    },
+    tokio_util::sync::{CancellationToken, DropGuard},
+};
+
+/// Configurations that are no more than their version in digits.
+struct VersionFormats;
+
+impl Formats for VersionFormats {
+    fn keys(&self) -> StoreKeys {
+        StoreKeys {
+            config: "configuration".to_owned(),
+            runners_prefix: "runners/".to_owned(),
+            own_prefix: "own/".to_owned(),
+        }
+    }
+
+    fn read_config(&self, bytes: &[u8]) -> Result<TrafficConfig, FormatError> {
+        let text = String::from_utf8_lossy(bytes);
+        let version = text.parse().map_err(|_| FormatError {
+            what: "configuration",
+            reason: text.into_owned(),
+        })?;
+        Ok(traffic_configs::config(version, Vec::new()))
+    }
+
+    fn read_runner(&self, _key: &str, _bytes: &[u8]) -> Result<RunnerEntry, FormatError> {
+        unreachable!()
+    }
+
+    fn read_call(&self, _head: &http::request::Parts) -> Result<CallHead, HeadError> {
+        unreachable!()
+    }
+
+    fn write_forward(&self, _headers: &mut HeaderMap, _forward: &ForwardHead) {}
+
+    fn read_answer(&self, _head: &http::response::Parts) -> AnswerHead {
+        unreachable!()
+    }
+
+    fn write_retry_after(&self, _headers: &mut HeaderMap, _after_ms: u64) {}
+}
+
+/// A node with its control port, which a test can bring to any version.
+struct Peer {
+    traffic: Arc<TrafficBoard>,
+    control: SocketAddr,
+    _serving: DropGuard,
+}
+
+impl Peer {
+    async fn start(runners: Vec<RunnerEntry>) -> Self {
+        let traffic = Arc::new(TrafficBoard::default());
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let control = listener.local_addr().unwrap();
+        let port = ControlPort {
+            traffic: traffic.clone(),
+            board: rig(runners).board,
+            render_metrics: Arc::new(String::new),
+        };
+        let stop = CancellationToken::new();
+        tokio::spawn(port.serve(listener, stop.clone()));
+        Self {
+            traffic,
+            control,
+            _serving: stop.drop_guard(),
+        }
+    }
+
+    fn put_in_force(&self, version: u64) {
+        let source = Bytes::from(version.to_string());
+        let config = traffic_configs::config(version, Vec::new());
+        assert!(self.traffic.offer(RouteMap::new(config, source)));
+    }
+
+    fn listed(&self, name: &str) -> PeerNode {
+        PeerNode {
+            name: name.into(),
+            gossip_address: nowhere(),
+            control_address: self.control,
+        }
+    }
+}
+
+/// An address at which nothing listens.
+fn nowhere() -> SocketAddr {
+    "127.0.0.1:9".parse().unwrap()
+}
+
+fn addresses(peers: Vec<PeerNode>, seeds: Vec<SocketAddr>) -> PeerAddresses {
+    let peers = watch::Sender::new(peers).subscribe();
+    PeerAddresses { peers, seeds }
+}
+
+fn heard(node: &str, version: u64) -> Option<PeerConfig> {
+    Some(PeerConfig {
+        node: node.into(),
+        version: ConfigVersion(version),
+    })
+}
+
+/// Follows the configurations of peers; returns the node's board and what it hears.
+fn follow_peers(peers: PeerAddresses) -> (Arc<TrafficBoard>, watch::Sender<Option<PeerConfig>>) {
+    let traffic = Arc::new(TrafficBoard::default());
+    let newest = watch::Sender::new(None);
+    let formats = Arc::new(VersionFormats);
+    let follower = PeerConfigFollower::new(formats, traffic.clone(), peers, newest.subscribe());
+    tokio::spawn(follower.run());
+    (traffic, newest)
+}
+
+async fn until(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < Duration::from_secs(10), "{what}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_newer_configuration_that_is_heard_of_is_taken_and_never_an_older_one() {
+    let (ahead, behind) = (Peer::start(Vec::new()).await, Peer::start(Vec::new()).await);
+    ahead.put_in_force(1);
+    behind.put_in_force(1);
+    let peers = addresses(
+        vec![behind.listed("behind"), ahead.listed("ahead")],
+        Vec::new(),
+    );
+    let (traffic, newest) = follow_peers(peers);
+    let has = |version| traffic.version() == Some(ConfigVersion(version));
+    until("the first configuration", || has(1)).await;
+    ahead.put_in_force(7);
+    newest.send_replace(heard("ahead", 7));
+    until("the newer configuration", || has(7)).await;
+    // What is heard may be wrong: no version above 7 can be had, and older ones are not taken.
+    newest.send_replace(heard("behind", 9));
+    sleep(Duration::from_millis(1_500)).await;
+    assert!(has(7));
+    behind.put_in_force(9);
+    until("the newest configuration", || has(9)).await;
+}
+
+#[tokio::test]
+async fn a_configuration_whose_teller_is_gone_is_had_from_another_peer() {
+    let peer = Peer::start(Vec::new()).await;
+    peer.put_in_force(3);
+    let gone = PeerNode {
+        control_address: nowhere(),
+        ..peer.listed("gone")
+    };
+    let (traffic, newest) = follow_peers(addresses(vec![gone, peer.listed("other")], Vec::new()));
+    newest.send_replace(heard("gone", 3));
+    until("the configuration", || {
+        traffic.version() == Some(ConfigVersion(3))
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_node_that_starts_in_an_outage_has_configuration_and_runners_from_a_seed() {
+    let runners = vec![runner("a", &[("m1", &["x"])]), runner("b", &[("m2", &[])])];
+    let seed = Peer::start(runners.clone()).await;
+    seed.put_in_force(5);
+    let peers = addresses(Vec::new(), vec![nowhere(), seed.control]);
+    let (traffic, _newest) = follow_peers(peers.clone());
+    let link = MemoryStore::new().link();
+    link.set_faults(KvFaults {
+        down: true,
+        ..KvFaults::default()
+    });
+    let store = Arc::new(MonitoredStore::new(Arc::new(link)));
+    let board = rig(Vec::new()).board;
+    let (lists, list) = watch::channel(Vec::new());
+    let (health, formats) = (store.health(), Arc::new(VersionFormats));
+    let follower = RunnerFollower::new(store, health, formats, board.clone(), list);
+    tokio::spawn(fetch_peer_runners(peers, follower.is_read(), lists));
+    tokio::spawn(follower.run());
+    assert_eq!(traffic.version(), None);
+    until("the configuration", || {
+        traffic.version() == Some(ConfigVersion(5))
+    })
+    .await;
+    until("the runners", || board.runners().len() == 2).await;
+    let views = board.runners().into_iter();
+    let known: Vec<_> = views.map(|view| view.entry).collect();
+    assert_eq!(known, runners);
+}
+
+struct Gossiper {
+    rig: Rig,
+    gossip: Arc<Gossip>,
+    address: SocketAddr,
+}
+
+async fn gossiper(name: &str, peers: Vec<PeerNode>, seeds: Vec<SocketAddr>) -> Gossiper {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let address = socket.local_addr().unwrap();
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    let peers = watch::Sender::new(peers);
+    let gossip = Gossip::new(
+        name.into(),
+        peers.subscribe(),
+        seeds,
+        rig.board.clone(),
+        socket,
+    );
+    std::mem::forget(peers);
+    tokio::spawn(gossip.clone().run());
+    Gossiper {
+        rig,
+        gossip,
+        address,
+    }
+}
+
+impl Gossiper {
+    fn heard_from(&self) -> Option<NodeName> {
+        let newest = self.gossip.newest_config();
+        newest.borrow().as_ref().map(|config| config.node.clone())
+    }
+
+    async fn hears_load_of(&self, other: &Self) {
+        let place = other.rig.dispatcher.place(&wanted("m1")).await.unwrap();
+        let in_flight = || self.rig.board.runners()[0].in_flight;
+        until("the load is told", || in_flight() == 1).await;
+        drop(place);
+        until("its end is told", || in_flight() == 0).await;
+    }
+}
+
+/// The lease of a node that is cut from the store lapses, and the others no longer list it.
+#[tokio::test]
+async fn a_node_that_the_others_no_longer_list_still_hears_them() {
+    let others = gossiper("listed", Vec::new(), Vec::new()).await;
+    let listed = PeerNode {
+        name: "listed".into(),
+        gossip_address: others.address,
+        control_address: nowhere(),
+    };
+    let cut = gossiper("cut", vec![listed], Vec::new()).await;
+    until("the configuration is told", || {
+        cut.heard_from() == Some("listed".into())
+    })
+    .await;
+    cut.hears_load_of(&others).await;
+}
+
+#[tokio::test]
+async fn a_node_that_starts_in_an_outage_exchanges_its_state_with_seeds() {
+    let seed = gossiper("seed", Vec::new(), Vec::new()).await;
+    let started = gossiper("started", Vec::new(), vec![nowhere(), seed.address]).await;
+    until("the configuration is told", || {
+        started.heard_from() == Some("seed".into())
+    })
+    .await;
+    started.hears_load_of(&seed).await;
+    seed.hears_load_of(&started).await;
+}
