Take newer lists of runners from peers while the store does not answer

A node that the store turns away heard of runners that leave, but of none that come; after a release it would be without runners. It asks one peer a second for a list of a higher version of the store. By version, as a peer that is cut off itself may still list what this node saw leave. Ruled out: lists in datagrams (they do not fit), and asking all peers (in an outage for all nodes, each would fetch all lists each second to no end; now a peer without news answers 204).

Tests: a_node_that_is_cut_off_takes_newer_lists_only, a_newer_list_of_a_peer_counts_while_the_watch_is_silent (both for code that was not there before).

--- a/src/discovery/runner_follower.rs
+++ b/src/discovery/runner_follower.rs
@@ -1,7 +1,7 @@
 //! Follows the platform's list of runners.
 
 use {
-    super::{RunnerEntry, RunnerList},
+    super::{ListedRunners, RunnerEntry, RunnerList},
     crate::{
         dispatch::RunnerBoard,
         node::Formats,
@@ -34,8 +34,7 @@
 
 /// Keeps a board's list of runners equal to the platform's.
 ///
-/// While the store does not answer, what is known stays; until it first did, the list of a peer
-/// is taken.
+/// While the store does not answer, what is known stays, unless a peer has a newer list.
 pub struct RunnerFollower {
     store: SharedStore,
     health: Arc<StoreHealth>,
@@ -43,8 +42,9 @@
     board: Arc<RunnerBoard>,
     prefix: String,
     list: RunnerList,
-    peer_list: watch::Receiver<Vec<RunnerEntry>>,
-    is_read: watch::Sender<bool>,
+    peer_list: watch::Receiver<ListedRunners>,
+    /// The version of the store up to which the list is known.
+    version: watch::Sender<StoreVersion>,
 }
 
 impl RunnerFollower {
@@ -54,7 +54,7 @@
         health: Arc<StoreHealth>,
         formats: Arc<dyn Formats>,
         board: Arc<RunnerBoard>,
-        peer_list: watch::Receiver<Vec<RunnerEntry>>,
+        peer_list: watch::Receiver<ListedRunners>,
     ) -> Self {
         Self {
             store,
@@ -64,13 +64,13 @@
             board,
             list: RunnerList::default(),
             peer_list,
-            is_read: watch::Sender::new(false),
+            version: watch::Sender::default(),
         }
     }
 
-    /// Returns whether the list was read from the store.
-    pub fn is_read(&self) -> watch::Receiver<bool> {
-        self.is_read.subscribe()
+    /// Returns the version of the store up to which the list is known; 0 before there is one.
+    pub fn version(&self) -> watch::Receiver<StoreVersion> {
+        self.version.subscribe()
     }
 
     /// Follows the store for ever.
@@ -111,8 +111,7 @@
             }
         }
         self.list.replace(read, self.grace_until());
-        self.is_read.send_replace(true);
-        self.publish();
+        self.publish(since);
         Ok(since)
     }
 
@@ -124,46 +123,56 @@
         loop {
             let changes = tokio::select! {
                 answer = watch.next() => match answer {
-                    Some(Ok(changes)) => changes.changes,
+                    Some(Ok(changes)) => changes,
                     Some(Err(cause)) => return WatchEnd { answered, cause },
                     None => {
                         let cause = StoreError::Unknown("the watch ended".to_owned());
                         return WatchEnd { answered, cause };
                     }
                 },
+                Ok(()) = self.peer_list.changed() => {
+                    if self.take_peer_list() {
+                        // What the watch would tell next may be older.
+                        let cause = StoreError::Unknown("a peer knows more".to_owned());
+                        return WatchEnd { answered, cause };
+                    }
+                    continue;
+                }
                 () = wait_until(self.list.missing_until()) => {
                     self.drop_missing();
                     continue;
                 }
             };
             answered = true;
-            if changes.is_empty() {
+            if changes.changes.is_empty() {
+                self.version.send_replace(changes.version);
                 continue;
             }
-            for change in changes {
+            for change in changes.changes {
                 self.apply(change);
             }
-            self.publish();
-            self.pause(PAUSE_MS).await;
+            self.publish(changes.version);
+            self.pause().await;
         }
     }
 
-    /// Pauses while no watch runs; until the store was read, lists of a peer are taken meanwhile.
+    /// Pauses while no watch runs; newer lists of peers are taken meanwhile.
     async fn pause_outside(&mut self, ms: u64) {
-        if *self.is_read.borrow() {
-            return self.pause(ms).await;
-        }
         let until = Instant::now() + Duration::from_millis(ms);
         loop {
             tokio::select! {
                 () = sleep_until(until) => return,
-                Ok(()) = self.peer_list.changed() => self.take_peer_list(),
+                () = wait_until(self.list.missing_until()) => self.drop_missing(),
+                Ok(()) = self.peer_list.changed() => {
+                    self.take_peer_list();
+                },
             }
         }
     }
 
-    async fn pause(&mut self, ms: u64) {
-        let until = Instant::now() + Duration::from_millis(ms);
+    /// Pauses while changes gather.
+    async fn pause(&mut self) {
+        let until = Instant::now() + Duration::from_millis(PAUSE_MS);
         if let Some(missing_until) = self.list.missing_until().filter(|m| *m <= until) {
             sleep_until(missing_until).await;
             self.drop_missing();
@@ -171,15 +180,21 @@
         sleep_until(until).await;
     }
 
-    /// Takes a peer's list; what the store then lacks has the grace of an outage.
-    fn take_peer_list(&mut self) {
-        let entries = self.peer_list.borrow_and_update().clone();
-        let keyed = entries.into_iter().map(|entry| {
+    /// Takes a peer's list if it is newer, so that no runner that is known to be gone comes back.
+    ///
+    /// Returns whether it was taken.
+    fn take_peer_list(&mut self) -> bool {
+        let list = self.peer_list.borrow_and_update().clone();
+        if !list.is_newer_than(*self.version.borrow()) {
+            return false;
+        }
+        let keyed = list.runners.into_iter().map(|entry| {
             let key = format!("{}{}", self.prefix, entry.key.id);
             (key, entry)
         });
         self.list.replace(keyed.collect(), None);
-        self.publish();
+        self.publish(StoreVersion(list.store_version));
+        true
     }
 
     /// Drops the entries that vanished in an outage, unless another one began meanwhile.
@@ -188,7 +203,7 @@
             Some(until) => self.list.keep_missing_until(until),
             None => {
                 self.list.drop_missing();
-                self.publish();
+                self.board.set_runners(self.list.entries());
             }
         }
     }
@@ -215,8 +230,10 @@
             .ok()
     }
 
-    fn publish(&self) {
+    /// Hands the list to the board, which then shows at least `version` of the store.
+    fn publish(&self, version: StoreVersion) {
         self.board.set_runners(self.list.entries());
+        self.version.send_replace(version);
     }
 }
 
--- a/src/node/control_port.rs
+++ b/src/node/control_port.rs
@@ -2,14 +2,16 @@
 
 use {
     crate::{
+        discovery::ListedRunners,
         dispatch::RunnerBoard,
         http::{Body, ListenerLimits, serve_http},
+        store::StoreVersion,
         traffic::TrafficBoard,
     },
     bytes::Bytes,
-    hyper::{Request, Response, StatusCode, body::Incoming},
+    hyper::{Request, Response, StatusCode, Uri, body::Incoming},
     std::{future::ready, sync::Arc, time::Duration},
-    tokio::net::TcpListener,
+    tokio::{net::TcpListener, sync::watch},
     tokio_util::sync::CancellationToken,
 };
 
@@ -35,6 +37,8 @@
     pub traffic: Arc<TrafficBoard>,
     /// The runners.
     pub board: Arc<RunnerBoard>,
+    /// The version of the store up to which they are known.
+    pub runners_version: watch::Receiver<StoreVersion>,
     /// Renders the metrics.
     pub render_metrics: Arc<dyn Fn() -> String + Send + Sync>,
 }
@@ -42,33 +46,49 @@
 impl ControlPort {
     /// Serves until `stop`.
     pub async fn serve(self, listener: TcpListener, stop: CancellationToken) {
-        let handle = move |request: Request<Incoming>| ready(self.answer(request.uri().path()));
+        let handle = move |request: Request<Incoming>| ready(self.answer(request.uri()));
         serve_http(listener, LIMITS, stop, handle).await;
     }
 
-    fn answer(&self, path: &str) -> Response<Body> {
-        match path {
+    fn answer(&self, uri: &Uri) -> Response<Body> {
+        match uri.path() {
             CONFIG_PATH => match self.traffic.current() {
                 Some(map) => Response::new(Body::from(map.source())),
                 None => status(StatusCode::NOT_FOUND),
             },
-            RUNNERS_PATH => self.runners(),
+            RUNNERS_PATH => self.runners(after(uri)),
             "/healthz" => status(StatusCode::OK),
             "/metrics" => Response::new(Body::from((self.render_metrics)())),
             _ => status(StatusCode::NOT_FOUND),
         }
     }
 
-    fn runners(&self) -> Response<Body> {
-        let views = self.board.runners();
-        let entries: Vec<_> = views.iter().map(|view| &view.entry).collect();
-        match serde_json::to_vec(&entries) {
+    /// Answers with the list of runners if it is newer than a version of the store.
+    fn runners(&self, after: StoreVersion) -> Response<Body> {
+        // Read before the list, which may only be newer than it says.
+        let version = *self.runners_version.borrow();
+        if version <= after {
+            return status(StatusCode::NO_CONTENT);
+        }
+        let views = self.board.runners().into_iter();
+        let list = ListedRunners {
+            store_version: version.0,
+            runners: views.map(|view| view.entry).collect(),
+        };
+        match serde_json::to_vec(&list) {
             Ok(text) => Response::new(Body::from(Bytes::from(text))),
             Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
         }
     }
 }
 
+/// Reads the version after which a list is asked for.
+fn after(uri: &Uri) -> StoreVersion {
+    let text = uri.query().and_then(|query| query.strip_prefix("after="));
+    let version = text.and_then(|text| text.parse().ok());
+    version.map_or(StoreVersion::default(), StoreVersion)
+}
+
 fn status(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::empty());
     *response.status_mut() = status;
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -3,17 +3,17 @@
 use {
     super::{
         ControlPort, NodeParts, NodeSettings, PeerAddresses, PeerConfigFollower,
-        fetch_peer_runners, stop_signal::stop_on_signal,
+        PeerRunnersFollower, stop_signal::stop_on_signal,
     },
     crate::{
         copies::OrderTask,
-        discovery::RunnerFollower,
+        discovery::{ListedRunners, RunnerFollower},
         dispatch::{Dispatcher, RunnerBoard},
         gossip::Gossip,
         http::{Readiness, serve_operations},
         leader::{Membership, PeerNode},
         relay::Relay,
-        store::{MonitoredStore, StoreHealth},
+        store::{MonitoredStore, StoreHealth, StoreVersion},
         telemetry::{init_logs, init_metrics, keep_up_metrics},
         traffic::{ConfigFollower, TrafficBoard},
     },
@@ -61,7 +61,7 @@
     tokio::spawn(keep_up_metrics(metrics.clone()));
     let stop = stop_on_signal().map_err(io_error("signals"))?;
     let node = Node::new(settings, parts);
-    node.follow_platform();
+    let runners_version = node.follow_platform();
     let gossip = node.gossip(sockets.gossip);
     node.give_orders(gossip.clone());
     node.follow_peers(&gossip);
@@ -78,6 +78,7 @@
     let control = ControlPort {
         traffic: node.traffic.clone(),
         board: node.board.clone(),
+        runners_version,
         render_metrics: Arc::new(render),
     };
     tokio::spawn(control.serve(sockets.control, ended.clone()));
@@ -133,11 +134,13 @@
     }
 
     /// Follows the configuration and the list of runners.
-    fn follow_platform(&self) {
+    ///
+    /// Returns the version of the store up to which the runners are known.
+    fn follow_platform(&self) -> watch::Receiver<StoreVersion> {
         let (store, formats) = (&self.parts.store, &self.parts.formats);
         let config = ConfigFollower::new(store.clone(), formats.clone(), self.traffic.clone());
         tokio::spawn(config.run());
-        let (lists, peer_list) = watch::channel(Vec::new());
+        let (lists, peer_list) = watch::channel(ListedRunners::default());
         let runners = RunnerFollower::new(
             store.clone(),
             self.store_health.clone(),
@@ -145,8 +148,12 @@
             self.board.clone(),
             peer_list,
         );
-        tokio::spawn(fetch_peer_runners(self.peers(), runners.is_read(), lists));
+        let version = runners.version();
+        let (peers, health) = (self.peers(), self.store_health.clone());
+        let from_peers = PeerRunnersFollower::new(peers, health, version.clone(), lists);
+        tokio::spawn(from_peers.run());
         tokio::spawn(runners.run());
+        version
     }
 
     fn peers(&self) -> PeerAddresses {
--- a/src/store/monitored_store.rs
+++ b/src/store/monitored_store.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Returns whether the latest call had no answer.
+    pub fn is_out(&self) -> bool {
+        self.lock().is_out
+    }
+
     fn note<T>(&self, answer: &Result<T, StoreError>) {
         match answer {
             Ok(_) | Err(StoreError::LeaseLapsed(_) | StoreError::Compacted) => self.note_answer(),
--- a/tests/discovery_follow.rs
+++ b/tests/discovery_follow.rs
@@ -7,11 +7,11 @@
     board_rig::*,
     bytes::Bytes,
     greengagetrail::{
-        discovery::{RunnerEntry, RunnerFollower},
+        discovery::{ListedRunners, RunnerEntry, RunnerFollower},
         node::{FormatError, Formats, StoreKeys},
         relay::{AnswerHead, CallHead, ForwardHead, HeadError},
         standin::kv::{KvFaults, MemoryStore},
-        store::{LeaseId, MonitoredStore, Op, Store, Txn, WATCH_SILENCE_MAX},
+        store::{LeaseId, MonitoredStore, Op, Store, StoreVersion, Txn, WATCH_SILENCE_MAX},
         traffic::TrafficConfig,
     },
     hyper::{HeaderMap, http},
@@ -71,7 +71,8 @@
     link: MemoryStore,
     /// The node's store with its record of outages.
     monitored: Arc<MonitoredStore>,
-    peer_list: watch::Sender<Vec<RunnerEntry>>,
+    peer_list: watch::Sender<ListedRunners>,
+    version: watch::Receiver<StoreVersion>,
     rig: Rig,
 }
 
@@ -88,16 +89,18 @@
 async fn follow_on(store: MemoryStore, link: MemoryStore) -> Follow {
     let rig = rig(Vec::new());
     let monitored = Arc::new(MonitoredStore::new(Arc::new(link.clone())));
-    let (peer_list, lists) = watch::channel(Vec::new());
+    let (peer_list, lists) = watch::channel(ListedRunners::default());
     let (health, formats) = (monitored.health(), Arc::new(TextFormats));
     let board = rig.board.clone();
     let follower = RunnerFollower::new(monitored.clone(), health, formats, board, lists);
+    let version = follower.version();
     tokio::spawn(follower.run());
     Follow {
         store,
         link,
         monitored,
         peer_list,
+        version,
         rig,
     }
 }
@@ -303,22 +306,60 @@
     let follow = follow_on(store, link).await;
     sleep(ms(2_000)).await;
     assert_eq!(follow.names(), "");
-    let list = vec![runner("a", &[("m1", &[])]), runner("b", &[("m1", &[])])];
-    follow.peer_list.send_replace(list.clone());
+    follow.peer_list.send_replace(listed(1, &["a", "b"]));
     sleep(ms(10)).await;
     assert_eq!(follow.names(), "a1 b1");
     // The store returns with one entry only; the other one has the grace of an outage.
+    put(&follow.store, "c", "1 m1", None).await;
     put(&follow.store, "a", "1 m1", None).await;
     follow.link.set_faults(KvFaults::default());
     sleep(ms(1_500)).await;
-    assert_eq!(follow.names(), "a1 b1");
+    assert_eq!(follow.names(), "a1 b1 c1");
     sleep(ms(2_000)).await;
-    assert_eq!(follow.names(), "a1");
-    // Once the store was read, it alone counts.
+    assert_eq!(follow.names(), "a1 c1");
+}
+
+fn listed(store_version: i64, names: &[&str]) -> ListedRunners {
+    let runners = names.iter().map(|name| runner(name, &[("m1", &[])]));
+    ListedRunners {
+        store_version,
+        runners: runners.collect(),
+    }
+}
+
+/// What a node itself saw go must not come back by the list of a peer that knows less.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_is_cut_off_takes_newer_lists_only() {
+    let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
+    remove(&follow.store, "a").await;
+    sleep(ms(1_000)).await;
+    assert_eq!(follow.names(), "b1");
     follow.link.set_faults(DOWN);
-    follow.peer_list.send_replace(list);
-    sleep(ms(5_000)).await;
-    assert_eq!(follow.names(), "a1");
+    let known = follow.version.borrow().0;
+    follow.peer_list.send_replace(listed(known, &["a", "b"]));
+    sleep(ms(2_000)).await;
+    assert_eq!(follow.names(), "b1");
+    follow
+        .peer_list
+        .send_replace(listed(known + 1, &["b", "c"]));
+    sleep(ms(2_000)).await;
+    assert_eq!(follow.names(), "b1 c1");
+    assert_eq!(follow.version.borrow().0, known + 1);
+}
+
+/// The store accepts calls and answers none, and the watch waits.
+#[tokio::test(start_paused = true)]
+async fn a_newer_list_of_a_peer_counts_while_the_watch_is_silent() {
+    let follow = follow(&[("a", "1 m1")]).await;
+    let known = follow.version.borrow().0;
+    follow.link.set_faults(KvFaults {
+        silent: true,
+        ..KvFaults::default()
+    });
+    sleep(ms(2_000)).await;
+    follow.peer_list.send_replace(listed(known + 1, &["b"]));
+    sleep(ms(10)).await;
+    assert_eq!(follow.names(), "b1");
 }
 
 #[tokio::test(start_paused = true)]
--- a/tests/node_peers.rs
+++ b/tests/node_peers.rs
@@ -9,16 +9,17 @@
     board_rig::{Rig, rig, runner, wanted},
     bytes::Bytes,
     greengagetrail::{
-        discovery::{RunnerEntry, RunnerFollower},
+        discovery::{ListedRunners, RunnerEntry, RunnerFollower},
+        dispatch::RunnerBoard,
         gossip::{Gossip, PeerConfig},
         leader::PeerNode,
         node::{
-            ControlPort, FormatError, Formats, PeerAddresses, PeerConfigFollower, StoreKeys,
-            fetch_peer_runners,
+            ControlPort, FormatError, Formats, PeerAddresses, PeerConfigFollower,
+            PeerRunnersFollower, StoreKeys,
         },
         relay::{AnswerHead, CallHead, ForwardHead, HeadError},
         standin::kv::{KvFaults, MemoryStore},
-        store::MonitoredStore,
+        store::{MonitoredStore, StoreVersion},
         traffic::{ConfigVersion, NodeName, RouteMap, TrafficBoard, TrafficConfig},
     },
     hyper::{HeaderMap, http},
@@ -73,6 +74,7 @@
 struct Peer {
     traffic: Arc<TrafficBoard>,
     control: SocketAddr,
+    runners_version: watch::Sender<StoreVersion>,
     _serving: DropGuard,
 }
 
@@ -81,9 +83,11 @@
         let traffic = Arc::new(TrafficBoard::default());
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let control = listener.local_addr().unwrap();
+        let runners_version = watch::Sender::new(StoreVersion(4));
         let port = ControlPort {
             traffic: traffic.clone(),
             board: rig(runners).board,
+            runners_version: runners_version.subscribe(),
             render_metrics: Arc::new(String::new),
         };
         let stop = CancellationToken::new();
@@ -91,6 +95,7 @@
         Self {
             traffic,
             control,
+            runners_version,
             _serving: stop.drop_guard(),
         }
     }
@@ -196,13 +201,7 @@
         down: true,
         ..KvFaults::default()
     });
-    let store = Arc::new(MonitoredStore::new(Arc::new(link)));
-    let board = rig(Vec::new()).board;
-    let (lists, list) = watch::channel(Vec::new());
-    let (health, formats) = (store.health(), Arc::new(VersionFormats));
-    let follower = RunnerFollower::new(store, health, formats, board.clone(), list);
-    tokio::spawn(fetch_peer_runners(peers, follower.is_read(), lists));
-    tokio::spawn(follower.run());
+    let (board, version) = follow_runners(link, peers);
     assert_eq!(traffic.version(), None);
     until("the configuration", || {
         traffic.version() == Some(ConfigVersion(5))
@@ -212,6 +211,26 @@
     let views = board.runners().into_iter();
     let known: Vec<_> = views.map(|view| view.entry).collect();
     assert_eq!(known, runners);
+    assert_eq!(*version.borrow(), StoreVersion(4));
+    // The outage goes on, and the seed learns more.
+    seed.runners_version.send_replace(StoreVersion(6));
+    until("the newer list", || *version.borrow() == StoreVersion(6)).await;
+}
+
+/// Follows the list of runners; returns the node's board and up to where it is known.
+fn follow_runners(
+    link: MemoryStore,
+    peers: PeerAddresses,
+) -> (Arc<RunnerBoard>, watch::Receiver<StoreVersion>) {
+    let store = Arc::new(MonitoredStore::new(Arc::new(link)));
+    let board = rig(Vec::new()).board;
+    let (lists, list) = watch::channel(ListedRunners::default());
+    let (health, formats) = (store.health(), Arc::new(VersionFormats));
+    let follower = RunnerFollower::new(store, health.clone(), formats, board.clone(), list);
+    let version = follower.version();
+    tokio::spawn(PeerRunnersFollower::new(peers, health, version.clone(), lists).run());
+    tokio::spawn(follower.run());
+    (board, version)
 }
 
 struct Gossiper {
