Let what a peer's newer list lacks go only after the grace

A peer that was started just after the store's return may have read it before the runners registered again, and its list is then the newest.

--- a/src/discovery/runner_follower.rs
+++ b/src/discovery/runner_follower.rs
@@ -43,6 +43,8 @@
     prefix: String,
     list: RunnerList,
     peer_list: watch::Receiver<ListedRunners>,
+    /// Whether the list is a peer's.
+    is_from_peer: bool,
     /// The version of the store up to which the list is known.
     version: watch::Sender<StoreVersion>,
 }
@@ -64,6 +66,7 @@
             board,
             list: RunnerList::default(),
             peer_list,
+            is_from_peer: false,
             version: watch::Sender::default(),
         }
     }
@@ -111,6 +114,7 @@
             }
         }
         self.list.replace(read, self.grace_until());
+        self.is_from_peer = false;
         self.publish(since);
         Ok(since)
     }
@@ -182,6 +186,8 @@
 
     /// Takes a peer's list if it is newer, so that no runner that is known to be gone comes back.
     ///
+    /// The peer may have read it just after an outage, so that what it lacks goes later only.
+    ///
     /// Returns whether it was taken.
     fn take_peer_list(&mut self) -> bool {
         let list = self.peer_list.borrow_and_update().clone();
@@ -192,14 +198,16 @@
             let key = format!("{}{}", self.prefix, entry.key.id);
             (key, entry)
         });
-        self.list.replace(keyed.collect(), None);
+        let grace_until = Instant::now() + Duration::from_millis(MISSING_GRACE_MS);
+        self.list.replace(keyed.collect(), Some(grace_until));
+        self.is_from_peer = true;
         self.publish(StoreVersion(list.store_version));
         true
     }
 
     /// Drops the entries that vanished in an outage, unless another one began meanwhile.
     fn drop_missing(&mut self) {
-        match self.grace_until() {
+        match self.grace_until().filter(|_| !self.is_from_peer) {
             Some(until) => self.list.keep_missing_until(until),
             None => {
                 self.list.drop_missing();
