--- a/examples/gossip_scale/node.rs
+++ b/examples/gossip_scale/node.rs
@@ -67,7 +67,9 @@
                     return;
                 };
                 let board = board(runners, models);
-                tokio::spawn(Gossip::new("me".into(), all(&peers), board.clone(), socket).run());
+                let peers = all(&peers);
+                let gossip = Gossip::new("me".into(), peers, Vec::new(), board.clone(), socket);
+                tokio::spawn(gossip.run());
                 if told.send(address).is_err() {
                     return;
                 }
