--- a/tests/discovery_follow.rs
+++ b/tests/discovery_follow.rs
@@ -7,16 +7,19 @@
     board_rig::*,
     bytes::Bytes,
     greengagetrail::{
-        discovery::{RunnerEntry, follow_runners},
+        discovery::{ListedRunners, RunnerEntry, RunnerFollower},
         node::{FormatError, Formats, StoreKeys},
         relay::{AnswerHead, CallHead, ForwardHead, HeadError},
         standin::kv::{KvFaults, MemoryStore},
-        store::{LeaseId, Op, Store, Txn},
+        store::{LeaseId, MonitoredStore, Op, Store, StoreVersion, Txn, WATCH_SILENCE_MAX},
         traffic::TrafficConfig,
     },
     hyper::{HeaderMap, http},
     std::{sync::Arc, time::Duration},
-    tokio::time::{Instant, sleep},
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep},
+    },
 };
 
 /// Reads entries of the form "BORN MODEL".
@@ -66,6 +69,10 @@
     store: MemoryStore,
     /// The node's side.
     link: MemoryStore,
+    /// The node's store with its record of outages.
+    monitored: Arc<MonitoredStore>,
+    peer_list: watch::Sender<ListedRunners>,
+    version: watch::Receiver<StoreVersion>,
     rig: Rig,
 }
 
@@ -74,12 +81,28 @@
     for (name, value) in entries {
         put(&store, name, value, None).await;
     }
-    let link = store.link();
-    let rig = rig(Vec::new());
-    let (shared, formats) = (Arc::new(link.clone()), Arc::new(TextFormats));
-    tokio::spawn(follow_runners(shared, formats, rig.board.clone()));
+    let follow = follow_on(store.clone(), store.link()).await;
     sleep(ms(50)).await;
-    Follow { store, link, rig }
+    follow
+}
+
+async fn follow_on(store: MemoryStore, link: MemoryStore) -> Follow {
+    let rig = rig(Vec::new());
+    let monitored = Arc::new(MonitoredStore::new(Arc::new(link.clone())));
+    let (peer_list, lists) = watch::channel(ListedRunners::default());
+    let (health, formats) = (monitored.health(), Arc::new(TextFormats));
+    let board = rig.board.clone();
+    let follower = RunnerFollower::new(monitored.clone(), health, formats, board, lists);
+    let version = follower.version();
+    tokio::spawn(follower.run());
+    Follow {
+        store,
+        link,
+        monitored,
+        peer_list,
+        version,
+        rig,
+    }
 }
 
 async fn put(store: &MemoryStore, name: &str, value: &str, lease: Option<LeaseId>) {
@@ -195,6 +218,150 @@
     assert_eq!(follow.names(), "b1");
 }
 
+/// Leases that the store ends at its return, told by a watch after the first read.
+#[tokio::test(start_paused = true)]
+async fn entries_that_lapse_at_the_return_of_the_store_stay_for_two_seconds() {
+    let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
+    follow.link.set_faults(DOWN);
+    sleep(ms(5_000)).await;
+    follow.link.set_faults(KvFaults::default());
+    sleep(ms(1_100)).await;
+    remove(&follow.store, "a").await;
+    remove(&follow.store, "b").await;
+    sleep(ms(300)).await;
+    assert_eq!(follow.names(), "a1 b1");
+    put(&follow.store, "b", "1 m1", None).await;
+    sleep(ms(2_000)).await;
+    assert_eq!(follow.names(), "b1");
+}
+
+/// The watch waits through the outage, so that only a call beside it meets the outage.
+#[tokio::test(start_paused = true)]
+async fn an_outage_that_other_calls_met_keeps_what_a_waiting_watch_tells_as_gone() {
+    let follow = follow(&[("a", "1 m1")]).await;
+    sleep(ms(5_000)).await;
+    follow.link.set_faults(KvFaults {
+        silent: true,
+        ..KvFaults::default()
+    });
+    assert!(follow.monitored.range("own/", 1).await.is_err());
+    remove(&follow.store, "a").await;
+    follow.link.set_faults(KvFaults::default());
+    sleep(ms(300)).await;
+    assert_eq!(follow.names(), "a1");
+    sleep(ms(2_000)).await;
+    assert_eq!(follow.names(), "");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_that_leaves_a_stable_store_is_out_within_the_time_to_drain() {
+    let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
+    follow.link.set_faults(DOWN);
+    sleep(ms(5_000)).await;
+    follow.link.set_faults(KvFaults::default());
+    // From then on the store counts as stable.
+    sleep(ms(3_000)).await;
+    let left_at = Instant::now();
+    remove(&follow.store, "a").await;
+    while follow.names() != "b1" {
+        assert!(left_at.elapsed() < ms(1_900));
+        sleep(ms(10)).await;
+    }
+}
+
+/// The watch is cut again within the grace; the entry must not go any sooner.
+#[tokio::test(start_paused = true)]
+async fn a_second_read_within_the_grace_takes_nothing_away() {
+    let follow = follow(&[("a", "1 m1")]).await;
+    follow.link.set_faults(DOWN);
+    sleep(ms(100)).await;
+    remove(&follow.store, "a").await;
+    sleep(ms(3_000)).await;
+    follow.link.set_faults(KvFaults::default());
+    sleep(ms(1_050)).await;
+    follow.store.restore(follow.store.copy_state());
+    sleep(ms(450)).await;
+    assert_eq!(follow.names(), "a1");
+    sleep(ms(2_000)).await;
+    assert_eq!(follow.names(), "");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_watch_is_given_up() {
+    let follow = follow(&[("a", "1 m1")]).await;
+    follow.link.set_faults(KvFaults {
+        watch_silent: true,
+        ..KvFaults::default()
+    });
+    put(&follow.store, "b", "1 m1", None).await;
+    sleep(WATCH_SILENCE_MAX + ms(1_500)).await;
+    assert_eq!(follow.names(), "a1 b1");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_that_starts_in_an_outage_takes_the_list_of_a_peer() {
+    let store = MemoryStore::new();
+    let link = store.link();
+    link.set_faults(DOWN);
+    let follow = follow_on(store, link).await;
+    sleep(ms(2_000)).await;
+    assert_eq!(follow.names(), "");
+    follow.peer_list.send_replace(listed(1, &["a", "b"]));
+    sleep(ms(10)).await;
+    assert_eq!(follow.names(), "a1 b1");
+    // The store returns with one entry only; the other one has the grace of an outage.
+    put(&follow.store, "c", "1 m1", None).await;
+    put(&follow.store, "a", "1 m1", None).await;
+    follow.link.set_faults(KvFaults::default());
+    sleep(ms(1_500)).await;
+    assert_eq!(follow.names(), "a1 b1 c1");
+    sleep(ms(2_000)).await;
+    assert_eq!(follow.names(), "a1 c1");
+}
+
+fn listed(store_version: i64, names: &[&str]) -> ListedRunners {
+    let runners = names.iter().map(|name| runner(name, &[("m1", &[])]));
+    ListedRunners {
+        store_version,
+        runners: runners.collect(),
+    }
+}
+
+/// What a node itself saw go must not come back by the list of a peer that knows less.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_is_cut_off_takes_newer_lists_only() {
+    let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
+    remove(&follow.store, "a").await;
+    sleep(ms(1_000)).await;
+    assert_eq!(follow.names(), "b1");
+    follow.link.set_faults(DOWN);
+    let known = follow.version.borrow().0;
+    follow.peer_list.send_replace(listed(known, &["a", "b"]));
+    sleep(ms(2_000)).await;
+    assert_eq!(follow.names(), "b1");
+    follow.peer_list.send_replace(listed(known + 1, &["c"]));
+    sleep(ms(1_500)).await;
+    assert_eq!(follow.names(), "b1 c1");
+    sleep(ms(1_000)).await;
+    assert_eq!(follow.names(), "c1");
+    assert_eq!(follow.version.borrow().0, known + 1);
+}
+
+/// The store accepts calls and answers none, and the watch waits.
+#[tokio::test(start_paused = true)]
+async fn a_newer_list_of_a_peer_counts_while_the_watch_is_silent() {
+    let follow = follow(&[("a", "1 m1")]).await;
+    let known = follow.version.borrow().0;
+    follow.link.set_faults(KvFaults {
+        silent: true,
+        ..KvFaults::default()
+    });
+    sleep(ms(2_000)).await;
+    follow.peer_list.send_replace(listed(known + 1, &["b"]));
+    sleep(ms(10)).await;
+    assert_eq!(follow.names(), "a1 b1");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_watch_that_was_cut_without_an_outage_keeps_nothing_alive() {
     let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
