--- a/tests/common/late_store.rs
+++ b/tests/common/late_store.rs
@@ -5,7 +5,13 @@
     futures::future::{BoxFuture, FutureExt},
     greengagetrail::store::{Op, SharedStore, StoreError, Txn, TxnReply},
     rand::{RngExt, SeedableRng, rngs::SmallRng},
-    std::{sync::Mutex, time::Duration},
+    std::{
+        sync::{
+            Mutex,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::Duration,
+    },
     tokio::time::sleep,
 };
 
@@ -20,7 +26,7 @@
 /// Draws the writes that are late.
 pub struct LateWrites {
     rng: Mutex<SmallRng>,
-    late_percent: u32,
+    late_percent: AtomicU32,
 }
 
 impl LateStore {
@@ -28,10 +34,17 @@
     pub fn new(inner: SharedStore, seed: u64, late_percent: u32) -> Self {
         let faults = LateWrites {
             rng: Mutex::new(SmallRng::seed_from_u64(seed)),
-            late_percent,
+            late_percent: AtomicU32::new(late_percent),
         };
         Self { inner, faults }
     }
+
+    /// Delays another share of the writes from now on.
+    #[allow(dead_code)]
+    pub fn set_late_percent(&self, late_percent: u32) {
+        let share = &self.faults.late_percent;
+        share.store(late_percent, Ordering::Relaxed);
+    }
 }
 
 impl LateWrites {
@@ -39,7 +52,7 @@
     fn draw_delay(&self, txn: &Txn) -> Option<Duration> {
         let mut rng = self.rng.lock().unwrap();
         let writes = txn.then.iter().any(|op| !matches!(op, Op::Get { .. }));
-        let late = writes && rng.random_range(0..100) < self.late_percent;
+        let late = writes && rng.random_range(0..100) < self.late_percent.load(Ordering::Relaxed);
         late.then(|| Duration::from_millis(rng.random_range(0..LATE_MAX_MS)))
     }
 }
