Judge the retry budget, at most once and configuration over several nodes

Each checker is shown to reject a history with runs or tries added. The formats of traffic_follow moved to tests/common/version_formats.rs, its tests are the same.

RetryBudget forgets at a restart.

--- /dev/null
+++ b/src/history/repeat_check.rs
@@ -0,0 +1,67 @@
+//! Judges how often a service got further tries, over all nodes together.
+
+use thiserror::Error;
+
+/// The bound on further tries in any span.
+#[derive(Debug, Clone, Copy)]
+pub struct RepeatBound {
+    /// Further tries for each request.
+    pub ratio: f64,
+    /// Further tries whatever the requests are.
+    pub slack: f64,
+    /// The length of the span, in milliseconds.
+    pub window_ms: u64,
+}
+
+/// A span that saw too many further tries.
+#[derive(Debug, Clone, Copy, PartialEq, Error)]
+#[error("{repeats} further tries in the span that ends at {ends_ms} ms, where {allowed} may be")]
+pub struct RepeatFault {
+    /// The end of the span, in milliseconds.
+    pub ends_ms: u64,
+    /// The further tries in it.
+    pub repeats: usize,
+    /// How many there may be.
+    pub allowed: f64,
+}
+
+/// Judges the times of the requests and of the further tries for one service, both sorted.
+///
+/// The requests count over the span, the one before it or the one half a span before it,
+/// whichever has most.
+///
+/// # Errors
+///
+/// Returns the first span with too many further tries.
+pub fn check_repeats(
+    requests_ms: &[u64],
+    repeats_ms: &[u64],
+    bound: &RepeatBound,
+) -> Result<(), RepeatFault> {
+    let window_ms = bound.window_ms;
+    repeats_ms.iter().try_for_each(|&ends_ms| {
+        let spans = [0, window_ms / 2, window_ms];
+        let requests = spans.map(|earlier| {
+            let ends_ms = ends_ms.checked_sub(earlier)?;
+            Some(count_in(requests_ms, ends_ms, window_ms))
+        });
+        let requests = requests.into_iter().flatten().max().unwrap_or(0);
+        let allowed = bound.ratio * requests as f64 + bound.slack;
+        let repeats = count_in(repeats_ms, ends_ms, window_ms);
+        match repeats as f64 <= allowed {
+            true => Ok(()),
+            false => Err(RepeatFault {
+                ends_ms,
+                repeats,
+                allowed,
+            }),
+        }
+    })
+}
+
+/// Counts the times within a span that ends at an instant, both ends included.
+fn count_in(times_ms: &[u64], ends_ms: u64, window_ms: u64) -> usize {
+    let begins_ms = ends_ms.saturating_sub(window_ms);
+    let up_to = times_ms.partition_point(|&at| at <= ends_ms);
+    up_to - times_ms.partition_point(|&at| at < begins_ms)
+}
--- /dev/null
+++ b/tests/common/version_formats.rs
@@ -0,0 +1,70 @@
+//! Configurations that are no more than their version in digits.
+
+use {
+    super::traffic_configs::config,
+    bytes::Bytes,
+    greengagetrail::{
+        discovery::RunnerEntry,
+        node::{FormatError, Formats, StoreKeys},
+        relay::{AnswerHead, CallHead, ForwardHead, HeadError},
+        standin::kv::MemoryStore,
+        store::{Op, Store, Txn},
+        traffic::TrafficConfig,
+    },
+    hyper::{HeaderMap, http},
+};
+
+/// Where the configuration stands in the store.
+pub const KEY: &str = "configuration";
+
+/// Configurations that are no more than their version in digits.
+pub struct VersionFormats;
+
+impl Formats for VersionFormats {
+    fn keys(&self) -> StoreKeys {
+        StoreKeys {
+            config: KEY.to_owned(),
+            runners_prefix: "runners/".to_owned(),
+            own_prefix: "own/".to_owned(),
+        }
+    }
+
+    fn read_config(&self, bytes: &[u8]) -> Result<TrafficConfig, FormatError> {
+        let text = String::from_utf8_lossy(bytes);
+        let version = text.parse().map_err(|_| FormatError {
+            what: "configuration",
+            reason: text.into_owned(),
+        })?;
+        Ok(config(version, Vec::new()))
+    }
+
+    fn read_runner(&self, _key: &str, _bytes: &[u8]) -> Result<RunnerEntry, FormatError> {
+        unimplemented!()
+    }
+
+    fn read_call(&self, _head: &http::request::Parts) -> Result<CallHead, HeadError> {
+        unimplemented!()
+    }
+
+    fn write_forward(&self, _headers: &mut HeaderMap, _forward: &ForwardHead) {}
+
+    fn read_answer(&self, _head: &http::response::Parts) -> AnswerHead {
+        unimplemented!()
+    }
+
+    fn write_retry_after(&self, _headers: &mut HeaderMap, _after_ms: u64) {}
+}
+
+/// Writes a key.
+pub async fn write(store: &MemoryStore, key: &str, text: &str) {
+    let put = Op::Put {
+        key: key.to_owned(),
+        value: Bytes::copy_from_slice(text.as_bytes()),
+        lease: None,
+    };
+    let txn = Txn {
+        then: vec![put],
+        ..Txn::default()
+    };
+    store.txn(txn).await.unwrap();
+}
--- /dev/null
+++ b/tests/history_nodes.rs
@@ -0,0 +1,294 @@
+//! Seeded runs of several nodes, judged by the checkers of histories.
+//!
+//! `GGT_SEEDS` sets the number of seeds.
+
+mod common {
+    pub mod fake_backend;
+    pub mod relay_rig;
+    pub mod traffic_configs;
+    pub mod version_formats;
+}
+
+use {
+    bytes::Bytes,
+    common::{
+        fake_backend::{Received, Step},
+        relay_rig::{Answer, RelayRig, Setup, signed, with_head},
+        version_formats::{KEY, VersionFormats, write},
+    },
+    futures::{
+        future::join_all,
+        stream::{self, StreamExt},
+    },
+    greengagetrail::{
+        history::{RepeatBound, RunEvent, RunFault, Told, check_repeats, check_runs},
+        node::Bounds,
+        relay::RetryBudget,
+        standin::kv::{KvFaults, MemoryStore},
+        traffic::{
+            ConfigFollower, ConfigVersion, RouteKind::NonIdempotent, ServiceId, TrafficBoard,
+            offer_bytes,
+        },
+    },
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::time::{Instant, advance, sleep},
+};
+
+/// Seeds of each kind of run, unless `GGT_SEEDS` says otherwise.
+const SEEDS: u64 = 40;
+const BOUND: RepeatBound = RepeatBound {
+    ratio: 0.2,
+    slack: 54.0,
+    window_ms: 10_000,
+};
+const STEP_MS: u64 = 50;
+/// Runs with real sockets at once.
+const AT_ONCE: usize = 16;
+
+fn seeds() -> std::ops::Range<u64> {
+    let seeds = std::env::var("GGT_SEEDS").ok();
+    0..seeds.map_or(SEEDS, |seeds| seeds.parse().unwrap())
+}
+
+fn budget() -> RetryBudget {
+    RetryBudget::new(&Bounds {
+        drain_ms: 2_000,
+        grace_s: 8.0,
+        config_apply_ms: 2_000,
+        retry_budget_ratio: BOUND.ratio,
+        budget_window_s: BOUND.window_ms as f64 / 1_000.0,
+        retry_budget_slack: BOUND.slack,
+        lease_ms: 3_000,
+        thaw_slack_ms: 300,
+        fencing_enforced: true,
+        ceiling_window_s: 5.0,
+        contact_ms: 3_000,
+        lease_min_ms: 1_000,
+    })
+}
+
+/// Lets nodes take requests and repeat all that they may; returns the times of both.
+async fn run_budgets(seed: u64) -> (Vec<u64>, Vec<u64>) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let service = ServiceId::from("s");
+    let budgets: Vec<RetryBudget> = (0..rng.random_range(1..10)).map(|_| budget()).collect();
+    let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+    let mut busy = vec![0; budgets.len()];
+    for step in 0..1_000 {
+        advance(Duration::from_millis(STEP_MS)).await;
+        let now_ms = (step + 1) * STEP_MS;
+        for (node, budget) in budgets.iter().enumerate() {
+            if rng.random_range(0..60) == 0 {
+                busy[node] = rng.random_range(0..8);
+            }
+            for _ in 0..busy[node] {
+                budget.count_request(&service);
+                requests.push(now_ms);
+            }
+            for _ in 0..rng.random_range(0..8) {
+                if budget.try_repeat(&service, budgets.len()) {
+                    repeats.push(now_ms);
+                }
+            }
+        }
+    }
+    (requests, repeats)
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_nodes_together_stay_within_the_retry_budget() {
+    for seed in seeds() {
+        let (requests, repeats) = run_budgets(seed).await;
+        assert!(repeats.len() > 20, "seed {seed}");
+        check_repeats(&requests, &repeats, &BOUND).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+        // A history with a burst of a hundred more is rejected.
+        let mut more = [repeats.clone(), vec![repeats[repeats.len() / 2]; 2_000]].concat();
+        more.sort_unstable();
+        assert!(check_repeats(&requests, &more, &BOUND).is_err());
+    }
+}
+
+type Events = Arc<Mutex<Vec<RunEvent>>>;
+
+fn id(received: &Received) -> String {
+    received.header("x-request-id").unwrap().to_owned()
+}
+
+/// What a runner does with a request that must run at most once.
+fn answer(fault: u32, received: &Received, events: &Events) -> Vec<Step> {
+    let not_run = "x-not-executed: 1\r\ncontent-length: 0\r\n";
+    match fault {
+        0..3 => return with_head(received, 503, not_run, ""),
+        3 => return with_head(received, 421, "content-length: 0\r\n", ""),
+        4 => return vec![Step::Close],
+        _ => {}
+    }
+    let (key, attempt) = (id(received), id(received));
+    events.lock().unwrap().push(RunEvent::Ran { key, attempt });
+    let mut steps = signed(received, 200, "", "done");
+    match fault {
+        5 => vec![Step::Close],
+        6 => vec![Step::Reset],
+        7 => vec![Step::send("\0\0no answer\r\n\r\n"), Step::Close],
+        8 => signed(received, 500, "", "failed"),
+        9 => {
+            steps.extend(with_head(received, 503, not_run, ""));
+            steps
+        }
+        10 => with_head(received, 200, "content-length: 8\r\n", "unsigned"),
+        11 => vec![Step::Pause(Duration::from_millis(30)), Step::Reset],
+        _ => steps,
+    }
+}
+
+fn told(answer: &Answer) -> Told {
+    match answer.status {
+        200 if answer.complete => Told::Answered,
+        408 | 421 | 429 | 503 => Told::NotRun,
+        _ => Told::Unknown,
+    }
+}
+
+/// Sends requests through a node one after the other, on one connection for as long as it is open.
+async fn call_on(rig: &RelayRig, name: &str, events: &Events) {
+    let mut caller = rig.caller().await;
+    for number in 0..6 {
+        let attempt = format!("{name}-{number}");
+        caller.send_as(&attempt, "", "body").await;
+        let answer = caller.read().await;
+        if !answer.complete {
+            caller = rig.caller().await;
+        }
+        let (key, told) = (attempt.clone(), told(&answer));
+        let event = RunEvent::Told { key, attempt, told };
+        events.lock().unwrap().push(event);
+    }
+}
+
+async fn run_relays(seed: u64) -> Vec<RunEvent> {
+    let events = Events::default();
+    let script = {
+        let (events, rng) = (events.clone(), Mutex::new(SmallRng::seed_from_u64(seed)));
+        let rng = Arc::new(rng);
+        move |_, received: &Received| {
+            let fault = rng.lock().unwrap().random_range(0..20);
+            answer(fault, received, &events)
+        }
+    };
+    let setup = || Setup {
+        timeout_ms: 800,
+        ..Setup::new(NonIdempotent)
+    };
+    let first = RelayRig::start(setup(), script).await;
+    let at: Vec<_> = first.runners.iter().map(|runner| runner.address).collect();
+    let second = RelayRig::over(setup(), Vec::new(), &at).await;
+    let names: Vec<String> = (0..6).map(|caller| format!("c{caller}")).collect();
+    let callers = names.iter().enumerate().map(|(number, name)| {
+        let rig = if number % 2 == 0 { &first } else { &second };
+        call_on(rig, name, &events)
+    });
+    join_all(callers).await;
+    std::mem::take(&mut *events.lock().unwrap())
+}
+
+/// Judges the run of one seed; returns how many requests ran and how many were refused.
+async fn judge_relays(seed: u64) -> (usize, usize) {
+    let mut events = run_relays(seed).await;
+    check_runs(&events).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+    let is_run = |event: &&RunEvent| matches!(event, RunEvent::Ran { .. });
+    let is_refused =
+        |event: &&RunEvent| matches!(event, RunEvent::Told { told, .. } if *told == Told::NotRun);
+    let ran = events.iter().filter(is_run).count();
+    let refused = events.iter().filter(is_refused).count();
+    let run = events.iter().find(is_run).cloned();
+    events.extend(run);
+    let judged = check_runs(&events);
+    assert!(matches!(judged, Err(RunFault::RanTwice(_))), "seed {seed}");
+    (ran, refused)
+}
+
+#[tokio::test]
+async fn requests_that_may_not_be_repeated_run_at_most_once_through_several_nodes() {
+    let runs = stream::iter(seeds())
+        .map(judge_relays)
+        .buffer_unordered(AT_ONCE);
+    let counts: Vec<(usize, usize)> = runs.collect().await;
+    let (ran, refused): (Vec<_>, Vec<_>) = counts.into_iter().unzip();
+    let sums = (ran.iter().sum::<usize>(), refused.iter().sum::<usize>());
+    assert!(sums.0 > 0 && sums.1 > 0, "{sums:?} ran and were refused");
+}
+
+/// A node that follows the configuration; a start has no memory of the one before.
+fn follow(link: &MemoryStore) -> (Arc<TrafficBoard>, tokio::task::AbortHandle) {
+    let board = Arc::new(TrafficBoard::default());
+    let formats = Arc::new(VersionFormats);
+    let follower = ConfigFollower::new(Arc::new(link.clone()), formats, board.clone());
+    let task = tokio::spawn(follower.run());
+    (board, task.abort_handle())
+}
+
+fn draw_faults(rng: &mut SmallRng) -> KvFaults {
+    KvFaults {
+        down: rng.random_range(0..4) == 0,
+        silent: rng.random_range(0..6) == 0,
+        watch_silent: rng.random_range(0..8) == 0,
+        slow_ms: rng.random_range(0..300),
+        ..KvFaults::default()
+    }
+}
+
+/// Nodes follow through faults of their own ways and hand old copies to each other.
+async fn run_followers(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let store = MemoryStore::new();
+    let links: Vec<MemoryStore> = (0..4).map(|_| store.link()).collect();
+    let mut nodes: Vec<_> = links.iter().map(follow).collect();
+    let mut seen = vec![None; nodes.len()];
+    let mut versions = vec![1];
+    for _ in 0..60 {
+        let version = versions[versions.len() - 1] + rng.random_range(1..5);
+        versions.push(version);
+        write(&store, KEY, &version.to_string()).await;
+        let node = rng.random_range(0..nodes.len());
+        links[node].set_faults(draw_faults(&mut rng));
+        let old = versions[rng.random_range(0..versions.len())].to_string();
+        offer_bytes(&VersionFormats, &nodes[node].0, Bytes::from(old));
+        if rng.random_range(0..10) == 0 {
+            let mut state = store.copy_state();
+            state.compact(state.version());
+            store.restore(state);
+        }
+        if rng.random_range(0..12) == 0 {
+            nodes[node].1.abort();
+            (nodes[node], seen[node]) = (follow(&links[node]), None);
+        }
+        sleep(Duration::from_millis(rng.random_range(0..700))).await;
+        for (before, (board, _)) in seen.iter_mut().zip(&nodes) {
+            let now = board.version();
+            assert!(now >= *before, "seed {seed}: {before:?} to {now:?}");
+            assert!(now <= Some(ConfigVersion(version)), "seed {seed}: {now:?}");
+            *before = now;
+        }
+    }
+    links
+        .iter()
+        .for_each(|link| link.set_faults(KvFaults::default()));
+    let healed = Instant::now();
+    let last = versions.last().copied().map(ConfigVersion);
+    while nodes.iter().any(|(board, _)| board.version() != last) {
+        assert!(healed.elapsed() < Duration::from_secs(12), "seed {seed}");
+        sleep(Duration::from_millis(20)).await;
+    }
+    nodes.iter().for_each(|(_, task)| task.abort());
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_follower_goes_back_to_an_older_configuration() {
+    for seed in seeds() {
+        run_followers(seed).await;
+    }
+}
--- a/tests/traffic_follow.rs
+++ b/tests/traffic_follow.rs
@@ -1,71 +1,24 @@
 //! Following the configuration in the store, under faults of the store.
 
-#[path = "common/traffic_configs.rs"]
-mod traffic_configs;
+mod common {
+    pub mod traffic_configs;
+    pub mod version_formats;
+}
 
 use {
-    bytes::Bytes,
+    common::version_formats::{KEY, VersionFormats, write},
     greengagetrail::{
-        node::{FormatError, Formats, StoreKeys},
-        relay::{AnswerHead, CallHead, ForwardHead, HeadError},
         standin::kv::{KvFaults, MemoryStore},
-        store::{Op, Store, Txn},
-        traffic::{ConfigFollower, ConfigVersion, TrafficBoard, TrafficConfig},
+        traffic::{ConfigFollower, ConfigVersion, TrafficBoard},
     },
-    hyper::{HeaderMap, http},
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::{sync::Arc, time::Duration},
     tokio::time::{Instant, sleep},
-    traffic_configs::config,
 };
 
-const KEY: &str = "configuration";
-
 /// The time within which a version must be in force.
 const IN_FORCE_MAX: Duration = Duration::from_millis(2_000);
 
-/// Configurations that are no more than their version in digits.
-struct VersionFormats;
-
-impl Formats for VersionFormats {
-    fn keys(&self) -> StoreKeys {
-        StoreKeys {
-            config: KEY.to_owned(),
-            runners_prefix: "runners/".to_owned(),
-            own_prefix: "own/".to_owned(),
-        }
-    }
-
-    fn read_config(&self, bytes: &[u8]) -> Result<TrafficConfig, FormatError> {
-        let text = String::from_utf8_lossy(bytes);
-        let version = text.parse().map_err(|_| FormatError {
-            what: "configuration",
-            reason: text.into_owned(),
-        })?;
-        Ok(config(version, Vec::new()))
-    }
-
-    fn read_runner(
-        &self,
-        _key: &str,
-        _bytes: &[u8],
-    ) -> Result<greengagetrail::discovery::RunnerEntry, FormatError> {
-        unimplemented!()
-    }
-
-    fn read_call(&self, _head: &http::request::Parts) -> Result<CallHead, HeadError> {
-        unimplemented!()
-    }
-
-    fn write_forward(&self, _headers: &mut HeaderMap, _forward: &ForwardHead) {}
-
-    fn read_answer(&self, _head: &http::response::Parts) -> AnswerHead {
-        unimplemented!()
-    }
-
-    fn write_retry_after(&self, _headers: &mut HeaderMap, _after_ms: u64) {}
-}
-
 fn follow(store: &MemoryStore) -> Arc<TrafficBoard> {
     let board = Arc::new(TrafficBoard::default());
     let formats = Arc::new(VersionFormats);
@@ -74,19 +27,6 @@
     board
 }
 
-async fn write(store: &MemoryStore, key: &str, text: &str) {
-    let put = Op::Put {
-        key: key.to_owned(),
-        value: Bytes::copy_from_slice(text.as_bytes()),
-        lease: None,
-    };
-    let txn = Txn {
-        then: vec![put],
-        ..Txn::default()
-    };
-    store.txn(txn).await.unwrap();
-}
-
 async fn reaches(board: &TrafficBoard, version: u64) -> bool {
     let deadline = Instant::now() + IN_FORCE_MAX;
     while Instant::now() < deadline {
