End a term once the watch tells that the seat is gone

Cause: only the task that calls the store looked at what the watch brought, and it looks after its calls. With three answers lost in a row (1.5 s each) and the keys taken away meanwhile, the old leader ordered on beside its successor, on fenced runners as its term lasts 30 s there. Found by the model at depth four: 19 of 28,561 schedules with fences, all LoseAnswers then TakeKeys; the store's disruption ends in the model's judgement before the lost answers do.

Now what is published as the term is checked against the view each time the view changes. Ruled out: looks in between calls, as a call itself hangs. Test: a_leader_whose_calls_hang_orders_no_more_once_its_seat_is_gone, seen to fail before (turns after 0 ns to 1.05 s), passes after.

--- a/src/leader/cluster_view.rs
+++ b/src/leader/cluster_view.rs
@@ -103,6 +103,15 @@
         }
     }
 
+    /// Returns whether the seat that a write of this version took is gone or another's, as last read.
+    pub fn shows_lost(&self, token: u64) -> bool {
+        let taken_at = match &self.seat {
+            Some(stored) => stored.version.0.unsigned_abs(),
+            None => self.version.0.unsigned_abs() + 1,
+        };
+        self.is_read && taken_at > token
+    }
+
     /// Returns the nodes but `me`, without those that are gone for good.
     pub fn peers(&mut self, me: &NodeName, now: Instant) -> Vec<PeerNode> {
         let is_over = |gone_at: Instant| now.duration_since(gone_at) >= REMOVAL_GRACE;
--- a/src/leader/membership.rs
+++ b/src/leader/membership.rs
@@ -69,6 +69,7 @@
     pub fn replace(&self, entries: &[Entry], version: StoreVersion) {
         self.view().replace(entries, version, Instant::now());
         self.publish_peers();
+        self.publish_term();
         self.changed.notify_one();
     }
 
@@ -81,6 +82,7 @@
         }
         drop(view);
         self.publish_peers();
+        self.publish_term();
         self.changed.notify_one();
     }
 
@@ -94,13 +96,17 @@
         });
     }
 
-    /// Tells whether this node may order, from how it stands.
+    /// Tells whether this node may order, from how it stands and what it last read.
+    ///
+    /// Calls to the store may hang while the watch has already told that the seat is gone.
     pub fn publish_term(&self) {
+        let view = self.view();
         let standing = self.standing();
         let term = standing.token.map(|fencing_token| Term {
             fencing_token,
             orders_from: standing.orders_from,
         });
+        let term = term.filter(|term| !view.shows_lost(term.fencing_token));
         let term = term.filter(|_| standing.doubtful_since.is_none() && !standing.is_leaving);
         self.term.send_if_modified(|known| {
             let differs = *known != term;
--- a/tests/leader_model.rs
+++ b/tests/leader_model.rs
@@ -334,16 +334,17 @@
 /// Plays all schedules of a depth; returns the number of turns, and the schedules that break the
 /// rule or leave no leader.
 fn explore(depth: u32, bounds: Bounds, fenced: bool) -> (usize, Vec<String>) {
-    let all = schedules(depth);
+    explore_all(&schedules(depth), bounds, fenced)
+}
+
+fn explore_all(all: &[Vec<Fault>], bounds: Bounds, fenced: bool) -> (usize, Vec<String>) {
     let parts: Vec<(usize, Vec<String>)> = thread::scope(|scope| {
         let chunks = all.chunks(all.len().div_ceil(THREADS));
         let threads: Vec<_> = chunks
             .map(|chunk| scope.spawn(move || explore_part(chunk, bounds, fenced)))
             .collect();
-        threads
-            .into_iter()
-            .map(|thread| thread.join().unwrap())
-            .collect()
+        let parts = threads.into_iter();
+        parts.map(|thread| thread.join().unwrap()).collect()
     });
     let turns = parts.iter().map(|part| part.0).sum();
     (turns, parts.into_iter().flat_map(|part| part.1).collect())
@@ -420,3 +421,12 @@
         );
     }
 }
+
+/// Calls to the store hang while the watch tells that the seat is gone.
+#[test]
+fn a_leader_whose_calls_hang_orders_no_more_once_its_seat_is_gone() {
+    let last = |fault| vec![Fault::LoseAnswers, Fault::TakeKeys, Fault::Nothing, fault];
+    let schedules: Vec<_> = FAULTS.into_iter().map(last).collect();
+    let (_, faults) = explore_all(&schedules, bounds(), true);
+    assert!(faults.is_empty(), "{faults:#?}");
+}
