Count without look-ups, keep the newest events, set log levels by part

Counters are plain atomics with their own text form: the exporter's recorder keeps samples until an upkeep task moves them, and its handles can't be read back for ggt. Keepers and entries keep the recorder.

--- /dev/null
+++ b/src/telemetry/counter.rs
@@ -0,0 +1,120 @@
+//! Counters that are always there: counting takes one atomic addition and no look-up.
+
+use std::{
+    fmt::Write,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+/// The upper bounds of the buckets of [`TimeCounts`], in milliseconds.
+pub const TIME_BOUNDS_MS: [u64; 12] = [
+    5, 10, 25, 50, 100, 250, 500, 800, 1_500, 3_000, 6_000, 15_000,
+];
+
+/// A number that only grows.
+#[derive(Debug, Default)]
+pub struct Counter(AtomicU64);
+
+impl Counter {
+    /// Counts one.
+    pub fn count(&self) {
+        self.add(1);
+    }
+
+    /// Adds a number.
+    pub fn add(&self, number: u64) {
+        self.0.fetch_add(number, Ordering::Relaxed);
+    }
+
+    /// Returns the number.
+    pub fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Times, counted by buckets.
+#[derive(Debug, Default)]
+pub struct TimeCounts {
+    buckets: [Counter; TIME_BOUNDS_MS.len()],
+    all: Counter,
+    sum_us: Counter,
+}
+
+impl TimeCounts {
+    /// Counts a time.
+    pub fn record(&self, time: Duration) {
+        let ms = time.as_millis() as u64;
+        let position = TIME_BOUNDS_MS.partition_point(|bound| *bound < ms);
+        if let Some(bucket) = self.buckets.get(position) {
+            bucket.count();
+        }
+        self.all.count();
+        self.sum_us.add(time.as_micros() as u64);
+    }
+}
+
+/// The text form of metrics.
+#[derive(Debug, Default)]
+pub struct MetricText(String);
+
+impl MetricText {
+    /// Begins a metric; its values follow.
+    pub fn begin(&mut self, name: &'static str, kind: &str, help: &str) {
+        let _ = writeln!(self.0, "# HELP {name} {help}\n# TYPE {name} {kind}");
+    }
+
+    /// Adds a value of the metric that was begun.
+    pub fn value(&mut self, name: &str, labels: &[(&str, &str)], value: f64) {
+        self.0.push_str(name);
+        for (position, (label, text)) in labels.iter().enumerate() {
+            let open = if position == 0 { '{' } else { ',' };
+            let _ = write!(self.0, "{open}{label}=\"");
+            self.escaped(text);
+            self.0.push('"');
+        }
+        let close = if labels.is_empty() { "" } else { "}" };
+        let _ = writeln!(self.0, "{close} {value}");
+    }
+
+    /// Adds a metric with one value and no labels.
+    pub fn single(&mut self, name: &'static str, kind: &str, help: &str, value: f64) {
+        self.begin(name, kind, help);
+        self.value(name, &[], value);
+    }
+
+    /// Adds times in seconds, as values of the metric that was begun.
+    pub fn times(&mut self, name: &str, labels: &[(&str, &str)], times: &TimeCounts) {
+        let mut sum = 0;
+        for (bucket, bound_ms) in times.buckets.iter().zip(TIME_BOUNDS_MS) {
+            sum += bucket.get();
+            let bound = (bound_ms as f64 / 1_000.0).to_string();
+            self.bucket(name, labels, &bound, sum);
+        }
+        let all = times.all.get();
+        self.bucket(name, labels, "+Inf", all);
+        let seconds = times.sum_us.get() as f64 / 1e6;
+        self.value(&format!("{name}_sum"), labels, seconds);
+        self.value(&format!("{name}_count"), labels, all as f64);
+    }
+
+    /// Returns the whole text.
+    pub fn finish(self) -> String {
+        self.0
+    }
+
+    fn bucket(&mut self, name: &str, labels: &[(&str, &str)], bound: &str, count: u64) {
+        let mut labels = labels.to_vec();
+        labels.push(("le", bound));
+        self.value(&format!("{name}_bucket"), &labels, count as f64);
+    }
+
+    fn escaped(&mut self, text: &str) {
+        for letter in text.chars() {
+            match letter {
+                '"' | '\\' => self.0.extend(['\\', letter]),
+                '\n' => self.0.push_str("\\n"),
+                _ => self.0.push(letter),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/telemetry/log_rules.rs
@@ -0,0 +1,93 @@
+//! Which messages are logged, by level and part; may change while the process runs.
+
+use {
+    super::LogLevel,
+    logforth::{
+        Diagnostic, Filter,
+        filter::FilterResult,
+        record::{FilterCriteria, Level},
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::BTreeMap,
+        sync::{PoisonError, RwLock},
+    },
+};
+
+/// The rules of this process.
+static RULES: RwLock<Option<LogRules>> = RwLock::new(None);
+
+/// The least severe messages that are logged, for each part of the program.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogRules {
+    /// For parts without a level of their own.
+    pub level: LogLevel,
+    /// By part: the name of a folder of the sources, such as `relay`.
+    pub parts: BTreeMap<String, LogLevel>,
+}
+
+impl LogRules {
+    /// Makes rules with one level for all parts.
+    pub fn new(level: LogLevel) -> Self {
+        Self {
+            level,
+            parts: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the level for messages of a target, such as `greengagetrail::relay::call`.
+    pub fn level_of(&self, target: &str) -> LogLevel {
+        *self.parts.get(part_of(target)).unwrap_or(&self.level)
+    }
+
+    fn most_verbose(&self) -> log::LevelFilter {
+        let levels = self.parts.values().copied().chain([self.level]);
+        let levels = levels.map(level_filter);
+        levels.max().unwrap_or(log::LevelFilter::Info)
+    }
+}
+
+/// Returns the part of the program that a target names.
+pub fn part_of(target: &str) -> &str {
+    let mut segments = target.split("::");
+    let first = segments.next().unwrap_or(target);
+    segments.next().unwrap_or(first)
+}
+
+/// Puts rules in force; messages that no part wants then cost one comparison.
+pub fn set_log_rules(rules: LogRules) {
+    log::set_max_level(rules.most_verbose());
+    *RULES.write().unwrap_or_else(PoisonError::into_inner) = Some(rules);
+}
+
+fn level_filter(level: LogLevel) -> log::LevelFilter {
+    match level {
+        LogLevel::Error => log::LevelFilter::Error,
+        LogLevel::Warn => log::LevelFilter::Warn,
+        LogLevel::Info => log::LevelFilter::Info,
+        LogLevel::Debug => log::LevelFilter::Debug,
+    }
+}
+
+/// Lets pass what the rules of this process want.
+#[derive(Debug)]
+pub(super) struct SharedRules;
+
+impl Filter for SharedRules {
+    fn enabled(&self, criteria: &FilterCriteria, _: &[Box<dyn Diagnostic>]) -> FilterResult {
+        let rules = RULES.read().unwrap_or_else(PoisonError::into_inner);
+        let level = rules
+            .as_ref()
+            .map(|rules| rules.level_of(criteria.target()));
+        let least = match level {
+            Some(LogLevel::Error) => Level::Error,
+            Some(LogLevel::Warn) => Level::Warn,
+            Some(LogLevel::Info) | None => Level::Info,
+            Some(LogLevel::Debug) => Level::Debug,
+        };
+        match criteria.level() >= least {
+            true => FilterResult::Neutral,
+            false => FilterResult::Reject,
+        }
+    }
+}
--- a/src/telemetry/log_setup.rs
+++ b/src/telemetry/log_setup.rs
@@ -1,30 +1,24 @@
-//! Sets up the logs.
-//!
-//! Every message starts with the fixed prefix of its part, such as `entry:`.
+//! Sets up the logs of a process.
 
 use {
-    logforth::{
-        append::Stderr,
-        core::DispatchBuilder,
-        filter::rustlog::RustLogFilterBuilder,
-        layout::{JsonLayout, TextLayout},
-    },
-    serde::Deserialize,
+    super::{LogRules, RecentEvents, log_rules::SharedRules, set_log_rules},
+    logforth::{append::Stderr, layout::JsonLayout, layout::TextLayout},
+    serde::{Deserialize, Serialize},
 };
 
 /// The shape of log lines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum LogFormat {
-    /// One line of text per message.
+    /// For people.
     Text,
-    /// One JSON object per line.
+    /// One JSON object a line.
     Json,
 }
 
 /// The least severe messages that are logged.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum LogLevel {
     /// Only errors.
     Error,
@@ -36,28 +30,25 @@
     Debug,
 }
 
-impl LogLevel {
-    fn spec(self) -> &'static str {
-        match self {
-            Self::Error => "error",
-            Self::Warn => "warn",
-            Self::Info => "info",
-            Self::Debug => "debug",
-        }
-    }
-}
-
 /// Sends the logs of this process to standard error.
 ///
 /// Does nothing when the logs are already set up.
 pub fn init_logs(level: LogLevel, format: LogFormat) {
-    let add = |dispatch: DispatchBuilder<false>| {
-        let filter = RustLogFilterBuilder::from_spec(level.spec()).build();
+    init_logs_by_part(LogRules::new(level), format);
+}
+
+/// Does as [`init_logs`] with a level for each part, and keeps the newest events in memory.
+pub fn init_logs_by_part(rules: LogRules, format: LogFormat) {
+    let builder = logforth::starter_log::builder();
+    let builder = builder.dispatch(|dispatch| {
         let append = match format {
             LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
             LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
         };
-        dispatch.filter(filter).append(append)
-    };
-    let _ = logforth::starter_log::builder().dispatch(add).try_apply();
+        dispatch.filter(SharedRules).append(append)
+    });
+    let builder = builder.dispatch(|dispatch| dispatch.append(RecentEvents::global()));
+    if builder.try_apply().is_ok() {
+        set_log_rules(rules);
+    }
 }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -1,7 +1,17 @@
 //! Logs and metrics of a process.
 
+mod counter;
 mod cpu_time;
+mod log_rules;
 mod log_setup;
 mod metric;
+mod recent_events;
 
-pub use {cpu_time::*, log_setup::*, metric::*};
+pub use {
+    counter::*,
+    cpu_time::*,
+    log_rules::{LogRules, part_of, set_log_rules},
+    log_setup::*,
+    metric::*,
+    recent_events::*,
+};
--- /dev/null
+++ b/src/telemetry/recent_events.rs
@@ -0,0 +1,109 @@
+//! The newest events of a process, for operators.
+
+use {
+    super::part_of,
+    crate::units::unix_now_ms,
+    logforth::{
+        Append, Diagnostic, Error,
+        kv::{KeyView, ValueView, Visitor},
+        record::{Level, Record},
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::VecDeque,
+        sync::{Arc, LazyLock, Mutex, PoisonError},
+    },
+};
+
+/// The events that are kept.
+const EVENTS_MAX: usize = 256;
+
+static GLOBAL: LazyLock<RecentEvents> = LazyLock::new(RecentEvents::default);
+
+/// One event.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoggedEvent {
+    /// Counts up from 1 since the start of the process.
+    pub number: u64,
+    /// When, in milliseconds since the Unix epoch.
+    pub at_unix_ms: u64,
+    /// How severe it is.
+    pub level: String,
+    /// The part of the program.
+    pub part: String,
+    /// What happened.
+    pub message: String,
+    /// Runner, version, fencing token and the like.
+    pub fields: Vec<(String, String)>,
+}
+
+#[derive(Debug, Default)]
+struct Kept {
+    last_number: u64,
+    events: VecDeque<LoggedEvent>,
+}
+
+/// The newest events with fields, up to a bound.
+#[derive(Debug, Clone, Default)]
+pub struct RecentEvents(Arc<Mutex<Kept>>);
+
+impl RecentEvents {
+    /// Returns those of this process.
+    pub fn global() -> Self {
+        GLOBAL.clone()
+    }
+
+    /// Returns the newest `limit` events, the newest last.
+    pub fn newest(&self, limit: usize) -> Vec<LoggedEvent> {
+        let kept = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let first = kept.events.len().saturating_sub(limit);
+        kept.events.range(first..).cloned().collect()
+    }
+
+    /// Adds an event; the oldest goes when there are too many.
+    pub fn add(&self, mut event: LoggedEvent) {
+        let mut kept = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.last_number += 1;
+        event.number = kept.last_number;
+        if kept.events.len() >= EVENTS_MAX {
+            kept.events.pop_front();
+        }
+        kept.events.push_back(event);
+    }
+}
+
+impl Append for RecentEvents {
+    fn append(&self, record: &Record, _: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        if record.level() < Level::Info {
+            return Ok(());
+        }
+        let mut fields = Fields::default();
+        record.key_values().visit(&mut fields)?;
+        if fields.0.is_empty() {
+            return Ok(());
+        }
+        self.add(LoggedEvent {
+            number: 0,
+            at_unix_ms: unix_now_ms(),
+            level: record.level().to_string().to_lowercase(),
+            part: part_of(record.target()).to_owned(),
+            message: record.payload().to_string(),
+            fields: fields.0,
+        });
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
+#[derive(Default)]
+struct Fields(Vec<(String, String)>);
+
+impl Visitor for Fields {
+    fn visit(&mut self, key: KeyView<'_>, value: ValueView<'_>) -> Result<(), Error> {
+        self.0.push((key.as_str().to_owned(), value.to_string()));
+        Ok(())
+    }
+}
