--- a/src/copies/mod.rs
+++ b/src/copies/mod.rs
@@ -9,6 +9,7 @@
 mod model_step;
 mod note_diff;
 mod order_book;
+mod order_counts;
 mod order_desk;
 mod order_task;
 mod plan;
@@ -18,6 +19,6 @@
 mod runner_state;
 
 pub use {
-    balance::*, doubts::*, load_estimator::*, load_pacer::*, order_book::*, order_task::*, plan::*,
-    plan_input::*, runner_state::*,
+    balance::*, doubts::*, load_estimator::*, load_pacer::*, order_book::*, order_counts::*,
+    order_task::*, plan::*, plan_input::*, runner_state::*,
 };
--- a/src/copies/order_desk.rs
+++ b/src/copies/order_desk.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        CopyState, Doubts, LoadEstimator, LoadPacer, OrderTask, PlanInput, PlannedOrder,
+        CopyState, Doubts, LoadEstimator, LoadPacer, ModelLoad, OrderTask, PlanInput, PlannedOrder,
         RunnerState, note_diff::push_changes, plan, runner_record::RunnerRecord,
     },
     crate::{
@@ -16,6 +16,7 @@
         future::{BoxFuture, FutureExt},
         stream::FuturesUnordered,
     },
+    log::Level,
     std::time::Duration,
     tokio::time::Instant,
 };
@@ -210,7 +211,9 @@
         for planned in plan(&input) {
             if planned.is_cold {
                 self.services[position].pacer.started(now);
+                self.task.counts.cold_loads.count();
             }
+            log_order(&planned, self.token, &loads);
             self.send(planned, now);
         }
     }
@@ -263,7 +266,6 @@
             return;
         };
         let record = &mut self.records[position];
-        log_order(&planned);
         let held = record.held();
         record.sent(&planned, now);
         push_changes(&mut self.notes, &planned.runner, &held, &record.held());
@@ -318,13 +320,14 @@
         reply: &Result<OrderReply, OrderUnknown>,
         now: Instant,
     ) {
+        self.task.counts.answered(order, reply);
         if reply.is_ok() {
             self.doubts.settle(runner, order);
         }
         if *reply == Ok(OrderReply::Fenced) {
             log::warn!(
-                "copies: {} has seen a higher token than {token}.",
-                runner.id
+                runner:% = runner.id, born_unix_ms = runner.born_unix_ms, fencing_token = token;
+                "copies: a runner has seen a higher fencing token."
             );
             self.fenced_token = self.fenced_token.max(token);
         }
@@ -390,16 +393,29 @@
     coming
 }
 
-fn log_order(planned: &PlannedOrder) {
-    let runner = &planned.runner.id;
-    match &planned.order {
-        Order::LoadModel(model) => log::info!("copies: {runner} loads {model}."),
-        Order::UnloadModel(model) => log::info!("copies: {runner} drops {model}."),
-        Order::LoadAdapter(model, adapter) => {
-            log::debug!("copies: {runner} loads {adapter} of {model}.");
-        }
-        Order::UnloadAdapter(model, adapter) => {
-            log::debug!("copies: {runner} drops {adapter} of {model}.");
-        }
+/// Logs an order with the load that it follows from.
+fn log_order(planned: &PlannedOrder, fencing_token: u64, loads: &[ModelLoad]) {
+    let (level, what, model, adapter) = match &planned.order {
+        Order::LoadModel(model) => (Level::Info, "loads a model", model, None),
+        Order::UnloadModel(model) => (Level::Info, "drops a model", model, None),
+        Order::LoadAdapter(model, name) => (Level::Debug, "loads an adapter", model, Some(name)),
+        Order::UnloadAdapter(model, name) => (Level::Debug, "drops an adapter", model, Some(name)),
+    };
+    if level > log::max_level() {
+        return;
     }
+    let load = loads.iter().find(|load| load.model == *model);
+    log::log!(
+        level,
+        runner:% = planned.runner.id,
+        born_unix_ms = planned.runner.born_unix_ms,
+        fencing_token = fencing_token,
+        model:% = model,
+        adapter:% = adapter.map_or("", AdapterId::as_str),
+        from_weight_store = planned.is_cold,
+        makes_room_for:% = planned.goal.as_ref().map_or("", ModelId::as_str),
+        expected_in_flight = load.map_or(0.0, |load| load.in_flight),
+        waiting = load.map_or(0, |load| load.waiting);
+        "copies: a runner {what}."
+    );
 }
--- a/src/copies/order_task.rs
+++ b/src/copies/order_task.rs
@@ -1,7 +1,7 @@
 //! Gives the orders while this node leads.
 
 use {
-    super::{OrderListener, order_desk::OrderDesk},
+    super::{OrderCounts, OrderListener, order_desk::OrderDesk},
     crate::{
         dispatch::RunnerBoard,
         leader::Term,
@@ -35,6 +35,8 @@
     pub term: watch::Receiver<Option<Term>>,
     /// Told of what was ordered.
     pub listener: Arc<dyn OrderListener>,
+    /// Counts the orders.
+    pub counts: Arc<OrderCounts>,
     /// This node.
     pub node: NodeName,
     /// The platform's bounds.
--- a/src/dispatch/board.rs
+++ b/src/dispatch/board.rs
@@ -1,10 +1,13 @@
 //! What a node knows of all runners: their entries, their load, and the demand for their models.
 
 use {
-    super::{ModelDemand, NodeLoad, ResidencyNote, RunnerView, Variant, board_shared::BoardShared},
+    super::{
+        DispatchCounts, ModelDemand, NodeLoad, ResidencyNote, RunnerView, Variant,
+        board_shared::BoardShared,
+    },
     crate::{
         discovery::{RunnerEntry, RunnerKey},
-        traffic::{NodeName, TrafficBoard, ZoneId},
+        traffic::{NodeName, ServiceId, TrafficBoard, ZoneId},
     },
     std::sync::Arc,
     tokio::{
@@ -89,6 +92,20 @@
         self.shared.with_state(|state, _| state.demand(now))
     }
 
+    /// Returns how many requests wait at this node, by service.
+    pub fn waiting(&self) -> Vec<(ServiceId, usize)> {
+        self.shared.with_state(|state, _| {
+            let services = state.services().iter();
+            let waiting = services.map(|service| (service.name.clone(), service.queue.len()));
+            waiting.collect()
+        })
+    }
+
+    /// Returns how tries at runners ended.
+    pub fn counts(&self) -> &DispatchCounts {
+        &self.shared.counts
+    }
+
     /// Returns a receiver that wakes when requests begin to wait for a copy, at any node.
     pub fn waiting_demand(&self) -> watch::Receiver<u64> {
         self.shared.waiting_demand.subscribe()
--- a/src/dispatch/board_shared.rs
+++ b/src/dispatch/board_shared.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Place, Refused, TryOutcome, Wanted,
+        DispatchCounts, Place, Refused, TryOutcome, Wanted,
         board_state::BoardState,
         prospect::{Case, Prospect},
         service_runners::Chosen,
@@ -28,6 +28,7 @@
     pub(super) gossip_soon: Notify,
     /// Told when there is something to tell peers at once.
     pub(super) gossip_now: Notify,
+    pub(super) counts: DispatchCounts,
 }
 
 /// An answer to a waiting request, given once the state is unlocked.
@@ -51,6 +52,7 @@
             waiting_demand: watch::Sender::new(0),
             gossip_soon: Notify::new(),
             gossip_now: Notify::new(),
+            counts: DispatchCounts::default(),
         }
     }
 
@@ -194,6 +196,7 @@
     /// Gives a place back.
     pub(super) fn release(self: &Arc<Self>, place: &Place, now: Instant) {
         let outcome = place.outcome.unwrap_or(TryOutcome::Cancelled);
+        self.counts.tried(outcome);
         let variant = place.load.variant.as_ref();
         let key = &place.runner.key;
         self.with_state(|state, grants| {
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 mod decaying_count;
 mod demand_meter;
 mod demand_sum;
+mod dispatch_counts;
 mod dispatcher;
 mod load;
 mod pace_budget;
@@ -29,6 +30,6 @@
 mod waiting;
 
 pub use {
-    board::*, choice::*, decaying_count::*, dispatcher::*, load::*, place::*, prefix_record::*,
-    residency::*, runner_health::*, types::*,
+    board::*, choice::*, decaying_count::*, dispatch_counts::*, dispatcher::*, load::*, place::*,
+    prefix_record::*, residency::*, runner_health::*, types::*,
 };
--- a/src/dispatch/wait_queue.rs
+++ b/src/dispatch/wait_queue.rs
@@ -137,6 +137,10 @@
         waiters.any(|waiter| waiter.no_copy && waiter.ask.variant.as_ref() == variant)
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.waiters.len()
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.waiters.is_empty()
     }
--- a/src/leader/duty.rs
+++ b/src/leader/duty.rs
@@ -119,12 +119,13 @@
     }
 
     fn drop_lease(&mut self) {
-        log::warn!("leader: the lease has lapsed.");
         self.registered = None;
         let mut standing = self.shared.standing();
         standing.lease = None;
         let token = standing.token.take();
         drop(standing);
+        let led_with = token.unwrap_or(0);
+        log::warn!(node:% = self.shared.me.name, led_with = led_with; "leader: the lease has lapsed.");
         if let Some(token) = token {
             self.lost_token = token;
             self.shared.view().forget_seat(token, Instant::now());
@@ -248,7 +249,10 @@
             None => return Election::Contend,
         }
         drop(standing);
-        log::warn!("leader: the seat is gone.");
+        log::warn!(
+            node:% = self.shared.me.name, led_with = self.lost_token;
+            "leader: the seat is gone."
+        );
         self.shared.publish_term();
         Election::Contend
     }
@@ -261,7 +265,10 @@
         }
         standing.token = None;
         drop(standing);
-        log::warn!("leader: another node leads.");
+        log::warn!(
+            node:% = self.shared.me.name, fencing_token = token;
+            "leader: another node leads."
+        );
         self.shared.publish_term();
     }
 
@@ -281,7 +288,12 @@
         }
         let wait = standing.orders_from.duration_since(Instant::now());
         drop(standing);
-        log::info!("leader: this node leads, with token {token}, and orders after {wait:?}.");
+        log::info!(
+            node:% = self.shared.me.name,
+            fencing_token = token,
+            orders_after_ms = wait.as_millis() as u64;
+            "leader: this node leads."
+        );
         self.shared.publish_term();
     }
 
--- a/src/leader/membership.rs
+++ b/src/leader/membership.rs
@@ -8,6 +8,7 @@
     crate::{
         node::Bounds,
         store::{Change, Entry, LeaseId, SharedStore, StoreVersion},
+        traffic::NodeName,
     },
     std::{
         fmt,
@@ -176,6 +177,14 @@
         }
     }
 
+    /// Returns the node that leads and its fencing token, as last read.
+    pub fn leader(&self) -> Option<(NodeName, u64)> {
+        let view = self.shared.view();
+        let stored = view.seat.as_ref()?;
+        let seat = stored.seat.as_ref()?;
+        Some((seat.node.clone(), stored.version.0.unsigned_abs()))
+    }
+
     /// Leaves on a planned stop: gives no more orders, and ends the lease with all its keys.
     pub async fn leave(&self) {
         self.shared.standing().is_leaving = true;
--- a/src/node/control_port.rs
+++ b/src/node/control_port.rs
@@ -1,19 +1,34 @@
 //! What a node answers to its peers and to operators.
 
 use {
+    super::NodeView,
     crate::{
-        dispatch::RunnerBoard,
         http::{Body, ListenerLimits, serve_http},
-        traffic::TrafficBoard,
+        telemetry::RecentEvents,
     },
-    hyper::{Request, Response, StatusCode, body::Incoming},
-    std::{future::ready, sync::Arc, time::Duration},
+    hyper::{
+        Method, Request, Response, StatusCode,
+        body::Incoming,
+        header::{CONTENT_TYPE, HeaderValue},
+    },
+    serde::Serialize,
+    std::{future::ready, time::Duration},
     tokio::net::TcpListener,
     tokio_util::sync::CancellationToken,
 };
 
 /// The path of the published form of the configuration in force.
 pub const CONFIG_PATH: &str = "/configuration";
+/// The path of the node's state.
+pub const STATUS_PATH: &str = "/status";
+/// The path of the configurations that the node put in force.
+pub const HISTORY_PATH: &str = "/history";
+/// The path of the newest events.
+pub const EVENTS_PATH: &str = "/events";
+/// The path that begins the planned stop when it is posted to.
+pub const DRAIN_PATH: &str = "/drain";
+/// The path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
 
 /// The limits of the control listener.
 const LIMITS: ListenerLimits = ListenerLimits {
@@ -25,36 +40,65 @@
 };
 
 /// Answers peers and operators.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct ControlPort {
-    /// The configuration in force.
-    pub traffic: Arc<TrafficBoard>,
-    /// The runners.
-    pub board: Arc<RunnerBoard>,
-    /// Renders the metrics.
-    pub render_metrics: Arc<dyn Fn() -> String + Send + Sync>,
+    /// What it shows.
+    pub view: NodeView,
 }
 
 impl ControlPort {
     /// Serves until `stop`.
     pub async fn serve(self, listener: TcpListener, stop: CancellationToken) {
-        let handle = move |request: Request<Incoming>| ready(self.answer(request.uri().path()));
+        let handle = move |request: Request<Incoming>| {
+            ready(self.answer(request.method(), request.uri().path()))
+        };
         serve_http(listener, LIMITS, stop, handle).await;
     }
 
-    fn answer(&self, path: &str) -> Response<Body> {
-        match path {
-            CONFIG_PATH => match self.traffic.current() {
+    fn answer(&self, method: &Method, path: &str) -> Response<Body> {
+        let view = &self.view;
+        match (method, path) {
+            (&Method::POST, DRAIN_PATH) => {
+                log::info!(node:% = view.node; "node: an operator asked to drain");
+                view.stop.cancel();
+                status(StatusCode::ACCEPTED)
+            }
+            (_, DRAIN_PATH) => status(StatusCode::METHOD_NOT_ALLOWED),
+            (_, CONFIG_PATH) => match view.traffic.current() {
                 Some(map) => Response::new(Body::from(map.source())),
                 None => status(StatusCode::NOT_FOUND),
             },
-            "/healthz" => status(StatusCode::OK),
-            "/metrics" => Response::new(Body::from((self.render_metrics)())),
+            (_, STATUS_PATH) => json(&view.status()),
+            (_, HISTORY_PATH) => json(&view.traffic.history()),
+            (_, EVENTS_PATH) => json(&RecentEvents::global().newest(usize::MAX)),
+            (_, "/healthz") => status(StatusCode::OK),
+            (_, METRICS_PATH) => Response::new(Body::from(view.metrics())),
             _ => status(StatusCode::NOT_FOUND),
         }
     }
 }
 
+/// Serves the metrics alone until `stop`.
+pub async fn serve_metrics(view: NodeView, listener: TcpListener, stop: CancellationToken) {
+    let handle = move |request: Request<Incoming>| {
+        ready(match request.uri().path() {
+            METRICS_PATH => Response::new(Body::from(view.metrics())),
+            _ => status(StatusCode::NOT_FOUND),
+        })
+    };
+    serve_http(listener, LIMITS, stop, handle).await;
+}
+
+fn json(value: &impl Serialize) -> Response<Body> {
+    let Ok(text) = serde_json::to_string(value) else {
+        return status(StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    let mut response = Response::new(Body::from(text));
+    let form = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, form);
+    response
+}
+
 fn status(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::empty());
     *response.status_mut() = status;
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -1,19 +1,23 @@
 //! Runs a node as a process.
 
 use {
-    super::{ControlPort, NodeParts, NodeSettings, fetch_from_peers, stop_signal::stop_on_signal},
+    super::{
+        ControlPort, NodeParts, NodeSettings, NodeView, SettingsFollower, fetch_from_peers,
+        serve_metrics, signals::Signals,
+    },
     crate::{
-        copies::OrderTask,
+        copies::{OrderCounts, OrderTask},
         discovery::follow_runners,
         dispatch::{Dispatcher, RunnerBoard},
         gossip::Gossip,
         http::{Readiness, serve_operations},
         leader::{Membership, PeerNode},
         relay::Relay,
-        telemetry::{init_logs, init_metrics, keep_up_metrics},
+        store::MeteredStore,
+        telemetry::{init_logs_by_part, set_log_rules},
         traffic::{ConfigFollower, TrafficBoard},
     },
-    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{io, net::SocketAddr, path::Path, sync::Arc, time::Duration},
     thiserror::Error,
     tokio::{
         net::{TcpListener, UdpSocket},
@@ -39,22 +43,18 @@
         /// Why not.
         cause: io::Error,
     },
-    /// The metrics cannot be set up.
-    #[error("metrics: {0}")]
-    Metrics(String),
 }
 
-/// Runs a node until the planned stop.
+/// Runs a node with the settings of a file until the planned stop.
 ///
 /// # Errors
 ///
 /// Fails when an address is taken.
-pub async fn run(settings: NodeSettings, parts: NodeParts) -> Result<(), NodeError> {
-    init_logs(settings.log_level, settings.log_format);
+pub async fn run(settings: NodeSettings, path: &Path, parts: NodeParts) -> Result<(), NodeError> {
+    init_logs_by_part(settings.log_rules(), settings.log_format);
     let sockets = Sockets::bind(&settings).await?;
-    let metrics = init_metrics().map_err(|cause| NodeError::Metrics(cause.to_string()))?;
-    tokio::spawn(keep_up_metrics(metrics.clone()));
-    let stop = stop_on_signal().map_err(io_error("signals"))?;
+    let signals = Signals::listen().map_err(io_error("signals"))?;
+    let stop = signals.stop.clone();
     let node = Node::new(settings, parts);
     node.follow_platform();
     node.give_orders(sockets.gossip);
@@ -62,19 +62,19 @@
     let relay = node.relay();
     let readiness = Readiness::default();
     let ended = CancellationToken::new();
-    let render = move || metrics.render();
-    tokio::spawn(serve_operations(
-        sockets.ready,
-        readiness.clone(),
-        render.clone(),
-        ended.clone(),
-    ));
-    let control = ControlPort {
-        traffic: node.traffic.clone(),
-        board: node.board.clone(),
-        render_metrics: Arc::new(render),
-    };
-    tokio::spawn(control.serve(sockets.control, ended.clone()));
+    let view = node.view(relay.clone(), readiness.clone(), stop.clone());
+    let shown = view.clone();
+    let render = move || shown.metrics();
+    let operations = serve_operations(sockets.ready, readiness.clone(), render, ended.clone());
+    tokio::spawn(operations);
+    if let Some(metrics) = sockets.metrics {
+        tokio::spawn(serve_metrics(view.clone(), metrics, ended.clone()));
+    }
+    tokio::spawn(ControlPort { view }.serve(sockets.control, ended.clone()));
+    tokio::spawn(
+        node.follow_settings(path, relay.clone())
+            .run(signals.settings_changed),
+    );
     let closing = CancellationToken::new();
     let served = tokio::spawn(relay.clone().serve(sockets.callers, closing.clone()));
     log::info!("node: started");
@@ -99,11 +99,15 @@
     parts: NodeParts,
     traffic: Arc<TrafficBoard>,
     board: Arc<RunnerBoard>,
-    membership: Membership,
+    membership: Arc<Membership>,
+    store: Arc<MeteredStore>,
+    orders: Arc<OrderCounts>,
 }
 
 impl Node {
-    fn new(settings: NodeSettings, parts: NodeParts) -> Self {
+    fn new(settings: NodeSettings, mut parts: NodeParts) -> Self {
+        let store = Arc::new(MeteredStore::new(parts.store));
+        parts.store = store.clone();
         let traffic = Arc::new(TrafficBoard::default());
         let board = RunnerBoard::new(settings.data_centre.clone(), traffic.clone());
         let membership = Membership::start(
@@ -117,10 +121,34 @@
             parts,
             traffic,
             board: Arc::new(board),
-            membership,
+            membership: Arc::new(membership),
+            store,
+            orders: Arc::default(),
+        }
+    }
+
+    fn view(&self, relay: Arc<Relay>, readiness: Readiness, stop: CancellationToken) -> NodeView {
+        NodeView {
+            node: self.settings.node.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            traffic: self.traffic.clone(),
+            board: self.board.clone(),
+            membership: self.membership.clone(),
+            store: self.store.clone(),
+            relay,
+            orders: self.orders.clone(),
+            readiness,
+            stop,
         }
     }
 
+    fn follow_settings(&self, path: &Path, relay: Arc<Relay>) -> SettingsFollower {
+        SettingsFollower::new(path, self.settings.clone(), move |settings| {
+            set_log_rules(settings.log_rules());
+            relay.set_bounds(&settings.bounds);
+        })
+    }
+
     /// Follows the configuration and the list of runners.
     fn follow_platform(&self) {
         let (store, formats) = (&self.parts.store, &self.parts.formats);
@@ -142,6 +170,7 @@
             control: self.parts.control.clone(),
             term: self.membership.term.clone(),
             listener: gossip,
+            counts: self.orders.clone(),
             node,
             bounds: self.settings.bounds,
         };
@@ -189,6 +218,8 @@
     callers: TcpListener,
     ready: TcpListener,
     control: TcpListener,
+    /// `None` when it is not wanted or its port is taken.
+    metrics: Option<TcpListener>,
     gossip: UdpSocket,
 }
 
@@ -199,6 +230,7 @@
             callers: bind("callers_address", settings.callers_address).await?,
             ready: bind("ready_address", settings.ready_address).await?,
             control: bind("control_address", settings.control_address).await?,
+            metrics: bind_metrics(settings).await,
             gossip: UdpSocket::bind(gossip)
                 .await
                 .map_err(io_error("gossip_port"))?,
@@ -206,6 +238,18 @@
     }
 }
 
+/// Binds the port of the metrics; a node serves without it too.
+async fn bind_metrics(settings: &NodeSettings) -> Option<TcpListener> {
+    let address = SocketAddr::new(settings.ip.into(), settings.metrics_port);
+    if settings.metrics_port == 0 {
+        return None;
+    }
+    let bound = TcpListener::bind(address).await;
+    bound
+        .inspect_err(|cause| log::warn!("node: no metrics at {address}: {cause}"))
+        .ok()
+}
+
 fn own_address(settings: &NodeSettings) -> PeerNode {
     PeerNode {
         name: settings.node.clone(),
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::{
-        telemetry::{LogFormat, LogLevel},
+        telemetry::{LogFormat, LogLevel, LogRules},
         traffic::{NodeName, ZoneId},
     },
-    serde::Deserialize,
+    serde::{Deserialize, Serialize},
     std::{
+        collections::BTreeMap,
         net::{Ipv4Addr, SocketAddr},
         path::Path,
     },
@@ -14,7 +15,7 @@
 };
 
 /// The settings of a node, from a JSON file.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct NodeSettings {
     /// The node's name.
     pub node: NodeName,
@@ -34,6 +35,9 @@
     /// Control addresses of a few nodes; some may be gone.
     #[serde(default)]
     pub seed_addresses: Vec<SocketAddr>,
+    /// The port for metrics alone, on the node's own address; none when 0.
+    #[serde(default)]
+    pub metrics_port: u16,
     /// The UDP port on which nodes exchange their state, the same on all.
     pub gossip_port: u16,
     /// The platform's store.
@@ -49,13 +53,16 @@
     /// The least severe messages that are logged.
     #[serde(default = "default_log_level")]
     pub log_level: LogLevel,
+    /// The same for single parts, by the names of the folders of the sources.
+    #[serde(default)]
+    pub log_levels: BTreeMap<String, LogLevel>,
     /// The shape of log lines.
     #[serde(default = "default_log_format")]
     pub log_format: LogFormat,
 }
 
 /// The platform's bounds.
-#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Bounds {
     /// The time after which a leaving runner gets no more requests.
     pub drain_ms: u64,
@@ -116,11 +123,28 @@
             path: shown(),
             cause,
         })?;
-        serde_json::from_slice(&bytes).map_err(|cause| NodeSettingsError::Form {
-            path: shown(),
+        Self::parse(path, &bytes)
+    }
+
+    /// Reads the settings from the content of a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a field is missing or wrong.
+    pub fn parse(path: &Path, content: &[u8]) -> Result<Self, NodeSettingsError> {
+        serde_json::from_slice(content).map_err(|cause| NodeSettingsError::Form {
+            path: path.display().to_string(),
             cause,
         })
     }
+
+    /// Returns what is logged.
+    pub fn log_rules(&self) -> LogRules {
+        LogRules {
+            level: self.log_level,
+            parts: self.log_levels.clone(),
+        }
+    }
 }
 
 fn one() -> usize {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod refusal;
 #[allow(clippy::module_inception)]
 mod relay;
+mod relay_counts;
 mod retry_budget;
 mod run;
 mod runner_connection;
@@ -21,7 +22,8 @@
 mod write_watch;
 
 use {
-    attempt::*, call::*, progress::*, refusal::*, run::*, runner_connection::*, runner_pool::*,
-    sent_place::*, stream_relay::*, verdict::*, write_watch::*,
+    attempt::*, call::*, progress::*, refusal::*, relay_counts::AnswerOutcome,
+    relay_counts::Unanswered, run::*, runner_connection::*, runner_pool::*, sent_place::*,
+    stream_relay::*, verdict::*, write_watch::*,
 };
-pub use {event_splitter::*, head::*, relay::*, retry_budget::*};
+pub use {event_splitter::*, head::*, relay::*, relay_counts::RelayCounts, retry_budget::*};
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -36,7 +36,46 @@
     TimedOut,
 }
 
+/// The reason of a refusal, as it is counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RefusalReason {
+    NoConfiguration,
+    NoRoute,
+    BadRequest,
+    BodyTooLarge,
+    BodyTooSlow,
+    Overloaded,
+    RunnerFailed,
+    TimedOut,
+}
+
 impl Refusal {
+    /// The names of the reasons, in the order of [`RefusalReason`].
+    pub(super) const REASONS: [&'static str; 8] = [
+        "no_configuration",
+        "no_route",
+        "bad_request",
+        "body_too_large",
+        "body_too_slow",
+        "overloaded",
+        "runner_failed",
+        "timed_out",
+    ];
+
+    /// Returns the reason, without its details.
+    pub(super) fn reason(&self) -> RefusalReason {
+        match self {
+            Self::NoConfiguration => RefusalReason::NoConfiguration,
+            Self::NoRoute => RefusalReason::NoRoute,
+            Self::BadRequest(_) | Self::BadHead(_) => RefusalReason::BadRequest,
+            Self::BodyTooLarge => RefusalReason::BodyTooLarge,
+            Self::BodyTooSlow => RefusalReason::BodyTooSlow,
+            Self::NotRun { .. } => RefusalReason::Overloaded,
+            Self::Broken => RefusalReason::RunnerFailed,
+            Self::TimedOut => RefusalReason::TimedOut,
+        }
+    }
+
     /// A request that did not run and may come back soon.
     pub(super) fn not_run() -> Self {
         Self::NotRun {
@@ -95,6 +134,7 @@
 impl Relay {
     /// Turns a refusal into a response.
     pub(super) fn refuse(&self, refusal: &Refusal) -> Response<Body> {
+        self.counts.refused(refusal);
         let problem = refusal.problem();
         let wait = problem.retry_after;
         let mut response = problem.into_response();
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -1,7 +1,7 @@
 //! The relay of a node.
 
 use {
-    super::{Progress, RetryBudget, Run, RunnerPool},
+    super::{Progress, RelayCounts, RetryBudget, Run, RunnerPool, Unanswered},
     crate::{
         dispatch::Dispatcher,
         http::Body,
@@ -12,7 +12,8 @@
     hyper::{Request, Response, body::Incoming, header},
     std::{
         fmt,
-        sync::{Arc, OnceLock},
+        sync::{Arc, Mutex, OnceLock, PoisonError},
+        time::Duration,
     },
     tokio::{sync::watch, time::Instant},
     tokio_util::sync::CancellationToken,
@@ -23,10 +24,12 @@
     pub(super) traffic: Arc<TrafficBoard>,
     pub(super) dispatcher: Dispatcher,
     pub(super) formats: Arc<dyn Formats>,
-    pub(super) bounds: Bounds,
     peers: watch::Receiver<Vec<PeerNode>>,
     pub(super) pool: Arc<RunnerPool>,
     pub(super) budget: RetryBudget,
+    pub(super) counts: RelayCounts,
+    /// The time for requests in flight after a planned stop began.
+    grace: Mutex<Duration>,
     /// When the planned stop began.
     pub(super) retired_at: OnceLock<Instant>,
     /// Whether the time for open requests is over.
@@ -53,7 +56,8 @@
             dispatcher,
             formats,
             budget: RetryBudget::new(&bounds),
-            bounds,
+            counts: RelayCounts::default(),
+            grace: Mutex::new(grace(&bounds)),
             peers,
             pool: Arc::default(),
             retired_at: OnceLock::new(),
@@ -66,9 +70,26 @@
         self.retired_at.get_or_init(Instant::now);
     }
 
+    /// Applies other bounds; requests in flight go on.
+    pub fn set_bounds(&self, bounds: &Bounds) {
+        self.budget.set_bounds(bounds);
+        *self.grace.lock().unwrap_or_else(PoisonError::into_inner) = grace(bounds);
+    }
+
+    /// Returns what became of callers' requests.
+    pub fn counts(&self) -> &RelayCounts {
+        &self.counts
+    }
+
+    /// Returns the time for requests in flight after a planned stop began.
+    pub(super) fn grace(&self) -> Duration {
+        *self.grace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Answers a caller's request.
     pub(super) async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let arrived_at = Instant::now();
+        let unanswered = Unanswered::new(&self.counts);
         let mut response = match self.read_call(request, arrived_at).await {
             Ok(call) => {
                 // Lets the connection notice that its caller has already left.
@@ -78,10 +99,11 @@
                     call,
                     progress: Progress::default(),
                 };
-                run.answer().await
+                run.answer(arrived_at).await
             }
             Err(refusal) => self.refuse(&refusal),
         };
+        unanswered.answered();
         if self.retired_at.get().is_some() {
             let close = header::HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
@@ -96,10 +118,19 @@
 
     /// Takes a further try from the budget of a service; returns whether there is one.
     pub(super) fn may_repeat(&self, service: &ServiceId) -> bool {
-        self.budget.try_repeat(service, self.nodes())
+        let may_repeat = self.budget.try_repeat(service, self.nodes());
+        match may_repeat {
+            true => self.counts.retries.count(),
+            false => self.counts.retries_denied.count(),
+        }
+        may_repeat
     }
 
     fn nodes(&self) -> usize {
         self.peers.borrow().len() + 1
     }
 }
+
+fn grace(bounds: &Bounds) -> Duration {
+    Duration::from_secs_f64(bounds.grace_s.max(0.0))
+}
--- /dev/null
+++ b/src/relay/relay_counts.rs
@@ -0,0 +1,152 @@
+//! What became of callers' requests, in numbers.
+
+use {
+    super::Refusal,
+    crate::{
+        telemetry::{Counter, MetricText, TimeCounts},
+        traffic::RouteKind,
+    },
+    std::time::Duration,
+};
+
+const KINDS: [&str; 3] = ["idempotent", "non_idempotent", "streaming"];
+const OUTCOMES: [&str; 3] = ["answered", "runner_failed", "refused"];
+
+/// How an answer begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AnswerOutcome {
+    /// A runner's success is passed on.
+    Answered,
+    /// A runner's failure is passed on.
+    RunnerFailed,
+    /// The system answers itself.
+    Refused,
+}
+
+/// What became of callers' requests since the start.
+#[derive(Debug, Default)]
+pub struct RelayCounts {
+    answers: [[Counter; OUTCOMES.len()]; KINDS.len()],
+    waits: [TimeCounts; KINDS.len()],
+    refusals: [Counter; Refusal::REASONS.len()],
+    pub(super) retries: Counter,
+    pub(super) retries_denied: Counter,
+    pub(super) streams_resumed: Counter,
+    pub(super) streams_lost: Counter,
+    pub(super) cancelled: Counter,
+}
+
+impl RelayCounts {
+    /// Counts the begin of an answer, so long after the request's arrival.
+    pub(super) fn answered(&self, kind: RouteKind, outcome: AnswerOutcome, after: Duration) {
+        let kind = position(kind);
+        self.answers[kind][outcome as usize].count();
+        if outcome == AnswerOutcome::Answered {
+            self.waits[kind].record(after);
+        }
+    }
+
+    pub(super) fn refused(&self, refusal: &Refusal) {
+        self.refusals[refusal.reason() as usize].count();
+    }
+
+    /// Returns the refusals by reason, without those that never came.
+    pub fn refusals(&self) -> Vec<(&'static str, u64)> {
+        let counted = Refusal::REASONS.iter().zip(&self.refusals);
+        let counted = counted.map(|(reason, counter)| (*reason, counter.get()));
+        counted.filter(|(_, count)| *count > 0).collect()
+    }
+
+    /// Adds the counts to a text of metrics.
+    pub fn render(&self, text: &mut MetricText) {
+        let name = "ggt_answers_total";
+        text.begin(
+            name,
+            "counter",
+            "Answers begun, by kind of route and outcome.",
+        );
+        for (kind, counters) in KINDS.iter().zip(&self.answers) {
+            for (outcome, counter) in OUTCOMES.iter().zip(counters) {
+                let labels = [("kind", *kind), ("outcome", *outcome)];
+                text.value(name, &labels, counter.get() as f64);
+            }
+        }
+        let name = "ggt_answer_wait_seconds";
+        text.begin(
+            name,
+            "histogram",
+            "From a request's arrival to the first part of its answer.",
+        );
+        for (kind, times) in KINDS.iter().zip(&self.waits) {
+            text.times(name, &[("kind", *kind)], times);
+        }
+        let name = "ggt_refusals_total";
+        text.begin(
+            name,
+            "counter",
+            "Requests that the system answered itself, by reason.",
+        );
+        for (reason, counter) in Refusal::REASONS.iter().zip(&self.refusals) {
+            text.value(name, &[("reason", *reason)], counter.get() as f64);
+        }
+        for (name, help, counter) in [
+            (
+                "ggt_retries_total",
+                "Further tries from the retry budget.",
+                &self.retries,
+            ),
+            (
+                "ggt_retries_denied_total",
+                "Further tries that the retry budget denied.",
+                &self.retries_denied,
+            ),
+            (
+                "ggt_streams_resumed_total",
+                "Streams that went on at another runner.",
+                &self.streams_resumed,
+            ),
+            (
+                "ggt_streams_lost_total",
+                "Streams that broke off for good after they began.",
+                &self.streams_lost,
+            ),
+            (
+                "ggt_requests_cancelled_total",
+                "Requests whose caller left before the answer began.",
+                &self.cancelled,
+            ),
+        ] {
+            text.single(name, "counter", help, counter.get() as f64);
+        }
+    }
+}
+
+/// Counts a request as cancelled if it is dropped before its answer.
+#[derive(Debug)]
+pub(super) struct Unanswered<'a>(Option<&'a RelayCounts>);
+
+impl<'a> Unanswered<'a> {
+    pub(super) fn new(counts: &'a RelayCounts) -> Self {
+        Self(Some(counts))
+    }
+
+    pub(super) fn answered(mut self) {
+        self.0 = None;
+    }
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if let Some(counts) = self.0 {
+            counts.cancelled.count();
+        }
+    }
+}
+
+fn position(kind: RouteKind) -> usize {
+    match kind {
+        RouteKind::Idempotent => 0,
+        RouteKind::NonIdempotent => 1,
+        RouteKind::Streaming { .. } => 2,
+    }
+}
--- a/src/relay/retry_budget.rs
+++ b/src/relay/retry_budget.rs
@@ -30,12 +30,28 @@
     parts: VecDeque<Part>,
 }
 
-/// This node's share of the further tries that services may get in a sliding span.
-#[derive(Debug)]
-pub struct RetryBudget {
+/// What bounds the further tries of a service.
+#[derive(Debug, Clone, Copy)]
+struct Limits {
     ratio: f64,
     slack: f64,
     window: Duration,
+}
+
+impl Limits {
+    fn new(bounds: &Bounds) -> Self {
+        Self {
+            ratio: bounds.retry_budget_ratio,
+            slack: bounds.retry_budget_slack,
+            window: Duration::from_secs_f64(bounds.budget_window_s.max(0.0)),
+        }
+    }
+}
+
+/// This node's share of the further tries that services may get in a sliding span.
+#[derive(Debug)]
+pub struct RetryBudget {
+    limits: Mutex<Limits>,
     services: Mutex<Vec<ServiceCounts>>,
 }
 
@@ -43,13 +59,20 @@
     /// Makes a budget by the platform's bounds.
     pub fn new(bounds: &Bounds) -> Self {
         Self {
-            ratio: bounds.retry_budget_ratio,
-            slack: bounds.retry_budget_slack,
-            window: Duration::from_secs_f64(bounds.budget_window_s),
+            limits: Mutex::new(Limits::new(bounds)),
             services: Mutex::default(),
         }
     }
 
+    /// Applies other bounds; what was counted stays.
+    pub fn set_bounds(&self, bounds: &Bounds) {
+        *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = Limits::new(bounds);
+    }
+
+    fn limits(&self) -> Limits {
+        *self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Counts a caller's request.
     pub fn count_request(&self, service: &ServiceId) {
         self.with_parts(service, |parts| {
@@ -63,15 +86,17 @@
     ///
     /// Returns whether the try may be made.
     pub fn try_repeat(&self, service: &ServiceId, nodes: usize) -> bool {
-        let part_length = self.window / PARTS;
+        let limits = self.limits();
+        let part_length = limits.window / PARTS;
         self.with_parts(service, |parts| {
             let Some(now) = parts.back().map(|part| part.began) else {
                 return false;
             };
-            let recent = |part: &&Part| now.duration_since(part.began) + part_length <= self.window;
+            let recent =
+                |part: &&Part| now.duration_since(part.began) + part_length <= limits.window;
             let requests: u32 = parts.iter().filter(recent).map(|part| part.requests).sum();
             let repeats: u32 = parts.iter().map(|part| part.repeats).sum();
-            let share = self.ratio * f64::from(requests) + self.slack / nodes.max(1) as f64;
+            let share = limits.ratio * f64::from(requests) + limits.slack / nodes.max(1) as f64;
             if f64::from(repeats + 1) > USED_SHARE * share {
                 return false;
             }
@@ -95,29 +120,29 @@
             position
         });
         let parts = &mut services[position].parts;
-        self.move_on(parts, Instant::now());
+        move_on(parts, self.limits().window, Instant::now());
         act(parts)
     }
+}
 
-    /// Drops parts that are wholly out of the span and begins the present one.
-    fn move_on(&self, parts: &mut VecDeque<Part>, now: Instant) {
-        let part_length = self.window / PARTS;
-        let over = self.window + part_length;
-        while parts
-            .front()
-            .is_some_and(|part| now.duration_since(part.began) > over)
-        {
-            parts.pop_front();
-        }
-        let begin = parts
-            .back()
-            .is_none_or(|part| now.duration_since(part.began) >= part_length);
-        if begin {
-            parts.push_back(Part {
-                began: now,
-                requests: 0,
-                repeats: 0,
-            });
-        }
+/// Drops parts that are wholly out of the span and begins the present one.
+fn move_on(parts: &mut VecDeque<Part>, window: Duration, now: Instant) {
+    let part_length = window / PARTS;
+    let over = window + part_length;
+    while parts
+        .front()
+        .is_some_and(|part| now.duration_since(part.began) > over)
+    {
+        parts.pop_front();
+    }
+    let begin = parts
+        .back()
+        .is_none_or(|part| now.duration_since(part.began) >= part_length);
+    if begin {
+        parts.push_back(Part {
+            began: now,
+            requests: 0,
+            repeats: 0,
+        });
     }
 }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -1,11 +1,13 @@
 //! The tries of one request, up to its answer.
 
 use {
-    super::{Answered, Call, LiveStream, Progress, Refusal, Relay, Tried, stream_response},
+    super::{
+        AnswerOutcome, Answered, Call, LiveStream, Progress, Refusal, Relay, Tried, stream_response,
+    },
     crate::{dispatch::TryOutcome, http::Body},
     hyper::{Response, StatusCode},
     std::sync::Arc,
-    tokio::time,
+    tokio::time::{self, Instant},
 };
 
 /// A request on its way.
@@ -26,13 +28,16 @@
 }
 
 impl Run {
-    /// Runs the request and returns the response for the caller.
-    pub(super) async fn answer(mut self) -> Response<Body> {
+    /// Runs the request, which arrived at an instant, and returns the response for the caller.
+    pub(super) async fn answer(mut self, arrived_at: Instant) -> Response<Body> {
         self.relay.budget.count_request(&self.call.rules.service);
         let relay = self.relay.clone();
         let ends_at = self.call.ends_at;
         let first = relay.closing.run_until_cancelled(self.first_answer());
         let first = time::timeout_at(ends_at, first).await;
+        let kind = self.call.rules.kind;
+        let outcome = self.outcome(first.as_ref().ok().and_then(Option::as_ref));
+        relay.counts.answered(kind, outcome, arrived_at.elapsed());
         match first.ok().flatten() {
             Some(Ok(Answer::Plain(response))) => response,
             Some(Ok(Answer::Stream(head, live))) => stream_response(self, head, *live),
@@ -44,6 +49,18 @@
         }
     }
 
+    fn outcome(&self, first: Option<&Result<Answer, Refusal>>) -> AnswerOutcome {
+        match first {
+            Some(Ok(Answer::Stream(..))) => AnswerOutcome::Answered,
+            Some(Ok(Answer::Plain(response))) if response.status().is_success() => {
+                AnswerOutcome::Answered
+            }
+            Some(Ok(Answer::Plain(_))) => AnswerOutcome::RunnerFailed,
+            _ if self.progress.failure.is_some() => AnswerOutcome::RunnerFailed,
+            _ => AnswerOutcome::Refused,
+        }
+    }
+
     /// Returns a runner's failure if there is one, else the system's own answer.
     fn fail(mut self, refusal: &Refusal) -> Response<Body> {
         match self.progress.failure.take() {
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -58,7 +58,7 @@
 
     async fn finish(&self, open: GracefulShutdown) -> bool {
         let began = *self.retired_at.get_or_init(Instant::now);
-        let grace = Duration::from_secs_f64(self.bounds.grace_s).saturating_sub(GRACE_RESERVE);
+        let grace = self.grace().saturating_sub(GRACE_RESERVE);
         let mut shutdown = Box::pin(open.shutdown());
         if time::timeout_at(began + grace, &mut shutdown).await.is_ok() {
             return true;
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -165,7 +165,10 @@
     match next {
         Ok(Some(events)) => Some((Ok(events), Some(state))),
         Ok(None) => None,
-        Err(cause) => Some((Err(BodyError(cause)), None)),
+        Err(cause) => {
+            state.run.relay.counts.streams_lost.count();
+            Some((Err(BodyError(cause)), None))
+        }
     }
 }
 
@@ -211,7 +214,10 @@
         match run.attempt(last_id).await {
             Ok(Tried::Nothing) => {}
             Ok(Tried::Failure(answered)) => answered.discard(TryOutcome::Failed).await,
-            Ok(Tried::Success(answered)) => return Ok(answered.split_stream(last_id).1),
+            Ok(Tried::Success(answered)) => {
+                run.relay.counts.streams_resumed.count();
+                return Ok(answered.split_stream(last_id).1);
+            }
             Err(_) if run.may_wait() => time::sleep(RESUME_PAUSE).await,
             Err(_) => return Err("no other runner goes on with the stream".to_owned()),
         }
--- /dev/null
+++ b/src/store/metered_store.rs
@@ -0,0 +1,214 @@
+//! Counts the calls to a store, and notes when its watches last answered.
+
+use {
+    super::{
+        Changes, Lease, LeaseId, Range, SharedStore, Store, StoreError, StoreVersion, Txn, TxnReply,
+    },
+    crate::telemetry::{Counter, MetricText, TimeCounts},
+    futures::{
+        StreamExt,
+        future::{BoxFuture, FutureExt},
+        stream::BoxStream,
+    },
+    std::{
+        fmt,
+        sync::{Mutex, PoisonError},
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// The kinds of calls, in the order of [`CallKind`].
+const KINDS: [&str; 6] = [
+    "range",
+    "txn",
+    "grant_lease",
+    "renew_lease",
+    "revoke_lease",
+    "watch",
+];
+
+/// How calls end.
+const OUTCOMES: [&str; 6] = [
+    "done",
+    "unreachable",
+    "unknown",
+    "refused",
+    "lease_lapsed",
+    "compacted",
+];
+
+#[derive(Debug, Clone, Copy)]
+enum CallKind {
+    Range,
+    Txn,
+    GrantLease,
+    RenewLease,
+    RevokeLease,
+    Watch,
+}
+
+#[derive(Debug)]
+struct WatchAge {
+    prefix: String,
+    answered_at: Instant,
+}
+
+/// A store whose calls are counted.
+pub struct MeteredStore {
+    store: SharedStore,
+    calls: [[Counter; OUTCOMES.len()]; KINDS.len()],
+    times: TimeCounts,
+    /// One for each prefix that was watched.
+    watches: Mutex<Vec<WatchAge>>,
+}
+
+impl fmt::Debug for MeteredStore {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("MeteredStore")
+    }
+}
+
+impl MeteredStore {
+    /// Counts the calls to `store`.
+    pub fn new(store: SharedStore) -> Self {
+        Self {
+            store,
+            calls: Default::default(),
+            times: TimeCounts::default(),
+            watches: Mutex::default(),
+        }
+    }
+
+    /// Returns how long ago each watched prefix last had an answer, whether with changes or not.
+    pub fn watch_ages(&self) -> Vec<(String, Duration)> {
+        let watches = self.watches.lock().unwrap_or_else(PoisonError::into_inner);
+        let ages = watches.iter();
+        ages.map(|watch| (watch.prefix.clone(), watch.answered_at.elapsed()))
+            .collect()
+    }
+
+    /// Adds the counts to a text of metrics.
+    pub fn render(&self, text: &mut MetricText) {
+        let name = "ggt_store_calls_total";
+        text.begin(
+            name,
+            "counter",
+            "Calls to the store, by kind and outcome; each answer of a watch is one.",
+        );
+        for (kind, counters) in KINDS.iter().zip(&self.calls) {
+            for (outcome, counter) in OUTCOMES.iter().zip(counters) {
+                let labels = [("kind", *kind), ("outcome", *outcome)];
+                text.value(name, &labels, counter.get() as f64);
+            }
+        }
+        let name = "ggt_store_call_seconds";
+        text.begin(
+            name,
+            "histogram",
+            "Time of calls to the store, without watches.",
+        );
+        text.times(name, &[], &self.times);
+        let name = "ggt_watch_age_seconds";
+        text.begin(
+            name,
+            "gauge",
+            "Time since a watch last answered, by prefix of its keys.",
+        );
+        for (prefix, age) in self.watch_ages() {
+            text.value(name, &[("prefix", prefix.as_str())], age.as_secs_f64());
+        }
+    }
+
+    fn count<T>(&self, kind: CallKind, result: &Result<T, StoreError>) {
+        let outcome = match result {
+            Ok(_) => 0,
+            Err(StoreError::Unreachable(_)) => 1,
+            Err(StoreError::Unknown(_)) => 2,
+            Err(StoreError::Refused(_)) => 3,
+            Err(StoreError::LeaseLapsed(_)) => 4,
+            Err(StoreError::Compacted) => 5,
+        };
+        self.calls[kind as usize][outcome].count();
+    }
+
+    async fn timed<T>(
+        &self,
+        kind: CallKind,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let began = Instant::now();
+        let result = call.await;
+        self.times.record(began.elapsed());
+        self.count(kind, &result);
+        result
+    }
+
+    fn note_answer(&self, prefix: &str) {
+        let answered_at = Instant::now();
+        let mut watches = self.watches.lock().unwrap_or_else(PoisonError::into_inner);
+        match watches.iter_mut().find(|watch| watch.prefix == prefix) {
+            Some(watch) => watch.answered_at = answered_at,
+            None => watches.push(WatchAge {
+                prefix: prefix.to_owned(),
+                answered_at,
+            }),
+        }
+    }
+}
+
+impl Store for MeteredStore {
+    fn range<'a>(
+        &'a self,
+        prefix: &'a str,
+        limit: usize,
+    ) -> BoxFuture<'a, Result<Range, StoreError>> {
+        self.timed(CallKind::Range, self.store.range(prefix, limit))
+            .boxed()
+    }
+
+    fn range_between<'a>(
+        &'a self,
+        start: &'a str,
+        end: &'a str,
+        limit: usize,
+    ) -> BoxFuture<'a, Result<Range, StoreError>> {
+        let call = self.store.range_between(start, end, limit);
+        self.timed(CallKind::Range, call).boxed()
+    }
+
+    fn txn(&self, txn: Txn) -> BoxFuture<'_, Result<TxnReply, StoreError>> {
+        self.timed(CallKind::Txn, self.store.txn(txn)).boxed()
+    }
+
+    fn grant_lease(&self, ttl_s: u64) -> BoxFuture<'_, Result<Lease, StoreError>> {
+        self.timed(CallKind::GrantLease, self.store.grant_lease(ttl_s))
+            .boxed()
+    }
+
+    fn renew_lease(&self, id: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
+        self.timed(CallKind::RenewLease, self.store.renew_lease(id))
+            .boxed()
+    }
+
+    fn revoke_lease(&self, id: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
+        self.timed(CallKind::RevokeLease, self.store.revoke_lease(id))
+            .boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        since: StoreVersion,
+    ) -> BoxStream<'a, Result<Changes, StoreError>> {
+        self.note_answer(prefix);
+        let answers = self.store.watch(prefix, since);
+        let counted = answers.inspect(move |answer| {
+            self.count(CallKind::Watch, answer);
+            if answer.is_ok() {
+                self.note_answer(prefix);
+            }
+        });
+        counted.boxed()
+    }
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -8,6 +8,7 @@
 mod http_link;
 pub mod keys;
 mod kv;
+mod metered_store;
 mod watch_reader;
 
-pub use {error::*, etcd_store::*, kv::*};
+pub use {error::*, etcd_store::*, kv::*, metered_store::*};
--- a/src/traffic/follow.rs
+++ b/src/traffic/follow.rs
@@ -100,7 +100,7 @@
             let version = config.version;
             let taken = board.offer(RouteMap::new(config, bytes));
             if taken {
-                log::info!("config: version {} is in force", version.0);
+                log::info!(version = version.0; "config: a version is in force");
             }
             taken
         }
--- a/tests/copies_orders.rs
+++ b/tests/copies_orders.rs
@@ -81,6 +81,7 @@
         term: receiver,
         listener: Arc::new(FleetLink(fleet.clone())),
         node: "front-0".into(),
+        counts: Arc::default(),
         bounds: bounds(),
     };
     let mut tasks = JoinSet::new();
--- /dev/null
+++ b/tests/node_settings.rs
@@ -0,0 +1,128 @@
+//! A change of the settings while a node runs.
+
+mod common {
+    pub mod bounds;
+}
+
+use {
+    common::bounds::bounds,
+    greengagetrail::{
+        node::{Bounds, NodeSettings, SettingsChange, SettingsFollower},
+        relay::RetryBudget,
+    },
+    serde_json::{Value, json},
+    std::{
+        fs,
+        path::PathBuf,
+        sync::{Arc, Mutex},
+    },
+};
+
+struct Rig {
+    file: PathBuf,
+    content: Value,
+    follower: SettingsFollower,
+    applied: Arc<Mutex<Vec<NodeSettings>>>,
+}
+
+impl Rig {
+    fn new(name: &str) -> Self {
+        let file = std::env::temp_dir().join(format!("ggt-set-{}-{name}", std::process::id()));
+        let content = json!({
+            "node": "n", "data_centre": "z", "ip": "10.0.0.1",
+            "callers_address": "10.0.0.1:1", "ready_address": "10.0.0.1:2",
+            "control_address": "10.0.0.1:3", "gossip_port": 4, "store_address": "10.0.0.2:1",
+            "bounds": serde_json::to_value(bounds()).unwrap(),
+        });
+        fs::write(&file, content.to_string()).unwrap();
+        let settings = NodeSettings::read(&file).unwrap();
+        let applied = Arc::new(Mutex::new(Vec::new()));
+        let told = applied.clone();
+        let apply = move |settings: &NodeSettings| told.lock().unwrap().push(settings.clone());
+        let mut follower = SettingsFollower::new(&file, settings, apply);
+        assert_eq!(follower.look(), read(&[], &[]));
+        assert_eq!(follower.look(), SettingsChange::Same);
+        Self {
+            file,
+            content,
+            follower,
+            applied,
+        }
+    }
+
+    fn write(&mut self, change: impl FnOnce(&mut Value)) -> SettingsChange {
+        change(&mut self.content);
+        fs::write(&self.file, self.content.to_string()).unwrap();
+        self.follower.look()
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.file);
+    }
+}
+
+fn read(applied: &[&str], need_restart: &[&str]) -> SettingsChange {
+    let names = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect();
+    SettingsChange::Read {
+        applied: names(applied),
+        need_restart: names(need_restart),
+    }
+}
+
+#[test]
+fn what_can_change_is_applied_and_the_rest_is_named() {
+    let mut rig = Rig::new("apply");
+    let change = rig.write(|all| {
+        all["bounds"]["grace_s"] = json!(3.5);
+        all["log_level"] = json!("debug");
+        all["gossip_port"] = json!(5);
+    });
+    assert_eq!(
+        change,
+        read(&["bounds.grace_s", "log_level"], &["gossip_port"])
+    );
+    let applied = rig.applied.lock().unwrap().clone();
+    assert_eq!(applied.len(), 1);
+    assert_eq!(applied[0].bounds.grace_s, 3.5);
+    // What is applied is not told again; what needs a restart is, until it is as at the start.
+    let change = rig.write(|all| all["bounds"]["grace_s"] = json!(4.0));
+    assert_eq!(change, read(&["bounds.grace_s"], &["gossip_port"]));
+    let change = rig.write(|all| all["gossip_port"] = json!(4));
+    assert_eq!(change, read(&[], &[]));
+}
+
+#[test]
+fn a_broken_or_missing_file_leaves_the_settings_in_force() {
+    let mut rig = Rig::new("broken");
+    let SettingsChange::Broken(cause) = rig.write(|all| all["bounds"] = json!({})) else {
+        panic!("it was read");
+    };
+    assert!(cause.contains("drain_ms"), "{cause}");
+    assert_eq!(rig.follower.look(), SettingsChange::Same);
+    fs::remove_file(&rig.file).unwrap();
+    assert!(matches!(rig.follower.look(), SettingsChange::Broken(_)));
+    assert!(rig.applied.lock().unwrap().is_empty());
+    rig.content["bounds"] = serde_json::to_value(bounds()).unwrap();
+    assert_eq!(rig.write(|_| {}), read(&[], &[]));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_retry_budget_keeps_its_counts_under_other_bounds() {
+    let bounds = Bounds {
+        retry_budget_ratio: 0.0,
+        retry_budget_slack: 5.0,
+        ..bounds()
+    };
+    let budget = RetryBudget::new(&bounds);
+    let service = "s".into();
+    let used = (0..10).filter(|_| budget.try_repeat(&service, 1)).count();
+    assert_eq!(used, 4);
+    budget.set_bounds(&Bounds {
+        retry_budget_slack: 10.0,
+        ..bounds
+    });
+    let used = (0..10).filter(|_| budget.try_repeat(&service, 1)).count();
+    assert_eq!(used, 4, "8 in all, of which 4 were used before");
+}
