Show nodes of a platform by ggt: status, watch, show, history, audit, drain

--node (or GGT_NODE) names the control port of any node; status asks all others through it: version in force, who leads with which fencing token, what waits, was refused and is held by each runner. audit lists the newest 256 events, in memory only: no writes to the store. Towards a keeper nothing changes.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -11,6 +11,8 @@
 const LIMIT_DEFAULT: u32 = 20;
 /// Names the keeper when no argument does.
 pub const KEEPER_VARIABLE: &str = "GGT_KEEPER";
+/// Names the node when no argument does.
+pub const NODE_VARIABLE: &str = "GGT_NODE";
 /// Holds the operators' key when no file is named.
 pub const KEY_VARIABLE: &str = "GGT_OPERATOR_KEY";
 
@@ -55,6 +57,11 @@
     },
     /// Show the state of a keeper's VM.
     Status,
+    /// Show the state of nodes again and again.
+    Watch {
+        /// How often; for ever unless given.
+        count: Option<u32>,
+    },
     /// Start the planned stop of a keeper's VM.
     Drain,
 }
@@ -66,6 +73,8 @@
     pub command: Command,
     /// The keeper to ask.
     pub keeper: Option<SocketAddr>,
+    /// The control port of the node to ask, instead of a keeper.
+    pub node: Option<SocketAddr>,
     /// The file that holds the operators' key.
     pub key_file: Option<PathBuf>,
     /// Whether to print JSON.
@@ -86,6 +95,8 @@
 struct Options {
     positional: Vec<String>,
     keeper: Option<SocketAddr>,
+    node: Option<SocketAddr>,
+    count: Option<u32>,
     key_file: Option<PathBuf>,
     json: bool,
     help: bool,
@@ -109,6 +120,8 @@
             Short('h') | Long("help") => options.help = true,
             Long("json") => options.json = true,
             Long("keeper") => options.keeper = Some(value(&mut parser)?),
+            Long("node") => options.node = Some(value(&mut parser)?),
+            Long("count") => options.count = Some(value(&mut parser)?),
             Long("key-file") => options.key_file = Some(value(&mut parser)?),
             Long("author") => options.author = Some(value(&mut parser)?),
             Long("message") => options.message = Some(value(&mut parser)?),
@@ -149,6 +162,7 @@
         let invocation = Invocation {
             command: self.take_command(&name)?,
             keeper: self.keeper,
+            node: self.node,
             key_file: self.key_file.take(),
             json: self.json,
         };
@@ -180,6 +194,9 @@
                 limit: self.limit.take().unwrap_or(LIMIT_DEFAULT),
             },
             "status" => Command::Status,
+            "watch" => Command::Watch {
+                count: self.count.take(),
+            },
             "drain" => Command::Drain,
             other => return Err(CliError::Usage(format!("there is no command {other:?}"))),
         })
@@ -200,6 +217,7 @@
             (self.expected.is_some(), "--expect"),
             (self.revision.is_some(), "--revision"),
             (self.limit.is_some(), "--limit"),
+            (self.count.is_some(), "--count"),
             (!self.positional.is_empty(), "so many arguments"),
         ];
         match left.into_iter().find(|(given, _)| *given) {
--- a/src/cli/error.rs
+++ b/src/cli/error.rs
@@ -5,6 +5,7 @@
         config::{ConfigFault, ReadError},
         peer::PeerError,
     },
+    std::net::SocketAddr,
     thiserror::Error,
 };
 
@@ -33,11 +34,19 @@
     /// The keeper gave no good answer.
     #[error("keeper: {0}")]
     Keeper(#[from] PeerError),
+    /// A node gave no good answer.
+    #[error("node {address}: {cause}")]
+    Node {
+        /// The address of its control port.
+        address: SocketAddr,
+        /// What happened.
+        cause: String,
+    },
     /// The keeper refused the configuration.
     #[error("the keeper refused the configuration:\n{}", .0.join("\n"))]
     Refused(Vec<String>),
-    /// The answer of the keeper cannot be read.
-    #[error("the keeper's answer cannot be read: {0}")]
+    /// The answer of the keeper or node cannot be read.
+    #[error("the answer cannot be read: {0}")]
     Answer(#[from] serde_json::Error),
     /// The wanted revision is not kept.
     #[error("{0}")]
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -11,8 +11,9 @@
   diff DIR       show what publishing a directory would change
   history        list published revisions
   audit          list orders and the decisions that they followed from
-  status         show the state of a keeper's VM
-  drain          start the planned stop of a keeper's VM
+  status         show the state of a VM, and of all nodes of a platform
+  watch          show the state of a platform's nodes again every second
+  drain          start the planned stop of a VM
 
 Options of every command:
   --json         print JSON
@@ -22,6 +23,9 @@
   --keeper IP:PORT   the keeper's operator address [environment: GGT_KEEPER]
   --key-file FILE    the operators' key [environment, the key itself: GGT_OPERATOR_KEY]
 
+Option of status, watch, show, history, audit and drain on a platform, instead of those:
+  --node IP:PORT     the control port of any node [environment: GGT_NODE]
+
 Exit codes: 0 done, 1 refused or failed, 2 wrong command line.
 ";
 
@@ -47,7 +51,8 @@
 const SHOW: &str = "\
 Usage: ggt show [--revision REVISION] [--json]
 
-Prints the configuration in force, or an older revision. The objects of the newest 8 revisions and
+Prints the configuration in force, or an older revision. A node has only the one in force. The
+objects of the newest 8 revisions and
 the records of the newest 256 are kept.
 ";
 
@@ -60,25 +65,36 @@
 const HISTORY: &str = "\
 Usage: ggt history [--limit NUMBER] [--json]
 
-Lists published revisions, newest first [limit: 20].
+Lists published revisions, newest first [limit: 20]. A node lists the newest 64 versions that it put
+in force, newest last.
 ";
 
 const AUDIT: &str = "\
 Usage: ggt audit [--limit NUMBER] [--json]
 
 Lists orders to model engines and the decisions that they followed from, newest last [limit: 20].
+A node lists its newest 256 events: orders with the load that they follow from, changes of the
+leader, of the configuration and of the settings.
 ";
 
 const STATUS: &str = "\
 Usage: ggt status [--json]
 
-Prints what the keeper knows: the revision in force, members and runners.
+Prints what the keeper knows: the revision in force, members and runners. A node is asked for all
+other nodes too: the version in force on each, who leads with which fencing token, what waits and
+what was refused, and what each runner holds.
+";
+
+const WATCH: &str = "\
+Usage: ggt watch --node IP:PORT [--count NUMBER] [--json]
+
+Prints what ggt status prints, again every second; with --json, one object a line.
 ";
 
 const DRAIN: &str = "\
 Usage: ggt drain [--json]
 
-Starts the planned stop of the keeper's VM: no request in flight is cut.
+Starts the planned stop of the VM of the keeper or node: no request in flight is cut.
 ";
 
 /// Returns the help text of a command, or of the whole program.
@@ -91,6 +107,7 @@
         "history" => HISTORY,
         "audit" => AUDIT,
         "status" => STATUS,
+        "watch" => WATCH,
         "drain" => DRAIN,
         _ => OVERVIEW,
     }
--- /dev/null
+++ b/src/cli/node_client.rs
@@ -0,0 +1,120 @@
+//! Calls from an operator to a node's control port.
+
+use {
+    super::CliError,
+    crate::{
+        http::{Body, CallLimits, Client},
+        node::{CONFIG_PATH, DRAIN_PATH, EVENTS_PATH, HISTORY_PATH, NodeStatus, STATUS_PATH},
+        telemetry::LoggedEvent,
+        traffic::ConfigChange,
+    },
+    bytes::Bytes,
+    hyper::{Method, Request},
+    serde::de::DeserializeOwned,
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// The limits of a call.
+const LIMITS: CallLimits = CallLimits {
+    timeout: Duration::from_secs(3),
+    answer_max_bytes: 16 << 20,
+};
+
+/// Asks nodes of a platform.
+#[derive(Debug)]
+pub struct NodeClient {
+    address: SocketAddr,
+    client: Client,
+}
+
+impl NodeClient {
+    /// Makes a client of the node whose control port has an address.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            client: Client::new(LIMITS.timeout),
+        }
+    }
+
+    /// Returns the state of the node.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no good answer comes in time.
+    pub async fn status(&self) -> Result<NodeStatus, CliError> {
+        self.status_of(self.address).await
+    }
+
+    /// Returns the state of another node.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no good answer comes in time.
+    pub async fn status_of(&self, address: SocketAddr) -> Result<NodeStatus, CliError> {
+        self.read(address, STATUS_PATH).await
+    }
+
+    /// Returns the published form of the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no good answer comes in time, or no configuration is in force.
+    pub async fn configuration(&self) -> Result<Bytes, CliError> {
+        self.call(self.address, Method::GET, CONFIG_PATH).await
+    }
+
+    /// Returns the configurations that the node put in force, the newest last.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no good answer comes in time.
+    pub async fn history(&self) -> Result<Vec<ConfigChange>, CliError> {
+        self.read(self.address, HISTORY_PATH).await
+    }
+
+    /// Returns the newest events, the newest last.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no good answer comes in time.
+    pub async fn events(&self) -> Result<Vec<LoggedEvent>, CliError> {
+        self.read(self.address, EVENTS_PATH).await
+    }
+
+    /// Begins the planned stop of the node.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no good answer comes in time.
+    pub async fn drain(&self) -> Result<(), CliError> {
+        let answer = self.call(self.address, Method::POST, DRAIN_PATH).await;
+        answer.map(drop)
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<T, CliError> {
+        let text = self.call(address, Method::GET, path).await?;
+        Ok(serde_json::from_slice(&text)?)
+    }
+
+    async fn call(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+    ) -> Result<Bytes, CliError> {
+        let failed = |cause: String| CliError::Node { address, cause };
+        let request = Request::builder().method(method).uri(path);
+        let request = request.body(Body::empty());
+        let request = request.map_err(|cause| failed(cause.to_string()))?;
+        let answer = self.client.call(address, request, LIMITS).await;
+        let answer = answer.map_err(|cause| failed(cause.to_string()))?;
+        match answer.status() {
+            status if status.is_success() => Ok(answer.into_body()),
+            status => Err(failed(format!("{path} is answered with {status}"))),
+        }
+    }
+}
--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -82,7 +82,7 @@
 }
 
 /// Returns a time as RFC 3339 text in UTC.
-fn describe_time(unix_ms: u64) -> String {
+pub(super) fn describe_time(unix_ms: u64) -> String {
     let timestamp = i64::try_from(unix_ms).map(Timestamp::from_millisecond);
     match timestamp {
         Ok(Ok(timestamp)) => timestamp.to_string(),
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -2,11 +2,11 @@
 
 use {
     super::{
-        CliError, Command, EXIT_DONE, Invocation, KEEPER_VARIABLE, KEY_VARIABLE, OperatorClient,
-        Output, Request, parse_args, run_local, run_publish, run_read,
+        CliError, Command, EXIT_DONE, Invocation, KEEPER_VARIABLE, KEY_VARIABLE, NODE_VARIABLE,
+        OperatorClient, Output, Request, parse_args, run_local, run_node, run_publish, run_read,
     },
     crate::peer::SharedKey,
-    std::{ffi::OsString, io::Write},
+    std::{ffi::OsString, io::Write, net::SocketAddr},
     tokio::{runtime::Builder, task::LocalSet},
 };
 
@@ -44,7 +44,10 @@
         return run_local::check(dir, output);
     }
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run_with_keeper(invocation, output))
+    match find_node(invocation)? {
+        Some(node) => runtime.block_on(run_node::run(&invocation.command, node, output)),
+        None => LocalSet::new().block_on(&runtime, run_with_keeper(invocation, output)),
+    }
 }
 
 async fn run_with_keeper(invocation: &Invocation, output: &mut Output<'_>) -> Result<(), CliError> {
@@ -53,6 +56,9 @@
         Command::Publish { dir, .. } | Command::Diff { dir } => run_local::read_catalog(dir)?,
         _ => Default::default(),
     };
+    if matches!(invocation.command, Command::Watch { .. }) {
+        return Err(watch_needs_node());
+    }
     let keeper = find_keeper(invocation)?;
     let client = OperatorClient::connect(keeper, &find_key(invocation)?).await?;
     match &invocation.command {
@@ -72,11 +78,30 @@
         Command::History { limit } => run_read::history(&client, *limit, output).await,
         Command::Audit { limit } => run_read::audit(&client, *limit, output).await,
         Command::Status => run_read::status(&client, output).await,
+        Command::Watch { .. } => Err(watch_needs_node()),
         Command::Drain => run_read::drain(&client, output).await,
     }
 }
 
-fn find_keeper(invocation: &Invocation) -> Result<std::net::SocketAddr, CliError> {
+fn watch_needs_node() -> CliError {
+    CliError::Usage(format!("name a node by --node or {NODE_VARIABLE}"))
+}
+
+/// Returns the node to ask; a keeper that is named on the command line goes before the variable.
+fn find_node(invocation: &Invocation) -> Result<Option<SocketAddr>, CliError> {
+    if invocation.node.is_some() || invocation.keeper.is_some() {
+        return Ok(invocation.node);
+    }
+    match std::env::var(NODE_VARIABLE) {
+        Ok(text) => match text.parse() {
+            Ok(address) => Ok(Some(address)),
+            Err(_) => Err(CliError::Usage(format!("{NODE_VARIABLE} is not IP:PORT"))),
+        },
+        Err(_) => Ok(None),
+    }
+}
+
+fn find_keeper(invocation: &Invocation) -> Result<SocketAddr, CliError> {
     if let Some(keeper) = invocation.keeper {
         return Ok(keeper);
     }
--- /dev/null
+++ b/src/cli/run_node.rs
@@ -0,0 +1,110 @@
+//! The commands towards a node of a platform.
+
+use {
+    super::{
+        CliError, Command, NodeClient, Output,
+        node_text::{Heard, describe_events, describe_history, describe_status},
+    },
+    crate::node::NodeStatus,
+    futures::future::join_all,
+    serde_json::{Value, json},
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::sleep,
+};
+
+/// The pause between two views of `ggt watch`.
+const WATCH_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Moves to the top left of a terminal and clears it.
+const CLEAR: &str = "\u{1b}[H\u{1b}[2J";
+
+/// Runs a command with the node at an address.
+pub(super) async fn run(
+    command: &Command,
+    address: SocketAddr,
+    output: &mut Output<'_>,
+) -> Result<(), CliError> {
+    let client = NodeClient::new(address);
+    match command {
+        Command::Status => {
+            let (first, peers) = hear(&client).await?;
+            output.print(
+                || describe_status(&first, &peers),
+                &status_json(&first, &peers),
+            )
+        }
+        Command::Watch { count } => watch(&client, *count, output).await,
+        Command::Show { revision: None } => {
+            let text = client.configuration().await?;
+            let value: Value = serde_json::from_slice(&text)?;
+            let pretty = || serde_json::to_string_pretty(&value).unwrap_or_default();
+            output.print(pretty, &value)
+        }
+        Command::History { limit } => {
+            let mut changes = client.history().await?;
+            keep_newest(&mut changes, *limit);
+            let json = json!({"configurations": changes});
+            output.print(|| describe_history(&changes), &json)
+        }
+        Command::Audit { limit } => {
+            let mut events = client.events().await?;
+            keep_newest(&mut events, *limit);
+            output.print(|| describe_events(&events), &json!({"events": events}))
+        }
+        Command::Drain => {
+            client.drain().await?;
+            output.print(|| "draining".to_owned(), &json!({"draining": true}))
+        }
+        _ => Err(CliError::Usage(
+            "a node takes status, watch, show, history, audit and drain only".to_owned(),
+        )),
+    }
+}
+
+/// Asks a node, and through it all others.
+async fn hear(client: &NodeClient) -> Result<(NodeStatus, Vec<Heard>), CliError> {
+    let first = client.status().await?;
+    let peers = first.peers.iter().map(|peer| async {
+        let address = peer.control_address;
+        let heard = client.status_of(address).await;
+        (address, heard.map_err(|cause| cause.to_string()))
+    });
+    let peers = join_all(peers).await;
+    Ok((first, peers))
+}
+
+async fn watch(
+    client: &NodeClient,
+    count: Option<u32>,
+    output: &mut Output<'_>,
+) -> Result<(), CliError> {
+    let mut shown = 0;
+    while count.is_none_or(|count| shown < count) {
+        if shown > 0 {
+            sleep(WATCH_INTERVAL).await;
+        }
+        shown += 1;
+        // A node that is gone for a while must not end the view of an incident.
+        match hear(client).await {
+            Ok((first, peers)) => {
+                let text = || format!("{CLEAR}{}", describe_status(&first, &peers));
+                output.print(text, &status_json(&first, &peers))?;
+            }
+            Err(error) => output.print_error(&error),
+        }
+    }
+    Ok(())
+}
+
+fn status_json(first: &NodeStatus, peers: &[Heard]) -> Value {
+    let peers = peers.iter().map(|(address, heard)| match heard {
+        Ok(status) => json!({"control_address": address, "status": status}),
+        Err(cause) => json!({"control_address": address, "error": cause}),
+    });
+    json!({"status": first, "peers": peers.collect::<Vec<_>>()})
+}
+
+fn keep_newest<T>(items: &mut Vec<T>, limit: u32) {
+    let surplus = items.len().saturating_sub(limit as usize);
+    items.drain(..surplus);
+}
