--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -11,7 +11,7 @@
     },
     http_body_util::BodyExt,
     hyper::{Request, Response, body::Incoming},
-    std::{error::Error, io, time::Duration},
+    std::{error::Error, fmt, io, time::Duration},
     tokio::time::{self, Instant},
 };
 
@@ -64,7 +64,7 @@
             let mut connection = match pool.connection(&place.runner, connections_max).await {
                 Ok(connection) => connection,
                 Err(cause) => {
-                    log::debug!("relay: no connection to {}: {cause}", place.runner.key.id);
+                    self.log_try(&place, format_args!("no connection: {cause}"));
                     break;
                 }
             };
@@ -85,7 +85,7 @@
                     if went_silent(&cause) {
                         self.relay.pool.close_idle(&place.runner.key);
                     }
-                    log::debug!("relay: {} broke off: {cause}", place.runner.key.id);
+                    self.log_try(&place, format_args!("the answer broke off: {cause}"));
                     place.finish(TryOutcome::Broken);
                     return Ok(Tried::Nothing);
                 }
@@ -121,6 +121,17 @@
         Ok(())
     }
 
+    fn log_try(&self, place: &SentPlace, what: fmt::Arguments<'_>) {
+        let key = &place.runner.key;
+        log::debug!(
+            request_id:% = String::from_utf8_lossy(&self.call.head.request_id),
+            runner:% = key.id,
+            born_unix_ms = key.born_unix_ms,
+            service:% = self.call.rules.service;
+            "relay: {what}"
+        );
+    }
+
     fn wanted(&self) -> Wanted {
         let rules = &self.call.rules;
         Wanted {
@@ -178,10 +189,7 @@
                 Tried::Nothing
             }
             Verdict::Unusable => {
-                log::debug!(
-                    "relay: {} gave no usable answer",
-                    answered.place.runner.key.id
-                );
+                self.log_try(&answered.place, format_args!("no usable answer"));
                 answered.place.finish(TryOutcome::Broken);
                 Tried::Nothing
             }
