--- a/src/copies/runner_record.rs
+++ b/src/copies/runner_record.rs
@@ -338,7 +338,11 @@
                 self.quiet_until = now + WRONG_RUNNER_PAUSE;
             }
             OrderReply::Refused => {
-                log::warn!("copies: {} refused {order:?}.", self.state.key.id);
+                let key = &self.state.key;
+                log::warn!(
+                    runner:% = key.id, born_unix_ms = key.born_unix_ms, order:? = order;
+                    "copies: a runner refused an order."
+                );
                 self.undo(&order);
                 self.quiet_until = now + REFUSED_PAUSE;
                 self.ask_at = Some(now + REPORT_PAUSE);
--- a/src/leader/guard.rs
+++ b/src/leader/guard.rs
@@ -35,8 +35,14 @@
     }
     drop(standing);
     match frozen {
-        true => log::info!("leader: the process was frozen, the term is confirmed anew."),
-        false => log::warn!("leader: the term ends, unconfirmed for {unconfirmed:?}."),
+        true => log::info!(
+            node:% = shared.me.name;
+            "leader: the process was frozen, the term is confirmed anew."
+        ),
+        false => log::warn!(
+            node:% = shared.me.name, unconfirmed_ms = unconfirmed.as_millis() as u64;
+            "leader: the term ends, unconfirmed."
+        ),
     }
     shared.publish_term();
     shared.changed.notify_one();
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -77,19 +77,19 @@
     );
     let closing = CancellationToken::new();
     let served = tokio::spawn(relay.clone().serve(sockets.callers, closing.clone()));
-    log::info!("node: started");
+    log::info!(node:% = node.settings.node; "node: started");
     tokio::select! {
         () = become_ready(&node.traffic, &node.board, &readiness) => {}
         () = stop.cancelled() => {}
     }
     stop.cancelled().await;
-    log::info!("node: stopping");
+    log::info!(node:% = node.settings.node; "node: stopping");
     readiness.set(false);
     relay.retire();
     tokio::join!(node.membership.leave(), time::sleep(BALANCER_DELAY));
     closing.cancel();
     let finished = served.await.unwrap_or(false);
-    log::info!("node: stopped, all requests finished: {finished}");
+    log::info!(all_finished = finished; "node: stopped");
     Ok(())
 }
 
