--- a/src/copies/mod.rs
+++ b/src/copies/mod.rs
@@ -11,6 +11,7 @@
 mod order_book;
 mod order_counts;
 mod order_desk;
+mod order_log;
 mod order_task;
 mod plan;
 mod plan_input;
--- a/src/copies/order_desk.rs
+++ b/src/copies/order_desk.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        CopyState, Doubts, LoadEstimator, LoadPacer, ModelLoad, OrderTask, PlanInput, PlannedOrder,
-        RunnerState, note_diff::push_changes, plan, runner_record::RunnerRecord,
+        CopyState, Doubts, LoadEstimator, LoadPacer, OrderTask, PlanInput, PlannedOrder,
+        RunnerState, note_diff::push_changes, order_log::log_order, plan,
+        runner_record::RunnerRecord,
     },
     crate::{
         discovery::RunnerKey,
@@ -16,7 +17,6 @@
         future::{BoxFuture, FutureExt},
         stream::FuturesUnordered,
     },
-    log::Level,
     std::time::Duration,
     tokio::time::Instant,
 };
@@ -392,30 +392,3 @@
     }
     coming
 }
-
-/// Logs an order with the load that it follows from.
-fn log_order(planned: &PlannedOrder, fencing_token: u64, loads: &[ModelLoad]) {
-    let (level, what, model, adapter) = match &planned.order {
-        Order::LoadModel(model) => (Level::Info, "loads a model", model, None),
-        Order::UnloadModel(model) => (Level::Info, "drops a model", model, None),
-        Order::LoadAdapter(model, name) => (Level::Debug, "loads an adapter", model, Some(name)),
-        Order::UnloadAdapter(model, name) => (Level::Debug, "drops an adapter", model, Some(name)),
-    };
-    if level > log::max_level() {
-        return;
-    }
-    let load = loads.iter().find(|load| load.model == *model);
-    log::log!(
-        level,
-        runner:% = planned.runner.id,
-        born_unix_ms = planned.runner.born_unix_ms,
-        fencing_token = fencing_token,
-        model:% = model,
-        adapter:% = adapter.map_or("", AdapterId::as_str),
-        from_weight_store = planned.is_cold,
-        makes_room_for:% = planned.goal.as_ref().map_or("", ModelId::as_str),
-        expected_in_flight = load.map_or(0.0, |load| load.in_flight),
-        waiting = load.map_or(0, |load| load.waiting);
-        "copies: a runner {what}."
-    );
-}
