Merge the node's metrics, events, settings and the operators' pages

The pages for peers stand in a file of their own, so that node_peers serves them without a whole node.

--- a/src/copies/order_desk.rs
+++ b/src/copies/order_desk.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         CopyState, Doubts, LoadEstimator, LoadPacer, OrderTask, PlanInput, PlannedOrder,
-        RunnerState, note_diff::push_changes, plan, runner_record::RunnerRecord,
+        RunnerState, note_diff::push_changes, order_log::log_order, plan,
+        runner_record::RunnerRecord,
     },
     crate::{
         discovery::RunnerKey,
@@ -217,7 +218,9 @@
         for planned in plan(&input) {
             if planned.is_cold {
                 self.services[position].pacer.started(now);
+                self.task.counts.cold_loads.count();
             }
+            log_order(&planned, self.token, &loads);
             self.send(planned, now);
         }
     }
@@ -270,7 +273,6 @@
             return;
         };
         let record = &mut self.records[position];
-        log_order(&planned);
         let held = record.held();
         record.sent(&planned, now);
         push_changes(&mut self.notes, &planned.runner, &held, &record.held());
@@ -325,13 +327,14 @@
         reply: &Result<OrderReply, OrderUnknown>,
         now: Instant,
     ) {
+        self.task.counts.answered(order, reply);
         if reply.is_ok() {
             self.doubts.settle(runner, order);
         }
         if *reply == Ok(OrderReply::Fenced) {
             log::warn!(
-                "copies: {} has seen a higher token than {token}.",
-                runner.id
+                runner:% = runner.id, born_unix_ms = runner.born_unix_ms, fencing_token = token;
+                "copies: a runner has seen a higher fencing token."
             );
             self.fenced_token = self.fenced_token.max(token);
         }
@@ -418,17 +421,3 @@
     }
     coming
 }
-
-fn log_order(planned: &PlannedOrder) {
-    let runner = &planned.runner.id;
-    match &planned.order {
-        Order::LoadModel(model) => log::info!("copies: {runner} loads {model}."),
-        Order::UnloadModel(model) => log::info!("copies: {runner} drops {model}."),
-        Order::LoadAdapter(model, adapter) => {
-            log::debug!("copies: {runner} loads {adapter} of {model}.");
-        }
-        Order::UnloadAdapter(model, adapter) => {
-            log::debug!("copies: {runner} drops {adapter} of {model}.");
-        }
-    }
-}
--- a/src/node/control_port.rs
+++ b/src/node/control_port.rs
@@ -1,28 +1,35 @@
 //! What a node answers to its peers and to operators.
 
 use {
+    super::{NodeView, PeerPages},
     crate::{
-        discovery::ListedRunners,
-        dispatch::RunnerBoard,
         http::{Body, ListenerLimits, serve_http},
-        store::StoreVersion,
-        traffic::TrafficBoard,
+        telemetry::RecentEvents,
     },
-    bytes::Bytes,
-    hyper::{Request, Response, StatusCode, Uri, body::Incoming},
-    std::{future::ready, sync::Arc, time::Duration},
-    tokio::{net::TcpListener, sync::watch},
+    hyper::{
+        Method, Request, Response, StatusCode, Uri,
+        body::Incoming,
+        header::{CONTENT_TYPE, HeaderValue},
+    },
+    serde::Serialize,
+    std::{future::ready, time::Duration},
+    tokio::net::TcpListener,
     tokio_util::sync::CancellationToken,
 };
 
-/// The path of the published form of the configuration in force.
-pub const CONFIG_PATH: &str = "/configuration";
-
-/// The path of the list of runners.
-pub const RUNNERS_PATH: &str = "/runners";
+/// The path of the node's state.
+pub const STATUS_PATH: &str = "/status";
+/// The path of the configurations that the node put in force.
+pub const HISTORY_PATH: &str = "/history";
+/// The path of the newest events.
+pub const EVENTS_PATH: &str = "/events";
+/// The path that begins the planned stop when it is posted to.
+pub const DRAIN_PATH: &str = "/drain";
+/// The path of the metrics.
+pub const METRICS_PATH: &str = "/metrics";
 
 /// The limits of the control listener.
-const LIMITS: ListenerLimits = ListenerLimits {
+pub(super) const LIMITS: ListenerLimits = ListenerLimits {
     head_max_bytes: 16 * 1024,
     head_timeout: Duration::from_secs(5),
     write_timeout: Duration::from_secs(5),
@@ -31,65 +38,63 @@
 };
 
 /// Answers peers and operators.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct ControlPort {
-    /// The configuration in force.
-    pub traffic: Arc<TrafficBoard>,
-    /// The runners.
-    pub board: Arc<RunnerBoard>,
-    /// The version of the store up to which they are known.
-    pub runners_version: watch::Receiver<StoreVersion>,
-    /// Renders the metrics.
-    pub render_metrics: Arc<dyn Fn() -> String + Send + Sync>,
+    /// What it shows.
+    pub view: NodeView,
+    /// What it answers to peers.
+    pub pages: PeerPages,
 }
 
 impl ControlPort {
     /// Serves until `stop`.
     pub async fn serve(self, listener: TcpListener, stop: CancellationToken) {
-        let handle = move |request: Request<Incoming>| ready(self.answer(request.uri()));
+        let handle =
+            move |request: Request<Incoming>| ready(self.answer(request.method(), request.uri()));
         serve_http(listener, LIMITS, stop, handle).await;
     }
 
-    fn answer(&self, uri: &Uri) -> Response<Body> {
-        match uri.path() {
-            CONFIG_PATH => match self.traffic.current() {
-                Some(map) => Response::new(Body::from(map.source())),
-                None => status(StatusCode::NOT_FOUND),
-            },
-            RUNNERS_PATH => self.runners(after(uri)),
-            "/healthz" => status(StatusCode::OK),
-            "/metrics" => Response::new(Body::from((self.render_metrics)())),
-            _ => status(StatusCode::NOT_FOUND),
+    fn answer(&self, method: &Method, uri: &Uri) -> Response<Body> {
+        let view = &self.view;
+        match (method, uri.path()) {
+            (&Method::POST, DRAIN_PATH) => {
+                log::info!(node:% = view.node; "node: an operator asked to drain");
+                view.stop.cancel();
+                status(StatusCode::ACCEPTED)
+            }
+            (_, DRAIN_PATH) => status(StatusCode::METHOD_NOT_ALLOWED),
+            (_, STATUS_PATH) => json(&view.status()),
+            (_, HISTORY_PATH) => json(&view.traffic.history()),
+            (_, EVENTS_PATH) => json(&RecentEvents::global().newest(usize::MAX)),
+            (_, "/healthz") => status(StatusCode::OK),
+            (_, METRICS_PATH) => Response::new(Body::from(view.metrics())),
+            _ => self.pages.answer(uri),
         }
     }
+}
 
-    /// Answers with the list of runners if it is newer than a version of the store.
-    fn runners(&self, after: StoreVersion) -> Response<Body> {
-        // Read before the list, which may only be newer than it says.
-        let version = *self.runners_version.borrow();
-        if version <= after {
-            return status(StatusCode::NO_CONTENT);
-        }
-        let views = self.board.runners().into_iter();
-        let list = ListedRunners {
-            store_version: version.0,
-            runners: views.map(|view| view.entry).collect(),
-        };
-        match serde_json::to_vec(&list) {
-            Ok(text) => Response::new(Body::from(Bytes::from(text))),
-            Err(_) => status(StatusCode::INTERNAL_SERVER_ERROR),
-        }
-    }
+/// Serves the metrics alone until `stop`.
+pub async fn serve_metrics(view: NodeView, listener: TcpListener, stop: CancellationToken) {
+    let handle = move |request: Request<Incoming>| {
+        ready(match request.uri().path() {
+            METRICS_PATH => Response::new(Body::from(view.metrics())),
+            _ => status(StatusCode::NOT_FOUND),
+        })
+    };
+    serve_http(listener, LIMITS, stop, handle).await;
 }
 
-/// Reads the version after which a list is asked for.
-fn after(uri: &Uri) -> StoreVersion {
-    let text = uri.query().and_then(|query| query.strip_prefix("after="));
-    let version = text.and_then(|text| text.parse().ok());
-    version.map_or(StoreVersion::default(), StoreVersion)
+fn json(value: &impl Serialize) -> Response<Body> {
+    let Ok(text) = serde_json::to_string(value) else {
+        return status(StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    let mut response = Response::new(Body::from(text));
+    let form = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, form);
+    response
 }
 
-fn status(status: StatusCode) -> Response<Body> {
+pub(super) fn status(status: StatusCode) -> Response<Body> {
     let mut response = Response::new(Body::empty());
     *response.status_mut() = status;
     response
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,16 +1,20 @@
 //! One node: everything that runs on a VM, in one process.
 
 mod control_port;
+mod node_view;
 mod parts;
 mod peer_client;
 mod peer_config;
+mod peer_pages;
 mod peer_runners;
 mod port;
 mod run;
 mod settings;
-mod stop_signal;
+mod settings_follow;
+mod signals;
+mod status;
 
 pub use {
-    control_port::*, parts::*, peer_client::*, peer_config::*, peer_runners::*, port::*, run::*,
-    settings::*,
+    control_port::*, node_view::*, parts::*, peer_client::*, peer_config::*, peer_pages::*,
+    peer_runners::*, port::*, run::*, settings::*, settings_follow::*, status::*,
 };
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -9,7 +9,8 @@
 pub mod keys;
 mod kv;
 mod live_watch;
+mod metered_store;
 mod monitored_store;
 mod watch_reader;
 
-pub use {error::*, etcd_store::*, kv::*, live_watch::*, monitored_store::*};
+pub use {error::*, etcd_store::*, kv::*, live_watch::*, metered_store::*, monitored_store::*};
--- a/tests/common/version_formats.rs
+++ b/tests/common/version_formats.rs
@@ -2,13 +2,10 @@
 
 use {
     super::traffic_configs::config,
-    bytes::Bytes,
     greengagetrail::{
         discovery::RunnerEntry,
         node::{FormatError, Formats, StoreKeys},
         relay::{AnswerHead, CallHead, ForwardHead, HeadError},
-        standin::kv::MemoryStore,
-        store::{Op, Store, Txn},
         traffic::TrafficConfig,
     },
     hyper::{HeaderMap, http},
@@ -54,17 +51,3 @@
 
     fn write_retry_after(&self, _headers: &mut HeaderMap, _after_ms: u64) {}
 }
-
-/// Writes a key.
-pub async fn write(store: &MemoryStore, key: &str, text: &str) {
-    let put = Op::Put {
-        key: key.to_owned(),
-        value: Bytes::copy_from_slice(text.as_bytes()),
-        lease: None,
-    };
-    let txn = Txn {
-        then: vec![put],
-        ..Txn::default()
-    };
-    store.txn(txn).await.unwrap();
-}
--- a/tests/history_nodes.rs
+++ b/tests/history_nodes.rs
@@ -5,6 +5,7 @@
 mod common {
     pub mod fake_backend;
     pub mod relay_rig;
+    pub mod store_writes;
     pub mod traffic_configs;
     pub mod version_formats;
 }
@@ -14,7 +15,8 @@
     common::{
         fake_backend::{Received, Step},
         relay_rig::{Answer, RelayRig, Setup, signed, with_head},
-        version_formats::{KEY, VersionFormats, write},
+        store_writes::write,
+        version_formats::{KEY, VersionFormats},
     },
     futures::{
         future::join_all,
--- a/tests/node_peers.rs
+++ b/tests/node_peers.rs
@@ -1,28 +1,28 @@
 //! What a node learns from its peers while it does not reach the store.
 
-#[path = "common/board_rig.rs"]
-mod board_rig;
-#[path = "common/traffic_configs.rs"]
-mod traffic_configs;
+mod common {
+    pub mod board_rig;
+    pub mod traffic_configs;
+    pub mod version_formats;
+}
 
 use {
-    board_rig::{Rig, rig, runner, wanted},
     bytes::Bytes,
+    common::{
+        board_rig::{Rig, rig, runner, wanted},
+        traffic_configs,
+        version_formats::VersionFormats,
+    },
     greengagetrail::{
         discovery::{ListedRunners, RunnerEntry, RunnerFollower},
         dispatch::RunnerBoard,
         gossip::{Gossip, PeerConfig},
         leader::PeerNode,
-        node::{
-            ControlPort, FormatError, Formats, PeerAddresses, PeerConfigFollower,
-            PeerRunnersFollower, StoreKeys,
-        },
-        relay::{AnswerHead, CallHead, ForwardHead, HeadError},
+        node::{PeerAddresses, PeerConfigFollower, PeerPages, PeerRunnersFollower},
         standin::kv::{KvFaults, MemoryStore},
         store::{MonitoredStore, StoreVersion},
-        traffic::{ConfigVersion, NodeName, RouteMap, TrafficBoard, TrafficConfig},
+        traffic::{ConfigVersion, NodeName, RouteMap, TrafficBoard},
     },
-    hyper::{HeaderMap, http},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, UdpSocket},
@@ -32,44 +32,6 @@
     tokio_util::sync::{CancellationToken, DropGuard},
 };
 
-/// Configurations that are no more than their version in digits.
-struct VersionFormats;
-
-impl Formats for VersionFormats {
-    fn keys(&self) -> StoreKeys {
-        StoreKeys {
-            config: "configuration".to_owned(),
-            runners_prefix: "runners/".to_owned(),
-            own_prefix: "own/".to_owned(),
-        }
-    }
-
-    fn read_config(&self, bytes: &[u8]) -> Result<TrafficConfig, FormatError> {
-        let text = String::from_utf8_lossy(bytes);
-        let version = text.parse().map_err(|_| FormatError {
-            what: "configuration",
-            reason: text.into_owned(),
-        })?;
-        Ok(traffic_configs::config(version, Vec::new()))
-    }
-
-    fn read_runner(&self, _key: &str, _bytes: &[u8]) -> Result<RunnerEntry, FormatError> {
-        unreachable!()
-    }
-
-    fn read_call(&self, _head: &http::request::Parts) -> Result<CallHead, HeadError> {
-        unreachable!()
-    }
-
-    fn write_forward(&self, _headers: &mut HeaderMap, _forward: &ForwardHead) {}
-
-    fn read_answer(&self, _head: &http::response::Parts) -> AnswerHead {
-        unreachable!()
-    }
-
-    fn write_retry_after(&self, _headers: &mut HeaderMap, _after_ms: u64) {}
-}
-
 /// A node with its control port, which a test can bring to any version.
 struct Peer {
     traffic: Arc<TrafficBoard>,
@@ -84,14 +46,13 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let control = listener.local_addr().unwrap();
         let runners_version = watch::Sender::new(StoreVersion(4));
-        let port = ControlPort {
+        let pages = PeerPages {
             traffic: traffic.clone(),
             board: rig(runners).board,
             runners_version: runners_version.subscribe(),
-            render_metrics: Arc::new(String::new),
         };
         let stop = CancellationToken::new();
-        tokio::spawn(port.serve(listener, stop.clone()));
+        tokio::spawn(pages.serve(listener, stop.clone()));
         Self {
             traffic,
             control,
--- a/tests/traffic_follow.rs
+++ b/tests/traffic_follow.rs
@@ -1,12 +1,16 @@
 //! Following the configuration in the store, under faults of the store.
 
 mod common {
+    pub mod store_writes;
     pub mod traffic_configs;
     pub mod version_formats;
 }
 
 use {
-    common::version_formats::{KEY, VersionFormats, write},
+    common::{
+        store_writes::write,
+        version_formats::{KEY, VersionFormats},
+    },
     greengagetrail::{
         standin::kv::{KvFaults, MemoryStore},
         store::WATCH_SILENCE_MAX,
