Spare the slack of further tries for a span after a start

Cause: each start of a node began with its whole share of the slack although its earlier start may just have used it.

Ruled out: full accrual over the span (a start in the midst of a span adds to what was used before it); sparing in each budget (a relay alone, as tests start it, then has no further try at first): the node asks for it.

--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -62,6 +62,7 @@
     node.give_orders(gossip.clone());
     node.follow_peers(&gossip);
     let relay = node.relay();
+    relay.spare_further_tries();
     let readiness = Readiness::default();
     let ended = CancellationToken::new();
     let view = node.view(relay.clone(), readiness.clone(), stop.clone());
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -70,6 +70,11 @@
         self.retired_at.get_or_init(Instant::now);
     }
 
+    /// Makes few further tries at first, since an earlier start of this node may have made many.
+    pub fn spare_further_tries(&self) {
+        self.budget.spare_slack();
+    }
+
     /// Applies other bounds; requests in flight go on.
     pub fn set_bounds(&self, bounds: &Bounds) {
         self.budget.set_bounds(bounds);
--- a/src/relay/retry_budget.rs
+++ b/src/relay/retry_budget.rs
@@ -4,7 +4,7 @@
     crate::{node::Bounds, traffic::ServiceId},
     std::{
         collections::VecDeque,
-        sync::{Mutex, PoisonError},
+        sync::{Mutex, OnceLock, PoisonError},
         time::Duration,
     },
     tokio::time::Instant,
@@ -13,6 +13,9 @@
 /// The share of the platform's bound that the nodes use together.
 const USED_SHARE: f64 = 0.8;
 
+/// The share of the slack that a node uses by the end of the first span after a restart.
+const FIRST_SLACK_SHARE: f64 = 0.2;
+
 /// The parts into which the span is cut for counting.
 const PARTS: u32 = 20;
 
@@ -52,6 +55,8 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: Mutex<Limits>,
+    /// Since when an earlier start may have used the slack.
+    restarted_at: OnceLock<Instant>,
     services: Mutex<Vec<ServiceCounts>>,
 }
 
@@ -60,10 +65,26 @@
     pub fn new(bounds: &Bounds) -> Self {
         Self {
             limits: Mutex::new(Limits::new(bounds)),
+            restarted_at: OnceLock::new(),
             services: Mutex::default(),
         }
     }
 
+    /// Spares the slack for one span, since an earlier start of this node may just have used it.
+    pub fn spare_slack(&self) {
+        self.restarted_at.get_or_init(Instant::now);
+    }
+
+    /// Returns the share of the slack that this node may use.
+    fn slack_share(&self, window: Duration, now: Instant) -> f64 {
+        let restarted_at = self.restarted_at.get();
+        let age = restarted_at.map(|at| now.saturating_duration_since(*at));
+        match age.filter(|age| *age < window) {
+            Some(age) => FIRST_SLACK_SHARE * age.as_secs_f64() / window.as_secs_f64(),
+            None => USED_SHARE,
+        }
+    }
+
     /// Applies other bounds; what was counted stays.
     pub fn set_bounds(&self, bounds: &Bounds) {
         *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = Limits::new(bounds);
@@ -96,8 +117,10 @@
                 |part: &&Part| now.duration_since(part.began) + part_length <= limits.window;
             let requests: u32 = parts.iter().filter(recent).map(|part| part.requests).sum();
             let repeats: u32 = parts.iter().map(|part| part.repeats).sum();
-            let share = limits.ratio * f64::from(requests) + limits.slack / nodes.max(1) as f64;
-            if f64::from(repeats + 1) > USED_SHARE * share {
+            let earned = USED_SHARE * limits.ratio * f64::from(requests);
+            let slack = limits.slack / nodes.max(1) as f64;
+            let slack = slack * self.slack_share(limits.window, now);
+            if f64::from(repeats + 1) > earned + slack {
                 return false;
             }
             if let Some(part) = parts.back_mut() {
--- a/tests/history_nodes.rs
+++ b/tests/history_nodes.rs
@@ -73,16 +73,23 @@
     })
 }
 
-/// Lets nodes take requests and repeat all that they may; returns the times of both.
-async fn run_budgets(seed: u64) -> (Vec<u64>, Vec<u64>) {
+/// Lets nodes take requests and repeat all that they may, and restarts all of them each so many
+/// steps; returns the times of both.
+async fn run_budgets(seed: u64, restart_steps: Option<u64>) -> (Vec<u64>, Vec<u64>) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let service = ServiceId::from("s");
-    let budgets: Vec<RetryBudget> = (0..rng.random_range(1..10)).map(|_| budget()).collect();
+    let mut budgets: Vec<RetryBudget> = (0..rng.random_range(1..10)).map(|_| budget()).collect();
     let (mut requests, mut repeats) = (Vec::new(), Vec::new());
     let mut busy = vec![0; budgets.len()];
     for step in 0..1_000 {
         advance(Duration::from_millis(STEP_MS)).await;
         let now_ms = (step + 1) * STEP_MS;
+        if restart_steps.is_some_and(|steps| step % steps == steps - 1) {
+            for known in &mut budgets {
+                *known = budget();
+                known.spare_slack();
+            }
+        }
         for (node, budget) in budgets.iter().enumerate() {
             if rng.random_range(0..60) == 0 {
                 busy[node] = rng.random_range(0..8);
@@ -104,7 +111,7 @@
 #[tokio::test(start_paused = true)]
 async fn all_nodes_together_stay_within_the_retry_budget() {
     for seed in seeds() {
-        let (requests, repeats) = run_budgets(seed).await;
+        let (requests, repeats) = run_budgets(seed, None).await;
         assert!(repeats.len() > 20, "seed {seed}");
         check_repeats(&requests, &repeats, &BOUND).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
         // A history with a burst of a hundred more is rejected.
@@ -114,6 +121,17 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn nodes_that_restart_together_stay_within_the_retry_budget() {
+    for seed in seeds() {
+        for steps in [40, 150, 260] {
+            let (requests, repeats) = run_budgets(seed, Some(steps)).await;
+            check_repeats(&requests, &repeats, &BOUND)
+                .unwrap_or_else(|e| panic!("seed {seed}, each {steps} steps: {e}"));
+        }
+    }
+}
+
 type Events = Arc<Mutex<Vec<RunEvent>>>;
 
 fn id(received: &Received) -> String {
