--- a/src/copies/mod.rs
+++ b/src/copies/mod.rs
@@ -15,9 +15,12 @@
 mod order_task;
 mod plan;
 mod plan_input;
+mod record_answers;
 mod report_reading;
+mod residents;
 mod runner_record;
 mod runner_state;
+mod service_desk;
 
 pub use {
     balance::*, doubts::*, load_estimator::*, load_pacer::*, order_book::*, order_counts::*,
--- a/src/copies/order_desk.rs
+++ b/src/copies/order_desk.rs
@@ -2,9 +2,12 @@
 
 use {
     super::{
-        CopyState, Doubts, LoadEstimator, LoadPacer, OrderTask, PlanInput, PlannedOrder,
-        RunnerState, note_diff::push_changes, order_log::log_order, plan,
+        Doubts, LoadEstimator, LoadPacer, OrderTask, PlanInput, PlannedOrder, RunnerState,
+        note_diff::push_changes,
+        order_log::log_order,
+        plan,
         runner_record::RunnerRecord,
+        service_desk::{ServiceDesk, count_coming, pace_late},
     },
     crate::{
         discovery::RunnerKey,
@@ -46,15 +49,6 @@
 /// The calls that are under way.
 pub(super) type Calls = FuturesUnordered<BoxFuture<'static, CallDone>>;
 
-/// What belongs to one service.
-struct ServiceDesk {
-    service: ServiceId,
-    estimator: LoadEstimator,
-    pacer: LoadPacer,
-    /// The token of the term that the pacer counts for.
-    token: u64,
-}
-
 /// Keeps the accounts of all runners and sends the planned orders.
 pub(super) struct OrderDesk {
     pub task: OrderTask,
@@ -149,9 +143,9 @@
                 position
             });
             let record = &mut self.records[position];
-            let held = record.held();
+            let held = record.state.held();
             record.sync(view, now);
-            let held_now = record.held();
+            let held_now = record.state.held();
             push_changes(&mut self.notes, key, &held, &held_now);
             let listed = listed(view);
             if record.retells(listed != held_now, now) {
@@ -273,9 +267,14 @@
             return;
         };
         let record = &mut self.records[position];
-        let held = record.held();
+        let held = record.state.held();
         record.sent(&planned, now);
-        push_changes(&mut self.notes, &planned.runner, &held, &record.held());
+        push_changes(
+            &mut self.notes,
+            &planned.runner,
+            &held,
+            &record.state.held(),
+        );
         let PlannedOrder { runner, order, .. } = planned;
         self.doubts.add(runner.clone(), order.clone(), now);
         let call = OrderCall {
@@ -305,9 +304,9 @@
             CallDone::Report { runner, report } => {
                 if let Ok(position) = self.find(&runner) {
                     let record = &mut self.records[position];
-                    let held = record.held();
+                    let held = record.state.held();
                     record.reported(&report, now);
-                    push_changes(&mut self.notes, &runner, &held, &record.held());
+                    push_changes(&mut self.notes, &runner, &held, &record.state.held());
                 }
             }
             CallDone::Order {
@@ -352,9 +351,9 @@
         // Answers to orders of an earlier term concern a record that was begun anew.
         if token == self.token {
             pace_late(&mut self.services, record, order, reply, now);
-            let held = record.held();
+            let held = record.state.held();
             record.answered(reply, engine, now);
-            push_changes(&mut self.notes, runner, &held, &record.held());
+            push_changes(&mut self.notes, runner, &held, &record.state.held());
         }
     }
 
@@ -366,27 +365,6 @@
     }
 }
 
-/// Tells the pacer which loads may begin late.
-fn pace_late(
-    services: &mut [ServiceDesk],
-    record: &RunnerRecord,
-    order: &Order,
-    reply: &Result<OrderReply, OrderUnknown>,
-    now: Instant,
-) {
-    let mut services = services.iter_mut();
-    let Some(desk) = services.find(|desk| desk.service == record.service) else {
-        return;
-    };
-    match (reply, order) {
-        (Err(_), Order::LoadModel(model)) if record.state.is_cold(model) => {
-            desk.pacer.unanswered(&record.state.key, now);
-        }
-        (Ok(OrderReply::Accepted), _) => desk.pacer.settled(&record.state.key),
-        _ => {}
-    }
-}
-
 /// Returns what a runner's entry lists, sorted.
 fn listed(view: &RunnerView) -> Vec<(ModelId, Option<AdapterId>)> {
     let mut listed = Vec::new();
@@ -398,26 +376,3 @@
     listed.sort();
     listed
 }
-
-/// What is on its way to the runners of a service.
-struct Coming {
-    cold_models: usize,
-    adapters: usize,
-}
-
-fn count_coming(runners: &[RunnerState]) -> Coming {
-    let mut coming = Coming {
-        cold_models: 0,
-        adapters: 0,
-    };
-    for runner in runners {
-        for copy in &runner.models {
-            let is_cold = copy.state == CopyState::Coming && runner.is_cold(&copy.model);
-            coming.cold_models += usize::from(is_cold);
-            let adapters = copy.adapters.iter();
-            let adapters = adapters.filter(|adapter| adapter.state == CopyState::Coming);
-            coming.adapters += adapters.count();
-        }
-    }
-    coming
-}
--- a/src/copies/report_reading.rs
+++ b/src/copies/report_reading.rs
@@ -1,7 +1,7 @@
 //! Takes over what a runner reports that it holds.
 
 use {
-    super::{AdapterCopy, CopyState, ModelCopy, runner_record::held_copy},
+    super::{AdapterCopy, CopyState, ModelCopy, residents::held_copy},
     crate::{node::RunnerReport, traffic::ModelId},
     tokio::time::Instant,
 };
--- /dev/null
+++ b/src/copies/residents.rs
@@ -0,0 +1,106 @@
+//! What changes in the models and adapters that a runner holds.
+
+use {
+    super::{AdapterCopy, CopyState, ModelCopy, RunnerState},
+    crate::{
+        discovery::ResidentModel,
+        traffic::{AdapterId, ModelId},
+    },
+    tokio::time::Instant,
+};
+
+impl RunnerState {
+    /// Returns what requests can be sent for, sorted.
+    pub(super) fn held(&self) -> Vec<(ModelId, Option<AdapterId>)> {
+        let mut held = Vec::new();
+        let models = self.models.iter();
+        for copy in models.filter(|copy| copy.state == CopyState::Held) {
+            held.push((copy.model.clone(), None));
+            let adapters = copy.adapters.iter();
+            for adapter in adapters.filter(|adapter| adapter.state == CopyState::Held) {
+                held.push((copy.model.clone(), Some(adapter.adapter.clone())));
+            }
+        }
+        held
+    }
+
+    /// Notes a model on its way.
+    pub(super) fn insert_model(&mut self, model: &ModelId, now: Instant) {
+        if let Err(position) = self.position(model) {
+            let copy = ModelCopy {
+                model: model.clone(),
+                state: CopyState::Coming,
+                since: now,
+                in_flight: 0,
+                adapters: Vec::new(),
+            };
+            self.models.insert(position, copy);
+        }
+    }
+
+    /// Notes where a model stands.
+    pub(super) fn set_model(&mut self, model: &ModelId, state: CopyState) {
+        if let Ok(position) = self.position(model) {
+            self.models[position].state = state;
+        }
+    }
+
+    /// Notes that a model is gone.
+    pub(super) fn remove_model(&mut self, model: &ModelId) {
+        if let Ok(position) = self.position(model) {
+            self.models.remove(position);
+        }
+    }
+
+    fn adapters(&mut self, model: &ModelId) -> Option<&mut Vec<AdapterCopy>> {
+        let position = self.position(model).ok()?;
+        Some(&mut self.models[position].adapters)
+    }
+
+    /// Notes an adapter on its way.
+    pub(super) fn insert_adapter(&mut self, model: &ModelId, adapter: &AdapterId, now: Instant) {
+        let Some(adapters) = self.adapters(model) else {
+            return;
+        };
+        let position = adapters.partition_point(|known| known.adapter < *adapter);
+        let copy = AdapterCopy {
+            adapter: adapter.clone(),
+            state: CopyState::Coming,
+            in_flight: 0,
+            used_at: now,
+        };
+        adapters.insert(position, copy);
+    }
+
+    /// Notes where an adapter stands.
+    pub(super) fn set_adapter(&mut self, model: &ModelId, adapter: &AdapterId, state: CopyState) {
+        let adapters = self.adapters(model).into_iter().flatten();
+        for copy in adapters.filter(|copy| copy.adapter == *adapter) {
+            copy.state = state;
+        }
+    }
+
+    /// Notes that an adapter is gone.
+    pub(super) fn remove_adapter(&mut self, model: &ModelId, adapter: &AdapterId) {
+        if let Some(adapters) = self.adapters(model) {
+            adapters.retain(|copy| copy.adapter != *adapter);
+        }
+    }
+}
+
+/// Makes the copy of a model that a runner says it holds.
+pub(super) fn held_copy(held: &ResidentModel, now: Instant) -> ModelCopy {
+    let adapter = |adapter: &AdapterId| AdapterCopy {
+        adapter: adapter.clone(),
+        state: CopyState::Held,
+        in_flight: 0,
+        used_at: now,
+    };
+    ModelCopy {
+        model: held.model.clone(),
+        state: CopyState::Held,
+        since: now,
+        in_flight: 0,
+        adapters: held.adapters.iter().map(adapter).collect(),
+    }
+}
--- a/src/copies/runner_record.rs
+++ b/src/copies/runner_record.rs
@@ -2,14 +2,13 @@
 
 use {
     super::{
-        AdapterCopy, CopyState, ModelCopy, PlannedOrder, RunnerState,
-        report_reading::rebuild_models,
+        CopyState, PlannedOrder, RunnerState, report_reading::rebuild_models, residents::held_copy,
     },
     crate::{
-        discovery::{ResidentModel, RunnerEntry, RunnerState as Readiness},
+        discovery::{RunnerEntry, RunnerState as Readiness},
         dispatch::RunnerView,
-        node::{Order, OrderReply, OrderUnknown, RunnerReport},
-        traffic::{AdapterId, EngineSpec, ModelId, ServiceId},
+        node::{Order, OrderUnknown, RunnerReport},
+        traffic::{ModelId, ServiceId},
     },
     std::{net::SocketAddr, time::Duration},
     tokio::time::Instant,
@@ -18,21 +17,17 @@
 /// How old a report may be.
 pub(super) const REPORT_LAG: Duration = Duration::from_millis(400);
 /// The pause before a report after an order that was not accepted as expected.
-const REPORT_PAUSE: Duration = Duration::from_millis(250);
-/// The pause before a report after an order without an answer.
-const UNKNOWN_PAUSE: Duration = Duration::from_millis(150);
+pub(super) const REPORT_PAUSE: Duration = Duration::from_millis(250);
 /// The pause before the next report while a load or unload lasts.
 const PROGRESS_PAUSE: Duration = Duration::from_millis(300);
 /// How long before its end a load may show in the entry.
 const ENTRY_EARLY: Duration = Duration::from_millis(200);
 /// The pause after a report that did not come.
 const SILENCE_PAUSE: Duration = Duration::from_millis(500);
-/// The pause after an order that the runner refused.
-const REFUSED_PAUSE: Duration = Duration::from_secs(3);
 /// The pause after an order that met another runner.
-const WRONG_RUNNER_PAUSE: Duration = Duration::from_secs(1);
+pub(super) const WRONG_RUNNER_PAUSE: Duration = Duration::from_secs(1);
 /// The time after which an accepted adapter counts as loaded.
-const ADAPTER_TIME: Duration = Duration::from_millis(20);
+pub(super) const ADAPTER_TIME: Duration = Duration::from_millis(20);
 /// How long no request must use a dropped model until it counts as gone.
 const UNUSED_MIN: Duration = Duration::from_millis(150);
 /// How long room is made for a model at most.
@@ -55,20 +50,20 @@
     /// Whether an order or a report is under way.
     pub in_call: bool,
     /// An order that was sent and not answered, or not resolved.
-    sent: Option<Order>,
+    pub(super) sent: Option<Order>,
     /// When to ask for a report.
-    ask_at: Option<Instant>,
+    pub(super) ask_at: Option<Instant>,
     stale_reports: u32,
-    quiet_until: Instant,
+    pub(super) quiet_until: Instant,
     /// Whether an unknown order is in progress.
     is_busy: bool,
     /// The model on its way, and when it is due.
-    loading: Option<(ModelId, Instant)>,
+    pub(super) loading: Option<(ModelId, Instant)>,
     /// The model that leaves, and since when no request uses it.
-    unloading: Option<(ModelId, Instant)>,
+    pub(super) unloading: Option<(ModelId, Instant)>,
     /// When the last order was accepted.
-    accepted_at: Option<Instant>,
-    adapters_due: Option<Instant>,
+    pub(super) accepted_at: Option<Instant>,
+    pub(super) adapters_due: Option<Instant>,
     goal_until: Instant,
     compared_at: Instant,
     /// When the last report was taken over.
@@ -301,108 +296,11 @@
         }
         self.state.goal.clone_from(&planned.goal);
         match &planned.order {
-            Order::LoadModel(model) => self.insert_model(model, now),
-            Order::UnloadModel(model) => self.set_model(model, CopyState::Going),
-            Order::LoadAdapter(model, adapter) => self.insert_adapter(model, adapter, now),
+            Order::LoadModel(model) => self.state.insert_model(model, now),
+            Order::UnloadModel(model) => self.state.set_model(model, CopyState::Going),
+            Order::LoadAdapter(model, adapter) => self.state.insert_adapter(model, adapter, now),
             Order::UnloadAdapter(model, adapter) => {
-                self.set_adapter(model, adapter, CopyState::Going);
-            }
-        }
-    }
-
-    /// Works in the answer to the order.
-    pub fn answered(
-        &mut self,
-        reply: &Result<OrderReply, OrderUnknown>,
-        engine: &EngineSpec,
-        now: Instant,
-    ) {
-        self.in_call = false;
-        let Ok(reply) = reply else {
-            self.ask_at = Some(now + UNKNOWN_PAUSE);
-            return;
-        };
-        let Some(order) = self.sent.take() else {
-            return;
-        };
-        match reply {
-            OrderReply::Accepted => self.accepted(order, engine, now),
-            OrderReply::AlreadyDone => self.already_done(order),
-            OrderReply::Fenced => self.undo(&order),
-            OrderReply::Conflict => {
-                self.undo(&order);
-                self.ask_at = Some(now + REPORT_PAUSE);
-            }
-            OrderReply::WrongRunner => {
-                self.undo(&order);
-                self.quiet_until = now + WRONG_RUNNER_PAUSE;
-            }
-            OrderReply::Refused => {
-                let key = &self.state.key;
-                log::warn!(
-                    runner:% = key.id, born_unix_ms = key.born_unix_ms, order:? = order;
-                    "copies: a runner refused an order."
-                );
-                self.undo(&order);
-                self.quiet_until = now + REFUSED_PAUSE;
-                self.ask_at = Some(now + REPORT_PAUSE);
-            }
-        }
-    }
-
-    fn accepted(&mut self, order: Order, engine: &EngineSpec, now: Instant) {
-        self.count = self.count.map(|count| count + 1);
-        self.accepted_at = Some(now);
-        match order {
-            Order::LoadModel(model) => {
-                // A runner that takes a load has finished the unload before.
-                self.state.leaving = None;
-                let time = self.load_time(&model, engine);
-                self.loading = Some((model, now + time));
-            }
-            Order::UnloadModel(model) => self.unloading = Some((model, now)),
-            Order::LoadAdapter(..) => self.adapters_due = Some(now + ADAPTER_TIME),
-            Order::UnloadAdapter(model, adapter) => self.remove_adapter(&model, &adapter),
-        }
-    }
-
-    fn already_done(&mut self, order: Order) {
-        match order {
-            Order::LoadModel(model) => self.set_model(&model, CopyState::Held),
-            Order::UnloadModel(model) => self.remove_model(&model),
-            Order::LoadAdapter(model, adapter) => {
-                self.set_adapter(&model, &adapter, CopyState::Held);
-            }
-            Order::UnloadAdapter(model, adapter) => {
-                // An adapter that goes at once counts as an accepted order.
-                self.count = self.count.map(|count| count + 1);
-                self.remove_adapter(&model, &adapter);
-            }
-        }
-    }
-
-    fn load_time(&self, model: &ModelId, engine: &EngineSpec) -> Duration {
-        let Some(spec) = engine.model(model) else {
-            return Duration::ZERO;
-        };
-        let seconds = if self.state.in_memory.binary_search(model).is_ok() {
-            spec.warm_s
-        } else if self.state.on_disk.binary_search(model).is_ok() {
-            spec.disk_s
-        } else {
-            spec.load_s
-        };
-        Duration::try_from_secs_f64(seconds).unwrap_or_default()
-    }
-
-    /// Takes back what was noted when the order was sent.
-    fn undo(&mut self, order: &Order) {
-        match order {
-            Order::LoadModel(model) => self.remove_model(model),
-            Order::UnloadModel(model) => self.set_model(model, CopyState::Held),
-            Order::LoadAdapter(model, adapter) => self.remove_adapter(model, adapter),
-            Order::UnloadAdapter(model, adapter) => {
-                self.set_adapter(model, adapter, CopyState::Held);
+                self.state.set_adapter(model, adapter, CopyState::Going);
             }
         }
     }
@@ -476,92 +374,4 @@
             self.ask_at = Some(now + PROGRESS_PAUSE);
         }
     }
-
-    /// Returns what requests can be sent for, sorted.
-    pub fn held(&self) -> Vec<(ModelId, Option<AdapterId>)> {
-        let mut held = Vec::new();
-        let models = self.state.models.iter();
-        for copy in models.filter(|copy| copy.state == CopyState::Held) {
-            held.push((copy.model.clone(), None));
-            let adapters = copy.adapters.iter();
-            for adapter in adapters.filter(|adapter| adapter.state == CopyState::Held) {
-                held.push((copy.model.clone(), Some(adapter.adapter.clone())));
-            }
-        }
-        held
-    }
-
-    fn insert_model(&mut self, model: &ModelId, now: Instant) {
-        if let Err(position) = self.state.position(model) {
-            let copy = ModelCopy {
-                model: model.clone(),
-                state: CopyState::Coming,
-                since: now,
-                in_flight: 0,
-                adapters: Vec::new(),
-            };
-            self.state.models.insert(position, copy);
-        }
-    }
-
-    fn set_model(&mut self, model: &ModelId, state: CopyState) {
-        if let Ok(position) = self.state.position(model) {
-            self.state.models[position].state = state;
-        }
-    }
-
-    fn remove_model(&mut self, model: &ModelId) {
-        if let Ok(position) = self.state.position(model) {
-            self.state.models.remove(position);
-        }
-    }
-
-    fn adapters(&mut self, model: &ModelId) -> Option<&mut Vec<AdapterCopy>> {
-        let position = self.state.position(model).ok()?;
-        Some(&mut self.state.models[position].adapters)
-    }
-
-    fn insert_adapter(&mut self, model: &ModelId, adapter: &AdapterId, now: Instant) {
-        let Some(adapters) = self.adapters(model) else {
-            return;
-        };
-        let position = adapters.partition_point(|known| known.adapter < *adapter);
-        let copy = AdapterCopy {
-            adapter: adapter.clone(),
-            state: CopyState::Coming,
-            in_flight: 0,
-            used_at: now,
-        };
-        adapters.insert(position, copy);
-    }
-
-    fn set_adapter(&mut self, model: &ModelId, adapter: &AdapterId, state: CopyState) {
-        let adapters = self.adapters(model).into_iter().flatten();
-        for copy in adapters.filter(|copy| copy.adapter == *adapter) {
-            copy.state = state;
-        }
-    }
-
-    fn remove_adapter(&mut self, model: &ModelId, adapter: &AdapterId) {
-        if let Some(adapters) = self.adapters(model) {
-            adapters.retain(|copy| copy.adapter != *adapter);
-        }
-    }
-}
-
-/// Makes the copy of a model that a runner says it holds.
-pub(super) fn held_copy(held: &ResidentModel, now: Instant) -> ModelCopy {
-    let adapter = |adapter: &AdapterId| AdapterCopy {
-        adapter: adapter.clone(),
-        state: CopyState::Held,
-        in_flight: 0,
-        used_at: now,
-    };
-    ModelCopy {
-        model: held.model.clone(),
-        state: CopyState::Held,
-        since: now,
-        in_flight: 0,
-        adapters: held.adapters.iter().map(adapter).collect(),
-    }
 }
--- a/src/leader/duty.rs
+++ b/src/leader/duty.rs
@@ -1,14 +1,15 @@
 //! Keeps the lease, the node's key and, if it falls to this node, the leader key.
 
 use {
-    super::{Moment, Seat, StoredSeat, membership::Shared},
+    super::{
+        Moment, Seat, StoredSeat,
+        election::{Election, put, random_below},
+        membership::Shared,
+    },
     crate::{
         membership::{Backoff, jittered},
-        store::{Compare, LeaseId, Op, StoreError, Txn},
+        store::{Compare, LeaseId, StoreError, Txn},
     },
-    bytes::Bytes,
-    rand::RngExt,
-    serde::Serialize,
     std::{sync::Arc, time::Duration},
     tokio::time::{Instant, sleep_until},
 };
@@ -30,19 +31,6 @@
 /// How long a node that lost touch with the store lets the last leader come back first.
 const REUNION_MS: u64 = 1_000;
 
-/// What to do about the leader key.
-#[derive(Debug, PartialEq, Eq)]
-enum Election {
-    /// Another node leads, or nothing is known.
-    Wait,
-    /// This process holds the seat by the write of this version.
-    Adopt(u64),
-    /// An earlier start of this node holds the seat.
-    Inherit(StoredSeat),
-    /// Nobody leads.
-    Contend,
-}
-
 /// Keeps the lease, the node's key and the leader key.
 pub(super) struct Duty {
     shared: Arc<Shared>,
@@ -403,16 +391,3 @@
         Ok(())
     }
 }
-
-fn put(key: String, value: &impl Serialize, lease: Option<LeaseId>) -> Op {
-    let value = serde_json::to_vec(value).unwrap_or_default();
-    Op::Put {
-        key,
-        value: Bytes::from(value),
-        lease,
-    }
-}
-
-fn random_below(limit_ms: u64) -> Duration {
-    Duration::from_millis(rand::rng().random_range(0..limit_ms.max(1)))
-}
--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -3,6 +3,7 @@
 mod boot_clock;
 mod cluster_view;
 mod duty;
+mod election;
 mod follow;
 mod guard;
 mod keys;
