Gather the copies of models once for all moves that a plan weighs

Cause: each move weighed looked through all runners for all models again, which at 630 runners and 960 models would be seconds a plan (reckoned).

--- a/src/copies/draft.rs
+++ b/src/copies/draft.rs
@@ -100,30 +100,37 @@
         all.filter(|runner| self.is_held(*runner, model)).count()
     }
 
-    /// Spreads the load over the copies.
-    pub fn balance(&self) -> Balance {
-        let loads = self.input.engine.models.iter().map(|spec| SharedLoad {
+    /// Returns the load of each declared model with its copies.
+    pub fn shared_loads(&self) -> Vec<SharedLoad> {
+        let models = self.input.engine.models.iter();
+        let loads = models.map(|spec| SharedLoad {
             in_flight: self.in_flight(&spec.name),
             runners: self.copies(&spec.name),
         });
-        Balance::new(self.runners.len(), &loads.collect::<Vec<_>>())
+        loads.collect()
+    }
+
+    /// Spreads the load over the copies.
+    pub fn balance(&self) -> Balance {
+        Balance::new(self.runners.len(), &self.shared_loads())
     }
 
     /// Spreads the load over the copies as they would be after a move.
-    pub fn balance_with(&self, spec: &ModelSpec, candidate: &Candidate) -> Balance {
-        let loads = self.input.engine.models.iter().map(|known| {
-            let mut runners = self.copies(&known.name);
+    pub fn balance_after(
+        &self,
+        loads: &[SharedLoad],
+        spec: &ModelSpec,
+        candidate: &Candidate,
+    ) -> Balance {
+        let mut loads = loads.to_vec();
+        for (known, load) in self.input.engine.models.iter().zip(&mut loads) {
             if known.name == spec.name {
-                runners.push(candidate.runner);
+                load.runners.push(candidate.runner);
             } else if candidate.evicted.contains(&known.name) {
-                runners.retain(|runner| *runner != candidate.runner);
-            }
-            SharedLoad {
-                in_flight: self.in_flight(&known.name),
-                runners,
+                load.runners.retain(|runner| *runner != candidate.runner);
             }
-        });
-        Balance::new(self.runners.len(), &loads.collect::<Vec<_>>())
+        }
+        Balance::new(self.runners.len(), &loads)
     }
 
     /// Adds an order to drop a model, to make room for `goal`.
--- a/src/copies/model_step.rs
+++ b/src/copies/model_step.rs
@@ -111,7 +111,8 @@
 fn best_growth<'a>(draft: &Draft<'a>) -> Option<(&'a ModelSpec, Candidate)> {
     let slots = f64::from(draft.input.engine.slots);
     let gap = (slots * GROWTH_SLOTS_SHARE).max(GROWTH_MIN);
-    let balance = draft.balance();
+    let loads = draft.shared_loads();
+    let balance = Balance::new(draft.runners.len(), &loads);
     let strain_now = strain(&balance, slots);
     let mut best: Option<(f64, &ModelSpec, Candidate)> = None;
     for (spec, level) in pressed_models(draft, &balance) {
@@ -119,7 +120,7 @@
             if level <= balance.runners[candidate.runner] * GROWTH_RATIO + gap {
                 continue;
             }
-            let strain_after = strain(&draft.balance_with(spec, &candidate), slots);
+            let strain_after = strain(&draft.balance_after(&loads, spec, &candidate), slots);
             let gain = strain_now - strain_after - candidate.delay_cost;
             if gain > best.as_ref().map_or(GAIN_MIN, |(most, ..)| *most) {
                 best = Some((gain, spec, candidate));
