Replace a check of the planner that could not fail

Ruled out by a scan of 384 fleets with the busy models declared first: neither planner gives the small one a copy. With the busy models declared last the old one does in 59 of 64 cases, the new one in 6; the test is one of these and fails on the old planner (2 copies where 1 is wanted).

--- a/tests/copies_plan.rs
+++ b/tests/copies_plan.rs
@@ -106,22 +106,16 @@
 
 #[test]
 fn a_little_load_beside_a_busy_model_is_worth_no_copy_of_its_own() {
-    let mut fleet = full_fleet(6, 4, 9);
-    fleet.set_loads(&[(0, 90.0)]);
+    let mut fleet = full_fleet(16, 9, 1);
+    fleet.set_loads(&[(15, 40.0)]);
     fleet.run_s(20);
-    let busy = fleet
-        .runners
-        .iter()
-        .filter(|r| r.copy(&model_id(0)).is_some());
-    let beside = busy.flat_map(|runner| &runner.models);
-    let beside = beside.map(|copy| copy.model.to_string());
-    let beside: Vec<usize> = beside.map(|name| name[1..].parse().unwrap()).collect();
-    let small = beside.into_iter().find(|index| *index != 0).unwrap();
-    let (copies, moves) = (fleet.count_held(&model_id(0)), fleet.moves);
-    fleet.set_loads(&[(0, 90.0), (small, 2.0)]);
-    fleet.run_s(20);
-    assert!(fleet.count_held(&model_id(0)) >= copies);
-    assert!(fleet.moves <= moves + 1, "{} moves", fleet.moves - moves);
+    let mut runners = fleet.runners.iter();
+    let busy = runners.find(|runner| runner.copy(&model_id(14)).is_some());
+    assert!(busy.unwrap().copy(&model_id(10)).is_some());
+    fleet.set_loads(&[(15, 40.0), (14, 60.0), (10, 2.0)]);
+    fleet.run_s(10);
+    assert!(fleet.count_held(&model_id(14)) >= 2);
+    assert_eq!(fleet.count_held(&model_id(10)), 1);
 }
 
 #[test]
