Let less urgent requests make way for those that wait at other nodes

Traced by a log of each look: one of three nodes had up to 10 urgent requests waiting, while the two others sent less urgent ones to the same runners: each node's order held for itself only, and a node that has just sent prompts knows best when the next fit. Change: nodes tell for each variant the priority of the most urgent request that has waited 50 ms for room; less urgent requests of other nodes leave the runners that hold it alone while that word is fresh (120 ms). The form of the datagrams is version 2. The new test of dispatch_waiting failed with the check taken out.

--- a/src/dispatch/board.rs
+++ b/src/dispatch/board.rs
@@ -120,7 +120,7 @@
                 state.peer_load(node, &key, load, now);
             }
             for demand in report.demand {
-                more_wait |= state.peers.hear(node, demand, now);
+                more_wait |= state.peer_demand(node, demand, now);
             }
             for key in &report.leaving {
                 state.leaves(key, now);
--- a/src/dispatch/board_shared.rs
+++ b/src/dispatch/board_shared.rs
@@ -133,6 +133,7 @@
             }
             if !no_copy {
                 self.pump(service, grants, now);
+                self.gossip_soon.notify_one();
             } else if first_for_copy {
                 self.tell_waiting();
             }
--- a/src/dispatch/board_state.rs
+++ b/src/dispatch/board_state.rs
@@ -19,6 +19,9 @@
 /// How long a request waits for room before it counts as demand for a further copy.
 const ROOM_WAIT_MS: u64 = 250;
 
+/// How long a request waits for room before less urgent ones at other nodes make way.
+const URGENT_WAIT_MS: u64 = 50;
+
 #[derive(Debug)]
 struct Leaving {
     runner: RunnerKey,
@@ -164,9 +167,17 @@
             let room_wait = Duration::from_millis(ROOM_WAIT_MS);
             for waiter in service.queue.iter() {
                 let counts = waiter.no_copy || now >= waiter.since + room_wait;
-                if let Some(variant) = waiter.ask.variant.as_ref().filter(|_| counts) {
+                let Some(variant) = &waiter.ask.variant else {
+                    continue;
+                };
+                if counts {
                     all.add(&service.name, variant, 0.0, 1);
                 }
+                let urgent_wait = Duration::from_millis(URGENT_WAIT_MS);
+                let urges = !waiter.no_copy && now >= waiter.since + urgent_wait;
+                if urges && now < waiter.ask.target_at {
+                    all.waits_for_room(&service.name, variant, waiter.ask.priority);
+                }
             }
         }
         all.0
@@ -192,12 +203,15 @@
         let told = std::mem::take(&mut self.waiting_told);
         let changed = |demand: &ModelDemand| {
             let found = told.binary_search_by(|known| known.key().cmp(&demand.key()));
-            found.map_or(0, |position| told[position].waiting) != demand.waiting
+            let known = found.ok().map(|position| &told[position]);
+            demand.room_priority.is_some()
+                || known.is_some_and(|known| known.room_priority.is_some())
+                || known.map_or(0, |known| known.waiting) != demand.waiting
         };
         let due = demand.iter().filter(|demand| all || changed(demand));
         let due = due.cloned().collect();
-        let waiting = demand.into_iter().filter(|demand| demand.waiting > 0);
-        self.waiting_told = waiting.collect();
+        let waits = |demand: &ModelDemand| demand.waiting > 0 || demand.room_priority.is_some();
+        self.waiting_told = demand.into_iter().filter(waits).collect();
         due
     }
 
@@ -218,6 +232,18 @@
         loads.collect()
     }
 
+    /// Takes over a peer's word on its demand; returns whether requests wait there that did not.
+    pub(super) fn peer_demand(
+        &mut self,
+        node: &NodeName,
+        demand: ModelDemand,
+        now: Instant,
+    ) -> bool {
+        let service = self.service(&demand.service);
+        service.urgent_waits.hear(node, &demand, now);
+        self.peers.hear(node, demand, now)
+    }
+
     /// Takes over a peer's word on its load at a runner.
     pub(super) fn peer_load(
         &mut self,
--- a/src/dispatch/demand_sum.rs
+++ b/src/dispatch/demand_sum.rs
@@ -11,22 +11,34 @@
 
 impl DemandSum {
     pub(super) fn add(&mut self, service: &ServiceId, variant: &Variant, per_s: f64, waiting: u32) {
+        let demand = self.of(service, variant);
+        demand.requests_per_s += per_s;
+        demand.waiting += waiting;
+    }
+
+    /// Notes a request that waits for room.
+    pub(super) fn waits_for_room(&mut self, service: &ServiceId, variant: &Variant, priority: u8) {
+        let known = &mut self.of(service, variant).room_priority;
+        *known = known.iter().copied().chain([priority]).min();
+    }
+
+    fn of(&mut self, service: &ServiceId, variant: &Variant) -> &mut ModelDemand {
         let key = (service, &variant.model, variant.adapter.as_ref());
-        match self.0.binary_search_by(|known| known.key().cmp(&key)) {
-            Ok(position) => {
-                self.0[position].requests_per_s += per_s;
-                self.0[position].waiting += waiting;
-            }
+        let position = match self.0.binary_search_by(|known| known.key().cmp(&key)) {
+            Ok(position) => position,
             Err(position) => {
                 let demand = ModelDemand {
                     service: service.clone(),
                     model: variant.model.clone(),
                     adapter: variant.adapter.clone(),
-                    requests_per_s: per_s,
-                    waiting,
+                    requests_per_s: 0.0,
+                    waiting: 0,
+                    room_priority: None,
                 };
                 self.0.insert(position, demand);
+                position
             }
-        }
+        };
+        &mut self.0[position]
     }
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -26,6 +26,7 @@
 mod seating;
 mod service_runners;
 mod types;
+mod urgent_waits;
 mod wait_queue;
 mod waiting;
 
--- a/src/dispatch/service_runners.rs
+++ b/src/dispatch/service_runners.rs
@@ -6,6 +6,7 @@
         demand_meter::DemandMeter,
         pace_budget::PaceBudget,
         runner_slot::RunnerSlot,
+        urgent_waits::UrgentWaits,
         wait_queue::{Ask, WaitQueue},
     },
     crate::{
@@ -26,6 +27,9 @@
 /// Costs that differ by less are equal, in milliseconds.
 const EQUAL_MS: f64 = 1.0;
 
+/// How long a request leaves a runner to more urgent ones before it looks again.
+const YIELD: Duration = Duration::from_millis(20);
+
 #[derive(Debug)]
 pub(super) struct ServiceRunners {
     pub(super) name: ServiceId,
@@ -33,6 +37,7 @@
     pub(super) queue: WaitQueue,
     pub(super) demand: DemandMeter,
     pub(super) pace_budget: PaceBudget,
+    pub(super) urgent_waits: UrgentWaits,
     mean_times: Vec<(Option<ModelId>, f64)>,
     answer_time_s: f64,
 }
@@ -56,6 +61,7 @@
             queue: WaitQueue::default(),
             demand: DemandMeter::default(),
             pace_budget: PaceBudget::default(),
+            urgent_waits: UrgentWaits::default(),
             mean_times: Vec::new(),
             answer_time_s: 0.0,
         }
@@ -82,6 +88,7 @@
     }
 
     fn choose_among(&self, ask: &Ask, tried: bool, zone: &ZoneId, now: Instant) -> Chosen {
+        let ahead = self.urgent_waits.before(ask.priority, now);
         let mut best: Option<(usize, f64)> = None;
         let mut any_copy = false;
         let mut retry_at: Option<Instant> = None;
@@ -99,6 +106,11 @@
                 retry_at = retry_at.into_iter().chain(until).min();
                 continue;
             }
+            if ahead.iter().any(|variant| slot.holds(Some(*variant))) {
+                let soon = now + YIELD;
+                retry_at = retry_at.into_iter().chain([soon]).min();
+                continue;
+            }
             let mut candidate = slot.candidate(ask, zone, now);
             let Some(cost) = cost_ms(&ask.need, &candidate) else {
                 candidate.paced_tokens = 0;
--- a/src/dispatch/types.rs
+++ b/src/dispatch/types.rs
@@ -116,6 +116,8 @@
     pub requests_per_s: f64,
     /// Requests that wait for a copy now.
     pub waiting: u32,
+    /// The priority of the most urgent request that waits for room at the runners that hold it.
+    pub room_priority: Option<u8>,
 }
 
 impl ModelDemand {
--- a/src/gossip/datagram.rs
+++ b/src/gossip/datagram.rs
@@ -15,7 +15,7 @@
 pub const DATAGRAM_BYTES_MAX: usize = 1_200;
 
 /// What every datagram begins with; the last byte is the version of the form.
-const MAGIC: [u8; 4] = *b"ggt\x01";
+const MAGIC: [u8; 4] = *b"ggt\x02";
 
 const CHECKSUM_AT: usize = MAGIC.len();
 const BODY_AT: usize = CHECKSUM_AT + 4;
--- a/tests/copies_orders.rs
+++ b/tests/copies_orders.rs
@@ -106,6 +106,7 @@
         adapter: adapter.map(Into::into),
         requests_per_s,
         waiting,
+        room_priority: None,
     }
 }
 
--- a/tests/dispatch_waiting.rs
+++ b/tests/dispatch_waiting.rs
@@ -6,7 +6,7 @@
 use {
     board_rig::*,
     greengagetrail::{
-        dispatch::{Place, Refused, TryOutcome, Wanted},
+        dispatch::{ModelDemand, NodeReport, Place, Refused, TryOutcome, Wanted},
         relay::PromptPart,
     },
     std::time::Duration,
@@ -82,6 +82,57 @@
     assert!(large.is_finished() && !small.is_finished());
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_request_makes_way_for_a_more_urgent_one_at_another_node() {
+    let rig = rig(vec![
+        runner("a", &[("m1", &[])]),
+        runner("b", &[("m2", &[])]),
+    ]);
+    let waits_elsewhere = || {
+        let demand = ModelDemand {
+            service: ENGINES.into(),
+            model: "m1".into(),
+            adapter: None,
+            requests_per_s: 1.0,
+            waiting: 0,
+            room_priority: Some(1),
+        };
+        let demand = vec![demand];
+        let report = NodeReport {
+            demand,
+            ..NodeReport::default()
+        };
+        rig.board.hear(&"peer".into(), report);
+    };
+    let of = |priority, model| Wanted {
+        priority,
+        ..wanted(model)
+    };
+    waits_elsewhere();
+    let less_urgent = wait_for(&rig, of(2, "m1")).await;
+    let as_urgent = wait_for(&rig, of(1, "m1")).await;
+    let other_runner = wait_for(&rig, of(2, "m2")).await;
+    assert!(as_urgent.is_finished() && other_runner.is_finished());
+    sleep(ms(100)).await;
+    assert!(!less_urgent.is_finished());
+    // The word is no longer fresh.
+    sleep(ms(60)).await;
+    assert!(less_urgent.is_finished());
+    waits_elsewhere();
+    assert!(wait_for(&rig, of(0, "m1")).await.is_finished());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_waits_long_for_room_before_others_make_way() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    let _places = fill(&rig, "m1").await;
+    let _waits = wait_for(&rig, wanted("m1")).await;
+    let told = || rig.board.tell(true).demand[0].room_priority;
+    assert_eq!(told(), None);
+    advance(ms(60)).await;
+    assert_eq!(told(), Some(wanted("m1").priority));
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_request_for_one_model_does_not_hold_up_another() {
     let rig = rig(vec![
--- a/tests/gossip_exchange.rs
+++ b/tests/gossip_exchange.rs
@@ -55,6 +55,7 @@
                 model: "m1".into(),
                 adapter: None,
                 requests_per_s: 1.5,
+                room_priority: Some(1),
                 waiting: 2,
             }),
         ]
