Tell what became of runners and of the store, and the demand for each model

Change: the list of runners is compared with what was shown before; runners that came, are leaving or are gone are logged. The first call to the store without an answer and the first with one are logged, with the time between. Metrics: ggt_model_requests_per_second, ggt_model_waiting_requests, ggt_model_copies; reads of the metrics are logged at debug. Ruled out: demand in the log (it changes all the time); a log line for each failed call.

--- a/src/discovery/runner_follower.rs
+++ b/src/discovery/runner_follower.rs
@@ -1,7 +1,7 @@
 //! Follows the platform's list of runners.
 
 use {
-    super::{ListedRunners, RunnerEntry, RunnerList},
+    super::{ListedRunners, RunnerEntry, RunnerList, list_changes::log_changes},
     crate::{
         dispatch::RunnerBoard,
         node::Formats,
@@ -42,6 +42,8 @@
     board: Arc<RunnerBoard>,
     prefix: String,
     list: RunnerList,
+    /// What the board shows.
+    shown: Vec<RunnerEntry>,
     peer_list: watch::Receiver<ListedRunners>,
     /// Whether the list is a peer's.
     is_from_peer: bool,
@@ -65,6 +67,7 @@
             formats,
             board,
             list: RunnerList::default(),
+            shown: Vec::new(),
             peer_list,
             is_from_peer: false,
             version: watch::Sender::default(),
@@ -211,7 +214,7 @@
             Some(until) => self.list.keep_missing_until(until),
             None => {
                 self.list.drop_missing();
-                self.board.set_runners(self.list.entries());
+                self.show();
             }
         }
     }
@@ -239,10 +242,17 @@
     }
 
     /// Hands the list to the board, which then shows at least `version` of the store.
-    fn publish(&self, version: StoreVersion) {
-        self.board.set_runners(self.list.entries());
+    fn publish(&mut self, version: StoreVersion) {
+        self.show();
         self.version.send_replace(version);
     }
+
+    fn show(&mut self) {
+        let entries = self.list.entries();
+        log_changes(&self.shown, &entries);
+        self.board.set_runners(entries.clone());
+        self.shown = entries;
+    }
 }
 
 async fn wait_until(at: Option<Instant>) {
--- /dev/null
+++ b/src/node/demand_metrics.rs
@@ -0,0 +1,59 @@
+//! The demand for models, as metrics.
+
+use crate::{
+    dispatch::ModelDemand,
+    telemetry::MetricText,
+    traffic::{ModelId, ServiceId},
+};
+
+/// The demand for a model, with that for its adapters.
+struct Sum<'a> {
+    model: (&'a ServiceId, &'a ModelId),
+    requests_per_s: f64,
+    waiting: u32,
+}
+
+/// Adds the demand over all nodes to a text of metrics, summed by model.
+pub fn render_demand(demand: &[ModelDemand], text: &mut MetricText) {
+    let sums = sum_by_model(demand);
+    let name = "ggt_model_requests_per_second";
+    text.begin(name, "gauge", "Requests for a model at all nodes.");
+    for sum in &sums {
+        text.value(name, &sum.labels(), sum.requests_per_s);
+    }
+    let name = "ggt_model_waiting_requests";
+    let help = "Requests that wait for a copy of a model at all nodes.";
+    text.begin(name, "gauge", help);
+    for sum in &sums {
+        text.value(name, &sum.labels(), f64::from(sum.waiting));
+    }
+}
+
+fn sum_by_model(demand: &[ModelDemand]) -> Vec<Sum<'_>> {
+    let mut sums: Vec<Sum<'_>> = Vec::new();
+    for demand in demand {
+        let model = (&demand.service, &demand.model);
+        match sums.binary_search_by(|sum| sum.model.cmp(&model)) {
+            Ok(position) => {
+                sums[position].requests_per_s += demand.requests_per_s;
+                sums[position].waiting += demand.waiting;
+            }
+            Err(position) => sums.insert(
+                position,
+                Sum {
+                    model,
+                    requests_per_s: demand.requests_per_s,
+                    waiting: demand.waiting,
+                },
+            ),
+        }
+    }
+    sums
+}
+
+impl Sum<'_> {
+    fn labels(&self) -> [(&str, &str); 2] {
+        let (service, model) = self.model;
+        [("service", service.as_str()), ("model", model.as_str())]
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! One node: everything that runs on a VM, in one process.
 
 mod control_port;
+mod demand_metrics;
 mod node_view;
 mod parts;
 mod peer_client;
@@ -15,6 +16,6 @@
 mod status;
 
 pub use {
-    control_port::*, node_view::*, parts::*, peer_client::*, peer_config::*, peer_pages::*,
-    peer_runners::*, port::*, run::*, settings::*, settings_follow::*, status::*,
+    control_port::*, demand_metrics::*, node_view::*, parts::*, peer_client::*, peer_config::*,
+    peer_pages::*, peer_runners::*, port::*, run::*, settings::*, settings_follow::*, status::*,
 };
--- a/src/node/node_view.rs
+++ b/src/node/node_view.rs
@@ -1,7 +1,10 @@
 //! What the control port shows of a node.
 
 use {
-    super::{NodeStatus, PeerStatus, RefusedStatus, RunnerStatus, WaitingStatus, WatchStatus},
+    super::{
+        NodeStatus, PeerStatus, RefusedStatus, RunnerStatus, WaitingStatus, WatchStatus,
+        render_demand,
+    },
     crate::{
         copies::OrderCounts,
         dispatch::RunnerBoard,
@@ -90,12 +93,14 @@
 
     /// Returns the metrics as text.
     pub fn metrics(&self) -> String {
+        log::debug!("node: the metrics are read.");
         let mut text = MetricText::default();
         self.relay.counts().render(&mut text);
         self.board.counts().render(&mut text);
         self.orders.render(&mut text);
         self.store.render(&mut text);
         self.status().render(&mut text);
+        render_demand(&self.board.demand(), &mut text);
         text.finish()
     }
 }
--- a/src/node/status.rs
+++ b/src/node/status.rs
@@ -197,5 +197,26 @@
             let labels = [("runner", runner.runner.as_str())];
             text.value(name, &labels, runner.models.len() as f64);
         }
+        self.render_copies(text);
+    }
+
+    fn render_copies(&self, text: &mut MetricText) {
+        let runners = self.runners.iter().filter(|runner| !runner.is_draining);
+        let mut copies: Vec<_> = runners
+            .flat_map(|runner| {
+                runner
+                    .models
+                    .iter()
+                    .map(|(model, _)| (&runner.service, model))
+            })
+            .collect();
+        copies.sort();
+        let name = "ggt_model_copies";
+        text.begin(name, "gauge", "Ready runners that hold a model.");
+        for group in copies.chunk_by(|a, b| a == b) {
+            let (service, model) = group[0];
+            let labels = [("service", service.as_str()), ("model", model.as_str())];
+            text.value(name, &labels, group.len() as f64);
+        }
     }
 }
--- a/src/store/monitored_store.rs
+++ b/src/store/monitored_store.rs
@@ -15,7 +15,8 @@
 
 #[derive(Debug, Default)]
 struct Observed {
-    is_out: bool,
+    /// When the latest outage began, while it lasts.
+    out_since: Option<Instant>,
     returned_at: Option<Instant>,
 }
 
@@ -30,34 +31,48 @@
     /// Returns when the latest outage ended; now, while it lasts.
     pub fn outage_end(&self) -> Option<Instant> {
         let observed = self.lock();
-        match observed.is_out {
-            true => Some(Instant::now()),
-            false => observed.returned_at,
+        match observed.out_since {
+            Some(_) => Some(Instant::now()),
+            None => observed.returned_at,
         }
     }
 
     /// Returns whether the latest call had no answer.
     pub fn is_out(&self) -> bool {
-        self.lock().is_out
+        self.lock().out_since.is_some()
     }
 
     fn note<T>(&self, answer: &Result<T, StoreError>) {
         match answer {
             Ok(_) | Err(StoreError::LeaseLapsed(_) | StoreError::Compacted) => self.note_answer(),
-            Err(StoreError::Unreachable(_) | StoreError::Unknown(_) | StoreError::Refused(_)) => {
-                self.lock().is_out = true;
-            }
+            Err(
+                cause @ (StoreError::Unreachable(_)
+                | StoreError::Unknown(_)
+                | StoreError::Refused(_)),
+            ) => self.note_failure(cause),
         }
     }
 
-    fn note_answer(&self) {
+    fn note_failure(&self, cause: &StoreError) {
         let mut observed = self.lock();
-        if observed.is_out {
-            observed.is_out = false;
-            observed.returned_at = Some(Instant::now());
+        if observed.out_since.is_none() {
+            observed.out_since = Some(Instant::now());
+            drop(observed);
+            log::warn!("store: calls fail: {cause}");
         }
     }
 
+    fn note_answer(&self) {
+        let mut observed = self.lock();
+        let Some(since) = observed.out_since.take() else {
+            return;
+        };
+        observed.returned_at = Some(Instant::now());
+        drop(observed);
+        let out_ms = since.elapsed().as_millis() as u64;
+        log::info!(out_ms = out_ms; "store: it answers again.");
+    }
+
     fn lock(&self) -> MutexGuard<'_, Observed> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/tests/cli_node.rs
+++ b/tests/cli_node.rs
@@ -5,6 +5,7 @@
         cli::{EXIT_DONE, run},
         http::{Body, ListenerLimits, serve_http},
         node::{NodeStatus, PeerStatus, RefusedStatus, RunnerStatus, WaitingStatus, WatchStatus},
+        telemetry::MetricText,
     },
     hyper::Response,
     serde_json::Value,
@@ -128,3 +129,17 @@
         "1970-01-01T00:00:00Z a runner loads a model. model=m2\n"
     );
 }
+
+#[test]
+fn copies_of_a_model_are_counted_at_ready_runners() {
+    let mut status = status();
+    let leaving = status.runners[0].clone();
+    let mut ready = leaving.clone();
+    ready.is_draining = false;
+    status.runners = vec![ready.clone(), leaving, ready];
+    let mut text = MetricText::default();
+    status.render(&mut text);
+    let line = "ggt_model_copies{service=\"grain-writer\",model=\"daka\"} 2";
+    let text = text.finish();
+    assert!(text.lines().any(|known| known == line), "{text}");
+}
--- a/tests/node_metrics.rs
+++ b/tests/node_metrics.rs
@@ -13,7 +13,8 @@
     futures::StreamExt,
     greengagetrail::{
         copies::OrderCounts,
-        node::{Order, OrderReply, OrderUnknown},
+        dispatch::ModelDemand,
+        node::{Order, OrderReply, OrderUnknown, render_demand},
         standin::kv::MemoryStore,
         store::{MeteredStore, Op, Store, StoreVersion, Txn},
         telemetry::{LogLevel, LogRules, MetricText, TimeCounts, part_of},
@@ -175,6 +176,36 @@
     }
 }
 
+#[test]
+fn demand_is_summed_by_model() {
+    let demand = |model: &str, adapter: Option<&str>, requests_per_s, waiting| ModelDemand {
+        service: "s".into(),
+        model: model.into(),
+        adapter: adapter.map(Into::into),
+        requests_per_s,
+        waiting,
+    };
+    let all = [
+        demand("m", None, 1.5, 2),
+        demand("n", None, 4.0, 0),
+        demand("m", Some("a"), 0.5, 1),
+    ];
+    let mut text = MetricText::default();
+    render_demand(&all, &mut text);
+    let text = text.finish();
+    for (labels, per_s, waiting) in [("model=\"m\"", 2, 3), ("model=\"n\"", 4, 0)] {
+        let labels = format!("{{service=\"s\",{labels}}}");
+        assert_line(
+            &text,
+            &format!("ggt_model_requests_per_second{labels} {per_s}"),
+        );
+        assert_line(
+            &text,
+            &format!("ggt_model_waiting_requests{labels} {waiting}"),
+        );
+    }
+}
+
 #[test]
 fn times_fall_into_buckets_and_labels_are_escaped() {
     let times = TimeCounts::default();
