Ask for an engine's role before the barrier is sent

Cause: a barrier is a role change to the present role, but the first poll of a new owner sent it before any status was read, with the role that a task starts with, so that a prefill or decode engine became one for both. Change: the role is kept with the start that showed it; without one of the record's start, the barrier asks for the status first. If the engine does not answer, that counts as the failed poll. The plan and the seeds of the schedules stand once, in tests/common/fleet_run.rs; Plan::new has the values that the three tests had, assertions are as they were.

--- a/src/fleet/doubt_resolution.rs
+++ b/src/fleet/doubt_resolution.rs
@@ -4,7 +4,7 @@
     super::{Extra, LedgerError, PendingOrder, RecordError, runner_task::RunnerTask},
     crate::{
         config::Fencing,
-        engine::{Action, EngineError, Order, OrderReply, Status},
+        engine::{Action, EngineError, Order, OrderReply, Role, Status},
         units::{Epoch, OrderId},
     },
     tokio::time::timeout,
@@ -110,13 +110,32 @@
     }
 
     /// Makes the engine refuse whatever carries an earlier fencing number.
-    pub(super) async fn send_barrier(&mut self) {
+    ///
+    /// A barrier changes the role to what it already is, so that the role is asked for first.
+    /// Returns false when the engine does not tell it.
+    pub(super) async fn send_barrier(&mut self) -> bool {
+        let engine = self.handle.record().engine;
+        if self.role.is_none_or(|(start, _)| start != engine) {
+            let Some(status) = self.ask_status().await else {
+                return false;
+            };
+            self.role = Some((status.incarnation, status.role));
+        }
+        if let Some((start, role)) = self.role
+            && start == engine
+        {
+            self.send_role(role).await;
+        }
+        true
+    }
+
+    async fn send_role(&mut self, role: Role) {
         let epoch = self.handle.epoch();
         let order = Order {
             id: OrderId::random(),
             epoch,
             incarnation: self.handle.record().engine,
-            action: Action::ChangeRole { role: self.role },
+            action: Action::ChangeRole { role },
         };
         let sent = timeout(self.context.timing.order_timeout, self.engine.send(order));
         let Ok(reply) = sent.await else {
--- a/src/fleet/runner_task.rs
+++ b/src/fleet/runner_task.rs
@@ -9,7 +9,7 @@
     crate::{
         config::{Fencing, Runner},
         engine::{Engine, Role, Status},
-        units::{Epoch, ModelName, OrderId, RunnerName, unix_now_ms},
+        units::{Epoch, Incarnation, ModelName, OrderId, RunnerName, unix_now_ms},
     },
     std::{sync::Arc, time::Duration},
     tokio::time::timeout,
@@ -28,7 +28,8 @@
     pub(super) handle: RecordHandle,
     pub(super) adapters: AdapterLedger,
     pub(super) doubts: Doubts,
-    pub(super) role: Role,
+    /// The engine's role, with the start that showed it.
+    pub(super) role: Option<(Incarnation, Role)>,
     failed_polls: u32,
     pub(super) doubtful_polls: u32,
     /// A newer fencing number that the engine named in a refusal.
@@ -76,7 +77,7 @@
             engine,
             handle,
             adapters: AdapterLedger::default(),
-            role: Role::default(),
+            role: None,
             failed_polls: 0,
             doubtful_polls: 0,
             fenced_by: None,
@@ -112,8 +113,8 @@
         self.withdraw_unsent().await?;
         self.refresh_runner();
         self.observe_doubts();
-        if self.needs_barrier() {
-            self.send_barrier().await;
+        if self.needs_barrier() && !self.send_barrier().await {
+            return self.note_failed_poll().await;
         }
         let verdict = self.doubts.verdict(&self.runner);
         let fenced_off = self.doubts.is_fenced_off() || self.runner.fencing == Fencing::Ignored;
@@ -136,7 +137,7 @@
         }
     }
 
-    async fn ask_status(&self) -> Option<Status> {
+    pub(super) async fn ask_status(&self) -> Option<Status> {
         timeout(self.context.timing.order_timeout, self.engine.status())
             .await
             .ok()?
@@ -145,7 +146,7 @@
 
     async fn settle(&mut self, status: &Status, verdict: &Verdict) -> Result<(), RecordError> {
         self.failed_polls = 0;
-        self.role = status.role;
+        self.role = Some((status.incarnation, status.role));
         let catalog = Arc::clone(&self.context.view.borrow().catalog);
         let whole = self.runner.memory_mib;
         let memory_of = |model: &ModelName| catalog.model(model).map_or(whole, |m| m.memory_mib);
--- a/tests/common/fleet_faults.rs
+++ b/tests/common/fleet_faults.rs
@@ -246,6 +246,8 @@
     pub model_loads: u64,
     pub adapter_loads: u64,
     pub fenced: u64,
+    /// Orders that gave an engine another role.
+    pub role_changes: u64,
     loading: u32,
     /// The most model loads that ran at once.
     pub loading_max: u32,
@@ -281,8 +283,12 @@
     seen: Vec<OrderId>,
     finished: Vec<OrderId>,
     items: Vec<Item>,
+    role: Role,
 }
 
+/// The roles that an engine has in turn, from one start to the next.
+pub const ROLES: [Role; 3] = [Role::Prefill, Role::Decode, Role::Both];
+
 /// A model engine that keeps true account of its memory and applies whatever it is told.
 pub struct FakeEngine {
     name: String,
@@ -348,8 +354,10 @@
         let is_loading = |item: &&Item| item.is_model && item.stage == Stage::Loading;
         let cut_off = state.items.iter().filter(is_loading).count() as u32;
         self.histories.lock().unwrap().loading -= cut_off;
+        let incarnation = state.incarnation.next();
         *state = EngineState {
-            incarnation: state.incarnation.next(),
+            incarnation,
+            role: ROLES[incarnation.0 as usize % ROLES.len()],
             ..EngineState::default()
         };
         self.record(MemoryChange::Start(self.memory_mib));
@@ -416,7 +424,11 @@
             }
             Action::UnloadModel { model } => self.begin_unload(state, model.as_str(), true),
             Action::UnloadAdapter { adapter } => self.begin_unload(state, adapter.as_str(), false),
-            Action::ChangeRole { .. } => true,
+            Action::ChangeRole { role } => {
+                let changes = std::mem::replace(&mut state.role, *role) != *role;
+                self.histories.lock().unwrap().role_changes += u64::from(changes);
+                true
+            }
         }
     }
 
@@ -515,7 +527,7 @@
         Status {
             incarnation: state.incarnation,
             leaving: false,
-            role: Role::Both,
+            role: state.role,
             models,
             adapters,
             finished: state.finished.clone(),
--- a/tests/common/fleet_run.rs
+++ b/tests/common/fleet_run.rs
@@ -1,12 +1,16 @@
 //! One seeded run of several VMs that own runners while everything around them fails.
 
 use {
-    super::fleet_faults::{
-        Dice, EngineLink, FakeEngine, Faults, Gate, Histories, LinkFaults, StoreLink, Without,
+    super::{
+        fleet_faults::{
+            Dice, EngineLink, FakeEngine, Faults, Gate, Histories, LinkFaults, ROLES, StoreLink,
+            Without,
+        },
+        paused::paused_runtime,
     },
     greengagetrail::{
         config::{Adapter, Catalog, Deployment, Fencing, Model, Runner},
-        engine::{Action, Engine},
+        engine::{Action, Engine, Order},
         fleet::{
             FleetKeeper, FleetTiming, FleetView, Move, MoveChange, Owner, RECORD_PREFIX,
             RunnerRecord, decode,
@@ -14,7 +18,7 @@
         membership::Member,
         standin::kv::MemoryStore,
         store::{Store, StoreVersion},
-        units::{Incarnation, MemoryMib, VmName},
+        units::{Incarnation, MemoryMib, OrderId, VmName},
     },
     std::{
         sync::{Arc, Mutex},
@@ -39,12 +43,39 @@
     pub restarts: bool,
     pub order_faults_percent: u64,
     pub process_faults: bool,
+    /// Whether role changes are ordered as well.
+    pub role_orders: bool,
     pub loads_at_once_max: u32,
     pub models: u64,
     pub faults_ms: u64,
     pub rest_ms: u64,
 }
 
+impl Plan {
+    /// Returns the plan of a run with all faults.
+    pub fn new(seed: u64, without: Without) -> Self {
+        Self {
+            seed,
+            without,
+            restarts: true,
+            order_faults_percent: 10,
+            process_faults: true,
+            role_orders: false,
+            loads_at_once_max: 16,
+            models: 4,
+            faults_ms: 60_000,
+            rest_ms: 50_000,
+        }
+    }
+}
+
+/// Returns the seeds of a run: those of the test, unless `GGT_FLEET_SEEDS` says otherwise.
+#[allow(dead_code, reason = "some tests have a fixed number")]
+pub fn seeds(usual: u64) -> u64 {
+    let wanted = std::env::var("GGT_FLEET_SEEDS");
+    wanted.map_or(usual, |seeds| seeds.parse().unwrap())
+}
+
 /// What a run showed.
 #[derive(Debug)]
 #[allow(dead_code)] // each test binary reads other fields
@@ -241,17 +272,8 @@
         };
         let world = Arc::clone(self);
         let engines = move |runner: &Runner| -> Arc<dyn Engine> {
-            let index: usize = runner.name.as_str()[1..].parse().unwrap();
-            let late_max_ms = match runner.fencing {
-                Fencing::Ignored => LATENESS_MS,
-                Fencing::Honoured => 40_000,
-            };
-            Arc::new(EngineLink {
-                engine: Arc::clone(&world.engines[index]),
-                gate: gate.clone(),
-                faults: world.faults.clone(),
-                late_max_ms,
-            })
+            let index = runner.name.as_str()[1..].parse().unwrap();
+            Arc::new(world.engine_link(index, gate.clone()))
         };
         let timing = FleetTiming {
             status_interval: Duration::from_millis(1000),
@@ -266,6 +288,37 @@
         )
     }
 
+    fn engine_link(&self, index: usize, gate: Gate) -> EngineLink {
+        EngineLink {
+            engine: Arc::clone(&self.engines[index]),
+            gate,
+            faults: self.faults.clone(),
+            late_max_ms: match fencing(index) {
+                Fencing::Ignored => LATENESS_MS,
+                Fencing::Honoured => 40_000,
+            },
+        }
+    }
+
+    /// Orders another role of a random engine, under what its record shows.
+    async fn change_role(self: Arc<Self>, gate: Gate) {
+        let dice = &self.faults.dice;
+        let index = dice.below(RUNNERS as u64) as usize;
+        let role = ROLES[dice.below(ROLES.len() as u64) as usize];
+        let records = self.records().await;
+        let name = format!("r{index}");
+        let Some(record) = records.iter().find(|it| it.name.as_str() == name) else {
+            return;
+        };
+        let order = Order {
+            id: OrderId::random(),
+            epoch: record.epoch,
+            incarnation: record.engine,
+            action: Action::ChangeRole { role },
+        };
+        let _ = self.engine_link(index, gate).send(order).await;
+    }
+
     async fn run_vm(self: Arc<Self>, owner: Owner, gate: Gate) {
         let keeper = self.keeper(owner, gate.clone());
         let dice = self.faults.dice.clone();
@@ -276,6 +329,9 @@
                 keeper.observe_record(record);
             }
             if self.in_faults() {
+                if self.plan.role_orders && dice.percent(50) {
+                    tokio::spawn(Arc::clone(&self).change_role(gate.clone()));
+                }
                 let moves = (0..dice.below(8))
                     .map(|_| self.random_move(&dice))
                     .collect();
@@ -362,11 +418,7 @@
 
 /// Makes one run on a paused clock.
 pub fn run(plan: Plan) -> Outcome {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap();
+    let runtime = paused_runtime();
     let outcome = runtime.block_on(run_world(plan));
     runtime.shutdown_background();
     outcome
--- a/tests/common/store_writes.rs
+++ b/tests/common/store_writes.rs
@@ -2,14 +2,11 @@
 
 use {
     bytes::Bytes,
-    greengagetrail::{
-        standin::kv::MemoryStore,
-        store::{Op, Store, Txn},
-    },
+    greengagetrail::store::{Op, Store, Txn},
 };
 
 /// Writes a key.
-pub async fn write(store: &MemoryStore, key: &str, text: &str) {
+pub async fn write(store: &dyn Store, key: &str, text: &str) {
     let put = Op::Put {
         key: key.to_owned(),
         value: Bytes::copy_from_slice(text.as_bytes()),
--- a/tests/fleet_memory.rs
+++ b/tests/fleet_memory.rs
@@ -6,10 +6,12 @@
 mod fleet_faults;
 #[path = "common/fleet_run.rs"]
 mod fleet_run;
+#[path = "common/paused.rs"]
+mod paused;
 
 use {
     fleet_faults::Without,
-    fleet_run::{Outcome, Plan, run, run_all},
+    fleet_run::{Outcome, Plan, run, run_all, seeds},
     greengagetrail::history::{MemoryChange, MemoryEvent, MemoryFault, check_memory},
     std::sync::Mutex,
 };
@@ -18,31 +20,12 @@
 const SEEDS: u64 = 1000;
 const SEEDS_WITHOUT: u64 = 4000;
 
-fn plan(seed: u64, without: Without) -> Plan {
-    Plan {
-        seed,
-        without,
-        restarts: true,
-        order_faults_percent: 10,
-        process_faults: true,
-        loads_at_once_max: 16,
-        models: 4,
-        faults_ms: 60_000,
-        rest_ms: 50_000,
-    }
-}
-
-fn seeds() -> u64 {
-    let wanted = std::env::var("GGT_FLEET_SEEDS");
-    wanted.map_or(SEEDS, |seeds| seeds.parse().unwrap())
-}
-
 /// Returns an overcommitted run, trying seeds until one is found.
 fn find_fault(without: Without) -> Option<(u64, MemoryFault)> {
     let found = Mutex::new(None);
     let judge = |seed| {
         if found.lock().unwrap().is_none() {
-            let outcome = run(plan(seed, without));
+            let outcome = run(Plan::new(seed, without));
             if let Err(fault) = check_memory(&outcome.histories.memory) {
                 *found.lock().unwrap() = Some((seed, fault));
             }
@@ -54,8 +37,8 @@
 
 #[test]
 fn no_engine_is_ever_overcommitted_and_no_order_stays_open() {
-    let seeds = seeds();
-    let outcomes: Vec<Outcome> = run_all(0..seeds, |seed| run(plan(seed, Without::Nothing)));
+    let seeds = seeds(SEEDS);
+    let outcomes: Vec<Outcome> = run_all(0..seeds, |seed| run(Plan::new(seed, Without::Nothing)));
     let mut sums = [0; 5];
     for (seed, outcome) in outcomes.iter().enumerate() {
         let judged = check_memory(&outcome.histories.memory);
@@ -68,6 +51,11 @@
             assert!(record.former_owners.is_empty(), "seed {seed}: {record:#?}");
         }
         let histories = &outcome.histories;
+        let changed = histories.role_changes;
+        assert_eq!(
+            changed, 0,
+            "seed {seed}: a barrier changed an engine's role"
+        );
         sums[0] += histories.model_loads;
         sums[1] += histories.adapter_loads;
         sums[2] += histories.fenced;
@@ -81,6 +69,31 @@
     assert!(models > seeds && adapters > seeds && fenced > 0);
 }
 
+#[test]
+fn role_changes_among_the_orders_overcommit_nothing() {
+    let seeds = seeds(SEEDS) * 3 / 10;
+    let judge = |seed| {
+        let outcome = run(Plan {
+            role_orders: true,
+            ..Plan::new(seed, Without::Nothing)
+        });
+        let judged = check_memory(&outcome.histories.memory);
+        assert!(judged.is_ok(), "seed {seed}: {judged:?}");
+        for record in outcome.records.iter() {
+            let settled = record.orders.is_empty() && record.former_owners.is_empty();
+            assert!(settled, "seed {seed}: open for ever: {record:#?}");
+        }
+        [
+            outcome.histories.role_changes,
+            outcome.histories.model_loads,
+        ]
+    };
+    let seen = run_all(0..seeds, judge);
+    let [changes, loads] = [0, 1].map(|at| seen.iter().map(|sums| sums[at]).sum::<u64>());
+    println!("{seeds} runs: {changes} role changes, {loads} model loads");
+    assert!(changes > seeds && loads > seeds);
+}
+
 #[test]
 fn orders_in_doubt_keep_little_memory_when_faults_are_rare() {
     let permille = |order_faults_percent| {
@@ -88,7 +101,7 @@
             let outcome = run(Plan {
                 order_faults_percent,
                 process_faults: false,
-                ..plan(seed, Without::Nothing)
+                ..Plan::new(seed, Without::Nothing)
             });
             (outcome.doubt_mib_ms, outcome.total_mib_ms)
         };
@@ -127,7 +140,7 @@
 
 #[test]
 fn the_checker_rejects_a_changed_history() {
-    let histories = (0..).map(|seed| run(plan(seed, Without::Nothing)).histories.memory);
+    let histories = (0..).map(|seed| run(Plan::new(seed, Without::Nothing)).histories.memory);
     let is_free = |event: &MemoryEvent| matches!(event.change, MemoryChange::Free(_));
     let history = histories
         .into_iter()
--- a/tests/fleet_permits.rs
+++ b/tests/fleet_permits.rs
@@ -6,6 +6,10 @@
 mod fleet_faults;
 #[path = "common/fleet_run.rs"]
 mod fleet_run;
+#[path = "common/paused.rs"]
+mod paused;
+#[path = "common/store_writes.rs"]
+mod store_writes;
 
 use {
     fleet_faults::Without,
@@ -14,10 +18,11 @@
         config::Deployment,
         fleet::{LoadGate, LoadTurn, LoadWait, RunnerRecord, free_slot, record_key},
         standin::kv::MemoryStore,
-        store::{Op, Store, Txn},
+        store::{Store, Txn},
         units::{OrderId, RunnerName},
     },
     std::{sync::Arc, time::Duration},
+    store_writes::write,
     tokio::time::{Instant, sleep},
 };
 
@@ -105,19 +110,8 @@
     let store = MemoryStore::new();
     let gate = LoadGate::new(Arc::new(store.clone()));
     let limits = limits(1000.0, 1);
-    let record = serde_json::to_vec(&RunnerRecord::new(runner())).unwrap();
-    let put = Op::Put {
-        key: record_key(&runner()),
-        value: record.into(),
-        lease: None,
-    };
-    store
-        .txn(Txn {
-            then: vec![put],
-            ..Txn::default()
-        })
-        .await
-        .unwrap();
+    let record = serde_json::to_string(&RunnerRecord::new(runner())).unwrap();
+    write(&store, &record_key(&runner()), &record).await;
     let turn = gate.turn(&limits, &runner(), OrderId::random(), true).await;
     assert!(begin(&store, turn.unwrap()).await);
     sleep(Duration::from_secs(1)).await;
@@ -138,15 +132,9 @@
 fn no_more_loads_than_slots_run_whoever_owns_the_runners() {
     let most = |seed| {
         let outcome = run(Plan {
-            seed,
-            without: Without::Nothing,
-            restarts: true,
-            order_faults_percent: 10,
-            process_faults: true,
             loads_at_once_max: 1,
-            models: 4,
-            faults_ms: 60_000,
             rest_ms: 30_000,
+            ..Plan::new(seed, Without::Nothing)
         });
         (outcome.histories.loading_max, outcome.histories.model_loads)
     };
--- a/tests/fleet_reachable.rs
+++ b/tests/fleet_reachable.rs
@@ -6,10 +6,12 @@
 mod fleet_faults;
 #[path = "common/fleet_run.rs"]
 mod fleet_run;
+#[path = "common/paused.rs"]
+mod paused;
 
 use {
     fleet_faults::Without,
-    fleet_run::{Plan, run, run_all},
+    fleet_run::{Plan, run, run_all, seeds},
     greengagetrail::history::{CopyChange, CopyEvent, CopyFault, check_copies},
 };
 
@@ -17,29 +19,19 @@
 const SEEDS: u64 = 1000;
 const SEEDS_WITHOUT: u64 = 200;
 
-fn seeds() -> u64 {
-    let wanted = std::env::var("GGT_FLEET_SEEDS");
-    wanted.map_or(SEEDS, |seeds| seeds.parse().unwrap())
-}
-
 fn copies(seed: u64, without: Without) -> Vec<CopyEvent> {
     let plan = Plan {
-        seed,
-        without,
         restarts: false,
-        order_faults_percent: 10,
-        process_faults: true,
-        loads_at_once_max: 16,
-        models: 4,
         faults_ms: 40_000,
         rest_ms: 5_000,
+        ..Plan::new(seed, without)
     };
     run(plan).histories.copies
 }
 
 #[test]
 fn no_last_copy_is_unloaded() {
-    let seeds = seeds();
+    let seeds = seeds(SEEDS);
     let seen = run_all(0..seeds, |seed| {
         let history = copies(seed, Without::Nothing);
         let unloaded = |event: &&CopyEvent| event.change == CopyChange::Unloaded;
