Put names, problems and test scaffolding that stood twice in one place

Cause: the list of duplicates: the macros of src/units/name.rs and src/traffic/names.rs made the same type, three states of src/entry/call.rs had the same problem(), tests repeated paused runtimes, fault switches, writes and bounds. Change: units::text_type; Unanswered::DISPATCHED, from which a problem's outcome follows in one place; KvFaults::DOWN, SILENT and WATCH_SILENT; tests/common/paused.rs; write, bounds and the start of traffic_follow used where they were written out. Assertions are as they were; a_member_counts_as_live_until_its_grace_is_over is a tokio test now. Left alone: entry and keeper settings (lists of fields, alike in shape), server parts of the stand-ins (another's).

--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -28,6 +28,24 @@
 #[derive(Debug)]
 pub struct Answered;
 
+/// A state in which a request may end without an answer.
+pub trait Unanswered {
+    /// Whether the first byte of the request may have left in this state.
+    const DISPATCHED: bool;
+}
+
+impl Unanswered for Admitted {
+    const DISPATCHED: bool = false;
+}
+
+impl Unanswered for Claimed {
+    const DISPATCHED: bool = false;
+}
+
+impl Unanswered for Dispatched {
+    const DISPATCHED: bool = true;
+}
+
 /// Shows that a request may be dispatched again after it may have run.
 #[derive(Debug, Clone, Copy)]
 pub struct Idempotent(());
@@ -82,6 +100,29 @@
     }
 }
 
+impl<S: Unanswered> Call<S> {
+    /// Returns whether the request may have run, now or by an earlier dispatch.
+    pub fn outcome(&self) -> Outcome {
+        match S::DISPATCHED || self.may_have_run {
+            true => Outcome::Unknown,
+            false => Outcome::NotRun,
+        }
+    }
+
+    /// Describes why the request has no answer.
+    pub fn problem(
+        &self,
+        status: StatusCode,
+        kind: &'static str,
+        detail: impl Into<String>,
+    ) -> Problem {
+        match self.outcome() {
+            Outcome::Unknown => Problem::unknown(status, kind, detail),
+            Outcome::NotRun => Problem::not_run(status, kind, detail),
+        }
+    }
+}
+
 impl Call<Admitted> {
     /// Starts the life cycle.
     pub fn new(id: RequestId) -> Self {
@@ -96,16 +137,6 @@
     pub fn claim(self) -> Call<Claimed> {
         self.into_state(Claimed)
     }
-
-    /// Describes why the request is not dispatched.
-    pub fn problem(
-        &self,
-        status: StatusCode,
-        kind: &'static str,
-        detail: impl Into<String>,
-    ) -> Problem {
-        Problem::not_run(status, kind, detail)
-    }
 }
 
 impl Call<Claimed> {
@@ -135,27 +166,6 @@
             }
         }
     }
-
-    /// Describes why the request is not dispatched (again).
-    pub fn problem(
-        &self,
-        status: StatusCode,
-        kind: &'static str,
-        detail: impl Into<String>,
-    ) -> Problem {
-        if self.may_have_run {
-            return Problem::unknown(status, kind, detail);
-        }
-        Problem::not_run(status, kind, detail)
-    }
-
-    /// Returns whether an earlier dispatch may have run.
-    pub fn outcome(&self) -> Outcome {
-        match self.may_have_run {
-            true => Outcome::Unknown,
-            false => Outcome::NotRun,
-        }
-    }
 }
 
 impl Call<Dispatched> {
@@ -181,14 +191,4 @@
     pub fn answer(self) -> Call<Answered> {
         self.into_state(Answered)
     }
-
-    /// Describes a request whose outcome is unknown.
-    pub fn problem(
-        &self,
-        status: StatusCode,
-        kind: &'static str,
-        detail: impl Into<String>,
-    ) -> Problem {
-        Problem::unknown(status, kind, detail)
-    }
 }
--- a/src/standin/kv/faults.rs
+++ b/src/standin/kv/faults.rs
@@ -32,6 +32,35 @@
 }
 
 impl KvFaults {
+    /// No fault.
+    pub const NONE: Self = Self {
+        down: false,
+        silent: false,
+        slow_ms: 0,
+        lost_answers: 0,
+        lost_calls: 0,
+        watch_silent: false,
+        watch_stale: false,
+    };
+
+    /// The service is down.
+    pub const DOWN: Self = Self {
+        down: true,
+        ..Self::NONE
+    };
+
+    /// The service is silent.
+    pub const SILENT: Self = Self {
+        silent: true,
+        ..Self::NONE
+    };
+
+    /// The watches are silent.
+    pub const WATCH_SILENT: Self = Self {
+        watch_silent: true,
+        ..Self::NONE
+    };
+
     /// Decides what becomes of the next call and uses up the switch that decided it.
     pub(super) fn take_fate(&mut self, writes: bool) -> CallFate {
         if self.down {
--- a/src/traffic/names.rs
+++ b/src/traffic/names.rs
@@ -1,29 +1,17 @@
 //! Names that the platform chooses: any short text without a meaning of its own.
 
 use {
-    serde::{Deserialize, Serialize},
-    std::{convert::Infallible, fmt, str::FromStr, sync::Arc},
+    crate::units::text_type,
+    std::{convert::Infallible, str::FromStr},
 };
 
 macro_rules! text_id {
     ($(#[$doc:meta])* $type:ident) => {
-        $(#[$doc])*
-        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-        #[serde(transparent)]
-        pub struct $type(Arc<str>);
-
-        impl $type {
-            /// Returns the name as text.
-            pub fn as_str(&self) -> &str {
-                &self.0
-            }
-        }
-
-        impl fmt::Display for $type {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
-            }
-        }
+        text_type!(
+            $(#[$doc])*
+            #[serde(transparent)]
+            $type
+        );
 
         impl FromStr for $type {
             type Err = Infallible;
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -4,6 +4,8 @@
 mod id;
 mod name;
 mod size;
+mod text_type;
 mod wall_clock;
 
+pub(crate) use text_type::text_type;
 pub use {error::*, id::*, name::*, size::*, wall_clock::*};
--- a/src/units/name.rs
+++ b/src/units/name.rs
@@ -1,9 +1,8 @@
 //! Names of configured objects and of VMs.
 
 use {
-    super::UnitError,
-    serde::{Deserialize, Serialize},
-    std::{fmt, str::FromStr, sync::Arc},
+    super::{UnitError, text_type::text_type},
+    std::str::FromStr,
 };
 
 /// The longest name accepted, in bytes.
@@ -35,23 +34,11 @@
 
 macro_rules! name_type {
     ($(#[$doc:meta])* $type:ident, $wanted:literal) => {
-        $(#[$doc])*
-        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-        #[serde(try_from = "String", into = "String")]
-        pub struct $type(Arc<str>);
-
-        impl $type {
-            /// Returns the name as text.
-            pub fn as_str(&self) -> &str {
-                &self.0
-            }
-        }
-
-        impl fmt::Display for $type {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
-            }
-        }
+        text_type!(
+            $(#[$doc])*
+            #[serde(try_from = "String", into = "String")]
+            $type
+        );
 
         impl FromStr for $type {
             type Err = UnitError;
--- a/tests/cli_ggt.rs
+++ b/tests/cli_ggt.rs
@@ -340,10 +340,7 @@
 fn publication_during_an_outage_is_refused() {
     let keeper = Keeper::start("outage");
     assert_eq!(keeper.publish(&example("kente"), &[]).code, EXIT_DONE);
-    keeper.store.set_faults(KvFaults {
-        down: true,
-        ..KvFaults::default()
-    });
+    keeper.store.set_faults(KvFaults::DOWN);
     let refused = keeper.publish(&example("kente"), &[]);
     assert_eq!(refused.code, EXIT_REFUSED);
     assert!(
--- a/tests/config_history.rs
+++ b/tests/config_history.rs
@@ -10,6 +10,8 @@
 mod head_register;
 #[path = "common/late_store.rs"]
 mod late_store;
+#[path = "common/paused.rs"]
+mod paused;
 #[path = "common/publications.rs"]
 mod publications;
 
@@ -24,6 +26,7 @@
     },
     head_register::{HeadHistory, HeadOp},
     late_store::LateStore,
+    paused::paused_runtime,
     publications::publication,
     rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
     std::{rc::Rc, sync::Arc, time::Duration},
@@ -85,11 +88,7 @@
 
 /// Runs one seed on a paused clock.
 fn run(seed: u64, plan: RunPlan) -> RunRecord {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap();
+    let runtime = paused_runtime();
     LocalSet::new().block_on(&runtime, run_fleet(seed, plan))
 }
 
@@ -222,7 +221,9 @@
             4 => live
                 .iter()
                 .for_each(|vm| vm.link.set_faults(KvFaults::default())),
-            5 => live.iter().for_each(|vm| vm.link.set_faults(down())),
+            5 => live
+                .iter()
+                .for_each(|vm| vm.link.set_faults(KvFaults::DOWN)),
             _ => vm.link.set_faults(draw_faults(rng)),
         }
     }
@@ -241,7 +242,9 @@
         Some(Restore::Stopped) => {
             let vms = fleet.vms.borrow().clone();
             let links: Vec<_> = vms.iter().map(|vm| vm.link.clone()).collect();
-            links.iter().for_each(|link| link.set_faults(down()));
+            links
+                .iter()
+                .for_each(|link| link.set_faults(KvFaults::DOWN));
             sleep(RESTORE_PAUSE).await;
             fleet.store.restore(copy.clone());
             sleep(RESTORE_PAUSE).await;
@@ -252,13 +255,6 @@
     }
 }
 
-fn down() -> KvFaults {
-    KvFaults {
-        down: true,
-        ..KvFaults::default()
-    }
-}
-
 fn draw_faults(rng: &mut SmallRng) -> KvFaults {
     KvFaults {
         down: rng.random_range(0..6) == 0,
@@ -346,11 +342,7 @@
 #[test]
 fn revision_accepted_just_before_an_outage_reaches_every_vm() {
     for seed in 0..seeds() {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .unwrap();
+        let runtime = paused_runtime();
         let (events, end_ms) = LocalSet::new().block_on(&runtime, run_outage(seed));
         let violations = check_revisions(&events, IN_FORCE_MAX_MS, end_ms);
         assert!(violations.is_empty(), "seed {seed}: {violations:?}");
@@ -376,12 +368,12 @@
     fleet
         .live()
         .iter()
-        .for_each(|vm| vm.link.set_faults(down()));
+        .for_each(|vm| vm.link.set_faults(KvFaults::DOWN));
     assert!(tell_published(&fleet, &vm, &head));
     vm.accept(head, attempt.snapshot);
     sleep(Duration::from_millis(rng.random_range(0..2000))).await;
     let fresh = fleet.start_vm("vm-fresh", rng.random());
-    fresh.link.set_faults(down());
+    fresh.link.set_faults(KvFaults::DOWN);
     sleep(Duration::from_millis(IN_FORCE_MAX_MS + 1000)).await;
     let events = fleet.events.borrow().clone();
     (events, fleet.now_ms())
@@ -389,23 +381,19 @@
 
 /// Loses a publication for good, its VM killed before or after it told the operator.
 fn lose_publication(told: bool) -> Vec<RevisionViolation> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap();
+    let runtime = paused_runtime();
     LocalSet::new().block_on(&runtime, async {
         let fleet = Fleet::new(false);
         let vm = fleet.start_vm("vm-0", 0);
         for index in 1..VMS {
             let other = fleet.start_vm(&format!("vm-{index}"), index as u64);
-            other.link.set_faults(down());
+            other.link.set_faults(KvFaults::DOWN);
         }
         sleep(Duration::from_secs(3)).await;
         let copy = fleet.store.copy_state();
         let attempt = publication(3, 0);
         let publisher = Publisher::new(Arc::new(fleet.store.link()));
-        vm.link.set_faults(down());
+        vm.link.set_faults(KvFaults::DOWN);
         let outcome = publisher.publish(&attempt, || None).await;
         let Ok(PublishOutcome::Published(head)) = outcome else {
             panic!("{outcome:?}");
--- a/tests/config_publish.rs
+++ b/tests/config_publish.rs
@@ -158,10 +158,7 @@
     let publishing = publisher.publish(&attempt, || None);
     let outage = async {
         tokio::time::sleep(std::time::Duration::from_millis(500)).await;
-        link.set_faults(KvFaults {
-            down: true,
-            ..KvFaults::default()
-        });
+        link.set_faults(KvFaults::DOWN);
     };
     let (outcome, ()) = tokio::join!(publishing, outage);
     assert_eq!(outcome, Ok(PublishOutcome::Unknown(attempt.publish_id)));
--- a/tests/discovery_follow.rs
+++ b/tests/discovery_follow.rs
@@ -142,16 +142,6 @@
     Duration::from_millis(ms)
 }
 
-const DOWN: KvFaults = KvFaults {
-    down: true,
-    silent: false,
-    slow_ms: 0,
-    lost_answers: 0,
-    lost_calls: 0,
-    watch_silent: false,
-    watch_stale: false,
-};
-
 #[tokio::test(start_paused = true)]
 async fn changes_are_seen_well_within_the_time_to_drain() {
     let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
@@ -203,7 +193,7 @@
 #[tokio::test(start_paused = true)]
 async fn an_outage_takes_no_runner_away() {
     let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
-    follow.link.set_faults(DOWN);
+    follow.link.set_faults(KvFaults::DOWN);
     sleep(ms(100)).await;
     remove(&follow.store, "a").await;
     remove(&follow.store, "b").await;
@@ -222,7 +212,7 @@
 #[tokio::test(start_paused = true)]
 async fn entries_that_lapse_at_the_return_of_the_store_stay_for_two_seconds() {
     let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
-    follow.link.set_faults(DOWN);
+    follow.link.set_faults(KvFaults::DOWN);
     sleep(ms(5_000)).await;
     follow.link.set_faults(KvFaults::default());
     sleep(ms(1_100)).await;
@@ -240,10 +230,7 @@
 async fn an_outage_that_other_calls_met_keeps_what_a_waiting_watch_tells_as_gone() {
     let follow = follow(&[("a", "1 m1")]).await;
     sleep(ms(5_000)).await;
-    follow.link.set_faults(KvFaults {
-        silent: true,
-        ..KvFaults::default()
-    });
+    follow.link.set_faults(KvFaults::SILENT);
     assert!(follow.monitored.range("own/", 1).await.is_err());
     remove(&follow.store, "a").await;
     follow.link.set_faults(KvFaults::default());
@@ -256,7 +243,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_runner_that_leaves_a_stable_store_is_out_within_the_time_to_drain() {
     let follow = follow(&[("a", "1 m1"), ("b", "1 m1")]).await;
-    follow.link.set_faults(DOWN);
+    follow.link.set_faults(KvFaults::DOWN);
     sleep(ms(5_000)).await;
     follow.link.set_faults(KvFaults::default());
     // From then on the store counts as stable.
@@ -273,7 +260,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_second_read_within_the_grace_takes_nothing_away() {
     let follow = follow(&[("a", "1 m1")]).await;
-    follow.link.set_faults(DOWN);
+    follow.link.set_faults(KvFaults::DOWN);
     sleep(ms(100)).await;
     remove(&follow.store, "a").await;
     sleep(ms(3_000)).await;
@@ -289,10 +276,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_silent_watch_is_given_up() {
     let follow = follow(&[("a", "1 m1")]).await;
-    follow.link.set_faults(KvFaults {
-        watch_silent: true,
-        ..KvFaults::default()
-    });
+    follow.link.set_faults(KvFaults::WATCH_SILENT);
     put(&follow.store, "b", "1 m1", None).await;
     sleep(WATCH_SILENCE_MAX + ms(1_500)).await;
     assert_eq!(follow.names(), "a1 b1");
@@ -302,7 +286,7 @@
 async fn a_node_that_starts_in_an_outage_takes_the_list_of_a_peer() {
     let store = MemoryStore::new();
     let link = store.link();
-    link.set_faults(DOWN);
+    link.set_faults(KvFaults::DOWN);
     let follow = follow_on(store, link).await;
     sleep(ms(2_000)).await;
     assert_eq!(follow.names(), "");
@@ -334,7 +318,7 @@
     remove(&follow.store, "a").await;
     sleep(ms(1_000)).await;
     assert_eq!(follow.names(), "b1");
-    follow.link.set_faults(DOWN);
+    follow.link.set_faults(KvFaults::DOWN);
     let known = follow.version.borrow().0;
     follow.peer_list.send_replace(listed(known, &["a", "b"]));
     sleep(ms(2_000)).await;
@@ -352,10 +336,7 @@
 async fn a_newer_list_of_a_peer_counts_while_the_watch_is_silent() {
     let follow = follow(&[("a", "1 m1")]).await;
     let known = follow.version.borrow().0;
-    follow.link.set_faults(KvFaults {
-        silent: true,
-        ..KvFaults::default()
-    });
+    follow.link.set_faults(KvFaults::SILENT);
     sleep(ms(2_000)).await;
     follow.peer_list.send_replace(listed(known + 1, &["b"]));
     sleep(ms(10)).await;
--- a/tests/entry_at_most_once.rs
+++ b/tests/entry_at_most_once.rs
@@ -121,10 +121,7 @@
 async fn trouble_store(store: MemoryStore, dice: Dice) {
     loop {
         let faults = match roll(&dice, 5) {
-            0 => KvFaults {
-                down: true,
-                ..KvFaults::default()
-            },
+            0 => KvFaults::DOWN,
             1 => KvFaults {
                 lost_answers: 3,
                 ..KvFaults::default()
--- a/tests/entry_services.rs
+++ b/tests/entry_services.rs
@@ -194,10 +194,7 @@
         .json();
     let tickets: Vec<String> = serde_json::from_value(minted["keys"].clone()).unwrap();
     assert_eq!(tickets.len(), 3);
-    let down = KvFaults {
-        down: true,
-        ..KvFaults::default()
-    };
+    let down = KvFaults::DOWN;
     rig.store.set_faults(down);
     let refused = book(&rig, Some("sale-1")).await;
     assert_eq!(
@@ -371,10 +368,7 @@
     let path = format!("/services/desk/.tickets?count={BOOKINGS}");
     let minted = rig.post(&path, &[], "").await.json();
     let tickets: Vec<String> = serde_json::from_value(minted["keys"].clone()).unwrap();
-    rig.store.set_faults(KvFaults {
-        down: true,
-        ..KvFaults::default()
-    });
+    rig.store.set_faults(KvFaults::DOWN);
     let claims: Vec<String> = (0..BOOKINGS)
         .map(|number| format!("sale-{number}"))
         .collect();
--- a/tests/fleet_keeper.rs
+++ b/tests/fleet_keeper.rs
@@ -270,10 +270,7 @@
 async fn a_store_outage_neither_loses_the_runner_nor_sends_orders() {
     let rig = Rig::new(Fencing::Honoured);
     let keeper = rig.owner_of_runner("vm0").await;
-    rig.store.set_faults(KvFaults {
-        down: true,
-        ..KvFaults::default()
-    });
+    rig.store.set_faults(KvFaults::DOWN);
     keeper.apply(load("m"), "test");
     sleep(Duration::from_secs(20)).await;
     assert_eq!(rig.engines[0].record().model_loads, 0);
--- a/tests/history_nodes.rs
+++ b/tests/history_nodes.rs
@@ -3,6 +3,7 @@
 //! `GGT_SEEDS` sets the number of seeds.
 
 mod common {
+    pub mod bounds;
     pub mod fake_backend;
     pub mod relay_rig;
     pub mod store_writes;
@@ -13,6 +14,7 @@
 use {
     bytes::Bytes,
     common::{
+        bounds::bounds,
         fake_backend::{Received, Step},
         relay_rig::{Answer, RelayRig, Setup, signed, with_head},
         store_writes::write,
@@ -58,18 +60,10 @@
 
 fn budget() -> RetryBudget {
     RetryBudget::new(&Bounds {
-        drain_ms: 2_000,
-        grace_s: 8.0,
-        config_apply_ms: 2_000,
         retry_budget_ratio: BOUND.ratio,
         budget_window_s: BOUND.window_ms as f64 / 1_000.0,
         retry_budget_slack: BOUND.slack,
-        lease_ms: 3_000,
-        thaw_slack_ms: 300,
-        fencing_enforced: true,
-        ceiling_window_s: 5.0,
-        contact_ms: 3_000,
-        lease_min_ms: 1_000,
+        ..bounds()
     })
 }
 
--- a/tests/leader_election.rs
+++ b/tests/leader_election.rs
@@ -25,13 +25,6 @@
 /// Longer than the lease, the turns and the wait for the former holder together.
 const FAILOVER: Duration = Duration::from_secs(10);
 
-fn down() -> KvFaults {
-    KvFaults {
-        down: true,
-        ..KvFaults::default()
-    }
-}
-
 fn start_nodes(store: &MemoryStore, count: usize) -> Vec<TestNode> {
     let start = |index| TestNode::start(shared(store), index, bounds());
     (0..count).map(start).collect()
@@ -159,7 +152,7 @@
     let nodes = start_nodes(&store, 4);
     sleep_ms(3_000).await;
     let first = holder(&nodes);
-    store.set_faults(down());
+    store.set_faults(KvFaults::DOWN);
     sleep_ms(9_000).await;
     assert!(nodes[first].term().is_some());
     store.set_faults(KvFaults::default());
@@ -186,7 +179,7 @@
     let other = TestNode::start(shared(&store), 1, bounds);
     sleep_ms(2_000).await;
     assert!(cut.term().is_some());
-    link.set_faults(down());
+    link.set_faults(KvFaults::DOWN);
     let mut term = cut.membership.term.clone();
     term.wait_for(Option::is_none).await.unwrap();
     let stopped_at = Instant::now();
@@ -203,7 +196,7 @@
     sleep_ms(1_000).await;
     let other = TestNode::start(shared(&store), 1, bounds());
     sleep_ms(1_000).await;
-    link.set_faults(down());
+    link.set_faults(KvFaults::DOWN);
     sleep(FAILOVER).await;
     assert!(other.term().is_some());
     link.set_faults(KvFaults::default());
@@ -279,10 +272,7 @@
     let link = store.link();
     let node = TestNode::start(shared(&link), 0, bounds());
     sleep_ms(1_000).await;
-    link.set_faults(KvFaults {
-        watch_silent: true,
-        ..KvFaults::default()
-    });
+    link.set_faults(KvFaults::WATCH_SILENT);
     let _other = TestNode::start(shared(&store), 1, bounds());
     sleep_ms(1_000).await;
     assert!(node.membership.peers.borrow().is_empty());
--- a/tests/leader_model.rs
+++ b/tests/leader_model.rs
@@ -8,6 +8,7 @@
     pub mod faulty_store;
     pub mod late_store;
     pub mod nodes;
+    pub mod paused;
 }
 
 use {
@@ -15,6 +16,7 @@
         bounds::bounds,
         late_store::LateStore,
         nodes::{PREFIX, TestNode, shared},
+        paused::paused_runtime,
     },
     greengagetrail::{
         leader::Seat,
@@ -353,11 +355,7 @@
 fn explore_part(schedules: &[Vec<Fault>], bounds: Bounds, fenced: bool) -> (usize, Vec<String>) {
     let (mut turns, mut faults) = (0, Vec::new());
     for schedule in schedules {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .start_paused(true)
-            .build()
-            .unwrap();
+        let runtime = paused_runtime();
         let (arrivals, end) = runtime.block_on(async {
             let arrivals = play(schedule, bounds, fenced).await;
             (arrivals, Instant::now())
@@ -378,13 +376,7 @@
     depth.map_or(3, |depth| depth.parse().unwrap())
 }
 
-#[test]
-fn every_short_schedule_leaves_one_holder_where_runners_check_no_fences() {
-    let bounds = Bounds {
-        fencing_enforced: false,
-        ..bounds()
-    };
-    let (turns, faults) = explore(depth(), bounds, false);
+fn assert_led((turns, faults): (usize, Vec<String>)) {
     assert!(
         faults.is_empty(),
         "{} schedules: {:#?}",
@@ -394,16 +386,18 @@
     assert!(turns > 20, "{turns} turns");
 }
 
+#[test]
+fn every_short_schedule_leaves_one_holder_where_runners_check_no_fences() {
+    let bounds = Bounds {
+        fencing_enforced: false,
+        ..bounds()
+    };
+    assert_led(explore(depth(), bounds, false));
+}
+
 #[test]
 fn every_short_schedule_leaves_one_holder_in_touch_where_runners_check_fences() {
-    let (turns, faults) = explore(depth(), bounds(), true);
-    assert!(
-        faults.is_empty(),
-        "{} schedules: {:#?}",
-        faults.len(),
-        &faults[..faults.len().min(5)]
-    );
-    assert!(turns > 20, "{turns} turns");
+    assert_led(explore(depth(), bounds(), true));
 }
 
 #[test]
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -38,24 +38,17 @@
     store.range(MEMBERS_PREFIX, 0).await.unwrap().entries.len()
 }
 
-#[test]
-fn a_member_counts_as_live_until_its_grace_is_over() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap();
-    runtime.block_on(async {
-        let mut roster = Roster::default();
-        assert!(roster.join(member("vm-1", 1)));
-        assert!(!roster.join(member("vm-1", 1)));
-        roster.leave(&"vm-1".parse().unwrap(), Instant::now());
-        assert!(!roster.expire(Instant::now()));
-        assert_eq!(roster.members().len(), 1);
-        advance(REMOVAL_GRACE).await;
-        assert!(roster.expire(Instant::now()));
-        assert!(roster.members().is_empty());
-    });
+#[tokio::test(start_paused = true)]
+async fn a_member_counts_as_live_until_its_grace_is_over() {
+    let mut roster = Roster::default();
+    assert!(roster.join(member("vm-1", 1)));
+    assert!(!roster.join(member("vm-1", 1)));
+    roster.leave(&"vm-1".parse().unwrap(), Instant::now());
+    assert!(!roster.expire(Instant::now()));
+    assert_eq!(roster.members().len(), 1);
+    advance(REMOVAL_GRACE).await;
+    assert!(roster.expire(Instant::now()));
+    assert!(roster.members().is_empty());
 }
 
 #[tokio::test(start_paused = true)]
@@ -167,10 +160,7 @@
     let store = MemoryStore::new();
     let mut events = start_feed(&store);
     assert!(matches!(next(&mut events).await, LiveEvent::Listed { .. }));
-    store.set_faults(KvFaults {
-        watch_silent: true,
-        ..KvFaults::default()
-    });
+    store.set_faults(KvFaults::WATCH_SILENT);
     sleep(Duration::from_secs(1)).await;
     let _stop = join(&store, "vm-4").await;
     store.set_faults(KvFaults::default());
--- a/tests/node_metrics.rs
+++ b/tests/node_metrics.rs
@@ -3,19 +3,21 @@
 mod common {
     pub mod fake_backend;
     pub mod relay_rig;
+    pub mod store_writes;
 }
 
 use {
     common::{
         fake_backend::{Received, Step},
         relay_rig::{RESUMABLE, RelayRig, STREAM_ONCE, Setup, event, events, signed, stream_end},
+        store_writes::write,
     },
     futures::StreamExt,
     greengagetrail::{
         copies::OrderCounts,
         node::{Order, OrderReply, OrderUnknown},
         standin::kv::MemoryStore,
-        store::{MeteredStore, Op, Store, StoreVersion, Txn},
+        store::{MeteredStore, Store, StoreVersion},
         telemetry::{LogLevel, LogRules, MetricText, TimeCounts, part_of},
         traffic::RouteKind::{Idempotent, NonIdempotent},
     },
@@ -130,16 +132,7 @@
         store.watch_ages(),
         [("a/".to_owned(), Duration::from_secs(3))]
     );
-    let put = Op::Put {
-        key: "a/1".to_owned(),
-        value: "v".into(),
-        lease: None,
-    };
-    let txn = Txn {
-        then: vec![put],
-        ..Txn::default()
-    };
-    store.txn(txn).await.unwrap();
+    write(&store, "a/1", "v").await;
     watch.next().await.unwrap().unwrap();
     assert_eq!(store.watch_ages(), [("a/".to_owned(), Duration::ZERO)]);
     let mut text = MetricText::default();
--- a/tests/node_peers.rs
+++ b/tests/node_peers.rs
@@ -158,10 +158,7 @@
     let peers = addresses(Vec::new(), vec![nowhere(), seed.control]);
     let (traffic, _newest) = follow_peers(peers.clone());
     let link = MemoryStore::new().link();
-    link.set_faults(KvFaults {
-        down: true,
-        ..KvFaults::default()
-    });
+    link.set_faults(KvFaults::DOWN);
     let (board, version) = follow_runners(link, peers);
     assert_eq!(traffic.version(), None);
     until("the configuration", || {
--- a/tests/standin_kv.rs
+++ b/tests/standin_kv.rs
@@ -120,10 +120,7 @@
 async fn a_link_that_is_down_leaves_the_others_alone() {
     let store = MemoryStore::new();
     let link = store.link();
-    link.set_faults(KvFaults {
-        down: true,
-        ..KvFaults::default()
-    });
+    link.set_faults(KvFaults::DOWN);
     let refused = link.range("/", 0).await;
     assert!(matches!(refused, Err(StoreError::Unreachable(_))));
     let ended = link.watch("/", StoreVersion(0)).collect::<Vec<_>>().await;
@@ -144,10 +141,7 @@
     let sign = watch.next().await.unwrap().unwrap();
     assert!(sign.changes.is_empty());
     assert_eq!(sign.version, since);
-    store.set_faults(KvFaults {
-        watch_silent: true,
-        ..KvFaults::default()
-    });
+    store.set_faults(KvFaults::WATCH_SILENT);
     let silence = timeout(Duration::from_secs(60), watch.next()).await;
     assert!(silence.is_err());
     store.set_faults(KvFaults::default());
--- a/tests/store_etcd.rs
+++ b/tests/store_etcd.rs
@@ -106,10 +106,7 @@
     let lost = store.txn(put("/a", "1", None)).await;
     assert!(matches!(lost, Err(StoreError::Unknown(_))));
     assert_eq!(store.range("/a", 0).await.unwrap().entries.len(), 1);
-    memory.set_faults(KvFaults {
-        silent: true,
-        ..KvFaults::default()
-    });
+    memory.set_faults(KvFaults::SILENT);
     let silent = store.txn(put("/a", "2", None)).await;
     assert!(matches!(silent, Err(StoreError::Unknown(_))));
 }
@@ -118,10 +115,7 @@
 async fn a_write_is_not_repeated_at_another_address_but_a_refused_one_goes_on() {
     let (memory, server, _) = start().await;
     let silent = MemoryStore::new();
-    silent.set_faults(KvFaults {
-        silent: true,
-        ..KvFaults::default()
-    });
+    silent.set_faults(KvFaults::SILENT);
     let silent_server = serve(any_port(), Arc::new(silent)).await.unwrap();
     let addresses = vec![
         closed_port().await,
@@ -158,10 +152,7 @@
     let (memory, server, store) = start().await;
     let mut watch = store.watch("/", StoreVersion(0));
     watch.next().await.unwrap().unwrap();
-    memory.set_faults(KvFaults {
-        watch_silent: true,
-        ..KvFaults::default()
-    });
+    memory.set_faults(KvFaults::WATCH_SILENT);
     let reopened = async {
         while memory.counts().watch < 2 {
             let _ = timeout(Duration::from_millis(50), watch.next()).await;
--- a/tests/store_load.rs
+++ b/tests/store_load.rs
@@ -1,17 +1,20 @@
 //! How often a whole fleet calls the key-value service: quiet, after an outage, and when a data
 //! centre comes back at once.
 
+#[path = "common/store_writes.rs"]
+mod store_writes;
+
 use {
-    bytes::Bytes,
     greengagetrail::{
         fleet::RunnerRecord,
         keeper::{LiveEvent, feed_live_keys},
         membership::{Heartbeat, Member},
         standin::kv::{KvFaults, MemoryStore},
-        store::{Op, SharedStore, Store, Txn, keys::runner_key},
+        store::{SharedStore, keys::runner_key},
         units::Incarnation,
     },
     std::{sync::Arc, time::Duration},
+    store_writes::write,
     tokio::{
         sync::{mpsc, watch},
         task::JoinHandle,
@@ -43,16 +46,8 @@
         let store = MemoryStore::new();
         for index in 0..runners {
             let record = RunnerRecord::new(format!("runner-{index}").parse().unwrap());
-            let put = Op::Put {
-                key: runner_key(&record.name),
-                value: Bytes::from(serde_json::to_vec(&record).unwrap()),
-                lease: None,
-            };
-            let txn = Txn {
-                then: vec![put],
-                ..Txn::default()
-            };
-            store.txn(txn).await.unwrap();
+            let text = serde_json::to_string(&record).unwrap();
+            write(&store, &runner_key(&record.name), &text).await;
         }
         let mut fleet = Self {
             store,
@@ -128,10 +123,7 @@
         let mut fleet = Fleet::start(nodes, 630 * nodes / 350).await;
         sleep(60 * SECOND).await;
         let quiet = fleet.peak_of(60).await;
-        fleet.store.set_faults(KvFaults {
-            down: true,
-            ..KvFaults::default()
-        });
+        fleet.store.set_faults(KvFaults::DOWN);
         sleep(120 * SECOND).await;
         fleet.store.set_faults(KvFaults::default());
         let outage = fleet.peak_of(60).await;
--- a/tests/traffic_follow.rs
+++ b/tests/traffic_follow.rs
@@ -43,6 +43,16 @@
     false
 }
 
+/// Returns a store with version 1, a link to it, and a board that follows the link.
+async fn following() -> (MemoryStore, MemoryStore, Arc<TrafficBoard>) {
+    let store = MemoryStore::new();
+    write(&store, KEY, "1").await;
+    let link = store.link();
+    let board = follow(&link);
+    assert!(reaches(&board, 1).await);
+    (store, link, board)
+}
+
 #[tokio::test(start_paused = true)]
 async fn versions_come_into_force_as_they_are_written() {
     let store = MemoryStore::new();
@@ -88,15 +98,8 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_compacted_history_is_read_over() {
-    let store = MemoryStore::new();
-    write(&store, KEY, "1").await;
-    let link = store.link();
-    let board = follow(&link);
-    assert!(reaches(&board, 1).await);
-    link.set_faults(KvFaults {
-        down: true,
-        ..KvFaults::default()
-    });
+    let (store, link, board) = following().await;
+    link.set_faults(KvFaults::DOWN);
     write(&store, KEY, "2").await;
     let mut state = store.copy_state();
     state.compact(state.version());
@@ -107,15 +110,8 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_silent_watch_is_given_up() {
-    let store = MemoryStore::new();
-    write(&store, KEY, "1").await;
-    let link = store.link();
-    let board = follow(&link);
-    assert!(reaches(&board, 1).await);
-    link.set_faults(KvFaults {
-        watch_silent: true,
-        ..KvFaults::default()
-    });
+    let (store, link, board) = following().await;
+    link.set_faults(KvFaults::WATCH_SILENT);
     write(&store, KEY, "2").await;
     sleep(WATCH_SILENCE_MAX).await;
     assert!(reaches(&board, 2).await);
