--- a/tests/common/bookings.rs
+++ b/tests/common/bookings.rs
@@ -14,6 +14,13 @@
 /// How long a caller waits before it tries its key at another entry.
 const CALLER_PATIENCE: Duration = Duration::from_secs(3);
 
+/// Has tickets minted at an entry.
+pub async fn mint(cluster: &Cluster, entry: SocketAddr, count: usize) -> Vec<String> {
+    let path = format!("/services/desk/.tickets?count={count}");
+    let minted = cluster.caller.call(Method::POST, entry, &path, &[], "");
+    serde_json::from_value(minted.await.unwrap().json()["keys"].clone()).unwrap()
+}
+
 /// Books under a key; `None` when no answer came in time.
 pub async fn book(cluster: &Cluster, entry: SocketAddr, key: &str) -> Option<Answer> {
     let headers = [("idempotency-key", key)];
