--- a/tests/fleet_permits.rs
+++ b/tests/fleet_permits.rs
@@ -1,20 +1,24 @@
 //! The weight store's limits hold over all VMs.
 
-#[path = "common/faulty_store.rs"]
-mod faulty_store;
-#[path = "common/fleet_faults.rs"]
-mod fleet_faults;
-#[path = "common/fleet_run.rs"]
-mod fleet_run;
+mod common {
+    pub mod faulty_store;
+    pub mod fleet_faults;
+    pub mod fleet_run;
+    pub mod paused;
+    pub mod store_writes;
+}
 
 use {
-    fleet_faults::Without,
-    fleet_run::{Plan, run, run_all},
+    common::{
+        fleet_faults::Without,
+        fleet_run::{Plan, run, run_all},
+        store_writes::write,
+    },
     greengagetrail::{
         config::Deployment,
         fleet::{LoadGate, LoadTurn, LoadWait, RunnerRecord, free_slot, record_key},
         standin::kv::MemoryStore,
-        store::{Op, Store, Txn},
+        store::{Store, Txn},
         units::{OrderId, RunnerName},
     },
     std::{sync::Arc, time::Duration},
@@ -105,19 +109,8 @@
     let store = MemoryStore::new();
     let gate = LoadGate::new(Arc::new(store.clone()));
     let limits = limits(1000.0, 1);
-    let record = serde_json::to_vec(&RunnerRecord::new(runner())).unwrap();
-    let put = Op::Put {
-        key: record_key(&runner()),
-        value: record.into(),
-        lease: None,
-    };
-    store
-        .txn(Txn {
-            then: vec![put],
-            ..Txn::default()
-        })
-        .await
-        .unwrap();
+    let record = serde_json::to_string(&RunnerRecord::new(runner())).unwrap();
+    write(&store, &record_key(&runner()), &record).await;
     let turn = gate.turn(&limits, &runner(), OrderId::random(), true).await;
     assert!(begin(&store, turn.unwrap()).await);
     sleep(Duration::from_secs(1)).await;
@@ -138,15 +131,9 @@
 fn no_more_loads_than_slots_run_whoever_owns_the_runners() {
     let most = |seed| {
         let outcome = run(Plan {
-            seed,
-            without: Without::Nothing,
-            restarts: true,
-            order_faults_percent: 10,
-            process_faults: true,
             loads_at_once_max: 1,
-            models: 4,
-            faults_ms: 60_000,
             rest_ms: 30_000,
+            ..Plan::new(seed, Without::Nothing)
         });
         (outcome.histories.loading_max, outcome.histories.model_loads)
     };
--- a/tests/fleet_reachable.rs
+++ b/tests/fleet_reachable.rs
@@ -1,15 +1,17 @@
 //! The last copy of a model is never unloaded, however owners race.
 
-#[path = "common/faulty_store.rs"]
-mod faulty_store;
-#[path = "common/fleet_faults.rs"]
-mod fleet_faults;
-#[path = "common/fleet_run.rs"]
-mod fleet_run;
+mod common {
+    pub mod faulty_store;
+    pub mod fleet_faults;
+    pub mod fleet_run;
+    pub mod paused;
+}
 
 use {
-    fleet_faults::Without,
-    fleet_run::{Plan, run, run_all},
+    common::{
+        fleet_faults::Without,
+        fleet_run::{Plan, run, run_all, seeds},
+    },
     greengagetrail::history::{CopyChange, CopyEvent, CopyFault, check_copies},
 };
 
@@ -17,29 +19,19 @@
 const SEEDS: u64 = 1000;
 const SEEDS_WITHOUT: u64 = 200;
 
-fn seeds() -> u64 {
-    let wanted = std::env::var("GGT_FLEET_SEEDS");
-    wanted.map_or(SEEDS, |seeds| seeds.parse().unwrap())
-}
-
 fn copies(seed: u64, without: Without) -> Vec<CopyEvent> {
     let plan = Plan {
-        seed,
-        without,
         restarts: false,
-        order_faults_percent: 10,
-        process_faults: true,
-        loads_at_once_max: 16,
-        models: 4,
         faults_ms: 40_000,
         rest_ms: 5_000,
+        ..Plan::new(seed, without)
     };
     run(plan).histories.copies
 }
 
 #[test]
 fn no_last_copy_is_unloaded() {
-    let seeds = seeds();
+    let seeds = seeds(SEEDS);
     let seen = run_all(0..seeds, |seed| {
         let history = copies(seed, Without::Nothing);
         let unloaded = |event: &&CopyEvent| event.change == CopyChange::Unloaded;
