--- /dev/null
+++ b/src/experiment/deployment.rs
@@ -0,0 +1,185 @@
+//! What an experiment deploys.
+
+use {
+    crate::{
+        config::{Catalog, Object, ServiceTarget, check_parsed, read_dir},
+        settings::Fault,
+        units::DataCentreName,
+    },
+    std::{net::SocketAddr, path::Path},
+};
+
+/// What a disruption can be aimed at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum TargetKind {
+    /// A process of the system.
+    Own,
+    /// The stand-in of the key-value service.
+    Store,
+    /// The stand-in of a runner.
+    Runner,
+    /// The stand-in of a plain service's backend.
+    Backend,
+}
+
+/// The name of the key-value service's stand-in.
+pub(super) const STORE: &str = "store";
+/// The name of the VM list's stand-in.
+pub(super) const VM_LIST: &str = "vms";
+/// The name of the weight store's stand-in.
+pub(super) const WEIGHTS: &str = "weights";
+
+/// What an experiment deploys.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ExperimentDeployment {
+    /// The objects that are published.
+    pub catalog: Catalog,
+    /// The data centre of each VM.
+    pub vms: Vec<DataCentreName>,
+    /// The names of the plain services' backends, sorted.
+    pub backends: Vec<String>,
+}
+
+impl ExperimentDeployment {
+    /// Reads the configuration in a directory and records what is wrong with it.
+    pub(super) fn read(
+        directory: &Path,
+        vms: &[DataCentreName],
+        faults: &mut Vec<Fault>,
+    ) -> Option<Self> {
+        let mut add = |field: &str, problem: String| {
+            let field = field.to_owned();
+            faults.push(Fault { field, problem });
+        };
+        let parsed = match read_dir(directory) {
+            Ok(parsed) => parsed,
+            Err(error) => {
+                add("configuration", error.to_string());
+                return None;
+            }
+        };
+        let catalog = match check_parsed(&parsed) {
+            Ok(catalog) => catalog,
+            Err(wrong) => {
+                for fault in wrong {
+                    add("configuration", fault.to_string());
+                }
+                return None;
+            }
+        };
+        let known = || catalog.data_centres.iter().map(|place| &place.name);
+        for (index, vm) in vms.iter().enumerate() {
+            if !known().any(|name| name == vm) {
+                add(
+                    &format!("vms[{index}]"),
+                    format!("there is no data centre \"{vm}\""),
+                );
+            }
+        }
+        let vms = match vms {
+            [] => known().cloned().collect(),
+            vms => vms.to_vec(),
+        };
+        let backends = backend_names(&catalog);
+        let deployment = Self {
+            catalog,
+            vms,
+            backends,
+        };
+        let mut names = deployment.process_names();
+        names.sort();
+        for pair in names.windows(2).filter(|pair| pair[0] == pair[1]) {
+            add(
+                "configuration",
+                format!("two processes would be named \"{}\"", pair[0]),
+            );
+        }
+        Some(deployment)
+    }
+
+    /// Returns the models and then the adapters.
+    pub(super) fn names(&self) -> Vec<String> {
+        let models = self
+            .catalog
+            .models
+            .iter()
+            .map(|model| model.name.to_string());
+        let adapters = self.catalog.adapters.iter();
+        let adapters = adapters.map(|adapter| adapter.name.to_string());
+        models.chain(adapters).collect()
+    }
+
+    /// Returns the accelerators of all runners.
+    pub(super) fn accelerators(&self) -> u32 {
+        let runners = self.catalog.runners.iter();
+        runners.map(|runner| runner.accelerators).sum()
+    }
+
+    /// Returns whether a plain service exists.
+    pub(super) fn has_service(&self, name: &str) -> bool {
+        self.catalog.services.iter().any(|service| {
+            service.name.as_str() == name && matches!(service.target, ServiceTarget::Plain { .. })
+        })
+    }
+
+    /// Returns what a name in the schedule means.
+    pub(super) fn target_kind(&self, name: &str) -> Option<TargetKind> {
+        let is_runner = |runner: &crate::config::Runner| runner.name.as_str() == name;
+        if name == STORE {
+            return Some(TargetKind::Store);
+        }
+        if self.catalog.runners.iter().any(is_runner) {
+            return Some(TargetKind::Runner);
+        }
+        if self.backends.iter().any(|backend| backend == name) {
+            return Some(TargetKind::Backend);
+        }
+        let own = self.own_names().any(|own| own == name);
+        own.then_some(TargetKind::Own)
+    }
+
+    /// Returns the objects with the addresses of a trial, given by the name of the process.
+    pub(super) fn objects_at(&self, address: impl Fn(&str) -> SocketAddr) -> Vec<Object> {
+        let mut objects = self.catalog.objects();
+        for object in &mut objects {
+            match object {
+                Object::Runner(runner) => runner.address = address(runner.name.as_str()),
+                Object::Service(service) => {
+                    if let ServiceTarget::Plain { backends, .. } = &mut service.target {
+                        for backend in backends {
+                            backend.address = address(backend.name.as_str());
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+        objects
+    }
+
+    fn own_names(&self) -> impl Iterator<Item = String> {
+        let numbers = 1..=self.vms.len();
+        numbers.flat_map(|number| [format!("entry-{number}"), format!("keeper-{number}")])
+    }
+
+    fn process_names(&self) -> Vec<String> {
+        let runners = self.catalog.runners.iter();
+        let mut names: Vec<String> = runners.map(|runner| runner.name.to_string()).collect();
+        names.extend(self.backends.iter().cloned());
+        names.extend(self.own_names());
+        names.extend([STORE, VM_LIST, WEIGHTS].map(str::to_owned));
+        names
+    }
+}
+
+fn backend_names(catalog: &Catalog) -> Vec<String> {
+    let mut names = Vec::new();
+    for service in &catalog.services {
+        if let ServiceTarget::Plain { backends, .. } = &service.target {
+            names.extend(backends.iter().map(|backend| backend.name.to_string()));
+        }
+    }
+    names.sort();
+    names.dedup();
+    names
+}
--- /dev/null
+++ b/src/experiment/http_call.rs
@@ -0,0 +1,41 @@
+//! Calls to the control listeners and health pages of the processes.
+
+use {
+    crate::load::LoadClient,
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full},
+    hyper::{Method, Request, header::CONTENT_TYPE},
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::timeout,
+};
+
+/// The longest wait for an answer.
+const ANSWER_MAX: Duration = Duration::from_millis(1_000);
+
+/// Makes a call; returns the body of an answer that tells success.
+pub(super) async fn call(
+    client: &LoadClient,
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    body: String,
+) -> Option<Bytes> {
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::from(body))
+        .ok()?;
+    let exchange = async {
+        let response = client.request(request).await.ok()?;
+        let success = response.status().is_success();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        success.then_some(body)
+    };
+    timeout(ANSWER_MAX, exchange).await.ok()?
+}
+
+/// Gets a page.
+pub(super) async fn get(client: &LoadClient, address: SocketAddr, path: &str) -> Option<Bytes> {
+    call(client, Method::GET, address, path, String::new()).await
+}
--- /dev/null
+++ b/src/experiment/process_spec.rs
@@ -0,0 +1,239 @@
+//! The processes of a trial, with their settings.
+
+use {
+    super::{
+        Case, ExperimentError, ExperimentPlan,
+        addresses::find_addresses,
+        deployment::{STORE, VM_LIST, WEIGHTS},
+    },
+    crate::config::Object,
+    serde_json::{Map, Value, json},
+    std::net::SocketAddr,
+};
+
+/// What runs in a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ProcessKind {
+    /// The stand-in of a runner.
+    Runner,
+    /// Any other stand-in.
+    StandIn,
+    /// A keeper.
+    Keeper,
+    /// An entry.
+    Entry,
+}
+
+impl ProcessKind {
+    /// Returns the name of the program.
+    pub(super) fn program(self) -> &'static str {
+        match self {
+            Self::Runner | Self::StandIn => "ggt-standin",
+            Self::Keeper => "ggt-keeper",
+            Self::Entry => "ggt-entry",
+        }
+    }
+
+    /// Returns whether it takes the place of something outside of the system.
+    pub(super) fn is_stand_in(self) -> bool {
+        matches!(self, Self::Runner | Self::StandIn)
+    }
+}
+
+/// One process of a trial.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct ProcessSpec {
+    /// Its name in the schedule.
+    pub(super) name: String,
+    /// What runs in it.
+    pub(super) kind: ProcessKind,
+    /// Its settings.
+    pub(super) settings: Value,
+    /// Where its requests or calls come in.
+    pub(super) address: SocketAddr,
+    /// Where fault switches, or health, are served.
+    pub(super) control: SocketAddr,
+}
+
+/// The processes of a trial and what else its run needs.
+#[derive(Debug)]
+pub(super) struct Layout {
+    /// The processes, in the order of their start.
+    pub(super) specs: Vec<ProcessSpec>,
+    /// Where operators reach the first keeper.
+    pub(super) operator_address: SocketAddr,
+    /// The operators' key.
+    pub(super) operator_key: String,
+    /// The objects, at their addresses.
+    pub(super) objects: Vec<Object>,
+}
+
+/// The keys and shared addresses of a trial.
+struct Shared {
+    peer_key: String,
+    operator_key: String,
+    store: SocketAddr,
+    vm_list: SocketAddr,
+}
+
+/// The addresses of one VM.
+struct VmAddresses {
+    callers: SocketAddr,
+    entry_peer: SocketAddr,
+    entry_operations: SocketAddr,
+    keeper_peer: SocketAddr,
+    operator: SocketAddr,
+    keeper_operations: SocketAddr,
+}
+
+impl Layout {
+    /// Makes the processes of a trial, on free ports.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there are too few free ports.
+    pub(super) fn new(plan: &ExperimentPlan, case: &Case) -> Result<Self, ExperimentError> {
+        let deployment = &plan.deployment;
+        let runners = &deployment.catalog.runners;
+        let wanted = 6 + 2 * (runners.len() + deployment.backends.len()) + 6 * deployment.vms.len();
+        let mut free = find_addresses(wanted)?.into_iter();
+        let mut next = || free.next().ok_or(ExperimentError::Ports { wanted });
+        let mut specs = Vec::new();
+        let key = || format!("{:032x}", rand::random::<u128>());
+        let (store, vm_list, weights) = (next()?, next()?, next()?);
+        let shared = Shared {
+            peer_key: key(),
+            operator_key: key(),
+            store,
+            vm_list,
+        };
+        specs.push(stand_in(STORE, store, next()?, json!({"kind": "kv"})));
+        let limits = json!({"kind": "weights", "limits": plan.settings.weights});
+        specs.push(stand_in(WEIGHTS, weights, next()?, limits));
+        for runner in runners {
+            let mut engine = json!(plan.settings.engine);
+            engine["memory_mib"] = json!(runner.memory_mib);
+            engine["adapter_pool_mib"] = json!(runner.adapter_pool_mib);
+            engine["fencing"] = json!(runner.fencing);
+            engine["records_runs"] = json!(false);
+            let more = json!({"kind": "engine", "weights_address": weights, "engine": engine});
+            let mut spec = stand_in(runner.name.as_str(), next()?, next()?, more);
+            spec.kind = ProcessKind::Runner;
+            specs.push(spec);
+        }
+        for backend in &deployment.backends {
+            specs.push(stand_in(
+                backend,
+                next()?,
+                next()?,
+                json!({"kind": "plain"}),
+            ));
+        }
+        let mut vms = Vec::new();
+        for _ in &deployment.vms {
+            vms.push(VmAddresses {
+                callers: next()?,
+                entry_peer: next()?,
+                entry_operations: next()?,
+                keeper_peer: next()?,
+                operator: next()?,
+                keeper_operations: next()?,
+            });
+        }
+        let listed = vms.iter().enumerate().map(
+            |(index, vm)| json!({"vm": vm_name(index), "address": vm.callers, "state": "live"}),
+        );
+        let list = json!({"kind": "vms", "vms": listed.collect::<Vec<_>>()});
+        specs.push(stand_in(VM_LIST, vm_list, next()?, list));
+        for (index, vm) in vms.iter().enumerate() {
+            let data_centre = deployment.vms[index].as_str();
+            let seed = vms[0].keeper_peer;
+            specs.push(keeper(index, data_centre, vm, seed, &shared, &case.keeper));
+            specs.push(entry(index, data_centre, vm, &shared, &case.entry));
+        }
+        let find = |name: &str| specs.iter().find(|spec| spec.name == name);
+        let objects = deployment.objects_at(|name| find(name).map_or(store, |spec| spec.address));
+        Ok(Self {
+            operator_address: vms.first().map_or(store, |vm| vm.operator),
+            operator_key: shared.operator_key,
+            objects,
+            specs,
+        })
+    }
+
+    /// Returns the processes of a kind.
+    pub(super) fn of_kind(&self, kind: ProcessKind) -> impl Iterator<Item = &ProcessSpec> {
+        self.specs.iter().filter(move |spec| spec.kind == kind)
+    }
+}
+
+fn vm_name(index: usize) -> String {
+    format!("vm-{}", index + 1)
+}
+
+fn stand_in(name: &str, address: SocketAddr, control: SocketAddr, more: Value) -> ProcessSpec {
+    let mut spec = json!({"address": address, "control_address": control});
+    extend(&mut spec, more);
+    ProcessSpec {
+        name: name.to_owned(),
+        kind: ProcessKind::StandIn,
+        settings: json!({"stand_ins": [spec], "threads": 1}),
+        address,
+        control,
+    }
+}
+
+fn keeper(
+    index: usize,
+    data_centre: &str,
+    vm: &VmAddresses,
+    seed: SocketAddr,
+    shared: &Shared,
+    more: &Map<String, Value>,
+) -> ProcessSpec {
+    let seeds: Vec<SocketAddr> = (index > 0).then_some(seed).into_iter().collect();
+    let mut settings = json!({
+        "vm": vm_name(index), "data_centre": data_centre, "peer_address": vm.keeper_peer,
+        "operator_address": vm.operator, "operations_address": vm.keeper_operations,
+        "entry_peer_address": vm.entry_peer, "store_addresses": [shared.store],
+        "vm_list_address": shared.vm_list, "seed_addresses": seeds,
+        "peer_key": shared.peer_key, "operator_key": shared.operator_key,
+    });
+    extend(&mut settings, Value::Object(more.clone()));
+    ProcessSpec {
+        name: format!("keeper-{}", index + 1),
+        kind: ProcessKind::Keeper,
+        settings,
+        address: vm.keeper_peer,
+        control: vm.keeper_operations,
+    }
+}
+
+fn entry(
+    index: usize,
+    data_centre: &str,
+    vm: &VmAddresses,
+    shared: &Shared,
+    more: &Map<String, Value>,
+) -> ProcessSpec {
+    let mut settings = json!({
+        "vm": vm_name(index), "data_centre": data_centre, "callers_address": vm.callers,
+        "peer_address": vm.entry_peer, "operations_address": vm.entry_operations,
+        "keeper_address": vm.keeper_peer, "store_addresses": [shared.store],
+        "peer_key": shared.peer_key,
+    });
+    extend(&mut settings, Value::Object(more.clone()));
+    ProcessSpec {
+        name: format!("entry-{}", index + 1),
+        kind: ProcessKind::Entry,
+        settings,
+        address: vm.callers,
+        control: vm.entry_operations,
+    }
+}
+
+fn extend(object: &mut Value, more: Value) {
+    if let (Value::Object(object), Value::Object(more)) = (object, more) {
+        object.extend(more);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dispatch;
 pub mod engine;
 pub mod entry;
+pub mod experiment;
 pub mod fleet;
 pub mod gossip;
 pub mod history;
--- /dev/null
+++ b/src/load/line_chart.rs
@@ -0,0 +1,133 @@
+//! Charts of lines over time, as SVG.
+
+use plotters::{
+    coord::{Shift, types::RangedCoordf64},
+    drawing::DrawingAreaErrorKind,
+    prelude::{
+        BLACK, Cartesian2d, ChartBuilder, ChartContext, DrawingArea, IntoDrawingArea, LineSeries,
+        PathElement, RGBColor, SVGBackend, SeriesLabelPosition, WHITE,
+    },
+    style::{Color, TextStyle},
+};
+
+/// The colours of lines, in their order.
+pub const COLOURS: [RGBColor; 10] = [
+    RGBColor(0x1f, 0x77, 0xb4),
+    RGBColor(0xd6, 0x27, 0x28),
+    RGBColor(0x2c, 0xa0, 0x2c),
+    RGBColor(0xff, 0x7f, 0x0e),
+    RGBColor(0x94, 0x67, 0xbd),
+    RGBColor(0x8c, 0x56, 0x4b),
+    RGBColor(0xe3, 0x77, 0xc2),
+    RGBColor(0x7f, 0x7f, 0x7f),
+    RGBColor(0xbc, 0xbd, 0x22),
+    RGBColor(0x17, 0xbe, 0xcf),
+];
+const MARK_COLOUR: RGBColor = RGBColor(0xbb, 0xbb, 0xbb);
+const SIZE_PX: (u32, u32) = (880, 340);
+const CAPTION_PX: i32 = 15;
+
+/// The area of an SVG that is drawn.
+pub type SvgArea<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+/// The plane of a chart of two numbers.
+pub type SvgPlane<'a, 'b> =
+    ChartContext<'a, SVGBackend<'b>, Cartesian2d<RangedCoordf64, RangedCoordf64>>;
+/// What drawing may fail with.
+pub type DrawError = DrawingAreaErrorKind<std::io::Error>;
+
+/// One line of a chart.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ChartLine {
+    /// Its name in the legend.
+    pub name: String,
+    /// Its points, in the order of time.
+    pub points: Vec<(f64, f64)>,
+}
+
+/// Lines over the time of a load.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct LineChart {
+    /// What is shown.
+    pub title: String,
+    /// The unit of the values.
+    pub unit: String,
+    /// The end of the time, in seconds.
+    pub end_s: f64,
+    /// The lines.
+    pub lines: Vec<ChartLine>,
+    /// Times that are marked, in seconds.
+    pub marks_s: Vec<f64>,
+}
+
+impl LineChart {
+    /// Returns the chart as SVG.
+    pub fn to_svg(&self) -> String {
+        draw_svg(SIZE_PX, |area| self.draw(area))
+    }
+
+    fn draw(&self, area: &SvgArea<'_>) -> Result<(), DrawError> {
+        let points = self.lines.iter().flat_map(|line| &line.points);
+        let most = points.map(|(_, value)| *value).fold(0.0, f64::max);
+        let top = if most > 0.0 { most * 1.05 } else { 1.0 };
+        let mut plane = ChartBuilder::on(area)
+            .caption(&self.title, ("sans-serif", CAPTION_PX))
+            .margin(8)
+            .x_label_area_size(36)
+            .y_label_area_size(60)
+            .build_cartesian_2d(0.0..self.end_s.max(1.0), 0.0..top)?;
+        let mut mesh = plane.configure_mesh();
+        mesh.light_line_style(WHITE).x_desc("s").y_desc(&self.unit);
+        mesh.draw()?;
+        draw_marks(&mut plane, &self.marks_s, top)?;
+        for (line, colour) in self.lines.iter().zip(COLOURS.iter().cycle()) {
+            let series = LineSeries::new(line.points.iter().copied(), colour.stroke_width(2));
+            let key = |(x, y)| PathElement::new([(x, y), (x + 14, y)], colour.stroke_width(2));
+            plane.draw_series(series)?.label(&line.name).legend(key);
+        }
+        let mut legend = plane.configure_series_labels();
+        legend.position(SeriesLabelPosition::UpperLeft);
+        legend
+            .background_style(WHITE.mix(0.7))
+            .border_style(BLACK.mix(0.2));
+        legend.draw()
+    }
+}
+
+/// Marks times by lines from the bottom to `top`.
+///
+/// # Errors
+///
+/// Fails when they can't be drawn.
+pub fn draw_marks(
+    plane: &mut SvgPlane<'_, '_>,
+    times_s: &[f64],
+    top: f64,
+) -> Result<(), DrawError> {
+    let mark = |time_s: &f64| PathElement::new([(*time_s, 0.0), (*time_s, top)], MARK_COLOUR);
+    plane.draw_series(times_s.iter().map(mark))?;
+    Ok(())
+}
+
+/// Returns the style of small labels.
+pub fn label_style(size_px: i32) -> TextStyle<'static> {
+    TextStyle::from(("sans-serif", size_px))
+}
+
+/// Draws an SVG of a size.
+///
+/// # Panics
+///
+/// Never, as nothing but memory is written to.
+pub fn draw_svg(
+    size_px: (u32, u32),
+    draw: impl FnOnce(&SvgArea<'_>) -> Result<(), DrawError>,
+) -> String {
+    let mut svg = String::new();
+    let area = SVGBackend::with_string(&mut svg, size_px).into_drawing_area();
+    let drawn = area.fill(&WHITE).and_then(|()| draw(&area));
+    drawn
+        .and_then(|()| area.present())
+        .expect("memory can be written to");
+    drop(area);
+    svg
+}
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod compare;
 mod latency;
+mod line_chart;
 mod moves;
 mod open_loop;
 mod outcome;
@@ -19,6 +20,7 @@
 mod verify;
 
 pub use {
-    call::*, client::*, compare::*, latency::*, moves::*, open_loop::*, outcome::*, plot::*,
-    popularity::*, report::*, run::*, saturate::*, schedule::*, settings::*, tally::*, verify::*,
+    call::*, client::*, compare::*, latency::*, line_chart::*, moves::*, open_loop::*, outcome::*,
+    plot::*, popularity::*, report::*, run::*, saturate::*, schedule::*, settings::*, tally::*,
+    verify::*,
 };
--- a/src/load/moves.rs
+++ b/src/load/moves.rs
@@ -6,7 +6,10 @@
     http_body_util::{BodyExt, Full},
     hyper::Request,
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, ops::Sub},
+    std::{
+        net::SocketAddr,
+        ops::{Add, Sub},
+    },
 };
 
 /// The moves of all engines together.
@@ -30,7 +33,8 @@
         self.model_loads + self.model_unloads + self.role_changes
     }
 
-    fn add(&mut self, record: &EngineRecord) {
+    /// Adds what an engine recorded.
+    pub fn add_record(&mut self, record: &EngineRecord) {
         self.model_loads += record.model_loads;
         self.model_unloads += record.model_unloads;
         self.adapter_loads += record.adapter_loads;
@@ -39,6 +43,20 @@
     }
 }
 
+impl Add for MoveCounts {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            model_loads: self.model_loads + other.model_loads,
+            model_unloads: self.model_unloads + other.model_unloads,
+            adapter_loads: self.adapter_loads + other.adapter_loads,
+            role_changes: self.role_changes + other.role_changes,
+            overcommits: self.overcommits + other.overcommits,
+        }
+    }
+}
+
 impl Sub for MoveCounts {
     type Output = Self;
 
@@ -60,7 +78,7 @@
     let mut counts = MoveCounts::default();
     for address in addresses {
         if let Some(record) = read_record(&client, *address).await {
-            counts.add(&record);
+            counts.add_record(&record);
         }
     }
     counts
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -1,7 +1,7 @@
 //! The report of an open loop.
 
 use {
-    super::{LoadSettings, MoveCounts, Percentiles, ReasonCounts, Second, Tally},
+    super::{ClassTally, LoadSettings, MoveCounts, Percentiles, ReasonCounts, Second, Tally},
     serde::{Deserialize, Serialize},
 };
 
@@ -22,6 +22,21 @@
     pub first_token: Percentiles,
     /// Between two tokens.
     pub between_tokens: Percentiles,
+    /// The times to the first token by second of the scheduled time.
+    pub over_time: Vec<ClassSecond>,
+}
+
+/// The times to the first token of a class's requests that were due in one second.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ClassSecond {
+    /// The second of the scheduled time.
+    pub at_s: u64,
+    /// Requests answered.
+    pub answered: u64,
+    /// The median.
+    pub p50_ms: f64,
+    /// The 95th percentile.
+    pub p95_ms: f64,
 }
 
 /// The report of an open loop.
@@ -58,7 +73,7 @@
 impl LoadReport {
     /// Makes the report of a load.
     pub fn new(settings: &LoadSettings, tally: Tally, moves: MoveCounts) -> Self {
-        let sum = |count: fn(&super::ClassTally) -> u64| tally.classes.iter().map(count).sum();
+        let sum = |count: fn(&ClassTally) -> u64| tally.classes.iter().map(count).sum();
         let attained: u64 = sum(|class| class.attained);
         let named = settings.classes.iter().zip(&tally.classes);
         let classes = named.map(|(spec, class)| ClassReport {
@@ -69,6 +84,7 @@
             tokens: class.tokens,
             first_token: class.first_token.percentiles(),
             between_tokens: class.between_tokens.percentiles(),
+            over_time: over_time(class),
         });
         Self {
             seed: settings.seed,
@@ -87,3 +103,24 @@
         }
     }
 }
+
+/// Returns the seconds in which requests were due that were answered.
+fn over_time(class: &ClassTally) -> Vec<ClassSecond> {
+    let seconds = class.first_token_us.iter().zip(0..);
+    let answered = seconds.filter(|(times_us, _)| !times_us.is_empty());
+    let second = |(times_us, at_s): (&Vec<u32>, u64)| {
+        let mut sorted = times_us.clone();
+        sorted.sort_unstable();
+        let at = |percent: usize| {
+            let rank = (sorted.len() * percent).div_ceil(100).max(1);
+            f64::from(sorted[rank - 1]) / 1000.0
+        };
+        ClassSecond {
+            at_s,
+            answered: sorted.len() as u64,
+            p50_ms: at(50),
+            p95_ms: at(95),
+        }
+    };
+    answered.map(second).collect()
+}
--- a/src/load/tally.rs
+++ b/src/load/tally.rs
@@ -59,6 +59,18 @@
     pub first_token: LatencyHistogram,
     /// The times between two tokens.
     pub between_tokens: LatencyHistogram,
+    /// The times to the first token by second of the scheduled time, in microseconds.
+    pub first_token_us: Vec<Vec<u32>>,
+}
+
+impl ClassTally {
+    fn add_first_token(&mut self, second: usize, time: Duration) {
+        if self.first_token_us.len() <= second {
+            self.first_token_us.resize(second + 1, Vec::new());
+        }
+        let time_us = u32::try_from(time.as_micros()).unwrap_or(u32::MAX);
+        self.first_token_us[second].push(time_us);
+    }
 }
 
 /// What happened to the requests due in one second.
@@ -116,6 +128,7 @@
                 class.answered += 1;
                 class.tokens += u64::from(times.tokens);
                 class.first_token.add(times.first);
+                class.add_first_token(at, times.first);
                 for (gap, tokens) in &times.gaps {
                     let share = *gap / (*tokens).max(1);
                     class.between_tokens.add_many(share, *tokens);
--- a/src/standin/engine/faults.rs
+++ b/src/standin/engine/faults.rs
@@ -14,6 +14,8 @@
     pub silent: bool,
     /// The engine is draining: it announces it and takes no new work.
     pub leaving: bool,
+    /// How much longer each prompt and token takes, in percent.
+    pub slow_percent: u32,
     /// Orders that are lost without effect.
     pub lost_orders: u32,
     /// Orders that take effect but whose answer is lost.
--- a/src/standin/engine/generation.rs
+++ b/src/standin/engine/generation.rs
@@ -222,7 +222,8 @@
         if time.is_zero() {
             return Ok(());
         }
-        self.due += time;
+        let slow_percent = self.engine.faults().slow_percent;
+        self.due += time + time * slow_percent / 100;
         tokio::select! {
             () = sleep_until(self.due) => Ok(()),
             _ = self.starts.changed() => Err(BrokenOff),
--- a/src/standin/engine/settings.rs
+++ b/src/standin/engine/settings.rs
@@ -1,7 +1,10 @@
 //! The sizes and speeds of a stand-in engine.
 
 use {
-    crate::{config::Fencing, units::MemoryMib},
+    crate::{
+        config::Fencing,
+        units::{Incarnation, MemoryMib},
+    },
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
@@ -10,6 +13,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineSettings {
+    /// The number of its first start; a process that is started again has a higher one.
+    pub incarnation: Incarnation,
     /// The accelerator memory for models and adapters.
     pub memory_mib: MemoryMib,
     /// The part of the memory that is kept for adapters.
@@ -45,6 +50,7 @@
 impl Default for EngineSettings {
     fn default() -> Self {
         Self {
+            incarnation: Incarnation(1),
             memory_mib: MemoryMib(80_000),
             adapter_pool_mib: MemoryMib(4_000),
             fencing: Fencing::Honoured,
--- a/src/standin/engine/standin_engine.rs
+++ b/src/standin/engine/standin_engine.rs
@@ -49,7 +49,7 @@
 impl StandinEngine {
     /// Makes an engine with empty memory.
     pub fn new(settings: EngineSettings, weights: WeightSource) -> Self {
-        let incarnation = Incarnation(1);
+        let incarnation = settings.incarnation;
         let state = State {
             incarnation,
             role: Role::default(),
