--- a/examples/settings_page.rs
+++ b/examples/settings_page.rs
@@ -1,8 +1,8 @@
 //! Prints `docs/settings.md` from the settings themselves.
 
 use greengagetrail::{
-    entry::EntrySettings, keeper::KeeperSettings, load::LoadSettings, settings::markdown_table,
-    standin::StandinSettings,
+    entry::EntrySettings, experiment::ExperimentSettings, keeper::KeeperSettings,
+    load::LoadSettings, settings::markdown_table, standin::StandinSettings,
 };
 
 fn main() {
@@ -18,5 +18,8 @@
     println!("## ggt-entry\n\n{}", markdown_table::<EntrySettings>());
     println!("## ggt-keeper\n\n{}", markdown_table::<KeeperSettings>());
     println!("## ggt-standin\n\n{}", markdown_table::<StandinSettings>());
-    print!("## ggt-load\n\n{}", markdown_table::<LoadSettings>());
+    println!("## ggt-load\n\n{}", markdown_table::<LoadSettings>());
+    println!("## ggt-load experiment FILE\n");
+    println!("The file is the argument; `--report DIR` says where the report goes.\n");
+    print!("{}", markdown_table::<ExperimentSettings>());
 }
--- a/src/experiment/child.rs
+++ b/src/experiment/child.rs
@@ -12,7 +12,7 @@
     tokio::time::{Instant, sleep},
 };
 
-const POLL_INTERVAL: Duration = Duration::from_millis(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A running process; dropping it kills and reaps it.
 #[derive(Debug)]
@@ -63,6 +63,14 @@
         let _ = self.signal(Signal::TERM);
     }
 
+    /// Kills the process and waits for its end.
+    pub(super) async fn end(mut self) {
+        let _ = self.0.kill();
+        while self.is_running() {
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Waits for the end until a deadline; returns whether it came and was a success.
     pub(super) async fn wait_until(&mut self, deadline: Instant) -> bool {
         loop {
--- a/src/experiment/processes.rs
+++ b/src/experiment/processes.rs
@@ -144,6 +144,12 @@
         Ok(())
     }
 
+    async fn end_one(&mut self, index: usize) {
+        if let Some(child) = self.running[index].child.take() {
+            child.end().await;
+        }
+    }
+
     async fn wait_ready(&mut self, index: usize) -> Result<(), ExperimentError> {
         let deadline = Instant::now() + Duration::from_secs(START_MAX_S);
         let spec = &self.running[index].spec;
@@ -173,10 +179,10 @@
         let index = self.running.iter().position(named);
         let index = index.ok_or_else(|| fail("is not known"))?;
         match change {
-            Change::Kill => self.running[index].child = None,
+            Change::Kill => self.end_one(index).await,
             Change::Start if self.running[index].child.is_some() => {}
             Change::Start | Change::Restart => {
-                self.running[index].child = None;
+                self.end_one(index).await;
                 self.start_one(index)?;
             }
             Change::Freeze | Change::Thaw => {
--- /dev/null
+++ b/tests/experiment_plan.rs
@@ -0,0 +1,182 @@
+//! The file of an experiment: what is wrong is named by its field, and steps are in order.
+
+use {
+    greengagetrail::{
+        experiment::{Change, ExperimentPlan, steps_of},
+        settings::Fault,
+    },
+    serde_json::{Map, Value, json},
+    std::path::Path,
+};
+
+fn examples() -> &'static Path {
+    Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/examples/experiments"))
+}
+
+fn object(changes: Value) -> Map<String, Value> {
+    let text = std::fs::read_to_string(examples().join("demo.json")).unwrap();
+    let mut object: Map<String, Value> = serde_json::from_str(&text).unwrap();
+    object.extend(changes.as_object().unwrap().clone());
+    object
+}
+
+fn read(changes: Value) -> Result<ExperimentPlan, Vec<Fault>> {
+    ExperimentPlan::from_object(&object(changes), examples())
+}
+
+#[test]
+fn the_examples_are_right() {
+    for name in ["demo.json", "kente.json", "maltgrain.json"] {
+        let plan = ExperimentPlan::read(&examples().join(name)).unwrap();
+        assert!(!plan.cases.is_empty(), "{name}");
+    }
+}
+
+#[test]
+fn each_fault_names_its_field() {
+    let wrong_line = |line: Value| json!({"disruptions": [line]});
+    let cases = [
+        (json!({"configuration": "../nowhere"}), "configuration"),
+        (json!({"speed": 1}), "speed"),
+        (json!({"duration_s": 0}), "duration_s"),
+        (json!({"seeds": []}), "seeds"),
+        (json!({"vms": ["west"]}), "vms[0]"),
+        (json!({"engine": {"memory": 1}}), "engine"),
+        (
+            json!({"load": {"names": ["summary"]}}),
+            "settings[0].load.classes",
+        ),
+        (
+            json!({"keeper": {"planing_interval_ms": 1}}),
+            "settings[0].keeper.planing_interval_ms",
+        ),
+        (
+            json!({"entry": {"peer_key": "x"}}),
+            "settings[0].entry.peer_key",
+        ),
+        (
+            json!({"settings": [{"name": "a"}, {"name": "a"}]}),
+            "settings[1].name",
+        ),
+        (
+            json!({"settings": [{"name": "a", "programs": "nowhere"}]}),
+            "settings[0].programs",
+        ),
+        (
+            json!({"settings": [{"name": "a", "load": {"seed": 1}}]}),
+            "settings[0].load.seed",
+        ),
+        (
+            wrong_line(json!({"at_s": 1.0, "action": "kill"})),
+            "disruptions[0]",
+        ),
+        (
+            wrong_line(json!({"at_s": -1.0, "target": "entry-1", "action": "kill"})),
+            "disruptions[0].at_s",
+        ),
+        (
+            wrong_line(json!({"at_s": 1.0, "target": "entry-4", "action": "kill"})),
+            "disruptions[0].target",
+        ),
+        (
+            wrong_line(json!({"at_s": 1.0, "target": "entry-1", "action": "freeze"})),
+            "disruptions[0].for_s",
+        ),
+        (
+            wrong_line(json!({"at_s": 1.0, "target": "entry-1", "action": "cut"})),
+            "disruptions[0].action",
+        ),
+        (
+            wrong_line(json!({"at_s": 1.0, "target": "store", "action": "kill"})),
+            "disruptions[0].action",
+        ),
+        (
+            wrong_line(
+                json!({"at_s": 1.0, "target": "store", "action": "slow", "slow_percent": 9}),
+            ),
+            "disruptions[0].slow_percent",
+        ),
+    ];
+    for (changes, field) in cases {
+        let faults = read(changes.clone()).expect_err("it is wrong");
+        let fields: Vec<&str> = faults.iter().map(|fault| fault.field.as_str()).collect();
+        assert_eq!(fields, [field], "{changes}: {faults:?}");
+    }
+}
+
+#[test]
+fn all_faults_are_told_at_once() {
+    let changes = json!({"keeper": {"lease_ttl_s": 0}, "disruptions": [
+        {"at_s": 1.0, "target": "nobody", "action": "kill"},
+        {"at_s": 1.0, "target": "store", "action": "restart"}]});
+    // Each of the two settings has the keepers' fault.
+    assert_eq!(read(changes).expect_err("it is wrong").len(), 4);
+}
+
+#[test]
+fn steps_come_in_the_order_of_time_with_their_ends() {
+    let plan = read(json!({"disruptions": [
+        {"at_s": 3.0, "target": "keeper-1", "action": "freeze", "for_s": 1.0},
+        {"at_s": 1.0, "target": "runner-1", "action": "slow", "slow_percent": 50, "for_s": 2.5},
+        {"at_s": 2.0, "target": "entry-2", "action": "kill"}]}));
+    let steps = steps_of(&plan.unwrap().disruptions);
+    let seen: Vec<(u128, &str, Change)> = steps
+        .iter()
+        .map(|step| (step.at.as_millis(), step.target.as_str(), step.change))
+        .collect();
+    let expected = [
+        (1_000, "runner-1", Change::SlowByPercent(50)),
+        (2_000, "entry-2", Change::Kill),
+        (3_000, "keeper-1", Change::Freeze),
+        (3_500, "runner-1", Change::Mend),
+        (4_000, "keeper-1", Change::Thaw),
+    ];
+    assert_eq!(seen, expected);
+}
+
+#[test]
+fn any_json_is_read_or_refused() {
+    let names = [
+        "configuration",
+        "disruptions",
+        "settings",
+        "seeds",
+        "load",
+        "keeper",
+        "entry",
+        "engine",
+        "duration_s",
+        "at_s",
+        "target",
+        "action",
+        "for_s",
+        "name",
+        "classes",
+    ];
+    bolero::check!().for_each(|input: &[u8]| {
+        let _ = serde_json::from_slice::<Map<String, Value>>(input)
+            .map(|object| ExperimentPlan::from_object(&object, examples()));
+        // Known fields with values of any shape, in place of those of a right file.
+        let mut bytes = input.iter();
+        let mut changes = Map::new();
+        while let (Some(name), Some(shape)) = (bytes.next(), bytes.next()) {
+            let name = names[usize::from(*name) % names.len()];
+            let number = f64::from(*bytes.next().unwrap_or(&0)) - 100.0;
+            let line =
+                json!({"at_s": number, "target": "entry-1", "action": "freeze", "for_s": number});
+            let value = match shape % 7 {
+                0 => Value::Null,
+                1 => json!(number * 1e300),
+                2 => json!(name),
+                3 => json!([line, number]),
+                4 => json!([line]),
+                5 => json!({ name: number }),
+                _ => json!([{"name": name, "load": {name: number}, "keeper": {name: name}}]),
+            };
+            changes.insert(name.to_owned(), value);
+        }
+        if let Ok(plan) = ExperimentPlan::from_object(&object(Value::Object(changes)), examples()) {
+            steps_of(&plan.disruptions);
+        }
+    });
+}
