--- a/src/experiment/charts.rs
+++ b/src/experiment/charts.rs
@@ -4,7 +4,7 @@
     super::{ExperimentReport, TrialReport},
     crate::load::{COLOURS, ChartLine, DrawError, LineChart, SvgArea, draw_svg, label_style},
     plotters::{
-        prelude::{ChartBuilder, Rectangle, Text, WHITE},
+        prelude::{ChartBuilder, Rectangle, Text},
         style::Color,
     },
 };
@@ -38,9 +38,7 @@
         .x_label_area_size(30)
         .build_cartesian_2d(names_at..most, rows..0.0)?;
     let mut mesh = plane.configure_mesh();
-    mesh.disable_y_mesh()
-        .disable_y_axis()
-        .light_line_style(WHITE);
+    mesh.disable_y_mesh().disable_y_axis().max_light_lines(0);
     mesh.x_label_formatter(&|value| match *value < 0.0 {
         true => String::new(),
         false => format!("{value:.0}"),
--- a/src/experiment/copies_chart.rs
+++ b/src/experiment/copies_chart.rs
@@ -4,7 +4,7 @@
     super::{HeldCopy, TrialReport, charts::marks_s},
     crate::load::{COLOURS, DrawError, SvgArea, draw_marks, draw_svg, label_style},
     plotters::{
-        prelude::{ChartBuilder, Rectangle, Text, WHITE},
+        prelude::{ChartBuilder, Rectangle, Text},
         style::Color,
     },
 };
@@ -40,9 +40,7 @@
         .x_label_area_size(36)
         .build_cartesian_2d(names_at..end_s, bottom..0.0)?;
     let mut mesh = plane.configure_mesh();
-    mesh.disable_y_mesh()
-        .disable_y_axis()
-        .light_line_style(WHITE);
+    mesh.disable_y_mesh().disable_y_axis().max_light_lines(0);
     mesh.x_label_formatter(&|time_s| match *time_s < 0.0 {
         true => String::new(),
         false => format!("{time_s:.0}"),
--- a/src/experiment/process_spec.rs
+++ b/src/experiment/process_spec.rs
@@ -3,10 +3,10 @@
 use {
     super::{
         Case, ExperimentError, ExperimentPlan,
-        addresses::find_addresses,
+        addresses::Ports,
         deployment::{STORE, VM_LIST, WEIGHTS},
     },
-    crate::config::Object,
+    crate::{config::Object, units::DataCentreName},
     serde_json::{Map, Value, json},
     std::net::SocketAddr,
 };
@@ -86,6 +86,19 @@
     keeper_operations: SocketAddr,
 }
 
+impl VmAddresses {
+    fn new(ports: &mut Ports) -> Result<Self, ExperimentError> {
+        Ok(Self {
+            callers: ports.next()?,
+            entry_peer: ports.next()?,
+            entry_operations: ports.next()?,
+            keeper_peer: ports.next()?,
+            operator: ports.next()?,
+            keeper_operations: ports.next()?,
+        })
+    }
+}
+
 impl Layout {
     /// Makes the processes of a trial, on free ports.
     ///
@@ -94,57 +107,23 @@
     /// Fails when there are too few free ports.
     pub(super) fn new(plan: &ExperimentPlan, case: &Case) -> Result<Self, ExperimentError> {
         let deployment = &plan.deployment;
-        let runners = &deployment.catalog.runners;
-        let wanted = 6 + 2 * (runners.len() + deployment.backends.len()) + 6 * deployment.vms.len();
-        let mut free = find_addresses(wanted)?.into_iter();
-        let mut next = || free.next().ok_or(ExperimentError::Ports { wanted });
-        let mut specs = Vec::new();
+        let backends = deployment.catalog.runners.len() + deployment.backends.len();
+        let mut ports = Ports::find(6 + 2 * backends + 6 * deployment.vms.len())?;
         let key = || format!("{:032x}", rand::random::<u128>());
-        let (store, vm_list, weights) = (next()?, next()?, next()?);
         let shared = Shared {
             peer_key: key(),
             operator_key: key(),
-            store,
-            vm_list,
+            store: ports.next()?,
+            vm_list: ports.next()?,
         };
-        specs.push(stand_in(STORE, store, next()?, json!({"kind": "kv"})));
-        let limits = json!({"kind": "weights", "limits": plan.settings.weights});
-        specs.push(stand_in(WEIGHTS, weights, next()?, limits));
-        for runner in runners {
-            let mut engine = json!(plan.settings.engine);
-            engine["memory_mib"] = json!(runner.memory_mib);
-            engine["adapter_pool_mib"] = json!(runner.adapter_pool_mib);
-            engine["fencing"] = json!(runner.fencing);
-            engine["records_runs"] = json!(false);
-            let more = json!({"kind": "engine", "weights_address": weights, "engine": engine});
-            let mut spec = stand_in(runner.name.as_str(), next()?, next()?, more);
-            spec.kind = ProcessKind::Runner;
-            specs.push(spec);
-        }
-        for backend in &deployment.backends {
-            specs.push(stand_in(
-                backend,
-                next()?,
-                next()?,
-                json!({"kind": "plain"}),
-            ));
-        }
-        let mut vms = Vec::new();
-        for _ in &deployment.vms {
-            vms.push(VmAddresses {
-                callers: next()?,
-                entry_peer: next()?,
-                entry_operations: next()?,
-                keeper_peer: next()?,
-                operator: next()?,
-                keeper_operations: next()?,
-            });
-        }
+        let mut specs = stand_ins(plan, shared.store, &mut ports)?;
+        let new = |_: &DataCentreName| VmAddresses::new(&mut ports);
+        let vms: Vec<VmAddresses> = deployment.vms.iter().map(new).collect::<Result<_, _>>()?;
         let listed = vms.iter().enumerate().map(
             |(index, vm)| json!({"vm": vm_name(index), "address": vm.callers, "state": "live"}),
         );
         let list = json!({"kind": "vms", "vms": listed.collect::<Vec<_>>()});
-        specs.push(stand_in(VM_LIST, vm_list, next()?, list));
+        specs.push(stand_in(VM_LIST, shared.vm_list, ports.next()?, list));
         for (index, vm) in vms.iter().enumerate() {
             let data_centre = deployment.vms[index].as_str();
             let seed = vms[0].keeper_peer;
@@ -152,11 +131,11 @@
             specs.push(entry(index, data_centre, vm, &shared, &case.entry));
         }
         let find = |name: &str| specs.iter().find(|spec| spec.name == name);
-        let objects = deployment.objects_at(|name| find(name).map_or(store, |spec| spec.address));
+        let address = |name: &str| find(name).map_or(shared.store, |spec| spec.address);
         Ok(Self {
-            operator_address: vms.first().map_or(store, |vm| vm.operator),
+            operator_address: vms.first().map_or(shared.store, |vm| vm.operator),
             operator_key: shared.operator_key,
-            objects,
+            objects: deployment.objects_at(address),
             specs,
         })
     }
@@ -167,6 +146,34 @@
     }
 }
 
+/// Returns the stand-ins of all but the VM list.
+fn stand_ins(
+    plan: &ExperimentPlan,
+    store: SocketAddr,
+    ports: &mut Ports,
+) -> Result<Vec<ProcessSpec>, ExperimentError> {
+    let mut specs = vec![stand_in(STORE, store, ports.next()?, json!({"kind": "kv"}))];
+    let weights = ports.next()?;
+    let limits = json!({"kind": "weights", "limits": plan.settings.weights});
+    specs.push(stand_in(WEIGHTS, weights, ports.next()?, limits));
+    for runner in &plan.deployment.catalog.runners {
+        let mut engine = json!(plan.settings.engine);
+        engine["memory_mib"] = json!(runner.memory_mib);
+        engine["adapter_pool_mib"] = json!(runner.adapter_pool_mib);
+        engine["fencing"] = json!(runner.fencing);
+        engine["records_runs"] = json!(false);
+        let more = json!({"kind": "engine", "weights_address": weights, "engine": engine});
+        let mut spec = stand_in(runner.name.as_str(), ports.next()?, ports.next()?, more);
+        spec.kind = ProcessKind::Runner;
+        specs.push(spec);
+    }
+    for backend in &plan.deployment.backends {
+        let more = json!({"kind": "plain"});
+        specs.push(stand_in(backend, ports.next()?, ports.next()?, more));
+    }
+    Ok(specs)
+}
+
 fn vm_name(index: usize) -> String {
     format!("vm-{}", index + 1)
 }
--- a/src/load/line_chart.rs
+++ b/src/load/line_chart.rs
@@ -23,7 +23,7 @@
     RGBColor(0xbc, 0xbd, 0x22),
     RGBColor(0x17, 0xbe, 0xcf),
 ];
-const MARK_COLOUR: RGBColor = RGBColor(0xbb, 0xbb, 0xbb);
+const MARK_COLOUR: RGBColor = RGBColor(0x66, 0x66, 0x66);
 const SIZE_PX: (u32, u32) = (880, 340);
 const CAPTION_PX: i32 = 15;
 
@@ -76,7 +76,7 @@
             .y_label_area_size(60)
             .build_cartesian_2d(0.0..self.end_s.max(1.0), 0.0..top)?;
         let mut mesh = plane.configure_mesh();
-        mesh.light_line_style(WHITE).x_desc("s").y_desc(&self.unit);
+        mesh.max_light_lines(0).x_desc("s").y_desc(&self.unit);
         mesh.draw()?;
         draw_marks(&mut plane, &self.marks_s, top)?;
         for (line, colour) in self.lines.iter().zip(COLOURS.iter().cycle()) {
--- a/tests/experiment_plan.rs
+++ b/tests/experiment_plan.rs
@@ -40,7 +40,7 @@
         (json!({"speed": 1}), "speed"),
         (json!({"duration_s": 0}), "duration_s"),
         (json!({"seeds": []}), "seeds"),
-        (json!({"vms": ["west"]}), "vms[0]"),
+        (json!({"vms": ["north", "north", "west"]}), "vms[2]"),
         (json!({"engine": {"memory": 1}}), "engine"),
         (
             json!({"load": {"names": ["summary"]}}),
@@ -98,7 +98,10 @@
         ),
     ];
     for (changes, field) in cases {
-        let faults = read(changes.clone()).expect_err("it is wrong");
+        let mut one_setting = json!({"settings": [{"name": "a"}]});
+        let more = changes.as_object().unwrap().clone();
+        one_setting.as_object_mut().unwrap().extend(more);
+        let faults = read(one_setting).expect_err("it is wrong");
         let fields: Vec<&str> = faults.iter().map(|fault| fault.field.as_str()).collect();
         assert_eq!(fields, [field], "{changes}: {faults:?}");
     }
--- a/tests/experiment_play.rs
+++ b/tests/experiment_play.rs
@@ -13,10 +13,14 @@
             ClassReport, ClassSecond, LoadReport, MoveCounts, Percentiles, ReasonCounts, Second,
             plot_svg,
         },
-        standin::engine::EngineRecord,
-        units::Incarnation,
+        standin::{
+            engine::{EngineFaults, EngineRecord, EngineSettings, GenerateRequest, StandinEngine},
+            weights::{WeightLimits, WeightSource, WeightStore},
+        },
+        units::{Incarnation, RequestId},
     },
-    std::time::Duration,
+    serde_json::json,
+    std::{sync::Arc, time::Duration},
     tokio::time::{Instant, sleep},
 };
 
@@ -116,6 +120,41 @@
     assert_eq!(meter.total().adapter_loads, 2);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_slowed_engine_takes_longer_and_a_later_start_has_its_number() {
+    let weights = WeightSource::Local(Arc::new(WeightStore::new(WeightLimits::default())));
+    let settings = EngineSettings {
+        incarnation: Incarnation(3),
+        ..EngineSettings::default()
+    };
+    let engine = StandinEngine::new(settings, weights);
+    let order = json!({
+        "id": format!("{:032x}", 1), "epoch": 1, "incarnation": 3,
+        "action": {"action": "load_model", "model": "a", "version": "1", "memory_mib": 1}
+    });
+    engine.apply(serde_json::from_value(order).unwrap());
+    sleep(Duration::from_secs(10)).await;
+    let time_of = async |slow_percent| {
+        engine.set_faults(EngineFaults {
+            slow_percent,
+            ..EngineFaults::default()
+        });
+        let start = Instant::now();
+        let request = GenerateRequest {
+            id: RequestId::random(),
+            name: "a".to_owned(),
+            prompt: String::new(),
+            tokens: 10,
+            skip: 0,
+            priority: 0,
+        };
+        let mut generation = engine.generate(request).unwrap();
+        while generation.next().await.unwrap().is_some() {}
+        start.elapsed().as_millis()
+    };
+    assert_eq!((time_of(0).await, time_of(200).await), (100, 300));
+}
+
 fn status(models: &[(&str, bool)]) -> Status {
     let resident = |(model, ready): &(&str, bool)| ModelResident {
         model: model.parse().unwrap(),
