--- a/src/load/line_chart.rs
+++ b/src/load/line_chart.rs
@@ -77,6 +77,9 @@
             .build_cartesian_2d(0.0..self.end_s.max(1.0), 0.0..top)?;
         let mut mesh = plane.configure_mesh();
         mesh.max_light_lines(0).x_desc("s").y_desc(&self.unit);
+        let digits = usize::from(top < 20.0);
+        let label = |value: &f64| format!("{value:.digits$}");
+        mesh.y_label_formatter(&label);
         mesh.draw()?;
         draw_marks(&mut plane, &self.marks_s, top)?;
         for (line, colour) in self.lines.iter().zip(COLOURS.iter().cycle()) {
