--- a/benches/keeper/rig.rs
+++ b/benches/keeper/rig.rs
@@ -98,7 +98,7 @@
             "store_addresses": [bytes.relay(kv.address()).await], "log_level": "warn"
         });
         let keeper = Process::start(Program::Keeper, &settings);
-        let link = spawn_entry_link(peer, SharedKey::new(KEY)).unwrap();
+        let link = spawn_entry_link(peer, SharedKey::new(KEY).into()).unwrap();
         let inbound = bytes.relay(peer).await;
         let rig = Self {
             size,
@@ -126,7 +126,7 @@
         spawn_local(async move {
             loop {
                 sleep(EXCHANGE_INTERVAL).await;
-                if let Ok(peer) = PeerClient::connect(keeper, &SharedKey::new(KEY)).await {
+                if let Ok(peer) = PeerClient::connect(keeper, &SharedKey::new(KEY).into()).await {
                     let head = peers.head();
                     let _ = peer.exchange_head(head.as_ref(), keeper).await;
                 }
@@ -294,7 +294,7 @@
         sleep(jittered(interval)).await;
         let peer = match kept.take() {
             Some(peer) => peer,
-            None => match PeerClient::connect(keeper, &SharedKey::new(KEY)).await {
+            None => match PeerClient::connect(keeper, &SharedKey::new(KEY).into()).await {
                 Ok(peer) => peer,
                 Err(_) => continue,
             },
@@ -339,7 +339,7 @@
     let gossip = Gossip::new(
         vm,
         address,
-        key.clone(),
+        key.clone().into(),
         Vec::new(),
         state.clone(),
         offers.clone(),
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -15,6 +15,8 @@
 pub const NODE_VARIABLE: &str = "GGT_NODE";
 /// Holds the operators' key when no file is named.
 pub const KEY_VARIABLE: &str = "GGT_OPERATOR_KEY";
+/// Names the file with the names of the files of TLS when no argument does.
+pub const TLS_VARIABLE: &str = "GGT_TLS";
 
 /// What to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -77,6 +79,8 @@
     pub node: Option<SocketAddr>,
     /// The file that holds the operators' key.
     pub key_file: Option<PathBuf>,
+    /// The JSON file that names the files of TLS.
+    pub tls: Option<PathBuf>,
     /// Whether to print JSON.
     pub json: bool,
 }
@@ -98,6 +102,7 @@
     node: Option<SocketAddr>,
     count: Option<u32>,
     key_file: Option<PathBuf>,
+    tls: Option<PathBuf>,
     json: bool,
     help: bool,
     author: Option<String>,
@@ -123,6 +128,7 @@
             Long("node") => options.node = Some(value(&mut parser)?),
             Long("count") => options.count = Some(value(&mut parser)?),
             Long("key-file") => options.key_file = Some(value(&mut parser)?),
+            Long("tls") => options.tls = Some(value(&mut parser)?),
             Long("author") => options.author = Some(value(&mut parser)?),
             Long("message") => options.message = Some(value(&mut parser)?),
             Long("expect") => options.expected = Some(value(&mut parser)?),
@@ -164,6 +170,7 @@
             keeper: self.keeper,
             node: self.node,
             key_file: self.key_file.take(),
+            tls: self.tls.take(),
             json: self.json,
         };
         self.require_nothing_left(&name)?;
--- a/src/cli/error.rs
+++ b/src/cli/error.rs
@@ -4,6 +4,7 @@
     crate::{
         config::{ConfigFault, ReadError},
         peer::PeerError,
+        security::TlsError,
     },
     std::net::SocketAddr,
     thiserror::Error,
@@ -31,6 +32,9 @@
     /// The file with the operators' key cannot be read.
     #[error("cannot read the key file: {0}")]
     KeyFile(std::io::Error),
+    /// The files of TLS cannot be used.
+    #[error(transparent)]
+    Tls(#[from] TlsError),
     /// The keeper gave no good answer.
     #[error("keeper: {0}")]
     Keeper(#[from] PeerError),
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -22,8 +22,9 @@
 Options of every command but check:
   --keeper IP:PORT   the keeper's operator address [environment: GGT_KEEPER]
   --key-file FILE    the operators' key [environment, the key itself: GGT_OPERATOR_KEY]
+  --tls FILE         a JSON file that names the files of TLS [environment: GGT_TLS]
 
-Option of status, watch, show, history, audit and drain on a platform, instead of those:
+Option of status, watch, show, history, audit and drain on a platform, instead of --keeper:
   --node IP:PORT     the control port of any node [environment: GGT_NODE]
 
 Exit codes: 0 done, 1 refused or failed, 2 wrong command line.
--- a/src/cli/node_client.rs
+++ b/src/cli/node_client.rs
@@ -4,12 +4,16 @@
     super::CliError,
     crate::{
         http::{Body, CallLimits, Client},
-        node::{CONFIG_PATH, DRAIN_PATH, EVENTS_PATH, HISTORY_PATH, NodeStatus, STATUS_PATH},
+        node::{
+            CONFIG_PATH, DRAIN_PATH, EVENTS_PATH, HISTORY_PATH, NodeStatus, STATUS_PATH,
+            operator_header,
+        },
+        security::{SharedKey, Tls},
         telemetry::LoggedEvent,
         traffic::ConfigChange,
     },
     bytes::Bytes,
-    hyper::{Method, Request},
+    hyper::{Method, Request, header::AUTHORIZATION},
     serde::de::DeserializeOwned,
     std::{net::SocketAddr, time::Duration},
 };
@@ -25,6 +29,7 @@
 pub struct NodeClient {
     address: SocketAddr,
     client: Client,
+    key: Option<SharedKey>,
 }
 
 impl NodeClient {
@@ -33,6 +38,16 @@
         Self {
             address,
             client: Client::new(LIMITS.timeout),
+            key: None,
+        }
+    }
+
+    /// Shows a certificate and a key, if given.
+    pub fn with_credentials(self, tls: Option<Tls>, key: Option<SharedKey>) -> Self {
+        Self {
+            client: self.client.with_tls(tls),
+            key,
+            ..self
         }
     }
 
@@ -107,14 +122,24 @@
         path: &str,
     ) -> Result<Bytes, CliError> {
         let failed = |cause: String| CliError::Node { address, cause };
-        let request = Request::builder().method(method).uri(path);
+        let mut request = Request::builder().method(method).uri(path);
+        // The key is only shown where it is asked for.
+        if let Some(key) = self.key.as_ref().filter(|_| path == DRAIN_PATH) {
+            let header = operator_header(key.as_bytes());
+            let header = header.ok_or_else(|| failed("the key is no header text".to_owned()))?;
+            request = request.header(AUTHORIZATION, header);
+        }
         let request = request.body(Body::empty());
         let request = request.map_err(|cause| failed(cause.to_string()))?;
         let answer = self.client.call(address, request, LIMITS).await;
         let answer = answer.map_err(|cause| failed(cause.to_string()))?;
         match answer.status() {
             status if status.is_success() => Ok(answer.into_body()),
-            status => Err(failed(format!("{path} is answered with {status}"))),
+            status => {
+                let text = String::from_utf8_lossy(answer.body());
+                let cause = format!("{path} is answered with {status}: {text}");
+                Err(failed(cause.trim_end_matches([':', ' ']).to_owned()))
+            }
         }
     }
 }
--- a/src/cli/operator_client.rs
+++ b/src/cli/operator_client.rs
@@ -5,7 +5,8 @@
     crate::{
         config::{Catalog, Digest, Head, Object, PublishOutcome},
         peer::{
-            Connection, PeerError, SharedKey, connect_operator, read_head, with_timeout, write_head,
+            Connection, Credentials, PeerError, connect_operator, read_head, with_timeout,
+            write_head,
         },
         peer_capnp::{operator, publish_outcome},
         units::{PublishId, Revision},
@@ -45,8 +46,8 @@
     /// # Errors
     ///
     /// Fails when there is no connection in time or the key is refused.
-    pub async fn connect(keeper: SocketAddr, key: &SharedKey) -> Result<Self, CliError> {
-        let (connection, client) = connect_operator(keeper, key).await?;
+    pub async fn connect(keeper: SocketAddr, credentials: &Credentials) -> Result<Self, CliError> {
+        let (connection, client) = connect_operator(keeper, credentials).await?;
         Ok(Self {
             _connection: connection,
             client,
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -3,10 +3,14 @@
 use {
     super::{
         CliError, Command, EXIT_DONE, Invocation, KEEPER_VARIABLE, KEY_VARIABLE, NODE_VARIABLE,
-        OperatorClient, Output, Request, parse_args, run_local, run_node, run_publish, run_read,
+        NodeClient, OperatorClient, Output, Request, TLS_VARIABLE, parse_args, run_local, run_node,
+        run_publish, run_read,
     },
-    crate::peer::SharedKey,
-    std::{ffi::OsString, io::Write, net::SocketAddr},
+    crate::{
+        peer::{Credentials, SharedKey},
+        security::{Tls, TlsFiles},
+    },
+    std::{ffi::OsString, io::Write, net::SocketAddr, path::PathBuf},
     tokio::{runtime::Builder, task::LocalSet},
 };
 
@@ -45,7 +49,11 @@
     }
     let runtime = Builder::new_current_thread().enable_all().build()?;
     match find_node(invocation)? {
-        Some(node) => runtime.block_on(run_node::run(&invocation.command, node, output)),
+        Some(node) => {
+            let (tls, key) = (find_tls(invocation)?, find_node_key(invocation)?);
+            let client = NodeClient::new(node).with_credentials(tls, key);
+            runtime.block_on(run_node::run(&invocation.command, client, output))
+        }
         None => LocalSet::new().block_on(&runtime, run_with_keeper(invocation, output)),
     }
 }
@@ -60,7 +68,11 @@
         return Err(watch_needs_node());
     }
     let keeper = find_keeper(invocation)?;
-    let client = OperatorClient::connect(keeper, &find_key(invocation)?).await?;
+    let credentials = Credentials {
+        key: find_key(invocation)?,
+        tls: find_tls(invocation)?,
+    };
+    let client = OperatorClient::connect(keeper, &credentials).await?;
     match &invocation.command {
         Command::Check { dir } => run_local::check(dir, output),
         Command::Publish {
@@ -111,6 +123,23 @@
         .map_err(|_| CliError::Usage(format!("{KEEPER_VARIABLE} is not IP:PORT")))
 }
 
+/// Returns the certificate to show, if any is named.
+fn find_tls(invocation: &Invocation) -> Result<Option<Tls>, CliError> {
+    let named = std::env::var_os(TLS_VARIABLE).map(PathBuf::from);
+    let Some(file) = invocation.tls.clone().or(named) else {
+        return Ok(None);
+    };
+    Ok(Some(Tls::load(TlsFiles::read(&file)?)?))
+}
+
+/// Returns the key to show to a node, which may need none.
+fn find_node_key(invocation: &Invocation) -> Result<Option<SharedKey>, CliError> {
+    if invocation.key_file.is_none() && std::env::var_os(KEY_VARIABLE).is_none() {
+        return Ok(None);
+    }
+    find_key(invocation).map(Some)
+}
+
 fn find_key(invocation: &Invocation) -> Result<SharedKey, CliError> {
     if let Some(file) = &invocation.key_file {
         let key = std::fs::read_to_string(file).map_err(CliError::KeyFile)?;
--- a/src/cli/run_node.rs
+++ b/src/cli/run_node.rs
@@ -8,7 +8,7 @@
     crate::node::NodeStatus,
     futures::future::join_all,
     serde_json::{Value, json},
-    std::{net::SocketAddr, time::Duration},
+    std::time::Duration,
     tokio::time::sleep,
 };
 
@@ -18,13 +18,12 @@
 /// Moves to the top left of a terminal and clears it.
 const CLEAR: &str = "\u{1b}[H\u{1b}[2J";
 
-/// Runs a command with the node at an address.
+/// Runs a command with a node.
 pub(super) async fn run(
     command: &Command,
-    address: SocketAddr,
+    client: NodeClient,
     output: &mut Output<'_>,
 ) -> Result<(), CliError> {
-    let client = NodeClient::new(address);
     match command {
         Command::Status => {
             let (first, peers) = hear(&client).await?;
--- a/src/entry/forward/forward_link.rs
+++ b/src/entry/forward/forward_link.rs
@@ -9,8 +9,9 @@
     crate::{
         entry::Entry,
         membership::Member,
-        peer::{Connection, PeerError, SharedKey, connect_forward, serve, with_timeout},
+        peer::{Connection, Credentials, PeerError, connect_forward, serve_with, with_timeout},
         peer_capnp::forward,
+        security::Access,
     },
     futures::future::BoxFuture,
     std::{cell::RefCell, io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
@@ -76,7 +77,7 @@
 pub fn spawn_forward_link(
     entry: Arc<Entry>,
     listener: std::net::TcpListener,
-    key: SharedKey,
+    credentials: Credentials,
     calls: mpsc::Receiver<OutgoingCall>,
 ) -> io::Result<()> {
     let requests = Handle::current();
@@ -89,11 +90,16 @@
     std::thread::Builder::new()
         .name("forward-link".to_owned())
         .spawn(move || {
-            let gate_key = key.clone();
+            let gate_key = credentials.key.clone();
+            let tls = credentials.tls.as_ref();
+            let tls = tls.map(|tls| tls.server(Access::Nodes));
             let new_gate = move |mark| {
                 ForwardGate::client(entry.clone(), requests.clone(), gate_key.clone(), mark)
             };
-            let served = async { tokio::join!(serve(listener, new_gate), send_calls(key, calls)) };
+            let served = async {
+                let answering = serve_with(listener, tls, new_gate);
+                tokio::join!(answering, send_calls(credentials, calls))
+            };
             LocalSet::new().block_on(&runtime, served);
         })?;
     Ok(())
@@ -108,12 +114,12 @@
 
 type Links = Rc<RefCell<Vec<Link>>>;
 
-async fn send_calls(key: SharedKey, mut calls: mpsc::Receiver<OutgoingCall>) {
+async fn send_calls(credentials: Credentials, mut calls: mpsc::Receiver<OutgoingCall>) {
     let links = Links::default();
     while let Some(outgoing) = calls.recv().await {
-        let (key, links) = (key.clone(), links.clone());
+        let (credentials, links) = (credentials.clone(), links.clone());
         spawn_local(async move {
-            let answer = send_call(&key, &links, outgoing.address, &outgoing.call).await;
+            let answer = send_call(&credentials, &links, outgoing.address, &outgoing.call).await;
             if answer.is_err() {
                 forget(&links, outgoing.address);
             }
@@ -124,14 +130,14 @@
 }
 
 async fn send_call(
-    key: &SharedKey,
+    credentials: &Credentials,
     links: &Links,
     address: SocketAddr,
     call: &ForwardedCall,
 ) -> Result<ForwardedReply, PeerError> {
     let client = match find(links, address) {
         Some(client) => client,
-        None => open(key, links, address).await?,
+        None => open(credentials, links, address).await?,
     };
     let mut request = client.call_request();
     write_call(call, request.get());
@@ -140,11 +146,11 @@
 }
 
 async fn open(
-    key: &SharedKey,
+    credentials: &Credentials,
     links: &Links,
     address: SocketAddr,
 ) -> Result<forward::Client, PeerError> {
-    let (connection, client) = connect_forward(address, key).await?;
+    let (connection, client) = connect_forward(address, credentials).await?;
     forget(links, address);
     links.borrow_mut().push(Link {
         address,
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -4,7 +4,8 @@
     super::{Entry, EntryParts, EntrySettings, forward_link, spawn_forward_link},
     crate::{
         http::{Readiness, serve_operations},
-        peer::{SharedKey, spawn_entry_link},
+        peer::{Credentials, SharedKey, spawn_entry_link},
+        security::{Tls, TlsError, follow_tls},
         store::{EtcdStore, StoreTimeouts},
         telemetry::{init_logs, init_metrics, keep_up_metrics},
     },
@@ -34,6 +35,9 @@
         /// Why not.
         cause: io::Error,
     },
+    /// The files of TLS cannot be used.
+    #[error(transparent)]
+    Tls(#[from] TlsError),
     /// The metrics cannot be set up.
     #[error("metrics: {0}")]
     Metrics(String),
@@ -63,8 +67,13 @@
     let operations = bind("operations_address", settings.operations_address).await?;
     let peers =
         std::net::TcpListener::bind(settings.peer_address).map_err(io_error("peer_address"))?;
+    let tls = Tls::load_named(settings.tls.as_ref())?;
+    if let Some(tls) = tls.clone() {
+        tokio::spawn(follow_tls(tls));
+    }
     let key = SharedKey::new(settings.peer_key.as_bytes());
-    let keeper = spawn_entry_link(settings.keeper_address, key.clone())
+    let credentials = Credentials { key, tls };
+    let keeper = spawn_entry_link(settings.keeper_address, credentials.clone())
         .map_err(io_error("the link to the keeper"))?;
     let (forwarder, calls) = forward_link();
     let store = EtcdStore::new(settings.store_addresses.clone(), STORE_TIMEOUTS);
@@ -74,7 +83,7 @@
         forwarder: Arc::new(forwarder),
     };
     let entry = Entry::new(settings, parts);
-    spawn_forward_link(entry.clone(), peers, key, calls)
+    spawn_forward_link(entry.clone(), peers, credentials, calls)
         .map_err(io_error("the links to other entries"))?;
     let reports = keeper.reports;
     tokio::spawn(entry.clone().report(move |report| {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        security::TlsFiles,
         settings::{Fault, Requirements},
         settings_struct,
         telemetry::{LogFormat, LogLevel},
@@ -29,6 +30,8 @@
         store_addresses: Vec<SocketAddr>,
         #[doc = " The shared key of the system's processes."]
         peer_key: String,
+        #[doc = " The files of TLS: `certificate_file`, `key_file` and `authorities_file`; no TLS when null."]
+        tls: Option<TlsFiles> = "null",
         #[doc = " Worker threads."]
         threads: usize = "2",
         #[doc = " The largest request body, in bytes."]
--- a/src/gossip/datagram.rs
+++ b/src/gossip/datagram.rs
@@ -64,6 +64,9 @@
     /// The checksum differs.
     #[error("the datagram is damaged")]
     Checksum,
+    /// It is not sealed with an accepted key.
+    #[error("the datagram is not sealed with an accepted key")]
+    Seal,
     /// Its contents cannot be read.
     #[error("the datagram cannot be read")]
     Contents,
--- a/src/gossip/gossip.rs
+++ b/src/gossip/gossip.rs
@@ -2,13 +2,14 @@
 
 use {
     super::{
-        DATAGRAM_BYTES_MAX, Datagram, Item, Sender, decode, encode, note_outbox::NoteOutbox,
-        sender_table::SenderTable,
+        DATAGRAM_BYTES_MAX, Datagram, DatagramError, Item, Sender, decode, encode,
+        note_outbox::NoteOutbox, open, seal, sender_table::SenderTable,
     },
     crate::{
         copies::OrderListener,
         dispatch::{NodeReport, ResidencyNote, RunnerBoard},
         leader::PeerNode,
+        security::KeyRing,
         traffic::{ConfigVersion, NodeName},
     },
     rand::RngExt,
@@ -60,6 +61,7 @@
     outbox: Mutex<NoteOutbox>,
     senders: Mutex<SenderTable>,
     newest_config: watch::Sender<Option<PeerConfig>>,
+    keys: KeyRing,
 }
 
 impl Gossip {
@@ -83,6 +85,7 @@
             outbox: Mutex::default(),
             senders: Mutex::default(),
             newest_config: watch::Sender::new(None),
+            keys: KeyRing::default(),
         })
     }
 
@@ -91,6 +94,11 @@
         self.newest_config.subscribe()
     }
 
+    /// Returns the keys that seal datagrams; none at first.
+    pub fn keys(&self) -> &KeyRing {
+        &self.keys
+    }
+
     /// Sends and takes datagrams, and never ends.
     pub async fn run(self: Arc<Self>) {
         tokio::join!(self.send_rounds(), self.take_datagrams());
@@ -145,7 +153,8 @@
         items.extend(report.demand.into_iter().map(Item::Demand));
         let loads = report.loads.into_iter();
         items.extend(loads.map(|(key, load)| Item::Load(key, load)));
-        let datagrams = encode(&sender, items);
+        let datagrams = encode(&sender, items).into_iter();
+        let datagrams: Vec<_> = datagrams.map(|it| seal(it, &self.keys)).collect();
         for address in self.addresses() {
             for datagram in &datagrams {
                 if let Err(cause) = self.socket.send_to(datagram, address).await {
@@ -172,7 +181,10 @@
         let mut buffer = vec![0; DATAGRAM_BYTES_MAX * 4];
         loop {
             let (read, address) = match self.socket.recv_from(&mut buffer).await {
-                Ok((length, address)) => (decode(&buffer[..length]), address),
+                Ok((length, address)) => {
+                    let content = open(&buffer[..length], &self.keys);
+                    (content.ok_or(DatagramError::Seal).and_then(decode), address)
+                }
                 Err(cause) => {
                     log::debug!("gossip: the socket failed: {cause}");
                     sleep(Duration::from_millis(SOCKET_PAUSE_MS)).await;
@@ -182,7 +194,7 @@
             match read {
                 Ok(datagram) if datagram.sender.node != self.node => self.hear(datagram, address),
                 Ok(_) => {}
-                Err(cause) => log::debug!("gossip: {cause}"),
+                Err(cause) => log::debug!("gossip: {address}: {cause}"),
             }
         }
     }
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -9,6 +9,7 @@
 #[allow(clippy::module_inception)]
 mod gossip;
 mod note_outbox;
+mod seal;
 mod sender_table;
 
-pub use {datagram::*, gossip::*};
+pub use {datagram::*, gossip::*, seal::*};
--- /dev/null
+++ b/src/gossip/seal.rs
@@ -0,0 +1,37 @@
+//! Seals datagrams with shared keys.
+
+use {
+    crate::security::{KeyRing, SharedKey},
+    hmac::{Hmac, KeyInit, Mac},
+    sha2::Sha256,
+};
+
+/// The length of the code that follows a sealed datagram, in bytes.
+pub const SEAL_BYTES: usize = 16;
+
+/// Appends the code of the first key; leaves the bytes as they are without keys.
+pub fn seal(mut bytes: Vec<u8>, keys: &KeyRing) -> Vec<u8> {
+    let code = keys.with(|keys| Some(code_of(keys.first()?, &bytes)?.finalize()));
+    if let Some(code) = code {
+        bytes.extend_from_slice(&code.into_bytes()[..SEAL_BYTES]);
+    }
+    bytes
+}
+
+/// Returns what is sealed with one of the keys; all bytes without keys.
+pub fn open<'a>(bytes: &'a [u8], keys: &KeyRing) -> Option<&'a [u8]> {
+    if keys.is_empty() {
+        return Some(bytes);
+    }
+    let (content, code) = bytes.split_at_checked(bytes.len().checked_sub(SEAL_BYTES)?)?;
+    let fits = |key: &SharedKey| {
+        code_of(key, content).is_some_and(|known| known.verify_truncated_left(code).is_ok())
+    };
+    keys.with(|keys| keys.iter().any(fits)).then_some(content)
+}
+
+fn code_of(key: &SharedKey, bytes: &[u8]) -> Option<Hmac<Sha256>> {
+    let mut code = Hmac::new_from_slice(key.as_bytes()).ok()?;
+    code.update(bytes);
+    Some(code)
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -2,10 +2,15 @@
 
 use {
     super::{Body, Connection, Liveness, SendError, idle::IdleConnections, liveness},
+    crate::security::Tls,
     hyper::{Request, Response, body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::TcpStream, time},
+    tokio::{
+        io::{AsyncRead, AsyncWrite},
+        net::TcpStream,
+        time,
+    },
 };
 
 /// How often a request moves to another connection because an idle one had closed.
@@ -20,6 +25,7 @@
     connect_timeout: Duration,
     liveness: Liveness,
     idle: Arc<IdleConnections>,
+    tls: Option<Tls>,
 }
 
 /// A response whose body is yet to be read, and its connection.
@@ -43,9 +49,15 @@
             connect_timeout,
             liveness,
             idle: Arc::default(),
+            tls: None,
         }
     }
 
+    /// Makes connections by TLS from now on, if given.
+    pub fn with_tls(self, tls: Option<Tls>) -> Self {
+        Self { tls, ..self }
+    }
+
     /// Sends a request and waits for the head of its response.
     ///
     /// Dropping the future closes the connection.
@@ -106,6 +118,25 @@
         let stream = TcpStream::connect(address).await.map_err(connect_error)?;
         let failed = |cause: String| SendError::NotConnected(cause);
         liveness::set_up_with(&stream, self.liveness).map_err(|cause| failed(cause.to_string()))?;
+        match &self.tls {
+            None => self.start(address, stream).await,
+            Some(tls) => {
+                let connecting = Box::pin(tls.connect(stream, address));
+                let stream = connecting
+                    .await
+                    .map_err(|cause| failed(cause.to_string()))?;
+                self.start(address, stream).await
+            }
+        }
+    }
+
+    /// Begins to speak HTTP over a connection.
+    async fn start(
+        &self,
+        address: SocketAddr,
+        stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    ) -> Result<Connection, SendError> {
+        let failed = |cause: String| SendError::NotConnected(cause);
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(HEAD_MAX_BYTES)
             .handshake::<_, Body>(TokioIo::new(stream))
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{Body, liveness, preface::wait_for_preface, stall_guard::StallGuard},
+    crate::security::{Role, TlsServer},
     hyper::{Request, Response, body::Incoming, service::service_fn},
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
@@ -12,6 +13,7 @@
     },
     std::{convert::Infallible, future::Future, sync::Arc, time::Duration},
     tokio::{
+        io::{AsyncRead, AsyncWrite},
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore},
         time,
@@ -55,6 +57,21 @@
     stop: CancellationToken,
     handle: H,
 ) -> bool
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_http_with(listener, limits, None, stop, handle).await
+}
+
+/// Does the same, by TLS if given; the requests then carry the [`Role`] of the caller.
+pub async fn serve_http_with<H, F>(
+    listener: TcpListener,
+    limits: ListenerLimits,
+    tls: Option<TlsServer>,
+    stop: CancellationToken,
+    handle: H,
+) -> bool
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
@@ -64,6 +81,7 @@
     let server = Server {
         builder: builder(limits),
         limits,
+        tls,
         stop: stop.clone(),
     };
     while let Some((stream, place)) = accept(&listener, &places, &stop).await {
@@ -122,6 +140,7 @@
 struct Server {
     builder: auto::Builder<TokioExecutor>,
     limits: ListenerLimits,
+    tls: Option<TlsServer>,
     stop: CancellationToken,
 }
 
@@ -134,10 +153,41 @@
         if liveness::set_up(&stream).is_err() {
             return;
         }
-        if !self.has_started(&stream).await {
+        // Boxed, so that connections without TLS hold no space for it.
+        if self.tls.is_some() {
+            return Box::pin(self.serve_tls(stream, open, handle)).await;
+        }
+        if self.has_started(&stream).await {
+            self.answer(stream, None, open, handle).await;
+        }
+    }
+
+    async fn serve_tls<H, F>(self, stream: TcpStream, open: Watcher, handle: H)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let (Some(tls), Ok(peer)) = (self.tls.clone(), stream.peer_addr()) else {
             return;
+        };
+        let shaken = time::timeout(self.limits.head_timeout, tls.accept(stream, peer));
+        match self.stop.run_until_cancelled(shaken).await {
+            Some(Ok(Ok((stream, role)))) => self.answer(stream, Some(role), open, handle).await,
+            Some(Err(_)) => log::warn!(peer:% = peer; "http: no handshake with {peer} in time"),
+            Some(Ok(Err(_))) | None => {}
         }
-        let service = service_fn(move |request| {
+    }
+
+    async fn answer<S, H, F>(self, stream: S, role: Option<Role>, open: Watcher, handle: H)
+    where
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+        H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Response<Body>> + Send + 'static,
+    {
+        let service = service_fn(move |mut request: Request<Incoming>| {
+            if let Some(role) = role {
+                request.extensions_mut().insert(role);
+            }
             let response = handle(request);
             async move { Ok::<_, Infallible>(response.await) }
         });
--- a/src/keeper/configuration_task.rs
+++ b/src/keeper/configuration_task.rs
@@ -8,7 +8,7 @@
             StoreBlobs, fetch_snapshot,
         },
         membership::jittered,
-        peer::{PeerBlobs, SharedKey},
+        peer::{Credentials, PeerBlobs},
         store::SharedStore,
     },
     rand::seq::IndexedRandom,
@@ -25,17 +25,17 @@
 pub struct ConfigurationTask {
     state: KeeperState,
     store: SharedStore,
-    key: SharedKey,
+    credentials: Credentials,
     policy: FetchPolicy,
 }
 
 impl ConfigurationTask {
     /// Prepares the task.
-    pub fn new(state: KeeperState, store: SharedStore, key: SharedKey) -> Self {
+    pub fn new(state: KeeperState, store: SharedStore, credentials: Credentials) -> Self {
         Self {
             state,
             store,
-            key,
+            credentials,
             policy: FetchPolicy::default(),
         }
     }
@@ -79,7 +79,7 @@
             .map(|member| member.address);
         let peer = peer
             .or(any)
-            .map(|address| PeerBlobs::new(address, self.key.clone()));
+            .map(|address| PeerBlobs::new(address, self.credentials.clone()));
         let store = StoreBlobs::new(self.store.as_ref());
         let mut sources: Vec<&dyn BlobSource> = Vec::new();
         if let Some(peer) = &peer {
--- a/src/keeper/demand_task.rs
+++ b/src/keeper/demand_task.rs
@@ -6,7 +6,7 @@
         entry::Report,
         fleet::Demand,
         membership::{Member, jittered},
-        peer::{PeerClient, PeerConnections, PeerError, SharedKey},
+        peer::{Credentials, PeerClient, PeerConnections, PeerError},
         placement::DemandTracker,
         units::{DataCentreName, VmName},
     },
@@ -26,7 +26,7 @@
 pub struct DemandTask {
     vm: VmName,
     data_centre: DataCentreName,
-    key: SharedKey,
+    credentials: Credentials,
     state: KeeperState,
     tracker: Rc<RefCell<DemandTracker>>,
     pull: AdapterPull,
@@ -40,7 +40,7 @@
     pub fn new(
         vm: VmName,
         data_centre: DataCentreName,
-        key: SharedKey,
+        credentials: Credentials,
         state: KeeperState,
         tracker: Rc<RefCell<DemandTracker>>,
         pull: AdapterPull,
@@ -48,7 +48,7 @@
         Self {
             vm,
             data_centre,
-            key,
+            credentials,
             state,
             tracker,
             pull,
@@ -138,7 +138,7 @@
         let sent = async {
             let peer = match known {
                 Some(peer) => peer,
-                None => PeerClient::connect(planner.address, &self.key).await?,
+                None => PeerClient::connect(planner.address, &self.credentials).await?,
             };
             peer.report_demand(&self.vm, demand).await?;
             Ok::<_, PeerError>(peer)
--- a/src/keeper/error.rs
+++ b/src/keeper/error.rs
@@ -1,6 +1,6 @@
 //! Errors of the keeper as a process.
 
-use {std::net::SocketAddr, thiserror::Error};
+use {crate::security::TlsError, std::net::SocketAddr, thiserror::Error};
 
 /// Why a keeper cannot run.
 #[derive(Debug, Error)]
@@ -19,4 +19,7 @@
     /// The metrics recorder cannot be installed.
     #[error("cannot set up metrics: {0}")]
     Metrics(#[from] metrics_exporter_prometheus::BuildError),
+    /// The files of TLS cannot be used.
+    #[error(transparent)]
+    Tls(#[from] TlsError),
 }
--- a/src/keeper/gossip.rs
+++ b/src/keeper/gossip.rs
@@ -7,7 +7,7 @@
         config::Head,
         fleet::RunnerState,
         membership::{Member, jittered},
-        peer::{PeerClient, PeerError, SharedKey},
+        peer::{Credentials, PeerClient, PeerError},
         units::{DataCentreName, VmName},
     },
     rand::seq::{IndexedRandom, IteratorRandom},
@@ -23,7 +23,7 @@
 pub struct Gossip {
     vm: VmName,
     address: SocketAddr,
-    key: SharedKey,
+    credentials: Credentials,
     seeds: Vec<SocketAddr>,
     state: KeeperState,
     offers: mpsc::Sender<HeadOffer>,
@@ -34,7 +34,7 @@
     pub fn new(
         vm: VmName,
         address: SocketAddr,
-        key: SharedKey,
+        credentials: Credentials,
         seeds: Vec<SocketAddr>,
         state: KeeperState,
         offers: mpsc::Sender<HeadOffer>,
@@ -42,7 +42,7 @@
         Self {
             vm,
             address,
-            key,
+            credentials,
             seeds,
             state,
             offers,
@@ -104,7 +104,7 @@
             let states = states.clone();
             tokio::task::spawn_local(async move {
                 let told = async {
-                    let peer = PeerClient::connect(address, &gossip.key).await?;
+                    let peer = PeerClient::connect(address, &gossip.credentials).await?;
                     peer.report_runners(&states).await
                 };
                 if let Err(error) = told.await {
@@ -116,7 +116,7 @@
 
     async fn push_head(&self, address: SocketAddr, head: Head) {
         let told = async {
-            let peer = PeerClient::connect(address, &self.key).await?;
+            let peer = PeerClient::connect(address, &self.credentials).await?;
             peer.exchange_head(Some(&head), self.address).await
         };
         if let Err(error) = told.await {
@@ -125,7 +125,7 @@
     }
 
     async fn exchange_with(&self, address: SocketAddr) -> Result<(), PeerError> {
-        let peer = PeerClient::connect(address, &self.key).await?;
+        let peer = PeerClient::connect(address, &self.credentials).await?;
         let own = self.state.head();
         let theirs = peer.exchange_head(own.as_ref(), self.address).await?;
         if let Some(head) = theirs {
--- a/src/keeper/keeper_parts.rs
+++ b/src/keeper/keeper_parts.rs
@@ -12,7 +12,8 @@
         engine::{Engine, HttpEngine},
         fleet::{FleetKeeper, FleetTiming, Owner},
         membership::{Heartbeat, Member},
-        peer::{SharedKey, serve},
+        peer::{Credentials, SharedKey, serve_with},
+        security::{Access, Tls, follow_tls},
         store::{EtcdStore, SharedStore, StoreTimeouts},
         units::Incarnation,
     },
@@ -32,7 +33,7 @@
 /// The parts that a keeper's tasks share.
 pub(super) struct KeeperParts {
     member: Member,
-    key: SharedKey,
+    credentials: Credentials,
     store: SharedStore,
     pub(super) state: KeeperState,
     pub(super) fleet: Rc<FleetKeeper>,
@@ -41,7 +42,7 @@
 
 impl KeeperParts {
     /// Makes the parts; nothing runs yet.
-    pub(super) fn new(settings: &KeeperSettings) -> Self {
+    pub(super) fn new(settings: &KeeperSettings, tls: Option<Tls>) -> Self {
         let member = Member {
             vm: settings.vm.clone(),
             data_centre: settings.data_centre.clone(),
@@ -58,7 +59,10 @@
         let fleet = Rc::new(new_fleet(settings, &member, store.clone()));
         Self {
             member,
-            key: SharedKey::new(settings.peer_key.as_bytes()),
+            credentials: Credentials {
+                key: SharedKey::new(settings.peer_key.as_bytes()),
+                tls,
+            },
             store,
             state: KeeperState::default(),
             fleet,
@@ -78,6 +82,9 @@
         peers: TcpListener,
         operators: TcpListener,
     ) {
+        if let Some(tls) = self.credentials.tls.clone() {
+            spawn_local(follow_tls(tls));
+        }
         let (offers, offer_inbox) = mpsc::channel(INBOX_MAX);
         let (events, event_inbox) = mpsc::channel(INBOX_MAX);
         // Without a list, every VM may own runners; with one, only those that it names.
@@ -86,7 +93,7 @@
         let gossip = Rc::new(Gossip::new(
             self.member.vm.clone(),
             self.member.address,
-            self.key.clone(),
+            self.credentials.clone(),
             settings.seed_addresses.clone(),
             self.state.clone(),
             offers.clone(),
@@ -107,8 +114,13 @@
     }
 
     fn start_configuration(&self, offers: mpsc::Receiver<HeadOffer>) {
-        let new_task =
-            || ConfigurationTask::new(self.state.clone(), self.store.clone(), self.key.clone());
+        let new_task = || {
+            ConfigurationTask::new(
+                self.state.clone(),
+                self.store.clone(),
+                self.credentials.clone(),
+            )
+        };
         let following = new_task();
         spawn_local(async move { following.run(offers).await });
         let mending = new_task();
@@ -148,7 +160,7 @@
         spawn_local(async move { task.write_audit().await });
         let proposer = Proposer::new(
             self.member.vm.clone(),
-            self.key.clone(),
+            self.credentials.clone(),
             self.state.clone(),
             proposals.clone(),
             states.clone(),
@@ -174,7 +186,7 @@
         let task = Rc::new(DemandTask::new(
             self.member.vm.clone(),
             self.member.data_centre.clone(),
-            self.key.clone(),
+            self.credentials.clone(),
             self.state.clone(),
             Rc::clone(&tracker),
             pull,
@@ -205,12 +217,13 @@
         if let Some(task) = self.demand.take() {
             spawn_local(async move { task.take_entry_reports(report_inbox).await });
         }
+        let tls = |access| Some(self.credentials.tls.as_ref()?.server(access));
         let processes = GateRoles::Processes {
-            key: self.key.clone(),
+            key: self.credentials.key.clone(),
             peer: PeerService::client(self.state.clone(), gossip, inbox),
             entry: EntryService::client(self.state.clone(), reports),
         };
-        spawn_local(serve(peers, move |mark| {
+        spawn_local(serve_with(peers, tls(Access::Nodes), move |mark| {
             GateService::client(processes.clone(), mark)
         }));
         let operator = OperatorService::client(
@@ -221,7 +234,7 @@
         );
         let key = SharedKey::new(settings.operator_key.as_bytes());
         let roles = GateRoles::Operators { key, operator };
-        spawn_local(serve(operators, move |mark| {
+        spawn_local(serve_with(operators, tls(Access::Operators), move |mark| {
             GateService::client(roles.clone(), mark)
         }));
     }
--- a/src/keeper/proposer.rs
+++ b/src/keeper/proposer.rs
@@ -5,7 +5,7 @@
     crate::{
         fleet::{Move, RunnerState, owner_of},
         membership::Member,
-        peer::{PeerClient, PeerError, SharedKey},
+        peer::{Credentials, PeerClient, PeerError},
         units::VmName,
     },
     tokio::sync::{mpsc, oneshot},
@@ -15,7 +15,7 @@
 #[derive(Debug, Clone)]
 pub struct Proposer {
     vm: VmName,
-    key: SharedKey,
+    credentials: Credentials,
     state: KeeperState,
     own: mpsc::Sender<Proposal>,
     states: mpsc::Sender<Vec<RunnerState>>,
@@ -26,14 +26,14 @@
     /// of their runners goes to `states`.
     pub fn new(
         vm: VmName,
-        key: SharedKey,
+        credentials: Credentials,
         state: KeeperState,
         own: mpsc::Sender<Proposal>,
         states: mpsc::Sender<Vec<RunnerState>>,
     ) -> Self {
         Self {
             vm,
-            key,
+            credentials,
             state,
             own,
             states,
@@ -63,7 +63,7 @@
     }
 
     async fn propose_to(&self, owner: &Member, moves: &[Move]) -> Result<(), PeerError> {
-        let peer = PeerClient::connect(owner.address, &self.key).await?;
+        let peer = PeerClient::connect(owner.address, &self.credentials).await?;
         let states = peer.propose(&self.vm, moves).await?;
         let _ = self.states.send(states).await;
         Ok(())
--- a/src/keeper/run.rs
+++ b/src/keeper/run.rs
@@ -4,6 +4,7 @@
     super::{KeeperError, KeeperSettings, keeper_parts::KeeperParts},
     crate::{
         http::{Readiness, serve_operations},
+        security::Tls,
         telemetry::{init_logs, init_metrics, keep_up_metrics},
     },
     std::{net::SocketAddr, time::Duration},
@@ -34,11 +35,12 @@
 
 async fn serve_keeper(settings: KeeperSettings) -> Result<(), KeeperError> {
     let mut signals = Signals::new()?;
+    let tls = Tls::load_named(settings.tls.as_ref())?;
     let peers = listen(settings.peer_address).await?;
     let operators = listen(settings.operator_address).await?;
     let stop = CancellationToken::new();
     let readiness = serve_health(settings.operations_address, &stop).await?;
-    let keeper = KeeperParts::new(&settings);
+    let keeper = KeeperParts::new(&settings, tls);
     let membership = Membership::join(&keeper, settings.lease_ttl_s);
     keeper.start(&settings, peers, operators);
     readiness.set(true);
--- a/src/keeper/settings.rs
+++ b/src/keeper/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        security::TlsFiles,
         settings::{Fault, Requirements},
         settings_struct,
         telemetry::{LogFormat, LogLevel},
@@ -33,6 +34,8 @@
         seed_addresses: Vec<SocketAddr> = "[]",
         #[doc = " The shared key of the system's processes."]
         peer_key: String,
+        #[doc = " The files of TLS: `certificate_file`, `key_file` and `authorities_file`; no TLS when null."]
+        tls: Option<TlsFiles> = "null",
         #[doc = " The shared key of the operators."]
         operator_key: String,
         #[doc = " How long the lease of this VM lasts without renewal, in seconds."]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod proto;
 pub mod relay;
 pub mod routing;
+pub mod security;
 pub mod settings;
 pub mod standin;
 pub mod store;
--- a/src/node/control_port.rs
+++ b/src/node/control_port.rs
@@ -1,13 +1,14 @@
 //! What a node answers to its peers and to operators.
 
 use {
-    super::{NodeView, PeerPages},
+    super::{ControlAccess, NodeView, PeerPages},
     crate::{
-        http::{Body, ListenerLimits, serve_http},
+        http::{Body, ListenerLimits, serve_http, serve_http_with},
+        security::Access,
         telemetry::RecentEvents,
     },
     hyper::{
-        Method, Request, Response, StatusCode, Uri,
+        Method, Request, Response, StatusCode,
         body::Incoming,
         header::{CONTENT_TYPE, HeaderValue},
     },
@@ -44,24 +45,31 @@
     pub view: NodeView,
     /// What it answers to peers.
     pub pages: PeerPages,
+    /// Who may connect, and who may change something.
+    pub access: ControlAccess,
 }
 
 impl ControlPort {
     /// Serves until `stop`.
     pub async fn serve(self, listener: TcpListener, stop: CancellationToken) {
-        let handle =
-            move |request: Request<Incoming>| ready(self.answer(request.method(), request.uri()));
-        serve_http(listener, LIMITS, stop, handle).await;
+        let tls = self.access.tls.as_ref();
+        let tls = tls.map(|tls| tls.server(Access::All));
+        let handle = move |request: Request<Incoming>| ready(self.answer(&request));
+        serve_http_with(listener, LIMITS, tls, stop, handle).await;
     }
 
-    fn answer(&self, method: &Method, uri: &Uri) -> Response<Body> {
+    fn answer(&self, request: &Request<Incoming>) -> Response<Body> {
         let view = &self.view;
-        match (method, uri.path()) {
-            (&Method::POST, DRAIN_PATH) => {
-                log::info!(node:% = view.node; "node: an operator asked to drain");
-                view.stop.cancel();
-                status(StatusCode::ACCEPTED)
-            }
+        let uri = request.uri();
+        match (request.method(), uri.path()) {
+            (&Method::POST, DRAIN_PATH) => match self.access.check(request) {
+                Ok(()) => {
+                    log::info!(node:% = view.node; "node: an operator asked to drain");
+                    view.stop.cancel();
+                    status(StatusCode::ACCEPTED)
+                }
+                Err(refusal) => *refusal,
+            },
             (_, DRAIN_PATH) => status(StatusCode::METHOD_NOT_ALLOWED),
             (_, STATUS_PATH) => json(&view.status()),
             (_, HISTORY_PATH) => json(&view.traffic.history()),
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! One node: everything that runs on a VM, in one process.
 
+mod control_access;
 mod control_port;
 mod node_view;
 mod parts;
@@ -15,6 +16,6 @@
 mod status;
 
 pub use {
-    control_port::*, node_view::*, parts::*, peer_client::*, peer_config::*, peer_pages::*,
-    peer_runners::*, port::*, run::*, settings::*, settings_follow::*, status::*,
+    control_access::*, control_port::*, node_view::*, parts::*, peer_client::*, peer_config::*,
+    peer_pages::*, peer_runners::*, port::*, run::*, settings::*, settings_follow::*, status::*,
 };
--- a/src/node/peer_client.rs
+++ b/src/node/peer_client.rs
@@ -4,6 +4,7 @@
     crate::{
         http::{Body, CallLimits, Client},
         leader::PeerNode,
+        security::Tls,
         traffic::NodeName,
     },
     bytes::Bytes,
@@ -47,13 +48,11 @@
 #[derive(Debug)]
 pub(super) struct PeerClient(Client);
 
-impl Default for PeerClient {
-    fn default() -> Self {
-        Self(Client::new(LIMITS.timeout))
+impl PeerClient {
+    pub(super) fn new(tls: Option<Tls>) -> Self {
+        Self(Client::new(LIMITS.timeout).with_tls(tls))
     }
-}
 
-impl PeerClient {
     /// Returns what a peer answers under a path; `None` without a usable answer.
     pub(super) async fn get(&self, address: SocketAddr, path: &str) -> Option<Bytes> {
         let request = Request::get(path).body(Body::empty()).ok()?;
--- a/src/node/peer_config.rs
+++ b/src/node/peer_config.rs
@@ -5,6 +5,7 @@
     crate::{
         gossip::PeerConfig,
         membership::Backoff,
+        security::Tls,
         traffic::{TrafficBoard, offer_bytes},
     },
     std::{future::pending, sync::Arc, time::Duration},
@@ -44,7 +45,15 @@
             traffic,
             peers,
             newest,
-            client: PeerClient::default(),
+            client: PeerClient::new(None),
+        }
+    }
+
+    /// Asks peers by TLS, if given.
+    pub fn with_tls(self, tls: Option<Tls>) -> Self {
+        Self {
+            client: PeerClient::new(tls),
+            ..self
         }
     }
 
--- a/src/node/peer_runners.rs
+++ b/src/node/peer_runners.rs
@@ -4,6 +4,7 @@
     super::{PeerAddresses, RUNNERS_PATH, peer_client::PeerClient},
     crate::{
         discovery::ListedRunners,
+        security::Tls,
         store::{StoreHealth, StoreVersion},
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -38,7 +39,15 @@
             health,
             known,
             lists,
-            client: PeerClient::default(),
+            client: PeerClient::new(None),
+        }
+    }
+
+    /// Asks peers by TLS, if given.
+    pub fn with_tls(self, tls: Option<Tls>) -> Self {
+        Self {
+            client: PeerClient::new(tls),
+            ..self
         }
     }
 
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        ControlPort, NodeParts, NodeSettings, NodeView, PeerAddresses, PeerConfigFollower,
-        PeerPages, PeerRunnersFollower, SettingsFollower, serve_metrics, signals::Signals,
+        ControlAccess, ControlPort, NodeParts, NodeSettings, NodeView, PeerAddresses,
+        PeerConfigFollower, PeerPages, PeerRunnersFollower, SettingsFollower, serve_metrics,
+        signals::Signals,
     },
     crate::{
         copies::{OrderCounts, OrderTask},
@@ -13,6 +14,7 @@
         http::{Readiness, serve_operations},
         leader::{Membership, PeerNode},
         relay::Relay,
+        security::{KeyRing, Tls, TlsError, follow_tls},
         store::{MeteredStore, MonitoredStore, StoreHealth, StoreVersion},
         telemetry::{init_logs_by_part, set_log_rules},
         traffic::{ConfigFollower, TrafficBoard},
@@ -44,6 +46,9 @@
         /// Why not.
         cause: io::Error,
     },
+    /// The files of TLS cannot be used.
+    #[error(transparent)]
+    Tls(#[from] TlsError),
 }
 
 /// Runs a node with the settings of a file until the planned stop.
@@ -56,9 +61,11 @@
     let sockets = Sockets::bind(&settings).await?;
     let signals = Signals::listen().map_err(io_error("signals"))?;
     let stop = signals.stop.clone();
-    let node = Node::new(settings, parts);
+    let tls = Tls::load_named(settings.tls.as_ref())?;
+    let node = Node::new(settings, parts, tls);
     let runners_version = node.follow_platform();
     let gossip = node.gossip(sockets.gossip);
+    let gossip_keys = gossip.keys().clone();
     node.give_orders(gossip.clone());
     node.follow_peers(&gossip);
     let relay = node.relay();
@@ -78,10 +85,15 @@
         board: node.board.clone(),
         runners_version,
     };
-    let control = ControlPort { view, pages };
+    let access = node.access.clone();
+    let control = ControlPort {
+        view,
+        pages,
+        access,
+    };
     tokio::spawn(control.serve(sockets.control, ended.clone()));
     tokio::spawn(
-        node.follow_settings(path, relay.clone())
+        node.follow_settings(path, relay.clone(), gossip_keys)
             .run(signals.settings_changed),
     );
     let closing = CancellationToken::new();
@@ -112,10 +124,15 @@
     membership: Arc<Membership>,
     store: Arc<MeteredStore>,
     orders: Arc<OrderCounts>,
+    access: ControlAccess,
 }
 
 impl Node {
-    fn new(settings: NodeSettings, mut parts: NodeParts) -> Self {
+    fn new(settings: NodeSettings, mut parts: NodeParts, tls: Option<Tls>) -> Self {
+        if let Some(tls) = tls.clone() {
+            tokio::spawn(follow_tls(tls));
+        }
+        let operator_keys = KeyRing::new(settings.operator_keys.clone());
         let store = Arc::new(MeteredStore::new(parts.store));
         let monitored = MonitoredStore::new(store.clone());
         let store_health = monitored.health();
@@ -137,6 +154,7 @@
             membership: Arc::new(membership),
             store,
             orders: Arc::default(),
+            access: ControlAccess { tls, operator_keys },
         }
     }
 
@@ -155,9 +173,17 @@
         }
     }
 
-    fn follow_settings(&self, path: &Path, relay: Arc<Relay>) -> SettingsFollower {
+    fn follow_settings(
+        &self,
+        path: &Path,
+        relay: Arc<Relay>,
+        gossip_keys: KeyRing,
+    ) -> SettingsFollower {
+        let operator_keys = self.access.operator_keys.clone();
         SettingsFollower::new(path, self.settings.clone(), move |settings| {
             set_log_rules(settings.log_rules());
+            operator_keys.replace(settings.operator_keys.clone());
+            gossip_keys.replace(settings.gossip_keys.clone());
             relay.set_bounds(&settings.bounds);
         })
     }
@@ -180,6 +206,7 @@
         let version = runners.version();
         let (peers, health) = (self.peers(), self.store_health.clone());
         let from_peers = PeerRunnersFollower::new(peers, health, version.clone(), lists);
+        let from_peers = from_peers.with_tls(self.access.tls.clone());
         tokio::spawn(from_peers.run());
         tokio::spawn(runners.run());
         version
@@ -200,6 +227,7 @@
         let node = self.settings.node.clone();
         let peers = self.membership.peers.clone();
         let gossip = Gossip::new(node, peers, seeds, self.board.clone(), socket);
+        gossip.keys().replace(self.settings.gossip_keys.clone());
         tokio::spawn(gossip.clone().run());
         gossip
     }
@@ -227,6 +255,7 @@
             self.peers(),
             gossip.newest_config(),
         );
+        let follower = follower.with_tls(self.access.tls.clone());
         tokio::spawn(follower.run());
     }
 
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        security::{SharedKey, TlsFiles},
         telemetry::{LogFormat, LogLevel, LogRules},
         traffic::{NodeName, ZoneId},
     },
@@ -48,6 +49,15 @@
     /// The open descriptors that the process may have.
     #[serde(default = "default_descriptors")]
     pub descriptors_max: usize,
+    /// The files of TLS between nodes and towards operators; no TLS without them.
+    #[serde(default)]
+    pub tls: Option<TlsFiles>,
+    /// The keys of which a changing call to the control port needs one; none is needed when empty.
+    #[serde(default)]
+    pub operator_keys: Vec<SharedKey>,
+    /// The keys of the datagrams between nodes, the one to send with first; not sealed when empty.
+    #[serde(default)]
+    pub gossip_keys: Vec<SharedKey>,
     /// The platform's bounds.
     pub bounds: Bounds,
     /// The least severe messages that are logged.
--- a/src/node/settings_follow.rs
+++ b/src/node/settings_follow.rs
@@ -16,13 +16,15 @@
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The settings that take effect while a node runs.
-const LIVE_FIELDS: [&str; 6] = [
+const LIVE_FIELDS: [&str; 8] = [
     "bounds.budget_window_s",
     "bounds.grace_s",
     "bounds.retry_budget_ratio",
     "bounds.retry_budget_slack",
+    "gossip_keys",
     "log_level",
     "log_levels",
+    "operator_keys",
 ];
 
 /// What became of a change of the settings file.
--- a/src/peer/connect.rs
+++ b/src/peer/connect.rs
@@ -1,12 +1,16 @@
 //! The calling side.
 
 use {
-    super::{PeerError, SharedKey, serve::reader_options},
+    super::{Credentials, PeerError, serve::reader_options},
     crate::peer_capnp::{entry_link, forward, gate, operator, peer},
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     futures::io::BufReader,
     std::{future::Future, net::SocketAddr, time::Duration},
-    tokio::{net::TcpStream, task::JoinHandle},
+    tokio::{
+        io::{AsyncRead, AsyncWrite},
+        net::TcpStream,
+        task::JoinHandle,
+    },
     tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt},
 };
 
@@ -40,7 +44,10 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<(Connection, gate::Client), PeerError> {
+async fn connect(
+    address: SocketAddr,
+    credentials: &Credentials,
+) -> Result<(Connection, gate::Client), PeerError> {
     let connecting = async {
         TcpStream::connect(address)
             .await
@@ -48,7 +55,20 @@
     };
     let stream = with_timeout(CONNECT_TIMEOUT, connecting).await?;
     let _ = stream.set_nodelay(true);
-    let (reader, writer) = stream.into_split();
+    let Some(tls) = &credentials.tls else {
+        let (reader, writer) = stream.into_split();
+        return Ok(start(reader, writer));
+    };
+    let stream = with_timeout(CONNECT_TIMEOUT, tls.connect(stream, address)).await?;
+    let (reader, writer) = tokio::io::split(stream);
+    Ok(start(reader, writer))
+}
+
+/// Starts the protocol over a connection.
+fn start(
+    reader: impl AsyncRead + Unpin + 'static,
+    writer: impl AsyncWrite + Unpin + 'static,
+) -> (Connection, gate::Client) {
     let reader = BufReader::new(reader.compat());
     let network = VatNetwork::new(
         reader,
@@ -63,7 +83,7 @@
             log::debug!("peer: connection ended: {error}");
         }
     });
-    Ok((Connection { driver }, gate))
+    (Connection { driver }, gate)
 }
 
 /// Connects to a keeper as a peer. Needs a `LocalSet`.
@@ -73,11 +93,11 @@
 /// Fails when there is no connection in time or the key is refused.
 pub async fn connect_peer(
     address: SocketAddr,
-    key: &SharedKey,
+    credentials: &Credentials,
 ) -> Result<(Connection, peer::Client), PeerError> {
-    let (connection, gate) = connect(address).await?;
+    let (connection, gate) = connect(address, credentials).await?;
     let mut request = gate.peer_request();
-    request.get().set_key(key.as_bytes());
+    request.get().set_key(credentials.key.as_bytes());
     let answer = with_timeout(CONNECT_TIMEOUT, request.send().promise).await?;
     Ok((connection, answer.get()?.get_peer()?))
 }
@@ -89,11 +109,11 @@
 /// Fails when there is no connection in time or the key is refused.
 pub async fn connect_entry_link(
     address: SocketAddr,
-    key: &SharedKey,
+    credentials: &Credentials,
 ) -> Result<(Connection, entry_link::Client), PeerError> {
-    let (connection, gate) = connect(address).await?;
+    let (connection, gate) = connect(address, credentials).await?;
     let mut request = gate.entry_request();
-    request.get().set_key(key.as_bytes());
+    request.get().set_key(credentials.key.as_bytes());
     let answer = with_timeout(CONNECT_TIMEOUT, request.send().promise).await?;
     Ok((connection, answer.get()?.get_link()?))
 }
@@ -105,11 +125,11 @@
 /// Fails when there is no connection in time or the key is refused.
 pub async fn connect_operator(
     address: SocketAddr,
-    key: &SharedKey,
+    credentials: &Credentials,
 ) -> Result<(Connection, operator::Client), PeerError> {
-    let (connection, gate) = connect(address).await?;
+    let (connection, gate) = connect(address, credentials).await?;
     let mut request = gate.operator_request();
-    request.get().set_key(key.as_bytes());
+    request.get().set_key(credentials.key.as_bytes());
     let answer = with_timeout(CONNECT_TIMEOUT, request.send().promise).await?;
     Ok((connection, answer.get()?.get_operator()?))
 }
@@ -121,11 +141,11 @@
 /// Fails when there is no connection in time or the key is refused.
 pub async fn connect_forward(
     address: SocketAddr,
-    key: &SharedKey,
+    credentials: &Credentials,
 ) -> Result<(Connection, forward::Client), PeerError> {
-    let (connection, gate) = connect(address).await?;
+    let (connection, gate) = connect(address, credentials).await?;
     let mut request = gate.forward_request();
-    request.get().set_key(key.as_bytes());
+    request.get().set_key(credentials.key.as_bytes());
     let answer = with_timeout(CONNECT_TIMEOUT, request.send().promise).await?;
     Ok((connection, answer.get()?.get_forward()?))
 }
--- a/src/peer/entry_link.rs
+++ b/src/peer/entry_link.rs
@@ -1,7 +1,7 @@
 //! The entry's side of the link to the keeper of its VM.
 
 use {
-    super::{PeerError, SharedKey, connect_entry_link, convert, with_timeout},
+    super::{Credentials, PeerError, connect_entry_link, convert, with_timeout},
     crate::{
         config::{Catalog, Object},
         entry::{EntryView, Report},
@@ -39,7 +39,10 @@
 /// # Errors
 ///
 /// Fails when no thread or runtime can be had.
-pub fn spawn_entry_link(address: SocketAddr, key: SharedKey) -> std::io::Result<EntryLink> {
+pub fn spawn_entry_link(
+    address: SocketAddr,
+    credentials: Credentials,
+) -> std::io::Result<EntryLink> {
     let (view_sender, views) = watch::channel(Arc::new(EntryView::default()));
     let (reports, report_receiver) = mpsc::channel(REPORTS_MAX);
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -48,7 +51,7 @@
     std::thread::Builder::new()
         .name("entry-link".to_owned())
         .spawn(move || {
-            let link = run_link(address, key, view_sender, report_receiver);
+            let link = run_link(address, credentials, view_sender, report_receiver);
             LocalSet::new().block_on(&runtime, link);
         })?;
     Ok(EntryLink { views, reports })
@@ -56,14 +59,14 @@
 
 async fn run_link(
     address: SocketAddr,
-    key: SharedKey,
+    credentials: Credentials,
     views: watch::Sender<Arc<EntryView>>,
     mut reports: mpsc::Receiver<Report>,
 ) {
     loop {
         tokio::select! {
             () = views.closed() => return,
-            ended = follow(address, &key, &views, &mut reports) => {
+            ended = follow(address, &credentials, &views, &mut reports) => {
                 if let Err(error) = ended {
                     log::warn!("entry-link: keeper is away: {error}");
                 }
@@ -75,11 +78,11 @@
 
 async fn follow(
     address: SocketAddr,
-    key: &SharedKey,
+    credentials: &Credentials,
     views: &watch::Sender<Arc<EntryView>>,
     reports: &mut mpsc::Receiver<Report>,
 ) -> Result<(), PeerError> {
-    let (_connection, link) = connect_entry_link(address, key).await?;
+    let (_connection, link) = connect_entry_link(address, credentials).await?;
     log::info!("entry-link: connected to the keeper.");
     let configuration = follow_configuration(&link, views);
     let runners = follow_runners(&link, views);
--- a/src/peer/error.rs
+++ b/src/peer/error.rs
@@ -1,6 +1,9 @@
 //! Errors of the protocol between processes.
 
-use {crate::units::UnitError, thiserror::Error};
+use {
+    crate::{security::TlsError, units::UnitError},
+    thiserror::Error,
+};
 
 /// Why a call between processes failed.
 #[derive(Debug, Error)]
@@ -8,6 +11,9 @@
     /// No connection was made.
     #[error("cannot connect: {0}")]
     Connect(std::io::Error),
+    /// One end refused the other's certificate.
+    #[error(transparent)]
+    Tls(#[from] TlsError),
     /// No answer came in time.
     #[error("no answer in time")]
     Timeout,
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,16 +5,17 @@
 
 mod connect;
 mod convert;
+mod credentials;
 mod entry_link;
 mod error;
-mod key;
 mod limited_reader;
 mod peer_blobs;
 mod peer_client;
 mod peer_connections;
 mod serve;
 
+pub use crate::security::SharedKey;
 pub use {
-    connect::*, convert::*, entry_link::*, error::*, key::*, peer_blobs::*, peer_client::*,
+    connect::*, convert::*, credentials::*, entry_link::*, error::*, peer_blobs::*, peer_client::*,
     peer_connections::*, serve::*,
 };
--- a/src/peer/peer_blobs.rs
+++ b/src/peer/peer_blobs.rs
@@ -1,7 +1,7 @@
 //! Fetches parts of configurations from another keeper.
 
 use {
-    super::{PeerClient, SharedKey},
+    super::{Credentials, PeerClient},
     crate::config::{Blob, BlobSource, BlobSourceError, Digest},
     futures::future::{FutureExt, LocalBoxFuture},
     std::net::SocketAddr,
@@ -11,18 +11,21 @@
 #[derive(Debug, Clone)]
 pub struct PeerBlobs {
     address: SocketAddr,
-    key: SharedKey,
+    credentials: Credentials,
 }
 
 impl PeerBlobs {
     /// Names the keeper to ask.
-    pub fn new(address: SocketAddr, key: SharedKey) -> Self {
-        Self { address, key }
+    pub fn new(address: SocketAddr, credentials: Credentials) -> Self {
+        Self {
+            address,
+            credentials,
+        }
     }
 
     async fn ask(&self, digests: &[Digest]) -> Result<Vec<Blob>, BlobSourceError> {
         let failed = |error: super::PeerError| BlobSourceError::Peer(error.to_string());
-        let peer = PeerClient::connect(self.address, &self.key)
+        let peer = PeerClient::connect(self.address, &self.credentials)
             .await
             .map_err(failed)?;
         let fetched = peer.fetch(digests).await.map_err(failed)?;
--- a/src/peer/peer_client.rs
+++ b/src/peer/peer_client.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Connection, PeerError, SharedKey, connect_peer, list_len, read_head, read_members,
+        Connection, Credentials, PeerError, connect_peer, list_len, read_head, read_members,
         read_runners, with_timeout, write_demand, write_head, write_move, write_runner,
         write_texts,
     },
@@ -32,8 +32,11 @@
     /// # Errors
     ///
     /// Fails when there is no connection in time or the key is refused.
-    pub async fn connect(address: SocketAddr, key: &SharedKey) -> Result<Self, PeerError> {
-        let (connection, client) = connect_peer(address, key).await?;
+    pub async fn connect(
+        address: SocketAddr,
+        credentials: &Credentials,
+    ) -> Result<Self, PeerError> {
+        let (connection, client) = connect_peer(address, credentials).await?;
         Ok(Self {
             _connection: connection,
             client,
--- a/src/peer/serve.rs
+++ b/src/peer/serve.rs
@@ -2,12 +2,13 @@
 
 use {
     super::limited_reader::LimitedReader,
-    crate::peer_capnp::gate,
+    crate::{peer_capnp::gate, security::TlsServer},
     capnp::message::ReaderOptions,
     capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork},
     futures::io::BufReader,
-    std::{cell::Cell, rc::Rc, sync::Arc, time::Duration},
+    std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
     tokio::{
+        io::{AsyncRead, AsyncWrite},
         net::{TcpListener, TcpStream},
         sync::Semaphore,
     },
@@ -44,13 +45,22 @@
 
 /// Serves connections for ever; each gets a gate of its own. Needs a `LocalSet`.
 pub async fn serve(listener: TcpListener, new_gate: impl Fn(LoginMark) -> gate::Client) {
+    serve_with(listener, None, new_gate).await;
+}
+
+/// Does the same, by TLS if given.
+pub async fn serve_with(
+    listener: TcpListener,
+    tls: Option<TlsServer>,
+    new_gate: impl Fn(LoginMark) -> gate::Client,
+) {
     let slots = Arc::new(Semaphore::new(CONNECTIONS_MAX));
     loop {
         let Ok(slot) = slots.clone().acquire_owned().await else {
             return;
         };
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, address) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!("peer: accept failed: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -59,16 +69,44 @@
         };
         let mark = LoginMark::default();
         let gate = new_gate(mark.clone());
+        let tls = tls.clone();
         tokio::task::spawn_local(async move {
-            serve_connection(stream, gate, mark).await;
+            let _ = stream.set_nodelay(true);
+            match tls {
+                Some(tls) => Box::pin(serve_tls(&tls, stream, address, gate, mark)).await,
+                None => {
+                    let (reader, writer) = stream.into_split();
+                    serve_connection(reader, writer, gate, mark).await;
+                }
+            }
             drop(slot);
         });
     }
 }
 
-async fn serve_connection(stream: TcpStream, gate: gate::Client, mark: LoginMark) {
-    let _ = stream.set_nodelay(true);
-    let (reader, writer) = stream.into_split();
+async fn serve_tls(
+    tls: &TlsServer,
+    stream: TcpStream,
+    address: SocketAddr,
+    gate: gate::Client,
+    mark: LoginMark,
+) {
+    match tokio::time::timeout(LOGIN_TIMEOUT, tls.accept(stream, address)).await {
+        Ok(Ok((stream, _))) => {
+            let (reader, writer) = tokio::io::split(stream);
+            serve_connection(reader, writer, gate, mark).await;
+        }
+        Ok(Err(_)) => {}
+        Err(_) => log::warn!("peer: no handshake with {address} in time."),
+    }
+}
+
+async fn serve_connection(
+    reader: impl AsyncRead + Unpin + 'static,
+    writer: impl AsyncWrite + Unpin + 'static,
+    gate: gate::Client,
+    mark: LoginMark,
+) {
     let reader = BufReader::new(LimitedReader::new(reader.compat(), mark.0.clone()));
     let network = VatNetwork::new(
         reader,
--- /dev/null
+++ b/src/security/mod.rs
@@ -0,0 +1,19 @@
+//! Keys and certificates between the system's own processes and towards operators.
+//!
+//! All of it is off unless settings name it. See `docs/design/tls.md`.
+
+mod key_ring;
+mod role;
+mod role_verifier;
+mod shared_key;
+mod tls;
+mod tls_error;
+mod tls_files;
+mod tls_follower;
+mod tls_material;
+mod tls_server;
+
+pub use {
+    key_ring::*, role::*, shared_key::*, tls::*, tls_error::*, tls_files::*, tls_follower::*,
+    tls_server::*,
+};
--- /dev/null
+++ b/src/security/role.rs
@@ -0,0 +1,76 @@
+//! The roles that certificates name.
+
+use {
+    std::fmt,
+    tokio_rustls::rustls::{
+        client::verify_server_name,
+        pki_types::{CertificateDer, ServerName},
+        server::ParsedCertificate,
+    },
+};
+
+/// The name in the certificate of a node or process of the system.
+pub const NODE_NAME: &str = "node.ggt.internal";
+/// The name in the certificate of an operator.
+pub const OPERATOR_NAME: &str = "operator.ggt.internal";
+
+/// What the holder of a certificate is, by a DNS name among its subject alternative names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// A node, or another process of the system.
+    Node,
+    /// An operator.
+    Operator,
+}
+
+impl Role {
+    /// Returns the name that stands for the role in a certificate.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Node => NODE_NAME,
+            Self::Operator => OPERATOR_NAME,
+        }
+    }
+
+    /// Reads the role from a certificate; `None` when it names none.
+    ///
+    /// One that names both counts as an operator's.
+    pub fn of(certificate: &CertificateDer<'_>) -> Option<Self> {
+        let parsed = ParsedCertificate::try_from(certificate).ok()?;
+        [Self::Operator, Self::Node].into_iter().find(|role| {
+            let name = ServerName::try_from(role.name());
+            name.is_ok_and(|name| verify_server_name(&parsed, &name).is_ok())
+        })
+    }
+}
+
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Node => "node",
+            Self::Operator => "operator",
+        })
+    }
+}
+
+/// The roles that a listener takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Access {
+    /// Nodes alone.
+    Nodes,
+    /// Operators alone.
+    Operators,
+    /// Both.
+    All,
+}
+
+impl Access {
+    /// Returns whether a role may connect.
+    pub fn includes(self, role: Role) -> bool {
+        match self {
+            Self::Nodes => role == Role::Node,
+            Self::Operators => role == Role::Operator,
+            Self::All => true,
+        }
+    }
+}
--- /dev/null
+++ b/src/security/role_verifier.rs
@@ -0,0 +1,64 @@
+//! Checks the certificates of callers, and that they name a role.
+
+use {
+    super::{Access, Role},
+    std::sync::Arc,
+    tokio_rustls::rustls::{
+        CertificateError, DigitallySignedStruct, DistinguishedName, Error, SignatureScheme,
+        client::danger::HandshakeSignatureValid,
+        pki_types::{CertificateDer, UnixTime},
+        server::danger::{ClientCertVerified, ClientCertVerifier},
+    },
+};
+
+/// Checks a caller's certificate by another verifier, and then its role.
+#[derive(Debug)]
+pub(super) struct RoleVerifier {
+    pub(super) chain: Arc<dyn ClientCertVerifier>,
+    pub(super) access: Access,
+}
+
+impl ClientCertVerifier for RoleVerifier {
+    fn root_hint_subjects(&self) -> &[DistinguishedName] {
+        self.chain.root_hint_subjects()
+    }
+
+    fn verify_client_cert(
+        &self,
+        end_entity: &CertificateDer<'_>,
+        intermediates: &[CertificateDer<'_>],
+        now: UnixTime,
+    ) -> Result<ClientCertVerified, Error> {
+        let verified = self
+            .chain
+            .verify_client_cert(end_entity, intermediates, now)?;
+        match Role::of(end_entity) {
+            Some(role) if self.access.includes(role) => Ok(verified),
+            _ => Err(CertificateError::ApplicationVerificationFailure.into()),
+        }
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, Error> {
+        self.chain
+            .verify_tls12_signature(message, certificate, signature)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, Error> {
+        self.chain
+            .verify_tls13_signature(message, certificate, signature)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.chain.supported_verify_schemes()
+    }
+}
--- /dev/null
+++ b/src/security/tls_files.rs
@@ -0,0 +1,41 @@
+//! The files of TLS, as settings.
+
+use {
+    super::TlsError,
+    serde::{Deserialize, Serialize},
+    std::path::{Path, PathBuf},
+};
+
+/// The files of TLS, in PEM form.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TlsFiles {
+    /// The own certificate, and those between it and the authority's.
+    pub certificate_file: PathBuf,
+    /// The private key of the own certificate.
+    pub key_file: PathBuf,
+    /// The certificates of all authorities that are accepted.
+    pub authorities_file: PathBuf,
+}
+
+impl TlsFiles {
+    /// Reads the names of the files from a JSON file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read or has another form.
+    pub fn read(path: &Path) -> Result<Self, TlsError> {
+        let bytes = read_file(path)?;
+        serde_json::from_slice(&bytes).map_err(|cause| TlsError::Form {
+            file: path.to_owned(),
+            cause: cause.to_string(),
+        })
+    }
+}
+
+pub(super) fn read_file(path: &Path) -> Result<Vec<u8>, TlsError> {
+    std::fs::read(path).map_err(|cause| TlsError::Read {
+        file: path.to_owned(),
+        cause,
+    })
+}
--- a/tests/cli_ggt.rs
+++ b/tests/cli_ggt.rs
@@ -363,7 +363,7 @@
     let keeper = Keeper::start("unchecked");
     let runtime = Builder::new_current_thread().enable_all().build().unwrap();
     let publishing = async {
-        let key = SharedKey::new(KEY);
+        let key = SharedKey::new(KEY).into();
         let address = keeper.address.parse().unwrap();
         let client = OperatorClient::connect(address, &key).await.unwrap();
         let mut catalog = check_parsed(&read_dir(&example("kente")).unwrap()).unwrap();
--- a/tests/common/entry_rig.rs
+++ b/tests/common/entry_rig.rs
@@ -245,7 +245,7 @@
         let key = SharedKey::new(settings.peer_key.as_bytes());
         let entry = Entry::new(settings, parts);
         if let Some(peers) = plan.peers {
-            spawn_forward_link(entry.clone(), peers, key, calls).unwrap();
+            spawn_forward_link(entry.clone(), peers, key.into(), calls).unwrap();
         }
         let registered = (plan.vm.to_owned(), Arc::downgrade(&entry));
         plan.cluster.entries.lock().unwrap().push(registered);
--- a/tests/common/operator.rs
+++ b/tests/common/operator.rs
@@ -35,7 +35,7 @@
     author: &str,
 ) -> Told {
     let call = async {
-        let (_connection, operator) = connect_operator(keeper, &SharedKey::new(key)).await?;
+        let (_connection, operator) = connect_operator(keeper, &SharedKey::new(key).into()).await?;
         let mut request = operator.publish_request();
         let text = serde_json::to_vec(objects).unwrap();
         request.get().set_snapshot(&text);
@@ -54,7 +54,7 @@
 /// Asks a keeper for its status.
 pub async fn status(keeper: SocketAddr, key: &str) -> Option<Value> {
     let call = async {
-        let (_connection, operator) = connect_operator(keeper, &SharedKey::new(key)).await?;
+        let (_connection, operator) = connect_operator(keeper, &SharedKey::new(key).into()).await?;
         let answer = operator.status_request().send().promise.await?;
         let text = answer.get()?.get_status()?.to_str()?.to_owned();
         Ok::<_, PeerError>(serde_json::from_str(&text).unwrap())
@@ -72,7 +72,7 @@
 /// Asks a keeper to drain.
 pub async fn drain(keeper: SocketAddr, key: &str) {
     let call = async {
-        let (_connection, operator) = connect_operator(keeper, &SharedKey::new(key)).await?;
+        let (_connection, operator) = connect_operator(keeper, &SharedKey::new(key).into()).await?;
         operator.drain_request().send().promise.await?;
         Ok::<_, PeerError>(())
     };
--- a/tests/peer_login.rs
+++ b/tests/peer_login.rs
@@ -35,7 +35,8 @@
 }
 
 async fn status_answers(address: SocketAddr) -> bool {
-    let Ok((_connection, operator)) = connect_operator(address, &SharedKey::new(KEY)).await else {
+    let Ok((_connection, operator)) = connect_operator(address, &SharedKey::new(KEY).into()).await
+    else {
         return false;
     };
     operator.status_request().send().promise.await.is_ok()
@@ -47,9 +48,9 @@
     let run = local.run_until(async {
         let address = start().await;
         assert!(status_answers(address).await);
-        let right = SharedKey::new(KEY);
-        let wrong = SharedKey::new("an operator's shared kez");
-        let short = SharedKey::new("an");
+        let right = SharedKey::new(KEY).into();
+        let wrong = SharedKey::new("an operator's shared kez").into();
+        let short = SharedKey::new("an").into();
         assert!(connect_operator(address, &wrong).await.is_err());
         assert!(connect_operator(address, &short).await.is_err());
         assert!(connect_peer(address, &right).await.is_err());
--- /dev/null
+++ b/tests/security_tls.rs
@@ -0,0 +1,194 @@
+//! Mutual TLS over real sockets: who gets in, and the replacement of files while calls run.
+
+mod common {
+    pub mod authority;
+}
+
+use {
+    common::authority::{Authority, FilesDir, Issued, NODE, OPERATOR},
+    greengagetrail::{
+        http::{Body, CallLimits, Client, ListenerLimits, SendError, serve_http_with},
+        security::{Access, Role, Tls},
+    },
+    hyper::{Request, Response, body::Incoming},
+    std::{
+        future::ready,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::net::{TcpListener, TcpStream},
+    tokio_util::sync::{CancellationToken, DropGuard},
+};
+
+const LIMITS: ListenerLimits = ListenerLimits {
+    head_max_bytes: 16 * 1024,
+    head_timeout: Duration::from_secs(5),
+    write_timeout: Duration::from_secs(5),
+    connections_max: 64,
+    stop_max: Duration::from_secs(1),
+};
+
+const CALL: CallLimits = CallLimits {
+    timeout: Duration::from_secs(5),
+    answer_max_bytes: 4096,
+};
+
+/// Loads files of a name from an authority that both ends accept or do not.
+fn end(name: &str, issued: &Issued, authorities: &[&Authority]) -> (FilesDir, Tls) {
+    let dir = FilesDir::new(name, issued, authorities);
+    let tls = Tls::load(dir.files.clone()).unwrap();
+    (dir, tls)
+}
+
+/// Starts a listener that answers with the caller's role.
+async fn listen(tls: &Tls, access: Access) -> (SocketAddr, DropGuard) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let stop = CancellationToken::new();
+    let handle = |request: Request<Incoming>| {
+        let role = request.extensions().get::<Role>().map(Role::to_string);
+        ready(Response::new(Body::from(role.unwrap_or_default())))
+    };
+    let tls = Some(tls.server(access));
+    tokio::spawn(serve_http_with(listener, LIMITS, tls, stop.clone(), handle));
+    (address, stop.drop_guard())
+}
+
+async fn call(address: SocketAddr, tls: Option<&Tls>) -> Result<String, SendError> {
+    let client = Client::new(CALL.timeout).with_tls(tls.cloned());
+    let request = Request::get("/").body(Body::empty()).unwrap();
+    let answer = client.call(address, request, CALL).await?;
+    Ok(String::from_utf8(answer.into_body().to_vec()).unwrap())
+}
+
+/// Makes one handshake; returns what each end says of it, the caller first.
+async fn shake(caller: &Tls, server: &Tls, access: Access) -> [String; 2] {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepting = async {
+        let (stream, peer) = listener.accept().await.unwrap();
+        let accepted = server.server(access).accept(stream, peer).await;
+        (peer, accepted.map(drop))
+    };
+    let connecting = async {
+        let stream = TcpStream::connect(address).await.unwrap();
+        caller.connect(stream, address).await.map(drop)
+    };
+    let ((peer, accepted), connected) = tokio::join!(accepting, connecting);
+    let [connected, accepted] = [connected, accepted].map(|end| match end {
+        Ok(()) => String::new(),
+        Err(error) => error.to_string(),
+    });
+    if !accepted.is_empty() {
+        assert!(accepted.contains(&peer.to_string()), "{accepted}");
+        assert!(connected.contains(&address.to_string()), "{connected}");
+    }
+    [connected, accepted]
+}
+
+#[tokio::test]
+async fn both_ends_show_certificates_and_the_role_is_read_from_them() {
+    let authority = Authority::new("a");
+    let (_files, server) = end("both-server", &authority.issue(NODE), &[&authority]);
+    let (_more, operator) = end("both-operator", &authority.issue(OPERATOR), &[&authority]);
+    let (address, _serving) = listen(&server, Access::All).await;
+    assert_eq!(call(address, Some(&server)).await.unwrap(), "node");
+    assert_eq!(call(address, Some(&operator)).await.unwrap(), "operator");
+    assert!(call(address, None).await.is_err());
+}
+
+#[tokio::test]
+async fn foreign_expired_and_wrong_certificates_are_refused_with_the_cause_at_both_ends() {
+    let (own, other) = (Authority::new("own"), Authority::new("other"));
+    let (_1, node) = end("refused-node", &own.issue(NODE), &[&own]);
+    let (_2, foreign) = end("refused-foreign", &other.issue(NODE), &[&own]);
+    let (_3, expired) = end("refused-expired", &own.issue_until(NODE, 2001), &[&own]);
+    let (_4, operator) = end("refused-operator", &own.issue(OPERATOR), &[&own]);
+    let (_5, nobody) = end("refused-nobody", &own.issue(&["other.example"]), &[&own]);
+    assert_eq!(shake(&node, &node, Access::Nodes).await, ["", ""]);
+    let refused_callers = [
+        (&foreign, "UnknownCA", "UnknownIssuer"),
+        (&expired, "CertificateExpired", "expired"),
+        (&operator, "role", "role"),
+        (&nobody, "role", "role"),
+    ];
+    for (caller, there, here) in refused_callers {
+        let [connected, accepted] = shake(caller, &node, Access::Nodes).await;
+        assert!(connected.contains(there), "{connected}");
+        assert!(accepted.contains(here), "{accepted}");
+    }
+    let refused_servers = [
+        (&foreign, "UnknownIssuer", "UnknownCA"),
+        (&expired, "expired", "CertificateExpired"),
+        (&operator, "not valid for name", "refused there"),
+    ];
+    for (server, here, there) in refused_servers {
+        let [connected, accepted] = shake(&node, server, Access::All).await;
+        assert!(connected.contains(here), "{connected}");
+        assert!(accepted.contains(there), "{accepted}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn files_are_replaced_while_calls_run_and_none_is_refused() {
+    let (old, new) = (Authority::new("old"), Authority::new("new"));
+    let (server_files, server) = end("replace-server", &old.issue(NODE), &[&old]);
+    let (caller_files, caller) = end("replace-caller", &old.issue(NODE), &[&old]);
+    let (_left, left_behind) = end("replace-left", &old.issue(NODE), &[&old, &new]);
+    let (address, _serving) = listen(&server, Access::Nodes).await;
+    let (done, answered) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicUsize::new(0)),
+    );
+    let calls = [(); 4].map(|()| {
+        let (caller, done, answered) = (caller.clone(), done.clone(), answered.clone());
+        tokio::spawn(async move {
+            while !done.load(Ordering::Relaxed) {
+                assert_eq!(call(address, Some(&caller)).await.unwrap(), "node");
+                answered.fetch_add(1, Ordering::Relaxed);
+            }
+        })
+    });
+    let ends = [(&server_files, &server), (&caller_files, &caller)];
+    let mut seen = 0;
+    for step in 0..3 {
+        for (files, tls) in ends {
+            match step {
+                0 => files.accept(&[&old, &new]),
+                1 => files.replace(&new.issue(NODE)),
+                _ => files.accept(&[&new]),
+            }
+            assert!(tls.reload().unwrap());
+            assert!(!tls.reload().unwrap());
+            while answered.load(Ordering::Relaxed) < seen + 20 {
+                assert!(calls.iter().all(|call| !call.is_finished()));
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            seen = answered.load(Ordering::Relaxed);
+        }
+    }
+    done.store(true, Ordering::Relaxed);
+    for call in calls {
+        call.await.unwrap();
+    }
+    assert!(call(address, Some(&left_behind)).await.is_err());
+}
+
+#[tokio::test]
+async fn files_that_do_not_fit_leave_those_before_in_use() {
+    let authority = Authority::new("a");
+    let (files, tls) = end("unfit", &authority.issue(NODE), &[&authority]);
+    let whole = std::fs::read(&files.files.certificate_file).unwrap();
+    for broken in [&whole[..whole.len() / 2], b"", authority.pem.as_bytes()] {
+        std::fs::write(&files.files.certificate_file, broken).unwrap();
+        assert!(tls.reload().is_err());
+        assert!(Tls::load(files.files.clone()).is_err());
+    }
+    assert_eq!(shake(&tls, &tls, Access::Nodes).await, ["", ""]);
+    std::fs::write(&files.files.certificate_file, whole).unwrap();
+    assert!(!tls.reload().unwrap());
+}
