--- /dev/null
+++ b/examples/tls_cost.rs
@@ -0,0 +1,144 @@
+//! Measures what TLS and sealed datagrams cost: a connection, a call, a datagram.
+//!
+//! `cargo run --release --example tls_cost`
+
+#[path = "../tests/common/authority.rs"]
+#[allow(dead_code, reason = "the tests use the rest")]
+mod authority;
+
+use {
+    authority::{Authority, FilesDir, NODE},
+    bytes::Bytes,
+    greengagetrail::{
+        gossip::{DATAGRAM_BYTES_MAX, open, seal},
+        http::{Body, CallLimits, Client, ListenerLimits, serve_http_with},
+        security::{Access, KeyRing, SharedKey, Tls},
+    },
+    hyper::{Request, Response, body::Incoming},
+    std::{
+        future::ready,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::net::TcpListener,
+    tokio_util::sync::CancellationToken,
+};
+
+const CONNECTIONS: usize = 1_000;
+const CALLS: usize = 5_000;
+const DATAGRAMS: usize = 100_000;
+const ROUNDS: usize = 5;
+
+const LIMITS: ListenerLimits = ListenerLimits {
+    head_max_bytes: 16 * 1024,
+    head_timeout: Duration::from_secs(5),
+    write_timeout: Duration::from_secs(5),
+    connections_max: 64,
+    stop_max: Duration::from_secs(1),
+};
+
+const CALL: CallLimits = CallLimits {
+    timeout: Duration::from_secs(5),
+    answer_max_bytes: 1 << 20,
+};
+
+async fn listen(tls: Option<&Tls>, answer_bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let page = Bytes::from(vec![b'x'; answer_bytes]);
+    let handle = move |_: Request<Incoming>| ready(Response::new(Body::from(page.clone())));
+    let tls = tls.map(|tls| tls.server(Access::Nodes));
+    let stop = CancellationToken::new();
+    tokio::spawn(serve_http_with(listener, LIMITS, tls, stop, handle));
+    address
+}
+
+async fn call(client: &Client, address: SocketAddr) {
+    let request = Request::get("/").body(Body::empty()).unwrap();
+    client.call(address, request, CALL).await.unwrap();
+}
+
+/// Returns the time of one call over a connection of its own, in microseconds.
+async fn connecting(tls: Option<&Tls>) -> f64 {
+    let address = listen(tls, 0).await;
+    let start = Instant::now();
+    for _ in 0..CONNECTIONS {
+        let client = Client::new(CALL.timeout).with_tls(tls.cloned());
+        call(&client, address).await;
+    }
+    micros(start, CONNECTIONS)
+}
+
+/// Returns the time of one call over a kept connection, in microseconds.
+async fn calling(tls: Option<&Tls>, answer_bytes: usize) -> f64 {
+    let address = listen(tls, answer_bytes).await;
+    let client = Client::new(CALL.timeout).with_tls(tls.cloned());
+    call(&client, address).await;
+    let start = Instant::now();
+    for _ in 0..CALLS {
+        call(&client, address).await;
+    }
+    micros(start, CALLS)
+}
+
+/// Returns the time to seal one datagram and to open it with `accepted`, in microseconds.
+fn sealing(keys: &KeyRing, accepted: &KeyRing) -> f64 {
+    let start = Instant::now();
+    for _ in 0..DATAGRAMS {
+        let sealed = seal(vec![7; DATAGRAM_BYTES_MAX], keys);
+        assert!(std::hint::black_box(open(&sealed, accepted)).is_some());
+    }
+    micros(start, DATAGRAMS)
+}
+
+fn micros(start: Instant, count: usize) -> f64 {
+    start.elapsed().as_secs_f64() * 1e6 / count as f64
+}
+
+/// Prints the median and the range of the rounds.
+fn print(what: &str, mut rounds: Vec<f64>) {
+    rounds.sort_by(f64::total_cmp);
+    let (low, high) = (rounds[0], rounds[ROUNDS - 1]);
+    println!(
+        "{what}: {:.2} us ({low:.2} to {high:.2})",
+        rounds[ROUNDS / 2]
+    );
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() {
+    let authority = Authority::new("cost");
+    let files = FilesDir::new("cost", &authority.issue(NODE), &[&authority]);
+    let tls = Tls::load(files.files.clone()).unwrap();
+    for (name, tls) in [("without TLS", None), ("with TLS", Some(&tls))] {
+        let mut rounds = Vec::new();
+        for _ in 0..ROUNDS {
+            rounds.push(connecting(tls).await);
+        }
+        print(&format!("connection with one call, {name}"), rounds);
+        for answer_bytes in [100, 100_000] {
+            let mut rounds = Vec::new();
+            for _ in 0..ROUNDS {
+                rounds.push(calling(tls, answer_bytes).await);
+            }
+            print(
+                &format!("call answered with {answer_bytes} bytes, {name}"),
+                rounds,
+            );
+        }
+    }
+    let ring = |keys: &[&str]| KeyRing::new(keys.iter().map(|&key| SharedKey::new(key)).collect());
+    let (none, one) = (KeyRing::default(), ring(&["one"]));
+    let second = ring(&["two", "one"]);
+    for (name, keys, accepted) in [
+        ("not sealed", &none, &none),
+        ("sealed", &one, &one),
+        ("sealed with the second accepted key", &one, &second),
+    ] {
+        let rounds = (0..ROUNDS).map(|_| sealing(keys, accepted)).collect();
+        print(
+            &format!("datagram of {DATAGRAM_BYTES_MAX} bytes, {name}"),
+            rounds,
+        );
+    }
+}
