Measure the processor time of TLS

Cause: the time that passes is no figure on a machine that others load.

Change: examples/tls_cost prints the processor time of both ends beside it. Names of unused values in tests follow clippy, which passes over the workspace with -D warnings.

--- a/examples/tls_cost.rs
+++ b/examples/tls_cost.rs
@@ -1,5 +1,7 @@
 //! Measures what TLS and sealed datagrams cost: a connection, a call, a datagram.
 //!
+//! Each figure is the processor time of both ends, and the time that passed.
+//!
 //! `cargo run --release --example tls_cost`
 
 #[path = "../tests/common/authority.rs"]
@@ -15,6 +17,7 @@
         security::{Access, KeyRing, SharedKey, Tls},
     },
     hyper::{Request, Response, body::Incoming},
+    rustix::time::{ClockId, clock_gettime},
     std::{
         future::ready,
         net::SocketAddr,
@@ -59,50 +62,76 @@
 }
 
 /// Returns the time of one call over a connection of its own, in microseconds.
-async fn connecting(tls: Option<&Tls>) -> f64 {
+async fn connecting(tls: Option<&Tls>) -> Cost {
     let address = listen(tls, 0).await;
-    let start = Instant::now();
+    let start = Start::now();
     for _ in 0..CONNECTIONS {
         let client = Client::new(CALL.timeout).with_tls(tls.cloned());
         call(&client, address).await;
     }
-    micros(start, CONNECTIONS)
+    start.micros(CONNECTIONS)
 }
 
 /// Returns the time of one call over a kept connection, in microseconds.
-async fn calling(tls: Option<&Tls>, answer_bytes: usize) -> f64 {
+async fn calling(tls: Option<&Tls>, answer_bytes: usize) -> Cost {
     let address = listen(tls, answer_bytes).await;
     let client = Client::new(CALL.timeout).with_tls(tls.cloned());
     call(&client, address).await;
-    let start = Instant::now();
+    let start = Start::now();
     for _ in 0..CALLS {
         call(&client, address).await;
     }
-    micros(start, CALLS)
+    start.micros(CALLS)
 }
 
 /// Returns the time to seal one datagram and to open it with `accepted`, in microseconds.
-fn sealing(keys: &KeyRing, accepted: &KeyRing) -> f64 {
-    let start = Instant::now();
+fn sealing(keys: &KeyRing, accepted: &KeyRing) -> Cost {
+    let start = Start::now();
     for _ in 0..DATAGRAMS {
         let sealed = seal(vec![7; DATAGRAM_BYTES_MAX], keys);
         assert!(std::hint::black_box(open(&sealed, accepted)).is_some());
     }
-    micros(start, DATAGRAMS)
+    start.micros(DATAGRAMS)
+}
+
+/// Processor time and time that passed, in microseconds.
+type Cost = [f64; 2];
+
+/// The start of a measurement.
+struct Start {
+    processor: Duration,
+    clock: Instant,
+}
+
+impl Start {
+    fn now() -> Self {
+        Self {
+            processor: processor_time(),
+            clock: Instant::now(),
+        }
+    }
+
+    /// Returns what each of `count` cost since then.
+    fn micros(&self, count: usize) -> Cost {
+        let spent = [processor_time() - self.processor, self.clock.elapsed()];
+        spent.map(|time| time.as_secs_f64() * 1e6 / count as f64)
+    }
 }
 
-fn micros(start: Instant, count: usize) -> f64 {
-    start.elapsed().as_secs_f64() * 1e6 / count as f64
+fn processor_time() -> Duration {
+    let time = clock_gettime(ClockId::ProcessCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
 }
 
-/// Prints the median and the range of the rounds.
-fn print(what: &str, mut rounds: Vec<f64>) {
-    rounds.sort_by(f64::total_cmp);
-    let (low, high) = (rounds[0], rounds[ROUNDS - 1]);
-    println!(
-        "{what}: {:.2} us ({low:.2} to {high:.2})",
-        rounds[ROUNDS / 2]
-    );
+/// Prints the medians and the ranges of the rounds.
+fn print(what: &str, rounds: Vec<Cost>) {
+    let column = |index: usize| {
+        let mut values: Vec<_> = rounds.iter().map(|round| round[index]).collect();
+        values.sort_by(f64::total_cmp);
+        let (low, high) = (values[0], values[ROUNDS - 1]);
+        format!("{:.2} us ({low:.2} to {high:.2})", values[ROUNDS / 2])
+    };
+    println!("{what}: processor {}, passed {}", column(0), column(1));
 }
 
 #[tokio::main(flavor = "current_thread")]
--- a/tests/security_tls.rs
+++ b/tests/security_tls.rs
@@ -104,11 +104,11 @@
 #[tokio::test]
 async fn foreign_expired_and_wrong_certificates_are_refused_with_the_cause_at_both_ends() {
     let (own, other) = (Authority::new("own"), Authority::new("other"));
-    let (_1, node) = end("refused-node", &own.issue(NODE), &[&own]);
-    let (_2, foreign) = end("refused-foreign", &other.issue(NODE), &[&own]);
-    let (_3, expired) = end("refused-expired", &own.issue_until(NODE, 2001), &[&own]);
-    let (_4, operator) = end("refused-operator", &own.issue(OPERATOR), &[&own]);
-    let (_5, nobody) = end("refused-nobody", &own.issue(&["other.example"]), &[&own]);
+    let (_node_files, node) = end("refused-node", &own.issue(NODE), &[&own]);
+    let (_foreign_files, foreign) = end("refused-foreign", &other.issue(NODE), &[&own]);
+    let (_expired_files, expired) = end("refused-expired", &own.issue_until(NODE, 2001), &[&own]);
+    let (_operator_files, operator) = end("refused-operator", &own.issue(OPERATOR), &[&own]);
+    let (_nobody_files, nobody) = end("refused-nobody", &own.issue(&["other.example"]), &[&own]);
     assert_eq!(shake(&node, &node, Access::Nodes).await, ["", ""]);
     let refused_callers = [
         (&foreign, "UnknownCA", "UnknownIssuer"),
