--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod proto;
 pub mod relay;
 pub mod routing;
+pub mod security;
 pub mod settings;
 pub mod standin;
 pub mod store;
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! One node: everything that runs on a VM, in one process.
 
+mod control_access;
 mod control_port;
 mod demand_metrics;
 mod node_view;
@@ -16,6 +17,7 @@
 mod status;
 
 pub use {
-    control_port::*, demand_metrics::*, node_view::*, parts::*, peer_client::*, peer_config::*,
-    peer_pages::*, peer_runners::*, port::*, run::*, settings::*, settings_follow::*, status::*,
+    control_access::*, control_port::*, demand_metrics::*, node_view::*, parts::*, peer_client::*,
+    peer_config::*, peer_pages::*, peer_runners::*, port::*, run::*, settings::*,
+    settings_follow::*, status::*,
 };
