--- a/tests/node_metrics.rs
+++ b/tests/node_metrics.rs
@@ -177,6 +177,7 @@
         adapter: adapter.map(Into::into),
         requests_per_s,
         waiting,
+        room_priority: None,
     };
     let all = [
         demand("m", None, 1.5, 2),
