--- a/src/load/plot.rs
+++ b/src/load/plot.rs
@@ -2,8 +2,10 @@
 
 use super::{ChartLine, LineChart, LoadReport, Second};
 
-/// The lines of the plot.
-const LINES: [(&str, fn(&Second) -> u64); 4] = [
+/// A line of the plot: its name and its value in a second.
+type Line = (&'static str, fn(&Second) -> u64);
+
+const LINES: [Line; 4] = [
     ("sent", |second| second.sent),
     ("failed", |second| second.failed),
     ("within targets", |second| second.attained),
