--- a/examples/gossip_scale/node.rs
+++ b/examples/gossip_scale/node.rs
@@ -110,6 +110,7 @@
         name: format!("peer-{number}").as_str().into(),
         gossip_address: *address,
         control_address: *address,
+        zone: "east".into(),
     });
     let (sender, receiver) = watch::channel(peers.collect());
     // The list never changes; the sender outlives all that watch it.
--- a/src/dispatch/board.rs
+++ b/src/dispatch/board.rs
@@ -89,7 +89,10 @@
     /// Returns the demand over all nodes.
     pub fn demand(&self) -> Vec<ModelDemand> {
         let now = Instant::now();
-        self.shared.with_state(|state, _| state.demand(now))
+        self.shared.with_state(|state, _| {
+            state.want_plan(now);
+            state.demand(now)
+        })
     }
 
     /// Returns how many requests wait at this node, by service.
--- a/src/dispatch/board_state.rs
+++ b/src/dispatch/board_state.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        ModelDemand, Variant, demand_sum::DemandSum, peer_demand::PeerDemands,
-        runner_slot::RunnerSlot, service_runners::ServiceRunners,
+        LoadSum, ModelDemand, RunnerHash, RunnerUse, Variant, board_sums::sum_name,
+        demand_sum::DemandSum, peer_demand::PeerDemands, runner_slot::RunnerSlot,
+        service_runners::ServiceRunners,
     },
     crate::{
         discovery::{RunnerEntry, RunnerKey},
@@ -19,6 +20,9 @@
 /// How long a request waits for room before it counts as demand for a further copy.
 const ROOM_WAIT_MS: u64 = 250;
 
+/// How long a node that asked for the demand of all is told it.
+const PLAN_WANTED_MS: u64 = 5_000;
+
 #[derive(Debug)]
 struct Leaving {
     runner: RunnerKey,
@@ -33,6 +37,7 @@
     unreachable: Vec<RunnerKey>,
     waiting_told: Vec<ModelDemand>,
     last_id: u64,
+    plan_wanted_until: Option<Instant>,
 }
 
 impl BoardState {
@@ -218,6 +223,44 @@
         loads.collect()
     }
 
+    /// Notes that the demand of all is wanted.
+    pub(super) fn want_plan(&mut self, now: Instant) {
+        self.plan_wanted_until = Some(now + Duration::from_millis(PLAN_WANTED_MS));
+    }
+
+    pub(super) fn is_plan_wanted(&self, now: Instant) -> bool {
+        self.plan_wanted_until.is_some_and(|until| now < until)
+    }
+
+    /// Takes over what all others put on runners, sorted by runner.
+    pub(super) fn hear_sums(
+        &mut self,
+        sums: &[(RunnerHash, LoadSum)],
+        replace: bool,
+        now: Instant,
+    ) {
+        let others = sum_name();
+        for slot in self.slots() {
+            let found = sums.binary_search_by_key(&slot.short, |(runner, _)| *runner);
+            let sum = found.ok().map(|position| sums[position].1);
+            if let Some(sum) = sum.or(replace.then(LoadSum::default)) {
+                slot.peer_load(&others, sum.into(), now);
+            }
+        }
+    }
+
+    pub(super) fn renew_sums(&mut self, told_within: Duration, now: Instant) {
+        let others = sum_name();
+        self.slots()
+            .for_each(|slot| slot.renew(&others, told_within, now));
+    }
+
+    pub(super) fn hear_use(&mut self, used: RunnerUse, now: Instant) {
+        for slot in self.slots().filter(|slot| slot.short == used.runner) {
+            slot.hear_use(used.in_use.clone(), now);
+        }
+    }
+
     /// Takes over a peer's word on its load at a runner.
     pub(super) fn peer_load(
         &mut self,
--- /dev/null
+++ b/src/dispatch/load_sum.rs
@@ -0,0 +1,123 @@
+//! The load of several nodes on a runner, in the units in which it is told.
+
+use {
+    super::{NodeLoad, Variant},
+    crate::discovery::RunnerKey,
+    flate2::Crc,
+    serde::{Deserialize, Serialize},
+};
+
+/// Tokens of memory in a unit.
+const KV_UNIT_TOKENS: u64 = 64;
+
+/// Tokens of prompts in a unit.
+const PROMPT_UNIT_TOKENS: u64 = 16;
+
+/// A change by more than this share of what was told is worth telling.
+const SIGNIFICANT_SHARE: u32 = 12;
+
+/// A change of prompts below this is not worth telling, in units.
+const PROMPT_CHANGE_MIN: u32 = 8;
+
+/// A short id of a runner.
+///
+/// Where two runners have the same one, the load told with it counts at both.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RunnerHash([u8; 4]);
+
+impl RunnerHash {
+    /// Returns the short id of one start of a runner.
+    pub fn of(key: &RunnerKey) -> Self {
+        let mut crc = Crc::new();
+        crc.update(&key.born_unix_ms.to_le_bytes());
+        crc.update(key.id.as_str().as_bytes());
+        Self(crc.sum().to_le_bytes())
+    }
+}
+
+/// The load of one or more nodes on a runner.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadSum {
+    /// Requests in flight.
+    pub requests: u32,
+    /// The memory that they will need.
+    kv_units: u32,
+    /// What the runner has yet to read of prompts.
+    prefill_units: u32,
+    /// What was sent of prompts of late.
+    recent_units: u32,
+}
+
+/// The requests at a runner by variant.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunnerUse {
+    /// The runner.
+    pub runner: RunnerHash,
+    /// Requests in flight by variant, sorted.
+    pub in_use: Vec<(Variant, u32)>,
+}
+
+impl LoadSum {
+    /// Adds a load.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        self.with(other, u32::saturating_add)
+    }
+
+    /// Takes a load out.
+    #[must_use]
+    pub fn minus(self, other: Self) -> Self {
+        self.with(other, u32::saturating_sub)
+    }
+
+    /// Returns whether there are requests.
+    pub fn is_some(self) -> bool {
+        self.requests > 0
+    }
+
+    /// Returns whether it differs from what was told so much that it is worth telling.
+    pub fn differs_from(self, told: Self) -> bool {
+        let differs = |now: u32, then: u32, least| {
+            let by = now.abs_diff(then);
+            by >= least && u64::from(by) * u64::from(SIGNIFICANT_SHARE) > u64::from(then)
+        };
+        let prompts = |now, then| differs(now, then, PROMPT_CHANGE_MIN);
+        differs(self.requests, told.requests, 1)
+            || differs(self.kv_units, told.kv_units, 1)
+            || prompts(self.prefill_units, told.prefill_units)
+            || prompts(self.recent_units, told.recent_units)
+    }
+
+    fn with(self, other: Self, apply: impl Fn(u32, u32) -> u32) -> Self {
+        Self {
+            requests: apply(self.requests, other.requests),
+            kv_units: apply(self.kv_units, other.kv_units),
+            prefill_units: apply(self.prefill_units, other.prefill_units),
+            recent_units: apply(self.recent_units, other.recent_units),
+        }
+    }
+}
+
+impl From<&NodeLoad> for LoadSum {
+    fn from(load: &NodeLoad) -> Self {
+        let units = |tokens: u64, unit| u32::try_from(tokens.div_ceil(unit)).unwrap_or(u32::MAX);
+        Self {
+            requests: load.requests,
+            kv_units: units(load.kv_tokens, KV_UNIT_TOKENS),
+            prefill_units: units(load.prefill_tokens, PROMPT_UNIT_TOKENS),
+            recent_units: units(load.recent_tokens, PROMPT_UNIT_TOKENS),
+        }
+    }
+}
+
+impl From<LoadSum> for NodeLoad {
+    fn from(sum: LoadSum) -> Self {
+        Self {
+            requests: sum.requests,
+            kv_tokens: u64::from(sum.kv_units) * KV_UNIT_TOKENS,
+            prefill_tokens: u64::from(sum.prefill_units) * PROMPT_UNIT_TOKENS,
+            recent_tokens: u64::from(sum.recent_units) * PROMPT_UNIT_TOKENS,
+            in_use: Vec::new(),
+        }
+    }
+}
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -3,6 +3,7 @@
 mod board;
 mod board_shared;
 mod board_state;
+mod board_sums;
 mod choice;
 mod copy_prospect;
 mod decaying_count;
@@ -11,6 +12,7 @@
 mod dispatch_counts;
 mod dispatcher;
 mod load;
+mod load_sum;
 mod pace_budget;
 mod peak_rate;
 mod peer_demand;
@@ -30,6 +32,6 @@
 mod waiting;
 
 pub use {
-    board::*, choice::*, decaying_count::*, dispatch_counts::*, dispatcher::*, load::*, place::*,
-    prefix_record::*, residency::*, runner_health::*, types::*,
+    board::*, board_sums::*, choice::*, decaying_count::*, dispatch_counts::*, dispatcher::*,
+    load::*, load_sum::*, place::*, prefix_record::*, residency::*, runner_health::*, types::*,
 };
--- a/src/dispatch/peer_loads.rs
+++ b/src/dispatch/peer_loads.rs
@@ -15,6 +15,7 @@
     node: NodeName,
     load: NodeLoad,
     heard_at: Instant,
+    told_at: Instant,
 }
 
 /// The load that other nodes put on a runner, sorted by node.
@@ -30,6 +31,7 @@
             (Ok(position), _) => {
                 self.0[position].load = load;
                 self.0[position].heard_at = now;
+                self.0[position].told_at = now;
             }
             (Err(_), 0) => {}
             (Err(position), _) => {
@@ -37,12 +39,22 @@
                     node: node.clone(),
                     load,
                     heard_at: now,
+                    told_at: now,
                 };
                 self.0.insert(position, peer);
             }
         }
     }
 
+    /// Lets a node's word count on that it gave within a span.
+    pub(super) fn renew(&mut self, node: &NodeName, told_within: Duration, now: Instant) {
+        if let Ok(position) = self.0.binary_search_by(|peer| peer.node.cmp(node))
+            && now < self.0[position].told_at + told_within
+        {
+            self.0[position].heard_at = now;
+        }
+    }
+
     /// Forgets what is too old; returns whether there was any.
     pub(super) fn expire(&mut self, now: Instant) -> bool {
         let kept = Duration::from_millis(PEER_LOAD_MS);
@@ -58,7 +70,7 @@
     /// Returns the tokens that runners have yet to read or were sent of late.
     pub(super) fn prompt_tokens(&self, now: Instant) -> u64 {
         let tokens = self.0.iter().map(|peer| {
-            let age = now.saturating_duration_since(peer.heard_at);
+            let age = now.saturating_duration_since(peer.told_at);
             let still_recent = PACE.saturating_sub(age).as_secs_f64() / PACE.as_secs_f64();
             let recent = peer.load.recent_tokens as f64 * still_recent;
             (recent as u64).max(peer.load.prefill_tokens)
@@ -69,7 +81,7 @@
     /// Returns when fewer of the prompts that peers sent of late are recent.
     pub(super) fn next_pace(&self, now: Instant) -> Option<Instant> {
         let mut peers = self.0.iter();
-        let any = peers.any(|peer| peer.load.recent_tokens > 0 && now < peer.heard_at + PACE);
+        let any = peers.any(|peer| peer.load.recent_tokens > 0 && now < peer.told_at + PACE);
         any.then(|| now + PACE / 10)
     }
 
--- a/src/dispatch/runner_slot.rs
+++ b/src/dispatch/runner_slot.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        Candidate, NodeLoad, PrefixRecord, RequestLoad, ResidencyOverlay, RunnerHealth, RunnerView,
-        TotalLoad, Variant, peer_loads::PeerLoads, prompt_pace::PromptPace, wait_queue::Ask,
+        Candidate, NodeLoad, PrefixRecord, RequestLoad, ResidencyOverlay, RunnerHash, RunnerHealth,
+        RunnerView, TotalLoad, Variant, peer_loads::PeerLoads, prompt_pace::PromptPace,
+        wait_queue::Ask,
     },
     crate::{
         discovery::{RunnerEntry, RunnerState},
@@ -26,6 +27,15 @@
 /// How long a peer's word that a runner is leaving counts if no list comes.
 const LEAVING_MS: u64 = 60_000;
 
+/// How long the requests of others by variant count without a new word.
+const SUMMED_USE_MS: u64 = 2_000;
+
+#[derive(Debug, Default)]
+struct SummedUse {
+    in_use: Vec<(Variant, u32)>,
+    until: Option<Instant>,
+}
+
 #[derive(Debug)]
 pub(super) struct RunnerSlot {
     base: Arc<RunnerEntry>,
@@ -37,6 +47,9 @@
     pub(super) own: NodeLoad,
     overlay: ResidencyOverlay,
     peers: PeerLoads,
+    /// The requests of all others by variant, where they are told in sums.
+    summed_use: SummedUse,
+    pub(super) short: RunnerHash,
     total: TotalLoad,
     prefixes: PrefixRecord,
     pace: PromptPace,
@@ -51,6 +64,7 @@
         let mut hasher = DefaultHasher::new();
         entry.key.hash(&mut hasher);
         let cold_until = now + Duration::from_millis(entry.cold_remaining_ms);
+        let short = RunnerHash::of(&entry.key);
         let base = Arc::new(entry);
         Self {
             entry: base.clone(),
@@ -61,6 +75,8 @@
             own: NodeLoad::default(),
             overlay: ResidencyOverlay::default(),
             peers: PeerLoads::default(),
+            summed_use: SummedUse::default(),
+            short,
             total: TotalLoad::default(),
             prefixes: PrefixRecord::default(),
             pace: PromptPace::default(),
@@ -186,6 +202,18 @@
         self.sum_up();
     }
 
+    /// Lets a peer's word count on that it gave within a span.
+    pub(super) fn renew(&mut self, node: &NodeName, told_within: Duration, now: Instant) {
+        self.peers.renew(node, told_within, now);
+    }
+
+    pub(super) fn hear_use(&mut self, in_use: Vec<(Variant, u32)>, now: Instant) {
+        self.summed_use = SummedUse {
+            in_use,
+            until: Some(now + Duration::from_millis(SUMMED_USE_MS)),
+        };
+    }
+
     /// Forgets what is too old.
     pub(super) fn expire(&mut self, now: Instant) {
         if self.peers.expire(now) {
@@ -194,6 +222,9 @@
         if self.overlay.expire(now) {
             self.entry = self.overlay.apply(&self.base);
         }
+        if self.summed_use.until.is_some_and(|until| now >= until) {
+            self.summed_use = SummedUse::default();
+        }
     }
 
     /// Returns the own load if it has to be told to peers.
@@ -208,7 +239,7 @@
 
     pub(super) fn view(&self) -> RunnerView {
         let mut in_use: Vec<(ModelId, Option<AdapterId>, u32)> = Vec::new();
-        for (variant, count) in self.own.in_use.iter().chain(self.peers.in_use()) {
+        for (variant, count) in self.all_in_use() {
             let key = (&variant.model, &variant.adapter);
             match in_use.binary_search_by(|(model, adapter, _)| (model, adapter).cmp(&key)) {
                 Ok(position) => in_use[position].2 += count,
@@ -225,6 +256,11 @@
         }
     }
 
+    fn all_in_use(&self) -> impl Iterator<Item = &(Variant, u32)> {
+        let others = self.peers.in_use().chain(&self.summed_use.in_use);
+        self.own.in_use.iter().chain(others)
+    }
+
     fn load_changed(&mut self) {
         self.untold_rounds = TOLD_ROUNDS;
         self.sum_up();
--- a/src/gossip/datagram.rs
+++ b/src/gossip/datagram.rs
@@ -1,11 +1,8 @@
 //! The form of the datagrams between nodes.
 
 use {
-    crate::{
-        discovery::RunnerKey,
-        dispatch::{ModelDemand, NodeLoad, ResidencyNote},
-        traffic::NodeName,
-    },
+    super::{Item, Kind},
+    crate::traffic::NodeName,
     flate2::Crc,
     serde::{Deserialize, Serialize},
     thiserror::Error,
@@ -15,11 +12,14 @@
 pub const DATAGRAM_BYTES_MAX: usize = 1_200;
 
 /// What every datagram begins with; the last byte is the version of the form.
-const MAGIC: [u8; 4] = *b"ggt\x01";
+const MAGIC: [u8; 4] = *b"ggt\x02";
 
 const CHECKSUM_AT: usize = MAGIC.len();
 const BODY_AT: usize = CHECKSUM_AT + 4;
 
+/// The bytes that the kind of a datagram takes at most, but for names.
+const KIND_BYTES_MAX: usize = 40;
+
 /// Who sends a datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sender {
@@ -31,26 +31,13 @@
     pub config_version: u64,
 }
 
-/// One piece of what a node tells.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum Item {
-    /// Its load on a runner.
-    Load(RunnerKey, NodeLoad),
-    /// The demand that it sees for one model or adapter.
-    Demand(ModelDemand),
-    /// A runner that is leaving or gone.
-    Leaving(RunnerKey),
-    /// A change of what a runner holds, with its number.
-    Note(u64, ResidencyNote),
-    /// A runner that it could not reach.
-    Unreachable(RunnerKey),
-}
-
 /// A datagram.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Datagram {
     /// Who sends it.
     pub sender: Sender,
+    /// What it is for.
+    pub kind: Kind,
     /// What it tells.
     pub items: Vec<Item>,
 }
@@ -69,23 +56,43 @@
     Contents,
 }
 
-/// Packs items into as few datagrams as their order allows, at least one.
+/// Packs items for a peer into as few datagrams as their order allows, at least one.
 pub fn encode(sender: &Sender, items: impl IntoIterator<Item = Item>) -> Vec<Vec<u8>> {
-    let head = begin(sender);
-    let mut datagrams = Vec::new();
-    let mut current = head.clone();
+    let bodies = pack(sender, items);
+    let bodies = bodies.iter();
+    bodies
+        .map(|body| seal(sender, &Kind::Direct, body))
+        .collect()
+}
+
+/// Packs items into the bodies of as few datagrams as their order allows, at least one.
+pub fn pack(sender: &Sender, items: impl IntoIterator<Item = Item>) -> Vec<Vec<u8>> {
+    let head = BODY_AT + append(sender, Vec::new()).len() + KIND_BYTES_MAX;
+    let room = DATAGRAM_BYTES_MAX.saturating_sub(head);
+    let mut bodies = Vec::new();
+    let mut current = Vec::with_capacity(room);
     for item in items {
         let before = current.len();
         current = append(&item, current);
-        if current.len() > DATAGRAM_BYTES_MAX && before > head.len() {
-            let mut next = head.clone();
-            next.extend_from_slice(&current[before..]);
-            current.truncate(before);
-            datagrams.push(finish(std::mem::replace(&mut current, next)));
+        if current.len() > room && before > 0 {
+            let next = current.split_off(before);
+            bodies.push(std::mem::replace(&mut current, next));
         }
     }
-    datagrams.push(finish(current));
-    datagrams
+    bodies.push(current);
+    bodies
+}
+
+/// Makes a datagram of a packed body.
+pub fn seal(sender: &Sender, kind: &Kind, body: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(DATAGRAM_BYTES_MAX);
+    bytes.extend_from_slice(&MAGIC);
+    bytes.extend_from_slice(&[0; 4]);
+    bytes = append(kind, append(sender, bytes));
+    bytes.extend_from_slice(body);
+    let checksum = checksum(&bytes[BODY_AT..]);
+    bytes[CHECKSUM_AT..BODY_AT].copy_from_slice(&checksum);
+    bytes
 }
 
 /// Reads a datagram.
@@ -101,22 +108,25 @@
     if head[CHECKSUM_AT..] != checksum(body) {
         return Err(DatagramError::Checksum);
     }
-    let (sender, mut rest) =
-        postcard::take_from_bytes(body).map_err(|_| DatagramError::Contents)?;
+    let (sender, rest) = postcard::take_from_bytes(body).map_err(|_| DatagramError::Contents)?;
+    let (kind, rest) = postcard::take_from_bytes(rest).map_err(|_| DatagramError::Contents)?;
+    let items = unpack(rest)?;
+    Ok(Datagram {
+        sender,
+        kind,
+        items,
+    })
+}
+
+/// Reads the items of a packed body.
+fn unpack(mut rest: &[u8]) -> Result<Vec<Item>, DatagramError> {
     let mut items = Vec::new();
     while !rest.is_empty() {
         let (item, after) = postcard::take_from_bytes(rest).map_err(|_| DatagramError::Contents)?;
         items.push(item);
         rest = after;
     }
-    Ok(Datagram { sender, items })
-}
-
-fn begin(sender: &Sender) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(DATAGRAM_BYTES_MAX);
-    bytes.extend_from_slice(&MAGIC);
-    bytes.extend_from_slice(&[0; 4]);
-    append(sender, bytes)
+    Ok(items)
 }
 
 /// Appends a value; writing to memory does not fail.
@@ -124,12 +134,6 @@
     postcard::to_extend(value, bytes).unwrap_or_default()
 }
 
-fn finish(mut bytes: Vec<u8>) -> Vec<u8> {
-    let checksum = checksum(&bytes[BODY_AT..]);
-    bytes[CHECKSUM_AT..BODY_AT].copy_from_slice(&checksum);
-    bytes
-}
-
 fn checksum(body: &[u8]) -> [u8; 4] {
     let mut crc = Crc::new();
     crc.update(body);
--- /dev/null
+++ b/src/gossip/exchange.rs
@@ -0,0 +1,412 @@
+//! The exchange of a node in a large system: it reports to an aggregator, and may be one.
+
+use {
+    super::{
+        Contact, Datagram, DigestHead, Event, Item, Kind, News, Plan, ReportHistory, Sender,
+        Silence, SumTeller, aggregator_table::AggregatorTable, member_table::MemberTable,
+        news_log::NewsLog, news_outbox::NewsOutbox, ranking, relay_log::RelayLog, seal,
+    },
+    crate::{
+        dispatch::{LoadSum, RunnerHash},
+        leader::PeerNode,
+        traffic::{NodeName, ZoneId},
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::Instant,
+};
+
+/// What each node adds to the time between two rounds.
+const ROUND_NODE_MS: u64 = 2;
+
+/// The shortest time between two rounds.
+const ROUND_MIN_MS: u64 = 30;
+
+/// The longest time between two rounds.
+const ROUND_MAX_MS: u64 = 1_000;
+
+/// How long a node that lists few peers follows one that lists many.
+const FOLLOWED: Duration = Duration::from_secs(5);
+
+/// What a node knows at a round that the exchange does not.
+#[derive(Debug, Clone, Copy)]
+pub struct Surroundings<'a> {
+    /// The listed peers.
+    pub peers: &'a [PeerNode],
+    /// Where peers are told directly.
+    pub addresses: &'a [SocketAddr],
+    /// The version of the own configuration.
+    pub config_version: u64,
+    /// The newest configuration that was heard of.
+    pub newest_config: Option<(&'a NodeName, u64)>,
+    /// Whether the list of peers is long.
+    pub is_large: bool,
+    /// Now.
+    pub now: Instant,
+}
+
+/// A datagram to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outgoing {
+    /// To where.
+    pub address: SocketAddr,
+    /// The datagram.
+    pub bytes: Vec<u8>,
+}
+
+/// What a node learnt, in the order in which it counts.
+#[derive(Debug, Default)]
+pub struct Learnt {
+    /// Sums that are not among the new ones are void.
+    pub replace: bool,
+    /// Sums count on that were told within this span.
+    pub renew_within: Option<Duration>,
+    /// What all others have at runners.
+    pub sums: Vec<(RunnerHash, LoadSum)>,
+    /// Demand and loads by variant of all others.
+    pub plan: Plan,
+    /// Urgent news.
+    pub events: Vec<Event>,
+    /// Configurations that nodes have.
+    pub configs: Vec<(NodeName, u64)>,
+    /// Whether a round is due at once.
+    pub is_urgent: bool,
+    /// Datagrams to send.
+    pub outgoing: Vec<Outgoing>,
+}
+
+/// Whom a node reports to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Choice {
+    /// Nobody is there.
+    Nobody,
+    /// It sums up itself.
+    Own,
+    /// An aggregator.
+    Other(Contact),
+}
+
+/// The state of the exchange.
+#[derive(Debug)]
+pub struct Exchange {
+    pub(super) me: PeerNode,
+    pub(super) start: u64,
+    pub(super) choice: Choice,
+    /// Whether the chosen aggregator has told all.
+    pub(super) has_digest: bool,
+    pub(super) history: ReportHistory,
+    pub(super) silence: Silence,
+    pub(super) outbox: NewsOutbox,
+    pub(super) log: NewsLog,
+    pub(super) relays: RelayLog,
+    pub(super) members: MemberTable,
+    pub(super) aggregators: AggregatorTable,
+    pub(super) digest_teller: SumTeller,
+    pub(super) sum_teller: SumTeller,
+    /// To whom sums were sent, and when.
+    pub(super) sums_sent: Vec<(NodeName, Instant)>,
+    pub(super) report_round: u32,
+    pub(super) sum_round: u32,
+    pub(super) due: Due,
+    pub(super) told_config: u64,
+    pub(super) told_waiting: u64,
+    pub(super) told_loads: Vec<(RunnerHash, LoadSum)>,
+    pub(super) more_wait: bool,
+    followed: Option<(Contact, Instant)>,
+}
+
+/// When what is due.
+#[derive(Debug)]
+pub(super) struct Due {
+    pub(super) report: Instant,
+    pub(super) report_at_last: Instant,
+    pub(super) plan: Instant,
+    pub(super) digest: Instant,
+    pub(super) full: Instant,
+    pub(super) planners: Instant,
+}
+
+impl Exchange {
+    /// Makes the exchange of one start of a node.
+    pub fn new(node: NodeName, zone: ZoneId, start: u64, now: Instant) -> Self {
+        let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+        Self {
+            me: PeerNode {
+                name: node,
+                gossip_address: nowhere,
+                control_address: nowhere,
+                zone,
+            },
+            start,
+            choice: Choice::Nobody,
+            has_digest: false,
+            history: ReportHistory::default(),
+            silence: Silence::default(),
+            outbox: NewsOutbox::default(),
+            log: NewsLog::default(),
+            relays: RelayLog::default(),
+            members: MemberTable::default(),
+            aggregators: AggregatorTable::default(),
+            digest_teller: SumTeller::default(),
+            sum_teller: SumTeller::default(),
+            sums_sent: Vec::new(),
+            report_round: 0,
+            sum_round: 0,
+            due: Due {
+                report: now,
+                report_at_last: now,
+                plan: now,
+                digest: now,
+                full: now,
+                planners: now,
+            },
+            told_config: 0,
+            told_waiting: 0,
+            told_loads: Vec::new(),
+            more_wait: false,
+            followed: None,
+        }
+    }
+
+    /// Returns whether the node takes part in sums: it lists many peers, or was told by one that
+    /// does.
+    pub fn takes_part(&self, is_large: bool, now: Instant) -> bool {
+        is_large || self.follows(now).is_some()
+    }
+
+    /// Returns whether nodes report to this one.
+    pub fn is_aggregator(&self) -> bool {
+        self.choice == Choice::Own || self.members.iter().next().is_some()
+    }
+
+    /// Returns the time between two rounds for a number of peers.
+    pub fn round(peers: usize) -> Duration {
+        let nodes = peers as u64 + 1;
+        Duration::from_millis((nodes * ROUND_NODE_MS).clamp(ROUND_MIN_MS, ROUND_MAX_MS))
+    }
+
+    /// Numbers and notes urgent news of the own node.
+    pub fn tell(&mut self, event: Event, config_version: u64, now: Instant) {
+        if self.log.is_repeated(&event, now) {
+            return;
+        }
+        let news = self.outbox.add(&self.sender(config_version), event);
+        self.log.is_new(&news, now);
+        if self.choice != Choice::Own && self.is_aggregator() {
+            self.relays.add(news, false, now);
+        }
+    }
+
+    /// Takes a datagram; of direct ones only the news.
+    pub fn hear(&mut self, datagram: Datagram, from: SocketAddr, around: &Surroundings) -> Learnt {
+        let Datagram {
+            sender,
+            kind,
+            items,
+        } = datagram;
+        let now = around.now;
+        let mut learnt = Learnt::default();
+        self.silence.heard(&sender.node, now);
+        let has_news = !items.is_empty();
+        let items = self.take_news(&kind, items, &mut learnt, now);
+        match kind {
+            Kind::Direct if around.is_large && !has_news => {
+                let pong = Kind::Pong(self.own_aggregator());
+                self.answer(&pong, from, around, &mut learnt);
+            }
+            Kind::Direct => {}
+            Kind::Report(head) => {
+                let reported = self.members.hear(&sender, from, head, items, now);
+                self.more_wait |= reported.more_wait;
+                learnt.is_urgent |= reported.is_new || reported.more_wait;
+                if reported.is_new {
+                    self.due.digest = now;
+                }
+            }
+            Kind::Digest(head) => self.hear_digest(&sender, from, head, items, around, &mut learnt),
+            Kind::Sum(head) => {
+                let key = (head, self.start);
+                let reported = self.aggregators.hear(&sender, from, key, items, now);
+                if reported.is_new {
+                    self.sums_sent.retain(|(node, _)| *node != sender.node);
+                }
+                if self.is_aggregator() && reported.more_wait {
+                    self.more_wait = true;
+                    learnt.is_urgent = true;
+                }
+                if !self.is_aggregator() {
+                    self.answer(&Kind::Pong(None), from, around, &mut learnt);
+                }
+            }
+            Kind::Ping => self.answer(&Kind::Pong(None), from, around, &mut learnt),
+            Kind::Pong(aggregator) => {
+                if let Some((name, address)) = aggregator.filter(|_| !around.is_large) {
+                    let is_sender = name == sender.node;
+                    let address = if is_sender { from } else { address };
+                    self.followed = Some((Contact { name, address }, now + FOLLOWED));
+                    learnt.is_urgent = true;
+                }
+            }
+        }
+        learnt
+    }
+
+    /// Takes the news out of items, and notes what has to be told on.
+    fn take_news(
+        &mut self,
+        kind: &Kind,
+        items: Vec<Item>,
+        learnt: &mut Learnt,
+        now: Instant,
+    ) -> Vec<Item> {
+        let is_from_member = matches!(kind, Kind::Report(_));
+        let mut others = Vec::new();
+        for item in items {
+            match item {
+                Item::News(news) => self.take_one(news, is_from_member, learnt, now),
+                Item::Config(node, version) => learnt.configs.push((node, version)),
+                other => others.push(other),
+            }
+        }
+        others
+    }
+
+    fn take_one(&mut self, news: News, is_from_member: bool, learnt: &mut Learnt, now: Instant) {
+        if news.origin == self.me.name || !self.log.is_new(&news, now) {
+            return;
+        }
+        if let Event::Config(version) = news.event {
+            learnt.configs.push((news.origin.clone(), version));
+        }
+        if self.log.is_repeated(&news.event, now) {
+            return;
+        }
+        learnt.events.push(news.event.clone());
+        if is_from_member || self.is_aggregator() {
+            self.relays.add(news, is_from_member, now);
+            learnt.is_urgent = true;
+        }
+    }
+
+    fn hear_digest(
+        &mut self,
+        sender: &Sender,
+        from: SocketAddr,
+        head: DigestHead,
+        items: Vec<Item>,
+        around: &Surroundings,
+        learnt: &mut Learnt,
+    ) {
+        let now = around.now;
+        if head.large
+            && let Some((contact, until)) = &mut self.followed
+            && contact.name == sender.node
+        {
+            contact.address = from;
+            *until = now + FOLLOWED;
+        }
+        let chosen = matches!(&self.choice, Choice::Other(known) if known.name == sender.node);
+        if !chosen || !(head.full || self.has_digest) {
+            return;
+        }
+        if !self.has_digest {
+            self.has_digest = true;
+            learnt.replace = true;
+        }
+        if let Some(heard) = head.heard.filter(|heard| heard.start == self.start) {
+            self.outbox.acknowledged(heard.round);
+        }
+        learnt.renew_within = Some(Self::sums_kept(around.peers.len()));
+        for item in items {
+            match item {
+                Item::Sum(runner, sum) => {
+                    let others = self.history.others(self.start, head.heard, runner, sum);
+                    learnt.sums.push((runner, others));
+                }
+                other => learnt.plan.take(other),
+            }
+        }
+    }
+
+    /// Chooses whom to report to: the first of the own data centre's ranking that answers.
+    pub(super) fn choose(&mut self, around: &Surroundings, outgoing: &mut Vec<Outgoing>) {
+        let now = around.now;
+        let choice = if around.is_large {
+            self.followed = None;
+            self.first_of_ranking(around, outgoing)
+        } else {
+            match self.follows(now).cloned() {
+                Some(contact) => Choice::Other(contact),
+                None => Choice::Nobody,
+            }
+        };
+        let same = match (&choice, &self.choice) {
+            (Choice::Other(new), Choice::Other(known)) => new.name == known.name,
+            (new, known) => new == known,
+        };
+        if !same {
+            log::debug!("gossip: loads go to {choice:?}");
+            self.has_digest = false;
+            self.due.report = now;
+            self.due.plan = now;
+            self.due.digest = now;
+        }
+        self.choice = choice;
+    }
+
+    fn first_of_ranking(&self, around: &Surroundings, outgoing: &mut Vec<Outgoing>) -> Choice {
+        let others = around.peers.iter().filter(|p| p.name != self.me.name);
+        for node in ranking(others.chain([&self.me]), &self.me.zone) {
+            if node.name == self.me.name {
+                return Choice::Own;
+            }
+            if !self.silence.is_silent(&node.name, around.now) {
+                return Choice::Other(node.into());
+            }
+            if self.silence.is_due_again(&node.name, around.now) {
+                let sender = self.sender(around.config_version);
+                let bytes = seal(&sender, &Kind::Ping, &[]);
+                let address = node.gossip_address;
+                outgoing.push(Outgoing { address, bytes });
+            }
+        }
+        Choice::Nobody
+    }
+
+    fn follows(&self, now: Instant) -> Option<&Contact> {
+        let followed = self.followed.as_ref();
+        let contact = followed.filter(|(_, until)| now < *until);
+        let contact = contact.map(|(contact, _)| contact);
+        contact.filter(|contact| !self.silence.is_silent(&contact.name, now))
+    }
+
+    fn own_aggregator(&self) -> Option<(NodeName, SocketAddr)> {
+        match &self.choice {
+            Choice::Nobody => None,
+            Choice::Own => Some((self.me.name.clone(), self.me.gossip_address)),
+            Choice::Other(contact) => Some((contact.name.clone(), contact.address)),
+        }
+    }
+
+    fn answer(&self, kind: &Kind, to: SocketAddr, around: &Surroundings, learnt: &mut Learnt) {
+        let bytes = seal(&self.sender(around.config_version), kind, &[]);
+        learnt.outgoing.push(Outgoing { address: to, bytes });
+    }
+
+    pub(super) fn sender(&self, config_version: u64) -> Sender {
+        Sender {
+            node: self.me.name.clone(),
+            start: self.start,
+            config_version,
+        }
+    }
+
+    /// Returns the time between two tellings of all.
+    pub(super) fn full_round(peers: usize) -> Duration {
+        (Self::round(peers) * 5).max(Duration::from_millis(1_000))
+    }
+
+    /// Returns how long a sum counts that is not told anew.
+    pub(super) fn sums_kept(peers: usize) -> Duration {
+        Self::full_round(peers).mul_f64(2.5)
+    }
+}
--- a/src/gossip/gossip.rs
+++ b/src/gossip/gossip.rs
@@ -2,14 +2,14 @@
 
 use {
     super::{
-        DATAGRAM_BYTES_MAX, Datagram, Item, Sender, decode, encode, note_outbox::NoteOutbox,
-        sender_table::SenderTable,
+        DATAGRAM_BYTES_MAX, Datagram, Event, Exchange, Item, Kind, Sender, decode, encode,
+        note_outbox::NoteOutbox, sender_table::SenderTable,
     },
     crate::{
         copies::OrderListener,
         dispatch::{NodeReport, ResidencyNote, RunnerBoard},
         leader::PeerNode,
-        traffic::{ConfigVersion, NodeName},
+        traffic::{ConfigVersion, NodeName, RouteMap},
     },
     rand::RngExt,
     std::{
@@ -39,6 +39,9 @@
 /// The time after which a socket that failed is read again.
 const SOCKET_PAUSE_MS: u64 = 20;
 
+/// The peers up to which nodes tell one another directly, unless the settings say otherwise.
+pub const DIRECT_PEERS_MAX: usize = 24;
+
 /// A configuration that a peer has.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PeerConfig {
@@ -53,13 +56,23 @@
 pub struct Gossip {
     node: NodeName,
     start: u64,
-    peers: watch::Receiver<Vec<PeerNode>>,
+    pub(super) peers: watch::Receiver<Vec<PeerNode>>,
     seeds: Vec<SocketAddr>,
-    board: Arc<RunnerBoard>,
-    socket: UdpSocket,
+    pub(super) board: Arc<RunnerBoard>,
+    pub(super) socket: UdpSocket,
     outbox: Mutex<NoteOutbox>,
     senders: Mutex<SenderTable>,
-    newest_config: watch::Sender<Option<PeerConfig>>,
+    pub(super) newest_config: watch::Sender<Option<PeerConfig>>,
+    pub(super) direct_peers_max: usize,
+    pub(super) exchange: Mutex<Exchange>,
+}
+
+/// When rounds were and are due.
+struct Rounds {
+    sent_at: Instant,
+    full_at: Instant,
+    peers: watch::Receiver<Vec<PeerNode>>,
+    config: watch::Receiver<Option<Arc<RouteMap>>>,
 }
 
 impl Gossip {
@@ -73,9 +86,23 @@
         board: Arc<RunnerBoard>,
         socket: UdpSocket,
     ) -> Arc<Self> {
+        Self::with_direct_peers_max(node, peers, seeds, board, socket, DIRECT_PEERS_MAX)
+    }
+
+    /// Makes it with the number of peers up to which nodes tell one another directly.
+    pub fn with_direct_peers_max(
+        node: NodeName,
+        peers: watch::Receiver<Vec<PeerNode>>,
+        seeds: Vec<SocketAddr>,
+        board: Arc<RunnerBoard>,
+        socket: UdpSocket,
+        direct_peers_max: usize,
+    ) -> Arc<Self> {
+        let start = rand::rng().random();
+        let exchange = Exchange::new(node.clone(), board.zone.clone(), start, Instant::now());
         Arc::new(Self {
             node,
-            start: rand::rng().random(),
+            start,
             peers,
             seeds,
             board,
@@ -83,6 +110,8 @@
             outbox: Mutex::default(),
             senders: Mutex::default(),
             newest_config: watch::Sender::new(None),
+            direct_peers_max,
+            exchange: Mutex::new(exchange),
         })
     }
 
@@ -97,35 +126,65 @@
     }
 
     async fn send_rounds(&self) {
-        let mut peers = self.peers.clone();
-        let mut config = self.board.traffic.subscribe();
-        let mut sent_at = Instant::now();
-        let mut full_at = sent_at;
+        let mut rounds = Rounds {
+            sent_at: Instant::now(),
+            full_at: Instant::now(),
+            peers: self.peers.clone(),
+            config: self.board.traffic.subscribe(),
+        };
         loop {
-            let round = self.round();
-            let soonest = sent_at + round;
-            let urgent = sent_at + Duration::from_millis(URGENT_ROUND_MS);
-            let notes_wait = !lock(&self.outbox).is_empty();
-            tokio::select! {
-                () = self.board.changed_urgently() => sleep_until(urgent).await,
-                Ok(()) = config.changed() => {}
-                Ok(()) = peers.changed() => full_at = sent_at,
-                () = async { self.board.changed().await; sleep_until(soonest).await } => {}
-                () = sleep_until(soonest), if notes_wait => {}
-                () = sleep_until(full_at) => {}
-            }
-            let now = Instant::now();
-            let all = now >= full_at;
-            if all {
-                full_at = now + round.max(Duration::from_millis(FULL_ROUND_MS));
-                self.board.expire();
-                lock(&self.senders).expire(now);
+            match self.takes_part() {
+                true => self.summed_round(&mut rounds).await,
+                false => self.direct_round(&mut rounds).await,
             }
-            self.send(all).await;
-            sent_at = Instant::now();
+            rounds.sent_at = Instant::now();
         }
     }
 
+    async fn direct_round(&self, rounds: &mut Rounds) {
+        let round = self.round();
+        let soonest = rounds.sent_at + round;
+        let urgent = rounds.sent_at + Duration::from_millis(URGENT_ROUND_MS);
+        let notes_wait = !lock(&self.outbox).is_empty();
+        tokio::select! {
+            () = self.board.changed_urgently() => sleep_until(urgent).await,
+            Ok(()) = rounds.config.changed() => {}
+            Ok(()) = rounds.peers.changed() => rounds.full_at = rounds.sent_at,
+            () = async { self.board.changed().await; sleep_until(soonest).await } => {}
+            () = sleep_until(soonest), if notes_wait => {}
+            () = sleep_until(rounds.full_at) => {}
+        }
+        let now = Instant::now();
+        let all = now >= rounds.full_at;
+        if all {
+            rounds.full_at = now + round.max(Duration::from_millis(FULL_ROUND_MS));
+            self.expire(now);
+        }
+        self.send(all).await;
+    }
+
+    async fn summed_round(&self, rounds: &mut Rounds) {
+        let urgent = rounds.sent_at + Duration::from_millis(URGENT_ROUND_MS);
+        let next_at = lock(&self.exchange).next_at(Instant::now());
+        tokio::select! {
+            () = self.board.changed_urgently() => sleep_until(urgent).await,
+            Ok(()) = rounds.config.changed() => {}
+            Ok(()) = rounds.peers.changed() => {}
+            () = sleep_until(next_at) => {}
+        }
+        let now = Instant::now();
+        if now >= rounds.full_at {
+            rounds.full_at = now + Duration::from_millis(FULL_ROUND_MS);
+            self.expire(now);
+        }
+        self.send_sums().await;
+    }
+
+    fn expire(&self, now: Instant) {
+        self.board.expire();
+        lock(&self.senders).expire(now);
+    }
+
     fn round(&self) -> Duration {
         let peers = self.peers.borrow().len() as u64;
         Duration::from_millis((peers * ROUND_PEER_MS).clamp(ROUND_MS, FULL_ROUND_MS))
@@ -133,11 +192,10 @@
 
     async fn send(&self, all: bool) {
         let report = self.board.tell(all);
-        let version = self.board.traffic.version().map_or(0, |version| version.0);
         let sender = Sender {
             node: self.node.clone(),
             start: self.start,
-            config_version: version,
+            config_version: self.config_version(),
         };
         let mut items = lock(&self.outbox).round();
         items.extend(report.leaving.into_iter().map(Item::Leaving));
@@ -155,8 +213,12 @@
         }
     }
 
+    pub(super) fn config_version(&self) -> u64 {
+        self.board.traffic.version().map_or(0, |version| version.0)
+    }
+
     /// Returns the peers, and those that were heard of late though the store does not list them.
-    fn addresses(&self) -> Vec<SocketAddr> {
+    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
         let mut addresses: Vec<_> = peers.iter().map(|peer| peer.gossip_address).collect();
         if addresses.is_empty() {
@@ -180,48 +242,62 @@
                 }
             };
             match read {
-                Ok(datagram) if datagram.sender.node != self.node => self.hear(datagram, address),
+                Ok(datagram) if datagram.sender.node != self.node => {
+                    self.hear(datagram, address).await;
+                }
                 Ok(_) => {}
                 Err(cause) => log::debug!("gossip: {cause}"),
             }
         }
     }
 
-    fn hear(&self, datagram: Datagram, address: SocketAddr) {
-        let sender = datagram.sender;
+    async fn hear(&self, mut datagram: Datagram, address: SocketAddr) {
+        let sender = datagram.sender.clone();
+        lock(&self.senders).hear(&sender, address, Instant::now());
+        if datagram.kind == Kind::Direct {
+            let (news, told) = datagram
+                .items
+                .into_iter()
+                .partition(|item| matches!(item, Item::News(_)));
+            datagram.items = news;
+            self.hear_told(&sender, told);
+        }
+        self.hear_config(&sender.node, sender.config_version);
+        self.hear_sums(datagram, address).await;
+    }
+
+    /// Takes what a peer tells of itself.
+    fn hear_told(&self, sender: &Sender, items: Vec<Item>) {
         let mut report = NodeReport::default();
         {
             let mut senders = lock(&self.senders);
-            senders.hear(&sender, address, Instant::now());
-            for item in datagram.items {
+            for item in items {
                 match item {
                     Item::Load(key, load) => report.loads.push((key, load)),
                     Item::Demand(demand) if demand.requests_per_s.is_finite() => {
                         report.demand.push(demand);
                     }
-                    Item::Demand(_) => {}
                     Item::Leaving(key) => report.leaving.push(key),
                     Item::Note(number, note) if senders.is_new(&sender.node, number) => {
                         report.notes.push(note);
                     }
-                    Item::Note(..) => {}
                     Item::Unreachable(key) => report.unreachable.push(key),
+                    _ => {}
                 }
             }
         }
         self.board.hear(&sender.node, report);
-        self.hear_config(&sender);
     }
 
-    fn hear_config(&self, sender: &Sender) {
-        let version = ConfigVersion(sender.config_version);
+    pub(super) fn hear_config(&self, node: &NodeName, version: u64) {
+        let version = ConfigVersion(version);
         self.newest_config.send_if_modified(|known| {
             let newer = known
                 .as_ref()
                 .map_or(ConfigVersion(0), |known| known.version)
                 < version;
             if newer {
-                let node = sender.node.clone();
+                let node = node.clone();
                 *known = Some(PeerConfig { node, version });
             }
             newer
@@ -231,7 +307,12 @@
 
 impl OrderListener for Gossip {
     fn changed(&self, notes: &[ResidencyNote]) {
-        {
+        if self.takes_part() {
+            let (mut exchange, now) = (lock(&self.exchange), Instant::now());
+            for note in notes {
+                exchange.tell(Event::Held(note.clone()), self.config_version(), now);
+            }
+        } else {
             let mut outbox = lock(&self.outbox);
             notes.iter().for_each(|note| outbox.add(note));
         }
@@ -242,6 +323,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- /dev/null
+++ b/src/gossip/gossip_sums.rs
@@ -0,0 +1,88 @@
+//! The rounds and datagrams of sums.
+
+use {
+    super::{Datagram, Event, Exchange, Gossip, Learnt, Outgoing, Surroundings, gossip::lock},
+    crate::dispatch::NodeReport,
+    std::net::SocketAddr,
+    tokio::time::Instant,
+};
+
+impl Gossip {
+    /// Returns whether this node sends its load to the node that sums up.
+    pub(super) fn takes_part(&self) -> bool {
+        lock(&self.exchange).takes_part(self.is_large(), Instant::now())
+    }
+
+    fn is_large(&self) -> bool {
+        self.peers.borrow().len() > self.direct_peers_max
+    }
+
+    /// Does what is due of the exchange of sums.
+    pub(super) async fn send_sums(&self) {
+        let own = self.board.own_report();
+        let learnt = self.with_exchange(|exchange, around| exchange.tick(&own, around));
+        self.take(learnt).await;
+    }
+
+    /// Takes a datagram; what a peer tells of itself is taken already.
+    pub(super) async fn hear_sums(&self, datagram: Datagram, address: SocketAddr) {
+        let learnt =
+            self.with_exchange(|exchange, around| exchange.hear(datagram, address, around));
+        self.take(learnt).await;
+    }
+
+    fn with_exchange(&self, work: impl FnOnce(&mut Exchange, &Surroundings) -> Learnt) -> Learnt {
+        let addresses = self.addresses();
+        let newest = self.newest_config.borrow().clone();
+        let peers = self.peers.borrow();
+        let around = Surroundings {
+            peers: &peers,
+            addresses: &addresses,
+            config_version: self.config_version(),
+            newest_config: newest.as_ref().map(|known| (&known.node, known.version.0)),
+            is_large: peers.len() > self.direct_peers_max,
+            now: Instant::now(),
+        };
+        work(&mut lock(&self.exchange), &around)
+    }
+
+    async fn take(&self, learnt: Learnt) {
+        self.learn(&learnt);
+        for Outgoing { address, bytes } in &learnt.outgoing {
+            if let Err(cause) = self.socket.send_to(bytes, address).await {
+                log::debug!("gossip: {address} cannot be told: {cause}");
+            }
+        }
+    }
+
+    fn learn(&self, learnt: &Learnt) {
+        if let Some(told_within) = learnt.renew_within {
+            self.board.renew_sums(told_within);
+        }
+        if learnt.replace || !learnt.sums.is_empty() {
+            self.board.hear_sums(&learnt.sums, learnt.replace);
+        }
+        let plan = &learnt.plan;
+        if !(plan.demand.is_empty() && plan.uses.is_empty()) {
+            self.board.hear_plan(plan.demand.clone(), plan.uses.clone());
+        }
+        let mut report = NodeReport::default();
+        for event in &learnt.events {
+            match event {
+                Event::Leaving(key) => report.leaving.push(key.clone()),
+                Event::Unreachable(key) => report.unreachable.push(key.clone()),
+                Event::Held(note) => report.notes.push(note.clone()),
+                Event::Config(_) => {}
+            }
+        }
+        if !learnt.events.is_empty() {
+            self.board.hear_news(report);
+        }
+        for (node, version) in &learnt.configs {
+            self.hear_config(node, *version);
+        }
+        if learnt.is_urgent {
+            self.board.tell_at_once();
+        }
+    }
+}
--- /dev/null
+++ b/src/gossip/member_table.rs
@@ -0,0 +1,190 @@
+//! The nodes that report to this aggregator.
+
+use {
+    super::{Contact, Heard, Item, Plan, ReportHead, Sender},
+    crate::{
+        dispatch::{LoadSum, RunnerHash},
+        traffic::NodeName,
+    },
+    std::{net::SocketAddr, time::Duration},
+    tokio::time::Instant,
+};
+
+/// How long a report counts.
+const REPORT_KEPT: Duration = Duration::from_millis(1_500);
+
+/// How long demand and loads by variant count, which come less often.
+const PLAN_KEPT: Duration = Duration::from_secs(6);
+
+/// Nodes that may report at most.
+const MEMBERS_MAX: usize = 2_048;
+
+/// The rounds in which a new member is told all, since datagrams get lost.
+const FULL_ROUNDS: u8 = 2;
+
+#[derive(Debug)]
+struct Parts {
+    head: ReportHead,
+    items: Vec<Option<Vec<Item>>>,
+}
+
+/// A node that reports here.
+#[derive(Debug)]
+pub(super) struct Member {
+    pub(super) contact: Contact,
+    pub(super) heard: Heard,
+    pub(super) plan_wanted: bool,
+    /// The rounds in which it is still to be told all.
+    pub(super) full_rounds: u8,
+    pub(super) plan: Plan,
+    loads: Vec<(RunnerHash, LoadSum)>,
+    heard_at: Instant,
+    plan_at: Instant,
+    parts: Option<Parts>,
+}
+
+/// What a report or a sum changed.
+#[derive(Debug, Default)]
+pub(super) struct Reported {
+    /// Its sender is new.
+    pub(super) is_new: bool,
+    /// More requests wait for a copy than before.
+    pub(super) more_wait: bool,
+}
+
+/// The nodes that report here, sorted by name.
+#[derive(Debug, Default)]
+pub(super) struct MemberTable(Vec<Member>);
+
+impl MemberTable {
+    /// Takes a part of a report.
+    pub(super) fn hear(
+        &mut self,
+        sender: &Sender,
+        address: SocketAddr,
+        head: ReportHead,
+        items: Vec<Item>,
+        now: Instant,
+    ) -> Reported {
+        let mut reported = Reported::default();
+        let found = self
+            .0
+            .binary_search_by(|m| m.contact.name.cmp(&sender.node));
+        let position = match found {
+            Ok(position) => position,
+            Err(_) if self.0.len() >= MEMBERS_MAX => return reported,
+            Err(position) => {
+                reported.is_new = true;
+                self.0.insert(position, Member::new(sender, address, now));
+                position
+            }
+        };
+        let member = &mut self.0[position];
+        if member.heard.start != sender.start {
+            *member = Member::new(sender, address, now);
+            reported.is_new = true;
+        }
+        member.contact.address = address;
+        let waiting = member.plan.waiting();
+        if let Some((head, items)) = member.complete(head, items) {
+            member.take(head, items, now);
+            reported.more_wait = member.plan.waiting() > waiting;
+        }
+        reported
+    }
+
+    pub(super) fn expire(&mut self, now: Instant) {
+        self.0.retain(|m| now < m.heard_at + REPORT_KEPT);
+        for member in self.0.iter_mut().filter(|m| now >= m.plan_at + PLAN_KEPT) {
+            member.plan = Plan::default();
+        }
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.0.iter()
+    }
+
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Member> {
+        self.0.iter_mut()
+    }
+
+    pub(super) fn has(&self, node: &NodeName) -> bool {
+        let found = self.0.binary_search_by(|m| m.contact.name.cmp(node));
+        found.is_ok()
+    }
+
+    pub(super) fn loads(&self) -> impl Iterator<Item = (RunnerHash, LoadSum)> {
+        self.0
+            .iter()
+            .flat_map(|member| member.loads.iter().copied())
+    }
+}
+
+impl Member {
+    fn new(sender: &Sender, address: SocketAddr, now: Instant) -> Self {
+        let heard = Heard {
+            start: sender.start,
+            round: 0,
+        };
+        Self {
+            contact: Contact {
+                name: sender.node.clone(),
+                address,
+            },
+            heard,
+            plan_wanted: false,
+            full_rounds: FULL_ROUNDS,
+            plan: Plan::default(),
+            loads: Vec::new(),
+            heard_at: now,
+            plan_at: now,
+            parts: None,
+        }
+    }
+
+    /// Returns a whole newer report once its last part is there.
+    fn complete(&mut self, head: ReportHead, items: Vec<Item>) -> Option<(ReportHead, Vec<Item>)> {
+        let is_newer = |round: u32, than: u32| {
+            let ahead = round.wrapping_sub(than);
+            ahead > 0 && ahead < u32::MAX / 2
+        };
+        if !is_newer(head.round, self.heard.round) || head.part >= head.parts {
+            return None;
+        }
+        let same = |parts: &Parts| {
+            parts.head.round == head.round && parts.items.len() == usize::from(head.parts)
+        };
+        if !self.parts.as_ref().is_some_and(same) {
+            let pending = self.parts.as_ref().map(|parts| parts.head.round);
+            if pending.is_some_and(|pending| is_newer(pending, head.round)) {
+                return None;
+            }
+            let items = vec![None; usize::from(head.parts)];
+            self.parts = Some(Parts { head, items });
+        }
+        let parts = self.parts.as_mut()?;
+        parts.items[usize::from(head.part)] = Some(items);
+        if parts.items.iter().any(Option::is_none) {
+            return None;
+        }
+        let parts = self.parts.take()?;
+        Some((head, parts.items.into_iter().flatten().flatten().collect()))
+    }
+
+    fn take(&mut self, head: ReportHead, items: Vec<Item>, now: Instant) {
+        self.heard.round = head.round;
+        self.heard_at = now;
+        self.plan_wanted = head.plan_wanted;
+        self.loads.clear();
+        if head.has_plan {
+            self.plan = Plan::default();
+            self.plan_at = now;
+        }
+        for item in items {
+            match item {
+                Item::Sum(runner, load) => self.loads.push((runner, load)),
+                other => self.plan.take(other),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gossip/news_log.rs
@@ -0,0 +1,78 @@
+//! The urgent news that came, so that each counts once.
+
+use {
+    super::{Event, News, seen_numbers::SeenNumbers},
+    crate::traffic::NodeName,
+    std::time::Duration,
+    tokio::time::Instant,
+};
+
+/// How long an origin without news is remembered.
+const KEPT: Duration = Duration::from_secs(30);
+
+/// Origins that are remembered at most.
+const ORIGINS_MAX: usize = 2_048;
+
+/// How long what all nodes come to know is not told anew.
+const COMMON_KEPT: Duration = Duration::from_secs(5);
+
+#[derive(Debug)]
+struct Origin {
+    node: NodeName,
+    start: u64,
+    seen: SeenNumbers,
+    heard_at: Instant,
+}
+
+/// The news of late, by origin.
+#[derive(Debug, Default)]
+pub(super) struct NewsLog {
+    origins: Vec<Origin>,
+    common: Vec<(Event, Instant)>,
+}
+
+impl NewsLog {
+    /// Returns whether news came for the first time, and notes it.
+    pub(super) fn is_new(&mut self, news: &News, now: Instant) -> bool {
+        let key = (&news.origin, news.start);
+        let found = self
+            .origins
+            .binary_search_by(|origin| (&origin.node, origin.start).cmp(&key));
+        let position = match found {
+            Ok(position) => position,
+            Err(_) if self.origins.len() >= ORIGINS_MAX => return false,
+            Err(position) => {
+                let origin = Origin {
+                    node: news.origin.clone(),
+                    start: news.start,
+                    seen: SeenNumbers::default(),
+                    heard_at: now,
+                };
+                self.origins.insert(position, origin);
+                position
+            }
+        };
+        self.origins[position].heard_at = now;
+        self.origins[position].seen.is_new(news.number)
+    }
+
+    /// Returns whether the same was told a short time ago, and notes it.
+    ///
+    /// All nodes learn at the same time of a runner that leaves, or of a new configuration; one that
+    /// tells it is enough.
+    pub(super) fn is_repeated(&mut self, event: &Event, now: Instant) -> bool {
+        if !matches!(event, Event::Leaving(_) | Event::Config(_)) {
+            return false;
+        }
+        self.common.retain(|(_, at)| now < *at + COMMON_KEPT);
+        let repeated = self.common.iter().any(|(known, _)| known == event);
+        if !repeated {
+            self.common.push((event.clone(), now));
+        }
+        repeated
+    }
+
+    pub(super) fn expire(&mut self, now: Instant) {
+        self.origins.retain(|origin| now < origin.heard_at + KEPT);
+    }
+}
--- /dev/null
+++ b/src/gossip/ranking.rs
@@ -0,0 +1,56 @@
+//! Which nodes sum up for others.
+
+use {
+    crate::{
+        leader::PeerNode,
+        traffic::{NodeName, ZoneId},
+    },
+    flate2::Crc,
+    std::net::SocketAddr,
+};
+
+/// A node and where it takes datagrams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Contact {
+    /// The node.
+    pub name: NodeName,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+impl From<&PeerNode> for Contact {
+    fn from(peer: &PeerNode) -> Self {
+        Self {
+            name: peer.name.clone(),
+            address: peer.gossip_address,
+        }
+    }
+}
+
+/// Returns the listed nodes of a data centre in the order in which they sum up, the same at all.
+pub fn ranking<'a>(
+    nodes: impl IntoIterator<Item = &'a PeerNode>,
+    zone: &ZoneId,
+) -> Vec<&'a PeerNode> {
+    let mut ranked: Vec<_> = nodes
+        .into_iter()
+        .filter(|node| node.zone == *zone)
+        .map(|node| (rank(&node.name), node))
+        .collect();
+    ranked.sort_unstable_by(|a, b| (a.0, &a.1.name).cmp(&(b.0, &b.1.name)));
+    ranked.into_iter().map(|(_, node)| node).collect()
+}
+
+/// Returns the data centres of listed nodes, sorted.
+pub fn zones(nodes: &[PeerNode]) -> Vec<&ZoneId> {
+    let mut zones: Vec<_> = nodes.iter().map(|node| &node.zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    zones
+}
+
+fn rank(name: &NodeName) -> u32 {
+    let mut crc = Crc::new();
+    crc.update(name.as_str().as_bytes());
+    crc.sum().wrapping_mul(0x9e37_79b1)
+}
--- /dev/null
+++ b/src/gossip/report_history.rs
@@ -0,0 +1,44 @@
+//! What a node told of its own load of late, so that it can take it out of sums.
+
+use {
+    super::Heard,
+    crate::dispatch::{LoadSum, RunnerHash},
+    std::collections::VecDeque,
+};
+
+/// Reports that are remembered.
+const REPORTS: usize = 32;
+
+/// The loads of the last reports.
+#[derive(Debug, Default)]
+pub struct ReportHistory(VecDeque<(u32, Vec<(RunnerHash, LoadSum)>)>);
+
+impl ReportHistory {
+    /// Notes the loads of a round, sorted by runner.
+    pub fn told(&mut self, round: u32, loads: Vec<(RunnerHash, LoadSum)>) {
+        if self.0.len() == REPORTS {
+            self.0.pop_front();
+        }
+        self.0.push_back((round, loads));
+    }
+
+    /// Returns what others have at a runner, from a sum that has the report of a round in it.
+    ///
+    /// What a former start of the node told is not its own any more.
+    pub fn others(
+        &self,
+        start: u64,
+        heard: Option<Heard>,
+        runner: RunnerHash,
+        sum: LoadSum,
+    ) -> LoadSum {
+        let heard = heard.filter(|heard| heard.start == start);
+        let Some((_, loads)) =
+            heard.and_then(|heard| self.0.iter().find(|(round, _)| *round == heard.round))
+        else {
+            return sum;
+        };
+        let own = loads.binary_search_by_key(&runner, |(known, _)| *known);
+        own.map_or(sum, |position| sum.minus(loads[position].1))
+    }
+}
--- a/src/gossip/sender_table.rs
+++ b/src/gossip/sender_table.rs
@@ -1,7 +1,7 @@
 //! What was heard from whom, so that a change counts once.
 
 use {
-    super::Sender,
+    super::{Sender, seen_numbers::SeenNumbers},
     crate::traffic::NodeName,
     std::{net::SocketAddr, time::Duration},
     tokio::time::Instant,
@@ -21,9 +21,7 @@
     node: NodeName,
     address: SocketAddr,
     start: u64,
-    highest: u64,
-    /// One bit for each number below the highest.
-    seen: u128,
+    seen: SeenNumbers,
     heard_at: Instant,
 }
 
@@ -46,8 +44,7 @@
                 known.address = address;
                 if known.start != sender.start {
                     known.start = sender.start;
-                    known.highest = 0;
-                    known.seen = 0;
+                    known.seen = SeenNumbers::default();
                 }
             }
             Err(position) if self.known.len() < SENDERS_MAX => {
@@ -55,8 +52,7 @@
                     node: sender.node.clone(),
                     address,
                     start: sender.start,
-                    highest: 0,
-                    seen: 0,
+                    seen: SeenNumbers::default(),
                     heard_at: now,
                 };
                 self.known.insert(position, known);
@@ -70,25 +66,7 @@
         let Ok(position) = self.known.binary_search_by(|known| known.node.cmp(node)) else {
             return false;
         };
-        let known = &mut self.known[position];
-        if number > known.highest {
-            let step = number - known.highest;
-            let shifted = u32::try_from(step)
-                .ok()
-                .and_then(|s| known.seen.checked_shl(s));
-            let former = if step <= 128 { 1_u128 << (step - 1) } else { 0 };
-            known.seen = shifted.unwrap_or(0) | former;
-            known.highest = number;
-            return true;
-        }
-        let back = known.highest - number;
-        if back == 0 || back > 128 {
-            return false;
-        }
-        let bit = 1_u128 << (back - 1);
-        let new = known.seen & bit == 0;
-        known.seen |= bit;
-        new
+        self.known[position].seen.is_new(number)
     }
 
     /// Returns where datagrams came from of late.
--- a/src/leader/term.rs
+++ b/src/leader/term.rs
@@ -1,7 +1,7 @@
 //! Who the nodes are, and which of them gives orders.
 
 use {
-    crate::traffic::NodeName,
+    crate::traffic::{NodeName, ZoneId},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
     tokio::time::Instant,
@@ -16,6 +16,13 @@
     pub gossip_address: SocketAddr,
     /// Where it answers peers and operators, by HTTP.
     pub control_address: SocketAddr,
+    /// Its data centre; empty where it does not say.
+    #[serde(default = "no_zone")]
+    pub zone: ZoneId,
+}
+
+fn no_zone() -> ZoneId {
+    "".into()
 }
 
 /// A node's time as the one that gives orders.
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -199,7 +199,10 @@
         let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), port)).collect();
         let node = self.settings.node.clone();
         let peers = self.membership.peers.clone();
-        let gossip = Gossip::new(node, peers, seeds, self.board.clone(), socket);
+        let board = self.board.clone();
+        let direct_peers_max = self.settings.direct_peers_max;
+        let gossip =
+            Gossip::with_direct_peers_max(node, peers, seeds, board, socket, direct_peers_max);
         tokio::spawn(gossip.clone().run());
         gossip
     }
@@ -295,6 +298,7 @@
         name: settings.node.clone(),
         gossip_address: SocketAddr::new(settings.ip.into(), settings.gossip_port),
         control_address: settings.control_address,
+        zone: settings.data_centre.clone(),
     }
 }
 
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        gossip::DIRECT_PEERS_MAX,
         telemetry::{LogFormat, LogLevel, LogRules},
         traffic::{NodeName, ZoneId},
     },
@@ -40,6 +41,10 @@
     pub metrics_port: u16,
     /// The UDP port on which nodes exchange their state, the same on all.
     pub gossip_port: u16,
+    /// The peers up to which nodes tell one another of their load directly; with more of them a
+    /// few nodes of each data centre sum it up.
+    #[serde(default = "default_direct_peers_max")]
+    pub direct_peers_max: usize,
     /// The platform's store.
     pub store_address: SocketAddr,
     /// How long the store keeps its history; no watch may be quiet for longer.
@@ -151,6 +156,10 @@
     1
 }
 
+fn default_direct_peers_max() -> usize {
+    DIRECT_PEERS_MAX
+}
+
 fn default_history_s() -> f64 {
     20.0
 }
--- /dev/null
+++ b/tests/common/exchange_net.rs
@@ -0,0 +1,289 @@
+//! Exchanges of many nodes over a network that a test cuts and stops, on a paused clock.
+
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+use {
+    greengagetrail::{
+        discovery::RunnerKey,
+        dispatch::{LoadSum, ModelDemand, NodeLoad, OwnReport, RunnerHash},
+        gossip::{Event, Exchange, Learnt, Outgoing, Sender, Surroundings, decode, encode},
+        leader::PeerNode,
+    },
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    tokio::time::{Instant, advance},
+};
+
+const STEP: Duration = Duration::from_millis(5);
+
+pub struct Node {
+    pub peer: PeerNode,
+    pub exchange: Exchange,
+    pub peers: Vec<PeerNode>,
+    pub own: OwnReport,
+    /// What the node believes of all others, by runner.
+    pub others: BTreeMap<RunnerHash, LoadSum>,
+    pub others_at: Option<Instant>,
+    pub waiting: u32,
+    pub events: Vec<Event>,
+    pub config: u64,
+    pub newest_config: Option<u64>,
+    pub is_up: bool,
+    pub is_large: bool,
+    pub sent: u64,
+    due: Instant,
+}
+
+/// Nodes, and the datagrams between them.
+pub struct Net {
+    pub nodes: Vec<Node>,
+    /// Whether a datagram from one node to another arrives.
+    pub passes: Box<dyn FnMut(&PeerNode, &PeerNode) -> bool>,
+    starts: u64,
+}
+
+pub fn runner(number: usize) -> RunnerKey {
+    RunnerKey {
+        id: format!("runner-{number}").as_str().into(),
+        born_unix_ms: 1,
+    }
+}
+
+pub fn load(requests: u32) -> LoadSum {
+    LoadSum::from(&NodeLoad {
+        requests,
+        kv_tokens: u64::from(requests) * 640,
+        ..NodeLoad::default()
+    })
+}
+
+impl Net {
+    /// Makes a number of nodes in each data centre that all list one another.
+    pub fn new(zones: &[&str], each: usize) -> Self {
+        let peers = zones.iter().enumerate().flat_map(|(number, zone)| {
+            (0..each).map(move |place| node(number * each + place, zone))
+        });
+        let peers: Vec<_> = peers.collect();
+        let mut net = Self {
+            nodes: Vec::new(),
+            passes: Box::new(|_, _| true),
+            starts: 0,
+        };
+        for peer in &peers {
+            let started = net.start(peer, peers.clone());
+            net.nodes.push(started);
+        }
+        net
+    }
+
+    fn start(&mut self, peer: &PeerNode, mut peers: Vec<PeerNode>) -> Node {
+        self.starts += 1;
+        peers.retain(|other| other.name != peer.name);
+        let (name, zone, now) = (peer.name.clone(), peer.zone.clone(), Instant::now());
+        Node {
+            exchange: Exchange::new(name, zone, self.starts, now),
+            peer: peer.clone(),
+            peers,
+            own: OwnReport::default(),
+            others: BTreeMap::new(),
+            others_at: None,
+            waiting: 0,
+            events: Vec::new(),
+            config: 0,
+            newest_config: None,
+            is_up: true,
+            is_large: true,
+            sent: 0,
+            due: now,
+        }
+    }
+
+    /// Starts a node anew under its name.
+    pub fn restart(&mut self, index: usize) {
+        let peer = self.nodes[index].peer.clone();
+        let all = self.nodes.iter().map(|node| node.peer.clone()).collect();
+        self.nodes[index] = self.start(&peer, all);
+    }
+
+    /// Sets the requests that each node has at a runner.
+    pub fn load_all(&mut self, number: usize, requests: u32) {
+        for node in &mut self.nodes {
+            node.own.loads = vec![(RunnerHash::of(&runner(number)), load(requests))];
+        }
+    }
+
+    /// Makes a node tell urgent news.
+    pub fn tell(&mut self, index: usize, event: Event) {
+        let node = &mut self.nodes[index];
+        node.exchange.tell(event, node.config, Instant::now());
+        node.due = Instant::now();
+    }
+
+    pub fn aggregators(&self) -> Vec<usize> {
+        let all = 0..self.nodes.len();
+        all.filter(|&i| self.nodes[i].is_up && self.nodes[i].exchange.is_aggregator())
+            .collect()
+    }
+
+    /// Returns the requests that a node takes others to have at a runner.
+    pub fn others(&self, index: usize, number: usize) -> u32 {
+        let node = &self.nodes[index];
+        let fresh = node
+            .others_at
+            .is_some_and(|at| Instant::now() < at + Duration::from_millis(1_500));
+        let sum = node.others.get(&RunnerHash::of(&runner(number)));
+        sum.filter(|_| fresh).map_or(0, |sum| sum.requests)
+    }
+
+    /// Returns whether all nodes that are up take others to have so many requests at a runner.
+    pub fn all_know(&self, number: usize, requests: u32) -> bool {
+        let mut up = (0..self.nodes.len()).filter(|&i| self.nodes[i].is_up);
+        up.all(|index| self.others(index, number) == requests)
+    }
+
+    pub fn all_heard(&self, event: &Event, but: usize) -> bool {
+        let nodes = self.nodes.iter().enumerate();
+        let mut up = nodes.filter(|(index, node)| node.is_up && *index != but);
+        up.all(|(_, node)| node.events.contains(event))
+    }
+
+    pub async fn run(&mut self, span: Duration) {
+        let end = Instant::now() + span;
+        while Instant::now() < end {
+            self.step().await;
+        }
+    }
+
+    /// Runs until something holds; returns how long that took.
+    pub async fn until(
+        &mut self,
+        what: &str,
+        most: Duration,
+        holds: impl Fn(&Self) -> bool,
+    ) -> Duration {
+        let start = Instant::now();
+        while !holds(self) {
+            assert!(start.elapsed() < most, "{what}");
+            self.step().await;
+        }
+        start.elapsed()
+    }
+
+    async fn step(&mut self) {
+        advance(STEP).await;
+        for index in 0..self.nodes.len() {
+            let node = &mut self.nodes[index];
+            if node.is_up && Instant::now() >= node.due {
+                let own = node.own.clone();
+                let learnt = node.with(|exchange, around| exchange.tick(&own, around));
+                node.due = node.exchange.next_at(Instant::now());
+                self.take(index, learnt);
+            }
+        }
+    }
+
+    /// Sends what a node in a small system tells its peers.
+    pub fn direct(&mut self, index: usize) {
+        let node = &self.nodes[index];
+        if node.exchange.takes_part(node.is_large, Instant::now()) {
+            return;
+        }
+        let sender = Sender {
+            node: node.peer.name.clone(),
+            start: 0,
+            config_version: 0,
+        };
+        let bytes = encode(&sender, []).remove(0);
+        let outgoing = node.peers.iter().map(|peer| Outgoing {
+            address: peer.gossip_address,
+            bytes: bytes.clone(),
+        });
+        let learnt = Learnt {
+            outgoing: outgoing.collect(),
+            ..Learnt::default()
+        };
+        self.take(index, learnt);
+    }
+
+    fn take(&mut self, index: usize, learnt: Learnt) {
+        let mut pending = vec![(index, learnt)];
+        while let Some((index, learnt)) = pending.pop() {
+            let from = self.nodes[index].peer.clone();
+            let outgoing = self.nodes[index].learn(learnt);
+            for Outgoing { address, bytes } in outgoing {
+                self.nodes[index].sent += 1;
+                let Some(to) = self
+                    .nodes
+                    .iter()
+                    .position(|n| n.peer.gossip_address == address)
+                else {
+                    continue;
+                };
+                let node = &mut self.nodes[to];
+                if !node.is_up || !(self.passes)(&from, &node.peer) {
+                    continue;
+                }
+                let datagram = decode(&bytes).unwrap();
+                let address = from.gossip_address;
+                let heard = node.with(|exchange, around| exchange.hear(datagram, address, around));
+                pending.push((to, heard));
+            }
+        }
+    }
+}
+
+impl Node {
+    fn with(&mut self, work: impl FnOnce(&mut Exchange, &Surroundings) -> Learnt) -> Learnt {
+        let addresses: Vec<_> = self.peers.iter().map(|p| p.gossip_address).collect();
+        let newest = self.newest_config;
+        let around = Surroundings {
+            peers: &self.peers,
+            addresses: &addresses,
+            config_version: self.config,
+            newest_config: newest.map(|version| (&self.peer.name, version)),
+            is_large: self.is_large,
+            now: Instant::now(),
+        };
+        work(&mut self.exchange, &around)
+    }
+
+    fn learn(&mut self, learnt: Learnt) -> Vec<Outgoing> {
+        if learnt.replace {
+            self.others.clear();
+        }
+        if learnt.renew_within.is_some() {
+            self.others_at = Some(Instant::now());
+        }
+        self.others.extend(learnt.sums);
+        self.events.extend(learnt.events);
+        if !learnt.plan.demand.is_empty() {
+            self.waiting = learnt.plan.demand.iter().map(|d| d.waiting).sum();
+        }
+        for (_, version) in learnt.configs {
+            self.newest_config = self.newest_config.max(Some(version));
+        }
+        if learnt.is_urgent {
+            self.due = Instant::now();
+        }
+        learnt.outgoing
+    }
+}
+
+pub fn waiting(waiting: u32) -> Vec<ModelDemand> {
+    vec![ModelDemand {
+        service: "s".into(),
+        model: "m".into(),
+        adapter: None,
+        requests_per_s: 1.0,
+        waiting,
+    }]
+}
+
+fn node(number: usize, zone: &str) -> PeerNode {
+    let address = SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 1));
+    PeerNode {
+        name: format!("front-{number}").as_str().into(),
+        gossip_address: address,
+        control_address: address,
+        zone: zone.into(),
+    }
+}
--- a/tests/common/nodes.rs
+++ b/tests/common/nodes.rs
@@ -63,6 +63,7 @@
         name: format!("front-{index}").as_str().into(),
         gossip_address: format!("10.0.0.{}:7380", index + 1).parse().unwrap(),
         control_address: format!("10.0.0.{}:8144", index + 1).parse().unwrap(),
+        zone: "east".into(),
     }
 }
 
--- a/tests/gossip_exchange.rs
+++ b/tests/gossip_exchange.rs
@@ -157,6 +157,7 @@
         name: "peer".into(),
         gossip_address: peer,
         control_address: peer,
+        zone: "east".into(),
     };
     let (sender, peers) = watch::channel(vec![peer]);
     std::mem::forget(sender);
--- a/tests/node_peers.rs
+++ b/tests/node_peers.rs
@@ -72,6 +72,7 @@
             name: name.into(),
             gossip_address: nowhere(),
             control_address: self.control,
+            zone: "east".into(),
         }
     }
 }
@@ -244,6 +245,7 @@
         name: "listed".into(),
         gossip_address: others.address,
         control_address: nowhere(),
+        zone: "east".into(),
     };
     let cut = gossiper("cut", vec![listed], Vec::new()).await;
     until("the configuration is told", || {
