--- /dev/null
+++ b/examples/gossip_scale/cluster.rs
@@ -0,0 +1,222 @@
+//! A whole system of real nodes in one process, over loopback.
+
+use {
+    crate::node::{self, PROBE, board, call, wanted_probe},
+    greengagetrail::{
+        dispatch::{Dispatcher, RunnerBoard, TryOutcome},
+        gossip::{Gossip, Traffic, ranking},
+        leader::PeerNode,
+    },
+    rustix::time::{ClockId, clock_gettime},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::{net::UdpSocket, sync::watch},
+};
+
+const ZONES: [&str; 4] = ["east", "north", "south", "west"];
+
+/// Nodes whose knowledge of the probe's load is watched.
+const WATCHED: usize = 4;
+const LOOK: Duration = Duration::from_millis(5);
+
+pub struct Cluster {
+    nodes: Vec<Member>,
+    /// The position of an aggregator, which runs on a thread of its own.
+    aggregator: usize,
+    busy: [Arc<AtomicU64>; 2],
+}
+
+struct Member {
+    gossip: Arc<Gossip>,
+    board: Arc<RunnerBoard>,
+}
+
+/// What was counted so far.
+pub struct Counted {
+    traffic: Vec<Traffic>,
+    busy: [Duration; 2],
+}
+
+/// Bytes and processor time a second.
+#[derive(Debug, Default)]
+pub struct Rates {
+    pub sent_kb: f64,
+    pub heard_kb: f64,
+    pub core: f64,
+}
+
+impl Cluster {
+    /// Starts all nodes with their callers.
+    pub fn start(
+        count: usize,
+        runners: usize,
+        models: usize,
+        direct_max: usize,
+    ) -> io::Result<Self> {
+        let sockets = (0..count).map(|_| std::net::UdpSocket::bind("127.0.0.1:0"));
+        let sockets: Vec<_> = sockets.collect::<io::Result<_>>()?;
+        let addresses = sockets.iter().map(std::net::UdpSocket::local_addr);
+        let addresses: Vec<_> = addresses.collect::<io::Result<_>>()?;
+        let peers = addresses.iter().enumerate();
+        let peers: Vec<_> = peers
+            .map(|(number, address)| peer(number, *address))
+            .collect();
+        let first = ranking(&peers, &ZONES[0].into())[0].name.clone();
+        let aggregator = peers
+            .iter()
+            .position(|peer| peer.name == first)
+            .unwrap_or(0);
+        let threads = [tokio_thread()?, tokio_thread()?];
+        let busy = [threads[0].1.clone(), threads[1].1.clone()];
+        let mut nodes = Vec::new();
+        for (number, socket) in sockets.into_iter().enumerate() {
+            socket.set_nonblocking(true)?;
+            let runtime = &threads[usize::from(number == aggregator)].0;
+            let _inside = runtime.enter();
+            let board = board(runners, models, ZONES[number % ZONES.len()]);
+            let others = peers.iter().filter(|peer| peer.name != peers[number].name);
+            let (sender, list) = watch::channel(others.cloned().collect());
+            std::mem::forget(sender);
+            let (name, socket) = (peers[number].name.clone(), UdpSocket::from_std(socket)?);
+            let gossip = Gossip::with_direct_peers_max(
+                name,
+                list,
+                Vec::new(),
+                board.clone(),
+                socket,
+                direct_max,
+            );
+            runtime.spawn(gossip.clone().run());
+            let dispatcher = Dispatcher::new(board.clone());
+            runtime.spawn(async move { call(dispatcher, models) });
+            nodes.push(Member { gossip, board });
+        }
+        // They run until the process ends.
+        threads.into_iter().for_each(|(runtime, _)| drop(runtime));
+        Ok(Self {
+            nodes,
+            aggregator,
+            busy,
+        })
+    }
+
+    pub fn counted(&self) -> Counted {
+        Counted {
+            traffic: self
+                .nodes
+                .iter()
+                .map(|node| node.gossip.traffic())
+                .collect(),
+            busy: self
+                .busy
+                .each_ref()
+                .map(|us| Duration::from_micros(us.load(Ordering::Relaxed))),
+        }
+    }
+
+    /// Returns the rates since an earlier count: the mean of all, and the aggregator's.
+    pub fn rates(&self, since: &Counted, span: Duration) -> (Rates, Rates) {
+        let (now, seconds) = (self.counted(), span.as_secs_f64());
+        let kb = |bytes: u64, datagrams: u64| {
+            (bytes + datagrams * crate::HEADER_BYTES) as f64 / 1e3 / seconds
+        };
+        let of_node = |number: usize| {
+            let (now, then) = (now.traffic[number], since.traffic[number]);
+            Rates {
+                sent_kb: kb(now.sent_bytes - then.sent_bytes, now.sent - then.sent),
+                heard_kb: kb(now.heard_bytes - then.heard_bytes, now.heard - then.heard),
+                core: 0.0,
+            }
+        };
+        let cores = [0, 1].map(|at| (now.busy[at] - since.busy[at]).as_secs_f64() / seconds);
+        let count = self.nodes.len() as f64;
+        let mut mean = Rates {
+            core: cores[0] / (count - 1.0),
+            ..Rates::default()
+        };
+        for number in 0..self.nodes.len() {
+            let rates = of_node(number);
+            mean.sent_kb += rates.sent_kb / count;
+            mean.heard_kb += rates.heard_kb / count;
+        }
+        let aggregator = Rates {
+            core: cores[1],
+            ..of_node(self.aggregator)
+        };
+        (mean, aggregator)
+    }
+
+    /// Returns how long other nodes took to know of a request, sorted, in milliseconds.
+    pub async fn ages(&self, probes: usize) -> Vec<f64> {
+        let mut ages = Vec::new();
+        for probe in 0..probes {
+            let teller = (probe * 13 + 3) % self.nodes.len();
+            let dispatcher = Dispatcher::new(self.nodes[teller].board.clone());
+            let Ok(mut place) = dispatcher.place(&wanted_probe()).await else {
+                continue;
+            };
+            let start = Instant::now();
+            let mut waiting: Vec<_> = (1..=WATCHED)
+                .map(|step| (teller + step * self.nodes.len() / (WATCHED + 1)) % self.nodes.len())
+                .filter(|number| *number != teller)
+                .collect();
+            while !waiting.is_empty() && start.elapsed() < Duration::from_secs(5) {
+                tokio::time::sleep(LOOK).await;
+                waiting.retain(|number| {
+                    let knows = probe_load(&self.nodes[*number].board) > 0;
+                    if knows {
+                        ages.push(start.elapsed().as_secs_f64() * 1e3);
+                    }
+                    !knows
+                });
+            }
+            ages.extend(waiting.iter().map(|_| f64::INFINITY));
+            place.first_event(tokio::time::Instant::now());
+            place.finish(TryOutcome::Complete);
+            tokio::time::sleep(Duration::from_millis(1_700 + 37 * probe as u64 % 400)).await;
+        }
+        ages.sort_by(f64::total_cmp);
+        ages
+    }
+}
+
+fn probe_load(board: &RunnerBoard) -> u32 {
+    let views = board.runners().into_iter();
+    let mut probes = views.filter(|view| view.entry.key.id.as_str() == PROBE);
+    probes.next().map_or(0, |view| view.in_flight)
+}
+
+fn peer(number: usize, address: SocketAddr) -> PeerNode {
+    PeerNode {
+        name: format!("front-{number:04}").as_str().into(),
+        gossip_address: address,
+        control_address: address,
+        zone: ZONES[number % ZONES.len()].into(),
+    }
+}
+
+/// Starts a thread that runs tasks and tells its processor time.
+fn tokio_thread() -> io::Result<(tokio::runtime::Handle, Arc<AtomicU64>)> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let (handle, busy) = (runtime.handle().clone(), Arc::new(AtomicU64::new(0)));
+    let told = busy.clone();
+    std::thread::spawn(move || {
+        runtime.block_on(async {
+            loop {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                let now = clock_gettime(ClockId::ThreadCPUTime);
+                told.store(node::micros(now), Ordering::Relaxed);
+            }
+        });
+    });
+    Ok((handle, busy))
+}
--- a/src/gossip/gossip.rs
+++ b/src/gossip/gossip.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        DATAGRAM_BYTES_MAX, Datagram, Event, Exchange, Item, Kind, Sender, decode, encode,
-        note_outbox::NoteOutbox, sender_table::SenderTable,
+        DATAGRAM_BYTES_MAX, Datagram, Event, Exchange, Item, Kind, Sender, Traffic, decode, encode,
+        gossip_counts::GossipCounts, note_outbox::NoteOutbox, sender_table::SenderTable,
     },
     crate::{
         copies::OrderListener,
@@ -59,12 +59,13 @@
     pub(super) peers: watch::Receiver<Vec<PeerNode>>,
     seeds: Vec<SocketAddr>,
     pub(super) board: Arc<RunnerBoard>,
-    pub(super) socket: UdpSocket,
+    socket: UdpSocket,
     outbox: Mutex<NoteOutbox>,
     senders: Mutex<SenderTable>,
     pub(super) newest_config: watch::Sender<Option<PeerConfig>>,
     pub(super) direct_peers_max: usize,
     pub(super) exchange: Mutex<Exchange>,
+    counts: GossipCounts,
 }
 
 /// When rounds were and are due.
@@ -112,6 +113,7 @@
             newest_config: watch::Sender::new(None),
             direct_peers_max,
             exchange: Mutex::new(exchange),
+            counts: GossipCounts::default(),
         })
     }
 
@@ -120,6 +122,11 @@
         self.newest_config.subscribe()
     }
 
+    /// Returns what was sent and heard so far.
+    pub fn traffic(&self) -> Traffic {
+        self.counts.traffic()
+    }
+
     /// Sends and takes datagrams, and never ends.
     pub async fn run(self: Arc<Self>) {
         tokio::join!(self.send_rounds(), self.take_datagrams());
@@ -206,13 +213,18 @@
         let datagrams = encode(&sender, items);
         for address in self.addresses() {
             for datagram in &datagrams {
-                if let Err(cause) = self.socket.send_to(datagram, address).await {
-                    log::debug!("gossip: {address} cannot be told: {cause}");
-                }
+                self.send_to(datagram, address).await;
             }
         }
     }
 
+    pub(super) async fn send_to(&self, datagram: &[u8], address: SocketAddr) {
+        match self.socket.send_to(datagram, address).await {
+            Ok(length) => self.counts.sent(length),
+            Err(cause) => log::debug!("gossip: {address} cannot be told: {cause}"),
+        }
+    }
+
     pub(super) fn config_version(&self) -> u64 {
         self.board.traffic.version().map_or(0, |version| version.0)
     }
@@ -234,7 +246,10 @@
         let mut buffer = vec![0; DATAGRAM_BYTES_MAX * 4];
         loop {
             let (read, address) = match self.socket.recv_from(&mut buffer).await {
-                Ok((length, address)) => (decode(&buffer[..length]), address),
+                Ok((length, address)) => {
+                    self.counts.heard(length);
+                    (decode(&buffer[..length]), address)
+                }
                 Err(cause) => {
                     log::debug!("gossip: the socket failed: {cause}");
                     sleep(Duration::from_millis(SOCKET_PAUSE_MS)).await;
--- /dev/null
+++ b/src/gossip/gossip_counts.rs
@@ -0,0 +1,46 @@
+//! Counts what is sent and heard.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Datagrams and their bytes, without IP and UDP heads.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Their bytes.
+    pub sent_bytes: u64,
+    /// Datagrams heard.
+    pub heard: u64,
+    /// Their bytes.
+    pub heard_bytes: u64,
+}
+
+/// The counts of a node.
+#[derive(Debug, Default)]
+pub(super) struct GossipCounts {
+    sent: AtomicU64,
+    sent_bytes: AtomicU64,
+    heard: AtomicU64,
+    heard_bytes: AtomicU64,
+}
+
+impl GossipCounts {
+    pub(super) fn sent(&self, bytes: usize) {
+        self.sent.fetch_add(1, Ordering::Relaxed);
+        self.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    pub(super) fn heard(&self, bytes: usize) {
+        self.heard.fetch_add(1, Ordering::Relaxed);
+        self.heard_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    pub(super) fn traffic(&self) -> Traffic {
+        Traffic {
+            sent: self.sent.load(Ordering::Relaxed),
+            sent_bytes: self.sent_bytes.load(Ordering::Relaxed),
+            heard: self.heard.load(Ordering::Relaxed),
+            heard_bytes: self.heard_bytes.load(Ordering::Relaxed),
+        }
+    }
+}
--- a/src/gossip/gossip_sums.rs
+++ b/src/gossip/gossip_sums.rs
@@ -49,9 +49,7 @@
     async fn take(&self, learnt: Learnt) {
         self.learn(&learnt);
         for Outgoing { address, bytes } in &learnt.outgoing {
-            if let Err(cause) = self.socket.send_to(bytes, address).await {
-                log::debug!("gossip: {address} cannot be told: {cause}");
-            }
+            self.send_to(bytes, *address).await;
         }
     }
 
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -14,6 +14,7 @@
 mod exchange_rounds;
 #[allow(clippy::module_inception)]
 mod gossip;
+mod gossip_counts;
 mod gossip_sums;
 mod item;
 mod member_table;
@@ -30,6 +31,6 @@
 mod sum_teller;
 
 pub use {
-    datagram::*, exchange::*, gossip::*, item::*, plan::*, ranking::*, report_history::*,
-    silence::*, sum_teller::*,
+    datagram::*, exchange::*, gossip::*, gossip_counts::Traffic, item::*, plan::*, ranking::*,
+    report_history::*, silence::*, sum_teller::*,
 };
--- /dev/null
+++ b/tests/gossip_sockets.rs
@@ -0,0 +1,200 @@
+//! Sums of load between nodes with sockets of their own.
+
+#[path = "common/board_rig.rs"]
+mod board_rig;
+
+use {
+    board_rig::*,
+    greengagetrail::{
+        copies::OrderListener,
+        gossip::{Gossip, ranking},
+        leader::PeerNode,
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        net::UdpSocket,
+        sync::watch,
+        task::JoinHandle,
+        time::{Instant, sleep},
+    },
+};
+
+const ZONES: [&str; 2] = ["east", "west"];
+const NODES: usize = 8;
+
+struct Node {
+    rig: Rig,
+    gossip: Arc<Gossip>,
+    peer: PeerNode,
+    task: JoinHandle<()>,
+}
+
+/// Starts nodes that all list one another; above `direct_max` peers they sum up.
+async fn start(direct_max: impl Fn(usize) -> usize) -> Vec<Node> {
+    let mut sockets = Vec::new();
+    for _ in 0..NODES {
+        sockets.push(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+    }
+    let peers = sockets.iter().enumerate().map(|(number, socket)| PeerNode {
+        name: format!("front-{number}").as_str().into(),
+        gossip_address: socket.local_addr().unwrap(),
+        control_address: socket.local_addr().unwrap(),
+        zone: ZONES[number % 2].into(),
+    });
+    let peers: Vec<_> = peers.collect();
+    let nodes = sockets.into_iter().enumerate().map(|(number, socket)| {
+        let peer = peers[number].clone();
+        let others = peers.iter().filter(|other| **other != peer);
+        let (list, others) = watch::channel(others.cloned().collect());
+        std::mem::forget(list);
+        let runners = vec![runner("a", &[("m1", &[])]), runner("b", &[("m2", &[])])];
+        let rig = rig_in(ZONES[number % 2], runners, 10_000);
+        let gossip = Gossip::with_direct_peers_max(
+            peer.name.clone(),
+            others,
+            Vec::new(),
+            rig.board.clone(),
+            socket,
+            direct_max(number),
+        );
+        let task = tokio::spawn(gossip.clone().run());
+        Node {
+            rig,
+            gossip,
+            peer,
+            task,
+        }
+    });
+    nodes.collect()
+}
+
+async fn until(what: &str, holds: impl Fn() -> bool) -> Duration {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < Duration::from_secs(10), "{what}");
+        sleep(Duration::from_millis(2)).await;
+    }
+    start.elapsed()
+}
+
+fn in_flight(node: &Node) -> u32 {
+    node.rig.board.runners()[0].in_flight
+}
+
+fn holds(node: &Node) -> bool {
+    node.rig.board.runners()[0].entry.models.len() == 2
+}
+
+/// Returns the position of the first of a data centre's ranking.
+fn first(nodes: &[Node], zone: &str) -> usize {
+    let peers: Vec<_> = nodes.iter().map(|node| node.peer.clone()).collect();
+    let first = ranking(&peers, &zone.into())[0].name.clone();
+    nodes
+        .iter()
+        .position(|node| node.peer.name == first)
+        .unwrap()
+}
+
+#[tokio::test]
+async fn all_know_the_load_the_notes_and_the_demand_for_the_one_that_plans() {
+    let nodes = start(|_| 3).await;
+    let place = nodes[1].rig.dispatcher.place(&wanted("m1")).await.unwrap();
+    let second = nodes[1].rig.dispatcher.place(&wanted("m1")).await.unwrap();
+    until("the load is known to all", || {
+        nodes.iter().all(|node| in_flight(node) == 2)
+    })
+    .await;
+    until("demand and models in use are known", || {
+        let demand = nodes[4].rig.board.demand();
+        let views = nodes[4].rig.board.runners();
+        demand.iter().any(|demand| demand.model == "m1".into())
+            && views[0].in_use == [("m1".into(), None, 2)]
+    })
+    .await;
+    sleep(Duration::from_millis(2_500)).await;
+    assert!(nodes.iter().all(|node| in_flight(node) == 2));
+    drop((place, second));
+    until("its end is known to all", || {
+        nodes.iter().all(|node| in_flight(node) == 0)
+    })
+    .await;
+    nodes[2].gossip.changed(&[note("a", "m2", None, true)]);
+    let took = until("the note is known to all", || nodes.iter().all(holds)).await;
+    assert!(took < Duration::from_millis(900), "{took:?}");
+}
+
+#[tokio::test]
+async fn with_all_aggregators_killed_notes_go_directly_and_loads_are_known_again() {
+    let nodes = start(|_| 3).await;
+    let place = nodes[0].rig.dispatcher.place(&wanted("m1")).await.unwrap();
+    let place_2 = nodes[1].rig.dispatcher.place(&wanted("m1")).await.unwrap();
+    until("the load is known to all", || {
+        nodes.iter().all(|node| in_flight(node) == 2)
+    })
+    .await;
+    let killed = ZONES.map(|zone| first(&nodes, zone));
+    killed.iter().for_each(|&index| nodes[index].task.abort());
+    let left = || {
+        let all = nodes.iter().enumerate();
+        all.filter(|(index, _)| !killed.contains(index))
+            .map(|(_, node)| node)
+    };
+    let teller = left().next().unwrap();
+    teller.gossip.changed(&[note("a", "m2", None, true)]);
+    let took = until("the note is known", || left().all(holds)).await;
+    assert!(took < Duration::from_millis(900), "{took:?}");
+    let known = [0, 1]
+        .iter()
+        .filter(|index| !killed.contains(index))
+        .count() as u32;
+    sleep(Duration::from_millis(4_000)).await;
+    until("the load is known again", || {
+        left().all(|node| in_flight(node) == known)
+    })
+    .await;
+    drop((place, place_2));
+    until("its end is known", || {
+        left().all(|node| in_flight(node) == 0)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_node_that_tells_all_and_one_that_sums_know_one_another() {
+    let nodes = start(|number| if number == 5 { usize::MAX } else { 3 }).await;
+    for teller in [5, 2] {
+        let place = nodes[teller]
+            .rig
+            .dispatcher
+            .place(&wanted("m1"))
+            .await
+            .unwrap();
+        until("the load is known to all", || {
+            nodes.iter().all(|node| in_flight(node) == 1)
+        })
+        .await;
+        drop(place);
+        until("its end is known to all", || {
+            nodes.iter().all(|node| in_flight(node) == 0)
+        })
+        .await;
+    }
+}
+
+#[tokio::test]
+async fn datagrams_of_the_older_form_leave_no_trace() {
+    let nodes = start(|_| 3).await;
+    let stranger = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    for node in &nodes {
+        for bytes in [&b"ggt\x01\0\0\0\0old"[..], b"ggt\x02\0\0\0\0new"] {
+            let to = node.peer.gossip_address;
+            stranger.send_to(bytes, to).await.unwrap();
+        }
+    }
+    let place = nodes[3].rig.dispatcher.place(&wanted("m1")).await.unwrap();
+    until("others are still heard", || {
+        nodes.iter().all(|node| in_flight(node) == 1)
+    })
+    .await;
+    drop(place);
+}
