Tell urgent rounds alone, and split the rounds of an aggregator

Cause: each rise of waiting requests made a whole digest round; each hearing made a list of addresses; a new aggregator did not know the news of late. Change: urgent rounds hold news and demand only; demand is told whole each second and changes of waiting requests alone; addresses are listed only where all are told; every node keeps the news of 3 s.

--- a/examples/gossip_scale/main.rs
+++ b/examples/gossip_scale/main.rs
@@ -62,6 +62,9 @@
         .enable_all()
         .build()?;
     let ages = runtime.block_on(cluster.ages(PROBES));
+    if std::env::var_os("AGES").is_some() {
+        println!("{ages:.0?}");
+    }
     let mean_age = ages.iter().sum::<f64>() / ages.len().max(1) as f64;
     println!(
         "| {nodes} | {runners} | {:.1} | {:.1} | {:.2}% | {:.1} | {:.1} | {:.2}% | {mean_age:.0} | {:.0} |",
--- a/src/gossip/exchange.rs
+++ b/src/gossip/exchange.rs
@@ -4,10 +4,10 @@
     super::{
         Contact, Datagram, DigestHead, Event, Item, Kind, News, Plan, ReportHistory, Sender,
         Silence, SumTeller, aggregator_table::AggregatorTable, member_table::MemberTable,
-        news_log::NewsLog, news_outbox::NewsOutbox, ranking, relay_log::RelayLog, seal,
+        news_log::NewsLog, news_outbox::NewsOutbox, relay_log::RelayLog, seal,
     },
     crate::{
-        dispatch::{LoadSum, RunnerHash},
+        dispatch::{LoadSum, ModelDemand, RunnerHash},
         leader::PeerNode,
         traffic::{NodeName, ZoneId},
     },
@@ -32,8 +32,6 @@
 pub struct Surroundings<'a> {
     /// The listed peers.
     pub peers: &'a [PeerNode],
-    /// Where peers are told directly.
-    pub addresses: &'a [SocketAddr],
     /// The version of the own configuration.
     pub config_version: u64,
     /// The newest configuration that was heard of.
@@ -72,6 +70,8 @@
     pub is_urgent: bool,
     /// Datagrams to send.
     pub outgoing: Vec<Outgoing>,
+    /// Datagrams to send to all peers.
+    pub to_all: Vec<Vec<u8>>,
 }
 
 /// Whom a node reports to.
@@ -108,10 +108,10 @@
     pub(super) sum_round: u32,
     pub(super) due: Due,
     pub(super) told_config: u64,
-    pub(super) told_waiting: u64,
+    pub(super) told_demand: Vec<ModelDemand>,
     pub(super) told_loads: Vec<(RunnerHash, LoadSum)>,
     pub(super) more_wait: bool,
-    followed: Option<(Contact, Instant)>,
+    pub(super) followed: Option<(Contact, Instant)>,
 }
 
 /// When what is due.
@@ -123,6 +123,7 @@
     pub(super) digest: Instant,
     pub(super) full: Instant,
     pub(super) planners: Instant,
+    pub(super) waiting: Instant,
 }
 
 impl Exchange {
@@ -158,9 +159,10 @@
                 digest: now,
                 full: now,
                 planners: now,
+                waiting: now,
             },
             told_config: 0,
-            told_waiting: 0,
+            told_demand: Vec::new(),
             told_loads: Vec::new(),
             more_wait: false,
             followed: None,
@@ -191,7 +193,7 @@
         }
         let news = self.outbox.add(&self.sender(config_version), event);
         self.log.is_new(&news, now);
-        if self.choice != Choice::Own && self.is_aggregator() {
+        if self.choice != Choice::Own {
             self.relays.add(news, false, now);
         }
     }
@@ -218,9 +220,6 @@
                 let reported = self.members.hear(&sender, from, head, items, now);
                 self.more_wait |= reported.more_wait;
                 learnt.is_urgent |= reported.is_new || reported.more_wait;
-                if reported.is_new {
-                    self.due.digest = now;
-                }
             }
             Kind::Digest(head) => self.hear_digest(&sender, from, head, items, around, &mut learnt),
             Kind::Sum(head) => {
@@ -281,10 +280,8 @@
             return;
         }
         learnt.events.push(news.event.clone());
-        if is_from_member || self.is_aggregator() {
-            self.relays.add(news, is_from_member, now);
-            learnt.is_urgent = true;
-        }
+        self.relays.add(news, is_from_member, now);
+        learnt.is_urgent |= self.is_aggregator();
     }
 
     fn hear_digest(
@@ -327,58 +324,6 @@
         }
     }
 
-    /// Chooses whom to report to: the first of the own data centre's ranking that answers.
-    pub(super) fn choose(&mut self, around: &Surroundings, outgoing: &mut Vec<Outgoing>) {
-        let now = around.now;
-        let choice = if around.is_large {
-            self.followed = None;
-            self.first_of_ranking(around, outgoing)
-        } else {
-            match self.follows(now).cloned() {
-                Some(contact) => Choice::Other(contact),
-                None => Choice::Nobody,
-            }
-        };
-        let same = match (&choice, &self.choice) {
-            (Choice::Other(new), Choice::Other(known)) => new.name == known.name,
-            (new, known) => new == known,
-        };
-        if !same {
-            log::debug!("gossip: loads go to {choice:?}");
-            self.has_digest = false;
-            self.due.report = now;
-            self.due.plan = now;
-            self.due.digest = now;
-        }
-        self.choice = choice;
-    }
-
-    fn first_of_ranking(&self, around: &Surroundings, outgoing: &mut Vec<Outgoing>) -> Choice {
-        let others = around.peers.iter().filter(|p| p.name != self.me.name);
-        for node in ranking(others.chain([&self.me]), &self.me.zone) {
-            if node.name == self.me.name {
-                return Choice::Own;
-            }
-            if !self.silence.is_silent(&node.name, around.now) {
-                return Choice::Other(node.into());
-            }
-            if self.silence.is_due_again(&node.name, around.now) {
-                let sender = self.sender(around.config_version);
-                let bytes = seal(&sender, &Kind::Ping, &[]);
-                let address = node.gossip_address;
-                outgoing.push(Outgoing { address, bytes });
-            }
-        }
-        Choice::Nobody
-    }
-
-    fn follows(&self, now: Instant) -> Option<&Contact> {
-        let followed = self.followed.as_ref();
-        let contact = followed.filter(|(_, until)| now < *until);
-        let contact = contact.map(|(contact, _)| contact);
-        contact.filter(|contact| !self.silence.is_silent(&contact.name, now))
-    }
-
     fn own_aggregator(&self) -> Option<(NodeName, SocketAddr)> {
         match &self.choice {
             Choice::Nobody => None,
--- a/src/gossip/gossip_sums.rs
+++ b/src/gossip/gossip_sums.rs
@@ -32,12 +32,10 @@
     }
 
     fn with_exchange(&self, work: impl FnOnce(&mut Exchange, &Surroundings) -> Learnt) -> Learnt {
-        let addresses = self.addresses();
         let newest = self.newest_config.borrow().clone();
         let peers = self.peers.borrow();
         let around = Surroundings {
             peers: &peers,
-            addresses: &addresses,
             config_version: self.config_version(),
             newest_config: newest.as_ref().map(|known| (&known.node, known.version.0)),
             is_large: peers.len() > self.direct_peers_max,
@@ -51,6 +49,13 @@
         for Outgoing { address, bytes } in &learnt.outgoing {
             self.send_to(bytes, *address).await;
         }
+        if !learnt.to_all.is_empty() {
+            for address in self.addresses() {
+                for bytes in &learnt.to_all {
+                    self.send_to(bytes, address).await;
+                }
+            }
+        }
     }
 
     fn learn(&self, learnt: &Learnt) {
--- a/src/gossip/member_table.rs
+++ b/src/gossip/member_table.rs
@@ -108,6 +108,13 @@
         self.0.iter_mut()
     }
 
+    /// Returns whether a member was told nothing yet.
+    pub(super) fn has_new(&self) -> bool {
+        self.0
+            .iter()
+            .any(|member| member.full_rounds == FULL_ROUNDS)
+    }
+
     pub(super) fn has(&self, node: &NodeName) -> bool {
         let found = self.0.binary_search_by(|m| m.contact.name.cmp(node));
         found.is_ok()
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -8,9 +8,11 @@
 //! a ranking that answers. Aggregators exchange the sums of the nodes that report to them, and send
 //! all nodes digests of the whole. See `docs/design/load-signals.md` for what both come to.
 
+mod aggregator_rounds;
 mod aggregator_table;
 mod datagram;
 mod exchange;
+mod exchange_choice;
 mod exchange_rounds;
 #[allow(clippy::module_inception)]
 mod gossip;
