Tell prompts coarsely where rounds are long

Cause: where rounds are longer than the 250 ms in which prompts count as recent, nearly every runner changed significantly in each round (10.8 KB/s a node at 350 nodes). Change: nothing of recent prompts there and a coarser step for unread ones; all is told each 8 rounds; news is told to members in 5 rounds.

--- a/src/dispatch/load_sum.rs
+++ b/src/dispatch/load_sum.rs
@@ -1,10 +1,11 @@
 //! The load of several nodes on a runner, in the units in which it is told.
 
 use {
-    super::{NodeLoad, Variant},
+    super::{NodeLoad, Variant, prompt_pace::PACE},
     crate::discovery::RunnerKey,
     flate2::Crc,
     serde::{Deserialize, Serialize},
+    std::time::Duration,
 };
 
 /// Tokens of memory in a unit.
@@ -16,8 +17,32 @@
 /// A change by more than this share of what was told is worth telling.
 const SIGNIFICANT_SHARE: u32 = 12;
 
-/// A change of prompts below this is not worth telling, in units.
-const PROMPT_CHANGE_MIN: u32 = 8;
+/// How finely prompts are told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PromptDetail {
+    /// Rounds are shorter than the span in which prompts count as recent.
+    Fine,
+    /// Rounds are longer, so that nothing is told of recent prompts.
+    Coarse,
+}
+
+impl PromptDetail {
+    /// Returns the detail for a time between two rounds.
+    pub fn of_round(round: Duration) -> Self {
+        match round <= PACE {
+            true => Self::Fine,
+            false => Self::Coarse,
+        }
+    }
+
+    /// Returns the least change that is worth telling, in units.
+    fn change_min(self) -> u32 {
+        match self {
+            Self::Fine => 8,
+            Self::Coarse => 128,
+        }
+    }
+}
 
 /// A short id of a runner.
 ///
@@ -70,18 +95,30 @@
         self.with(other, u32::saturating_sub)
     }
 
+    /// Leaves out what is not told in a detail.
+    #[must_use]
+    pub fn in_detail(self, detail: PromptDetail) -> Self {
+        match detail {
+            PromptDetail::Fine => self,
+            PromptDetail::Coarse => Self {
+                recent_units: 0,
+                ..self
+            },
+        }
+    }
+
     /// Returns whether there are requests.
     pub fn is_some(self) -> bool {
         self.requests > 0
     }
 
     /// Returns whether it differs from what was told so much that it is worth telling.
-    pub fn differs_from(self, told: Self) -> bool {
+    pub fn differs_from(self, told: Self, detail: PromptDetail) -> bool {
         let differs = |now: u32, then: u32, least| {
             let by = now.abs_diff(then);
             by >= least && u64::from(by) * u64::from(SIGNIFICANT_SHARE) > u64::from(then)
         };
-        let prompts = |now, then| differs(now, then, PROMPT_CHANGE_MIN);
+        let prompts = |now, then| differs(now, then, detail.change_min());
         differs(self.requests, told.requests, 1)
             || differs(self.kv_units, told.kv_units, 1)
             || prompts(self.prefill_units, told.prefill_units)
--- a/src/gossip/aggregator_rounds.rs
+++ b/src/gossip/aggregator_rounds.rs
@@ -88,7 +88,9 @@
         let sender = self.sender(around.config_version);
         let config = config_item(around);
         let changes = match due.sums {
-            true => self.digest_teller.changes(total, due.full),
+            true => self
+                .digest_teller
+                .changes(total, due.full, Self::detail(around)),
             false => Vec::new(),
         };
         let news = if due.full {
@@ -176,7 +178,9 @@
         let now = around.now;
         let sender = self.sender(around.config_version);
         let changes = match due.sums {
-            true => self.sum_teller.changes(direct, due.full),
+            true => self
+                .sum_teller
+                .changes(direct, due.full, Self::detail(around)),
             false => Vec::new(),
         };
         let head = || news.iter().cloned().chain(config_item(around));
--- a/src/gossip/exchange.rs
+++ b/src/gossip/exchange.rs
@@ -347,11 +347,11 @@
 
     /// Returns the time between two tellings of all.
     pub(super) fn full_round(peers: usize) -> Duration {
-        (Self::round(peers) * 5).max(Duration::from_millis(1_000))
+        (Self::round(peers) * 8).max(Duration::from_millis(1_000))
     }
 
     /// Returns how long a sum counts that is not told anew.
     pub(super) fn sums_kept(peers: usize) -> Duration {
-        Self::full_round(peers).mul_f64(2.5)
+        Self::full_round(peers).mul_f64(2.2)
     }
 }
--- a/src/gossip/exchange_rounds.rs
+++ b/src/gossip/exchange_rounds.rs
@@ -5,7 +5,7 @@
         Event, Exchange, Item, Kind, Learnt, Outgoing, Plan, ReportHead, Surroundings,
         exchange::Choice, pack, seal,
     },
-    crate::dispatch::{LoadSum, ModelDemand, OwnReport, RunnerHash},
+    crate::dispatch::{LoadSum, ModelDemand, OwnReport, PromptDetail, RunnerHash},
     std::time::Duration,
     tokio::time::Instant,
 };
@@ -81,7 +81,8 @@
         }
         let round = Self::round(around.peers.len());
         self.due.report = now + round;
-        let is_same = !self.loads_differ(&own.loads) && self.outbox.is_empty();
+        let detail = Self::detail(around);
+        let is_same = !self.loads_differ(&own.loads, detail) && self.outbox.is_empty();
         if !urgent && is_same && now < self.due.report_at_last {
             return;
         }
@@ -91,11 +92,15 @@
             self.due.plan = now + (round * 4).max(PLAN_MIN);
         }
         self.told_demand.clone_from(&own.demand);
-        self.told_loads.clone_from(&own.loads);
+        let loads = own.loads.iter();
+        self.told_loads = loads
+            .map(|&(r, load)| (r, load.in_detail(detail)))
+            .collect();
         self.report_round = self.report_round.wrapping_add(1);
-        self.history.told(self.report_round, own.loads.clone());
+        self.history
+            .told(self.report_round, self.told_loads.clone());
         let mut items = self.outbox.report(self.report_round, now);
-        let loads = own.loads.iter();
+        let loads = self.told_loads.iter();
         items.extend(loads.map(|&(runner, load)| Item::Sum(runner, load)));
         if has_plan {
             let plan = Plan {
@@ -119,9 +124,14 @@
         changed.cloned().collect()
     }
 
-    fn loads_differ(&self, loads: &[(RunnerHash, LoadSum)]) -> bool {
+    /// Returns how finely prompts are told at the size of the system.
+    pub(super) fn detail(around: &Surroundings) -> PromptDetail {
+        PromptDetail::of_round(Self::round(around.peers.len()))
+    }
+
+    fn loads_differ(&self, loads: &[(RunnerHash, LoadSum)], detail: PromptDetail) -> bool {
         let differs = |(now, told): (&(RunnerHash, LoadSum), &(RunnerHash, LoadSum))| {
-            now.0 != told.0 || now.1.differs_from(told.1)
+            now.0 != told.0 || now.1.in_detail(detail).differs_from(told.1, detail)
         };
         loads.len() != self.told_loads.len() || loads.iter().zip(&self.told_loads).any(differs)
     }
--- a/src/gossip/relay_log.rs
+++ b/src/gossip/relay_log.rs
@@ -7,7 +7,7 @@
 };
 
 /// How often news is told on, since datagrams get lost.
-const TOLD_ROUNDS: u8 = 3;
+const TOLD_ROUNDS: u8 = 5;
 
 /// How long other aggregators may take to say that they have news.
 const ACK: Duration = Duration::from_millis(150);
--- a/src/gossip/sum_teller.rs
+++ b/src/gossip/sum_teller.rs
@@ -1,7 +1,7 @@
 //! What of a sum is told: all at times, otherwise what changed.
 
 use {
-    crate::dispatch::{LoadSum, RunnerHash},
+    crate::dispatch::{LoadSum, PromptDetail, RunnerHash},
     std::cmp::Ordering,
 };
 
@@ -26,6 +26,7 @@
         &mut self,
         loads: &[(RunnerHash, LoadSum)],
         full: bool,
+        detail: PromptDetail,
     ) -> Vec<(RunnerHash, LoadSum)> {
         let told = std::mem::take(&mut self.0);
         let mut told = told.into_iter().peekable();
@@ -36,7 +37,7 @@
             }
             let known = told.next_if(|told| told.runner.cmp(&runner) == Ordering::Equal);
             let known = known.map(|told| told.load);
-            let due = full || known.is_none_or(|known| load.differs_from(known));
+            let due = full || known.is_none_or(|known| load.differs_from(known, detail));
             if due {
                 changes.push((runner, load));
             }
