--- a/examples/tls_cost.rs
+++ b/examples/tls_cost.rs
@@ -88,7 +88,7 @@
 fn sealing(keys: &KeyRing, accepted: &KeyRing) -> Cost {
     let start = Start::now();
     for _ in 0..DATAGRAMS {
-        let sealed = seal(vec![7; DATAGRAM_BYTES_MAX], keys);
+        let sealed = seal(&[7; DATAGRAM_BYTES_MAX], keys);
         assert!(std::hint::black_box(open(&sealed, accepted)).is_some());
     }
     start.micros(DATAGRAMS)
--- a/src/gossip/seal.rs
+++ b/src/gossip/seal.rs
@@ -4,18 +4,19 @@
     crate::security::{KeyRing, SharedKey},
     hmac::{Hmac, KeyInit, Mac},
     sha2::Sha256,
+    std::borrow::Cow,
 };
 
 /// The length of the code that follows a sealed datagram, in bytes.
 pub const SEAL_BYTES: usize = 16;
 
 /// Appends the code of the first key; leaves the bytes as they are without keys.
-pub fn seal(mut bytes: Vec<u8>, keys: &KeyRing) -> Vec<u8> {
-    let code = keys.with(|keys| Some(code_of(keys.first()?, &bytes)?.finalize()));
-    if let Some(code) = code {
-        bytes.extend_from_slice(&code.into_bytes()[..SEAL_BYTES]);
+pub fn seal<'a>(bytes: &'a [u8], keys: &KeyRing) -> Cow<'a, [u8]> {
+    let code = keys.with(|keys| Some(code_of(keys.first()?, bytes)?.finalize()));
+    match code {
+        Some(code) => [bytes, &code.into_bytes()[..SEAL_BYTES]].concat().into(),
+        None => bytes.into(),
     }
-    bytes
 }
 
 /// Returns what is sealed with one of the keys; all bytes without keys.
--- a/tests/security_keys.rs
+++ b/tests/security_keys.rs
@@ -12,14 +12,14 @@
 #[test]
 fn datagrams_stay_as_they_are_without_keys() {
     let none = KeyRing::default();
-    assert_eq!(seal(b"load".to_vec(), &none), b"load");
+    assert_eq!(&*seal(b"load", &none), b"load");
     assert_eq!(open(b"load", &none), Some(b"load".as_slice()));
 }
 
 #[test]
 fn only_what_an_accepted_key_seals_is_opened() {
     let keys = ring(&["the first key"]);
-    let sealed = seal(b"load".to_vec(), &keys);
+    let sealed = seal(b"load", &keys).into_owned();
     assert_eq!(sealed.len(), 4 + SEAL_BYTES);
     assert_eq!(open(&sealed, &keys), Some(b"load".as_slice()));
     assert_eq!(open(&sealed, &ring(&["another key"])), None);
@@ -37,10 +37,10 @@
     for pair in steps.windows(2) {
         let (before, after) = (ring(pair[0]), ring(pair[1]));
         for (from, to) in [(&before, &after), (&after, &before)] {
-            assert!(open(&seal(b"load".to_vec(), from), to).is_some());
+            assert!(open(&seal(b"load", from), to).is_some());
         }
     }
-    assert!(open(&seal(b"load".to_vec(), &ring(&["old"])), &ring(&["new"])).is_none());
+    assert!(open(&seal(b"load", &ring(&["old"])), &ring(&["new"])).is_none());
 }
 
 #[test]
