Count an unanswered call towards the pause after it

Ruled out: the watch of the stand-in (set_faults wakes it), a version lost (it comes with the next read). Change: the time that a try took counts towards the pause after it; the list of runners uses the same back-off instead of its own. Conclusion: a fault of the follower, the tests are unchanged but for the new one.

--- a/src/discovery/runner_follower.rs
+++ b/src/discovery/runner_follower.rs
@@ -4,11 +4,11 @@
     super::{ListedRunners, RunnerEntry, RunnerList, list_changes::log_changes},
     crate::{
         dispatch::RunnerBoard,
+        membership::Backoff,
         node::Formats,
         store::{Change, SharedStore, StoreError, StoreHealth, StoreVersion, live_watch},
     },
     futures::StreamExt,
-    rand::RngExt,
     std::{sync::Arc, time::Duration},
     tokio::{
         sync::watch,
@@ -22,8 +22,12 @@
 /// How long an entry that vanished in an outage stays after the store's return.
 const MISSING_GRACE_MS: u64 = 2_000;
 
-const BACKOFF_MIN_MS: u64 = 250;
-const BACKOFF_MAX_MS: u64 = 1_000;
+/// The first pause after a failed call.
+const BACKOFF_FIRST: Duration = Duration::from_millis(250);
+
+/// The longest pause after failed calls.
+const BACKOFF_LONGEST: Duration = Duration::from_secs(1);
+
 const ENTRIES_MAX: usize = 100_000;
 
 /// How a watch ended.
@@ -81,18 +85,18 @@
 
     /// Follows the store for ever.
     pub async fn run(mut self) {
-        let mut backoff_ms = BACKOFF_MIN_MS;
+        let mut backoff = Backoff::new(BACKOFF_FIRST, BACKOFF_LONGEST);
         loop {
+            let started = Instant::now();
             let ended = self.follow().await;
             log::debug!(
                 "discovery: reads the list of runners again: {}",
                 ended.cause
             );
             if ended.answered {
-                backoff_ms = BACKOFF_MIN_MS;
+                backoff.reset();
             }
-            self.pause_outside(jittered(backoff_ms)).await;
-            backoff_ms = (backoff_ms * 2).min(BACKOFF_MAX_MS);
+            self.pause_outside(backoff.pause_since(started)).await;
         }
     }
 
@@ -164,8 +168,8 @@
     }
 
     /// Pauses while no watch runs; newer lists of peers are taken meanwhile.
-    async fn pause_outside(&mut self, ms: u64) {
-        let until = Instant::now() + Duration::from_millis(ms);
+    async fn pause_outside(&mut self, pause: Duration) {
+        let until = Instant::now() + pause;
         loop {
             tokio::select! {
                 () = sleep_until(until) => return,
@@ -261,7 +265,3 @@
         None => futures::future::pending().await,
     }
 }
-
-fn jittered(ms: u64) -> u64 {
-    rand::rng().random_range(ms / 2..=ms)
-}
--- a/src/traffic/follow.rs
+++ b/src/traffic/follow.rs
@@ -10,7 +10,7 @@
     bytes::Bytes,
     futures::StreamExt,
     std::{sync::Arc, time::Duration},
-    tokio::time,
+    tokio::time::{self, Instant},
 };
 
 /// The first pause after a failed call.
@@ -40,11 +40,12 @@
     pub async fn run(self) {
         let mut backoff = Backoff::new(RETRY_FIRST, RETRY_MAX);
         loop {
+            let started = Instant::now();
             let cause = self.follow(&mut backoff).await;
             if cause != StoreError::Compacted {
                 log::debug!("config: the store cannot be followed: {cause}");
             }
-            time::sleep(backoff.next_pause()).await;
+            time::sleep(backoff.pause_since(started)).await;
         }
     }
 
--- a/tests/traffic_follow.rs
+++ b/tests/traffic_follow.rs
@@ -24,6 +24,9 @@
 /// The time within which a version must be in force.
 const IN_FORCE_MAX: Duration = Duration::from_millis(2_000);
 
+/// How long a call to the store stand-in waits for an answer that was lost.
+const UNANSWERED_CALL: Duration = Duration::from_secs(2);
+
 fn follow(store: &MemoryStore) -> Arc<TrafficBoard> {
     let board = Arc::new(TrafficBoard::default());
     let formats = Arc::new(VersionFormats);
@@ -117,6 +120,23 @@
     assert!(reaches(&board, 2).await);
 }
 
+/// A call that was taken and never answered must not be followed by a full pause as well.
+#[tokio::test(start_paused = true)]
+async fn an_unanswered_call_counts_towards_the_pause_after_it() {
+    let (store, link, board) = following().await;
+    link.set_faults(KvFaults::DOWN);
+    sleep(Duration::from_secs(10)).await;
+    link.set_faults(KvFaults::SILENT);
+    let before = store.counts();
+    while store.counts() == before {
+        sleep(Duration::from_millis(5)).await;
+    }
+    link.set_faults(KvFaults::default());
+    write(&store, KEY, "2").await;
+    sleep(UNANSWERED_CALL + Duration::from_millis(250)).await;
+    assert_eq!(board.version(), Some(ConfigVersion(2)));
+}
+
 /// Seeded faults come and go; the version never falls, and the last one is in force soon after.
 #[tokio::test(start_paused = true)]
 async fn the_version_never_falls_and_catches_up_after_faults() {
