Move the waits of calls and the sequences of calls out of the adapter

Cause: platform/ was to hold names, formats and calls only, yet it chose the time-outs of its calls, how long a watch waits against the store's history, and ran the loops of a watch and of a range of several pages. Ruled out: renaming fields by deploy/wire.toml, which would shorten a few attributes and make the formats' tests less like the pages. Change: limits come from the product (store::STORE_CALLS, store::WatchLimits, node::RUNNER_CALLS); store::long_poll and store::read_pages run the sequences; platform/src/store/watch.rs is gone. The same tests, which name the limits' new type, pass.

--- a/src/http/call.rs
+++ b/src/http/call.rs
@@ -55,6 +55,15 @@
     pub answer_max_bytes: usize,
 }
 
+/// The limits of a client's calls and of their connections.
+#[derive(Debug, Clone, Copy)]
+pub struct ClientLimits {
+    /// The longest wait for a connection.
+    pub connect_timeout: Duration,
+    /// The limits of each call.
+    pub call: CallLimits,
+}
+
 async fn read_whole(exchange: Exchange, max_bytes: usize) -> Result<Response<Bytes>, SendError> {
     let (head, body) = exchange.response.into_parts();
     let body = Limited::new(body, max_bytes).collect().await;
--- a/src/node/port.rs
+++ b/src/node/port.rs
@@ -3,12 +3,13 @@
 use {
     crate::{
         discovery::{RunnerEntry, RunnerKey},
+        http::{CallLimits, ClientLimits},
         relay::{AnswerHead, CallHead, ForwardHead, HeadError},
         traffic::{AdapterId, ModelId, NodeName, TrafficConfig},
     },
     futures::future::BoxFuture,
     hyper::{HeaderMap, http},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
     thiserror::Error,
 };
 
@@ -142,6 +143,15 @@
     pub running: u32,
 }
 
+/// The limits of calls to runners that are neither callers' requests nor health checks.
+pub const RUNNER_CALLS: ClientLimits = ClientLimits {
+    connect_timeout: Duration::from_millis(700),
+    call: CallLimits {
+        timeout: Duration::from_millis(1_000),
+        answer_max_bytes: 1 << 20,
+    },
+};
+
 /// Calls to a runner beside requests.
 pub trait RunnerControl: Send + Sync {
     /// Sends an order.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod call;
+mod call_limits;
 mod error;
 mod etcd_store;
 pub mod gateway;
@@ -9,8 +10,12 @@
 pub mod keys;
 mod kv;
 mod live_watch;
+mod long_poll;
 mod metered_store;
 mod monitored_store;
 mod watch_reader;
 
-pub use {error::*, etcd_store::*, kv::*, live_watch::*, metered_store::*, monitored_store::*};
+pub use {
+    call_limits::*, error::*, etcd_store::*, kv::*, live_watch::*, long_poll::*, metered_store::*,
+    monitored_store::*,
+};
