Let most nodes of a large system follow the store through a peer

Cause: each change of a runner's entry answered the watch of all 62 nodes of the grown Kente; three watches a node and 1.25 answers a second made calls to the store its first price. Ruled out: longer pauses (twice the pause is the bound of draining); whole lists from peers. Change: above direct_peers_max peers one node in 17 of each data centre watches; others ask it for what changed and watch the store themselves when it fails, lags or is the leader. Changes of the nodes' list gather for 5 ms a node. Large configurations come from the store alone.

--- a/src/leader/cluster_view.rs
+++ b/src/leader/cluster_view.rs
@@ -121,6 +121,11 @@
         others.map(|listed| listed.node.clone()).collect()
     }
 
+    /// Returns how many nodes are listed.
+    pub fn count_listed(&self) -> u32 {
+        self.nodes.len() as u32
+    }
+
     /// Returns how many live nodes registered after `me`; they are the least likely to be
     /// stopped next when nodes are restarted in turn.
     pub fn count_younger(&self, me: &NodeName) -> u32 {
--- a/src/leader/follow.rs
+++ b/src/leader/follow.rs
@@ -19,6 +19,12 @@
 /// silent for good.
 const SILENCE_MAX: Duration = Duration::from_secs(8);
 
+/// How long changes gather between two answers of a watch, for each listed node. Many nodes that
+/// start together would otherwise wake one another with each registration.
+const GATHER_PER_NODE: Duration = Duration::from_millis(5);
+/// The longest that changes gather.
+const GATHER_MAX: Duration = Duration::from_millis(500);
+
 /// The most keys that are read.
 const KEYS_MAX: usize = 100_000;
 
@@ -50,6 +56,14 @@
     Ok(range.version)
 }
 
+/// Pauses while changes gather; the node that leads hears of each at once.
+async fn gather(shared: &Shared) {
+    if shared.term.borrow().is_none() {
+        let nodes = shared.view().count_listed();
+        tokio::time::sleep((GATHER_PER_NODE * nodes).min(GATHER_MAX)).await;
+    }
+}
+
 /// Watches until the watch ends or goes silent; returns from where to go on.
 async fn watch_from(shared: &Shared, since: StoreVersion) -> Result<StoreVersion, StoreError> {
     let mut watch = shared.store.watch(&shared.keys.prefix, since);
@@ -66,6 +80,7 @@
         version = version.max(batch.version);
         if !batch.changes.is_empty() {
             shared.apply(&batch.changes);
+            gather(shared).await;
         }
     }
     Ok(version)
--- a/src/node/control_port.rs
+++ b/src/node/control_port.rs
@@ -1,7 +1,7 @@
 //! What a node answers to its peers and to operators.
 
 use {
-    super::{ControlAccess, NodeView, PeerPages},
+    super::{CHANGES_PATH, ChangePage, ControlAccess, NodeView, PeerPages},
     crate::{
         http::{Body, ListenerLimits, serve_http, serve_http_with},
         security::Access,
@@ -13,7 +13,7 @@
         header::{CONTENT_TYPE, HeaderValue},
     },
     serde::Serialize,
-    std::{future::ready, time::Duration},
+    std::{future::ready, sync::Arc, time::Duration},
     tokio::net::TcpListener,
     tokio_util::sync::CancellationToken,
 };
@@ -45,6 +45,8 @@
     pub view: NodeView,
     /// What it answers to peers.
     pub pages: PeerPages,
+    /// What it tells peers that follow the store through it.
+    pub changes: ChangePage,
     /// Who may connect, and who may change something.
     pub access: ControlAccess,
 }
@@ -54,11 +56,15 @@
     pub async fn serve(self, listener: TcpListener, stop: CancellationToken) {
         let tls = self.access.tls.as_ref();
         let tls = tls.map(|tls| tls.server(Access::All));
-        let handle = move |request: Request<Incoming>| ready(self.answer(&request));
+        let port = Arc::new(self);
+        let handle = move |request: Request<Incoming>| {
+            let port = port.clone();
+            async move { port.answer(&request).await }
+        };
         serve_http_with(listener, LIMITS, tls, stop, handle).await;
     }
 
-    fn answer(&self, request: &Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: &Request<Incoming>) -> Response<Body> {
         let view = &self.view;
         let uri = request.uri();
         match (request.method(), uri.path()) {
@@ -76,6 +82,7 @@
             (_, EVENTS_PATH) => json(&RecentEvents::global().newest(usize::MAX)),
             (_, "/healthz") => status(StatusCode::OK),
             (_, METRICS_PATH) => Response::new(Body::from(view.metrics())),
+            (_, CHANGES_PATH) => self.changes.answer(uri).await,
             _ => self.pages.answer(uri),
         }
     }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! One node: everything that runs on a VM, in one process.
 
+mod change_page;
 mod control_access;
 mod control_port;
 mod demand_metrics;
@@ -15,9 +16,10 @@
 mod settings_follow;
 mod signals;
 mod status;
+mod upstream;
 
 pub use {
-    control_access::*, control_port::*, demand_metrics::*, node_view::*, parts::*, peer_client::*,
-    peer_config::*, peer_pages::*, peer_runners::*, port::*, run::*, settings::*,
-    settings_follow::*, status::*,
+    change_page::*, control_access::*, control_port::*, demand_metrics::*, node_view::*, parts::*,
+    peer_client::*, peer_config::*, peer_pages::*, peer_runners::*, port::*, run::*, settings::*,
+    settings_follow::*, status::*, upstream::*,
 };
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -2,9 +2,9 @@
 
 use {
     super::{
-        ControlAccess, ControlPort, NodeParts, NodeSettings, NodeView, PeerAddresses,
-        PeerConfigFollower, PeerPages, PeerRunnersFollower, SettingsFollower, serve_metrics,
-        signals::Signals,
+        ChangePage, ControlAccess, ControlPort, NodeParts, NodeSettings, NodeView, PeerAddresses,
+        PeerConfigFollower, PeerPages, PeerRunnersFollower, SettingsFollower, Upstream,
+        serve_metrics, signals::Signals,
     },
     crate::{
         copies::{OrderCounts, OrderTask},
@@ -15,7 +15,7 @@
         leader::{Membership, PeerNode},
         relay::Relay,
         security::{KeyRing, Tls, TlsError, follow_tls},
-        store::{MeteredStore, MonitoredStore, StoreHealth, StoreVersion},
+        store::{MeteredStore, MonitoredStore, StoreHealth, StoreVersion, UpstreamStore},
         telemetry::{init_logs_by_part, set_log_rules},
         traffic::{ConfigFollower, TrafficBoard},
     },
@@ -89,6 +89,7 @@
     let control = ControlPort {
         view,
         pages,
+        changes: node.change_page(),
         access,
     };
     tokio::spawn(control.serve(sockets.control, ended.clone()));
@@ -119,6 +120,8 @@
     settings: NodeSettings,
     parts: NodeParts,
     store_health: Arc<StoreHealth>,
+    /// The store, whose watches go through a peer in large systems.
+    followed: Arc<UpstreamStore>,
     traffic: Arc<TrafficBoard>,
     board: Arc<RunnerBoard>,
     membership: Arc<Membership>,
@@ -139,16 +142,19 @@
         parts.store = Arc::new(monitored);
         let traffic = Arc::new(TrafficBoard::default());
         let board = RunnerBoard::new(settings.data_centre.clone(), traffic.clone());
+        let followed = Arc::new(UpstreamStore::new(parts.store.clone()));
         let membership = Membership::start(
-            parts.store.clone(),
+            followed.clone(),
             &parts.formats.keys().own_prefix,
             own_address(&settings),
             settings.bounds,
         );
+        followed.follow(Arc::new(upstream(&settings, &membership, tls.clone())));
         Self {
             settings,
             parts,
             store_health,
+            followed,
             traffic,
             board: Arc::new(board),
             membership: Arc::new(membership),
@@ -192,12 +198,13 @@
     ///
     /// Returns the version of the store up to which the runners are known.
     fn follow_platform(&self) -> watch::Receiver<StoreVersion> {
-        let (store, formats) = (&self.parts.store, &self.parts.formats);
-        let config = ConfigFollower::new(store.clone(), formats.clone(), self.traffic.clone());
+        let formats = &self.parts.formats;
+        let config =
+            ConfigFollower::new(self.followed.clone(), formats.clone(), self.traffic.clone());
         tokio::spawn(config.run());
         let (lists, peer_list) = watch::channel(ListedRunners::default());
         let runners = RunnerFollower::new(
-            store.clone(),
+            self.followed.clone(),
             self.store_health.clone(),
             formats.clone(),
             self.board.clone(),
@@ -212,6 +219,14 @@
         version
     }
 
+    fn change_page(&self) -> ChangePage {
+        ChangePage {
+            logs: self.followed.logs(),
+            health: self.store_health.clone(),
+            fresh_max: Duration::from_millis(self.settings.bounds.lease_ms) / 2,
+        }
+    }
+
     fn peers(&self) -> PeerAddresses {
         PeerAddresses {
             peers: self.membership.peers.clone(),
@@ -331,6 +346,18 @@
     }
 }
 
+/// Makes the source of changes for a node that does not watch the store itself.
+fn upstream(settings: &NodeSettings, membership: &Membership, tls: Option<Tls>) -> Upstream {
+    let upstream = Upstream::new(
+        own_address(settings),
+        membership.peers.clone(),
+        membership.term.clone(),
+        settings.direct_peers_max,
+        settings.bounds.drain_ms,
+    );
+    upstream.with_tls(tls)
+}
+
 async fn bind(what: &'static str, address: SocketAddr) -> Result<TcpListener, NodeError> {
     TcpListener::bind(address).await.map_err(io_error(what))
 }
--- /dev/null
+++ b/src/node/upstream.rs
@@ -0,0 +1,164 @@
+//! Follows the store through a peer in large systems.
+
+use {
+    super::change_page::{changes_path, read_changes},
+    crate::{
+        gossip::ranking,
+        http::{Body, CallLimits, Client, Liveness},
+        leader::{PeerNode, Term},
+        security::Tls,
+        store::{ChangeSource, Changes, StoreVersion},
+        traffic::NodeName,
+    },
+    futures::future::{BoxFuture, FutureExt},
+    hyper::{Request, StatusCode},
+    std::{
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{sync::watch, time::Instant},
+};
+
+/// How many nodes follow one that watches the store itself, at most.
+const FOLLOWERS_MAX: usize = 16;
+
+/// The longest wait for the next sign of life of a peer.
+const WAIT_MAX: Duration = Duration::from_secs(1);
+
+/// How much later an answer may come.
+const ANSWER_SLACK: Duration = Duration::from_millis(300);
+
+/// How long a peer that failed is not asked again.
+const FAILURE_REST: Duration = Duration::from_secs(3);
+
+const ANSWER_MAX_BYTES: usize = 64 << 10;
+
+/// A peer that failed.
+#[derive(Debug)]
+struct Failure {
+    peer: NodeName,
+    until: Instant,
+}
+
+/// Follows the store through a peer of the own data centre.
+///
+/// Of each data centre a few nodes watch the store, the first of the ranking that all nodes know;
+/// the others follow these. The node that gives orders always watches the store itself, and so
+/// does one whose peer failed.
+#[derive(Debug)]
+pub struct Upstream {
+    me: PeerNode,
+    peers: watch::Receiver<Vec<PeerNode>>,
+    term: watch::Receiver<Option<Term>>,
+    direct_peers_max: usize,
+    wait: Duration,
+    client: Client,
+    failures: Mutex<Vec<Failure>>,
+}
+
+impl Upstream {
+    /// Makes a source for a node; with at most `direct_peers_max` peers it follows none.
+    ///
+    /// A third of `drain_ms` is the longest that it waits for a sign of life of a peer.
+    pub fn new(
+        me: PeerNode,
+        peers: watch::Receiver<Vec<PeerNode>>,
+        term: watch::Receiver<Option<Term>>,
+        direct_peers_max: usize,
+        drain_ms: u64,
+    ) -> Self {
+        Self {
+            me,
+            peers,
+            term,
+            direct_peers_max,
+            wait: WAIT_MAX.min(Duration::from_millis(drain_ms) / 3),
+            client: Client::with_liveness(ANSWER_SLACK, Liveness::STRICT),
+            failures: Mutex::default(),
+        }
+    }
+
+    /// Asks the peer by TLS, if given.
+    pub fn with_tls(self, tls: Option<Tls>) -> Self {
+        Self {
+            client: self.client.with_tls(tls),
+            ..self
+        }
+    }
+
+    /// Returns the peer to follow; `None` for a node that watches the store itself.
+    pub fn peer(&self) -> Option<PeerNode> {
+        if self.term.borrow().is_some() {
+            return None;
+        }
+        let peers = self.peers.borrow();
+        if peers.len() <= self.direct_peers_max {
+            return None;
+        }
+        let ranked = ranking(peers.iter().chain([&self.me]), &self.me.zone);
+        let watchers = ranked.len().div_ceil(FOLLOWERS_MAX + 1);
+        let rank = ranked.iter().position(|node| node.name == self.me.name)?;
+        if rank < watchers {
+            return None;
+        }
+        let candidates = [rank, rank + 1].map(|turn| ranked[turn % watchers]);
+        let sound = candidates
+            .into_iter()
+            .find(|peer| !self.has_failed(&peer.name));
+        sound.cloned()
+    }
+
+    fn has_failed(&self, peer: &NodeName) -> bool {
+        let now = Instant::now();
+        let mut failures = self.failures();
+        failures.retain(|failure| failure.until > now);
+        failures.iter().any(|failure| failure.peer == *peer)
+    }
+
+    fn note_failure(&self, peer: NodeName) {
+        let until = Instant::now() + FAILURE_REST;
+        self.failures().push(Failure { peer, until });
+    }
+
+    fn failures(&self) -> MutexGuard<'_, Vec<Failure>> {
+        self.failures.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn ask(&self, prefix: &str, after: StoreVersion) -> Option<Changes> {
+        let peer = self.peer()?;
+        let request = Request::get(changes_path(prefix, after, self.wait));
+        let request = request.body(Body::empty()).ok()?;
+        let limits = CallLimits {
+            timeout: self.wait + ANSWER_SLACK,
+            answer_max_bytes: ANSWER_MAX_BYTES,
+        };
+        let answer = self
+            .client
+            .call(peer.control_address, request, limits)
+            .await;
+        match answer {
+            Ok(answer) if answer.status() == StatusCode::OK => read_changes(answer.body()),
+            Ok(answer) if answer.status() == StatusCode::GONE => None,
+            Ok(answer) => {
+                log::debug!("store: {} answers {}", peer.name, answer.status());
+                self.note_failure(peer.name);
+                None
+            }
+            Err(cause) => {
+                log::debug!("store: {} cannot be followed: {cause}", peer.name);
+                self.note_failure(peer.name);
+                None
+            }
+        }
+    }
+}
+
+impl ChangeSource for Upstream {
+    fn changes_after<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: StoreVersion,
+    ) -> BoxFuture<'a, Option<Changes>> {
+        self.ask(prefix, after).boxed()
+    }
+}
--- a/src/store/kv.rs
+++ b/src/store/kv.rs
@@ -154,6 +154,16 @@
     pub version: StoreVersion,
 }
 
+impl Changes {
+    /// Makes an empty batch: nothing changed up to a version.
+    pub fn none_after(version: StoreVersion) -> Self {
+        Self {
+            changes: Vec::new(),
+            version,
+        }
+    }
+}
+
 /// A lease that was granted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Lease {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod call;
+mod change_log;
 mod error;
 mod etcd_store;
 pub mod gateway;
@@ -11,6 +12,10 @@
 mod live_watch;
 mod metered_store;
 mod monitored_store;
+mod upstream_store;
 mod watch_reader;
 
-pub use {error::*, etcd_store::*, kv::*, live_watch::*, metered_store::*, monitored_store::*};
+pub use {
+    change_log::*, error::*, etcd_store::*, kv::*, live_watch::*, metered_store::*,
+    monitored_store::*, upstream_store::*,
+};
--- a/src/store/monitored_store.rs
+++ b/src/store/monitored_store.rs
@@ -9,7 +9,10 @@
         future::{BoxFuture, FutureExt},
         stream::BoxStream,
     },
-    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
     tokio::time::Instant,
 };
 
@@ -18,6 +21,7 @@
     /// When the latest outage began, while it lasts.
     out_since: Option<Instant>,
     returned_at: Option<Instant>,
+    answered_at: Option<Instant>,
 }
 
 /// Whether the service answers this process, and since when.
@@ -42,6 +46,13 @@
         self.lock().out_since.is_some()
     }
 
+    /// Returns until when the last answer is at most `max` old; `None` while calls fail.
+    pub fn fresh_until(&self, max: Duration) -> Option<Instant> {
+        let observed = self.lock();
+        let until = observed.answered_at? + max;
+        (observed.out_since.is_none() && Instant::now() < until).then_some(until)
+    }
+
     fn note<T>(&self, answer: &Result<T, StoreError>) {
         match answer {
             Ok(_) | Err(StoreError::LeaseLapsed(_) | StoreError::Compacted) => self.note_answer(),
@@ -64,6 +75,7 @@
 
     fn note_answer(&self) {
         let mut observed = self.lock();
+        observed.answered_at = Some(Instant::now());
         let Some(since) = observed.out_since.take() else {
             return;
         };
--- /dev/null
+++ b/src/store/upstream_store.rs
@@ -0,0 +1,163 @@
+//! A store whose watches go through a peer where there is one to follow.
+
+use {
+    super::{
+        ChangeLogs, Changes, Lease, LeaseId, Range, SharedStore, Store, StoreError, StoreVersion,
+        Txn, TxnReply,
+    },
+    futures::{
+        StreamExt,
+        future::BoxFuture,
+        stream::{self, BoxStream},
+    },
+    std::{
+        fmt,
+        sync::{Arc, OnceLock},
+    },
+};
+
+/// Where a process hears of changes besides the store itself.
+pub trait ChangeSource: Send + Sync {
+    /// Waits for the changes below a prefix after a version, for a short time; an empty answer
+    /// is a sign of life.
+    ///
+    /// Returns `None` where the store itself is to be watched, now or after a source failed.
+    fn changes_after<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: StoreVersion,
+    ) -> BoxFuture<'a, Option<Changes>>;
+}
+
+/// A store whose watches go through a peer where there is one to follow.
+///
+/// All other calls go to the store. What the watches report is kept for peers that follow this
+/// process in turn.
+pub struct UpstreamStore {
+    inner: SharedStore,
+    source: OnceLock<Arc<dyn ChangeSource>>,
+    logs: Arc<ChangeLogs>,
+}
+
+impl fmt::Debug for UpstreamStore {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("UpstreamStore")
+    }
+}
+
+impl UpstreamStore {
+    /// Makes a store that passes all calls on to `inner` until it has a source.
+    pub fn new(inner: SharedStore) -> Self {
+        Self {
+            inner,
+            source: OnceLock::new(),
+            logs: Arc::default(),
+        }
+    }
+
+    /// Hears of changes from a source from now on; only the first one counts.
+    pub fn follow(&self, source: Arc<dyn ChangeSource>) {
+        let _ = self.source.set(source);
+    }
+
+    /// Returns what the watches reported last.
+    pub fn logs(&self) -> Arc<ChangeLogs> {
+        self.logs.clone()
+    }
+}
+
+/// A watch that asks the source before each answer of the store.
+struct UpstreamWatch<'a> {
+    store: &'a UpstreamStore,
+    prefix: &'a str,
+    since: StoreVersion,
+    /// The watch of the store itself, while no source is followed.
+    direct: Option<BoxStream<'a, Result<Changes, StoreError>>>,
+}
+
+impl UpstreamWatch<'_> {
+    async fn next(&mut self) -> Option<Result<Changes, StoreError>> {
+        let next = match self.from_source().await {
+            Some(changes) => {
+                self.direct = None;
+                Some(Ok(changes))
+            }
+            None => self.from_store().await,
+        };
+        if let Some(Ok(batch)) = &next {
+            self.store.logs.add(self.prefix, self.since, batch);
+            self.since = self.since.max(batch.version);
+        }
+        next
+    }
+
+    async fn from_source(&mut self) -> Option<Changes> {
+        let source = self.store.source.get()?;
+        source.changes_after(self.prefix, self.since).await
+    }
+
+    async fn from_store(&mut self) -> Option<Result<Changes, StoreError>> {
+        let (prefix, since) = (self.prefix, self.since);
+        let inner = &self.store.inner;
+        let direct = self
+            .direct
+            .get_or_insert_with(|| inner.watch(prefix, since));
+        direct.next().await
+    }
+}
+
+impl Store for UpstreamStore {
+    fn range<'a>(
+        &'a self,
+        prefix: &'a str,
+        limit: usize,
+    ) -> BoxFuture<'a, Result<Range, StoreError>> {
+        self.inner.range(prefix, limit)
+    }
+
+    fn range_between<'a>(
+        &'a self,
+        start: &'a str,
+        end: &'a str,
+        limit: usize,
+    ) -> BoxFuture<'a, Result<Range, StoreError>> {
+        self.inner.range_between(start, end, limit)
+    }
+
+    fn txn(&self, txn: Txn) -> BoxFuture<'_, Result<TxnReply, StoreError>> {
+        self.inner.txn(txn)
+    }
+
+    fn grant_lease(&self, ttl_s: u64) -> BoxFuture<'_, Result<Lease, StoreError>> {
+        self.inner.grant_lease(ttl_s)
+    }
+
+    fn renew_lease(&self, id: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
+        self.inner.renew_lease(id)
+    }
+
+    fn revoke_lease(&self, id: LeaseId) -> BoxFuture<'_, Result<(), StoreError>> {
+        self.inner.revoke_lease(id)
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        since: StoreVersion,
+    ) -> BoxStream<'a, Result<Changes, StoreError>> {
+        self.logs.begin(prefix, since);
+        let watch = UpstreamWatch {
+            store: self,
+            prefix,
+            since,
+            direct: None,
+        };
+        let answers = stream::unfold(Some(watch), async |watch| {
+            let mut watch = watch?;
+            let next = watch.next().await?;
+            let rest = next.is_ok().then_some(watch);
+            Some((next, rest))
+        });
+        answers.boxed()
+    }
+}
--- a/tests/leader_election.rs
+++ b/tests/leader_election.rs
@@ -16,7 +16,8 @@
     greengagetrail::{
         leader::Term,
         standin::kv::{KvFaults, MemoryStore},
-        store::Store,
+        store::{MeteredStore, Store},
+        telemetry::MetricText,
     },
     std::{sync::Arc, time::Duration},
     tokio::time::{Instant, sleep},
@@ -280,3 +281,30 @@
     sleep_ms(9_000).await;
     assert_eq!(node.membership.peers.borrow().len(), 1);
 }
+
+/// Each start writes a key that all watch; an answer for each of them would grow with the square.
+#[tokio::test(start_paused = true)]
+async fn nodes_that_start_together_do_not_wake_one_another_with_each_registration() {
+    const NODES: usize = 62;
+    let store = MemoryStore::new();
+    let metered = Arc::new(MeteredStore::new(shared(&store)));
+    let mut nodes = Vec::new();
+    for index in 0..NODES {
+        nodes.push(TestNode::start(metered.clone(), index, bounds()));
+        sleep_ms(5).await;
+    }
+    sleep_ms(2_000).await;
+    for node in &nodes {
+        assert_eq!(node.membership.peers.borrow().len(), NODES - 1);
+    }
+    let mut text = MetricText::default();
+    metered.render(&mut text);
+    let text = text.finish();
+    let name = r#"ggt_store_calls_total{kind="watch",outcome="done"} "#;
+    let answers = text.lines().find_map(|line| line.strip_prefix(name));
+    let answers: f64 = answers.unwrap().parse().unwrap();
+    assert!(
+        answers <= 12.0 * NODES as f64,
+        "{answers} answers of watches"
+    );
+}
--- /dev/null
+++ b/tests/node_upstream.rs
@@ -0,0 +1,326 @@
+//! Following the store through a peer: who follows whom, and what becomes of it when the peer fails.
+
+use {
+    bytes::Bytes,
+    futures::StreamExt,
+    greengagetrail::{
+        http::{ListenerLimits, serve_http},
+        leader::{PeerNode, Term},
+        node::{ChangePage, Upstream},
+        standin::kv::{KvFaults, MemoryStore},
+        store::{
+            Change, Changes, MonitoredStore, Op, SharedStore, Store, StoreVersion, Txn,
+            UpstreamStore,
+        },
+    },
+    hyper::{Request, body::Incoming},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        net::TcpListener,
+        sync::{mpsc, watch},
+        time::{Instant, sleep, timeout},
+    },
+    tokio_util::sync::{CancellationToken, DropGuard},
+};
+
+const PREFIX: &str = "runners/";
+
+const DRAIN_MS: u64 = 3_000;
+
+const LIMITS: ListenerLimits = ListenerLimits {
+    head_max_bytes: 16 * 1024,
+    head_timeout: Duration::from_secs(5),
+    write_timeout: Duration::from_secs(5),
+    connections_max: 64,
+    stop_max: Duration::from_secs(1),
+};
+
+fn node(name: &str, zone: &str, control_address: SocketAddr) -> PeerNode {
+    PeerNode {
+        name: name.into(),
+        gossip_address: nowhere(),
+        control_address,
+        zone: zone.into(),
+    }
+}
+
+/// An address at which nothing listens.
+fn nowhere() -> SocketAddr {
+    "127.0.0.1:9".parse().unwrap()
+}
+
+/// Makes the source of a node among others; a term makes it the one that gives orders.
+fn upstream(me: PeerNode, peers: Vec<PeerNode>, max: usize, term: Option<Term>) -> Upstream {
+    let peers = watch::Sender::new(peers).subscribe();
+    let term = watch::Sender::new(term).subscribe();
+    Upstream::new(me, peers, term, max, DRAIN_MS)
+}
+
+/// Returns whom each of some nodes follows.
+fn followed(nodes: &[PeerNode], max: usize) -> Vec<Option<PeerNode>> {
+    let peer = |me: &PeerNode| {
+        let others = nodes.iter().filter(|node| node.name != me.name);
+        upstream(me.clone(), others.cloned().collect(), max, None).peer()
+    };
+    nodes.iter().map(peer).collect()
+}
+
+fn system(nodes: usize, zones: usize) -> Vec<PeerNode> {
+    let names = 0..nodes;
+    let node = |index| {
+        let zone = format!("zone-{}", index % zones);
+        node(&format!("node-{index}"), &zone, nowhere())
+    };
+    names.map(node).collect()
+}
+
+#[test]
+fn in_a_small_system_all_watch_the_store_and_in_a_large_one_a_few_of_each_zone() {
+    assert!(followed(&system(25, 3), 24).iter().all(Option::is_none));
+    for (nodes, watchers) in [(26, 3), (62, 4), (91, 8), (350, 24)] {
+        let all = system(nodes, if nodes == 26 { 3 } else { 4 });
+        let follows = followed(&all, 24);
+        let direct = follows.iter().filter(|peer| peer.is_none()).count();
+        assert_eq!(direct, watchers, "{nodes} nodes");
+        for (node, peer) in all.iter().zip(&follows) {
+            let Some(peer) = peer else { continue };
+            let position = all.iter().position(|other| other == peer).unwrap();
+            assert_eq!(node.zone, peer.zone);
+            assert!(
+                follows[position].is_none(),
+                "{} follows a follower",
+                node.name
+            );
+        }
+        let busiest = all.iter().map(|node| {
+            let follows = follows.iter().flatten();
+            follows.filter(|peer| peer.name == node.name).count()
+        });
+        assert!(busiest.max().unwrap() <= 16, "{nodes} nodes");
+    }
+}
+
+#[test]
+fn the_node_that_gives_orders_watches_the_store_itself() {
+    let all = system(62, 4);
+    let follower = followed(&all, 24).iter().position(Option::is_some).unwrap();
+    let mut peers = all.clone();
+    let me = peers.remove(follower);
+    let term = Term {
+        fencing_token: 3,
+        orders_from: Instant::now(),
+    };
+    assert!(upstream(me, peers, 24, Some(term)).peer().is_none());
+}
+
+/// A node that watches the store and that others follow.
+struct Watcher {
+    link: MemoryStore,
+    store: SharedStore,
+    control: SocketAddr,
+    _serving: DropGuard,
+}
+
+impl Watcher {
+    async fn start(data: &MemoryStore, fresh_max: Duration) -> Self {
+        let link = data.link();
+        let monitored = MonitoredStore::new(Arc::new(link.clone()));
+        let health = monitored.health();
+        let store = Arc::new(UpstreamStore::new(Arc::new(monitored)));
+        let page = ChangePage {
+            logs: store.logs(),
+            health,
+            fresh_max,
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let control = listener.local_addr().unwrap();
+        let stop = CancellationToken::new();
+        let handle = move |request: Request<Incoming>| {
+            let page = page.clone();
+            async move { page.answer(request.uri()).await }
+        };
+        tokio::spawn(serve_http(listener, LIMITS, stop.clone(), handle));
+        follow(store.clone());
+        // Renewals and reads of the node tell that the store answers it.
+        let reads = store.clone();
+        tokio::spawn(async move {
+            loop {
+                let _ = timeout(Duration::from_millis(300), reads.range(PREFIX, 10)).await;
+                sleep(Duration::from_millis(50)).await;
+            }
+        });
+        Self {
+            link,
+            store,
+            control,
+            _serving: stop.drop_guard(),
+        }
+    }
+}
+
+/// Passes on what a store's watch reports.
+fn follow(store: SharedStore) -> mpsc::UnboundedReceiver<Changes> {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        let mut since = store.range(PREFIX, 10).await.unwrap().version;
+        loop {
+            let mut watch = store.watch(PREFIX, since);
+            while let Some(Ok(changes)) = watch.next().await {
+                since = since.max(changes.version);
+                let _ = sender.send(changes);
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+    receiver
+}
+
+/// A node that follows the first of some peers that does not fail.
+struct Follower {
+    link: MemoryStore,
+    changes: mpsc::UnboundedReceiver<Changes>,
+}
+
+impl Follower {
+    fn start(data: &MemoryStore, control: SocketAddr) -> Self {
+        let link = data.link();
+        let store = Arc::new(UpstreamStore::new(Arc::new(link.clone())));
+        // The order of two names is that of their hashes: one of them follows the other.
+        let names = ["node-0", "node-1"];
+        let source = names
+            .into_iter()
+            .zip(names.into_iter().rev())
+            .find_map(|(me, peer)| {
+                let me = node(me, "east", nowhere());
+                let source = upstream(me, vec![node(peer, "east", control)], 0, None);
+                source.peer().is_some().then_some(source)
+            });
+        store.follow(Arc::new(source.unwrap()));
+        Self {
+            link,
+            changes: follow(store),
+        }
+    }
+
+    /// Returns how long it takes until the follower knows of a key.
+    async fn hears_of(&mut self, key: &str, within: Duration) -> Duration {
+        let start = Instant::now();
+        let hears = async {
+            loop {
+                let changes = self.changes.recv().await.unwrap();
+                let mut keys = changes.changes.iter().map(Change::key);
+                if keys.any(|known| known == key) {
+                    return;
+                }
+            }
+        };
+        let heard = timeout(within, hears).await;
+        assert!(heard.is_ok(), "{key} is not heard of within {within:?}");
+        start.elapsed()
+    }
+}
+
+async fn write(store: &MemoryStore, key: &str) {
+    write_value(store, key, Bytes::from_static(b"text")).await;
+}
+
+async fn write_value(store: &MemoryStore, key: &str, value: Bytes) {
+    let put = Op::Put {
+        key: key.to_owned(),
+        value,
+        lease: None,
+    };
+    let txn = Txn {
+        then: vec![put],
+        ..Txn::default()
+    };
+    store.txn(txn).await.unwrap();
+}
+
+const SOON: Duration = Duration::from_millis(400);
+
+/// Within this time a follower finds that its peer failed and asks the store.
+const FALLBACK: Duration = Duration::from_millis(1_900);
+
+#[tokio::test]
+async fn changes_come_through_the_peer_without_a_watch_of_ones_own() {
+    let data = MemoryStore::new();
+    write(&data, "runners/first").await;
+    let watcher = Watcher::start(&data, Duration::from_secs(1)).await;
+    sleep(Duration::from_millis(100)).await;
+    let mut follower = Follower::start(&data, watcher.control);
+    sleep(Duration::from_millis(100)).await;
+    follower.link.set_faults(KvFaults::WATCH_SILENT);
+    for key in ["runners/a", "runners/b", "runners/c"] {
+        write(&data, key).await;
+        follower.hears_of(key, SOON).await;
+    }
+    let answer = timeout(Duration::from_secs(2), follower.changes.recv()).await;
+    let quiet = answer.unwrap().unwrap();
+    assert!(quiet.changes.is_empty(), "a quiet peer gives signs of life");
+}
+
+#[tokio::test]
+async fn a_peer_that_is_cut_from_the_store_is_left_for_the_store() {
+    let data = MemoryStore::new();
+    let watcher = Watcher::start(&data, Duration::from_secs(1)).await;
+    sleep(Duration::from_millis(100)).await;
+    let mut follower = Follower::start(&data, watcher.control);
+    sleep(Duration::from_millis(100)).await;
+    write(&data, "runners/a").await;
+    follower.hears_of("runners/a", SOON).await;
+    watcher.link.set_faults(KvFaults::SILENT);
+    write(&data, "runners/b").await;
+    follower.hears_of("runners/b", FALLBACK).await;
+}
+
+#[tokio::test]
+async fn a_peer_that_no_longer_answers_is_left_for_the_store() {
+    let data = MemoryStore::new();
+    write(&data, "runners/first").await;
+    // Connections are taken, and nothing is ever answered.
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut follower = Follower::start(&data, listener.local_addr().unwrap());
+    sleep(Duration::from_millis(50)).await;
+    write(&data, "runners/a").await;
+    follower.hears_of("runners/a", FALLBACK).await;
+    // For a while it isn't asked again.
+    write(&data, "runners/b").await;
+    follower.hears_of("runners/b", SOON).await;
+}
+
+#[tokio::test]
+async fn changes_that_the_peer_no_longer_keeps_come_from_the_store() {
+    let data = MemoryStore::new();
+    let watcher = Watcher::start(&data, Duration::from_secs(1)).await;
+    sleep(Duration::from_millis(100)).await;
+    let logs = {
+        let store = Arc::new(UpstreamStore::new(Arc::new(data.link())));
+        let logs = store.logs();
+        drop(follow(store));
+        logs
+    };
+    sleep(Duration::from_millis(50)).await;
+    write(&data, "runners/a").await;
+    sleep(Duration::from_millis(50)).await;
+    let gone = logs.changes_after(PREFIX, StoreVersion(0)).await;
+    assert!(gone.is_none(), "nothing is kept before a peer asks");
+    drop(watcher.store);
+}
+
+/// Many followers that fetch a large value at once from one node would hold up its link.
+#[tokio::test]
+async fn a_large_change_comes_from_the_store() {
+    let data = MemoryStore::new();
+    write(&data, "runners/first").await;
+    let watcher = Watcher::start(&data, Duration::from_secs(1)).await;
+    sleep(Duration::from_millis(100)).await;
+    let mut follower = Follower::start(&data, watcher.control);
+    sleep(Duration::from_millis(100)).await;
+    for (key, bytes) in [("runners/a", 40_000), ("runners/b", 400_000)] {
+        write_value(&data, key, Bytes::from(vec![7; bytes])).await;
+        follower.hears_of(key, SOON).await;
+    }
+    let watches = data.counts().watch;
+    assert!(watches > 1, "the watcher's, and one of the follower's own");
+}
