--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod call;
 mod call_limits;
+mod change_log;
 mod error;
 mod etcd_store;
 pub mod gateway;
@@ -13,9 +14,10 @@
 mod long_poll;
 mod metered_store;
 mod monitored_store;
+mod upstream_store;
 mod watch_reader;
 
 pub use {
-    call_limits::*, error::*, etcd_store::*, kv::*, live_watch::*, long_poll::*, metered_store::*,
-    monitored_store::*,
+    call_limits::*, change_log::*, error::*, etcd_store::*, kv::*, live_watch::*, long_poll::*,
+    metered_store::*, monitored_store::*, upstream_store::*,
 };
