Apply bounds of the tenure from the next term on, and log format and window at once

Cause: a change of the leader's bounds, ceiling_window_s or log_format needed a restart of every node.

Change: a lease has the bounds of its grant, a term those of the try that took the seat (the strictest, where it is not known which try succeeded). The seat tells its holder's handover_ms, so that a successor waits out the longer of that and its own; older seats tell none. A longer window of loads begins full. Two appenders with a filter in place of one give the log format. SettingsChange tells fields that are in force from the next term on apart from those that need a restart.

Ruled out: applying the tenure's bounds at once (two terms under two rules), and only the own new bounds for the wait: a successor that was told first would order while the former leader's own clocks still cover its term.

--- a/src/copies/load_pacer.rs
+++ b/src/copies/load_pacer.rs
@@ -41,6 +41,20 @@
         self.starts.resize(used.max(self.starts.len()), now);
     }
 
+    /// Counts over another window from now on.
+    ///
+    /// What a longer one has to count of the past is not known, so that it begins full.
+    pub fn set_window(&mut self, engine: &EngineSpec, window: Duration, now: Instant) {
+        let longer = window.saturating_sub(self.window);
+        self.window = window;
+        if !longer.is_zero() {
+            for (_, until) in &mut self.late {
+                *until += longer;
+            }
+            self.begin_term(engine, false, now);
+        }
+    }
+
     /// Notes that a load may start now.
     pub fn started(&mut self, now: Instant) {
         self.starts.push_back(now);
--- a/src/copies/order_desk.rs
+++ b/src/copies/order_desk.rs
@@ -60,7 +60,7 @@
     notes: Vec<ResidencyNote>,
     /// The token of the present term.
     token: u64,
-    /// Whether this term began with a wait for another holder, and none can follow in the window.
+    /// Whether this term began with a wait for another holder.
     waits: bool,
     /// When runners were first seen in this term.
     seen_at: Option<Instant>,
@@ -90,10 +90,7 @@
     pub fn begin_term(&mut self, term: &Term) {
         if self.token != term.fencing_token {
             self.token = term.fencing_token;
-            let bounds = &self.task.bounds;
-            let two_waits_s = 0.002 * bounds.lease_ms as f64;
-            self.waits =
-                term.orders_from > Instant::now() && bounds.ceiling_window_s <= two_waits_s;
+            self.waits = term.orders_from > Instant::now();
             self.records.clear();
             self.seen_at = None;
         }
@@ -225,11 +222,12 @@
         engine: &EngineSpec,
         now: Instant,
     ) -> usize {
+        let bounds = *self.task.bounds.borrow();
+        let window = Duration::from_secs_f64(bounds.ceiling_window_s.max(0.0));
         let mut services = self.services.iter();
         let position = match services.position(|desk| desk.service == *service) {
             Some(position) => position,
             None => {
-                let window = Duration::from_secs_f64(self.task.bounds.ceiling_window_s.max(0.0));
                 self.services.push(ServiceDesk {
                     service: service.clone(),
                     estimator: LoadEstimator::default(),
@@ -240,9 +238,12 @@
             }
         };
         let desk = &mut self.services[position];
+        desk.pacer.set_window(engine, window, now);
         if desk.token != self.token {
             desk.token = self.token;
-            desk.pacer.begin_term(engine, self.waits, now);
+            // Within the window no third holder can follow one that waited.
+            let waits = self.waits && window <= 2 * Duration::from_millis(bounds.lease_ms);
+            desk.pacer.begin_term(engine, waits, now);
         }
         position
     }
--- a/src/copies/order_task.rs
+++ b/src/copies/order_task.rs
@@ -39,8 +39,8 @@
     pub counts: Arc<OrderCounts>,
     /// This node.
     pub node: NodeName,
-    /// The platform's bounds.
-    pub bounds: Bounds,
+    /// The platform's bounds; they may change.
+    pub bounds: watch::Receiver<Bounds>,
 }
 
 impl fmt::Debug for OrderTask {
@@ -54,7 +54,6 @@
     ///
     /// A term whose token a runner refused gives no more orders.
     pub async fn run(self) {
-        let thaw_slack = Duration::from_millis(self.bounds.thaw_slack_ms);
         let mut waiting = self.board.waiting_demand();
         let mut desk = OrderDesk::new(self);
         let mut quiet_until = Instant::now();
@@ -80,7 +79,8 @@
             }
             let woken = Instant::now();
             if woken > due + FREEZE_MIN {
-                quiet_until = woken + thaw_slack;
+                let thaw_slack_ms = desk.task.bounds.borrow().thaw_slack_ms;
+                quiet_until = woken + Duration::from_millis(thaw_slack_ms);
             }
         }
     }
--- a/src/leader/duty.rs
+++ b/src/leader/duty.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Moment, Seat, StoredSeat,
+        Moment, Seat, StoredSeat, TenureRules,
         election::{Election, put, random_below},
         membership::Shared,
     },
@@ -28,6 +28,8 @@
 const TURN_MS: u64 = 150;
 /// The largest number of younger nodes that a node lets go first.
 const TURNS_MAX: u32 = 6;
+/// The longest wait for a former holder that a seat can ask for.
+const HANDOVER_MAX: Duration = Duration::from_secs(300);
 /// How long a node that lost touch with the store lets the last leader come back first.
 const REUNION_MS: u64 = 1_000;
 
@@ -45,6 +47,8 @@
     lost_token: u64,
     /// From when on orders may be given by each try for the seat that may yet succeed.
     pending_from: Option<Instant>,
+    /// The rules that keep to those of each such try.
+    pending_rules: Option<TenureRules>,
 }
 
 impl Duty {
@@ -58,6 +62,7 @@
             failed_at: None,
             lost_token: 0,
             pending_from: None,
+            pending_rules: None,
         }
     }
 
@@ -144,8 +149,11 @@
 
     async fn grant(&mut self) -> Result<LeaseId, StoreError> {
         let sent = Moment::now(&self.shared.clock);
-        let ttl_s = self.shared.rules.lease.as_secs();
-        let lease = self.shared.store.grant_lease(ttl_s).await?;
+        let rules = TenureRules::new(&self.shared.bounds());
+        let lease = self.shared.store.grant_lease(rules.lease.as_secs()).await?;
+        // Tries under an earlier lease went with it.
+        self.pending_rules = None;
+        self.shared.standing().rules = rules;
         self.confirm(lease.id, sent);
         Ok(lease.id)
     }
@@ -154,15 +162,13 @@
         let mut standing = self.shared.standing();
         standing.lease = Some(lease);
         standing.confirmed = sent;
-        let is_fresh = self
-            .shared
-            .rules
-            .is_fresh(Moment::now(&self.shared.clock).since(sent));
+        let rules = standing.rules;
+        let is_fresh = rules.is_fresh(Moment::now(&self.shared.clock).since(sent));
         standing
             .doubtful_since
             .take_if(|since| is_fresh && sent.at >= *since);
         drop(standing);
-        self.renew_at = Instant::now() + jittered(self.shared.rules.lease / RENEWALS_PER_LEASE);
+        self.renew_at = Instant::now() + jittered(rules.lease / RENEWALS_PER_LEASE);
         self.shared.publish_term();
     }
 
@@ -266,11 +272,14 @@
             return;
         }
         standing.token = Some(token);
+        if let Some(rules) = self.pending_rules.take() {
+            standing.rules = rules;
+        }
         if let Some(from) = self.pending_from.take() {
             standing.orders_from = standing.orders_from.max(from);
         }
         let unconfirmed = Moment::now(&self.shared.clock).since(standing.confirmed);
-        if !self.shared.rules.is_fresh(unconfirmed) {
+        if !standing.rules.is_fresh(unconfirmed) {
             // The lease may have lapsed since the seat was read.
             standing.doubtful_since.get_or_insert(Instant::now());
         }
@@ -321,7 +330,7 @@
         ];
         let orders_from = match last {
             Some(last) if is_mine => self.take_over(last.seat.as_ref()),
-            Some(_) => since + self.shared.rules.handover,
+            Some(last) => since + self.handover(last.seat.as_ref()),
             None => Instant::now(),
         };
         self.take(compare, orders_from).await
@@ -339,7 +348,7 @@
         let turns = u64::from(younger.min(TURNS_MAX));
         let lost_touch = self
             .failed_at
-            .is_some_and(|at| at.elapsed() < self.shared.rules.lease);
+            .is_some_and(|at| at.elapsed() < self.shared.standing().rules.lease);
         let reunion_ms = if lost_touch { REUNION_MS } else { 0 };
         Duration::from_millis(turns * TURN_MS + reunion_ms) + random_below(TURN_MS / 2)
     }
@@ -349,7 +358,16 @@
     fn take_over(&self, former: Option<&Seat>) -> Instant {
         let from_ms = former.map_or(u64::MAX, |seat| seat.orders_from_boot_ms);
         let wait = Duration::from_millis(from_ms).saturating_sub(self.shared.clock.now());
-        Instant::now() + wait.min(self.shared.rules.handover)
+        Instant::now() + wait.min(self.handover(former))
+    }
+
+    /// Returns how long to wait for a former holder, whose bounds may have been others.
+    fn handover(&self, former: Option<&Seat>) -> Duration {
+        let rules = self.shared.standing().rules;
+        let next = TenureRules::within(rules.lease, &self.shared.bounds());
+        let own = rules.handover.max(next.handover);
+        let told = former.map_or(0, |seat| seat.handover_ms);
+        own.max(Duration::from_millis(told).min(HANDOVER_MAX))
     }
 
     /// Writes the leader key, and with it who led last.
@@ -366,12 +384,17 @@
             self.pending_from
                 .map_or(orders_from, |from| from.max(orders_from)),
         );
+        let lease_time = self.shared.standing().rules.lease;
+        let rules = TenureRules::within(lease_time, &self.shared.bounds());
+        let earlier = self.pending_rules;
+        self.pending_rules = Some(earlier.map_or(rules, |earlier| earlier.strictest(rules)));
         let keys = &self.shared.keys;
         let from = orders_from.max(self.shared.standing().orders_from);
         let wait = from.duration_since(Instant::now());
         let seat = &Seat {
             lease: lease.0,
             orders_from_boot_ms: (self.shared.clock.now() + wait).as_millis() as u64,
+            handover_ms: rules.handover.as_millis() as u64,
             ..self.shared.seat.clone()
         };
         let txn = Txn {
@@ -387,6 +410,8 @@
         self.contend = None;
         if reply.succeeded {
             self.adopt(reply.version.0.unsigned_abs());
+        } else {
+            self.pending_rules = earlier;
         }
         Ok(())
     }
--- a/src/leader/guard.rs
+++ b/src/leader/guard.rs
@@ -1,7 +1,7 @@
 //! Ends a term that this node's own clocks no longer cover.
 
 use {
-    super::{Moment, membership::Shared},
+    super::{Moment, TenureRules, membership::Shared},
     std::{sync::Arc, time::Duration},
     tokio::time::{Instant, sleep},
 };
@@ -16,7 +16,7 @@
         let before = Moment::now(&shared.clock);
         sleep(INTERVAL).await;
         let now = Moment::now(&shared.clock);
-        let frozen = shared.rules.is_freeze(now.since(before), INTERVAL);
+        let frozen = TenureRules::is_freeze(now.since(before), INTERVAL);
         check(&shared, now, frozen);
     }
 }
@@ -24,13 +24,13 @@
 fn check(shared: &Shared, now: Moment, frozen: bool) {
     let mut standing = shared.standing();
     let unconfirmed = now.since(standing.confirmed);
-    let lapsed = unconfirmed >= shared.rules.unconfirmed_max;
+    let lapsed = unconfirmed >= standing.rules.unconfirmed_max;
     if !frozen && !lapsed {
         return;
     }
     standing.doubtful_since = Some(Instant::now());
     if frozen {
-        let from = Instant::now() + shared.rules.thaw_slack;
+        let from = Instant::now() + standing.rules.thaw_slack;
         standing.orders_from = standing.orders_from.max(from);
     }
     drop(standing);
--- a/src/leader/membership.rs
+++ b/src/leader/membership.rs
@@ -31,13 +31,13 @@
     pub keys: Keys,
     pub me: PeerNode,
     pub seat: Seat,
-    pub rules: TenureRules,
     pub clock: BootClock,
     pub changed: Notify,
     pub term: watch::Sender<Option<Term>>,
     peers: watch::Sender<Vec<PeerNode>>,
     view: Mutex<ClusterView>,
     standing: Mutex<Standing>,
+    bounds: Mutex<Bounds>,
 }
 
 /// How this node stands with the store.
@@ -53,6 +53,8 @@
     pub orders_from: Instant,
     /// The version of the write that holds the seat, if this process holds it.
     pub token: Option<u64>,
+    /// Those of the present lease and term.
+    pub rules: TenureRules,
     /// Set once the node leaves.
     pub is_leaving: bool,
 }
@@ -66,6 +68,11 @@
         self.standing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the bounds that the next lease and the next term begin under.
+    pub fn bounds(&self) -> Bounds {
+        *self.bounds.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes over a full read of the keys.
     pub fn replace(&self, entries: &[Entry], version: StoreVersion) {
         self.view().replace(entries, version, Instant::now());
@@ -156,6 +163,7 @@
             doubtful_since: None,
             orders_from: Instant::now(),
             token: None,
+            rules: TenureRules::new(&bounds),
             is_leaving: false,
         };
         let shared = Arc::new(Shared {
@@ -163,7 +171,7 @@
             view: Mutex::new(ClusterView::new(keys.clone())),
             standing: Mutex::new(standing),
             changed: Notify::new(),
-            rules: TenureRules::new(&bounds),
+            bounds: Mutex::new(bounds),
             store,
             keys,
             me,
@@ -183,6 +191,16 @@
         }
     }
 
+    /// Sets other bounds: the lease has them from its next grant on, orders from the next term on,
+    /// and the wait for a former holder is at once the longer one.
+    pub fn set_bounds(&self, bounds: Bounds) {
+        *self
+            .shared
+            .bounds
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = bounds;
+    }
+
     /// Returns the node that leads and its fencing token, as last read.
     pub fn leader(&self) -> Option<(NodeName, u64)> {
         let view = self.shared.view();
--- a/src/leader/seat.rs
+++ b/src/leader/seat.rs
@@ -21,6 +21,10 @@
     /// From when on it may order, by the VM's own boot clock; a new start of the process has to
     /// wait as long.
     pub orders_from_boot_ms: u64,
+    /// How long a successor waits once this key is gone, by the bounds of this holder's term; 0
+    /// where the writer does not say.
+    #[serde(default)]
+    pub handover_ms: u64,
 }
 
 impl Seat {
@@ -32,6 +36,7 @@
             nonce,
             lease: 0,
             orders_from_boot_ms: 0,
+            handover_ms: 0,
         }
     }
 
--- a/src/leader/tenure.rs
+++ b/src/leader/tenure.rs
@@ -61,6 +61,11 @@
     pub fn new(bounds: &Bounds) -> Self {
         let lease = Duration::from_millis(bounds.lease_min_ms.max(LEASE_MS));
         let lease = Duration::from_secs(lease.as_millis().div_ceil(1000) as u64);
+        Self::within(lease, bounds)
+    }
+
+    /// Does as [`TenureRules::new`] for a lease that was granted under other bounds.
+    pub fn within(lease: Duration, bounds: &Bounds) -> Self {
         let unconfirmed_max = match bounds.fencing_enforced {
             true => UNCONFIRMED_MAX,
             false => lease.saturating_sub(CLOCK_MARGIN),
@@ -77,13 +82,23 @@
         }
     }
 
+    /// Returns rules that keep to both, for a term of which it is not known by which it began.
+    pub fn strictest(self, other: Self) -> Self {
+        Self {
+            lease: self.lease.min(other.lease),
+            unconfirmed_max: self.unconfirmed_max.min(other.unconfirmed_max),
+            handover: self.handover.max(other.handover),
+            thaw_slack: self.thaw_slack.max(other.thaw_slack),
+        }
+    }
+
     /// Returns whether a renewal that succeeded after `waited` tells that the lease still runs.
     pub fn is_fresh(&self, waited: Duration) -> bool {
         waited < self.lease.saturating_sub(CLOCK_MARGIN)
     }
 
     /// Returns whether a process that meant to pause for `planned` was frozen.
-    pub fn is_freeze(&self, paused: Duration, planned: Duration) -> bool {
+    pub fn is_freeze(paused: Duration, planned: Duration) -> bool {
         paused > planned + FREEZE_MIN
     }
 }
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        ControlAccess, ControlPort, NodeParts, NodeSettings, NodeView, PeerAddresses,
+        Bounds, ControlAccess, ControlPort, NodeParts, NodeSettings, NodeView, PeerAddresses,
         PeerConfigFollower, PeerPages, PeerRunnersFollower, SettingsFollower, serve_metrics,
         signals::Signals,
     },
@@ -16,7 +16,7 @@
         relay::Relay,
         security::{KeyRing, Tls, TlsError, follow_tls},
         store::{MeteredStore, MonitoredStore, StoreHealth, StoreVersion},
-        telemetry::{init_logs_by_part, set_log_rules},
+        telemetry::{init_logs_by_part, set_log_format, set_log_rules},
         traffic::{ConfigFollower, TrafficBoard},
     },
     std::{io, net::SocketAddr, path::Path, sync::Arc, time::Duration},
@@ -125,6 +125,7 @@
     store: Arc<MeteredStore>,
     orders: Arc<OrderCounts>,
     access: ControlAccess,
+    bounds: watch::Sender<Bounds>,
 }
 
 impl Node {
@@ -145,6 +146,7 @@
             own_address(&settings),
             settings.bounds,
         );
+        let (bounds, _) = watch::channel(settings.bounds);
         Self {
             settings,
             parts,
@@ -155,6 +157,7 @@
             store,
             orders: Arc::default(),
             access: ControlAccess { tls, operator_keys },
+            bounds,
         }
     }
 
@@ -180,11 +183,16 @@
         gossip_keys: KeyRing,
     ) -> SettingsFollower {
         let operator_keys = self.access.operator_keys.clone();
+        let membership = self.membership.clone();
+        let bounds = self.bounds.clone();
         SettingsFollower::new(path, self.settings.clone(), move |settings| {
             set_log_rules(settings.log_rules());
+            set_log_format(settings.log_format);
             operator_keys.replace(settings.operator_keys.clone());
             gossip_keys.replace(settings.gossip_keys.clone());
             relay.set_bounds(&settings.bounds);
+            membership.set_bounds(settings.bounds);
+            bounds.send_replace(settings.bounds);
         })
     }
 
@@ -245,7 +253,7 @@
             listener: gossip,
             counts: self.orders.clone(),
             node: self.settings.node.clone(),
-            bounds: self.settings.bounds,
+            bounds: self.bounds.subscribe(),
         };
         tokio::spawn(orders.run());
     }
--- a/src/node/settings_follow.rs
+++ b/src/node/settings_follow.rs
@@ -16,17 +16,27 @@
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The settings that take effect while a node runs.
-const LIVE_FIELDS: [&str; 8] = [
+const LIVE_FIELDS: [&str; 10] = [
     "bounds.budget_window_s",
+    "bounds.ceiling_window_s",
     "bounds.grace_s",
     "bounds.retry_budget_ratio",
     "bounds.retry_budget_slack",
     "gossip_keys",
+    "log_format",
     "log_level",
     "log_levels",
     "operator_keys",
 ];
 
+/// The settings that a term of the leader begins under and keeps to its end.
+const TERM_FIELDS: [&str; 4] = [
+    "bounds.fencing_enforced",
+    "bounds.lease_min_ms",
+    "bounds.lease_ms",
+    "bounds.thaw_slack_ms",
+];
+
 /// What became of a change of the settings file.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SettingsChange {
@@ -36,6 +46,8 @@
     Read {
         /// The fields that are in force from now on.
         applied: Vec<String>,
+        /// The fields that are in force from the next lease and the next term of the leader on.
+        from_next_term: Vec<String>,
         /// The fields that differ from those of the start and need another one.
         need_restart: Vec<String>,
     },
@@ -105,16 +117,20 @@
 
     fn take(&mut self, settings: NodeSettings) -> SettingsChange {
         let is_live = |field: &String| LIVE_FIELDS.contains(&field.as_str());
+        let is_of_term = |field: &String| TERM_FIELDS.contains(&field.as_str());
         let mut applied = differing(&self.current, &settings);
+        let mut from_next_term = applied.clone();
         applied.retain(is_live);
+        from_next_term.retain(is_of_term);
         let mut need_restart = differing(&self.started, &settings);
-        need_restart.retain(|field| !is_live(field));
+        need_restart.retain(|field| !is_live(field) && !is_of_term(field));
         self.current = settings;
-        if !applied.is_empty() {
+        if !applied.is_empty() || !from_next_term.is_empty() {
             (self.apply)(&self.current);
         }
         SettingsChange::Read {
             applied,
+            from_next_term,
             need_restart,
         }
     }
@@ -150,12 +166,20 @@
         SettingsChange::Same => {}
         SettingsChange::Read {
             applied,
+            from_next_term,
             need_restart,
         } => {
             if !applied.is_empty() {
                 let applied = applied.join(" ");
                 log::info!(fields:% = applied; "node: changed settings are in force: {applied}");
             }
+            if !from_next_term.is_empty() {
+                let fields = from_next_term.join(" ");
+                log::info!(
+                    fields:% = fields;
+                    "node: changed settings are in force from the next term on: {fields}"
+                );
+            }
             if !need_restart.is_empty() {
                 let fields = need_restart.join(" ");
                 log::warn!(fields:% = fields; "node: changed settings need a restart: {fields}");
--- a/src/telemetry/log_setup.rs
+++ b/src/telemetry/log_setup.rs
@@ -2,10 +2,20 @@
 
 use {
     super::{LogRules, RecentEvents, log_rules::SharedRules, set_log_rules},
-    logforth::{append::Stderr, layout::JsonLayout, layout::TextLayout},
+    logforth::{
+        Diagnostic, Filter,
+        append::Stderr,
+        filter::FilterResult,
+        layout::{JsonLayout, TextLayout},
+        record::FilterCriteria,
+    },
     serde::{Deserialize, Serialize},
+    std::sync::atomic::{AtomicBool, Ordering},
 };
 
+/// Whether log lines are JSON.
+static IS_JSON: AtomicBool = AtomicBool::new(false);
+
 /// The shape of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -41,14 +51,37 @@
 pub fn init_logs_by_part(rules: LogRules, format: LogFormat) {
     let builder = logforth::starter_log::builder();
     let builder = builder.dispatch(|dispatch| {
-        let append = match format {
-            LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
-            LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
-        };
-        dispatch.filter(SharedRules).append(append)
+        let text = Stderr::default().with_layout(TextLayout::default().no_color());
+        let dispatch = dispatch.filter(InFormat(LogFormat::Text));
+        dispatch.filter(SharedRules).append(text)
+    });
+    let builder = builder.dispatch(|dispatch| {
+        let json = Stderr::default().with_layout(JsonLayout::default());
+        let dispatch = dispatch.filter(InFormat(LogFormat::Json));
+        dispatch.filter(SharedRules).append(json)
     });
     let builder = builder.dispatch(|dispatch| dispatch.append(RecentEvents::global()));
     if builder.try_apply().is_ok() {
         set_log_rules(rules);
+        set_log_format(format);
+    }
+}
+
+/// Gives the log lines that follow another shape.
+pub fn set_log_format(format: LogFormat) {
+    IS_JSON.store(format == LogFormat::Json, Ordering::Relaxed);
+}
+
+/// Lets pass what is logged in one shape.
+#[derive(Debug)]
+struct InFormat(LogFormat);
+
+impl Filter for InFormat {
+    fn enabled(&self, _: &FilterCriteria, _: &[Box<dyn Diagnostic>]) -> FilterResult {
+        let is_json = IS_JSON.load(Ordering::Relaxed);
+        match is_json == (self.0 == LogFormat::Json) {
+            true => FilterResult::Neutral,
+            false => FilterResult::Reject,
+        }
     }
 }
--- a/tests/copies_orders.rs
+++ b/tests/copies_orders.rs
@@ -17,7 +17,7 @@
         copies::OrderTask,
         dispatch::{ModelDemand, NodeReport, RunnerBoard},
         leader::Term,
-        node::{Order, OrderReply},
+        node::{Bounds, Order, OrderReply},
         traffic::{
             CallerLimits, ConfigVersion, EngineSpec, ModelId, RouteMap, ServiceSpec, TrafficBoard,
             TrafficConfig,
@@ -39,6 +39,7 @@
     fleet: Arc<FakeFleet>,
     board: Arc<RunnerBoard>,
     term: watch::Sender<Option<Term>>,
+    bounds: watch::Sender<Bounds>,
     _tasks: JoinSet<()>,
 }
 
@@ -74,6 +75,7 @@
         fencing_token: 7,
         orders_from: Instant::now(),
     }));
+    let (bounds_sender, bounds_receiver) = watch::channel(bounds());
     let task = OrderTask {
         board: board.clone(),
         traffic,
@@ -82,7 +84,7 @@
         listener: Arc::new(FleetLink(fleet.clone())),
         node: "front-0".into(),
         counts: Arc::default(),
-        bounds: bounds(),
+        bounds: bounds_receiver,
     };
     let mut tasks = JoinSet::new();
     tasks.spawn(fleet.clone().run(HEARTBEAT));
@@ -91,6 +93,7 @@
         fleet,
         board,
         term,
+        bounds: bounds_sender,
         _tasks: tasks,
     }
 }
@@ -124,7 +127,7 @@
         let seen = self.fleet.seen();
         assert_eq!(seen.violations, Vec::<String>::new());
         let starts = &seen.cold_starts;
-        let bounds = bounds();
+        let bounds = *self.bounds.borrow();
         let window = Duration::from_secs_f64(bounds.ceiling_window_s);
         let max = (self.fleet.engine.loads_per_s * bounds.ceiling_window_s * 1.1 + 3.0) as usize;
         for end in starts {
@@ -286,3 +289,19 @@
     assert_eq!(rig.fleet.seen().reports, reports + 3);
     assert_eq!(rig.fleet.seen().orders.len(), 2);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_longer_window_of_loads_counts_as_full_from_the_start() {
+    for (window_s, is_longer) in [(2.5, false), (10.0, true)] {
+        let began_at = Instant::now();
+        let rig = start(small_engine(), &[&[0, 1], &[2, 3], &[]], 1);
+        sleep_ms(100).await;
+        rig.bounds
+            .send_modify(|bounds| bounds.ceiling_window_s = window_s);
+        sleep_ms(30_000).await;
+        let first = rig.fleet.seen().cold_starts[0];
+        let wait = first - began_at;
+        assert_eq!(wait >= Duration::from_secs(10), is_longer, "{wait:?}");
+        rig.assert_kept_rules();
+    }
+}
--- a/tests/node_settings.rs
+++ b/tests/node_settings.rs
@@ -64,9 +64,14 @@
 }
 
 fn read(applied: &[&str], need_restart: &[&str]) -> SettingsChange {
+    change(applied, &[], need_restart)
+}
+
+fn change(applied: &[&str], from_next_term: &[&str], need_restart: &[&str]) -> SettingsChange {
     let names = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect();
     SettingsChange::Read {
         applied: names(applied),
+        from_next_term: names(from_next_term),
         need_restart: names(need_restart),
     }
 }
@@ -93,6 +98,28 @@
     assert_eq!(change, read(&[], &[]));
 }
 
+#[test]
+fn a_bound_of_the_tenure_is_applied_and_said_to_be_of_the_next_term() {
+    let mut rig = Rig::new("term");
+    let seen = rig.write(|all| {
+        all["bounds"]["lease_ms"] = json!(4_000);
+        all["bounds"]["ceiling_window_s"] = json!(7.0);
+        all["log_format"] = json!("json");
+    });
+    let applied = ["bounds.ceiling_window_s", "log_format"];
+    assert_eq!(seen, change(&applied, &["bounds.lease_ms"], &[]));
+    let fields = ["bounds.fencing_enforced", "bounds.lease_min_ms"];
+    let seen = rig.write(|all| {
+        all["bounds"]["fencing_enforced"] = json!(false);
+        all["bounds"]["lease_min_ms"] = json!(5_000);
+    });
+    assert_eq!(seen, change(&[], &fields, &[]));
+    let told = rig.applied.lock().unwrap().clone();
+    assert_eq!(told.len(), 2);
+    assert_eq!(told[0].bounds.lease_ms, 4_000);
+    assert!(!told[1].bounds.fencing_enforced);
+}
+
 #[test]
 fn a_broken_or_missing_file_leaves_the_settings_in_force() {
     let mut rig = Rig::new("broken");
