--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -2,9 +2,9 @@
 
 use {
     super::{
-        ChangePage, ControlAccess, ControlPort, NodeParts, NodeSettings, NodeView, PeerAddresses,
-        PeerConfigFollower, PeerPages, PeerRunnersFollower, SettingsFollower, Upstream,
-        serve_metrics, signals::Signals,
+        Bounds, ChangePage, ControlAccess, ControlPort, NodeParts, NodeSettings, NodeView,
+        PeerAddresses, PeerConfigFollower, PeerPages, PeerRunnersFollower, SettingsFollower,
+        Upstream, serve_metrics, signals::Signals,
     },
     crate::{
         copies::{OrderCounts, OrderTask},
@@ -16,7 +16,7 @@
         relay::Relay,
         security::{KeyRing, Tls, TlsError, follow_tls},
         store::{MeteredStore, MonitoredStore, StoreHealth, StoreVersion, UpstreamStore},
-        telemetry::{init_logs_by_part, set_log_rules},
+        telemetry::{init_logs_by_part, set_log_format, set_log_rules},
         traffic::{ConfigFollower, TrafficBoard},
     },
     std::{io, net::SocketAddr, path::Path, sync::Arc, time::Duration},
@@ -128,6 +128,7 @@
     store: Arc<MeteredStore>,
     orders: Arc<OrderCounts>,
     access: ControlAccess,
+    bounds: watch::Sender<Bounds>,
 }
 
 impl Node {
@@ -150,6 +151,7 @@
             settings.bounds,
         );
         followed.follow(Arc::new(upstream(&settings, &membership, tls.clone())));
+        let (bounds, _) = watch::channel(settings.bounds);
         Self {
             settings,
             parts,
@@ -161,6 +163,7 @@
             store,
             orders: Arc::default(),
             access: ControlAccess { tls, operator_keys },
+            bounds,
         }
     }
 
@@ -186,11 +189,16 @@
         gossip_keys: KeyRing,
     ) -> SettingsFollower {
         let operator_keys = self.access.operator_keys.clone();
+        let membership = self.membership.clone();
+        let bounds = self.bounds.clone();
         SettingsFollower::new(path, self.settings.clone(), move |settings| {
             set_log_rules(settings.log_rules());
+            set_log_format(settings.log_format);
             operator_keys.replace(settings.operator_keys.clone());
             gossip_keys.replace(settings.gossip_keys.clone());
             relay.set_bounds(&settings.bounds);
+            membership.set_bounds(settings.bounds);
+            bounds.send_replace(settings.bounds);
         })
     }
 
@@ -260,7 +268,7 @@
             listener: gossip,
             counts: self.orders.clone(),
             node: self.settings.node.clone(),
-            bounds: self.settings.bounds,
+            bounds: self.bounds.subscribe(),
         };
         tokio::spawn(orders.run());
     }
