--- a/src/leader/mod.rs
+++ b/src/leader/mod.rs
@@ -2,6 +2,7 @@
 
 mod boot_clock;
 mod cluster_view;
+mod contention;
 mod duty;
 mod election;
 mod follow;
