Weigh the time until a copy serves, and give absent models a place by demand

Change: no further copies in the first 2 s of requests; candidates are compared by the mean strain over 12 s, in which what makes way is gone at once and the copy serves once runs have ended and the load is done; where no runner can have room, a last copy with less than half the load makes way; a first copy waits for a runner that has room once its present load ends.

--- a/src/copies/balance.rs
+++ b/src/copies/balance.rs
@@ -44,6 +44,12 @@
         let levels = loads.iter().map(level).collect();
         Self { runners, levels }
     }
+
+    /// Returns how much the requests in flight hold each other up at runners of a number of slots.
+    pub fn strain(&self, slots: f64) -> f64 {
+        let loads = self.runners.iter();
+        loads.map(|load| load * load / slots).sum()
+    }
 }
 
 /// Pours a load into its runners so that those that get any end at one level.
--- a/src/copies/draft.rs
+++ b/src/copies/draft.rs
@@ -110,9 +110,9 @@
         loads.collect()
     }
 
-    /// Spreads the load over the copies.
-    pub fn balance(&self) -> Balance {
-        Balance::new(self.runners.len(), &self.shared_loads())
+    /// Spreads the load over the copies as they are while a copy is on its way.
+    pub fn balance_before(&self, loads: &[SharedLoad], candidate: &Candidate) -> Balance {
+        Balance::new(self.runners.len(), &self.loads_without(loads, candidate))
     }
 
     /// Spreads the load over the copies as they would be after a move.
@@ -122,17 +122,26 @@
         spec: &ModelSpec,
         candidate: &Candidate,
     ) -> Balance {
-        let mut loads = loads.to_vec();
+        let mut loads = self.loads_without(loads, candidate);
         for (known, load) in self.input.engine.models.iter().zip(&mut loads) {
             if known.name == spec.name {
                 load.runners.push(candidate.runner);
-            } else if candidate.evicted.contains(&known.name) {
-                load.runners.retain(|runner| *runner != candidate.runner);
             }
         }
         Balance::new(self.runners.len(), &loads)
     }
 
+    /// Takes the copies away that make way for another.
+    fn loads_without(&self, loads: &[SharedLoad], candidate: &Candidate) -> Vec<SharedLoad> {
+        let mut loads = loads.to_vec();
+        for (known, load) in self.input.engine.models.iter().zip(&mut loads) {
+            if candidate.evicted.contains(&known.name) {
+                load.runners.retain(|runner| *runner != candidate.runner);
+            }
+        }
+        loads
+    }
+
     /// Adds an order to drop a model, to make room for `goal`.
     pub fn unload(&mut self, runner: usize, model: ModelId, goal: ModelId) {
         let state = &mut self.runners[runner];
--- /dev/null
+++ b/src/copies/first_copy.rs
@@ -0,0 +1,81 @@
+//! Chooses the runner for the first copy of a model.
+
+use {
+    super::{
+        CopyState, RunnerState,
+        draft::Draft,
+        make_room::{Claim, evictions},
+        model_step::{Candidate, candidates, mean_strain, source_cost, time_share},
+    },
+    crate::traffic::ModelSpec,
+};
+
+/// The strain of a request whose model is absent.
+const ABSENT_STRAIN: f64 = 2.0;
+/// How long a load may be overdue until its runner is not waited for, in seconds.
+const OVERDUE_S: f64 = 1.0;
+
+/// Chooses the runner for the first copy of a model.
+pub(super) fn choose(draft: &Draft<'_>, spec: &ModelSpec) -> Option<Candidate> {
+    let mut found = candidates(draft, spec, Claim::first());
+    found.extend(later_candidates(draft, spec));
+    if found.is_empty() && !can_have_room(draft, spec) {
+        let claim = Claim::displacing(draft.in_flight(&spec.name));
+        found = candidates(draft, spec, claim);
+    }
+    let loads = draft.shared_loads();
+    let costs = found.into_iter().map(|candidate| {
+        let absent = draft.in_flight(&spec.name) * time_share(&candidate)
+            + displaced_load(draft, &candidate);
+        let strain = mean_strain(draft, &loads, spec, &candidate);
+        (strain + absent * ABSENT_STRAIN + candidate.price, candidate)
+    });
+    let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
+    best.map(|(_, candidate)| candidate)
+}
+
+/// Returns whether a runner has or can make room for a model without another's last copy, be it
+/// not now.
+fn can_have_room(draft: &Draft<'_>, spec: &ModelSpec) -> bool {
+    let mut ready = (0..draft.runners.len()).filter(|runner| draft.runners[*runner].is_ready);
+    ready.any(|runner| evictions(draft, runner, spec, Claim::first()).is_some())
+}
+
+/// Returns the load of the models whose last copies make way.
+fn displaced_load(draft: &Draft<'_>, candidate: &Candidate) -> f64 {
+    let evicted = candidate.evicted.iter();
+    let last = evicted.filter(|model| draft.copies(model) == [candidate.runner]);
+    last.map(|model| draft.in_flight(model)).sum()
+}
+
+/// Returns the runners that have room for a model once they have loaded another.
+fn later_candidates(draft: &Draft<'_>, spec: &ModelSpec) -> Vec<Candidate> {
+    let mut found = Vec::new();
+    for (runner, state) in draft.runners.iter().enumerate() {
+        let is_busy = state.is_ready && !state.takes_orders && state.goal.is_none();
+        if !is_busy || state.copy(&spec.name).is_some() {
+            continue;
+        }
+        let has_room =
+            evictions(draft, runner, spec, Claim::first()).is_some_and(|all| all.is_empty());
+        if let Some(rest_s) = load_rest_s(draft, state).filter(|_| has_room) {
+            found.push(Candidate {
+                runner,
+                time_s: rest_s + state.load_s(spec),
+                price: source_cost(draft, runner, &spec.name),
+                evicted: Vec::new(),
+                is_later: true,
+            });
+        }
+    }
+    found
+}
+
+/// Returns the time until a runner has loaded what it loads, in seconds, unless that is overdue.
+fn load_rest_s(draft: &Draft<'_>, state: &RunnerState) -> Option<f64> {
+    let mut copies = state.models.iter();
+    let copy = copies.find(|copy| copy.state == CopyState::Coming)?;
+    let passed_s = draft.input.now.duration_since(copy.since).as_secs_f64();
+    let rest_s = state.load_s(draft.input.engine.model(&copy.model)?) - passed_s;
+    (rest_s > -OVERDUE_S).then_some(rest_s.max(0.0))
+}
--- a/src/copies/load_estimator.rs
+++ b/src/copies/load_estimator.rs
@@ -18,6 +18,8 @@
 const AHEAD_S: f64 = 1.5;
 /// The span over which a rise of the rate shows.
 const TREND: Duration = Duration::from_millis(1_000);
+/// How long the first requests say little of what follows.
+const BEGINNING: Duration = Duration::from_millis(2_000);
 /// The bounds of the mean time that a request is in flight, in seconds.
 const TIME_BOUNDS_S: (f64, f64) = (0.3, 4.0);
 
@@ -46,6 +48,20 @@
     /// Sorted by model and adapter; `None` stands for the model as a whole.
     tracks: Vec<Track>,
     updated: Option<Instant>,
+    run_time_s: f64,
+    beginning: Beginning,
+}
+
+/// What is known of the start of the requests.
+#[derive(Debug, Clone, Copy, Default)]
+enum Beginning {
+    /// No request was seen.
+    #[default]
+    Ahead,
+    /// The first requests came at the instant.
+    At(Instant),
+    /// Requests were under way when first looked at.
+    Over,
 }
 
 impl LoadEstimator {
@@ -58,7 +74,9 @@
     ) -> Vec<ModelLoad> {
         let samples = collect(demand, runners);
         let time_s = mean_time_s(&samples);
+        self.run_time_s = time_s;
         let passed = self.updated.map(|updated| now.duration_since(updated));
+        self.note_beginning(&samples, now);
         self.updated = Some(now);
         let mut tracks = Vec::with_capacity(samples.len());
         for sample in &samples {
@@ -78,6 +96,31 @@
         self.loads(&samples)
     }
 
+    fn note_beginning(&mut self, samples: &[Sample], now: Instant) {
+        let asks = |sample: &Sample| sample.in_flight > 0.0 || sample.requests_per_s > 0.0;
+        if !matches!(self.beginning, Beginning::Ahead) || !samples.iter().any(asks) {
+            return;
+        }
+        self.beginning = match self.updated {
+            Some(_) => Beginning::At(now),
+            None => Beginning::Over,
+        };
+    }
+
+    /// Returns whether the first requests have only begun to come, so that the shares of the
+    /// models are not known yet.
+    pub fn is_beginning(&self, now: Instant) -> bool {
+        match self.beginning {
+            Beginning::At(at) => now.duration_since(at) < BEGINNING,
+            Beginning::Ahead | Beginning::Over => false,
+        }
+    }
+
+    /// Returns the mean time that a request is in flight, in seconds, as last worked in.
+    pub fn run_time_s(&self) -> f64 {
+        self.run_time_s
+    }
+
     fn find(&self, model: &ModelId, adapter: Option<&AdapterId>) -> Option<&Track> {
         let key = (model, adapter);
         let found = self
--- a/src/copies/order_desk.rs
+++ b/src/copies/order_desk.rs
@@ -200,9 +200,11 @@
             engine,
             runners: &runners,
             loads: &loads,
+            run_time_s: self.services[position].estimator.run_time_s(),
             moves_models: self
                 .seen_at
                 .is_some_and(|seen| now.duration_since(seen) >= SETTLE),
+            adds_copies: !self.services[position].estimator.is_beginning(now),
             cold_loads_left: self.services[position]
                 .pacer
                 .left(engine, coming.cold_models, now),
--- a/src/copies/plan.rs
+++ b/src/copies/plan.rs
@@ -17,7 +17,7 @@
         keep_one_of_each(&mut draft);
     }
     plan_adapters(&mut draft);
-    if input.moves_models {
+    if input.moves_models && input.adds_copies {
         grow(&mut draft);
     }
     draft.orders
--- a/src/copies/plan_input.rs
+++ b/src/copies/plan_input.rs
@@ -43,8 +43,12 @@
     pub runners: &'a [RunnerState],
     /// The load of its models, sorted by model; a missing one has none.
     pub loads: &'a [ModelLoad],
+    /// The mean time that a request is in flight, in seconds.
+    pub run_time_s: f64,
     /// Whether models may be moved; adapters always may.
     pub moves_models: bool,
+    /// Whether models may get further copies.
+    pub adds_copies: bool,
     /// Loads from the weight store that may start now.
     pub cold_loads_left: usize,
     /// Adapters that may be set on their way now.
--- a/src/copies/runner_state.rs
+++ b/src/copies/runner_state.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         discovery::RunnerKey,
-        traffic::{AdapterId, EngineSpec, ModelId, ZoneId},
+        traffic::{AdapterId, EngineSpec, ModelId, ModelSpec, ZoneId},
     },
     tokio::time::Instant,
 };
@@ -120,6 +120,16 @@
         (self.free_mb(engine) - mb, free_slots)
     }
 
+    /// Returns the time that a load of a model takes here, in seconds.
+    pub fn load_s(&self, spec: &ModelSpec) -> f64 {
+        let has = |models: &[ModelId]| models.binary_search(&spec.name).is_ok();
+        match (has(&self.in_memory), has(&self.on_disk)) {
+            (true, _) => spec.warm_s,
+            (false, true) => spec.disk_s,
+            (false, false) => spec.load_s,
+        }
+    }
+
     /// Returns whether a load would come from the weight store.
     pub fn is_cold(&self, model: &ModelId) -> bool {
         let has = |models: &[ModelId]| models.binary_search(model).is_ok();
--- a/tests/copies_orders.rs
+++ b/tests/copies_orders.rs
@@ -151,6 +151,20 @@
     rig.assert_kept_rules();
 }
 
+#[tokio::test(start_paused = true)]
+async fn the_first_requests_move_no_copies() {
+    let rig = start(small_engine(), &[&[0, 1], &[0, 1], &[2, 3], &[4, 5]], 1);
+    sleep_ms(3_000).await;
+    rig.ask(vec![demand(model_id(0), None, 20.0, 0)]);
+    sleep_ms(600).await;
+    let both = [0, 1].map(|index| demand(model_id(index), None, 20.0, 0));
+    for _ in 0..20 {
+        rig.ask(both.to_vec());
+        sleep_ms(200).await;
+    }
+    assert!(rig.fleet.seen().orders.is_empty());
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_adapter_that_requests_wait_for_is_there_within_fifty_milliseconds() {
     let rig = start(small_engine(), &[&[0, 1], &[2, 3], &[4, 5]], 1);
