Let prompts of late fade, and draw what peers send unheard

Change: prompts of late fade with 125 ms; each peer with requests at the runner is drawn to send up to a prompt of the same size unheard; the tokens may be 1.6 times their mean. A refused caller is told a time within a third of its own deadline, not of the patience for a first event, so that it does not come back within the same crowd.

Tests: dispatch_overload gets nodes_do_not_send_their_waiting_prompts_all_at_once, dispatch_waiting a_refused_caller_is_told_a_time_within_a_third_of_what_it_has_left. Wanted has the field ends_at, which the rigs set; three requests of dispatch_waiting set it to the time that they had as their only one, with the same bounds.

--- a/examples/gossip_scale/node.rs
+++ b/examples/gossip_scale/node.rs
@@ -186,6 +186,7 @@
         priority: 1,
         target_at: Instant::now() + Duration::from_secs(1),
         give_up_at: Instant::now() + Duration::from_secs(10),
+        ends_at: Instant::now() + Duration::from_secs(10),
         tried: Vec::new(),
     }
 }
--- a/src/dispatch/choice.rs
+++ b/src/dispatch/choice.rs
@@ -26,7 +26,7 @@
     pub kv_tokens: u64,
     /// Tokens that a runner's requests share; `None` at plain services.
     pub kv_capacity_tokens: Option<u64>,
-    /// Tokens of prompts that a runner may be sent within a short time.
+    /// Tokens of prompts of late that a runner may have.
     pub paced_tokens_max: u64,
     /// Whether no request is more urgent.
     pub most_urgent: bool,
@@ -41,7 +41,7 @@
     pub own_requests: u32,
     /// The load from all nodes.
     pub total: TotalLoad,
-    /// Tokens of prompts that it has yet to read, or was sent of late.
+    /// Tokens of prompts that it has yet to read, was sent of late, or may be sent unheard.
     pub paced_tokens: u64,
     /// Tokens of the request's prompt that it keeps.
     pub kept_tokens: u64,
--- a/src/dispatch/pace_budget.rs
+++ b/src/dispatch/pace_budget.rs
@@ -1,17 +1,23 @@
-//! How many prompt tokens a runner may be sent within a short time.
+//! How many prompt tokens of late a runner may have.
 
 use {
-    super::{PREFILL_TOKENS_PER_MS, prompt_pace::PACE},
+    super::{
+        PREFILL_TOKENS_PER_MS,
+        prompt_pace::{FADE, PACE},
+    },
     crate::traffic::{ConfigVersion, RouteKind, RouteMap, ServiceId},
 };
 
 /// The part of a pause between two events that goes to the tokens of the event itself.
 const TOKENS_MS: u64 = 75;
 
+/// How far the tokens of late may be above their mean once a prompt is sent.
+const PEAK: f64 = 1.6;
+
 /// The longest pause that is reckoned with.
 const PAUSE_MAX_MS: u64 = 600;
 
-/// The tokens that may be sent within the span, for one version of the configuration.
+/// The tokens of late that a runner may have, for one version of the configuration.
 #[derive(Debug)]
 pub(super) struct PaceBudget {
     version: Option<ConfigVersion>,
@@ -28,7 +34,7 @@
 }
 
 impl PaceBudget {
-    /// Returns the tokens that may be sent, by the shortest pause that the service's routes allow.
+    /// Returns the tokens of late that a runner may have, by the shortest pause that the service's routes allow.
     pub(super) fn tokens(&mut self, map: Option<&RouteMap>, service: &ServiceId) -> u64 {
         let config = map.map(RouteMap::config);
         if let Some(config) = config.filter(|config| Some(config.version) != self.version) {
@@ -51,6 +57,6 @@
 
 fn budget(pause_ms: u64) -> u64 {
     let reading_ms = pause_ms.min(PAUSE_MAX_MS).saturating_sub(TOKENS_MS);
-    let share = PACE.as_millis() as f64 / pause_ms.clamp(1, PAUSE_MAX_MS) as f64;
-    (reading_ms as f64 * share * PREFILL_TOKENS_PER_MS) as u64
+    let share = FADE.as_millis() as f64 / pause_ms.clamp(1, PAUSE_MAX_MS) as f64;
+    (reading_ms as f64 * share * PREFILL_TOKENS_PER_MS * PEAK) as u64
 }
--- a/src/dispatch/peer_loads.rs
+++ b/src/dispatch/peer_loads.rs
@@ -1,7 +1,7 @@
 //! The load that other nodes put on a runner.
 
 use {
-    super::{NodeLoad, TotalLoad, Variant, prompt_pace::PACE},
+    super::{NodeLoad, TotalLoad, Variant, prompt_pace::faded},
     crate::traffic::NodeName,
     std::time::Duration,
     tokio::time::Instant,
@@ -71,18 +71,15 @@
     pub(super) fn prompt_tokens(&self, now: Instant) -> u64 {
         let tokens = self.0.iter().map(|peer| {
             let age = now.saturating_duration_since(peer.told_at);
-            let still_recent = PACE.saturating_sub(age).as_secs_f64() / PACE.as_secs_f64();
-            let recent = peer.load.recent_tokens as f64 * still_recent;
+            let recent = faded(peer.load.recent_tokens as f64, age);
             (recent as u64).max(peer.load.prefill_tokens)
         });
         tokens.sum()
     }
 
-    /// Returns when fewer of the prompts that peers sent of late are recent.
-    pub(super) fn next_pace(&self, now: Instant) -> Option<Instant> {
-        let mut peers = self.0.iter();
-        let any = peers.any(|peer| peer.load.recent_tokens > 0 && now < peer.told_at + PACE);
-        any.then(|| now + PACE / 10)
+    /// Returns the nodes that have requests there.
+    pub(super) fn count(&self) -> usize {
+        self.0.len()
     }
 
     pub(super) fn in_use(&self) -> impl Iterator<Item = &(Variant, u32)> {
--- a/src/dispatch/prompt_pace.rs
+++ b/src/dispatch/prompt_pace.rs
@@ -2,40 +2,43 @@
 
 use {std::time::Duration, tokio::time::Instant};
 
-/// The span over which prompts are counted.
+/// The span after which hardly anything of a prompt counts.
 pub(super) const PACE: Duration = Duration::from_millis(250);
 
-/// The span within which prompts count as sent at once.
-const TOGETHER: Duration = Duration::from_millis(10);
+/// The time in which a prompt fades to a third.
+pub(super) const FADE: Duration = Duration::from_millis(125);
 
-/// The prompts that were sent within the span, the oldest first.
+/// The prompts that were sent of late; they fade bit by bit.
 ///
 /// A runner reads prompts between the tokens of the streams that it runs, so that many prompts at
-/// once make a pause in all of these.
+/// once make a pause in all of these. Prompts that all counted in full until the end of a span
+/// would leave it at one instant for all nodes, and those would send their next ones together.
 #[derive(Debug, Default)]
 pub(super) struct PromptPace {
-    sent: Vec<(Instant, u64)>,
+    tokens: f64,
+    counted_at: Option<Instant>,
 }
 
 impl PromptPace {
     pub(super) fn send(&mut self, tokens: u64, now: Instant) {
-        self.sent.retain(|(at, _)| now < *at + PACE);
-        match self.sent.last_mut() {
-            Some((at, sum)) if now < *at + TOGETHER => *sum += tokens,
-            _ if tokens > 0 => self.sent.push((now, tokens)),
-            _ => {}
-        }
+        self.tokens = self.faded_tokens(now) + tokens as f64;
+        self.counted_at = Some(now);
     }
 
-    /// Returns the tokens that were sent within the span.
+    /// Returns the tokens that count.
     pub(super) fn tokens(&self, now: Instant) -> u64 {
-        let recent = self.sent.iter().filter(|(at, _)| now < *at + PACE);
-        recent.map(|(_, tokens)| tokens).sum()
+        self.faded_tokens(now) as u64
     }
 
-    /// Returns when the next prompt leaves the span.
-    pub(super) fn next(&self, now: Instant) -> Option<Instant> {
-        let ends = self.sent.iter().map(|(at, _)| *at + PACE);
-        ends.filter(|end| now < *end).min()
+    fn faded_tokens(&self, now: Instant) -> f64 {
+        let Some(counted_at) = self.counted_at else {
+            return 0.0;
+        };
+        faded(self.tokens, now.saturating_duration_since(counted_at))
     }
 }
+
+/// Returns what is left of tokens that were sent some time ago.
+pub(super) fn faded(tokens: f64, age: Duration) -> f64 {
+    tokens * (-age.as_secs_f64() / FADE.as_secs_f64()).exp()
+}
--- a/src/dispatch/prospect.rs
+++ b/src/dispatch/prospect.rs
@@ -74,7 +74,8 @@
 
     /// Refuses the request; a place is expected after the time, if the caller waits as long.
     pub(super) fn refuse(&self, expected: Duration) -> Prospect {
-        let longest = self.left().mul_f64(RETRY_SHARE);
+        let callers_left = self.ask.ends_at.saturating_duration_since(self.now);
+        let longest = callers_left.mul_f64(RETRY_SHARE);
         let jitter = rand::rng().random_range(0.85..1.0);
         let after = expected.min(longest).mul_f64(jitter).max(RETRY_MIN);
         Prospect::Refuse(Refused {
--- a/src/dispatch/runner_slot.rs
+++ b/src/dispatch/runner_slot.rs
@@ -10,6 +10,7 @@
         discovery::{RunnerEntry, RunnerState},
         traffic::{AdapterId, ModelId, NodeName, ZoneId},
     },
+    rand::RngExt,
     std::{
         hash::{DefaultHasher, Hash, Hasher},
         sync::Arc,
@@ -145,30 +146,35 @@
 
     pub(super) fn candidate(&self, ask: &Ask, zone: &ZoneId, now: Instant) -> Candidate {
         let own_tokens = self.own.prefill_tokens.max(self.pace.tokens(now));
+        let kept_tokens = u64::from(self.prefixes.kept_tokens(&ask.chain));
+        let unread = ask.need.prompt_tokens.saturating_sub(kept_tokens);
         Candidate {
             slots: self.entry.slots,
             own_requests: self.own.requests,
             total: self.total,
-            paced_tokens: own_tokens + self.peers.prompt_tokens(now),
-            kept_tokens: u64::from(self.prefixes.kept_tokens(&ask.chain)),
+            paced_tokens: own_tokens + self.peers.prompt_tokens(now) + self.untold_tokens(unread),
+            kept_tokens,
             same_zone: self.entry.zone == *zone,
             cold: now < self.cold_until,
             slowness: self.health.slowness(now),
         }
     }
 
+    /// Draws the tokens that peers may send before this node hears of them.
+    ///
+    /// Each of them may have a prompt like this node's and see the same room. With a draw, some
+    /// send now and the others see it.
+    fn untold_tokens(&self, unread: u64) -> u64 {
+        let most = self.peers.count() as f64 * unread as f64;
+        (rand::rng().random_range(0.0..1.0) * most) as u64
+    }
+
     /// Returns a number from 0 to 1 that all nodes find for a runner and a first prompt part.
     pub(super) fn affinity(&self, first_hash: u64) -> f64 {
         let mixed = (self.key_hash ^ first_hash).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         (mixed >> 40) as f64 / (1_u64 << 24) as f64
     }
 
-    /// Returns when a prompt that was sent of late is no longer recent.
-    pub(super) fn next_pace(&self, now: Instant) -> Option<Instant> {
-        let own = self.pace.next(now);
-        own.into_iter().chain(self.peers.next_pace(now)).min()
-    }
-
     /// Counts a request in.
     pub(super) fn reserve(&mut self, ask: &Ask, now: Instant) -> RequestLoad {
         let kept = u64::from(self.prefixes.kept_tokens(&ask.chain));
--- a/src/dispatch/service_runners.rs
+++ b/src/dispatch/service_runners.rs
@@ -27,7 +27,7 @@
 /// Costs that differ by less are equal, in milliseconds.
 const EQUAL_MS: f64 = 1.0;
 
-/// How long a request leaves a runner to more urgent ones before it looks again.
+/// How long a request leaves a runner to others before it looks again.
 const YIELD: Duration = Duration::from_millis(20);
 
 #[derive(Debug)]
@@ -107,15 +107,14 @@
                 continue;
             }
             if ahead.iter().any(|variant| slot.holds(Some(*variant))) {
-                let soon = now + YIELD;
-                retry_at = retry_at.into_iter().chain([soon]).min();
+                retry_at = retry_at.into_iter().chain([now + YIELD]).min();
                 continue;
             }
             let mut candidate = slot.candidate(ask, zone, now);
             let Some(cost) = cost_ms(&ask.need, &candidate) else {
                 candidate.paced_tokens = 0;
                 if cost_ms(&ask.need, &candidate).is_some() {
-                    retry_at = retry_at.into_iter().chain(slot.next_pace(now)).min();
+                    retry_at = retry_at.into_iter().chain([now + YIELD]).min();
                 }
                 continue;
             };
--- a/src/dispatch/types.rs
+++ b/src/dispatch/types.rs
@@ -23,6 +23,8 @@
     pub target_at: Instant,
     /// When it has to have a runner, or is refused.
     pub give_up_at: Instant,
+    /// When its caller no longer wants an answer.
+    pub ends_at: Instant,
     /// Runners that it has already been sent to.
     pub tried: Vec<RunnerKey>,
 }
--- a/src/dispatch/wait_queue.rs
+++ b/src/dispatch/wait_queue.rs
@@ -23,6 +23,7 @@
     pub(super) priority: u8,
     pub(super) target_at: Instant,
     pub(super) give_up_at: Instant,
+    pub(super) ends_at: Instant,
 }
 
 impl Ask {
@@ -58,6 +59,7 @@
             priority: wanted.priority,
             target_at: wanted.target_at,
             give_up_at: wanted.give_up_at,
+            ends_at: wanted.ends_at,
         })
     }
 
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -140,6 +140,7 @@
             priority: rules.priority,
             target_at: self.call.target_at,
             give_up_at: self.call.give_up_at(),
+            ends_at: self.call.ends_at,
             tried: self.progress.tried.clone(),
         }
     }
--- a/tests/common/board_rig.rs
+++ b/tests/common/board_rig.rs
@@ -142,6 +142,7 @@
         priority: 1,
         target_at: Instant::now() + Duration::from_secs(1),
         give_up_at: Instant::now() + Duration::from_secs(10),
+        ends_at: Instant::now() + Duration::from_secs(10),
         tried: Vec::new(),
     }
 }
--- a/tests/dispatch_overload.rs
+++ b/tests/dispatch_overload.rs
@@ -41,8 +41,8 @@
     sent: Mutex<Vec<Vec<Instant>>>,
 }
 
-fn runners() -> Vec<RunnerEntry> {
-    let names = (0..RUNNERS).map(|index| format!("r{index}"));
+fn runners(count: usize) -> Vec<RunnerEntry> {
+    let names = (0..count).map(|index| format!("r{index}"));
     let runners = names.map(|name| RunnerEntry {
         slots: 32,
         ..runner(&name, &[("m1", &[])])
@@ -51,14 +51,14 @@
 }
 
 impl Fleet {
-    fn new() -> Arc<Self> {
+    fn new(nodes: usize, count: usize) -> Arc<Self> {
         Arc::new(Self {
-            nodes: (0..NODES)
-                .map(|_| rig_with_memory(runners(), 122_968))
+            nodes: (0..nodes)
+                .map(|_| rig_with_memory(runners(count), 122_968))
                 .collect(),
-            readers: (0..RUNNERS).map(|_| FairMutex::new(())).collect(),
+            readers: (0..count).map(|_| FairMutex::new(())).collect(),
             served: Mutex::default(),
-            sent: Mutex::new(vec![Vec::new(); RUNNERS]),
+            sent: Mutex::new(vec![Vec::new(); count]),
         })
     }
 
@@ -119,7 +119,7 @@
 
 /// Sends requests of both ranks in turn for 20 s, and waits for their ends.
 async fn play(every_ms: u64) -> [Served; 2] {
-    let fleet = Fleet::new();
+    let fleet = Fleet::new(NODES, RUNNERS);
     let gossip = tokio::spawn(fleet.clone().gossip());
     let mut tasks = Vec::new();
     for number in 0..20_000 / every_ms {
@@ -174,3 +174,40 @@
     assert!(on_time > late, "{urgent:?} {other:?}");
     assert!(urgent.on_time + urgent.late > other.on_time + other.late);
 }
+
+/// Counts the prompts that come to a runner within 30 ms at most, while each of six nodes has two
+/// that wait for its pace.
+async fn largest_crowd() -> usize {
+    let fleet = Fleet::new(6, 1);
+    let gossip = tokio::spawn(fleet.clone().gossip());
+    let mut tasks = Vec::new();
+    for _ in 0..4 {
+        tasks.push(tokio::spawn(fleet.clone().request(0, 0)));
+    }
+    sleep(Duration::from_millis(40)).await;
+    for number in 0..12 {
+        tasks.push(tokio::spawn(fleet.clone().request(number % 6, 0)));
+    }
+    for task in tasks {
+        task.await.unwrap();
+    }
+    gossip.abort();
+    let sent = &fleet.sent.lock().unwrap()[0];
+    assert_eq!(sent.len(), 16);
+    let together = |from: &Instant| {
+        let until = *from + Duration::from_millis(30);
+        sent.iter()
+            .filter(|at| *from <= **at && **at < until)
+            .count()
+    };
+    sent.iter().map(together).max().unwrap()
+}
+
+#[tokio::test(start_paused = true)]
+async fn nodes_do_not_send_their_waiting_prompts_all_at_once() {
+    let mut crowds = Vec::new();
+    for _ in 0..20 {
+        crowds.push(largest_crowd().await);
+    }
+    assert!(crowds.iter().sum::<usize>() <= 20 * 6, "{crowds:?}");
+}
--- a/tests/dispatch_waiting.rs
+++ b/tests/dispatch_waiting.rs
@@ -161,6 +161,7 @@
     let rig = rig(vec![runner("a", &[("m1", &[])])]);
     let mut short = wanted("rare");
     short.give_up_at = Instant::now() + ms(300);
+    short.ends_at = short.give_up_at;
     let refused = wait_for(&rig, short).await;
     assert!(refused.is_finished());
     let refused = refused.await.unwrap().unwrap_err();
@@ -168,6 +169,7 @@
     assert_eq!(refused.retry_after_ms, 100);
     let mut short = wanted("rare");
     short.give_up_at = Instant::now() + ms(499);
+    short.ends_at = short.give_up_at;
     let refused = rig.dispatcher.place(&short).await.unwrap_err();
     assert!((120..=166).contains(&refused.retry_after_ms));
 }
@@ -185,6 +187,20 @@
     assert!(waited > ms(2_000) && waited <= ms(5_000), "{waited:?}");
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_refused_caller_is_told_a_time_within_a_third_of_what_it_has_left() {
+    let rig = rig(vec![runner("a", &[("m1", &[])])]);
+    // Its caller gives this stream up long before its deadline, but may come back until then.
+    let mut stream = wanted("rare");
+    stream.give_up_at = Instant::now() + ms(400);
+    stream.ends_at = Instant::now() + ms(4_000);
+    let refused = rig.dispatcher.place(&stream).await.unwrap_err();
+    assert!(
+        (1_000..=1_333).contains(&refused.retry_after_ms),
+        "{refused:?}"
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_undeclared_model_is_refused_at_once() {
     let rig = rig(vec![runner("a", &[("m1", &[])])]);
@@ -226,6 +242,7 @@
     let mut short = wanted("m1");
     short.target_at += ms(10_000);
     short.give_up_at = Instant::now() + ms(2_000);
+    short.ends_at = short.give_up_at;
     let started = Instant::now();
     let refused = rig.dispatcher.place(&short).await.unwrap_err();
     assert_eq!(started.elapsed(), ms(0));
