Let the tests' links ask the kernel for one socket in place of reading all

Cause: to find the region of a connection, the links between processes of cluster_links read /proc/net/tcp for each accepted connection, one after the other and up to ten times. With 16,657 rows (all users of the machine count) one read took 0.2 s, so that connections of a VM queued at its link for longer than the store's time-outs: keepers lost their leases, publications failed, callers got 503. The product did what it should on links as slow as these.

No assertion, bound or wait is changed.

--- a/tests/common/links.rs
+++ b/tests/common/links.rs
@@ -3,9 +3,11 @@
 #![allow(dead_code, reason = "each test uses a part of it")]
 
 use {
+    socket2::{Domain, Protocol, Socket, Type},
     std::{
-        fs, io,
-        net::SocketAddr,
+        fs,
+        io::{self, Read},
+        net::{SocketAddr, SocketAddrV4},
         sync::{Arc, Mutex},
         time::Duration,
     },
@@ -21,8 +23,12 @@
     },
 };
 
-/// Reads of the table of sockets, which may miss a row while others come and go.
+/// Questions for a connection's process, which may not hold its socket yet.
 const LOOKUPS: usize = 10;
+/// The kind of the kernel's messages about one socket.
+const SOCK_DIAG_BY_FAMILY: u16 = 20;
+/// Where the inode stands in its answer.
+const INODE_AT: usize = 84;
 
 /// What all links do now.
 #[derive(Debug, Clone, Copy, Default)]
@@ -78,7 +84,7 @@
                 let Some(links) = links.upgrade() else {
                     return;
                 };
-                // A connection whose process is not found in the table of sockets is not carried.
+                // A connection whose process is not found is not carried.
                 let Some(from) = links.region_of(from, address).await else {
                     continue;
                 };
@@ -119,12 +125,51 @@
     }
 }
 
-/// Returns the inode of the socket at this end of a connection.
-fn inode(end: SocketAddr, other: SocketAddr) -> Option<String> {
-    let [local, remote] = [end, other].map(|end| format!("0100007F:{:04X}", end.port()));
-    let table = fs::read_to_string("/proc/net/tcp").unwrap();
-    let row = &table[table.find(&format!(" {local} {remote} "))?..];
-    row.split_whitespace().nth(8).map(str::to_owned)
+/// Asks the kernel for the inode of the socket at this end of a connection.
+///
+/// The text of all sockets takes a fifth of a second where there are many, which holds up every
+/// connection that comes meanwhile.
+fn inode(end: SocketAddr, other: SocketAddr) -> Option<u32> {
+    let (SocketAddr::V4(end), SocketAddr::V4(other)) = (end, other) else {
+        return None;
+    };
+    let protocol = Protocol::from(libc::NETLINK_SOCK_DIAG);
+    let kernel = Socket::new(Domain::from(libc::AF_NETLINK), Type::DGRAM, Some(protocol));
+    let mut kernel = kernel.unwrap();
+    kernel.send(&inode_query(end, other)).unwrap();
+    let mut answer = [0; 1024];
+    let read = kernel.read(&mut answer).unwrap();
+    let kind = u16::from_ne_bytes([answer[4], answer[5]]);
+    if kind != SOCK_DIAG_BY_FAMILY || read < INODE_AT + 4 {
+        return None;
+    }
+    let inode = answer[INODE_AT..INODE_AT + 4].try_into().unwrap();
+    Some(u32::from_ne_bytes(inode))
+}
+
+/// Returns the message that asks for the TCP socket of one connection.
+fn inode_query(end: SocketAddrV4, other: SocketAddrV4) -> Vec<u8> {
+    const LENGTH: u32 = 72;
+    const REQUEST: u16 = 1;
+    const ALL_STATES: u32 = u32::MAX;
+    const NO_COOKIE: [u8; 8] = [0xff; 8];
+    let mut query = Vec::new();
+    query.extend(LENGTH.to_ne_bytes());
+    query.extend(SOCK_DIAG_BY_FAMILY.to_ne_bytes());
+    query.extend(REQUEST.to_ne_bytes());
+    query.extend([0; 8]);
+    query.extend([libc::AF_INET as u8, libc::IPPROTO_TCP as u8, 0, 0]);
+    query.extend(ALL_STATES.to_ne_bytes());
+    for address in [end, other] {
+        query.extend(address.port().to_be_bytes());
+    }
+    for address in [end, other] {
+        query.extend(address.ip().octets());
+        query.extend([0; 12]);
+    }
+    query.extend([0; 4]);
+    query.extend(NO_COOKIE);
+    query
 }
 
 async fn carry(
