Reserve the ports of the platform's test processes as long as they run

Cause: the daemons of platform/tests got ports that were bound and given back one by one, so that two of one process can be the same port and another process can take one before the daemon does.

Change: ReservedPorts of the cluster's tests, in a file of its own (tests/common/ports.rs), reserves them while the daemon runs. The gossip port, by datagram, is drawn from the datagram ports and still given back before the daemon takes it: left open.

--- a/tests/cluster_faults.rs
+++ b/tests/cluster_faults.rs
@@ -5,6 +5,7 @@
     pub mod cluster;
     pub mod links;
     pub mod operator;
+    pub mod ports;
     pub mod process;
 }
 
--- a/tests/common/cluster.rs
+++ b/tests/common/cluster.rs
@@ -6,6 +6,7 @@
     super::{
         caller::{Answer, Caller},
         links::Links,
+        ports::ReservedPorts,
         process::{Process, Program},
     },
     greengagetrail::{
@@ -16,10 +17,7 @@
     hyper::StatusCode,
     serde_json::{Value, json},
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{
-        net::TcpSocket,
-        time::{Instant, sleep},
-    },
+    tokio::time::{Instant, sleep},
 };
 
 pub const PEER_KEY: &str = "the-key-of-the-processes";
@@ -430,29 +428,6 @@
     }
 }
 
-/// Ports on loopback that stay reserved for the processes of a test.
-///
-/// A socket that is bound but does not listen keeps others from the port, while a listener that
-/// allows the address to be reused, as those of the programs do, can still take it.
-#[derive(Debug)]
-pub struct ReservedPorts(Vec<TcpSocket>);
-
-impl ReservedPorts {
-    pub fn new(count: usize) -> Self {
-        let reserve = |_| {
-            let socket = TcpSocket::new_v4().unwrap();
-            socket.set_reuseaddr(true).unwrap();
-            socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
-            socket
-        };
-        Self((0..count).map(reserve).collect())
-    }
-
-    pub fn address(&self, index: usize) -> SocketAddr {
-        self.0[index].local_addr().unwrap()
-    }
-}
-
 fn vm_name(index: usize) -> String {
     format!("vm-{index}")
 }
