Run the seeds of copies_plan and copies_orders on four threads

Cause: two tests run their seeds (80 and 4) one after the other in debug code and decide how long their binaries take.

--- a/tests/common/fleet_run.rs
+++ b/tests/common/fleet_run.rs
@@ -448,27 +448,3 @@
         total_mib_ms,
     }
 }
-
-/// Makes a run for each seed on a few threads and returns what was seen, in the order of seeds.
-pub fn run_all<T: Send>(seeds: std::ops::Range<u64>, judge: impl Fn(u64) -> T + Sync) -> Vec<T> {
-    const THREADS: usize = 4;
-    let next = Mutex::new(seeds);
-    let seen = Mutex::new(Vec::new());
-    let worker = || {
-        loop {
-            let Some(seed) = next.lock().unwrap().next() else {
-                return;
-            };
-            let outcome = judge(seed);
-            seen.lock().unwrap().push((seed, outcome));
-        }
-    };
-    std::thread::scope(|scope| {
-        for _ in 0..THREADS {
-            scope.spawn(worker);
-        }
-    });
-    let mut seen = seen.into_inner().unwrap();
-    seen.sort_by_key(|(seed, _)| *seed);
-    seen.into_iter().map(|(_, outcome)| outcome).collect()
-}
--- a/tests/copies_orders.rs
+++ b/tests/copies_orders.rs
@@ -4,6 +4,8 @@
     pub mod bounds;
     pub mod engines;
     pub mod fake_fleet;
+    pub mod parallel;
+    pub mod paused;
 }
 
 use {
@@ -12,6 +14,8 @@
         bounds::bounds,
         engines::{engine, model_id},
         fake_fleet::{FakeFleet, FleetLink, OrderFaults},
+        parallel::run_all,
+        paused::paused_runtime,
     },
     greengagetrail::{
         copies::OrderTask,
@@ -232,46 +236,48 @@
     assert_eq!(rig.fleet.count_held(&model_id(1)), 1);
 }
 
-#[tokio::test(start_paused = true)]
-async fn lost_and_late_orders_overfill_no_runner_and_all_models_come_back() {
-    for seed in 0..4 {
-        let sizes = [72_700.0, 65_100.0, 34_300.0, 65_500.0];
-        let sizes: Vec<f64> = (0..12).map(|index| sizes[index % 4]).collect();
-        let held: [&[usize]; 7] = [&[0, 1], &[2, 3], &[4, 5], &[6, 7], &[8, 9], &[10, 11], &[]];
-        let rig = start(engine(&sizes), &held, seed);
-        let mut rng = SmallRng::seed_from_u64(seed);
-        rig.fleet.set_faults(OrderFaults {
-            lost_percent: 5,
-            late_percent: 15,
-            unanswered_percent: 15,
-        });
-        for _ in 0..30 {
-            let mut wanted = Vec::new();
-            for _ in 0..6 {
-                let model = model_id(rng.random_range(0..12));
-                let adapter = format!("a{}", rng.random_range(1..10));
-                let adapter = rng.random_bool(0.7).then_some(adapter);
-                let waiting = rng.random_range(0..4);
-                let rate = rng.random_range(0.0..25.0);
-                wanted.push(demand(model, adapter.as_deref(), rate, waiting));
-            }
-            wanted.sort_by(|a, b| a.key().cmp(&b.key()));
-            wanted.dedup_by(|a, b| a.key() == b.key());
-            rig.ask(wanted);
-            if rng.random_bool(0.04) {
-                rig.fleet.restart(rng.random_range(0..7));
-            }
-            sleep_ms(rng.random_range(50..1_000)).await;
+#[test]
+fn lost_and_late_orders_overfill_no_runner_and_all_models_come_back() {
+    run_all(0..4, |seed| paused_runtime().block_on(lose_and_delay(seed)));
+}
+
+async fn lose_and_delay(seed: u64) {
+    let sizes = [72_700.0, 65_100.0, 34_300.0, 65_500.0];
+    let sizes: Vec<f64> = (0..12).map(|index| sizes[index % 4]).collect();
+    let held: [&[usize]; 7] = [&[0, 1], &[2, 3], &[4, 5], &[6, 7], &[8, 9], &[10, 11], &[]];
+    let rig = start(engine(&sizes), &held, seed);
+    let mut rng = SmallRng::seed_from_u64(seed);
+    rig.fleet.set_faults(OrderFaults {
+        lost_percent: 5,
+        late_percent: 15,
+        unanswered_percent: 15,
+    });
+    for _ in 0..30 {
+        let mut wanted = Vec::new();
+        for _ in 0..6 {
+            let model = model_id(rng.random_range(0..12));
+            let adapter = format!("a{}", rng.random_range(1..10));
+            let adapter = rng.random_bool(0.7).then_some(adapter);
+            let waiting = rng.random_range(0..4);
+            let rate = rng.random_range(0.0..25.0);
+            wanted.push(demand(model, adapter.as_deref(), rate, waiting));
         }
-        rig.assert_kept_rules();
-        rig.fleet.set_faults(OrderFaults::default());
-        rig.ask(Vec::new());
-        sleep_ms(40_000).await;
-        rig.assert_kept_rules();
-        for index in 0..12 {
-            let held = rig.fleet.count_held(&model_id(index));
-            assert!(held >= 1, "seed {seed}: no copy of {index}");
+        wanted.sort_by(|a, b| a.key().cmp(&b.key()));
+        wanted.dedup_by(|a, b| a.key() == b.key());
+        rig.ask(wanted);
+        if rng.random_bool(0.04) {
+            rig.fleet.restart(rng.random_range(0..7));
         }
+        sleep_ms(rng.random_range(50..1_000)).await;
+    }
+    rig.assert_kept_rules();
+    rig.fleet.set_faults(OrderFaults::default());
+    rig.ask(Vec::new());
+    sleep_ms(40_000).await;
+    rig.assert_kept_rules();
+    for index in 0..12 {
+        let held = rig.fleet.count_held(&model_id(index));
+        assert!(held >= 1, "seed {seed}: no copy of {index}");
     }
 }
 
--- a/tests/copies_plan.rs
+++ b/tests/copies_plan.rs
@@ -2,12 +2,14 @@
 
 mod common {
     pub mod engines;
+    pub mod parallel;
     pub mod plan_fleet;
 }
 
 use {
     common::{
         engines::{engine, model_id},
+        parallel::run_all,
         plan_fleet::PlanFleet,
     },
     greengagetrail::{
@@ -176,40 +178,45 @@
 fn no_plan_overfills_a_runner_or_drops_a_last_copy_whatever_the_demand_does() {
     let without_disks = (0..60).map(|seed| (seed, false));
     let with_disks = (0..20).map(|seed| (seed, true));
-    for (seed, keeps_weights) in without_disks.chain(with_disks) {
-        let mut rng = SmallRng::seed_from_u64(seed);
-        let models = rng.random_range(8..34);
-        let runners = rng.random_range(models / 2 + 1..models + 2);
-        let engine = mixed_engine(models);
-        let mut fleet = PlanFleet::new(engine, runners, seed, Instant::now());
-        fleet.keeps_weights = keeps_weights;
-        for _ in 0..40 {
-            let mut loads: Vec<(usize, f64)> = Vec::new();
-            for index in 0..models {
-                if rng.random_bool(0.3) {
-                    loads.push((index, rng.random_range(0.1..60.0)));
-                }
+    run_all(without_disks.chain(with_disks), |(seed, keeps_weights)| {
+        demand_of_a_seed(seed, keeps_weights);
+    });
+}
+
+/// Lets the demand change at random; the fleet asserts its rules in each step.
+fn demand_of_a_seed(seed: u64, keeps_weights: bool) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let models = rng.random_range(8..34);
+    let runners = rng.random_range(models / 2 + 1..models + 2);
+    let engine = mixed_engine(models);
+    let mut fleet = PlanFleet::new(engine, runners, seed, Instant::now());
+    fleet.keeps_weights = keeps_weights;
+    for _ in 0..40 {
+        let mut loads: Vec<(usize, f64)> = Vec::new();
+        for index in 0..models {
+            if rng.random_bool(0.3) {
+                loads.push((index, rng.random_range(0.1..60.0)));
             }
-            fleet.set_loads(&loads);
-            for (index, _) in &loads {
-                let mut adapters: Vec<(usize, f64, u32)> = Vec::new();
-                for adapter in 0..10 {
-                    if rng.random_bool(0.3) {
-                        let waiting = rng.random_range(0..3);
-                        adapters.push((adapter, rng.random_range(0.0..9.0), waiting));
-                    }
+        }
+        fleet.set_loads(&loads);
+        for (index, _) in &loads {
+            let mut adapters: Vec<(usize, f64, u32)> = Vec::new();
+            for adapter in 0..10 {
+                if rng.random_bool(0.3) {
+                    let waiting = rng.random_range(0..3);
+                    adapters.push((adapter, rng.random_range(0.0..9.0), waiting));
                 }
-                fleet.set_adapters(*index, &adapters);
-            }
-            for runner in &mut fleet.runners {
-                runner.in_flight = rng.random_range(0..40);
-            }
-            if rng.random_bool(0.05) {
-                let lost = rng.random_range(0..runners);
-                fleet.lose(lost);
             }
-            fleet.run_s(1);
+            fleet.set_adapters(*index, &adapters);
+        }
+        for runner in &mut fleet.runners {
+            runner.in_flight = rng.random_range(0..40);
+        }
+        if rng.random_bool(0.05) {
+            let lost = rng.random_range(0..runners);
+            fleet.lose(lost);
         }
+        fleet.run_s(1);
     }
 }
 
--- a/tests/fleet_memory.rs
+++ b/tests/fleet_memory.rs
@@ -4,13 +4,15 @@
     pub mod faulty_store;
     pub mod fleet_faults;
     pub mod fleet_run;
+    pub mod parallel;
     pub mod paused;
 }
 
 use {
     common::{
         fleet_faults::Without,
-        fleet_run::{Outcome, Plan, run, run_all, seeds},
+        fleet_run::{Outcome, Plan, run, seeds},
+        parallel::run_all,
     },
     greengagetrail::history::{MemoryChange, MemoryEvent, MemoryFault, check_memory},
     std::sync::Mutex,
--- a/tests/fleet_permits.rs
+++ b/tests/fleet_permits.rs
@@ -4,6 +4,7 @@
     pub mod faulty_store;
     pub mod fleet_faults;
     pub mod fleet_run;
+    pub mod parallel;
     pub mod paused;
     pub mod store_writes;
 }
@@ -11,7 +12,8 @@
 use {
     common::{
         fleet_faults::Without,
-        fleet_run::{Plan, run, run_all},
+        fleet_run::{Plan, run},
+        parallel::run_all,
         store_writes::write,
     },
     greengagetrail::{
