--- a/benches/entry.rs
+++ b/benches/entry.rs
@@ -5,6 +5,7 @@
     pub mod caller;
     pub mod cluster;
     pub mod links;
+    pub mod ports;
     pub mod process;
 }
 
