Keep no connection to a peer that is asked for a configuration

Ruled out: a slow store (its own watch answered), the wait of the page (members' changes came in time). Change: such an ask closes its connection; the port takes 256.

--- a/src/node/control_port.rs
+++ b/src/node/control_port.rs
@@ -34,7 +34,7 @@
     head_max_bytes: 16 * 1024,
     head_timeout: Duration::from_secs(5),
     write_timeout: Duration::from_secs(5),
-    connections_max: 64,
+    connections_max: 256,
     stop_max: Duration::from_secs(1),
 };
 
--- a/src/node/peer_client.rs
+++ b/src/node/peer_client.rs
@@ -8,7 +8,7 @@
         traffic::NodeName,
     },
     bytes::Bytes,
-    hyper::{Request, StatusCode},
+    hyper::{Request, StatusCode, header::CONNECTION},
     std::{net::SocketAddr, time::Duration},
     tokio::sync::watch,
 };
@@ -55,7 +55,9 @@
 
     /// Returns what a peer answers under a path; `None` without a usable answer.
     pub(super) async fn get(&self, address: SocketAddr, path: &str) -> Option<Bytes> {
-        let request = Request::get(path).body(Body::empty()).ok()?;
+        // A kept connection to each peer would take up the places of others there.
+        let request = Request::get(path).header(CONNECTION, "close");
+        let request = request.body(Body::empty()).ok()?;
         let answer = self.0.call(address, request, LIMITS).await.ok()?;
         (answer.status() == StatusCode::OK).then(|| answer.into_body())
     }
--- a/tests/node_peers.rs
+++ b/tests/node_peers.rs
@@ -263,3 +263,18 @@
     started.hears_load_of(&seed).await;
     seed.hears_load_of(&started).await;
 }
+
+/// While no configuration is published all nodes ask all others, and would keep a connection to each.
+#[tokio::test]
+async fn more_nodes_ask_a_peer_than_it_has_places_for_connections() {
+    let peer = Peer::start(Vec::new()).await;
+    let ask = |_| follow_peers(addresses(vec![peer.listed("asked")], Vec::new()));
+    let askers: Vec<_> = (0..300).map(ask).collect();
+    sleep(Duration::from_secs(2)).await;
+    peer.put_in_force(1);
+    let start = Instant::now();
+    let has = |(traffic, _): &(Arc<TrafficBoard>, _)| traffic.version().is_some();
+    until("the configuration at all", || askers.iter().all(has)).await;
+    let took = start.elapsed();
+    assert!(took < Duration::from_secs(4), "it took {took:?}");
+}
