--- a/src/store/upstream_store.rs
+++ b/src/store/upstream_store.rs
@@ -77,12 +77,12 @@
 
 impl UpstreamWatch<'_> {
     async fn next(&mut self) -> Option<Result<Changes, StoreError>> {
-        let next = match self.from_source().await {
+        let next = match self.ask_source().await {
             Some(changes) => {
                 self.direct = None;
                 Some(Ok(changes))
             }
-            None => self.from_store().await,
+            None => self.watch_store().await,
         };
         if let Some(Ok(batch)) = &next {
             self.store.logs.add(self.prefix, self.since, batch);
@@ -91,12 +91,12 @@
         next
     }
 
-    async fn from_source(&mut self) -> Option<Changes> {
+    async fn ask_source(&mut self) -> Option<Changes> {
         let source = self.store.source.get()?;
         source.changes_after(self.prefix, self.since).await
     }
 
-    async fn from_store(&mut self) -> Option<Result<Changes, StoreError>> {
+    async fn watch_store(&mut self) -> Option<Result<Changes, StoreError>> {
         let (prefix, since) = (self.prefix, self.since);
         let inner = &self.store.inner;
         let direct = self
