Answer connections that nobody accepted yet at a planned stop

On a planned stop the listener was closed while connections waited to be accepted, and a connection whose first bytes were not seen yet was closed at once; the kernel resets both, with the requests on them. Ruled out: load alone (it only makes the wait for accept longer: the new tests fail on an idle machine), the drain of open streams (all failures are the late request's). Change: http::Acceptor goes on after the stop until none comes for 10 ms, 100 ms at most; a stop waits up to 100 ms for the first requests of connections that were just accepted. The relay's port uses the same acceptor in place of its own loop. Conclusion: a fault of the product at planned stops.

--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -1,7 +1,7 @@
 //! Serves connections within limits, until it is stopped gracefully.
 
 use {
-    super::{Body, liveness, preface::wait_for_preface, stall_guard::StallGuard},
+    super::{Acceptor, Body, liveness, preface::wait_for_preface, stall_guard::StallGuard},
     crate::security::{Role, TlsServer},
     hyper::{Request, Response, body::Incoming, service::service_fn},
     hyper_util::{
@@ -11,18 +11,26 @@
             graceful::{GracefulShutdown, Watcher},
         },
     },
-    std::{convert::Infallible, future::Future, sync::Arc, time::Duration},
+    std::{
+        convert::Infallible,
+        future::Future,
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
     tokio::{
         io::{AsyncRead, AsyncWrite},
         net::{TcpListener, TcpStream},
         sync::{OwnedSemaphorePermit, Semaphore},
         time,
     },
-    tokio_util::sync::CancellationToken,
+    tokio_util::{
+        sync::CancellationToken,
+        task::{TaskTracker, task_tracker::TaskTrackerToken},
+    },
 };
 
-/// The wait after a failed `accept`, such as for lack of file descriptors.
-const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// How long a stop waits for the first requests on connections that were just accepted.
+const FIRST_REQUEST_MAX: Duration = Duration::from_millis(100);
 
 /// How often a quiet HTTP/2 connection is pinged.
 const PING_INTERVAL: Duration = Duration::from_secs(10);
@@ -78,20 +86,28 @@
 {
     let open = GracefulShutdown::new();
     let places = Arc::new(Semaphore::new(limits.connections_max));
+    let starting = TaskTracker::new();
     let server = Server {
         builder: builder(limits),
         limits,
         tls,
-        stop: stop.clone(),
+        abandon: CancellationToken::new(),
     };
-    while let Some((stream, place)) = accept(&listener, &places, &stop).await {
-        let served = server.clone().serve(stream, open.watcher(), handle.clone());
+    let mut acceptor = Acceptor::new(listener, stop.clone());
+    while let Some((stream, place)) = accept(&mut acceptor, &places, &stop).await {
+        let first_request = starting.token();
+        let server = server.clone();
+        let served = server.serve(stream, open.watcher(), handle.clone(), first_request);
         tokio::spawn(async move {
             served.await;
             drop(place);
         });
     }
-    drop(listener);
+    drop(acceptor);
+    starting.close();
+    // A connection that is told to stop before its first request came is closed at once.
+    let _ = time::timeout(FIRST_REQUEST_MAX, starting.wait()).await;
+    server.abandon.cancel();
     time::timeout(limits.stop_max, open.shutdown())
         .await
         .is_ok()
@@ -99,23 +115,17 @@
 
 /// Accepts the next connection once there is a place for it; `None` after the stop.
 async fn accept(
-    listener: &TcpListener,
+    acceptor: &mut Acceptor,
     places: &Arc<Semaphore>,
     stop: &CancellationToken,
 ) -> Option<(TcpStream, OwnedSemaphorePermit)> {
-    let accepting = async {
-        let place = places.clone().acquire_owned().await.ok()?;
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => return Some((stream, place)),
-                Err(cause) => {
-                    log::warn!("http: cannot accept a connection: {cause}");
-                    time::sleep(ACCEPT_RETRY).await;
-                }
-            }
-        }
+    let place = stop.run_until_cancelled(places.clone().acquire_owned());
+    let place = match place.await {
+        Some(place) => place.ok()?,
+        None => places.clone().try_acquire_owned().ok()?,
     };
-    stop.run_until_cancelled(accepting).await?
+    let stream = acceptor.next().await?;
+    Some((stream, place))
 }
 
 fn builder(limits: ListenerLimits) -> auto::Builder<TokioExecutor> {
@@ -135,17 +145,21 @@
     builder
 }
 
+/// Counts a connection as starting until its first request came.
+type FirstRequest = TaskTrackerToken;
+
 /// Serves single connections.
 #[derive(Clone)]
 struct Server {
     builder: auto::Builder<TokioExecutor>,
     limits: ListenerLimits,
     tls: Option<TlsServer>,
-    stop: CancellationToken,
+    /// Ends connections on which no request came yet.
+    abandon: CancellationToken,
 }
 
 impl Server {
-    async fn serve<H, F>(self, stream: TcpStream, open: Watcher, handle: H)
+    async fn serve<H, F>(self, stream: TcpStream, open: Watcher, handle: H, first: FirstRequest)
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
@@ -155,14 +169,14 @@
         }
         // Boxed, so that connections without TLS hold no space for it.
         if self.tls.is_some() {
-            return Box::pin(self.serve_tls(stream, open, handle)).await;
+            return Box::pin(self.serve_tls(stream, open, handle, first)).await;
         }
         if self.has_started(&stream).await {
-            self.answer(stream, None, open, handle).await;
+            self.answer(stream, None, open, handle, first).await;
         }
     }
 
-    async fn serve_tls<H, F>(self, stream: TcpStream, open: Watcher, handle: H)
+    async fn serve_tls<H, F>(self, stream: TcpStream, open: Watcher, handle: H, first: FirstRequest)
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
@@ -171,20 +185,30 @@
             return;
         };
         let shaken = time::timeout(self.limits.head_timeout, tls.accept(stream, peer));
-        match self.stop.run_until_cancelled(shaken).await {
-            Some(Ok(Ok((stream, role)))) => self.answer(stream, Some(role), open, handle).await,
+        match self.abandon.run_until_cancelled(shaken).await {
+            Some(Ok(Ok((stream, role)))) => {
+                self.answer(stream, Some(role), open, handle, first).await
+            }
             Some(Err(_)) => log::warn!(peer:% = peer; "http: no handshake with {peer} in time"),
             Some(Ok(Err(_))) | None => {}
         }
     }
 
-    async fn answer<S, H, F>(self, stream: S, role: Option<Role>, open: Watcher, handle: H)
-    where
+    async fn answer<S, H, F>(
+        self,
+        stream: S,
+        role: Option<Role>,
+        open: Watcher,
+        handle: H,
+        first: FirstRequest,
+    ) where
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
         H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
+        let first = Mutex::new(Some(first));
         let service = service_fn(move |mut request: Request<Incoming>| {
+            drop(first.lock().unwrap_or_else(PoisonError::into_inner).take());
             if let Some(role) = role {
                 request.extensions_mut().insert(role);
             }
@@ -201,10 +225,10 @@
         }
     }
 
-    /// Waits for the first bytes; returns whether they came in time and before the stop.
+    /// Waits for the first bytes; returns whether they came in time.
     async fn has_started(&self, stream: &TcpStream) -> bool {
         let started = time::timeout(self.limits.head_timeout, wait_for_preface(stream));
-        let started = self.stop.run_until_cancelled(started).await;
+        let started = self.abandon.run_until_cancelled(started).await;
         matches!(started, Some(Ok(Ok(()))))
     }
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP listeners, the client for backend servers, and problem documents.
 
+mod acceptor;
 mod body;
 mod call;
 mod client;
@@ -15,11 +16,12 @@
 mod read;
 mod stall_guard;
 
-pub use {
-    body::*, call::*, client::*, connection::*, error::*, header::*, listener::*,
-    liveness::Liveness, operations::*, problem::*, read::*,
-};
 pub(crate) use {
+    acceptor::Acceptor,
     liveness::{set_up as set_up_liveness, set_up_with as set_up_liveness_with},
     stall_guard::StallGuard,
 };
+pub use {
+    body::*, call::*, client::*, connection::*, error::*, header::*, listener::*,
+    liveness::Liveness, operations::*, problem::*, read::*,
+};
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Relay,
-    crate::http::{StallGuard, set_up_liveness},
+    crate::http::{Acceptor, StallGuard, set_up_liveness},
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::{
         rt::{TokioIo, TokioTimer},
@@ -16,9 +16,6 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// The wait after a failed `accept`, such as for want of file descriptors.
-const ACCEPT_RETRY: Duration = Duration::from_millis(50);
-
 /// The smallest head limit that the HTTP library allows, in bytes.
 const HEAD_LIMIT_MIN_BYTES: usize = 8192;
 
@@ -47,11 +44,12 @@
     /// Returns whether all of them finished in time.
     pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: CancellationToken) -> bool {
         let open = GracefulShutdown::new();
-        while let Some(stream) = accept(&listener, &stop).await {
+        let mut acceptor = Acceptor::new(listener, stop);
+        while let Some(stream) = acceptor.next().await {
             let served = self.clone().serve_connection(stream, open.watcher());
             tokio::spawn(served);
         }
-        drop(listener);
+        drop(acceptor);
         self.retire();
         self.finish(open).await
     }
@@ -100,19 +98,3 @@
         builder
     }
 }
-
-/// Accepts the next connection; `None` after the stop.
-async fn accept(listener: &TcpListener, stop: &CancellationToken) -> Option<TcpStream> {
-    let accepting = async {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => return stream,
-                Err(cause) => {
-                    log::warn!("relay: cannot accept a connection: {cause}");
-                    time::sleep(ACCEPT_RETRY).await;
-                }
-            }
-        }
-    };
-    stop.run_until_cancelled(accepting).await
-}
