--- a/tests/common/relay_rig.rs
+++ b/tests/common/relay_rig.rs
@@ -158,6 +158,9 @@
     pub address: SocketAddr,
     pub relay: Arc<Relay>,
     pub runners: Vec<FakeBackend>,
+    pub registry: Arc<RunnerRegistry>,
+    /// The entries of the runners as they were at first.
+    entries: Vec<RunnerEntry>,
     pub stop: CancellationToken,
     pub served: JoinHandle<bool>,
 }
@@ -186,9 +189,10 @@
         if setup.configured {
             traffic.activate_if_newer(RouteTable::new(config(&setup), bytes::Bytes::new()));
         }
-        let board = Arc::new(RunnerRegistry::new("z".into(), traffic.clone()));
-        board.set_runners(at.iter().enumerate().map(|at| entry(at, &setup)).collect());
-        let dispatcher = Dispatcher::new(board);
+        let registry = Arc::new(RunnerRegistry::new("z".into(), traffic.clone()));
+        let entries: Vec<_> = at.iter().enumerate().map(|at| entry(at, &setup)).collect();
+        registry.set_runners(entries.clone());
+        let dispatcher = Dispatcher::new(registry.clone());
         let peers = watch::Sender::new(Vec::new()).subscribe();
         let formats = Arc::new(TestFormats);
         let timer_lag = Arc::<TimerLag>::default();
@@ -209,6 +213,8 @@
             address,
             relay,
             runners,
+            registry,
+            entries,
             stop,
             served,
         }
@@ -229,10 +235,23 @@
 
     /// Sends one request on a connection of its own.
     pub async fn call(&self, headers: &str) -> Answer {
+        self.call_as("q", headers).await
+    }
+
+    /// Sends one request with the given id on a connection of its own.
+    pub async fn call_as(&self, id: &str, headers: &str) -> Answer {
         let mut caller = self.caller().await;
-        caller.send(headers, "").await;
+        caller.send_as(id, headers, "").await;
         caller.read().await
     }
+
+    /// Removes a runner from the list.
+    pub fn remove_runner(&self, runner: usize) {
+        let key = &self.entries[runner].key;
+        let listed = self.registry.runners().into_iter().map(|view| view.entry);
+        let kept = listed.filter(|entry| entry.key != *key);
+        self.registry.set_runners(kept.collect());
+    }
 }
 
 fn config(setup: &Setup) -> TrafficConfig {
