--- a/examples/gossip_scale/node.rs
+++ b/examples/gossip_scale/node.rs
@@ -183,6 +183,7 @@
     DispatchRequest {
         service: "engines".into(),
         generation: Some(generation),
+        software: None,
         digest: RequestDigest(rand::random()),
         priority: 1,
         target_at: Instant::now() + Duration::from_secs(1),
--- a/src/dispatch/queue_assignment.rs
+++ b/src/dispatch/queue_assignment.rs
@@ -2,11 +2,12 @@
 
 use {
     super::{
-        Assignment, Variant,
+        Assignment, DispatchRefusal, Variant,
         registry_shared::{Grant, RegistryShared},
         service_runners::{Selection, ServiceRunners},
         wait_queue::RequestProfile,
     },
+    crate::traffic::SoftwareVersion,
     std::sync::Arc,
     tokio::time::Instant,
 };
@@ -22,15 +23,19 @@
         if service.queue.is_empty() {
             return;
         }
-        let mut blocked: Vec<(Option<Variant>, bool)> = Vec::new();
+        let mut blocked: Vec<(Option<Variant>, Option<SoftwareVersion>, bool)> = Vec::new();
         let mut remaining = Vec::new();
         for mut queued in service
             .queue
             .take_ordered(service.expected_response_at(now))
         {
             let is_first_attempt = queued.profile.tried_runners.is_empty();
-            let same_variant = blocked.iter().find(|(v, _)| *v == queued.profile.variant);
-            if let Some((_, waits_for_copy)) = same_variant.filter(|_| is_first_attempt) {
+            let profile = &queued.profile;
+            let is_same = |variant: &Option<Variant>, software: &Option<SoftwareVersion>| {
+                *variant == profile.variant && *software == profile.software
+            };
+            let same = blocked.iter().find(|(v, s, _)| is_same(v, s));
+            if let Some((_, _, waits_for_copy)) = same.filter(|_| is_first_attempt) {
                 queued.waits_for_copy = *waits_for_copy;
                 remaining.push(queued);
                 continue;
@@ -43,10 +48,21 @@
                     grants.push(Grant { sender, result });
                     continue;
                 }
+                Selection::NoCopy if queued.profile.software.is_some() => {
+                    let sender = queued.sender;
+                    let result = Err(DispatchRefusal::NO_SOFTWARE);
+                    grants.push(Grant { sender, result });
+                    continue;
+                }
                 selection => queued.waits_for_copy = selection == Selection::NoCopy,
             }
             if is_first_attempt {
-                blocked.push((queued.profile.variant.clone(), queued.waits_for_copy));
+                let profile = &queued.profile;
+                blocked.push((
+                    profile.variant.clone(),
+                    profile.software.clone(),
+                    queued.waits_for_copy,
+                ));
             }
             remaining.push(queued);
         }
--- a/src/dispatch/registry_state.rs
+++ b/src/dispatch/registry_state.rs
@@ -148,6 +148,7 @@
         self.quarantine.record_runner_end(key, now);
         if let Some(runner) = self.runner_mut(key) {
             runner.health.record_peer_failure(now);
+            runner.record_unreachable(now);
         }
     }
 
@@ -159,6 +160,9 @@
     /// Records a failed connection to a runner; returns whether it is still to be reported.
     pub(super) fn record_connect_failure(&mut self, key: &RunnerKey, now: Instant) -> bool {
         self.quarantine.record_runner_end(key, now);
+        if let Some(runner) = self.runner_mut(key) {
+            runner.record_unreachable(now);
+        }
         let is_new = !self.unreachable.contains(key);
         if is_new {
             self.unreachable.push(key.clone());
--- a/src/dispatch/service_runners.rs
+++ b/src/dispatch/service_runners.rs
@@ -12,7 +12,7 @@
     },
     crate::{
         discovery::RunnerKey,
-        traffic::{ModelId, ServiceId, ZoneId},
+        traffic::{ModelId, ServiceId, SoftwareVersion, ZoneId},
     },
     rand::{Rng, RngExt},
     std::time::Duration,
@@ -56,7 +56,7 @@
     /// The runners that hold the variant name limits, of which this node's share admits a request
     /// at the instant, or none.
     Limited(Option<Instant>),
-    /// No runner holds the variant.
+    /// No runner that may serve the request holds the variant.
     NoCopy,
 }
 
@@ -87,7 +87,8 @@
 
     /// Chooses the runner with the lowest cost for a request.
     ///
-    /// Runners that were tried already are chosen only if no other one holds the variant.
+    /// Runners that were tried already are chosen only if no other one holds the variant, and not
+    /// for a stream that must not change its software version while others serve.
     pub(super) fn choose(
         &self,
         profile: &RequestProfile,
@@ -95,7 +96,9 @@
         now: Instant,
     ) -> Selection {
         let first = self.choose_among(profile, false, zone, now);
-        if first == Selection::NoCopy && !profile.tried_runners.is_empty() {
+        let may_return =
+            !profile.tried_runners.is_empty() && self.has_only(profile.software.as_ref());
+        if first == Selection::NoCopy && may_return {
             return self.choose_among(profile, true, zone, now);
         }
         first
@@ -116,6 +119,7 @@
         let mut rng = rand::rng();
         for (position, runner) in self.runners.iter().enumerate() {
             let is_eligible = runner.is_ready(now)
+                && runner.may_resume(profile, now)
                 && runner.holds(profile.variant.as_ref())
                 && profile.tried_runners.contains(&runner.entry.key) == was_tried;
             if !is_eligible {
@@ -165,6 +169,14 @@
         }
     }
 
+    /// Returns whether all runners have a software version, if one is given.
+    fn has_only(&self, software: Option<&SoftwareVersion>) -> bool {
+        software.is_none_or(|only| {
+            let mut runners = self.runners.iter();
+            runners.all(|runner| runner.entry.software == *only)
+        })
+    }
+
     /// Returns whether a ready runner holds a model.
     pub(super) fn has_copy(&self, model: &ModelId, now: Instant) -> bool {
         let variant = Variant {
--- a/src/dispatch/tracked_runner.rs
+++ b/src/dispatch/tracked_runner.rs
@@ -30,6 +30,10 @@
 /// How long a peer's report that a runner is leaving counts if no list arrives.
 const PEER_LEAVING_TTL_MS: u64 = 60_000;
 
+/// How long a runner that could not be reached may have restarted without its new entry being
+/// listed: a runner that ended stays listed for some heartbeats.
+const RESTART_UNSEEN_MAX_MS: u64 = 5_000;
+
 /// A runner with its load, health and caches as this node sees it.
 #[derive(Debug)]
 pub(super) struct TrackedRunner {
@@ -54,6 +58,8 @@
     unreported_share: RandomShare,
     cold_until: Instant,
     leaving_reported_at: Option<Instant>,
+    /// When a node last failed to connect to the runner.
+    unreachable_at: Option<Instant>,
     report_rounds_left: u8,
     key_hash: u64,
 }
@@ -83,6 +89,7 @@
             unreported_share: RandomShare::new(now),
             cold_until,
             leaving_reported_at: None,
+            unreachable_at: None,
             report_rounds_left: 0,
             key_hash: hasher.finish(),
         }
@@ -133,6 +140,21 @@
         self.leaving_reported_at = Some(now);
     }
 
+    /// Records that this node or a peer failed to connect to the runner.
+    pub(super) fn record_unreachable(&mut self, now: Instant) {
+        self.unreachable_at = Some(now);
+    }
+
+    /// Returns whether the runner may go on with a stream that its software version began.
+    ///
+    /// A runner that ended may be back under its name and address with another version.
+    pub(super) fn may_resume(&self, profile: &RequestProfile, now: Instant) -> bool {
+        let unseen_max = Duration::from_millis(RESTART_UNSEEN_MAX_MS);
+        let may_have_restarted = self.unreachable_at.is_some_and(|at| now < at + unseen_max);
+        let software = profile.software.as_ref();
+        software.is_none_or(|only| *only == self.entry.software && !may_have_restarted)
+    }
+
     /// Returns whether the runner may be assigned requests.
     pub(super) fn is_ready(&self, now: Instant) -> bool {
         let ttl = Duration::from_millis(PEER_LEAVING_TTL_MS);
--- a/src/dispatch/types.rs
+++ b/src/dispatch/types.rs
@@ -5,7 +5,7 @@
         discovery::{RunnerEntry, RunnerKey},
         quarantine::RequestDigest,
         relay::GenerationRequest,
-        traffic::{AdapterId, ModelId, ServiceId},
+        traffic::{AdapterId, ModelId, ServiceId, SoftwareVersion},
     },
     serde::{Deserialize, Serialize},
     std::time::Duration,
@@ -19,6 +19,8 @@
     pub service: ServiceId,
     /// The generation that the request asks for; `None` for plain services.
     pub generation: Option<GenerationRequest>,
+    /// The only software version of runners that may serve the request, for a stream that goes on.
+    pub software: Option<SoftwareVersion>,
     /// Identifies the request if it comes again.
     pub digest: RequestDigest,
     /// The priority of the request's route; 0 is the most urgent.
@@ -47,6 +49,8 @@
 pub enum RefusalCause {
     /// No runner with the model is expected to be free in time.
     NoCapacity,
+    /// No ready runner of the requested software version holds the model.
+    NoSoftware,
     /// The request, or a part of its prompt, is quarantined, as it crashed runners.
     Quarantined,
 }
@@ -64,6 +68,14 @@
         cause: RefusalCause::NoCapacity,
     };
 
+    /// The refusal of a stream whose software version no ready runner has.
+    ///
+    /// A runner that crashed is usually back after this time.
+    pub const NO_SOFTWARE: Self = Self {
+        retry_after_ms: 2_000,
+        cause: RefusalCause::NoSoftware,
+    };
+
     /// Returns the refusal of a prompt that is quarantined for some time.
     pub(super) fn quarantined(remaining: Duration) -> Self {
         Self {
--- a/src/dispatch/wait_decision.rs
+++ b/src/dispatch/wait_decision.rs
@@ -48,6 +48,10 @@
             return self.refuse(Duration::ZERO);
         }
         match selection {
+            // Orders to load a model do not choose a software version.
+            Selection::NoCopy if self.profile.software.is_some() => {
+                WaitDecision::Refuse(DispatchRefusal::NO_SOFTWARE)
+            }
             Selection::NoCopy => self.decide_copy_wait(),
             Selection::NoCapacity(retry_at) => {
                 match (self.decide_capacity_wait(retry_at), retry_at) {
--- a/src/dispatch/wait_queue.rs
+++ b/src/dispatch/wait_queue.rs
@@ -8,7 +8,7 @@
         discovery::RunnerKey,
         quarantine::RequestFingerprint,
         relay::GenerationRequest,
-        traffic::{EngineSpec, ModelId},
+        traffic::{EngineSpec, ModelId, SoftwareVersion},
     },
     tokio::{sync::oneshot, time::Instant},
 };
@@ -20,6 +20,8 @@
 #[derive(Debug)]
 pub(super) struct RequestProfile {
     pub(super) variant: Option<Variant>,
+    /// The only software version that may serve the request, if there is one.
+    pub(super) software: Option<SoftwareVersion>,
     pub(super) needs: RunnerRequirements,
     pub(super) chain: PromptChain,
     pub(super) fingerprint: RequestFingerprint,
@@ -51,6 +53,7 @@
         }
         Ok(Self {
             variant: generation.map(Variant::of),
+            software: request.software.clone(),
             needs: RunnerRequirements {
                 prompt_tokens: generation.map_or(0, |g| u64::from(g.prompt_tokens)),
                 kv_tokens: generation.map_or(0, kv_tokens),
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -165,6 +165,7 @@
         DispatchRequest {
             service: rules.service.clone(),
             generation: self.call.head.generation.clone(),
+            software: self.software.clone(),
             digest: self.call.digest,
             priority: rules.priority,
             target_at: self.call.target_at,
--- a/src/relay/attempt_progress.rs
+++ b/src/relay/attempt_progress.rs
@@ -65,6 +65,7 @@
     pub(super) fn dispatch_refusal(&mut self, refused: DispatchRefusal) -> Refusal {
         let retry_after_ms = refused.retry_after_ms;
         match refused.cause {
+            RefusalCause::NoSoftware => Refusal::StreamNotResumable { retry_after_ms },
             RefusalCause::NoCapacity => self.final_refusal(Some(retry_after_ms)),
             RefusalCause::Quarantined => {
                 self.is_quarantined = true;
--- a/src/relay/event_stream.rs
+++ b/src/relay/event_stream.rs
@@ -150,6 +150,7 @@
     if !forwarded.call.is_retryable() {
         forwarded.call.free_request();
     }
+    forwarded.software = Some(live.assignment.runner.software.clone());
     let state = CallerStream {
         forwarded,
         runner: live.assignment.runner.clone(),
@@ -267,6 +268,9 @@
                 forwarded.relay.counters.streams_resumed.count();
                 return Ok(runner_response.split_stream(last_id).1);
             }
+            Err(refusal) if refusal.is_final() => {
+                return Err("no runner of the stream's software version is left".to_owned());
+            }
             Err(_) if forwarded.may_retry() => time::sleep(RESUME_RETRY_DELAY).await,
             Err(_) => return Err("no other runner could resume the stream".to_owned()),
         }
--- a/src/relay/forwarded_call.rs
+++ b/src/relay/forwarded_call.rs
@@ -5,7 +5,7 @@
         AttemptProgress, AttemptResult, Call, Refusal, Relay, ResponseOutcome, RunnerResponse,
         RunnerStream, stream_response,
     },
-    crate::{dispatch::AttemptOutcome, http::Body},
+    crate::{dispatch::AttemptOutcome, http::Body, traffic::SoftwareVersion},
     hyper::{Response, StatusCode},
     std::sync::Arc,
     tokio::time::{self, Instant},
@@ -17,6 +17,8 @@
     pub(super) relay: Arc<Relay>,
     pub(super) call: Call,
     pub(super) progress: AttemptProgress,
+    /// The software version that began the stream, once an event of it was forwarded.
+    pub(super) software: Option<SoftwareVersion>,
 }
 
 /// The begin of a response for the caller.
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -35,6 +35,12 @@
         /// How long it is still quarantined, in milliseconds.
         retry_after_ms: u64,
     },
+    /// The request to go on with a stream did not run: no ready runner has the software version
+    /// that began the stream, or that version is not known.
+    StreamNotResumable {
+        /// How long the caller should wait before it retries, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// The request may have run, but there is no usable response.
     RunnerFailed,
     /// The request may have run, and its deadline passed.
@@ -51,13 +57,14 @@
     BodyTooSlow,
     Overloaded,
     Quarantined,
+    StreamNotResumable,
     RunnerFailed,
     TimedOut,
 }
 
 impl Refusal {
     /// The labels of the reasons, in the order of [`RefusalReason`].
-    pub(super) const REASONS: [&'static str; 9] = [
+    pub(super) const REASONS: [&'static str; 10] = [
         "no_configuration",
         "no_route",
         "bad_request",
@@ -65,6 +72,7 @@
         "body_too_slow",
         "overloaded",
         "quarantined",
+        "stream_not_resumable",
         "runner_failed",
         "timed_out",
     ];
@@ -79,6 +87,7 @@
             Self::BodyTooSlow => RefusalReason::BodyTooSlow,
             Self::NotRun { .. } => RefusalReason::Overloaded,
             Self::Quarantined { .. } => RefusalReason::Quarantined,
+            Self::StreamNotResumable { .. } => RefusalReason::StreamNotResumable,
             Self::RunnerFailed => RefusalReason::RunnerFailed,
             Self::TimedOut => RefusalReason::TimedOut,
         }
@@ -91,6 +100,11 @@
         }
     }
 
+    /// Returns whether another attempt at the same request cannot succeed soon.
+    pub(super) fn is_final(&self) -> bool {
+        matches!(self, Self::StreamNotResumable { .. })
+    }
+
     fn problem(&self) -> Problem {
         match self {
             Self::NoConfiguration => {
@@ -128,6 +142,13 @@
                 Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "quarantined", detail)
                     .retry_after(retry_after)
             }
+            Self::StreamNotResumable { retry_after_ms } => {
+                let detail = "no runner of the software version that began the stream is known; \
+                              the request may be sent again without the events so far";
+                let retry_after = Duration::from_millis(*retry_after_ms);
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                Problem::not_run(status, "stream-not-resumable", detail).retry_after(retry_after)
+            }
             Self::RunnerFailed => {
                 let detail = "the runner gave no usable answer";
                 Problem::unknown(StatusCode::BAD_GATEWAY, "runner-failed", detail)
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -117,6 +117,7 @@
                     relay: self.clone(),
                     call,
                     progress: AttemptProgress::default(),
+                    software: None,
                 };
                 call.respond(arrived_at).await
             }
--- a/tests/common/registry_rig.rs
+++ b/tests/common/registry_rig.rs
@@ -160,6 +160,7 @@
     DispatchRequest {
         service: ENGINE_SERVICE.into(),
         generation: Some(generation),
+        software: None,
         digest: next_digest(),
         priority: 1,
         target_at: Instant::now() + Duration::from_secs(1),
