--- a/src/dispatch/dispatcher.rs
+++ b/src/dispatch/dispatcher.rs
@@ -4,7 +4,7 @@
     super::{
         Assignment, DispatchRefusal, DispatchRequest, RunnerRegistry, registry_shared::StartOutcome,
     },
-    crate::discovery::RunnerKey,
+    crate::{discovery::RunnerKey, streams::StreamVersions},
     std::sync::Arc,
     tokio::time::Instant,
 };
@@ -21,6 +21,11 @@
         Self { registry }
     }
 
+    /// Returns the software versions of runners and streams.
+    pub fn streams(&self) -> &StreamVersions {
+        &self.registry.streams
+    }
+
     /// Records that a runner could not be reached.
     pub fn record_unreachable(&self, runner: &RunnerKey) {
         self.registry
--- a/src/dispatch/registry.rs
+++ b/src/dispatch/registry.rs
@@ -8,6 +8,7 @@
     crate::{
         discovery::{RunnerEntry, RunnerKey},
         quarantine::{EndedAttempts, QuarantineMessage, Verdict},
+        streams::StreamVersions,
         traffic::{ActiveConfig, NodeName, ServiceId, ZoneId},
     },
     std::sync::Arc,
@@ -24,6 +25,8 @@
     pub zone: ZoneId,
     /// The traffic configuration in force.
     pub traffic: Arc<ActiveConfig>,
+    /// The software versions of runners and streams.
+    pub streams: Arc<StreamVersions>,
     pub(super) shared: Arc<RegistryShared>,
 }
 
@@ -53,6 +56,7 @@
         Self {
             zone,
             traffic,
+            streams: Arc::default(),
             shared: Arc::new(shared),
         }
     }
@@ -60,6 +64,7 @@
     /// Replaces the list of runners with the platform's, which is sorted by key.
     pub fn set_runners(&self, runners: Vec<RunnerEntry>) {
         let now = Instant::now();
+        self.streams.set_listed(&runners);
         let mut any_departed = false;
         self.shared
             .update(now, |state| any_departed = state.set_runners(runners, now));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod settings;
 pub mod standin;
 pub mod store;
+pub mod streams;
 pub mod telemetry;
 pub mod traffic;
 pub mod units;
--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -22,6 +22,9 @@
     pub runners_prefix: String,
     /// The prefix of the keys that the system itself writes.
     pub own_prefix: String,
+    /// The prefix of the keys under which the system records streams; nodes don't watch it, so it
+    /// is not below `own_prefix`.
+    pub streams_prefix: String,
 }
 
 /// The error for data that does not have the expected format.
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -6,6 +6,7 @@
         http::{ReadError, read_body, remove_connection_headers},
         quarantine::RequestDigest,
         routing::stable_hash,
+        streams::StreamId,
         traffic::{CallerLimits, Route, RouteKind, RouteTable, ServiceId},
     },
     bytes::Bytes,
@@ -98,6 +99,16 @@
         self.head.last_event_id.filter(|_| self.is_retryable())
     }
 
+    /// Returns the id of the stream that the caller resumes, if the caller names it.
+    pub(super) fn resumed_stream(&self) -> Option<StreamId> {
+        StreamId::of(self.head.resumes.as_ref()?)
+    }
+
+    /// Returns whether the caller resumes a stream.
+    pub(super) fn is_resumed(&self) -> bool {
+        self.is_stream() && self.head.last_event_id.is_some()
+    }
+
     /// Frees the headers and the body, which only another attempt needs.
     pub(super) fn free_request(&mut self) {
         self.headers = HeaderMap::new();
--- a/src/relay/event_stream.rs
+++ b/src/relay/event_stream.rs
@@ -150,7 +150,7 @@
     if !forwarded.call.is_retryable() {
         forwarded.call.free_request();
     }
-    forwarded.software = Some(live.assignment.runner.software.clone());
+    forwarded.record_begin(&live.assignment.runner.software);
     let state = CallerStream {
         forwarded,
         runner: live.assignment.runner.clone(),
--- a/src/relay/forwarded_call.rs
+++ b/src/relay/forwarded_call.rs
@@ -5,7 +5,7 @@
         AttemptProgress, AttemptResult, Call, Refusal, Relay, ResponseOutcome, RunnerResponse,
         RunnerStream, stream_response,
     },
-    crate::{dispatch::AttemptOutcome, http::Body, traffic::SoftwareVersion},
+    crate::{dispatch::AttemptOutcome, http::Body, streams::StreamId, traffic::SoftwareVersion},
     hyper::{Response, StatusCode},
     std::sync::Arc,
     tokio::time::{self, Instant},
@@ -17,7 +17,7 @@
     pub(super) relay: Arc<Relay>,
     pub(super) call: Call,
     pub(super) progress: AttemptProgress,
-    /// The software version that began the stream, once an event of it was forwarded.
+    /// The software version that began the stream, if it is resumed or an event was forwarded.
     pub(super) software: Option<SoftwareVersion>,
 }
 
@@ -76,7 +76,42 @@
         }
     }
 
+    /// Requires the software version at which a stream began that the caller resumes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the version is not known.
+    async fn require_software(&mut self) -> Result<(), Refusal> {
+        if !self.call.is_resumed() {
+            return Ok(());
+        }
+        let streams = self.relay.dispatcher.streams();
+        let stream = self.call.resumed_stream();
+        self.software = streams.find(&self.call.rules.service, stream).await;
+        match self.software {
+            Some(_) => Ok(()),
+            None => Err(Refusal::unknown_stream()),
+        }
+    }
+
+    /// Records that the stream's first event is about to be forwarded.
+    pub(super) fn record_begin(&mut self, software: &SoftwareVersion) {
+        self.software = Some(software.clone());
+        if !self.call.is_retryable() {
+            return;
+        }
+        let stream = match self.call.is_resumed() {
+            true => self.call.resumed_stream(),
+            false => StreamId::of(&self.call.head.request_id),
+        };
+        if let Some(stream) = stream {
+            let streams = self.relay.dispatcher.streams();
+            streams.record_begin(stream, &self.call.rules.service, software);
+        }
+    }
+
     async fn first_response(&mut self) -> Result<CallerResponse, Refusal> {
+        self.require_software().await?;
         loop {
             match self.attempt(None).await? {
                 AttemptResult::NoResponse => {}
--- a/src/relay/head.rs
+++ b/src/relay/head.rs
@@ -56,6 +56,8 @@
     pub deadline_ms: Option<u64>,
     /// The id of the last event that the caller received, for a stream to resume.
     pub last_event_id: Option<u64>,
+    /// The id of the caller's attempt that brought the first event of the stream to resume.
+    pub resumes: Option<Bytes>,
     /// The generation parameters; `None` if the request names no model.
     pub generation: Option<GenerationRequest>,
 }
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -10,6 +10,10 @@
 /// The retry delay that a caller gets when there is no estimate.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// The retry delay of a stream that this node doesn't know: the time in which other nodes record
+/// the streams that began at them.
+const UNKNOWN_STREAM_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+
 /// The reason why a request gets no response from a runner.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Refusal {
@@ -100,6 +104,13 @@
         }
     }
 
+    /// Returns the refusal to resume a stream whose software version is not known.
+    pub(super) fn unknown_stream() -> Self {
+        Self::StreamNotResumable {
+            retry_after_ms: UNKNOWN_STREAM_RETRY_AFTER.as_millis() as u64,
+        }
+    }
+
     /// Returns whether another attempt at the same request cannot succeed soon.
     pub(super) fn is_final(&self) -> bool {
         matches!(self, Self::StreamNotResumable { .. })
--- /dev/null
+++ b/src/streams/mod.rs
@@ -0,0 +1,13 @@
+//! Knows at which software version a stream began, so that it goes on at no other one.
+//!
+//! A caller that resumes a stream names only the attempt that brought its first event. Mostly all
+//! runners of a service have had one software version for as long as a stream can be resumed. While
+//! several are in use, nodes record the streams that began, also in the store.
+
+mod stream_batch;
+mod stream_id;
+mod stream_table;
+mod stream_versions;
+mod version_history;
+
+pub use {stream_batch::*, stream_id::*, stream_versions::*, version_history::*};
--- a/tests/common/relay_rig.rs
+++ b/tests/common/relay_rig.rs
@@ -72,6 +72,10 @@
             request_id: id.as_bytes().to_vec().into(),
             deadline_ms: number(&head.headers, "x-deadline-ms"),
             last_event_id: number(&head.headers, "last-event-id"),
+            resumes: head
+                .headers
+                .get("resumes")
+                .map(|id| id.as_bytes().to_vec().into()),
             generation: None,
         })
     }
--- a/tests/common/version_formats.rs
+++ b/tests/common/version_formats.rs
@@ -23,6 +23,7 @@
             config: KEY.to_owned(),
             runners_prefix: "runners/".to_owned(),
             own_prefix: "own/".to_owned(),
+            streams_prefix: "streams/".to_owned(),
         }
     }
 
--- a/tests/discovery_follow.rs
+++ b/tests/discovery_follow.rs
@@ -31,6 +31,7 @@
             config: "config".to_owned(),
             runners_prefix: "runners/".to_owned(),
             own_prefix: "own/".to_owned(),
+            streams_prefix: "streams/".to_owned(),
         }
     }
 
--- a/tests/dispatch_software.rs
+++ b/tests/dispatch_software.rs
@@ -34,10 +34,7 @@
     }
 }
 
-fn assign(
-    rig: &Rig,
-    request: DispatchRequest,
-) -> JoinHandle<Result<Assignment, DispatchRefusal>> {
+fn assign(rig: &Rig, request: DispatchRequest) -> JoinHandle<Result<Assignment, DispatchRefusal>> {
     let dispatcher = rig.dispatcher.clone();
     tokio::spawn(async move { dispatcher.assign(&request).await })
 }
