--- a/src/history/mod.rs
+++ b/src/history/mod.rs
@@ -8,8 +8,9 @@
 mod retry_check;
 mod revision_check;
 mod revision_event;
+mod stream_check;
 
 pub use {
     copy_check::*, execution_check::*, leader_check::*, memory_check::*, response_check::*,
-    retry_check::*, revision_check::*, revision_event::*,
+    retry_check::*, revision_check::*, revision_event::*, stream_check::*,
 };
--- a/src/leader/cluster_view.rs
+++ b/src/leader/cluster_view.rs
@@ -39,6 +39,8 @@
     pub last_leader: Option<StoredLeaderRecord>,
     /// The entries of quarantined requests and prompt parts, sorted by key.
     pub quarantine: Vec<Entry>,
+    /// The entry of the software versions in use, if present.
+    pub versions: Option<Entry>,
     /// When this node last saw the leader key or the last-leader key change.
     pub leader_changed_at: Instant,
 }
@@ -54,6 +56,7 @@
             leader: None,
             last_leader: None,
             quarantine: Vec::new(),
+            versions: None,
             leader_changed_at: Instant::now(),
         }
     }
@@ -68,6 +71,7 @@
             (self.leader, self.last_leader, self.leader_changed_at) = (leader, last_leader, now);
         }
         self.is_loaded = true;
+        self.versions = find(&self.keys.versions).cloned();
         let quarantine = entries.iter();
         let quarantine = quarantine.filter(|entry| entry.key.starts_with(&self.keys.quarantine));
         self.quarantine = quarantine.cloned().collect();
@@ -96,6 +100,8 @@
         } else if change.key() == self.keys.last_leader {
             self.last_leader = entry.map(decode_leader_record);
             self.leader_changed_at = now;
+        } else if change.key() == self.keys.versions {
+            self.versions = entry.cloned();
         } else if change.key().starts_with(&self.keys.quarantine) {
             self.apply_quarantine(change.key(), entry);
         } else if let Some(entry) = entry {
--- a/src/leader/keys.rs
+++ b/src/leader/keys.rs
@@ -13,6 +13,8 @@
     pub last_leader: String,
     /// The prefix of the quarantined requests and prompt parts; bound to no lease.
     pub quarantine: String,
+    /// The key of the software versions in use; bound to no lease.
+    pub versions: String,
 }
 
 impl Keys {
@@ -24,6 +26,7 @@
             leader: format!("{own_prefix}leader"),
             last_leader: format!("{own_prefix}last-leader"),
             quarantine: format!("{own_prefix}quarantine/"),
+            versions: format!("{own_prefix}versions"),
         }
     }
 }
--- a/src/leader/membership.rs
+++ b/src/leader/membership.rs
@@ -8,6 +8,7 @@
     crate::{
         node::Bounds,
         store::{Change, Entry, LeaseId, SharedStore, StoreVersion},
+        streams::StoredVersions,
         traffic::NodeName,
     },
     std::{
@@ -39,6 +40,7 @@
     pub term: watch::Sender<Option<Term>>,
     peers: watch::Sender<Vec<PeerNode>>,
     quarantine: watch::Sender<Vec<Entry>>,
+    versions: watch::Sender<StoredVersions>,
     view: Mutex<ClusterView>,
     lease_state: Mutex<LeaseState>,
     bounds: Mutex<Bounds>,
@@ -88,6 +90,7 @@
         self.view().replace(entries, version, Instant::now());
         self.publish_peers();
         self.publish_quarantine();
+        self.publish_versions();
         self.publish_term();
         self.wake_election.notify_one();
     }
@@ -102,6 +105,7 @@
         drop(view);
         self.publish_peers();
         self.publish_quarantine();
+        self.publish_versions();
         self.publish_term();
         self.wake_election.notify_one();
     }
@@ -126,6 +130,21 @@
         });
     }
 
+    /// Publishes the entry of the software versions if it changed.
+    fn publish_versions(&self) {
+        let view = self.view();
+        let stored = StoredVersions {
+            is_read: view.is_loaded,
+            entry: view.versions.clone(),
+        };
+        drop(view);
+        self.versions.send_if_modified(|known| {
+            let differs = *known != stored;
+            *known = stored;
+            differs
+        });
+    }
+
     /// Publishes this node's term, derived from its lease and from the cluster view.
     ///
     /// The view counts because store calls may hang after the watch has already reported that the
@@ -156,6 +175,8 @@
     pub term: watch::Receiver<Option<Term>>,
     /// The entries of quarantined requests and prompt parts in the store.
     pub quarantine: watch::Receiver<Vec<Entry>>,
+    /// The entry of the software versions in use in the store.
+    pub versions: watch::Receiver<StoredVersions>,
     shared: Arc<SharedState>,
     tasks: Mutex<JoinSet<()>>,
 }
@@ -183,6 +204,7 @@
         let (peers, peers_receiver) = watch::channel(Vec::new());
         let (term, term_receiver) = watch::channel(None);
         let (quarantine, quarantine_receiver) = watch::channel(Vec::new());
+        let (versions, versions_receiver) = watch::channel(StoredVersions::default());
         let keys = Keys::new(own_prefix);
         let lease_state = LeaseState {
             lease: None,
@@ -206,6 +228,7 @@
             peers,
             term,
             quarantine,
+            versions,
         });
         let mut tasks = JoinSet::new();
         tasks.spawn(watch_keys(shared.clone()));
@@ -215,6 +238,7 @@
             peers: peers_receiver,
             term: term_receiver,
             quarantine: quarantine_receiver,
+            versions: versions_receiver,
             shared,
             tasks: Mutex::new(tasks),
         }
@@ -242,6 +266,20 @@
         &self.shared.keys.quarantine
     }
 
+    /// Returns the key of the software versions in use.
+    pub fn versions_key(&self) -> &str {
+        &self.shared.keys.versions
+    }
+
+    /// Returns whether this node's lease still runs by its own clocks, suspensions included: it
+    /// reached the store within the last seconds.
+    pub fn holds_lease(&self) -> bool {
+        let lease_state = self.shared.lease_state();
+        let since_renewal =
+            ClockReading::now(&self.shared.clock).elapsed_since(lease_state.renewal_sent);
+        lease_state.lease.is_some() && lease_state.timing.is_lease_running(since_renewal)
+    }
+
     /// Returns the leader and its fencing token, as last read.
     pub fn leader(&self) -> Option<(NodeName, u64)> {
         let view = self.shared.view();
--- a/src/node/control_port.rs
+++ b/src/node/control_port.rs
@@ -1,10 +1,14 @@
 //! The HTTP server of the control port, for peers and operators.
 
 use {
-    super::{CHANGES_PATH, ChangesEndpoint, ControlAccess, NodeView, PeerEndpoints},
+    super::{
+        CHANGES_PATH, ChangesEndpoint, ControlAccess, NodeView, PeerEndpoints, STREAMS_PATH,
+        stream_peers::STREAMS_MAX_BYTES,
+    },
     crate::{
-        http::{Body, ListenerLimits, serve_http, serve_http_with},
-        security::AllowedRoles,
+        http::{Body, ListenerLimits, read_body, serve_http, serve_http_with},
+        security::{AllowedRoles, Role},
+        streams::StreamBatch,
         telemetry::RecentEvents,
     },
     hyper::{
@@ -59,16 +63,19 @@
         let port = Arc::new(self);
         let handle = move |request: Request<Incoming>| {
             let port = port.clone();
-            async move { port.respond(&request).await }
+            async move { port.respond(request).await }
         };
         serve_http_with(listener, CONTROL_PORT_LIMITS, tls, stop, handle).await;
     }
 
-    async fn respond(&self, request: &Request<Incoming>) -> Response<Body> {
+    async fn respond(&self, request: Request<Incoming>) -> Response<Body> {
+        if (request.method(), request.uri().path()) == (&Method::POST, STREAMS_PATH) {
+            return self.record_streams(request).await;
+        }
         let view = &self.view;
         let uri = request.uri();
         match (request.method(), uri.path()) {
-            (&Method::POST, DRAIN_PATH) => match self.access.authorize(request) {
+            (&Method::POST, DRAIN_PATH) => match self.access.authorize(&request) {
                 Ok(()) => {
                     log::info!(node:% = view.node; "node: an operator asked to drain");
                     view.stop.cancel();
@@ -76,7 +83,7 @@
                 }
                 Err(refusal) => *refusal,
             },
-            (_, DRAIN_PATH) => empty_response(StatusCode::METHOD_NOT_ALLOWED),
+            (_, DRAIN_PATH | STREAMS_PATH) => empty_response(StatusCode::METHOD_NOT_ALLOWED),
             (_, STATUS_PATH) => json_response(&view.status()),
             (_, HISTORY_PATH) => json_response(&view.active_config.history()),
             (_, EVENTS_PATH) => json_response(&RecentEvents::global().newest(usize::MAX)),
@@ -86,6 +93,21 @@
             _ => self.peer_endpoints.respond(uri, request.headers()),
         }
     }
+
+    /// Takes the records of streams that a peer passes on to the store through this node.
+    async fn record_streams(&self, request: Request<Incoming>) -> Response<Body> {
+        if self.access.tls.is_some() && request.extensions().get() != Some(&Role::Node) {
+            return empty_response(StatusCode::FORBIDDEN);
+        }
+        let timeout = CONTROL_PORT_LIMITS.head_timeout;
+        let body = read_body(request.into_body(), STREAMS_MAX_BYTES, timeout).await;
+        let batches = body.ok().and_then(|body| StreamBatch::decode(&body));
+        let Some(batches) = batches else {
+            return empty_response(StatusCode::BAD_REQUEST);
+        };
+        self.view.registry.streams.record_from_peer(&batches);
+        empty_response(StatusCode::NO_CONTENT)
+    }
 }
 
 /// Serves only the metrics until `stop` is cancelled.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,12 +18,13 @@
 mod settings_follower;
 mod signals;
 mod status;
+mod stream_peers;
 mod upstream_peer;
 mod verdict_task;
 
 pub use {
     changes_endpoint::*, control_access::*, control_port::*, demand_metrics::*, node_parts::*,
     node_view::*, peer_client::*, peer_config::*, peer_endpoints::*, peer_runners::*, platform::*,
-    response_budget::*, run::*, settings::*, settings_follower::*, status::*, upstream_peer::*,
-    verdict_task::*,
+    response_budget::*, run::*, settings::*, settings_follower::*, status::*, stream_peers::*,
+    upstream_peer::*, verdict_task::*,
 };
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -4,8 +4,8 @@
     super::{
         Bounds, ChangesEndpoint, ControlAccess, ControlPort, NodeParts, NodeSettings, NodeView,
         PeerAddresses, PeerConfigFollower, PeerEndpoints, PeerRunnersFollower, ResponseBudget,
-        SettingsFollower, UpstreamPeer, VerdictTask, follow_nodes::follow_nodes, serve_metrics,
-        signals::Signals,
+        SettingsFollower, StoredStreams, StreamClient, UpstreamPeer, VerdictTask,
+        follow_nodes::follow_nodes, serve_metrics, signals::Signals,
     },
     crate::{
         copies::{OrderCounters, OrderTask},
@@ -17,6 +17,7 @@
         relay::Relay,
         security::{KeyRing, Tls, TlsError, reload_tls_on_change},
         store::{MeteredStore, MonitoredStore, StoreHealth, StoreVersion, UpstreamStore},
+        streams::{RecorderChoice, StreamTask, StreamWriter, VersionTask},
         telemetry::{TimerLag, init_logs_by_part, set_log_format, set_log_rules},
         traffic::{ActiveConfig, ConfigFollower},
     },
@@ -74,6 +75,7 @@
     let gossip_for_settings = gossip.clone();
     node.start_order_task(gossip.clone());
     node.start_verdict_task();
+    node.start_stream_tasks();
     tokio::spawn(follow_nodes(
         node.settings.node.clone(),
         node.membership.clone(),
@@ -308,6 +310,37 @@
         tokio::spawn(verdict_task.run());
     }
 
+    /// Starts the tasks that keep the software versions in use, and the streams that began while
+    /// there are several, in the store.
+    fn start_stream_tasks(&self) {
+        let streams = self.registry.streams.clone();
+        let prefix = self.parts.formats.keys().streams_prefix;
+        streams.follow_store(Arc::new(StoredStreams {
+            store: self.parts.store.clone(),
+            prefix: prefix.clone(),
+            membership: self.membership.clone(),
+        }));
+        let version_task = VersionTask {
+            streams: streams.clone(),
+            store: self.parts.store.clone(),
+            key: self.membership.versions_key().to_owned(),
+            stored: self.membership.versions.clone(),
+            term: self.membership.term.clone(),
+        };
+        tokio::spawn(version_task.run());
+        let settings = &self.settings;
+        let node = &settings.node;
+        let choice = RecorderChoice::new(
+            node.clone(),
+            settings.data_centre.clone(),
+            settings.direct_peers_max,
+        );
+        let writer = StreamWriter::new(self.parts.store.clone(), &prefix, node, rand::random());
+        let sender = Arc::new(StreamClient::new(self.access.tls.clone()));
+        let peers = self.membership.peers.clone();
+        tokio::spawn(StreamTask::new(streams, peers, sender, choice, writer).run());
+    }
+
     /// Starts the task that fetches the configuration from peers.
     fn start_peer_config_follower(&self, gossip: &Gossip) {
         let follower = PeerConfigFollower::new(
--- /dev/null
+++ b/src/node/stream_peers.rs
@@ -0,0 +1,82 @@
+//! The exchange of records of streams between nodes, and their source in the store.
+
+use {
+    crate::{
+        http::{Body, CallLimits, Client, Liveness},
+        leader::{Membership, PeerNode},
+        security::Tls,
+        store::{SharedStore, StoreError},
+        streams::{StreamBatch, StreamSender, StreamSource, read_streams},
+    },
+    bytes::Bytes,
+    futures::future::{BoxFuture, FutureExt},
+    hyper::{Request, StatusCode},
+    std::{fmt, sync::Arc, time::Duration},
+};
+
+/// The path to which records of streams are sent.
+pub const STREAMS_PATH: &str = "/streams";
+
+/// The largest accepted request body.
+pub(super) const STREAMS_MAX_BYTES: usize = 1 << 20;
+
+/// The limits of a request with records.
+const SEND_LIMITS: CallLimits = CallLimits {
+    timeout: Duration::from_millis(400),
+    answer_max_bytes: 1024,
+};
+
+/// Sends records of streams to the control ports of peers.
+#[derive(Debug)]
+pub struct StreamClient(Client);
+
+impl StreamClient {
+    /// Creates a client, which uses TLS if it is configured.
+    pub fn new(tls: Option<Tls>) -> Self {
+        let client = Client::with_liveness(SEND_LIMITS.timeout, Liveness::STRICT);
+        Self(client.with_tls(tls))
+    }
+
+    async fn post(&self, peer: &PeerNode, batches: Bytes) -> bool {
+        let Ok(request) = Request::post(STREAMS_PATH).body(Body::from(batches)) else {
+            return false;
+        };
+        let response = self
+            .0
+            .call(peer.control_address, request, SEND_LIMITS)
+            .await;
+        response.is_ok_and(|response| response.status() == StatusCode::NO_CONTENT)
+    }
+}
+
+impl StreamSender for StreamClient {
+    fn send<'a>(&'a self, peer: &'a PeerNode, batches: Bytes) -> BoxFuture<'a, bool> {
+        self.post(peer, batches).boxed()
+    }
+}
+
+/// Reads the records of all nodes from the store.
+pub struct StoredStreams {
+    /// The store.
+    pub store: SharedStore,
+    /// The prefix of the records.
+    pub prefix: String,
+    /// Tells whether this node reaches the store.
+    pub membership: Arc<Membership>,
+}
+
+impl fmt::Debug for StoredStreams {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("StoredStreams")
+    }
+}
+
+impl StreamSource for StoredStreams {
+    fn is_current(&self) -> bool {
+        self.membership.holds_lease()
+    }
+
+    fn read(&self) -> BoxFuture<'_, Result<Vec<StreamBatch>, StoreError>> {
+        read_streams(&self.store, &self.prefix).boxed()
+    }
+}
--- a/src/relay/forwarded_call.rs
+++ b/src/relay/forwarded_call.rs
@@ -72,10 +72,27 @@
     fn failure_or_refusal(mut self, refusal: &Refusal) -> Response<Body> {
         match self.progress.failure_response.take() {
             Some(failure) => failure,
-            None => self.relay.refuse(refusal),
+            None => {
+                if let Refusal::StreamNotResumable { .. } = refusal {
+                    self.log_not_resumed();
+                }
+                self.relay.refuse(refusal)
+            }
         }
     }
 
+    fn log_not_resumed(&self) {
+        let stream = self.call.resumed_stream();
+        let stream = stream.map_or_else(String::new, |stream| stream.to_string());
+        let software = self.software.as_ref().map_or("", SoftwareVersion::as_str);
+        log::info!(
+            request_id:% = String::from_utf8_lossy(&self.call.head.request_id),
+            stream:% = stream,
+            software:% = software;
+            "relay: a stream is not resumed."
+        );
+    }
+
     /// Requires the software version at which a stream began that the caller resumes.
     ///
     /// # Errors
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -12,7 +12,7 @@
 
 /// The retry delay of a stream that this node doesn't know: the time in which other nodes record
 /// the streams that began at them.
-const UNKNOWN_STREAM_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+const UNKNOWN_STREAM_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// The reason why a request gets no response from a runner.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/streams/stream_table.rs
+++ b/src/streams/stream_table.rs
@@ -9,6 +9,9 @@
 /// The most streams that are kept; the oldest ones make room for new ones.
 const STREAMS_MAX: usize = 100_000;
 
+/// The most streams that are passed on at once.
+const PASSED_ON_MAX: usize = 20_000;
+
 /// Where a stream began.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Begin {
@@ -22,8 +25,18 @@
     /// `None` if two streams with this id began at different versions.
     begin: Option<Begin>,
     began_at: Instant,
-    /// Whether the row is still to be passed on to the store.
-    is_pending: bool,
+    progress: Progress,
+}
+
+/// How far a row is on its way to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// The row is still to be passed on.
+    Pending,
+    /// The row was passed on to a peer, or written.
+    PassedOn,
+    /// The row was read from the store.
+    Read,
 }
 
 /// The streams that began lately, sorted by id.
@@ -33,13 +46,13 @@
 }
 
 impl StreamTable {
-    /// Records that a stream began, or was read from the store if it is not `is_pending`.
+    /// Records where a stream began.
     pub fn record(
         &mut self,
         id: StreamId,
         service: &ServiceId,
         software: &SoftwareVersion,
-        is_pending: bool,
+        progress: Progress,
         now: Instant,
     ) {
         let begin = Begin {
@@ -58,7 +71,7 @@
                     id,
                     begin: Some(begin),
                     began_at: now,
-                    is_pending,
+                    progress,
                 };
                 self.rows.insert(position, row);
             }
@@ -75,21 +88,23 @@
     /// Returns the pending streams of the services for which `is_due` holds.
     pub fn pending(&self, is_due: impl Fn(&ServiceId) -> bool) -> Vec<StreamBatch> {
         let mut batches: Vec<StreamBatch> = Vec::new();
-        for row in self.rows.iter().filter(|row| row.is_pending) {
-            let Some(begin) = &row.begin else {
-                continue;
-            };
+        let due = self
+            .rows
+            .iter()
+            .filter(|row| row.progress == Progress::Pending);
+        let due = due.filter_map(|row| Some((row.id, row.begin.as_ref()?)));
+        let due = due.filter(|(_, begin)| is_due(&begin.service));
+        for (id, begin) in due.take(PASSED_ON_MAX) {
             let mut known = batches.iter_mut();
             let known = known
                 .find(|batch| batch.service == begin.service && batch.software == begin.software);
             match known {
-                Some(batch) => batch.ids.push(row.id),
-                None if is_due(&begin.service) => batches.push(StreamBatch {
+                Some(batch) => batch.ids.push(id),
+                None => batches.push(StreamBatch {
                     service: begin.service.clone(),
                     software: begin.software.clone(),
-                    ids: vec![row.id],
+                    ids: vec![id],
                 }),
-                None => {}
             }
         }
         batches
@@ -99,14 +114,16 @@
     pub fn set_passed_on(&mut self, batches: &[StreamBatch]) {
         for id in batches.iter().flat_map(|batch| &batch.ids) {
             if let Ok(position) = self.position(*id) {
-                self.rows[position].is_pending = false;
+                self.rows[position].progress = Progress::PassedOn;
             }
         }
     }
 
-    /// Makes all streams pending again, as a node to which they were passed on is gone.
+    /// Makes the streams that were passed on pending again, as a node that took them is gone.
     pub fn set_all_pending(&mut self) {
-        self.rows.iter_mut().for_each(|row| row.is_pending = true);
+        let passed_on = self.rows.iter_mut();
+        let passed_on = passed_on.filter(|row| row.progress == Progress::PassedOn);
+        passed_on.for_each(|row| row.progress = Progress::Pending);
     }
 
     /// Drops the streams that can no longer be resumed.
--- a/src/streams/stream_versions.rs
+++ b/src/streams/stream_versions.rs
@@ -1,7 +1,10 @@
 //! The decision at which software version a stream goes on that its caller resumes.
 
 use {
-    super::{ServiceVersions, StreamBatch, StreamId, VersionHistory, stream_table::StreamTable},
+    super::{
+        ServiceVersions, StreamBatch, StreamId, VersionHistory,
+        stream_table::{Progress, StreamTable},
+    },
     crate::{
         discovery::RunnerEntry,
         store::StoreError,
@@ -118,12 +121,15 @@
     /// Records that a stream began at a software version of a service.
     pub fn record_begin(&self, id: StreamId, service: &ServiceId, software: &SoftwareVersion) {
         let now = Instant::now();
-        self.lock().table.record(id, service, software, true, now);
+        let mut state = self.lock();
+        state
+            .table
+            .record(id, service, software, Progress::Pending, now);
     }
 
     /// Records streams that a peer passed on, which this node is to store.
     pub fn record_from_peer(&self, batches: &[StreamBatch]) {
-        self.record_all(batches, true);
+        self.record_all(batches, Progress::Pending);
     }
 
     /// Returns the streams that are to be passed on to the store: those of services with several
@@ -141,7 +147,7 @@
         self.lock().table.set_passed_on(batches);
     }
 
-    /// Makes all streams pending again, as a node to which they were passed on is gone.
+    /// Makes the streams that were passed on pending again, as a node that took them is gone.
     pub fn set_all_pending(&self) {
         self.lock().table.set_all_pending();
     }
@@ -178,7 +184,7 @@
         let began_at = Instant::now();
         match timeout(READ_TIMEOUT, source.read()).await {
             Ok(Ok(batches)) => {
-                self.record_all(&batches, false);
+                self.record_all(&batches, Progress::Read);
                 *last_read = Some(began_at);
             }
             Ok(Err(cause)) => log::debug!("streams: the recorded streams are not read: {cause}"),
@@ -186,13 +192,13 @@
         }
     }
 
-    fn record_all(&self, batches: &[StreamBatch], is_pending: bool) {
+    fn record_all(&self, batches: &[StreamBatch], progress: Progress) {
         let now = Instant::now();
         let mut state = self.lock();
         for batch in batches {
             for id in &batch.ids {
                 let (service, software) = (&batch.service, &batch.software);
-                state.table.record(*id, service, software, is_pending, now);
+                state.table.record(*id, service, software, progress, now);
             }
         }
     }
--- a/tests/common/nodes.rs
+++ b/tests/common/nodes.rs
@@ -26,7 +26,7 @@
 
 /// A node and its boot clock.
 pub struct TestNode {
-    pub membership: Membership,
+    pub membership: Arc<Membership>,
     /// The time during which the node's VM was suspended.
     suspended: Arc<Mutex<Duration>>,
 }
@@ -44,7 +44,9 @@
         let origin = ORIGIN.with(|origin| *origin);
         let clock = BootClock::new(move || origin.elapsed() + *added.lock().unwrap());
         Self {
-            membership: Membership::start_with_clock(store, PREFIX, me, bounds, clock),
+            membership: Arc::new(Membership::start_with_clock(
+                store, PREFIX, me, bounds, clock,
+            )),
             suspended,
         }
     }
