Let a resumed stream go on at the service that began it

A route may be split over services by the hash of the request id. A caller that resumes a stream has a new id, so its attempt could go to another service, whose text doesn't fit either. The hash is of the first attempt's id now.

a_stream_of_a_split_route_goes_on_at_its_service failed before, and passes.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -167,7 +167,12 @@
 }
 
 fn call_rules(map: &RouteTable, route: &Route, head: &RequestHead) -> CallRules {
-    let service = pick_target(route, &head.request_id);
+    // A resumed stream goes on at the service that began it.
+    let resumes = head
+        .resumes
+        .as_ref()
+        .filter(|_| head.last_event_id.is_some());
+    let service = pick_target(route, resumes.unwrap_or(&head.request_id));
     let spec = map.config().service(&service);
     CallRules {
         connections_max: spec.map_or(usize::MAX, |spec| spec.connections_max),
--- a/tests/relay_take_ups.rs
+++ b/tests/relay_take_ups.rs
@@ -134,3 +134,20 @@
     assert_eq!(answer.status, 503, "{answer:?}");
     assert!(rig.received().is_empty());
 }
+
+// Guards against a route with several services that joins the streams of two of them.
+#[tokio::test]
+async fn a_stream_of_a_split_route_goes_on_at_its_service() {
+    let mut setup = mixed(2);
+    (setup.software, setup.weights) = (vec!["v1"], vec![1, 1]);
+    for stream in 0..8 {
+        // The runners are of the two services in turn.
+        let first = format!("a{stream}");
+        let began = begin_stream(&start(&setup).await, &first).await;
+        let other_node = start(&setup).await;
+        let answer = take_up(&other_node, &format!("b{stream}"), &first, 3).await;
+        assert_eq!(answer.status, 200, "{stream}");
+        let went_on = runner_of(&other_node, &format!("b{stream}"));
+        assert_eq!(went_on, Some(began), "{stream}");
+    }
+}
