--- a/src/dispatch/registry_quarantine.rs
+++ b/src/dispatch/registry_quarantine.rs
@@ -3,9 +3,11 @@
 use {
     super::{
         Assignment, AttemptOutcome, DispatchRefusal, registry_shared::Grant,
-        registry_state::RegistryState,
+        registry_state::RegistryState, wait_queue::RequestProfile,
+    },
+    crate::quarantine::{
+        BrokenRequest, PROVISIONAL_QUARANTINE, QuarantineMessage, RequestFingerprint,
     },
-    crate::quarantine::{BrokenRequest, QuarantineMessage, RequestFingerprint},
     tokio::time::Instant,
 };
 
@@ -49,15 +51,19 @@
         }
     }
 
-    /// Removes the queued requests that are quarantined.
+    /// Removes the queued requests that are quarantined, or on probation and no trial.
     pub(super) fn refuse_quarantined(&mut self, grants: &mut Vec<Grant>, now: Instant) {
-        if !self.quarantine.has_verdicts() {
+        if !self.quarantine.has_verdicts() && !self.quarantine.has_probation() {
             return;
         }
+        let refused_for = |profile: &RequestProfile| {
+            let on_probation = self.quarantine.on_probation(&profile.fingerprint);
+            let on_probation = on_probation.filter(|_| !profile.is_trial);
+            let verdict = self.quarantine.remaining(&profile.fingerprint, now);
+            verdict.or(on_probation.map(|_| PROVISIONAL_QUARANTINE))
+        };
         for service in &mut self.services {
-            let refused = service
-                .queue
-                .extract(|profile| self.quarantine.remaining(&profile.fingerprint, now));
+            let refused = service.queue.extract(refused_for);
             let refused = refused.into_iter().map(|(queued, remaining)| Grant {
                 sender: queued.sender,
                 result: Err(DispatchRefusal::quarantined(remaining)),
--- a/src/dispatch/registry_shared.rs
+++ b/src/dispatch/registry_shared.rs
@@ -113,12 +113,14 @@
                 return Err(DispatchRefusal::quarantined(remaining));
             }
             let is_retry = !request.tried_runners.is_empty();
+            let is_trial = state.quarantine.on_probation(&fingerprint).is_some();
             if !state.admits_trial(&fingerprint, is_retry, now) {
                 return Err(DispatchRefusal::quarantined(PROVISIONAL_QUARANTINE));
             }
             let service = state.service(&request.service);
             let pace_budget_tokens = service.pace_budget.tokens(map.as_deref(), &request.service);
-            let profile = RequestProfile::new(request, engine, pace_budget_tokens)?;
+            let mut profile = RequestProfile::new(request, engine, pace_budget_tokens)?;
+            profile.is_trial = is_trial;
             if profile.tried_runners.is_empty() {
                 service
                     .demand
--- a/src/dispatch/wait_queue.rs
+++ b/src/dispatch/wait_queue.rs
@@ -25,6 +25,8 @@
     pub(super) needs: RunnerRequirements,
     pub(super) chain: PromptChain,
     pub(super) fingerprint: RequestFingerprint,
+    /// Whether the request is the one that may be tried of a content on probation.
+    pub(super) is_trial: bool,
     pub(super) tried_runners: Vec<RunnerKey>,
     pub(super) priority: u8,
     pub(super) target_at: Instant,
@@ -63,6 +65,7 @@
             },
             chain: generation.map(PromptChain::of).unwrap_or_default(),
             fingerprint: RequestFingerprint::new(request.digest, generation),
+            is_trial: false,
             tried_runners: request.tried_runners.clone(),
             priority: request.priority,
             target_at: request.target_at,
--- a/src/quarantine/quarantine.rs
+++ b/src/quarantine/quarantine.rs
@@ -108,8 +108,8 @@
             .max()
     }
 
-    /// Returns the content of a request that was quarantined provisionally and that no response
-    /// has shown to be harmless since.
+    /// Returns the content of a request that may be tried only one at a time, as no response has
+    /// shown it to be harmless since runners ended under it.
     pub fn on_probation(&self, request: &RequestFingerprint) -> Option<ContentId> {
         let mut contents = request.contents();
         contents.find(|content| self.suspects.is_on_probation(*content))
@@ -136,6 +136,11 @@
         !self.outbox.is_empty()
     }
 
+    /// Returns whether any content is on probation.
+    pub fn has_probation(&self) -> bool {
+        self.suspects.has_probation()
+    }
+
     /// Returns whether any verdict may hold.
     pub fn has_verdicts(&self) -> bool {
         !self.verdicts.is_empty()
--- a/src/quarantine/suspects.rs
+++ b/src/quarantine/suspects.rs
@@ -3,7 +3,11 @@
 use {
     super::{ContentId, CrashedRequest, PartId, RequestDigest, RunnerCrash},
     crate::{discovery::RunnerKey, traffic::ServiceId},
-    std::{cmp::Reverse, time::Duration},
+    std::{
+        cmp::Reverse,
+        hash::{DefaultHasher, Hash, Hasher},
+        time::Duration,
+    },
     tokio::time::Instant,
 };
 
@@ -62,6 +66,10 @@
     parts: Vec<PartId>,
     /// The number of requests with the content that ended with runners.
     requests: usize,
+    /// The number of attempts that ended with runners; several may end with one runner.
+    attempts: usize,
+    /// The reports whose attempts were counted, since each arrives several times.
+    counted_reports: Vec<u64>,
     /// The number of crashes at which it was last quarantined.
     decided_crashes: usize,
     /// When the crash was counted with which there were enough to decide.
@@ -112,6 +120,8 @@
             evidence: Vec::new(),
             runners: Vec::new(),
             requests: 0,
+            attempts: 0,
+            counted_reports: Vec::new(),
             decided_crashes: 0,
             opened_at: now,
             counted_at: now,
@@ -196,6 +206,21 @@
             && last_ended_at.is_none_or(|at| assigned_at > at)
     }
 
+    /// Counts the attempts of a report, unless it was counted before.
+    fn record_attempts(&mut self, report: u64, attempts: usize) {
+        if self.counted_reports.len() < RUNNERS_MAX && !self.counted_reports.contains(&report) {
+            self.counted_reports.push(report);
+            self.attempts += attempts;
+        }
+    }
+
+    /// Returns whether requests with the content may be tried only one at a time: it was
+    /// quarantined provisionally, or as many attempts ended as decide, if with fewer runners.
+    fn is_on_probation(&self) -> bool {
+        let is_counted = self.is_request() && self.attempts >= CRASHES_MIN;
+        self.decided_crashes > 0 || is_counted
+    }
+
     /// Returns whether all runners that ended under `other` ended under this content too.
     fn covers(&self, other: &Self) -> bool {
         let mut runners = other.runners.iter();
@@ -233,6 +258,12 @@
             }
             self.record_parts(crash, request, &is_harmless, now);
         }
+        let report = report_hash(crash);
+        for (content, attempts) in attempts_of(crash) {
+            if let Ok(position) = self.position(content) {
+                self.suspects[position].record_attempts(report, attempts);
+            }
+        }
     }
 
     /// Counts a crash against the parts of one of its requests.
@@ -442,10 +473,16 @@
         }
     }
 
-    /// Returns whether a content was quarantined provisionally, and not found harmless since.
+    /// Returns whether requests with a content may be tried only one at a time, until a response
+    /// shows that it is harmless.
     pub fn is_on_probation(&self, content: ContentId) -> bool {
         let position = self.position(content);
-        position.is_ok_and(|position| self.suspects[position].decided_crashes > 0)
+        position.is_ok_and(|position| self.suspects[position].is_on_probation())
+    }
+
+    /// Returns whether any content is on probation.
+    pub fn has_probation(&self) -> bool {
+        self.suspects.iter().any(Suspect::is_on_probation)
     }
 
     /// Removes a content; returns whether crashes counted against it.
@@ -471,3 +508,24 @@
         self.ended.retain(|(.., at)| now < *at + COMMON_CAUSE_SPAN);
     }
 }
+
+/// Identifies a report: the same crash as reported by one node, however often it arrives.
+fn report_hash(crash: &RunnerCrash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    crash.runner.hash(&mut hasher);
+    for request in &crash.requests {
+        let times = (request.assigned_ms_ago, request.ended_ms_ago);
+        (request.digest.0, times).hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
+/// Returns the requests of a report with the number of attempts at each.
+fn attempts_of(crash: &RunnerCrash) -> Vec<(ContentId, usize)> {
+    let requests = crash.requests.iter();
+    let mut digests: Vec<_> = requests.map(|request| request.digest).collect();
+    digests.sort_unstable();
+    let same = digests.chunk_by(|a, b| a == b);
+    same.map(|same| (ContentId::Request(same[0]), same.len()))
+        .collect()
+}
--- a/tests/common/crash_rig.rs
+++ b/tests/common/crash_rig.rs
@@ -164,6 +164,8 @@
     pub started_at: Instant,
     /// The crashes by requests, in order.
     pub crashes: Vec<Instant>,
+    /// When each run of a crashing request ended with its runner, copies at one runner included.
+    pub ended_runs: Vec<Instant>,
     /// When requests with the crashing part were sent to runners, by nodes that are not excused.
     pub crashing_sent: Vec<Instant>,
     pub sound: Tally,
@@ -193,6 +195,7 @@
             gossip_at: Instant::now(),
             started_at: Instant::now(),
             crashes: Vec::new(),
+            ended_runs: Vec::new(),
             crashing_sent: Vec::new(),
             sound: Tally::default(),
             polls: Tally::default(),
@@ -271,14 +274,21 @@
             Crashing::Part => 5,
             Crashing::Request => 3,
         };
-        let Some(last) = self.crashes.get(crashes_max - 1) else {
-            return 0;
+        self.sent_after(self.crashes.get(crashes_max - 1))
+    }
+
+    /// Returns the crashing requests that were sent later than [`CONTACT`] after the third run of
+    /// one had ended, if each copy at a runner counts.
+    pub fn sent_too_late_by_runs(&self) -> usize {
+        self.sent_after(self.ended_runs.get(2))
+    }
+
+    fn sent_after(&self, last: Option<&Instant>) -> usize {
+        let late = |last: &Instant| {
+            let sent = self.crashing_sent.iter();
+            sent.filter(|at| **at > *last + CONTACT).count()
         };
-        let late = self
-            .crashing_sent
-            .iter()
-            .filter(|at| **at > *last + CONTACT);
-        late.count()
+        last.map_or(0, late)
     }
 
     async fn step(&mut self) {
@@ -523,6 +533,9 @@
         self.runners[runner].ended_at = Some(now);
         let ended = self.runs.extract_if(.., |run| run.runner == runner);
         for run in ended.collect::<Vec<_>>() {
+            if run.request.kind == Kind::Crashing && now >= run.begins_at {
+                self.ended_runs.push(now);
+            }
             let key = run.assignment.runner.key.clone();
             if self.load.end_with_connection {
                 run.assignment.finish(AttemptOutcome::Complete);
--- a/tests/quarantine_repeats.rs
+++ b/tests/quarantine_repeats.rs
@@ -100,6 +100,30 @@
     }
 }
 
+// Guards against copies that wait at all nodes and crash the first runner that is back.
+#[tokio::test(start_paused = true)]
+async fn copies_that_ended_with_few_runners_are_not_all_sent_to_the_next_one() {
+    for seed in seeds() {
+        for (nodes, runners, crashing_per_s) in [(7, 2, 8.0), (7, 1, 20.0), (31, 2, 8.0)] {
+            for load in [DESK, MODELS] {
+                let load = Load {
+                    seed,
+                    nodes,
+                    runners,
+                    crashing_per_s,
+                    copies: 2,
+                    sound_per_s: 4.0,
+                    ..load
+                };
+                let mut rig = CrashRig::new(load);
+                rig.run(RUN).await;
+                let (late, runs) = (rig.sent_too_late_by_runs(), rig.ended_runs.len());
+                assert!(late <= LATE_MAX, "{load:?}: {late} late, {runs} runs ended");
+            }
+        }
+    }
+}
+
 // Guards against a crashing request that is missed as runners end otherwise too.
 #[tokio::test(start_paused = true)]
 async fn a_crashing_request_is_stopped_amid_other_ends() {
