--- a/src/node/control_port.rs
+++ b/src/node/control_port.rs
@@ -3,12 +3,11 @@
 use {
     super::{
         CHANGES_PATH, ChangesEndpoint, ControlAccess, NodeView, PeerEndpoints, STREAMS_PATH,
-        stream_peers::STREAMS_MAX_BYTES,
+        StreamsEndpoint,
     },
     crate::{
-        http::{Body, ListenerLimits, read_body, serve_http, serve_http_with},
-        security::{AllowedRoles, Role},
-        streams::StreamBatch,
+        http::{Body, ListenerLimits, serve_http, serve_http_with},
+        security::AllowedRoles,
         telemetry::RecentEvents,
     },
     hyper::{
@@ -70,7 +69,11 @@
 
     async fn respond(&self, request: Request<Incoming>) -> Response<Body> {
         if (request.method(), request.uri().path()) == (&Method::POST, STREAMS_PATH) {
-            return self.record_streams(request).await;
+            let endpoint = StreamsEndpoint {
+                streams: self.view.registry.streams.clone(),
+                only_nodes: self.access.tls.is_some(),
+            };
+            return endpoint.respond(request).await;
         }
         let view = &self.view;
         let uri = request.uri();
@@ -93,21 +96,6 @@
             _ => self.peer_endpoints.respond(uri, request.headers()),
         }
     }
-
-    /// Takes the records of streams that a peer passes on to the store through this node.
-    async fn record_streams(&self, request: Request<Incoming>) -> Response<Body> {
-        if self.access.tls.is_some() && request.extensions().get() != Some(&Role::Node) {
-            return empty_response(StatusCode::FORBIDDEN);
-        }
-        let timeout = CONTROL_PORT_LIMITS.head_timeout;
-        let body = read_body(request.into_body(), STREAMS_MAX_BYTES, timeout).await;
-        let batches = body.ok().and_then(|body| StreamBatch::decode(&body));
-        let Some(batches) = batches else {
-            return empty_response(StatusCode::BAD_REQUEST);
-        };
-        self.view.registry.streams.record_from_peer(&batches);
-        empty_response(StatusCode::NO_CONTENT)
-    }
 }
 
 /// Serves only the metrics until `stop` is cancelled.
--- a/src/node/stream_peers.rs
+++ b/src/node/stream_peers.rs
@@ -1,16 +1,17 @@
 //! The exchange of records of streams between nodes, and their source in the store.
 
 use {
+    super::control_port::empty_response,
     crate::{
-        http::{Body, CallLimits, Client, Liveness},
+        http::{Body, CallLimits, Client, Liveness, read_body},
         leader::{Membership, PeerNode},
-        security::Tls,
+        security::{Role, Tls},
         store::{SharedStore, StoreError},
-        streams::{StreamBatch, StreamSender, StreamSource, read_streams},
+        streams::{StreamBatch, StreamSender, StreamSource, StreamVersions, read_streams},
     },
     bytes::Bytes,
     futures::future::{BoxFuture, FutureExt},
-    hyper::{Request, StatusCode},
+    hyper::{Request, Response, StatusCode, body::Incoming},
     std::{fmt, sync::Arc, time::Duration},
 };
 
@@ -18,7 +19,10 @@
 pub const STREAMS_PATH: &str = "/streams";
 
 /// The largest accepted request body.
-pub(super) const STREAMS_MAX_BYTES: usize = 1 << 20;
+const STREAMS_MAX_BYTES: usize = 1 << 20;
+
+/// The longest wait for a request body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The limits of a request with records.
 const SEND_LIMITS: CallLimits = CallLimits {
@@ -26,6 +30,32 @@
     answer_max_bytes: 1024,
 };
 
+/// Takes the records of streams that peers pass on to the store through this node.
+#[derive(Debug)]
+pub struct StreamsEndpoint {
+    /// The streams that this node knows.
+    pub streams: Arc<StreamVersions>,
+    /// Whether the sender's certificate must be a node's.
+    pub only_nodes: bool,
+}
+
+impl StreamsEndpoint {
+    /// Records the streams in the body: status 204, or 400 for an invalid body and 403 for a sender
+    /// that is not a node.
+    pub async fn respond(&self, request: Request<Incoming>) -> Response<Body> {
+        if self.only_nodes && request.extensions().get() != Some(&Role::Node) {
+            return empty_response(StatusCode::FORBIDDEN);
+        }
+        let body = read_body(request.into_body(), STREAMS_MAX_BYTES, BODY_TIMEOUT).await;
+        let batches = body.ok().and_then(|body| StreamBatch::decode(&body));
+        let Some(batches) = batches else {
+            return empty_response(StatusCode::BAD_REQUEST);
+        };
+        self.streams.record_from_peer(&batches);
+        empty_response(StatusCode::NO_CONTENT)
+    }
+}
+
 /// Sends records of streams to the control ports of peers.
 #[derive(Debug)]
 pub struct StreamClient(Client);
--- a/src/streams/stream_task.rs
+++ b/src/streams/stream_task.rs
@@ -67,14 +67,11 @@
     pub async fn run(mut self) {
         loop {
             sleep(PASS_ON_INTERVAL).await;
-            let pending = self.streams.pending();
-            if !pending.is_empty() {
-                self.pass_on(pending).await;
-            }
+            self.pass_on().await;
         }
     }
 
-    async fn pass_on(&mut self, pending: Vec<StreamBatch>) {
+    async fn pass_on(&mut self) {
         let now = Instant::now();
         let peers = self.peers.borrow().clone();
         let recorder = self.choice.select(&peers, now);
@@ -83,6 +80,9 @@
             // The former recorder may have ended before it wrote what it took.
             self.last_recorder = None;
             self.streams.set_all_pending();
+        }
+        let pending = self.streams.pending();
+        if pending.is_empty() {
             return;
         }
         match recorder {
--- a/tests/streams_recorded.rs
+++ b/tests/streams_recorded.rs
@@ -139,21 +139,21 @@
 #[tokio::test(start_paused = true)]
 async fn streams_that_a_killed_recorder_took_are_recorded_by_the_next_one() {
     for killed in 0..NODES {
-        let mut rig = StreamRig::start(NODES, &["v1", "v1.1"]).await;
-        let begins_at = (killed + 1) % NODES;
-        rig.begin(begins_at, "a", "v1");
-        sleep(Duration::from_millis(120)).await;
-        rig.kill(killed);
-        rig.begin(begins_at, "b", "v1");
-        sleep(Duration::from_secs(2)).await;
-        rig.kill_all();
-        sleep(START).await;
-        for name in ["a", "b"] {
-            assert_eq!(
-                rig.find(killed, name).await,
-                expected("v1"),
-                "{name}, {killed}"
-            );
+        for wait_ms in (110..400).step_by(20) {
+            let mut rig = StreamRig::start(NODES, &["v1", "v1.1"]).await;
+            let begins_at = (killed + 1) % NODES;
+            // The recorder has just written, so that it holds the next stream for some time.
+            rig.begin(begins_at, "earlier", "v1");
+            sleep(Duration::from_millis(210)).await;
+            rig.begin(begins_at, "a", "v1");
+            sleep(Duration::from_millis(wait_ms)).await;
+            rig.kill(killed);
+            // Its registration is listed for some seconds more.
+            sleep(Duration::from_secs(10)).await;
+            rig.kill_all();
+            sleep(START).await;
+            let case = format!("node {killed} killed after {wait_ms} ms");
+            assert_eq!(rig.find(killed, "a").await, expected("v1"), "{case}");
         }
     }
 }
