Call a resumed stream that may have run no longer not run

A resumed stream whose first attempt broke at the only runner of its version was answered 503, not run, though the attempt may have run (found while looking for untrue refusals). Now 502, as elsewhere.

a_take_up_that_may_have_run_is_not_called_not_run failed before (503) and passes.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -132,7 +132,9 @@
         let progress = &mut self.progress;
         let rules = &self.call.rules;
         let must_not_repeat = progress.may_have_run && !rules.kind.is_retryable();
-        let is_over = progress.is_quarantined || progress.attempts_unsent > UNSENT_ATTEMPTS_MAX;
+        let is_over = progress.is_quarantined
+            || progress.lacks_software
+            || progress.attempts_unsent > UNSENT_ATTEMPTS_MAX;
         if must_not_repeat || is_over {
             return Err(progress.final_refusal(None));
         }
--- a/src/relay/attempt_progress.rs
+++ b/src/relay/attempt_progress.rs
@@ -25,6 +25,8 @@
     pub(super) is_retry_counted: bool,
     /// Whether the request was quarantined since the request arrived.
     pub(super) is_quarantined: bool,
+    /// Whether no ready runner has the software version of the stream.
+    pub(super) lacks_software: bool,
     /// A runner's failure response, returned if no other attempt succeeds.
     pub(super) failure_response: Option<Response<Body>>,
 }
@@ -65,7 +67,13 @@
     pub(super) fn dispatch_refusal(&mut self, refused: DispatchRefusal) -> Refusal {
         let retry_after_ms = refused.retry_after_ms;
         match refused.cause {
-            RefusalCause::NoSoftware => Refusal::StreamNotResumable { retry_after_ms },
+            RefusalCause::NoSoftware => {
+                self.lacks_software = true;
+                match self.may_have_run {
+                    true => Refusal::RunnerFailed,
+                    false => Refusal::StreamNotResumable { retry_after_ms },
+                }
+            }
             RefusalCause::NoCapacity => self.final_refusal(Some(retry_after_ms)),
             RefusalCause::Quarantined => {
                 self.is_quarantined = true;
--- a/src/relay/event_stream.rs
+++ b/src/relay/event_stream.rs
@@ -268,9 +268,6 @@
                 forwarded.relay.counters.streams_resumed.count();
                 return Ok(runner_response.split_stream(last_id).1);
             }
-            Err(refusal) if refusal.is_final() => {
-                return Err("no runner of the stream's software version is left".to_owned());
-            }
             Err(_) if forwarded.may_retry() => time::sleep(RESUME_RETRY_DELAY).await,
             Err(_) => return Err("no other runner could resume the stream".to_owned()),
         }
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -111,11 +111,6 @@
         }
     }
 
-    /// Returns whether another attempt at the same request cannot succeed soon.
-    pub(super) fn is_final(&self) -> bool {
-        matches!(self, Self::StreamNotResumable { .. })
-    }
-
     fn problem(&self) -> Problem {
         match self {
             Self::NoConfiguration => {
--- a/tests/relay_take_ups.rs
+++ b/tests/relay_take_ups.rs
@@ -151,3 +151,22 @@
         assert_eq!(went_on, Some(began), "{stream}");
     }
 }
+
+// Guards against "not run" for a resumed stream whose first attempt may have run.
+#[tokio::test]
+async fn a_take_up_that_may_have_run_is_not_called_not_run() {
+    let mut setup = mixed(2);
+    setup.attempts_max = 3;
+    let rig = RelayRig::start(setup, |_, received| match received.header("x-request-id") {
+        Some("a") => break_once(received),
+        _ => vec![Step::Close],
+    })
+    .await;
+    let began = rig.call_as("a", "").await;
+    assert!(!began.complete);
+    let asked = Instant::now();
+    let answer = take_up(&rig, "b", "a", 3).await;
+    assert!(asked.elapsed() < REFUSED_WITHIN);
+    assert_eq!(answer.status, 502, "{answer:?}");
+    assert!(!answer.body.contains("not-run"), "{answer:?}");
+}
