Let urgent reports and broadcasts wait for the budget of a narrow link

A leader with 40 events a second filled a link of 0.5 Mbit/s 3.7 times over, a quarter allowed: urgent reports didn't wait for the budget, each held all events without an acknowledgement, late acknowledgements led to broadcasts of all of these at once, and responses were not counted.

Change: reports wait for the budget and hold the 24 oldest events; a broadcast holds what a quarter of a second of the budget pays for; responses are counted; rounds are spaced at 0.23 of the link instead of 0.25, as the last round comes on top.

--- a/src/gossip/aggregation.rs
+++ b/src/gossip/aggregation.rs
@@ -310,6 +310,8 @@
                 }
             }
         }
+        let sizes = output.datagram_sizes(context.peers.len());
+        self.budget.spend(sizes, now);
         output
     }
 
--- a/src/gossip/event_outbox.rs
+++ b/src/gossip/event_outbox.rs
@@ -13,6 +13,9 @@
 /// The interval between two broadcasts of an event.
 const BROADCAST_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The most events in a report. Later ones follow once the aggregator acknowledged these.
+const EVENTS_PER_REPORT_MAX: usize = 24;
+
 /// An event without an acknowledgement.
 #[derive(Debug)]
 struct UnacknowledgedEvent {
@@ -60,7 +63,7 @@
             .any(|pending| pending.first_report.is_none())
     }
 
-    /// Returns all events for a report; those without an acknowledgement after `timeout` are
+    /// Returns the oldest events for a report; those without an acknowledgement after `timeout` are
     /// broadcast.
     pub(super) fn events_for_report(
         &mut self,
@@ -68,16 +71,15 @@
         timeout: Duration,
         now: Instant,
     ) -> Vec<Item> {
-        for pending in self
-            .events
-            .iter_mut()
-            .filter(|pending| pending.first_report.is_none())
-        {
-            pending.first_report = Some(round);
-            pending.broadcast_at = Some(now + timeout);
-        }
-        let events = self.events.iter().map(|pending| pending.event.clone());
-        events.map(Item::News).collect()
+        let oldest = self.events.iter_mut().take(EVENTS_PER_REPORT_MAX);
+        let events = oldest.map(|pending| {
+            if pending.first_report.is_none() {
+                pending.first_report = Some(round);
+                pending.broadcast_at = Some(now + timeout);
+            }
+            Item::News(pending.event.clone())
+        });
+        events.collect()
     }
 
     /// Removes the events that were in an acknowledged report or an earlier one.
@@ -90,10 +92,19 @@
         });
     }
 
-    /// Returns the events whose broadcast is due; all of them if there is no aggregator.
-    pub(super) fn take_due_broadcasts(&mut self, has_aggregator: bool, now: Instant) -> Vec<Item> {
+    /// Returns the oldest events whose broadcast is due, at most `count_max`; all events are due if
+    /// there is no aggregator.
+    pub(super) fn take_due_broadcasts(
+        &mut self,
+        has_aggregator: bool,
+        count_max: usize,
+        now: Instant,
+    ) -> Vec<Item> {
         let mut due = Vec::new();
         for pending in &mut self.events {
+            if due.len() == count_max {
+                break;
+            }
             let at = pending.broadcast_at.filter(|_| has_aggregator);
             if at.map_or(!has_aggregator, |at| now >= at) {
                 pending.broadcasts_left -= 1;
--- a/src/gossip/report_rounds.rs
+++ b/src/gossip/report_rounds.rs
@@ -17,6 +17,9 @@
 /// The shortest delay of a round that holds new events.
 const EVENT_ROUND_INTERVAL_MIN: Duration = Duration::from_millis(10);
 
+/// The usual size of an urgent event in a datagram of its own, in bytes.
+const EVENT_BYTES: usize = 150;
+
 /// The longest interval between two reports, unless the interval of rounds is longer.
 const REPORT_INTERVAL_MAX: Duration = Duration::from_millis(300);
 
@@ -53,9 +56,12 @@
 
     /// Returns when the next call of `tick` is due if nothing is received or published before.
     pub fn next_due_at(&self, now: Instant) -> Instant {
-        let mut next = self.due.report;
+        let free_at = self.budget.free_at();
+        let mut next = match self.choice {
+            AggregatorChoice::ThisNode => self.due.report,
+            _ => self.due.report.max(free_at),
+        };
         if self.is_aggregator() {
-            let free_at = self.budget.free_at();
             next = next.min(self.due.digest.max(free_at));
             if self.more_requests_wait {
                 next = next.min(self.due.urgent_planning_data.max(free_at));
@@ -100,6 +106,10 @@
         output: &mut AggregationOutput,
     ) {
         let now = context.now;
+        // Urgent reports wait too: the events of a busy leader would fill a narrow link.
+        if !self.may_report(now) {
+            return;
+        }
         let waiting = self.changed_waiting_demand(own);
         let urgent = self.event_outbox.has_unreported() || !waiting.is_empty();
         if !urgent && now < self.due.report {
@@ -144,6 +154,11 @@
         self.send_report(items, has_plan, own.plan_wanted, context, output);
     }
 
+    /// Returns whether the budget allows a report; one to this node itself costs nothing.
+    fn may_report(&self, now: Instant) -> bool {
+        self.choice == AggregatorChoice::ThisNode || self.budget.is_free(now)
+    }
+
     /// Returns the demand whose number of waiting requests differs from the last report.
     fn changed_waiting_demand(&self, own: &AggregatorReport) -> Vec<ModelDemand> {
         let reported = &self.reported_demand;
@@ -234,9 +249,11 @@
             return;
         }
         let has_aggregator = self.choice != AggregatorChoice::Unavailable;
+        let event_bytes = EVENT_BYTES * context.peers.len().max(1);
+        let count_max = (self.budget.round_bytes() / event_bytes).max(1);
         let items = self
             .event_outbox
-            .take_due_broadcasts(has_aggregator, context.now);
+            .take_due_broadcasts(has_aggregator, count_max, context.now);
         if !items.is_empty() {
             output.broadcast.extend(self.encode_direct(items, context));
         }
--- a/src/gossip/send_budget.rs
+++ b/src/gossip/send_budget.rs
@@ -2,9 +2,10 @@
 
 use {std::time::Duration, tokio::time::Instant};
 
-/// The share of the link's rate that one kind of traffic between nodes may use; requests need the
-/// rest.
-const LINK_SHARE: f64 = 0.25;
+/// The share of the link's rate at which rounds of one kind of traffic are spaced.
+///
+/// Requests need three quarters; a round may be larger than what is left of the rest.
+const LINK_SHARE: f64 = 0.23;
 
 /// The link's rate if the settings name none, in Mbit/s.
 pub const DEFAULT_LINK_MBPS: f64 = 1_000.0;
@@ -12,6 +13,10 @@
 /// The smallest rate for which budgets are made, in Mbit/s.
 const LINK_MBPS_MIN: f64 = 0.1;
 
+/// The span whose bytes a single round may send at once, so that it keeps the link busy only
+/// briefly.
+const ROUND_SPAN: Duration = Duration::from_millis(250);
+
 /// The bytes of headers of the lower layers in a message.
 const HEADER_BYTES: usize = 28;
 
@@ -49,6 +54,11 @@
         now >= self.free_at
     }
 
+    /// Returns how many bytes a single round may have, headers included.
+    pub fn round_bytes(&self) -> usize {
+        (self.bytes_per_s * ROUND_SPAN.as_secs_f64()) as usize
+    }
+
     /// Returns when the next round may be sent.
     pub fn free_at(&self) -> Instant {
         self.free_at
