--- a/tests/common/crash_rig.rs
+++ b/tests/common/crash_rig.rs
@@ -164,6 +164,8 @@
     pub started_at: Instant,
     /// The crashes by requests, in order.
     pub crashes: Vec<Instant>,
+    /// The requests that crash runners, sorted.
+    pub crashing_requests: Vec<RequestDigest>,
     /// When each run of a crashing request ended with its runner, copies at one runner included.
     pub ended_runs: Vec<Instant>,
     /// When requests with the crashing part were sent to runners, by nodes that are not excused.
@@ -195,6 +197,7 @@
             gossip_at: Instant::now(),
             started_at: Instant::now(),
             crashes: Vec::new(),
+            crashing_requests: Vec::new(),
             ended_runs: Vec::new(),
             crashing_sent: Vec::new(),
             sound: Tally::default(),
@@ -305,6 +308,7 @@
         }
         if self.happens(self.load.crashing_per_s) {
             let request = self.new_request(Kind::Crashing);
+            self.crashing_requests.push(request.digest);
             for _ in 0..self.load.copies {
                 self.send_new(request.clone(), now);
             }
--- a/tests/quarantine_crashes.rs
+++ b/tests/quarantine_crashes.rs
@@ -80,7 +80,12 @@
                 "{case}: {} late",
                 rig.sent_too_late()
             );
-            assert_eq!(rig.quarantined(), ONLY_CRASHING, "{case}");
+            let crashing = &rig.crashing_requests;
+            assert_eq!(
+                rig.quarantined(),
+                ONLY_CRASHING,
+                "{case}, {crashing:?} crash"
+            );
         }
     }
 }
