--- a/src/dispatch/assignment.rs
+++ b/src/dispatch/assignment.rs
@@ -1,11 +1,11 @@
 //! The assignment of a request to a runner.
 
 use {
-    super::{AttemptOutcome, RequestLoad, registry_shared::RegistryShared},
+    super::{AttemptOutcome, RequestLoad, SendCheck, registry_shared::RegistryShared},
     crate::{
         discovery::RunnerEntry,
         quarantine::{HARMLESS_AFTER, RequestFingerprint},
-        traffic::ServiceId,
+        traffic::{ServiceId, SoftwareVersion},
         units::RequestRate,
     },
     std::{sync::Arc, time::Duration},
@@ -29,6 +29,8 @@
     pub(super) ends_with_connection: bool,
     /// What the request is compared by if its runner ends.
     pub(super) fingerprint: RequestFingerprint,
+    /// The only software version that may serve the request, if there is one.
+    pub(super) software: Option<SoftwareVersion>,
     pub(super) outcome: Option<AttemptOutcome>,
     pub(super) registry: Arc<RegistryShared>,
 }
@@ -62,6 +64,29 @@
         self.registry.record_limit(&self.runner.key, limit, now);
     }
 
+    /// Records that a response of the runner says that it leaves.
+    pub fn record_leaving(&self) {
+        let now = Instant::now();
+        self.registry.record_statement(&self.runner.key, now);
+    }
+
+    /// Records that the runner refused a request and asked this node for a pause.
+    pub fn record_pause(&self, pause: Duration) {
+        let now = Instant::now();
+        self.registry.record_pause(&self.runner.key, pause, now);
+    }
+
+    /// Returns the check that is due right before the request is sent.
+    pub fn send_check(&self) -> SendCheck {
+        SendCheck {
+            registry: self.registry.clone(),
+            service: self.service.clone(),
+            runner: self.runner.key.clone(),
+            software: self.software.clone(),
+            assigned_at: self.started_at,
+        }
+    }
+
     /// Returns whether the request must not be sent, as it has been quarantined since.
     pub fn is_quarantined(&self) -> bool {
         self.registry
--- a/src/dispatch/attempt_counters.rs
+++ b/src/dispatch/attempt_counters.rs
@@ -6,13 +6,14 @@
 };
 
 /// The metric labels of the outcomes, in the order of [`AttemptOutcome`].
-const OUTCOMES: [&str; 8] = [
+const OUTCOMES: [&str; 9] = [
     "complete",
     "failed",
     "shed",
     "absent",
     "wrong_runner",
     "unreachable",
+    "withheld",
     "broken",
     "cancelled",
 ];
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -33,6 +33,9 @@
 mod residency;
 mod runner_health;
 mod runner_limit;
+mod send_check;
+mod send_counters;
+mod send_gate;
 mod service_runners;
 mod summed_usage;
 mod tracked_runner;
@@ -44,5 +47,6 @@
 pub use {
     assignment::*, attempt_counters::*, choice::*, decaying_count::*, dispatcher::*, load::*,
     load_sum::*, node_list::*, prefix_cache_estimate::*, registry::*, registry_sums::*,
-    residency::*, runner_health::*, runner_limit::*, types::*,
+    residency::*, runner_health::*, runner_limit::*, send_check::*, send_counters::*,
+    send_gate::SendDenial, types::*,
 };
--- a/src/dispatch/queue_assignment.rs
+++ b/src/dispatch/queue_assignment.rs
@@ -79,14 +79,14 @@
     ) -> Assignment {
         let service_name = service.name.clone();
         let runner = &mut service.runners[position];
-        if runner.limit.limit().is_some() {
+        if runner.gate.limit.limit().is_some() {
             let (first, further) = &mut service.limited_attempts;
             match profile.tried_runners.is_empty() {
                 true => *first += 1,
                 false => *further += 1,
             }
         }
-        runner.limit.record_sent(now);
+        runner.gate.limit.record_sent(now);
         let load = runner.reserve(profile, now);
         self.report_pending.notify_one();
         Assignment {
@@ -103,6 +103,7 @@
             last_event_at: None,
             ends_with_connection: false,
             fingerprint: profile.fingerprint.clone(),
+            software: profile.software.clone(),
             outcome: None,
             registry: self.clone(),
         }
--- a/src/dispatch/registry.rs
+++ b/src/dispatch/registry.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         AttemptCounters, LimitCounters, LimitReport, ModelDemand, NodeList, NodeLoad,
-        ResidencyChange, RunnerView, Variant, registry_shared::RegistryShared,
+        ResidencyChange, RunnerView, SendCounters, Variant, registry_shared::RegistryShared,
     },
     crate::{
         discovery::{RunnerEntry, RunnerKey},
@@ -39,6 +39,8 @@
     pub demand: Vec<ModelDemand>,
     /// Runners that are draining or no longer listed.
     pub leaving: Vec<RunnerKey>,
+    /// Runners whose responses said lately that they leave.
+    pub stated_leaving: Vec<RunnerKey>,
     /// Runners that the node failed to connect to since the last round.
     pub unreachable: Vec<RunnerKey>,
     /// Models and adapters that runners loaded or dropped.
@@ -88,7 +90,7 @@
             let services = state.services().iter();
             let runners = services.flat_map(|service| &service.runners);
             let mut views: Vec<_> = runners
-                .filter(|runner| runner.is_listed)
+                .filter(|runner| runner.gate.departure.is_listed)
                 .map(|runner| runner.view())
                 .collect();
             views.sort_by(|a, b| a.entry.key.cmp(&b.entry.key));
@@ -119,6 +121,11 @@
         &self.shared.attempt_counters
     }
 
+    /// Returns the counters of assigned requests up to their first byte.
+    pub fn send_counters(&self) -> &SendCounters {
+        &self.shared.send_counters
+    }
+
     /// Replaces the nodes that share the limits of runners.
     pub fn set_nodes(&self, nodes: NodeList) {
         self.shared.with_state(|state, _| state.set_nodes(nodes));
@@ -180,6 +187,9 @@
             for key in &report.leaving {
                 state.record_leaving(key, now);
             }
+            for key in &report.stated_leaving {
+                state.record_peer_statement(key, now);
+            }
             for key in &report.unreachable {
                 state.record_peer_failure(key, now);
             }
@@ -207,6 +217,7 @@
                 loads: state.due_loads(full, now),
                 demand: state.due_demand(full, now),
                 leaving: state.leaving(now),
+                stated_leaving: state.stated(now),
                 unreachable: state.take_unreachable(),
                 residency_changes: Vec::new(),
                 quarantine: state.next_direct_messages(full, now),
--- a/src/dispatch/registry_limits.rs
+++ b/src/dispatch/registry_limits.rs
@@ -20,7 +20,7 @@
             return false;
         }
         if let Some(runner) = self.runner_mut(key) {
-            runner.limit.mark_changed();
+            runner.gate.limit.mark_changed();
         }
         let limit = limit.map(|limit| limit.to_string()).unwrap_or_default();
         log::info!(
@@ -45,9 +45,9 @@
         let Some(runner) = runner else {
             return false;
         };
-        let changed = runner.limit.observe(limit, at);
+        let changed = runner.gate.limit.observe(limit, at);
         if changed {
-            runner.limit.set_share(key, &self.nodes);
+            runner.gate.limit.set_share(key, &self.nodes);
         }
         changed
     }
@@ -61,7 +61,7 @@
         let services = self.services.iter_mut();
         for runner in services.flat_map(|service| &mut service.runners) {
             let key = runner.entry.key.clone();
-            runner.limit.set_share(&key, &self.nodes);
+            runner.gate.limit.set_share(&key, &self.nodes);
         }
     }
 
@@ -70,7 +70,7 @@
         let runners = self.runners_mut();
         let due = runners.filter_map(|runner| {
             let key = &runner.entry.key;
-            runner.limit.due_report(key, full, now)
+            runner.gate.limit.due_report(key, full, now)
         });
         due.collect()
     }
@@ -78,7 +78,7 @@
     /// Returns all limits that runners name, and those that ended lately.
     pub(super) fn known_limits(&mut self, now: Instant) -> Vec<LimitReport> {
         let runners = self.runners_mut();
-        let known = runners.filter_map(|runner| runner.limit.report(&runner.entry.key, now));
+        let known = runners.filter_map(|runner| runner.gate.limit.report(&runner.entry.key, now));
         known.collect()
     }
 }
--- a/src/dispatch/registry_shared.rs
+++ b/src/dispatch/registry_shared.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Assignment, AttemptCounters, AttemptOutcome, DispatchRefusal, DispatchRequest,
+        SendCounters, SendDenial,
         pending_assignment::{PendingAssignment, RecheckOutcome},
         registry_state::RegistryState,
         service_runners::Selection,
@@ -12,10 +13,13 @@
     crate::{
         discovery::RunnerKey,
         quarantine::{PROVISIONAL_QUARANTINE, RequestFingerprint},
-        traffic::{ActiveConfig, EngineSpec, RouteTable, ServiceId, ZoneId},
+        traffic::{ActiveConfig, EngineSpec, RouteTable, ServiceId, SoftwareVersion, ZoneId},
         units::RequestRate,
     },
-    std::sync::{Arc, Mutex, PoisonError},
+    std::{
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
     tokio::{
         sync::{Notify, oneshot, watch},
         time::Instant,
@@ -35,6 +39,7 @@
     /// Notified when there is something to report at once.
     pub(super) urgent_report_pending: Notify,
     pub(super) attempt_counters: AttemptCounters,
+    pub(super) send_counters: SendCounters,
 }
 
 /// The result for a waiting request, sent after the state is unlocked.
@@ -59,6 +64,7 @@
             report_pending: Notify::new(),
             urgent_report_pending: Notify::new(),
             attempt_counters: AttemptCounters::default(),
+            send_counters: SendCounters::default(),
         }
     }
 
@@ -225,7 +231,7 @@
             service.record_response_time(now - assignment.started_at);
             if let Some(runner) = service.runner_mut(&assignment.runner.key) {
                 runner.record_prompt_processed(&mut assignment.load);
-                runner.health.record_response(now);
+                runner.gate.health.record_response(now);
             }
             self.assign_queued(service, grants, now);
         });
@@ -287,6 +293,55 @@
         }
     }
 
+    /// Records that a response says that its runner leaves.
+    pub(super) fn record_statement(self: &Arc<Self>, key: &RunnerKey, now: Instant) {
+        let is_first = self.with_state(|state, _| state.record_statement(key, now));
+        if is_first {
+            log::info!(
+                runner:% = key.id,
+                born_unix_ms = key.born_unix_ms;
+                "dispatch: a runner says that it leaves."
+            );
+            self.urgent_report_pending.notify_one();
+        }
+    }
+
+    /// Records that a runner asked this node for a pause.
+    pub(super) fn record_pause(&self, key: &RunnerKey, pause: Duration, now: Instant) {
+        let is_new = self.with_state(|state, _| {
+            let gate = &mut state.runner_mut(key)?.gate;
+            let is_new = gate.paused_until(now).is_none() && !pause.is_zero();
+            gate.record_pause(pause, now);
+            Some(is_new)
+        });
+        if is_new == Some(true) {
+            log::info!(
+                runner:% = key.id,
+                born_unix_ms = key.born_unix_ms,
+                pause_ms = pause.as_millis() as u64;
+                "dispatch: a runner asks for a pause."
+            );
+        }
+    }
+
+    /// Decides whether a request that was assigned earlier may still be sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns why not.
+    pub(super) fn check_assigned(
+        &self,
+        service: &ServiceId,
+        runner: &RunnerKey,
+        software: Option<&SoftwareVersion>,
+        now: Instant,
+    ) -> Result<(), SendDenial> {
+        self.with_state(|state, _| match state.service(service).runner_mut(runner) {
+            Some(runner) => runner.check_assigned(software, now),
+            None => Err(SendDenial::Unlisted),
+        })
+    }
+
     /// Returns whether a request is refused.
     pub(super) fn is_quarantined(&self, request: &RequestFingerprint, now: Instant) -> bool {
         self.with_state(|state, _| {
--- a/src/dispatch/registry_state.rs
+++ b/src/dispatch/registry_state.rs
@@ -34,6 +34,8 @@
     pub(super) services: Vec<ServiceRunners>,
     pub(super) peer_demand: PeerDemands,
     leaving: Vec<LeavingRunner>,
+    /// The runners that said that they leave, for the reports to peers.
+    stated: Vec<LeavingRunner>,
     unreachable: Vec<RunnerKey>,
     pub(super) reported_waiting: Vec<ModelDemand>,
     last_id: u64,
@@ -99,18 +101,21 @@
             }
         }
         for runner in self.runners_mut() {
-            if runner.is_listed && !runner.in_new_list {
-                runner.is_listed = false;
+            if runner.gate.departure.is_listed && !runner.in_new_list {
+                runner.record_delisted();
                 departed.push(runner.entry.key.clone());
             }
         }
         for service in &mut self.services {
             service
                 .runners
-                .retain(|runner| runner.is_listed || runner.own_load.requests > 0);
+                .retain(|runner| runner.is_current() || runner.gate.must_be_kept(now));
         }
         for key in &departed {
-            if self.runner_mut(key).is_none_or(|runner| !runner.is_listed) {
+            if self
+                .runner_mut(key)
+                .is_none_or(|runner| !runner.gate.departure.is_listed)
+            {
                 self.quarantine.record_runner_end(key, now);
             }
         }
@@ -139,15 +144,42 @@
     /// Records a peer's report that a runner is leaving.
     pub(super) fn record_leaving(&mut self, key: &RunnerKey, now: Instant) {
         if let Some(runner) = self.runner_mut(key) {
-            runner.record_leaving(now);
+            runner.gate.departure.reported_at = Some(now);
         }
     }
 
+    /// Records that a response says that its runner leaves; returns whether it is the first one.
+    pub(super) fn record_statement(&mut self, key: &RunnerKey, now: Instant) -> bool {
+        let runner = self.runner_mut(key);
+        let is_first = runner.is_some_and(|runner| runner.record_statement(now));
+        if is_first {
+            self.stated.push(LeavingRunner {
+                runner: key.clone(),
+                until: now + Duration::from_millis(LEAVING_REPORT_MS),
+            });
+        }
+        is_first
+    }
+
+    /// Records a peer's report that a runner said that it leaves.
+    pub(super) fn record_peer_statement(&mut self, key: &RunnerKey, now: Instant) {
+        if let Some(runner) = self.runner_mut(key) {
+            runner.record_statement(now);
+        }
+    }
+
+    /// Returns the runners that said lately that they leave.
+    pub(super) fn stated(&mut self, now: Instant) -> Vec<RunnerKey> {
+        self.stated.retain(|leaving| now < leaving.until);
+        let runners = self.stated.iter().map(|leaving| leaving.runner.clone());
+        runners.collect()
+    }
+
     /// Records a peer's report that a runner cannot be reached.
     pub(super) fn record_peer_failure(&mut self, key: &RunnerKey, now: Instant) {
         self.quarantine.record_runner_end(key, now);
         if let Some(runner) = self.runner_mut(key) {
-            runner.health.record_peer_failure(now);
+            runner.gate.health.record_peer_failure(now);
             runner.record_unreachable(now);
         }
     }
--- a/src/dispatch/registry_sums.rs
+++ b/src/dispatch/registry_sums.rs
@@ -26,6 +26,8 @@
     pub plan_wanted: bool,
     /// Runners that are draining or no longer listed.
     pub leaving: Vec<RunnerKey>,
+    /// Runners whose responses said lately that they leave.
+    pub stated_leaving: Vec<RunnerKey>,
     /// Runners that the node failed to connect to since the last round.
     pub unreachable: Vec<RunnerKey>,
     /// Crashed runners, and contents that turned out harmless or were quarantined.
@@ -47,6 +49,7 @@
                 demand: state.due_demand(true, now),
                 plan_wanted: state.needs_planning_data(now),
                 leaving: state.leaving(now),
+                stated_leaving: state.stated(now),
                 unreachable: state.take_unreachable(),
                 quarantine: state.quarantine.take_messages(),
                 verdicts: state.quarantine.verdicts(now),
--- a/src/dispatch/runner_health.rs
+++ b/src/dispatch/runner_health.rs
@@ -53,6 +53,11 @@
         self.probe_in_flight = self.ejection_ms > 0;
     }
 
+    /// Lets a single request be sent first, as after an ejection.
+    pub fn require_probe(&mut self) {
+        self.ejection_ms = self.ejection_ms.max(EJECTION_MIN_MS);
+    }
+
     /// Records that a response began, which ends probing.
     pub fn record_response(&mut self, now: Instant) {
         self.responded_at = Some(now);
@@ -103,7 +108,7 @@
                 self.record_sample(1.0);
                 self.eject_if_outlier(service_failure_rate, may_eject, now);
             }
-            AttemptOutcome::Absent | AttemptOutcome::Cancelled => {}
+            AttemptOutcome::Absent | AttemptOutcome::Withheld | AttemptOutcome::Cancelled => {}
         }
     }
 
--- a/src/dispatch/service_runners.rs
+++ b/src/dispatch/service_runners.rs
@@ -2,10 +2,9 @@
 
 use {
     super::{
-        AttemptOutcome, Variant, cost_ms,
+        AttemptOutcome, SendDenial, Variant, cost_ms,
         demand_meter::DemandMeter,
         pace_budget::PaceBudget,
-        runner_limit::LimitAdmission,
         tracked_runner::TrackedRunner,
         urgent_waits::UrgentWaits,
         wait_queue::{RequestProfile, WaitQueue},
@@ -56,6 +55,9 @@
     /// The runners that hold the variant name limits, of which this node's share admits a request
     /// at the instant, or none.
     Limited(Option<Instant>),
+    /// The runners that hold the variant asked this node for pauses; the first one ends at the
+    /// instant.
+    Paused(Instant),
     /// No runner that may serve the request holds the variant.
     NoCopy,
 }
@@ -116,32 +118,33 @@
         let mut has_copy = false;
         let mut retry_at: Option<Instant> = None;
         let mut is_limited = false;
+        let mut pause_end: Option<Instant> = None;
         let mut rng = rand::rng();
         for (position, runner) in self.runners.iter().enumerate() {
-            let is_eligible = runner.is_ready(now)
-                && runner.may_resume(profile, now)
+            let is_eligible = runner.gate.is_staying(now)
+                && runner.may_resume(profile.software.as_ref(), now)
                 && runner.holds(profile.variant.as_ref())
                 && profile.tried_runners.contains(&runner.entry.key) == was_tried;
             if !is_eligible {
                 continue;
             }
-            match runner.limit.admission(now) {
-                LimitAdmission::Now => {}
-                LimitAdmission::From(at) => {
-                    retry_at = retry_at.into_iter().chain([at]).min();
-                    is_limited = true;
+            match runner.gate.check(now) {
+                Ok(()) => has_copy = true,
+                Err(SendDenial::Paused(until)) => {
+                    pause_end = pause_end.into_iter().chain([until]).min();
                     continue;
                 }
-                LimitAdmission::ByOthers => {
+                Err(SendDenial::Limited(at)) => {
+                    retry_at = retry_at.into_iter().chain(at).min();
                     is_limited = true;
                     continue;
                 }
-            }
-            has_copy = true;
-            if !runner.health.admits(now) {
-                let until = runner.health.ejected_until(now);
-                retry_at = retry_at.into_iter().chain(until).min();
-                continue;
+                Err(SendDenial::Ejected(until)) => {
+                    has_copy = true;
+                    retry_at = retry_at.into_iter().chain(until).min();
+                    continue;
+                }
+                Err(_) => continue,
             }
             if yields_to.iter().any(|variant| runner.holds(Some(*variant))) {
                 retry_at = retry_at.into_iter().chain([now + YIELD_RETRY_DELAY]).min();
@@ -164,15 +167,21 @@
         match best {
             Some((position, _)) => Selection::Runner(position),
             None if has_copy => Selection::NoCapacity(retry_at),
-            None if is_limited => Selection::Limited(retry_at),
-            None => Selection::NoCopy,
+            None => match (is_limited, pause_end) {
+                (true, None) => Selection::Limited(retry_at),
+                (true, Some(until)) if retry_at.is_some_and(|at| at < until) => {
+                    Selection::Limited(retry_at)
+                }
+                (_, Some(until)) => Selection::Paused(until),
+                (false, None) => Selection::NoCopy,
+            },
         }
     }
 
     /// Returns whether all runners have a software version, if one is given.
     fn has_only(&self, software: Option<&SoftwareVersion>) -> bool {
         software.is_none_or(|only| {
-            let mut runners = self.runners.iter();
+            let mut runners = self.runners.iter().filter(|runner| runner.is_current());
             runners.all(|runner| runner.entry.software == *only)
         })
     }
@@ -184,7 +193,7 @@
             adapter: None,
         };
         let mut runners = self.runners.iter();
-        runners.any(|runner| runner.is_ready(now) && runner.entry.holds(&variant))
+        runners.any(|runner| runner.gate.is_staying(now) && runner.entry.holds(&variant))
     }
 
     /// Records the outcome of an attempt; `time_s` is the response time in seconds, per token for
@@ -202,17 +211,18 @@
         let ejected = self
             .runners
             .iter()
-            .filter(|runner| !runner.health.admits(now));
+            .filter(|runner| !runner.gate.health.admits(now));
         let may_eject = (ejected.count() + 1) * 3 <= self.runners.len();
         let Some(runner) = self.runner_mut(key) else {
             return;
         };
         if let Some(ratio) = ratio {
-            runner.health.record_time_ratio(ratio, now);
+            runner.gate.health.record_time_ratio(ratio, now);
         }
         let is_unconfirmed_copy = outcome == AttemptOutcome::Shed && runner.is_unconfirmed(variant);
         if !is_unconfirmed_copy {
             runner
+                .gate
                 .health
                 .record_outcome(outcome, failure_rate, may_eject, now);
         }
@@ -236,7 +246,7 @@
         let rates = self
             .runners
             .iter()
-            .map(|runner| runner.health.failure_rate());
+            .map(|runner| runner.gate.health.failure_rate());
         rates.sum::<f64>() / self.runners.len().max(1) as f64
     }
 
--- a/src/dispatch/tracked_runner.rs
+++ b/src/dispatch/tracked_runner.rs
@@ -3,15 +3,16 @@
 use {
     super::{
         Candidate, NodeLoad, PrefixCacheEstimate, RequestLoad, ResidencyOverlay, RunnerHash,
-        RunnerHealth, RunnerLimit, RunnerView, TotalLoad, Variant,
+        RunnerView, SendDenial, TotalLoad, Variant,
         peer_loads::PeerLoads,
         prompt_pace::{PromptPace, RandomShare},
+        send_gate::SendGate,
         summed_usage::{SUMMED_USAGE_TTL_MS, SummedUsage},
         wait_queue::RequestProfile,
     },
     crate::{
         discovery::{RunnerEntry, RunnerState},
-        traffic::{AdapterId, ModelId, NodeName, ZoneId},
+        traffic::{AdapterId, ModelId, NodeName, SoftwareVersion, ZoneId},
     },
     std::{
         hash::{DefaultHasher, Hash, Hasher},
@@ -27,9 +28,6 @@
 /// The maximum age of this node's list of runners.
 const LIST_AGE_MAX_MS: u64 = 2_500;
 
-/// How long a peer's report that a runner is leaving counts if no list arrives.
-const PEER_LEAVING_TTL_MS: u64 = 60_000;
-
 /// How long a runner that could not be reached may have restarted without its new entry being
 /// listed: a runner that ended stays listed for some heartbeats.
 const RESTART_UNSEEN_MAX_MS: u64 = 5_000;
@@ -39,13 +37,13 @@
 pub(super) struct TrackedRunner {
     /// The entry as listed by the platform.
     listed_entry: Arc<RunnerEntry>,
-    /// The listed entry with the pending residency changes applied.
+    /// The listed entry with the pending residency changes applied; draining if the runner itself
+    /// said that it leaves.
     pub(super) entry: Arc<RunnerEntry>,
-    pub(super) is_listed: bool,
     /// Whether the list that is being applied contains the runner.
     pub(super) in_new_list: bool,
-    pub(super) health: RunnerHealth,
-    pub(super) limit: RunnerLimit,
+    /// Decides whether the runner may be sent a request.
+    pub(super) gate: SendGate,
     pub(super) own_load: NodeLoad,
     pending_changes: ResidencyOverlay,
     peer_loads: PeerLoads,
@@ -57,7 +55,6 @@
     pace: PromptPace,
     unreported_share: RandomShare,
     cold_until: Instant,
-    leaving_reported_at: Option<Instant>,
     /// When a node last failed to connect to the runner.
     unreachable_at: Option<Instant>,
     report_rounds_left: u8,
@@ -70,14 +67,13 @@
         entry.key.hash(&mut hasher);
         let cold_until = now + Duration::from_millis(entry.cold_remaining_ms);
         let hash = RunnerHash::of(&entry.key);
+        let is_draining = entry.state != RunnerState::Ready;
         let listed_entry = Arc::new(entry);
         Self {
             entry: listed_entry.clone(),
             listed_entry,
-            is_listed: true,
             in_new_list: true,
-            health: RunnerHealth::default(),
-            limit: RunnerLimit::default(),
+            gate: SendGate::listed(is_draining),
             own_load: NodeLoad::default(),
             pending_changes: ResidencyOverlay::default(),
             peer_loads: PeerLoads::default(),
@@ -88,7 +84,6 @@
             pace: PromptPace::default(),
             unreported_share: RandomShare::new(now),
             cold_until,
-            leaving_reported_at: None,
             unreachable_at: None,
             report_rounds_left: 0,
             key_hash: hasher.finish(),
@@ -99,23 +94,25 @@
     pub(super) fn update(&mut self, entry: RunnerEntry, now: Instant) -> bool {
         self.in_new_list = true;
         let list_age_max = Duration::from_millis(LIST_AGE_MAX_MS);
-        let is_newer = self
-            .leaving_reported_at
+        let departure = &mut self.gate.departure;
+        let is_newer = departure
+            .reported_at
             .is_some_and(|at| now >= at + list_age_max);
-        if !self.is_listed || is_newer {
-            self.leaving_reported_at = None;
+        if !departure.is_listed || is_newer {
+            departure.reported_at = None;
         }
-        self.is_listed = true;
+        departure.is_listed = true;
         if *self.listed_entry == entry {
             return false;
         }
         let begins_leaving =
             entry.state != RunnerState::Ready && self.listed_entry.state == RunnerState::Ready;
         self.cold_until = now + Duration::from_millis(entry.cold_remaining_ms);
+        departure.is_draining = entry.state != RunnerState::Ready;
         self.listed_entry = Arc::new(entry);
         self.pending_changes
             .remove_confirmed(&self.listed_entry, now);
-        self.entry = self.pending_changes.apply(&self.listed_entry);
+        self.refresh_entry();
         begins_leaving
     }
 
@@ -127,17 +124,35 @@
         self.pending_changes.record(variant, held, now);
         self.pending_changes
             .remove_confirmed(&self.listed_entry, now);
-        self.entry = self.pending_changes.apply(&self.listed_entry);
+        self.refresh_entry();
         if !held {
             self.prefix_cache.clear();
         }
     }
 
-    /// Records a peer's report that the runner is leaving.
+    /// Records that the list lacks the runner.
+    pub(super) fn record_delisted(&mut self) {
+        self.gate.departure.is_listed = false;
+        // Without a start time the next runner of this name has the same key.
+        if self.entry.key.born_unix_ms == 0 {
+            self.gate.departure.stated_at = None;
+            self.refresh_entry();
+        }
+    }
+
+    /// Records the runner's own statement that it leaves; returns whether it is the first one.
     ///
-    /// The report counts until this node's own list is newer for certain.
-    pub(super) fn record_leaving(&mut self, now: Instant) {
-        self.leaving_reported_at = Some(now);
+    /// The statement holds for the incarnation, whatever lists and peers say later.
+    pub(super) fn record_statement(&mut self, now: Instant) -> bool {
+        let is_first = self.gate.departure.stated_at.is_none();
+        self.gate.departure.stated_at.get_or_insert(now);
+        self.refresh_entry();
+        is_first
+    }
+
+    /// Returns whether the runner is listed or has requests of this node.
+    pub(super) fn is_current(&self) -> bool {
+        self.gate.departure.is_listed || self.own_load.requests > 0
     }
 
     /// Records that this node or a peer failed to connect to the runner.
@@ -148,19 +163,26 @@
     /// Returns whether the runner may go on with a stream that its software version began.
     ///
     /// A runner that ended may be back under its name and address with another version.
-    pub(super) fn may_resume(&self, profile: &RequestProfile, now: Instant) -> bool {
+    pub(super) fn may_resume(&self, software: Option<&SoftwareVersion>, now: Instant) -> bool {
         let unseen_max = Duration::from_millis(RESTART_UNSEEN_MAX_MS);
         let may_have_restarted = self.unreachable_at.is_some_and(|at| now < at + unseen_max);
-        let software = profile.software.as_ref();
         software.is_none_or(|only| *only == self.entry.software && !may_have_restarted)
     }
 
-    /// Returns whether the runner may be assigned requests.
-    pub(super) fn is_ready(&self, now: Instant) -> bool {
-        let ttl = Duration::from_millis(PEER_LEAVING_TTL_MS);
-        self.is_listed
-            && self.entry.state == RunnerState::Ready
-            && self.leaving_reported_at.is_none_or(|at| now >= at + ttl)
+    /// Decides whether a request that was assigned earlier may still be sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns why not.
+    pub(super) fn check_assigned(
+        &self,
+        software: Option<&SoftwareVersion>,
+        now: Instant,
+    ) -> Result<(), SendDenial> {
+        match self.may_resume(software, now) {
+            true => self.gate.check_assigned(now),
+            false => Err(SendDenial::OtherSoftware),
+        }
     }
 
     /// Returns whether a model or adapter is known from a residency change only, not from an entry.
@@ -193,7 +215,7 @@
             cached_tokens,
             same_zone: self.entry.zone == *zone,
             cold: now < self.cold_until,
-            slowness: self.health.slowness(now),
+            slowness: self.gate.health.slowness(now),
         }
     }
 
@@ -226,7 +248,7 @@
             self.prefix_cache
                 .record_prompt(&profile.chain, capacity / 2);
         }
-        self.health.record_start();
+        self.gate.health.record_start();
         self.mark_load_changed();
         load
     }
@@ -268,7 +290,7 @@
             self.recompute_total();
         }
         if self.pending_changes.expire(now) {
-            self.entry = self.pending_changes.apply(&self.listed_entry);
+            self.refresh_entry();
         }
         if self.summed_usage.until.is_some_and(|until| now >= until) {
             self.summed_usage = SummedUsage::default();
@@ -310,6 +332,15 @@
         self.own_load.in_use.iter().chain(others)
     }
 
+    fn refresh_entry(&mut self) {
+        self.entry = self.pending_changes.apply(&self.listed_entry);
+        let has_stated = self.gate.departure.stated_at.is_some();
+        if has_stated && self.entry.state == RunnerState::Ready {
+            let state = RunnerState::Draining { remaining_ms: None };
+            Arc::make_mut(&mut self.entry).state = state;
+        }
+    }
+
     fn mark_load_changed(&mut self) {
         self.report_rounds_left = REPORT_ROUNDS;
         self.recompute_total();
--- a/src/dispatch/types.rs
+++ b/src/dispatch/types.rs
@@ -100,6 +100,8 @@
     WrongRunner,
     /// The connection to the runner failed.
     Unreachable,
+    /// The request was not sent, as the runner may not be sent requests any more.
+    Withheld,
     /// The response broke off or was malformed.
     Broken,
     /// The caller closed the connection.
@@ -111,7 +113,9 @@
     pub fn occupied_slot(self) -> bool {
         match self {
             Self::Complete | Self::Failed | Self::Broken | Self::Cancelled => true,
-            Self::Shed | Self::Absent | Self::WrongRunner | Self::Unreachable => false,
+            Self::Shed | Self::Absent | Self::WrongRunner | Self::Unreachable | Self::Withheld => {
+                false
+            }
         }
     }
 }
--- a/src/dispatch/wait_decision.rs
+++ b/src/dispatch/wait_decision.rs
@@ -21,6 +21,15 @@
 /// The share of the caller's remaining time that `Retry-After` may take up.
 const RETRY_AFTER_SHARE_MAX: f64 = 0.3;
 
+/// The longest rest of a pause for which a request waits.
+const PAUSE_WAIT_MAX: Duration = Duration::from_millis(250);
+
+/// The shortest time over which callers come back after a pause.
+const PAUSE_SPREAD_MIN: Duration = Duration::from_millis(300);
+
+/// The time over which callers come back after a pause, relative to the rest of it.
+const PAUSE_SPREAD_SHARE: f64 = 0.25;
+
 /// The decision on a request that no runner can serve now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum WaitDecision {
@@ -60,6 +69,7 @@
                 }
             }
             Selection::Limited(from) => self.decide_limit_wait(from),
+            Selection::Paused(until) => self.decide_pause_wait(until),
             Selection::Runner(_) => self.wait_until(self.now),
         }
     }
@@ -77,6 +87,27 @@
         }
     }
 
+    /// Decides whether the request waits for the end of a pause that runners asked for: only if it
+    /// is soon and in time.
+    ///
+    /// The `Retry-After` of a refusal is never shorter than the pause, and spread beyond it, so that
+    /// callers don't come back all at once.
+    fn decide_pause_wait(&self, until: Instant) -> WaitDecision {
+        let latest = self.profile.target_at.min(self.profile.assign_by);
+        let pause = until.saturating_duration_since(self.now);
+        if until <= latest && pause <= PAUSE_WAIT_MAX {
+            return self.wait_until(until);
+        }
+        let spread = PAUSE_SPREAD_MIN.max(pause.mul_f64(PAUSE_SPREAD_SHARE));
+        let spread = spread.mul_f64(rand::rng().random_range(0.0..1.0));
+        let retry_after = (pause + spread).max(RETRY_AFTER_MIN);
+        WaitDecision::Refuse(DispatchRefusal {
+            // Rounded up, so that the caller doesn't come back within the pause.
+            retry_after_ms: retry_after.as_millis() as u64 + 1,
+            cause: RefusalCause::NoCapacity,
+        })
+    }
+
     /// Returns the time until the latest instant for an assignment.
     pub(super) fn time_left(&self) -> Duration {
         self.profile.assign_by.saturating_duration_since(self.now)
--- a/src/entry/response_head.rs
+++ b/src/entry/response_head.rs
@@ -3,7 +3,7 @@
 use {
     super::{Call, Dispatched, LossCause, RunnerResponse},
     crate::{
-        http::{Problem, REQUEST_ID},
+        http::{Problem, REQUEST_ID, read_retry_after},
         units::RequestId,
     },
     hyper::{HeaderMap, StatusCode, header},
@@ -20,8 +20,7 @@
 
 /// Returns the `Retry-After` of a response, if the header holds seconds.
 pub(super) fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
-    text.parse().ok().map(Duration::from_secs)
+    read_retry_after(headers).ok().flatten()
 }
 
 /// Builds the problem document for a dispatched request without a usable response.
--- a/src/gossip/aggregated_rounds.rs
+++ b/src/gossip/aggregated_rounds.rs
@@ -84,6 +84,7 @@
         for event in &output.events {
             match event {
                 Event::Leaving(key) => report.leaving.push(key.clone()),
+                Event::StatedLeaving(key) => report.stated_leaving.push(key.clone()),
                 Event::Unreachable(key) => report.unreachable.push(key.clone()),
                 Event::Held(change) => report.residency_changes.push(change.clone()),
                 Event::Quarantine(message) => report.quarantine.push(message.clone()),
--- a/src/gossip/gossip.rs
+++ b/src/gossip/gossip.rs
@@ -253,6 +253,7 @@
         };
         let mut items = lock(&self.residency_outbox).next_round();
         items.extend(report.leaving.into_iter().map(Item::Leaving));
+        items.extend(report.stated_leaving.into_iter().map(Item::StatedLeaving));
         items.extend(report.unreachable.into_iter().map(Item::Unreachable));
         items.extend(report.quarantine.into_iter().map(Item::Quarantine));
         items.extend(report.limits.into_iter().map(Item::Limit));
@@ -357,6 +358,7 @@
                         report.demand.push(demand);
                     }
                     Item::Leaving(key) => report.leaving.push(key),
+                    Item::StatedLeaving(key) => report.stated_leaving.push(key),
                     Item::Note(number, change) if senders.insert_change(&sender.node, number) => {
                         report.residency_changes.push(change);
                     }
--- a/src/gossip/item.rs
+++ b/src/gossip/item.rs
@@ -43,6 +43,8 @@
     Quarantine(QuarantineMessage),
     /// The limit that a runner names.
     Limit(LimitReport),
+    /// A runner whose response said that it leaves.
+    StatedLeaving(RunnerKey),
 }
 
 /// An urgent event, which each node delivers once.
@@ -73,6 +75,8 @@
     Quarantine(QuarantineMessage),
     /// The limit that a runner names changed.
     Limit(LimitReport),
+    /// A response of a runner said that it leaves.
+    StatedLeaving(RunnerKey),
 }
 
 impl Event {
@@ -84,7 +88,8 @@
             | Self::Held(_)
             | Self::Config(_)
             | Self::Quarantine(_)
-            | Self::Limit(_) => EVENT_TTL,
+            | Self::Limit(_)
+            | Self::StatedLeaving(_) => EVENT_TTL,
         }
     }
 }
--- a/src/gossip/report_rounds.rs
+++ b/src/gossip/report_rounds.rs
@@ -83,6 +83,9 @@
         for key in &own.leaving {
             self.publish(Event::Leaving(key.clone()), version, now);
         }
+        for key in &own.stated_leaving {
+            self.publish(Event::StatedLeaving(key.clone()), version, now);
+        }
         for key in &own.unreachable {
             self.publish(Event::Unreachable(key.clone()), version, now);
         }
--- a/src/gossip/seen_events.rs
+++ b/src/gossip/seen_events.rs
@@ -66,7 +66,7 @@
     /// same time; the event of one of them is enough.
     pub(super) fn is_recent_duplicate(&mut self, event: &Event, now: Instant) -> bool {
         let suppressed_for = match event {
-            Event::Leaving(_) | Event::Config(_) => DUPLICATE_CONTENT_TTL,
+            Event::Leaving(_) | Event::StatedLeaving(_) | Event::Config(_) => DUPLICATE_CONTENT_TTL,
             Event::Unreachable(_) => event.ttl(),
             Event::Limit(_) => DUPLICATE_LIMIT_TTL,
             // Each crash counts by itself, and verdicts have versions.
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -15,6 +15,7 @@
 mod preface;
 mod problem;
 mod read;
+mod retry_after;
 mod stall_guard;
 
 pub(crate) use {
@@ -24,5 +25,5 @@
 };
 pub use {
     body::*, call::*, client::*, compression::*, connection::*, error::*, header::*, listener::*,
-    liveness::Liveness, operations::*, problem::*, read::*,
+    liveness::Liveness, operations::*, problem::*, read::*, retry_after::*,
 };
--- a/src/node/node_view.rs
+++ b/src/node/node_view.rs
@@ -117,6 +117,7 @@
         let mut text = MetricText::default();
         self.relay.counters().render(&mut text);
         self.registry.attempt_counters().render(&mut text);
+        self.registry.send_counters().render(&mut text);
         self.registry.ended_attempts().render(&mut text);
         self.registry.limit_counters().render(&mut text);
         self.order_counters.render(&mut text);
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -2,15 +2,15 @@
 
 use {
     super::{
-        BeforeSend, ForwardHead, ForwardedCall, KeepAlive, Refusal, ResponseClass,
+        BeforeSend, ForwardHead, ForwardedCall, KeepAlive, Refusal, ResponseClass, ResponseHead,
         RunnerConnection, SendError, SentAssignment, classify_response, response_head,
     },
     crate::{
         dispatch::{AttemptOutcome, DispatchRequest},
-        http::Body,
+        http::{Body, read_retry_after},
     },
     http_body_util::{BodyExt, Limited},
-    hyper::{Request, Response, body::Incoming},
+    hyper::{Request, Response, StatusCode, body::Incoming},
     std::{error::Error, fmt, io, time::Duration},
     tokio::time::{self, Instant},
 };
@@ -217,9 +217,7 @@
         let response = Response::from_parts(head, body);
         let keep_alive = KeepAlive::read(&response, head_fields.keep_alive_s);
         let class = classify_response(&self.call, response.status(), &head_fields, &connection);
-        if class.is_of_runner() {
-            assignment.record_limit(head_fields.limit);
-        }
+        self.record_wishes(&assignment, class, &head_fields, &response);
         let mut runner_response = RunnerResponse {
             assignment,
             connection,
@@ -258,6 +256,46 @@
     }
 }
 
+impl ForwardedCall {
+    /// Records what a runner wants: to leave, fewer requests, or none for some time.
+    fn record_wishes(
+        &self,
+        assignment: &SentAssignment,
+        class: ResponseClass,
+        fields: &ResponseHead,
+        response: &Response<Incoming>,
+    ) {
+        let is_of_other = match &fields.runner {
+            Some(id) => *id != assignment.runner.key.id,
+            None => class == ResponseClass::NotRun(AttemptOutcome::WrongRunner),
+        };
+        if is_of_other {
+            return;
+        }
+        if fields.is_leaving {
+            assignment.record_leaving();
+        }
+        if !class.is_of_runner() {
+            return;
+        }
+        assignment.record_limit(fields.limit);
+        let turns_away = matches!(
+            response.status(),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+        );
+        if !turns_away {
+            return;
+        }
+        match read_retry_after(response.headers()) {
+            Ok(Some(pause)) => assignment.record_pause(pause),
+            Ok(None) => {}
+            Err(cause) => self
+                .relay
+                .log_unreadable_pause(&assignment.runner.key, &cause),
+        }
+    }
+}
+
 impl RunnerResponse {
     /// Ends the assignment and closes the connection.
     fn discard_unusable(self) -> AttemptResult {
--- a/src/relay/head.rs
+++ b/src/relay/head.rs
@@ -90,4 +90,6 @@
     pub keep_alive_s: Option<u64>,
     /// The requests that the runner takes from all nodes together, if the response names a limit.
     pub limit: Option<RequestRate>,
+    /// Whether the response says that the runner leaves.
+    pub is_leaving: bool,
 }
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -6,8 +6,9 @@
         RelayCounters, RetryBudget,
     },
     crate::{
+        discovery::RunnerKey,
         dispatch::Dispatcher,
-        http::Body,
+        http::{Body, RetryAfterError},
         leader::PeerNode,
         node::{Bounds, Formats},
         telemetry::TimerLag,
@@ -16,7 +17,10 @@
     hyper::{Request, Response, body::Incoming, header},
     std::{
         fmt,
-        sync::{Arc, Mutex, OnceLock, PoisonError},
+        sync::{
+            Arc, Mutex, OnceLock, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
         time::Duration,
     },
     tokio::{sync::watch, time::Instant},
@@ -39,6 +43,8 @@
     timer_lag: Arc<TimerLag>,
     /// When the planned stop began.
     pub(super) drain_started_at: OnceLock<Instant>,
+    /// Whether a wait that can't be read was logged.
+    has_logged_unreadable_pause: AtomicBool,
     /// Cancelled when open requests must end.
     pub(super) end_requests: CancellationToken,
 }
@@ -73,6 +79,7 @@
             pool: Arc::default(),
             probed_runners: ProbedRunners::default(),
             drain_started_at: OnceLock::new(),
+            has_logged_unreadable_pause: AtomicBool::new(false),
             end_requests: CancellationToken::new(),
         })
     }
@@ -146,6 +153,16 @@
         is_allowed
     }
 
+    /// Logs the first `Retry-After` of a runner that can't be read.
+    pub(super) fn log_unreadable_pause(&self, runner: &RunnerKey, cause: &RetryAfterError) {
+        if !self
+            .has_logged_unreadable_pause
+            .swap(true, Ordering::Relaxed)
+        {
+            log::warn!(runner:% = runner.id; "relay: a wait that a runner asks for is ignored: {cause}");
+        }
+    }
+
     fn node_count(&self) -> usize {
         self.peers.borrow().len() + 1
     }
--- a/src/relay/sent_assignment.rs
+++ b/src/relay/sent_assignment.rs
@@ -63,6 +63,20 @@
         }
     }
 
+    /// Records that the response says that the runner leaves.
+    pub(super) fn record_leaving(&self) {
+        if let Some(assignment) = &self.assignment {
+            assignment.record_leaving();
+        }
+    }
+
+    /// Records that the runner asked this node for a pause.
+    pub(super) fn record_pause(&self, pause: Duration) {
+        if let Some(assignment) = &self.assignment {
+            assignment.record_pause(pause);
+        }
+    }
+
     /// Returns whether the request must not be sent, as it has been quarantined since.
     pub(super) fn is_quarantined(&self) -> bool {
         let assignment = self.assignment.as_ref();
--- a/tests/common/relay_rig.rs
+++ b/tests/common/relay_rig.rs
@@ -19,7 +19,7 @@
     std::{
         net::SocketAddr,
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicUsize, Ordering},
         },
         time::Duration,
@@ -47,8 +47,14 @@
     gap_target_ms: 250,
 };
 
+/// Runs while the head of a request for a runner is written, right before it is sent.
+pub type ForwardHook = Arc<dyn Fn(&ForwardHead) + Send + Sync>;
+
 /// The header names in the tests.
-struct TestFormats;
+#[derive(Default)]
+struct TestFormats {
+    hook: Arc<Mutex<Option<ForwardHook>>>,
+}
 
 impl Formats for TestFormats {
     fn keys(&self) -> StoreKeys {
@@ -81,6 +87,10 @@
     }
 
     fn write_forward_headers(&self, headers: &mut HeaderMap, forward: &ForwardHead) {
+        let hook = self.hook.lock().unwrap().clone();
+        if let Some(hook) = hook {
+            hook(forward);
+        }
         headers.remove("x-hold");
         headers.insert("x-runner", forward.runner.id.as_str().parse().unwrap());
         headers.insert("x-deadline-ms", forward.deadline_ms.into());
@@ -98,6 +108,7 @@
             runner: None,
             keep_alive_s: number(&head.headers, "x-idle-s"),
             limit: None,
+            is_leaving: head.headers.contains_key("x-leaving"),
         }
     }
 
@@ -165,6 +176,7 @@
     pub registry: Arc<RunnerRegistry>,
     /// The entries of the runners as they were at first.
     entries: Vec<RunnerEntry>,
+    hook: Arc<Mutex<Option<ForwardHook>>>,
     pub stop: CancellationToken,
     pub served: JoinHandle<bool>,
 }
@@ -198,7 +210,9 @@
         registry.set_runners(entries.clone());
         let dispatcher = Dispatcher::new(registry.clone());
         let peers = watch::Sender::new(Vec::new()).subscribe();
-        let formats = Arc::new(TestFormats);
+        let formats = TestFormats::default();
+        let hook = formats.hook.clone();
+        let formats = Arc::new(formats);
         let timer_lag = Arc::<TimerLag>::default();
         tokio::spawn(timer_lag.clone().run());
         let relay = Relay::new(
@@ -219,6 +233,7 @@
             runners,
             registry,
             entries,
+            hook,
             stop,
             served,
         }
@@ -249,6 +264,16 @@
         caller.read().await
     }
 
+    /// Runs `hook` before each request is sent to a runner.
+    pub fn before_sending(&self, hook: impl Fn(&ForwardHead) + Send + Sync + 'static) {
+        *self.hook.lock().unwrap() = Some(Arc::new(hook));
+    }
+
+    /// Lists all runners again.
+    pub fn list_all_runners(&self) {
+        self.registry.set_runners(self.entries.clone());
+    }
+
     /// Removes a runner from the list.
     pub fn remove_runner(&self, runner: usize) {
         let key = &self.entries[runner].key;
--- /dev/null
+++ b/tests/relay_runner_wishes.rs
@@ -0,0 +1,167 @@
+//! What runners ask for in their responses: no new requests as they leave, or a pause.
+
+mod common {
+    pub mod fake_backend;
+    pub mod relay_rig;
+}
+
+use {
+    common::{
+        fake_backend::{Received, Step},
+        relay_rig::{RESUMABLE, RelayRig, Setup, events, signed, stream_end, with_head},
+    },
+    greengagetrail::traffic::RouteKind::{Idempotent, NonIdempotent},
+    std::time::{Duration, Instant},
+    tokio::time::sleep,
+};
+
+const LEAVING: &str = "x-leaving: 1\r\n";
+
+/// Refuses a request that did not run.
+fn refused(received: &Received, status: u16, headers: &str) -> Vec<Step> {
+    let headers = format!("x-not-executed: 1\r\ncontent-length: 0\r\n{headers}");
+    with_head(received, status, &headers, "")
+}
+
+/// Responses of each kind that say that the runner leaves.
+const LEAVING_RESPONSES: [fn(&Received) -> Vec<Step>; 7] = [
+    |received| signed(received, 200, LEAVING, "ok"),
+    |received| signed(received, 500, LEAVING, "failed"),
+    |received| refused(received, 503, LEAVING),
+    |received| refused(received, 429, LEAVING),
+    |received| refused(received, 400, LEAVING),
+    |received| {
+        let mut steps = with_head(received, 200, "x-signature: s\r\nx-leaving: 1\r\n", "all");
+        steps.push(Step::Close);
+        steps
+    },
+    |received| with_head(received, 200, "x-leaving: 1\r\ncontent-length: 2\r\n", "no"),
+];
+
+/// Starts two runners, of which the first to be called says in its first response that it leaves.
+async fn rig_with_leaving_runner(response: fn(&Received) -> Vec<Step>) -> RelayRig {
+    let setup = Setup {
+        runners: 2,
+        ..Setup::new(Idempotent)
+    };
+    RelayRig::start(setup, move |number, received| match number {
+        0 => response(received),
+        _ => signed(received, 200, "", "ok"),
+    })
+    .await
+}
+
+// Guards against requests for a runner that said in an answer that it leaves, while the list says
+// that it is ready.
+#[tokio::test]
+async fn a_runner_that_says_it_leaves_gets_no_further_request() {
+    for (kind, response) in LEAVING_RESPONSES.into_iter().enumerate() {
+        let rig = rig_with_leaving_runner(response).await;
+        rig.call("").await;
+        let left = rig.runners.iter().position(|runner| {
+            let received = runner.received();
+            received.iter().any(|request| request.sequence == 0)
+                && rig.registry.runners().iter().any(|view| {
+                    view.entry.address == runner.address
+                        && view.entry.state != greengagetrail::discovery::RunnerState::Ready
+                })
+        });
+        let left = left.unwrap_or_else(|| panic!("response {kind}: no runner leaves"));
+        let before = rig.runners[left].received().len();
+        // Neither an older list nor its loss undoes the runner's statement.
+        rig.list_all_runners();
+        rig.remove_runner(left);
+        rig.list_all_runners();
+        for _ in 0..10 {
+            assert_eq!(rig.call("").await.status, 200, "response {kind}");
+        }
+        let after = rig.runners[left].received().len();
+        assert_eq!(after, before, "response {kind}");
+    }
+}
+
+// Guards against streams that are cut off as their runner says that it leaves.
+#[tokio::test]
+async fn a_stream_whose_head_says_that_the_runner_leaves_goes_on_to_its_end() {
+    let setup = Setup {
+        runners: 1,
+        ..Setup::new(RESUMABLE)
+    };
+    let rig = RelayRig::start(setup, |_, received| {
+        let mut steps = events(received, 1, 2);
+        if let Step::Send(head) = &mut steps[0] {
+            let text = String::from_utf8(head.clone()).unwrap();
+            *head = text
+                .replacen("x-signature", "x-leaving: 1\r\nx-signature", 1)
+                .into_bytes();
+        }
+        steps.push(Step::Pause(Duration::from_millis(400)));
+        steps.extend(events(received, 3, 3).split_off(1));
+        steps.push(stream_end());
+        steps
+    })
+    .await;
+    let answer = rig.call("").await;
+    assert_eq!((answer.status, answer.complete), (200, true));
+    assert!(answer.body.contains("id: 3"));
+    // The only runner leaves: the next request is refused at once, not held.
+    let begun = Instant::now();
+    let answer = rig.call("").await;
+    assert!(answer.status == 503 && begun.elapsed() < Duration::from_secs(2));
+    assert_eq!(rig.received().len(), 1);
+}
+
+// Guards against requests to a runner that asked for rest.
+#[tokio::test]
+async fn a_runner_that_asks_for_a_pause_gets_no_request_until_its_end() {
+    let setup = Setup {
+        runners: 1,
+        ..Setup::new(NonIdempotent)
+    };
+    let rig = RelayRig::start(setup, |number, received| match number {
+        0 => refused(received, 503, "retry-after: 1.2\r\n"),
+        _ => signed(received, 200, "", "ok"),
+    })
+    .await;
+    let begun = Instant::now();
+    let answer = rig.call("").await;
+    assert_eq!(answer.status, 503);
+    let paused_at = Instant::now();
+    while paused_at.elapsed() < Duration::from_millis(900) {
+        let asked_at = Instant::now();
+        let answer = rig.call("").await;
+        assert_eq!(answer.status, 503);
+        let waited = asked_at.elapsed();
+        assert!(waited < Duration::from_millis(200), "held for {waited:?}");
+        let retry_after_ms = answer.head.lines().find_map(|line| {
+            let value = line.strip_prefix("x-retry-after-ms: ")?;
+            value.parse::<u64>().ok()
+        });
+        let back_at = asked_at + Duration::from_millis(retry_after_ms.unwrap());
+        assert!(back_at >= begun + Duration::from_millis(1_200));
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(rig.received().len(), 1);
+    sleep(Duration::from_millis(400)).await;
+    assert_eq!(rig.call("").await.status, 200);
+}
+
+// Guards against waits that can't be read and are taken for pauses, or end the process.
+#[tokio::test]
+async fn unreadable_and_zero_waits_are_no_pause() {
+    for value in ["0", "-3", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "1e9"] {
+        let setup = Setup {
+            runners: 1,
+            ..Setup::new(NonIdempotent)
+        };
+        let headers = format!("retry-after: {value}\r\n");
+        let rig = RelayRig::start(setup, move |number, received| match number {
+            0 => refused(received, 503, &headers),
+            _ => signed(received, 200, "", "ok"),
+        })
+        .await;
+        rig.call("").await;
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(rig.call("").await.status, 200, "{value}");
+    }
+}
