Check a request again when its first byte is about to be written (DRAIN)

Users: a request reached a runner 3.8 s after the store had acknowledged that it leaves, and 2.3 s after its caller's deadline.

What changed until that task wrote the first byte had no effect: the runner's departure, the end of the caller's wait, and the time left that the head names.

A request that may not be sent gets another runner, or a head of its own time; it did not run.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        BeforeSend, ForwardHead, ForwardedCall, KeepAlive, Refusal, ResponseClass, ResponseHead,
-        RunnerConnection, SendError, SentAssignment, classify_response, response_head,
+        BeforeSend, FirstWrite, ForwardHead, ForwardedCall, KeepAlive, Refusal, ResponseClass,
+        ResponseHead, RunnerConnection, SendError, SentAssignment, WithheldCause,
+        classify_response, response_head,
     },
     crate::{
         dispatch::{AttemptOutcome, DispatchRequest},
@@ -89,16 +90,37 @@
                 self.progress.is_quarantined = true;
                 return Err(self.progress.final_refusal(None));
             }
+            let prepared_at = Instant::now();
             let request = self.runner_request(&assignment, last_event_id);
+            let first = FirstWrite {
+                prepared_at,
+                latest_start: self.call.latest_start(),
+                check: assignment.send_check(),
+            };
             let before = self.progress.record_sending();
-            let sent = time::timeout_at(self.call.deadline, connection.send(request)).await;
+            let sent = connection.send(request, first);
+            let sent = time::timeout_at(self.call.deadline, sent).await;
             match sent {
                 Ok(Ok(response)) => {
                     return Ok(self
                         .classify(assignment, connection, response, before)
                         .await);
                 }
-                Ok(Err(SendError::Unsent)) => self.progress.record_unsent(before),
+                Ok(Err(SendError::Unsent | SendError::Withheld(WithheldCause::OldHead))) => {
+                    self.progress.record_unsent(before);
+                }
+                Ok(Err(SendError::Withheld(WithheldCause::TooLate))) => {
+                    self.progress.record_unsent(before);
+                    return Err(self.progress.final_refusal(None));
+                }
+                Ok(Err(SendError::Withheld(WithheldCause::Denied(_)))) => {
+                    self.progress.record_unsent(before);
+                    return Ok(self.withdraw(assignment));
+                }
+                Err(_) if connection.withhold() => {
+                    self.progress.record_unsent(before);
+                    return Err(self.progress.final_refusal(None));
+                }
                 Err(_) => {
                     self.relay.pool.close_idle(&assignment.runner.key);
                     assignment.finish(AttemptOutcome::Broken);
@@ -123,6 +145,14 @@
         Ok(AttemptResult::NoResponse)
     }
 
+    /// Ends an attempt whose runner may not be sent the request any more.
+    fn withdraw(&mut self, assignment: SentAssignment) -> AttemptResult {
+        self.progress.attempts_unsent += 1;
+        self.progress.tried_runners.pop();
+        assignment.finish(AttemptOutcome::Withheld);
+        AttemptResult::NoResponse
+    }
+
     /// Returns whether another attempt is allowed and still in time for the caller.
     pub(super) fn may_retry(&mut self) -> bool {
         self.check_attempt_allowed().is_ok() && Instant::now() < self.call.latest_start()
--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -1,7 +1,7 @@
 //! The pool of connections to runners.
 
 use {
-    super::{PendingWrites, RunnerConnection, WriteTracker},
+    super::{RequestWrites, RunnerConnection, WriteTracker},
     crate::{
         discovery::{RunnerEntry, RunnerKey},
         http::{Body, Liveness, set_up_liveness_with},
@@ -62,7 +62,7 @@
 pub(super) struct OpenConnection {
     pub(super) sender: SendRequest<Body>,
     task: AbortHandle,
-    pending_writes: PendingWrites,
+    pub(super) writes: RequestWrites,
     /// The end of the time in which an idle connection may be reused.
     usable_until: Instant,
     _reservation: Arc<()>,
@@ -145,7 +145,7 @@
         mut open: OpenConnection,
         limit_s: Option<u64>,
     ) {
-        if open.pending_writes.is_pending() || open.sender.is_closed() {
+        if open.writes.is_pending() || open.sender.is_closed() {
             return;
         }
         let now = Instant::now();
@@ -237,7 +237,7 @@
     let stream = TcpStream::connect(address).await?;
     set_up_liveness_with(&stream, Liveness::PROMPT)?;
     let stream = WriteTracker::new(stream);
-    let pending_writes = stream.pending_writes();
+    let writes = stream.writes();
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(RESPONSE_HEAD_MAX_BYTES)
         .handshake::<_, Body>(TokioIo::new(stream))
@@ -248,7 +248,7 @@
     Ok(OpenConnection {
         sender,
         task: task.abort_handle(),
-        pending_writes,
+        writes,
         usable_until: Instant::now(),
         _reservation: reservation,
     })
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -7,6 +7,7 @@
 mod end_probe;
 mod event_splitter;
 mod event_stream;
+mod first_write;
 mod forwarded_call;
 mod head;
 mod plain_response;
@@ -24,7 +25,7 @@
 
 use {
     attempt::*, attempt_progress::*, call::*, connection_pool::*, end_probe::*, event_stream::*,
-    forwarded_call::*, refusal::*, relay_counters::CancellationGuard,
+    first_write::*, forwarded_call::*, refusal::*, relay_counters::CancellationGuard,
     relay_counters::ResponseOutcome, response_class::*, runner_connection::*, sent_assignment::*,
     write_tracker::*,
 };
--- a/src/relay/runner_connection.rs
+++ b/src/relay/runner_connection.rs
@@ -1,7 +1,10 @@
 //! A connection to a runner that one request uses.
 
 use {
-    super::connection_pool::{ConnectionPool, OpenConnection},
+    super::{
+        FirstWrite, WithheldCause,
+        connection_pool::{ConnectionPool, OpenConnection},
+    },
     crate::{discovery::RunnerKey, http::Body},
     hyper::{Request, Response, body::Incoming, header},
     std::sync::Arc,
@@ -12,6 +15,8 @@
 pub(super) enum SendError {
     /// No byte of the request was sent.
     Unsent,
+    /// No byte of the request was sent, as it may not be sent any more.
+    Withheld(WithheldCause),
     /// The connection failed after a part was sent; the request may have run.
     Interrupted(hyper::Error),
 }
@@ -27,7 +32,8 @@
 }
 
 impl RunnerConnection {
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request, unless `first` fails when its first byte is due, and waits for the head of
+    /// the response.
     ///
     /// # Errors
     ///
@@ -35,17 +41,31 @@
     pub(super) async fn send(
         &mut self,
         request: Request<Body>,
+        first: FirstWrite,
     ) -> Result<Response<Incoming>, SendError> {
         let Some(open) = &mut self.open else {
             return Err(SendError::Unsent);
         };
+        open.writes.begin(first);
         let sent = open.sender.try_send_request(request).await;
-        sent.map_err(|mut failure| match failure.take_message() {
-            Some(_) => SendError::Unsent,
-            None => SendError::Interrupted(failure.into_error()),
+        sent.map_err(|mut failure| {
+            if let Some(cause) = open.writes.withheld() {
+                return SendError::Withheld(cause);
+            }
+            match failure.take_message() {
+                Some(_) => SendError::Unsent,
+                None if open.writes.withhold() => SendError::Unsent,
+                None => SendError::Interrupted(failure.into_error()),
+            }
         })
     }
 
+    /// Lets the request not be written any more; returns whether no byte of it was.
+    pub(super) fn withhold(&self) -> bool {
+        let open = self.open.as_ref();
+        open.is_none_or(|open| open.writes.withhold())
+    }
+
     /// Returns the connection to the pool after the response was read completely.
     pub(super) fn recycle(mut self, keep_alive: KeepAlive) {
         if let (KeepAlive::Idle(limit_s), Some(open)) = (keep_alive, self.open.take()) {
--- a/src/relay/sent_assignment.rs
+++ b/src/relay/sent_assignment.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         discovery::RunnerEntry,
-        dispatch::{Assignment, AttemptOutcome},
+        dispatch::{Assignment, AttemptOutcome, SendCheck},
         units::RequestRate,
     },
     std::{sync::Arc, time::Duration},
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Returns the check that is due right before the request is sent.
+    pub(super) fn send_check(&self) -> Option<SendCheck> {
+        self.assignment.as_ref().map(Assignment::send_check)
+    }
+
     /// Returns whether the request must not be sent, as it has been quarantined since.
     pub(super) fn is_quarantined(&self) -> bool {
         let assignment = self.assignment.as_ref();
--- a/tests/relay_runner_wishes.rs
+++ b/tests/relay_runner_wishes.rs
@@ -7,12 +7,15 @@
 
 use {
     common::{
-        fake_backend::{Received, Step},
+        fake_backend::{FakeBackend, Received, Step},
         relay_rig::{RESUMABLE, RelayRig, Setup, events, signed, stream_end, with_head},
     },
     greengagetrail::traffic::RouteKind::{Idempotent, NonIdempotent},
-    std::time::{Duration, Instant},
-    tokio::time::sleep,
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::{net::TcpStream, time::sleep},
 };
 
 const LEAVING: &str = "x-leaving: 1\r\n";
@@ -165,3 +168,146 @@
         assert_eq!(rig.call("").await.status, 200, "{value}");
     }
 }
+
+// Guards against a request that is sent to a runner that left between the choice and the first
+// byte.
+#[tokio::test]
+async fn a_runner_that_leaves_right_before_the_first_byte_gets_no_request() {
+    for kind in [Idempotent, NonIdempotent] {
+        let rig = RelayRig::start(Setup::new(kind), |_, received| {
+            signed(received, 200, "", "ok")
+        })
+        .await;
+        // Opens connections that are reused, and checks new ones at the second round.
+        for _ in 0..2 {
+            let registry = rig.registry.clone();
+            let left = std::sync::Mutex::new(None);
+            rig.before_sending(move |forward| {
+                let mut left = left.lock().unwrap();
+                if left.is_none() {
+                    *left = Some(forward.runner.clone());
+                    let listed = registry.runners().into_iter().map(|view| view.entry);
+                    let kept = listed.filter(|entry| entry.key != forward.runner);
+                    registry.set_runners(kept.collect());
+                }
+            });
+            let before: Vec<_> = rig.runners.iter().map(|r| r.received().len()).collect();
+            let answer = rig.call("").await;
+            assert_eq!((answer.status, answer.body.as_str()), (200, "ok"));
+            let listed = rig.registry.runners();
+            for (runner, before) in rig.runners.iter().zip(before) {
+                let is_listed = listed.iter().any(|v| v.entry.address == runner.address);
+                let got = runner.received().len() - before;
+                assert!(is_listed || got == 0, "a runner that left got a request");
+            }
+            let withheld = rig.registry.send_counters().withheld("unlisted");
+            assert!(withheld > 0);
+            rig.list_all_runners();
+        }
+    }
+}
+
+// Guards against a request that reaches a runner after its caller's wait, with time that is over.
+#[tokio::test]
+async fn a_request_whose_time_ends_right_before_the_first_byte_is_not_sent() {
+    let rig = RelayRig::start(Setup::new(NonIdempotent), |_, received| {
+        signed(received, 200, "", "ok")
+    })
+    .await;
+    rig.before_sending(|_| std::thread::sleep(Duration::from_millis(350)));
+    let answer = rig.call("x-deadline-ms: 300\r\n").await;
+    assert_eq!(answer.status, 503);
+    assert!(rig.received().is_empty());
+}
+
+// Guards against a head that names more time than is left, after a wait between head and bytes.
+#[tokio::test]
+async fn a_head_that_waited_is_made_again() {
+    let rig = RelayRig::start(Setup::new(NonIdempotent), |_, received| {
+        signed(received, 200, "", "ok")
+    })
+    .await;
+    let waits = std::sync::atomic::AtomicUsize::new(0);
+    rig.before_sending(move |_| {
+        if waits.fetch_add(1, std::sync::atomic::Ordering::SeqCst) == 0 {
+            std::thread::sleep(Duration::from_millis(600));
+        }
+    });
+    let answer = rig.call("x-deadline-ms: 2000\r\n").await;
+    assert_eq!(answer.status, 200);
+    let received = rig.received();
+    assert_eq!(received.len(), 1);
+    let left_ms: u64 = received[0]
+        .header("x-deadline-ms")
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(left_ms <= 1_400, "{left_ms}");
+}
+
+/// A listener whose queue of new connections is full.
+struct FullListener {
+    listener: socket2::Socket,
+    address: SocketAddr,
+    _fillers: Vec<TcpStream>,
+}
+
+impl FullListener {
+    async fn new() -> Self {
+        let listener =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        listener.bind(&any.into()).unwrap();
+        listener.listen(0).unwrap();
+        let address = listener.local_addr().unwrap().as_socket().unwrap();
+        let mut fillers = Vec::new();
+        while let Ok(Ok(filler)) =
+            tokio::time::timeout(Duration::from_millis(100), TcpStream::connect(address)).await
+        {
+            fillers.push(filler);
+        }
+        Self {
+            listener,
+            address,
+            _fillers: fillers,
+        }
+    }
+
+    /// Accepts the connections in the queue, and returns how many requests arrive afterwards.
+    fn count_requests(&self, span: Duration) -> usize {
+        self.listener.set_nonblocking(true).unwrap();
+        let until = Instant::now() + span;
+        let mut open = Vec::new();
+        let mut requests = 0;
+        while Instant::now() < until {
+            if let Ok((stream, _)) = self.listener.accept() {
+                stream.set_nonblocking(true).unwrap();
+                open.push(stream);
+            }
+            for stream in &mut open {
+                let read = std::io::Read::read(stream, &mut [0; 4096]);
+                requests += usize::from(read.is_ok_and(|bytes| bytes > 0));
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        requests
+    }
+}
+
+// Guards against a request that waits for a connection while its runner leaves, and is sent then.
+#[tokio::test]
+async fn a_runner_that_leaves_while_a_request_waits_for_a_connection_gets_no_request() {
+    let full = FullListener::new().await;
+    let setup = Setup {
+        runners: 1,
+        ..Setup::new(NonIdempotent)
+    };
+    let rig = RelayRig::over(setup, Vec::<FakeBackend>::new(), &[full.address]).await;
+    let mut caller = rig.caller().await;
+    caller.send("", "body").await;
+    sleep(Duration::from_millis(450)).await;
+    rig.remove_runner(0);
+    let counting = tokio::task::spawn_blocking(move || full.count_requests(Duration::from_secs(2)));
+    assert_eq!(caller.read().await.status, 503);
+    assert_eq!(counting.await.unwrap(), 0);
+}
