--- a/src/dispatch/assignment.rs
+++ b/src/dispatch/assignment.rs
@@ -64,6 +64,14 @@
         self.registry.record_limit(&self.runner.key, limit, now);
     }
 
+    /// Records the rejections a second that the runner's response says it bears; `None` if it says
+    /// nothing.
+    pub fn record_brittleness(&self, rejections_per_s: Option<u32>) {
+        let now = Instant::now();
+        let registry = &self.registry;
+        registry.record_brittleness(&self.service, rejections_per_s, now);
+    }
+
     /// Records that this node reached the runner: a new connection, or the head of a response.
     pub fn record_contact(&self) {
         let now = Instant::now();
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 
 mod assignment;
 mod attempt_counters;
+mod brittleness;
 mod capacity_wait;
 mod choice;
 mod copy_wait;
--- a/src/dispatch/registry_shared.rs
+++ b/src/dispatch/registry_shared.rs
@@ -248,6 +248,9 @@
             let service = state.service(&assignment.service);
             if let Some(runner) = service.runner_mut(key) {
                 runner.release(&assignment.load);
+                if outcome == AttemptOutcome::Shed {
+                    runner.gate.brittleness.record_rejection(now);
+                }
             }
             if assignment.load.variant.is_none() && outcome == AttemptOutcome::Complete {
                 service.record_response_time(now - assignment.started_at);
@@ -324,6 +327,28 @@
         }
     }
 
+    /// Records the rejections a second that a runner says it bears, for all runners of its service.
+    pub(super) fn record_brittleness(
+        &self,
+        service: &ServiceId,
+        rejections_per_s: Option<u32>,
+        now: Instant,
+    ) {
+        self.with_state(|state, _| {
+            let nodes = state.nodes.count();
+            let service = state.service(service);
+            if rejections_per_s.is_none() && !service.is_brittle {
+                return;
+            }
+            service.is_brittle = rejections_per_s.is_some();
+            // A node that gets no answer of some runners must not send them a burst.
+            for runner in &mut service.runners {
+                let brittleness = &mut runner.gate.brittleness;
+                brittleness.observe(rejections_per_s, nodes, now);
+            }
+        });
+    }
+
     /// Decides whether a request that was assigned earlier may still be sent.
     ///
     /// # Errors
--- a/src/dispatch/send_gate.rs
+++ b/src/dispatch/send_gate.rs
@@ -1,7 +1,7 @@
 //! The decision whether a runner may be sent a request now.
 
 use {
-    super::{RunnerHealth, RunnerLimit, runner_limit::LimitAdmission},
+    super::{RunnerHealth, RunnerLimit, brittleness::Brittleness, runner_limit::LimitAdmission},
     std::time::Duration,
     tokio::time::Instant,
 };
@@ -23,6 +23,8 @@
     Paused(Instant),
     /// The runner names a limit, of which this node's share admits a request at the instant, or none.
     Limited(Option<Instant>),
+    /// The runner bears few rejections and had no room; it is tried again at the instant.
+    Brittle(Instant),
     /// The runner refused or failed requests; `None` while a probe is in flight.
     Ejected(Option<Instant>),
     /// The runner may have restarted with another software version than the stream's.
@@ -31,11 +33,12 @@
 
 impl SendDenial {
     /// The labels of the reasons in metrics, in the order of [`Self::index`].
-    pub(super) const LABELS: [&'static str; 6] = [
+    pub(super) const LABELS: [&'static str; 7] = [
         "unlisted",
         "leaving",
         "paused",
         "limited",
+        "brittle",
         "ejected",
         "other_software",
     ];
@@ -47,8 +50,9 @@
             Self::Leaving => 1,
             Self::Paused(_) => 2,
             Self::Limited(_) => 3,
-            Self::Ejected(_) => 4,
-            Self::OtherSoftware => 5,
+            Self::Brittle(_) => 4,
+            Self::Ejected(_) => 5,
+            Self::OtherSoftware => 6,
         }
     }
 
@@ -86,6 +90,7 @@
     /// The end of the pause that the runner asked this node for.
     paused_until: Option<Instant>,
     pub(super) limit: RunnerLimit,
+    pub(super) brittleness: Brittleness,
     pub(super) health: RunnerHealth,
 }
 
@@ -171,8 +176,11 @@
         if self.departure.is_leaving(now) {
             return Err(SendDenial::Leaving);
         }
-        match self.paused_until(now) {
-            Some(until) => Err(SendDenial::Paused(until)),
+        if let Some(until) = self.paused_until(now) {
+            return Err(SendDenial::Paused(until));
+        }
+        match self.brittleness.held_until(now) {
+            Some(until) => Err(SendDenial::Brittle(until)),
             None => Ok(()),
         }
     }
--- a/src/dispatch/service_runners.rs
+++ b/src/dispatch/service_runners.rs
@@ -41,6 +41,8 @@
     pub(super) pace_budget: PaceBudget,
     pub(super) urgent_waits: UrgentWaits,
     pub(super) reach: ServiceReach,
+    /// Whether the runners said lately that they are brittle.
+    pub(super) is_brittle: bool,
     /// The first and the further attempts at runners that name a limit.
     pub(super) limited_attempts: (u64, u64),
     mean_times_s: Vec<(Option<ModelId>, f64)>,
@@ -76,6 +78,7 @@
             pace_budget: PaceBudget::default(),
             urgent_waits: UrgentWaits::default(),
             reach: ServiceReach::default(),
+            is_brittle: false,
             limited_attempts: (0, 0),
             mean_times_s: Vec::new(),
             mean_response_time_s: 0.0,
@@ -143,7 +146,7 @@
             }
             match runner.gate.check(now) {
                 Ok(()) => has_copy = true,
-                Err(SendDenial::Paused(until)) => {
+                Err(SendDenial::Paused(until) | SendDenial::Brittle(until)) => {
                     pause_end = pause_end.into_iter().chain([until]).min();
                     continue;
                 }
@@ -164,6 +167,10 @@
                 continue;
             }
             let mut candidate = runner.candidate(profile, zone, now);
+            if !runner.has_sure_room(&candidate, now) {
+                retry_at = retry_at.into_iter().chain([now + YIELD_RETRY_DELAY]).min();
+                continue;
+            }
             let Some(cost) = cost_ms(&profile.needs, &candidate) else {
                 candidate.recent_prompt_tokens = 0;
                 if cost_ms(&profile.needs, &candidate).is_some() {
--- a/src/dispatch/tracked_runner.rs
+++ b/src/dispatch/tracked_runner.rs
@@ -219,6 +219,12 @@
         }
     }
 
+    /// Returns whether the runner bears another request, if it is brittle.
+    pub(super) fn has_sure_room(&self, candidate: &Candidate, now: Instant) -> bool {
+        let random_share = self.unreported_share.value(now);
+        self.gate.brittleness.has_room(candidate, random_share, now)
+    }
+
     /// Draws the prompt tokens that peers may send before their next report.
     ///
     /// Each peer may have a prompt of the same size and see the same free capacity. With a random
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -331,6 +331,7 @@
             return;
         }
         assignment.record_limit(fields.limit);
+        assignment.record_brittleness(fields.rejections_per_s);
         let turns_away = matches!(
             response.status(),
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
--- a/src/relay/head.rs
+++ b/src/relay/head.rs
@@ -90,6 +90,8 @@
     pub keep_alive_s: Option<u64>,
     /// The requests that the runner takes from all nodes together, if the response names a limit.
     pub limit: Option<RequestRate>,
+    /// The rejections in a second that the runner bears, if the response says that it is brittle.
+    pub rejections_per_s: Option<u32>,
     /// Whether the response says that the runner leaves.
     pub is_leaving: bool,
 }
--- a/src/relay/sent_assignment.rs
+++ b/src/relay/sent_assignment.rs
@@ -63,6 +63,13 @@
         }
     }
 
+    /// Records the rejections a second that the runner says it bears.
+    pub(super) fn record_brittleness(&self, rejections_per_s: Option<u32>) {
+        if let Some(assignment) = &self.assignment {
+            assignment.record_brittleness(rejections_per_s);
+        }
+    }
+
     /// Records that this node reached the runner.
     pub(super) fn record_contact(&self) {
         if let Some(assignment) = &self.assignment {
--- a/tests/common/relay_rig.rs
+++ b/tests/common/relay_rig.rs
@@ -109,6 +109,7 @@
             runner: None,
             keep_alive_s: number(&head.headers, "x-idle-s"),
             limit: None,
+            rejections_per_s: None,
             is_leaving: head.headers.contains_key("x-leaving"),
         }
     }
