--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -66,13 +66,15 @@
         let assignment = self.relay.dispatcher.assign(&wanted).await;
         let assignment = assignment.map_err(|refused| self.progress.dispatch_refusal(refused))?;
         let assignment = SentAssignment::new(assignment, self.call.remaining_wait());
-        self.progress
-            .tried_runners
-            .push(assignment.runner.key.clone());
+        // A late copy of its first response would be taken for the response to the second attempt.
+        let key = &assignment.runner.key;
+        let may_reuse = !self.progress.tried_runners.contains(key);
+        self.progress.tried_runners.push(key.clone());
         let connections_max = self.relay.node_share(self.call.rules.connections_max);
         for _ in 0..STALE_CONNECTIONS_MAX {
             let pool = &self.relay.pool;
-            let mut connection = match pool.acquire(&assignment.runner, connections_max).await {
+            let acquired = pool.acquire(&assignment.runner, connections_max, may_reuse);
+            let mut connection = match acquired.await {
                 Ok(connection) => connection,
                 Err(ConnectError::NoFreeConnection) => {
                     self.progress.attempts_unsent += 1;
--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -108,7 +108,7 @@
 pub(super) struct ConnectionPool(Mutex<Vec<RunnerConnections>>);
 
 impl ConnectionPool {
-    /// Returns a connection to a runner, an idle one if possible.
+    /// Returns a connection to a runner: an idle one if possible and `may_reuse`.
     ///
     /// # Errors
     ///
@@ -117,6 +117,7 @@
         self: &Arc<Self>,
         runner: &RunnerEntry,
         connections_max: usize,
+        may_reuse: bool,
     ) -> Result<RunnerConnection, ConnectError> {
         let new_connection = |open, is_reused| RunnerConnection {
             runner: runner.key.clone(),
@@ -124,7 +125,7 @@
             pool: self.clone(),
             is_reused,
         };
-        while let Some(mut open) = self.pop_idle(&runner.key) {
+        while may_reuse && let Some(mut open) = self.pop_idle(&runner.key) {
             let ready = time::timeout(READY_TIMEOUT, open.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 return Ok(new_connection(open, true));
--- a/tests/relay_forward.rs
+++ b/tests/relay_forward.rs
@@ -431,3 +431,59 @@
     assert!(!answer.complete);
     assert!(started.elapsed() < Duration::from_millis(1_500));
 }
+
+/// A runner that refuses the first request of each connection, and sends a copy of that refusal
+/// before its answer to the next one. Returns its address and the number of runs.
+async fn start_repeating_runner() -> (SocketAddr, std::sync::Arc<std::sync::atomic::AtomicUsize>) {
+    use std::sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (runs, refusals) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let counted = runs.clone();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let (runs, refusals) = (counted.clone(), refusals.clone());
+            tokio::spawn(async move {
+                let refusal = "HTTP/1.1 503 S\r\nx-request-id: q\r\nx-not-executed: 1\r\n\
+                               content-length: 0\r\n\r\n";
+                let answer = "HTTP/1.1 200 S\r\nx-request-id: q\r\nx-signature: s\r\n\
+                              content-length: 2\r\n\r\nok";
+                let mut has_refused = false;
+                let mut buffer = [0; 4096];
+                while stream.read(&mut buffer).await.is_ok_and(|bytes| bytes > 0) {
+                    if refusals.fetch_add(1, Ordering::SeqCst) == 0 {
+                        has_refused = true;
+                        stream.write_all(refusal.as_bytes()).await.unwrap();
+                        continue;
+                    }
+                    runs.fetch_add(1, Ordering::SeqCst);
+                    let copy = if has_refused { refusal } else { "" };
+                    let text = format!("{copy}{answer}");
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, runs)
+}
+
+// Guards against a refusal that is sent once more on a kept connection, and taken for the response
+// to the second attempt, which runs.
+#[tokio::test]
+async fn a_copy_of_a_refusal_is_not_taken_for_the_response_to_the_next_attempt() {
+    let (address, runs) = start_repeating_runner().await;
+    let setup = Setup {
+        runners: 1,
+        ..Setup::new(NonIdempotent)
+    };
+    let rig = RelayRig::over(setup, Vec::<FakeBackend>::new(), &[address]).await;
+    let answer = rig.call("").await;
+    assert_eq!(answer.parts(), (200, "ok", true));
+    assert_eq!(runs.load(std::sync::atomic::Ordering::SeqCst), 1);
+}
