--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -343,3 +343,37 @@
         assert_eq!(used[0], used[1], "stream {index}");
     }
 }
+
+// Guards against the error of the runner that should go on with a stream, in the midst of it.
+#[tokio::test]
+async fn an_error_of_the_next_runner_never_reaches_a_stream_that_has_begun() {
+    let errors: [Script; 5] = [
+        |received| signed(received, 500, "", "the error's text"),
+        |received| signed(received, 404, "", "the error's text"),
+        |received| {
+            let headers = "x-not-executed: 1\r\ncontent-length: 16\r\n";
+            with_head(received, 503, headers, "the error's text")
+        },
+        |received| signed(received, 200, "", "the error's text"),
+        |_| {
+            vec![
+                Step::send("HTTP/1.1 500 E\r\n\r\nthe error's text"),
+                Step::Close,
+            ]
+        },
+    ];
+    for (index, error) in errors.into_iter().enumerate() {
+        let setup = Setup {
+            attempts_max: 2,
+            ..Setup::new(RESUMABLE)
+        };
+        let rig = RelayRig::start(setup, move |number, received| match number {
+            0 => three_events_then(received, [Step::Close]),
+            _ => error(received),
+        })
+        .await;
+        let answer = rig.call("").await;
+        assert_eq!((answer.status, answer.complete), (200, false), "{index}");
+        assert_eq!(answer.body, text(1, 3), "{index}");
+    }
+}
