Drop the number of keep-alive probes, which has no effect

Users: a TCP_USER_TIMEOUT that is set also decides when probes give up, whatever their count. It is set on all connections here, so probes_max changed nothing, and STRICT was the same as PROMPT. Behaviour is unchanged: 10 s for connections of callers, 2 s for all others, where one lost probe closes an idle connection.

--- a/src/http/liveness.rs
+++ b/src/http/liveness.rs
@@ -11,9 +11,8 @@
 pub struct Liveness {
     /// The time without traffic after which keep-alive probes are sent.
     probe_after: Duration,
-    /// The number of unacknowledged probes after which a connection is closed.
-    probes_max: u32,
-    /// The longest time for which sent data and probes may stay unacknowledged.
+    /// The longest time for which sent data and probes may stay unacknowledged. It also decides
+    /// when probes give up, whatever the number of them is set to.
     unacknowledged_max: Duration,
 }
 
@@ -21,22 +20,15 @@
     /// For connections that carry requests of callers.
     pub const PATIENT: Self = Self {
         probe_after: Duration::from_secs(5),
-        probes_max: 5,
         unacknowledged_max: Duration::from_secs(10),
     };
 
-    /// For connections that are often idle but whose peer must be reachable.
+    /// For connections that are often idle but whose peer must be reachable: a lost probe closes
+    /// them.
     pub const PROMPT: Self = Self {
         probe_after: Duration::from_secs(1),
-        probes_max: 2,
         unacknowledged_max: Duration::from_secs(2),
     };
-
-    /// For connections that are cheap to reopen: one lost probe closes them.
-    pub const STRICT: Self = Self {
-        probes_max: 1,
-        ..Self::PROMPT
-    };
 }
 
 /// The interval between keep-alive probes.
@@ -52,8 +44,7 @@
     stream.set_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(liveness.probe_after)
-        .with_interval(PROBE_INTERVAL)
-        .with_retries(liveness.probes_max);
+        .with_interval(PROBE_INTERVAL);
     let socket = SockRef::from(stream);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(liveness.unacknowledged_max))
--- a/src/node/stream_peers.rs
+++ b/src/node/stream_peers.rs
@@ -63,7 +63,7 @@
 impl StreamClient {
     /// Creates a client, which uses TLS if it is configured.
     pub fn new(tls: Option<Tls>) -> Self {
-        let client = Client::with_liveness(SEND_LIMITS.timeout, Liveness::STRICT);
+        let client = Client::with_liveness(SEND_LIMITS.timeout, Liveness::PROMPT);
         Self(client.with_tls(tls))
     }
 
--- a/src/node/upstream_peer.rs
+++ b/src/node/upstream_peer.rs
@@ -75,7 +75,7 @@
             term,
             direct_peers_max,
             wait: LONG_POLL_MAX.min(Duration::from_millis(drain_ms) / 3),
-            client: Client::with_liveness(RESPONSE_SLACK, Liveness::STRICT),
+            client: Client::with_liveness(RESPONSE_SLACK, Liveness::PROMPT),
             failures: Mutex::default(),
         }
     }
