--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -32,6 +32,7 @@
 mod registry_shared;
 mod registry_state;
 mod registry_sums;
+mod registry_wishes;
 mod residency;
 mod runner_health;
 mod runner_limit;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -3,15 +3,15 @@
 use {
     super::{
         BeforeSend, ConnectError, FirstWrite, ForwardHead, ForwardedCall, KeepAlive, Refusal,
-        ResponseClass, ResponseHead, RunnerConnection, SendError, SentAssignment, WithheldCause,
+        ResponseClass, RunnerConnection, SendError, SentAssignment, WithheldCause,
         classify_response, response_head,
     },
     crate::{
         dispatch::{AttemptOutcome, DispatchRequest, PassOn},
-        http::{Body, read_retry_after},
+        http::Body,
     },
     http_body_util::{BodyExt, Limited},
-    hyper::{Request, Response, StatusCode, body::Incoming},
+    hyper::{Request, Response, body::Incoming},
     std::{error::Error, fmt, io, time::Duration},
     tokio::time::{self, Instant},
 };
@@ -310,47 +310,6 @@
     }
 }
 
-impl ForwardedCall {
-    /// Records what a runner wants: to leave, fewer requests, or none for some time.
-    fn record_wishes(
-        &self,
-        assignment: &SentAssignment,
-        class: ResponseClass,
-        fields: &ResponseHead,
-        response: &Response<Incoming>,
-    ) {
-        let is_of_other = match &fields.runner {
-            Some(id) => *id != assignment.runner.key.id,
-            None => class == ResponseClass::NotRun(AttemptOutcome::WrongRunner),
-        };
-        if is_of_other {
-            return;
-        }
-        if fields.is_leaving {
-            assignment.record_leaving();
-        }
-        if !class.is_of_runner() {
-            return;
-        }
-        assignment.record_limit(fields.limit);
-        assignment.record_brittleness(fields.rejections_per_s);
-        let turns_away = matches!(
-            response.status(),
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
-        );
-        if !turns_away {
-            return;
-        }
-        match read_retry_after(response.headers()) {
-            Ok(Some(pause)) => assignment.record_pause(pause),
-            Ok(None) => {}
-            Err(cause) => self
-                .relay
-                .log_unreadable_pause(&assignment.runner.key, &cause),
-        }
-    }
-}
-
 impl RunnerResponse {
     /// Ends the assignment and closes the connection.
     fn discard_unusable(self) -> AttemptResult {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -21,6 +21,7 @@
 mod response_head;
 mod retry_budget;
 mod runner_connection;
+mod runner_wishes;
 mod sent_assignment;
 mod serve;
 mod write_tracker;
