Don't take a runner for unreachable as this node's heads got too old

Found by reading: a node without processor time could withhold four heads in a row, which ended the attempt as if the runner had not been reached, was reported to all nodes and counted for the own reach. Such an attempt now ends as withheld. heads_that_get_too_old_say_nothing_about_runners fails without it (trial).

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -22,6 +22,9 @@
 /// The number of connections in one attempt that may be closed before the request is sent.
 const STALE_CONNECTIONS_MAX: usize = 4;
 
+/// The number of heads in one attempt that may get too old before they are sent.
+const OLD_HEADS_MAX: usize = 2;
+
 /// The most bytes that are read of a response that is not forwarded.
 const DISCARD_MAX_BYTES: usize = 64 * 1024;
 
@@ -71,6 +74,7 @@
         let may_reuse = !self.progress.tried_runners.contains(key);
         self.progress.tried_runners.push(key.clone());
         let connections_max = self.relay.node_share(self.call.rules.connections_max);
+        let mut old_heads = 0;
         for _ in 0..STALE_CONNECTIONS_MAX {
             let pool = &self.relay.pool;
             let acquired = pool.acquire(&assignment.runner, connections_max, may_reuse);
@@ -116,8 +120,14 @@
                         .classify(assignment, connection, response, before)
                         .await);
                 }
-                Ok(Err(SendError::Unsent | SendError::Withheld(WithheldCause::OldHead))) => {
+                Ok(Err(SendError::Unsent)) => self.progress.record_unsent(before),
+                Ok(Err(SendError::Withheld(WithheldCause::OldHead))) => {
                     self.progress.record_unsent(before);
+                    old_heads += 1;
+                    // This node is late, which says nothing about the runner.
+                    if old_heads >= OLD_HEADS_MAX {
+                        return Ok(self.withdraw(assignment));
+                    }
                 }
                 Ok(Err(SendError::Withheld(WithheldCause::TooLate))) => {
                     self.progress.record_unsent(before);
--- a/tests/relay_runner_wishes.rs
+++ b/tests/relay_runner_wishes.rs
@@ -245,6 +245,22 @@
     assert!(left_ms <= 1_400, "{left_ms}");
 }
 
+// Guards against a node without processor time that takes sound runners for unreachable.
+#[tokio::test]
+async fn heads_that_get_too_old_say_nothing_about_runners() {
+    let rig = RelayRig::start(Setup::new(NonIdempotent), |_, received| {
+        signed(received, 200, "", "ok")
+    })
+    .await;
+    rig.before_sending(|_| std::thread::sleep(Duration::from_millis(300)));
+    let answer = rig.call("x-deadline-ms: 3000\r\n").await;
+    assert_eq!(answer.status, 503);
+    assert!(rig.received().is_empty());
+    assert!(rig.registry.collect_report(true).unreachable.is_empty());
+    rig.before_sending(|_| {});
+    assert_eq!(rig.call("").await.status, 200);
+}
+
 /// A listener whose queue of new connections is full.
 struct FullListener {
     listener: socket2::Socket,
