--- a/src/dispatch/registry_state.rs
+++ b/src/dispatch/registry_state.rs
@@ -200,7 +200,7 @@
                 runner.record_unreachable(now);
             }
             // A node that is cut off knows nothing of the runners.
-            if service.reach.is_out() {
+            if service.reach.is_probably_cut() {
                 return false;
             }
         }
--- a/src/dispatch/service_reach.rs
+++ b/src/dispatch/service_reach.rs
@@ -65,6 +65,12 @@
         self.is_out
     }
 
+    /// Returns whether the node, rather than the runners, is the likely cause of the failures; a
+    /// service of few runners doesn't tell.
+    pub(super) fn is_probably_cut(&self) -> bool {
+        self.failed.len() >= FAILED_RUNNERS_MIN
+    }
+
     /// Returns whether requests are better served by other nodes.
     pub(super) fn passes_on(&self, now: Instant) -> bool {
         let others_out = self
