--- a/src/dispatch/send_gate.rs
+++ b/src/dispatch/send_gate.rs
@@ -130,16 +130,13 @@
     /// Decides whether a request that was assigned earlier may still be sent.
     ///
     /// The assignment itself used up a share of the limit and may be the probe of the runner.
+    /// An ejection that began since is no reason: it is short, and a new choice may find no runner.
     ///
     /// # Errors
     ///
     /// Returns why not.
     pub(super) fn check_assigned(&self, now: Instant) -> Result<(), SendDenial> {
-        self.check_standing(now)?;
-        match self.health.ejected_until(now) {
-            Some(until) => Err(SendDenial::Ejected(Some(until))),
-            None => Ok(()),
-        }
+        self.check_standing(now)
     }
 
     /// Returns whether the runner is listed and does not leave.
