Keep the addresses that refuse connections in relay_pass_on

The test freed the ports of its unreachable runners, and listeners of tests that run beside it got them: seen once, a node that was not asked got requests. They stay bound now, without a listener.

--- a/tests/relay_pass_on.rs
+++ b/tests/relay_pass_on.rs
@@ -20,7 +20,7 @@
         time::{Duration, Instant},
     },
     tokio::{
-        net::{TcpListener, TcpStream},
+        net::{TcpListener, TcpSocket, TcpStream},
         sync::watch,
         task::JoinHandle,
         time::sleep,
@@ -43,6 +43,8 @@
     rig: RelayRig,
     peer: PeerNode,
     control: JoinHandle<bool>,
+    /// The addresses of runners that refuse connections.
+    ports: Vec<TcpSocket>,
 }
 
 impl Node {
@@ -63,6 +65,7 @@
             rig,
             peer,
             control: tokio::spawn(serving),
+            ports: Vec::new(),
         }
     }
 }
@@ -79,22 +82,30 @@
     Node::start(RelayRig::start(setup(kind), move |_, received| script(received)).await).await
 }
 
-/// Returns addresses at which connections are refused.
-async fn closed_ports() -> Vec<SocketAddr> {
-    let mut addresses = Vec::new();
-    for _ in 0..RUNNERS {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        addresses.push(listener.local_addr().unwrap());
-    }
-    addresses
+/// Returns sockets at whose addresses connections are refused: bound, but not listening.
+fn closed_ports() -> Vec<TcpSocket> {
+    let ports = (0..RUNNERS).map(|_| {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        socket
+    });
+    ports.collect()
 }
 
 /// Starts a node that reaches none of its runners, with the given peers.
 async fn start_cut_off(kind: RouteKind, peers: &[&Node]) -> Node {
     let peers = peers.iter().map(|node| node.peer.clone()).collect();
     let peers = watch::Sender::new(peers).subscribe();
-    let at = closed_ports().await;
-    Node::start(RelayRig::among(setup(kind), Vec::new(), &at, peers).await).await
+    let ports = closed_ports();
+    let at: Vec<_> = ports
+        .iter()
+        .map(|port| port.local_addr().unwrap())
+        .collect();
+    let rig = RelayRig::among(setup(kind), Vec::new(), &at, peers).await;
+    Node {
+        ports,
+        ..Node::start(rig).await
+    }
 }
 
 fn ok(received: &Received) -> Vec<Step> {
@@ -243,17 +254,17 @@
     let cut_off = start_cut_off(Idempotent, &[&near]).await;
     assert_eq!(cut_off.rig.call("").await.status, 200);
     assert!(cut_off.rig.registry.is_cut_off());
-    let views = cut_off.rig.registry.runners();
-    let listeners: Vec<_> = views
-        .iter()
-        .map(|view| std::net::TcpListener::bind(view.entry.address).unwrap())
+    let Node { rig, ports, .. } = cut_off;
+    let listeners: Vec<_> = ports
+        .into_iter()
+        .map(|port| port.listen(16).unwrap())
         .collect();
     let begun = Instant::now();
-    while cut_off.rig.registry.is_cut_off() {
+    while rig.registry.is_cut_off() {
         assert!(begun.elapsed() < Duration::from_secs(2));
-        for runner in cut_off.rig.registry.take_probes() {
+        for runner in rig.registry.take_probes() {
             let reached = TcpStream::connect(runner.address).await.is_ok();
-            cut_off.rig.registry.record_probe(&runner, reached);
+            rig.registry.record_probe(&runner, reached);
         }
         sleep(Duration::from_millis(20)).await;
     }
