Report contacts in the rig of crashing runners, as the relay does

The rig told the registry of failures to connect and never of contacts, so that a node took three crashes among many sound answers for a cut of its own and held back its evidence.

--- a/tests/common/crash_rig.rs
+++ b/tests/common/crash_rig.rs
@@ -518,6 +518,8 @@
                 };
                 tally.begun_at_first_attempt += u32::from(run.request.caller_retries == 0);
             }
+            // The relay reports the head of each response.
+            run.assignment.record_contact();
             run.assignment.record_event(now);
         }
         let ended = self.runs.extract_if(.., |run| now >= run.ends_at);
