--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -801,6 +801,56 @@
         runner
     }
 
+    /// Starts a runner that answers each request with a stream, of as many events as `events` says
+    /// for a path, one each 100 ms; it drops a request whose connection closes.
+    pub fn start_streaming(
+        id: &str, service: &str, zone: &str, record: Record,
+        events: impl Fn(&str) -> u32 + Send + Sync + 'static,
+    ) -> Arc<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
+        let runner = Arc::new(Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            address: listener.local_addr().expect("an address"),
+            state: Mutex::new("ready"),
+            writes: AtomicU64::new(0),
+            born: 1_790_000_000_123,
+        });
+        let id = runner.id.clone();
+        serve(listener, move |request, stream| {
+            if request.path == "/healthz" {
+                return write_answer(stream, 200, &[("Greengagetrail-Instance-Id", &id)], b"");
+            }
+            let Some(request_id) = request.header("greengagetrail-request-id") else {
+                return write_answer(stream, 400, &[("Greengagetrail-Not-Executed", "1")], b"");
+            };
+            if request.header("greengagetrail-expect-instance").is_some_and(|expected| expected != id) {
+                let headers = [("Greengagetrail-Request-Id", request_id), ("Greengagetrail-Instance-Id", &id)];
+                return write_answer(stream, 421, &headers, b"");
+            }
+            record.add(format!("runner {id} begins to run {request_id} ({} {})", request.method, request.path));
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nGreengagetrail-Request-Id: {request_id}\r\n\
+                 Greengagetrail-Server-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+            let mut whole = stream.write_all(head.as_bytes()).is_ok();
+            for event in 1..=events(&request.path) {
+                thread::sleep(Duration::from_millis(100));
+                let text = format!("id: {event}\ndata: x\n\n");
+                let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+                whole = whole && !is_closed(stream) && stream.write_all(chunk.as_bytes()).is_ok();
+                if !whole {
+                    break;
+                }
+            }
+            whole = whole && stream.write_all(b"0\r\n\r\n").is_ok();
+            record.add(format!("runner {id} ends {request_id}, whole {whole}"));
+            whole
+        });
+        runner
+    }
+
     /// Writes the runner's entry.
     pub fn register(&self, store: &Store) {
         let writes = self.writes.fetch_add(1, Ordering::SeqCst) + 1;
