--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -129,7 +129,7 @@
     thread::sleep(Duration::from_millis(2000));
     if has_trouble() {
         record.add("front-0 gets SIGTERM (planned stop)");
-        nodes[0].signal("-TERM");
+        nodes[0].signal(Signal::Term);
     }
     let stopped_at = Instant::now();
     thread::sleep(Duration::from_millis(4500).saturating_sub(cut_at.elapsed()));
--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -126,9 +126,9 @@
         record.add("the paths of front-0 are whole again");
         thread::sleep(Duration::from_millis(5300).saturating_sub(sent_at.elapsed()));
         record.add("front-1 freezes");
-        nodes[1].signal("-STOP");
+        nodes[1].signal(Signal::Stop);
         thread::sleep(Duration::from_millis(3900));
-        nodes[1].signal("-CONT");
+        nodes[1].signal(Signal::Continue);
         record.add("front-1 wakes");
     }
     let times: Vec<Duration> = clients.into_iter().map(|client| client.join().unwrap()).collect();
--- a/review/standin/lib.rs
+++ b/review/standin/lib.rs
@@ -26,13 +26,21 @@
 pub struct Record {
     start: Instant,
     lines: Arc<Mutex<Vec<String>>>,
+    is_quiet: bool,
 }
 
 impl Record {
     pub fn new() -> Self {
-        Self { start: Instant::now(), lines: Arc::default() }
+        Self { start: Instant::now(), lines: Arc::default(), is_quiet: false }
+    }
+    /// A record that keeps nothing.
+    pub fn quiet() -> Self {
+        Self { is_quiet: true, ..Self::new() }
     }
     pub fn add(&self, text: impl AsRef<str>) {
+        if self.is_quiet {
+            return;
+        }
         let line = format!("{:8.3} s  {}", self.start.elapsed().as_secs_f64(), text.as_ref());
         eprintln!("{line}");
         self.lines.lock().unwrap().push(line);
@@ -629,6 +637,21 @@
 
 unsafe extern "C" {
     fn listen(socket: i32, backlog: i32) -> i32;
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
+/// The signals that cases send, with their numbers on Linux (x86-64 and arm64).
+#[derive(Debug, Clone, Copy)]
+pub enum Signal {
+    Kill = 9,
+    Term = 15,
+    Continue = 18,
+    Stop = 19,
+}
+
+fn send_signal(process: u32, signal: Signal) {
+    // SAFETY: the process is one that this one started and did not wait for yet.
+    unsafe { kill(process as i32, signal as i32) };
 }
 
 /// The path from one node to one runner, which can be cut silently.
@@ -925,7 +948,7 @@
 /// Kills the nodes that were started and not dropped.
 pub fn end_processes() {
     for id in STARTED.lock().unwrap().iter() {
-        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        send_signal(*id, Signal::Kill);
     }
 }
 
@@ -966,8 +989,8 @@
         Self { name: name.to_owned(), front: at(ports.front), ready: at(ports.ready), control: at(ports.control), child }
     }
 
-    pub fn signal(&self, signal: &str) {
-        let _ = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
+    pub fn signal(&self, signal: Signal) {
+        send_signal(self.child.id(), signal);
     }
 
     pub fn is_ready(&self) -> bool {
