Open watches again after an outage of the store

Cause: a long-polling call that begins while the store is silent never gets a response, and its connection stays alive. Only its own timeout of 18 s ended it. StoreHealth saw the outage and its end, but no watch heard of it, and all nodes' calls hung together.

Change: MonitoredStore opens a watch again that waited for a response when an outage ended, spread over 0.5 s, at most every 2 s. An outage in which no other call fails is not seen there, so calls also wait no longer than lets a lost one be replaced within contact_ms + drain_ms.

Why this works: a call that begins after another one was answered is not lost with the outage, and a lost call that nothing shows ends early enough for the time in which a leaving runner must be heard of.

--- a/src/store/client_limits.rs
+++ b/src/store/client_limits.rs
@@ -14,6 +14,15 @@
 /// The time allowed for the response to a long-polling watch, beyond the requested delay.
 const WATCH_RESPONSE_MARGIN: Duration = Duration::from_secs(3);
 
+/// The same time where a lost response must be noticed soon.
+const LOST_RESPONSE_MARGIN: Duration = Duration::from_millis(1_500);
+
+/// The time to begin another call after a lost one and to read its response.
+const REPLACEMENT_RESERVE: Duration = Duration::from_millis(500);
+
+/// The shortest wait that a long-polling watch asks for, however soon it must be replaced.
+const WATCH_WAIT_MIN: Duration = Duration::from_secs(1);
+
 /// The limits of calls that the service answers without waiting for changes.
 pub const STORE_CLIENT_LIMITS: ClientLimits = ClientLimits {
     connect_timeout: Duration::from_millis(1_000),
@@ -33,6 +42,26 @@
 }
 
 impl WatchLimits {
+    /// Returns the limits of [`WatchLimits::for_history`], with which a call whose response is lost
+    /// is also replaced within a time after its begin.
+    ///
+    /// No other call need show that the response is lost.
+    pub fn noticing_within(history: Duration, noticed_within: Duration) -> Self {
+        let for_history = Self::for_history(history);
+        let reserve = LOST_RESPONSE_MARGIN + REPLACEMENT_RESERVE;
+        let wait = noticed_within.saturating_sub(reserve).max(WATCH_WAIT_MIN);
+        if wait >= for_history.wait {
+            return for_history;
+        }
+        Self {
+            wait,
+            call: CallLimits {
+                timeout: wait + LOST_RESPONSE_MARGIN,
+                ..for_history.call
+            },
+        }
+    }
+
     /// Returns the limits for a service that keeps its history for the given time.
     ///
     /// The wait is shorter than the history: with a longer wait, the version from which an idle
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -11,6 +11,7 @@
 mod long_poll;
 mod metered_store;
 mod monitored_store;
+mod reopening_watch;
 mod request;
 mod response;
 mod upstream_store;
--- a/src/store/monitored_store.rs
+++ b/src/store/monitored_store.rs
@@ -2,18 +2,18 @@
 
 use {
     super::{
-        Changes, Lease, LeaseId, Range, SharedStore, Store, StoreError, StoreVersion, Txn, TxnReply,
+        Changes, Lease, LeaseId, Range, SharedStore, Store, StoreError, StoreVersion, Txn,
+        TxnReply, reopening_watch::ReopeningWatch,
     },
     futures::{
-        StreamExt,
-        future::{BoxFuture, FutureExt},
+        future::{self, BoxFuture, FutureExt},
         stream::BoxStream,
     },
     std::{
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
-    tokio::time::Instant,
+    tokio::{sync::watch, time::Instant},
 };
 
 /// The times of outages and successful calls.
@@ -21,7 +21,6 @@
 struct HealthState {
     /// The start of the current outage; `None` if there is none.
     outage_since: Option<Instant>,
-    recovered_at: Option<Instant>,
     last_response_at: Option<Instant>,
 }
 
@@ -30,7 +29,11 @@
 /// Outages are detected from failed reads and lease renewals. Failed watches don't count, since a
 /// watch may break without an outage, nor do failed writes, which may be refused for other reasons.
 #[derive(Debug, Default)]
-pub struct StoreHealth(Mutex<HealthState>);
+pub struct StoreHealth {
+    state: Mutex<HealthState>,
+    /// When the latest outage ended.
+    recovered_at: watch::Sender<Option<Instant>>,
+}
 
 impl StoreHealth {
     /// Returns the end of the latest outage, or the current time during an outage.
@@ -38,7 +41,18 @@
         let state = self.lock();
         match state.outage_since {
             Some(_) => Some(Instant::now()),
-            None => state.recovered_at,
+            None => *self.recovered_at.borrow(),
+        }
+    }
+
+    /// Waits until an outage ends, or has ended after `since`; returns when it ended.
+    pub(super) async fn outage_ended_after(&self, since: Instant) -> Instant {
+        let mut recovered_at = self.recovered_at.subscribe();
+        let ended = recovered_at.wait_for(|at| at.is_some_and(|at| at > since));
+        match ended.await.ok().and_then(|at| *at) {
+            Some(at) => at,
+            // The sender lives as long as `self`.
+            None => future::pending().await,
         }
     }
 
@@ -78,24 +92,26 @@
         }
     }
 
-    fn record_response(&self) {
+    pub(super) fn record_response(&self) {
         let mut state = self.lock();
         state.last_response_at = Some(Instant::now());
         let Some(since) = state.outage_since.take() else {
             return;
         };
-        state.recovered_at = Some(Instant::now());
+        self.recovered_at.send_replace(Some(Instant::now()));
         drop(state);
         let out_ms = since.elapsed().as_millis() as u64;
         log::info!(out_ms = out_ms; "store: it answers again.");
     }
 
     fn lock(&self) -> MutexGuard<'_, HealthState> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// A store that detects outages of the store to which it forwards its calls.
+///
+/// Its watches are opened again after each outage.
 pub struct MonitoredStore {
     inner: SharedStore,
     health: Arc<StoreHealth>,
@@ -165,12 +181,6 @@
         prefix: &'a str,
         since: StoreVersion,
     ) -> BoxStream<'a, Result<Changes, StoreError>> {
-        let watch = self.inner.watch(prefix, since);
-        let record_batch = |changes: &Result<Changes, StoreError>| {
-            if changes.is_ok() {
-                self.health.record_response();
-            }
-        };
-        watch.inspect(record_batch).boxed()
+        ReopeningWatch::open(&*self.inner, &self.health, prefix, since).into_stream()
     }
 }
