Record that a passed-on request may have run before it is sent

Cause: pass_on recorded the possible run after the peer's response was lost or late. The end of a stop and the deadline drop its future in the middle, and the refusal is then chosen by a record that was never made.

Change: pass_on uses record_sending before the send, as attempts at runners do, and takes it back if the peer was not reached or reaches no runner.

Why this works: nothing has to run after the future is dropped; "not run" is said only if the record was taken back by evidence.

--- a/src/relay/pass_on.rs
+++ b/src/relay/pass_on.rs
@@ -46,6 +46,8 @@
             let Some(request) = passed_on_request(&self.call) else {
                 return Err(refusal);
             };
+            // Recorded before it is sent, as this future may be dropped at any time from here on.
+            let before = self.progress.record_sending();
             let sent = self.relay.peer_client().send(peer.control_address, request);
             match time::timeout_at(self.call.deadline, sent).await {
                 Ok(Ok(exchange)) => {
@@ -55,20 +57,18 @@
                         self.relay.counters.passed_on.count();
                         return Ok(passed_on_response(exchange));
                     }
+                    self.progress.record_not_run(before);
                 }
                 Ok(Err(SendError::Broken(cause))) => {
                     log::debug!(peer:% = peer.name; "relay: a response of a peer is lost: {cause}");
-                    self.progress.may_have_run = true;
                     return Err(Refusal::RunnerFailed);
                 }
                 Ok(Err(cause)) => {
                     log::debug!(peer:% = peer.name; "relay: a peer is not reached: {cause}");
+                    self.progress.record_unsent(before);
                     self.relay.record_peer_reach(&peer, &service, false);
                 }
-                Err(_) => {
-                    self.progress.may_have_run = true;
-                    return Err(Refusal::TimedOut);
-                }
+                Err(_) => return Err(Refusal::TimedOut),
             }
         }
         Err(refusal)
--- a/tests/relay_pass_on.rs
+++ b/tests/relay_pass_on.rs
@@ -221,6 +221,24 @@
     assert!(far.rig.received().is_empty());
 }
 
+// Guards against a request that is called not run at a planned stop, while a runner that another
+// node sent it to runs it.
+#[tokio::test]
+async fn a_passed_on_request_is_not_called_not_run_at_a_planned_stop() {
+    let near = start_node(NonIdempotent, |_| vec![Step::Hang]).await;
+    let cut_off = start_cut_off(NonIdempotent, &[&near]).await;
+    let address = cut_off.rig.address;
+    let call = tokio::spawn(async move { call_at(address, "x-deadline-ms: 3000\r\n").await });
+    while near.rig.received().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    // The open requests are ended a second later.
+    cut_off.rig.stop.cancel();
+    let answer = call.await.unwrap();
+    assert!(matches!(answer.status, 0 | 502 | 504), "{}", answer.status);
+    assert_eq!(near.rig.received().len(), 1);
+}
+
 async fn call_at(address: SocketAddr, headers: &str) -> Answer {
     let mut caller = common::relay_rig::RawCaller::connect(address).await;
     caller.send(headers, "").await;
