End passed-on responses at the deadline and at a planned stop

Cause: the body of a passed-on response was forwarded without the deadline and without the token that ends open requests. Event streams had both guards, large plain bodies only the deadline. Both polled the body first, so that a body that always has more data was never cut.

Change: one guard, Cutoff, for each part of each forwarded body, polled before the body.

Why this works: the guard is this node's own timer and token, and depends on nothing that the other node sends.

--- a/src/relay/event_stream.rs
+++ b/src/relay/event_stream.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        AttemptResult, Call, CallerResponse, EventSplitter, ForwardedCall, KeepAlive,
+        AttemptResult, Call, CallerResponse, Cutoff, EventSplitter, ForwardedCall, KeepAlive,
         RunnerConnection, RunnerResponse, SentAssignment, response_head,
     },
     crate::{
@@ -11,12 +11,11 @@
         http::{Body, BodyError},
     },
     bytes::Bytes,
-    futures::{FutureExt, StreamExt, future::BoxFuture, stream},
+    futures::{StreamExt, stream},
     http_body_util::BodyExt,
     hyper::{Response, body::Incoming},
     std::{sync::Arc, time::Duration},
-    tokio::time::{self, Instant},
-    tokio_util::sync::CancellationToken,
+    tokio::time,
 };
 
 /// The delay before the next attempt to resume a stream, while the caller waits for an event.
@@ -45,8 +44,7 @@
     /// The runner that sent the last forwarded event.
     runner: Arc<RunnerEntry>,
     last_id: Option<u64>,
-    /// Completes when the stream must end, with the reason.
-    cutoff: BoxFuture<'static, &'static str>,
+    cutoff: Cutoff,
 }
 
 impl RunnerResponse {
@@ -142,11 +140,7 @@
     head: Response<()>,
     live: RunnerStream,
 ) -> Response<Body> {
-    let cutoff = wait_for_cutoff(
-        forwarded.relay.end_requests.clone(),
-        forwarded.call.deadline,
-    )
-    .boxed();
+    let cutoff = Cutoff::new(&forwarded.relay.end_requests, forwarded.call.deadline);
     if !forwarded.call.is_retryable() {
         forwarded.call.free_request();
     }
@@ -162,14 +156,6 @@
     head.map(|()| Body::Stream(events))
 }
 
-/// Waits until a stream must end, and returns the reason.
-async fn wait_for_cutoff(end_requests: CancellationToken, deadline: Instant) -> &'static str {
-    tokio::select! {
-        () = time::sleep_until(deadline) => "the deadline passed",
-        () = end_requests.cancelled() => "the node is stopping",
-    }
-}
-
 type NextEvents = (Result<Bytes, BodyError>, Option<Box<CallerStream>>);
 
 async fn next_events(state: Option<Box<CallerStream>>) -> Option<NextEvents> {
@@ -181,12 +167,8 @@
         last_id,
         cutoff,
     } = &mut *state;
-    let next = tokio::select! {
-        biased;
-        next = next_or_resume(forwarded, live, runner, last_id) => next,
-        cause = cutoff => Err(cause.to_owned()),
-    };
-    match next {
+    let next = cutoff.next(next_or_resume(forwarded, live, runner, last_id));
+    match next.await.flatten() {
         Ok(Some(events)) => Some((Ok(events), Some(state))),
         Ok(None) => None,
         Err(cause) => {
--- a/src/relay/forwarded_call.rs
+++ b/src/relay/forwarded_call.rs
@@ -179,7 +179,7 @@
         let status = runner_response.response.status();
         let runner = runner_response.assignment.runner.clone();
         let failure = runner_response
-            .into_plain(&self.call, AttemptOutcome::Failed)
+            .into_plain(&self.call, &self.relay.end_requests, AttemptOutcome::Failed)
             .await;
         let Some(failure) = failure else {
             self.relay.probe_end(&runner);
@@ -206,7 +206,11 @@
         } else {
             runner_response.assignment.record_progress(self.call.left());
             let response = runner_response
-                .into_plain(&self.call, AttemptOutcome::Complete)
+                .into_plain(
+                    &self.call,
+                    &self.relay.end_requests,
+                    AttemptOutcome::Complete,
+                )
                 .await;
             response.map(CallerResponse::Plain)
         };
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -4,6 +4,7 @@
 mod attempt_progress;
 mod call;
 mod connection_pool;
+mod cutoff;
 mod end_probe;
 mod event_splitter;
 mod event_stream;
@@ -28,10 +29,10 @@
 mod write_tracker;
 
 use {
-    attempt::*, attempt_progress::*, call::*, connection_pool::*, end_probe::*, event_stream::*,
-    first_write::*, forwarded_call::*, refusal::*, relay_counters::CancellationGuard,
-    relay_counters::ResponseOutcome, response_class::*, runner_connection::*, sent_assignment::*,
-    write_tracker::*,
+    attempt::*, attempt_progress::*, call::*, connection_pool::*, cutoff::*, end_probe::*,
+    event_stream::*, first_write::*, forwarded_call::*, refusal::*,
+    relay_counters::CancellationGuard, relay_counters::ResponseOutcome, response_class::*,
+    runner_connection::*, sent_assignment::*, write_tracker::*,
 };
 pub use {
     event_splitter::*, head::*, pass_on::PASSED_ON, relay::*, relay_counters::RelayCounters,
--- a/src/relay/pass_on.rs
+++ b/src/relay/pass_on.rs
@@ -3,7 +3,7 @@
 //! A request is passed on once at most, and only if no runner may have run it.
 
 use {
-    super::{Call, CallerResponse, ForwardedCall, Refusal, Relay, peer_reach::PeerReach},
+    super::{Call, CallerResponse, Cutoff, ForwardedCall, Refusal, Relay, peer_reach::PeerReach},
     crate::{
         http::{Body, BodyError, Exchange, SendError, remove_connection_headers},
         leader::PeerNode,
@@ -55,7 +55,9 @@
                     self.relay.record_peer_reach(&peer, &service, !is_out);
                     if !is_out {
                         self.relay.counters.passed_on.count();
-                        return Ok(passed_on_response(exchange));
+                        let end_requests = &self.relay.end_requests;
+                        let cutoff = Cutoff::new(end_requests, self.call.deadline);
+                        return Ok(passed_on_response(exchange, cutoff));
                     }
                     self.progress.record_not_run(before);
                 }
@@ -125,21 +127,22 @@
 }
 
 /// Returns the response of a peer for the caller.
-fn passed_on_response(exchange: Exchange) -> CallerResponse {
+fn passed_on_response(exchange: Exchange, cutoff: Cutoff) -> CallerResponse {
     let (mut head, body) = exchange.response.into_parts();
     remove_connection_headers(&mut head.headers);
     head.extensions.clear();
     head.headers.remove(header::CONTENT_LENGTH);
-    let state = Some((body, exchange.connection));
+    let state = Some((body, exchange.connection, cutoff));
     let chunks = stream::unfold(state, |state| async {
-        let (mut body, connection) = state?;
-        match next_data(&mut body).await {
-            Some(Ok(data)) => Some((Ok(data), Some((body, connection)))),
-            Some(Err(cause)) => Some((Err(BodyError(cause.to_string())), None)),
-            None => {
+        let (mut body, connection, mut cutoff) = state?;
+        match cutoff.next(next_data(&mut body)).await {
+            Ok(Some(Ok(data))) => Some((Ok(data), Some((body, connection, cutoff)))),
+            Ok(Some(Err(cause))) => Some((Err(BodyError(cause.to_string())), None)),
+            Ok(None) => {
                 connection.recycle();
                 None
             }
+            Err(reason) => Some((Err(BodyError(reason)), None)),
         }
     });
     CallerResponse::Plain(Response::from_parts(head, Body::Stream(chunks.boxed())))
--- a/src/relay/plain_response.rs
+++ b/src/relay/plain_response.rs
@@ -1,7 +1,9 @@
 //! Responses that are not event streams.
 
 use {
-    super::{Call, KeepAlive, RunnerConnection, RunnerResponse, SentAssignment, response_head},
+    super::{
+        Call, Cutoff, KeepAlive, RunnerConnection, RunnerResponse, SentAssignment, response_head,
+    },
     crate::{
         dispatch::AttemptOutcome,
         http::{Body, BodyError},
@@ -10,7 +12,7 @@
     futures::{StreamExt, stream},
     http_body_util::BodyExt,
     hyper::{Method, Response, body::Incoming},
-    tokio::time::{self, Instant},
+    tokio_util::sync::CancellationToken,
 };
 
 /// The largest body that is read completely before the head is forwarded, in bytes.
@@ -23,7 +25,7 @@
     assignment: SentAssignment,
     connection: RunnerConnection,
     keep_alive: KeepAlive,
-    deadline: Instant,
+    cutoff: Cutoff,
     outcome: AttemptOutcome,
 }
 
@@ -34,6 +36,7 @@
     pub(super) async fn into_plain(
         self,
         call: &Call,
+        end_requests: &CancellationToken,
         outcome: AttemptOutcome,
     ) -> Option<Response<Body>> {
         let (mut head, mut body) = response_head::split(self.response);
@@ -60,7 +63,7 @@
             assignment: self.assignment,
             connection: self.connection,
             keep_alive: self.keep_alive,
-            deadline: call.deadline,
+            cutoff: Cutoff::new(end_requests, call.deadline),
             outcome,
         };
         let chunks = stream::unfold(Some(Box::new(rest)), next_chunk).boxed();
@@ -126,8 +129,7 @@
         return Some((Ok(std::mem::take(&mut rest.start)), Some(rest)));
     }
     loop {
-        let frame = time::timeout_at(rest.deadline, rest.body.frame()).await;
-        match frame {
+        match rest.cutoff.next(rest.body.frame()).await {
             Ok(None) => {
                 rest.assignment.finish(rest.outcome);
                 rest.connection.recycle(rest.keep_alive);
@@ -142,7 +144,7 @@
                 rest.assignment.finish(AttemptOutcome::Broken);
                 return Some((Err(BodyError(cause.to_string())), None));
             }
-            Err(_) => return Some((Err(BodyError("the deadline passed".to_owned())), None)),
+            Err(reason) => return Some((Err(BodyError(reason)), None)),
         }
     }
 }
--- a/tests/relay_pass_on.rs
+++ b/tests/relay_pass_on.rs
@@ -7,8 +7,8 @@
 
 use {
     common::{
-        fake_backend::{Received, Step},
-        relay_rig::{Answer, RESUMABLE, RelayRig, Setup, events, signed, stream_end},
+        fake_backend::{FakeBackend, Received, Step},
+        relay_rig::{Answer, RESUMABLE, RelayRig, Setup, events, signed, stream_end, with_head},
     },
     greengagetrail::{
         http::{ListenerLimits, serve_http},
@@ -95,6 +95,10 @@
 /// Starts a node that reaches none of its runners, with the given peers.
 async fn start_cut_off(kind: RouteKind, peers: &[&Node]) -> Node {
     let peers = peers.iter().map(|node| node.peer.clone()).collect();
+    start_cut_off_among(kind, peers).await
+}
+
+async fn start_cut_off_among(kind: RouteKind, peers: Vec<PeerNode>) -> Node {
     let peers = watch::Sender::new(peers).subscribe();
     let ports = closed_ports();
     let at: Vec<_> = ports
@@ -239,6 +243,77 @@
     assert_eq!(near.rig.received().len(), 1);
 }
 
+/// Starts a peer that follows a script, as a node that freezes or runs another build may do.
+async fn start_scripted(
+    script: impl Fn(&Received) -> Vec<Step> + Send + Sync + 'static,
+) -> (FakeBackend, PeerNode) {
+    let peer = FakeBackend::start(script).await;
+    let node = PeerNode {
+        name: "scripted".into(),
+        gossip_address: peer.address,
+        control_address: peer.address,
+        zone: "z".into(),
+    };
+    (peer, node)
+}
+
+/// A chunk without a length, so that only the guard of the body can end it.
+fn endless_body(received: &Received) -> Vec<Step> {
+    with_head(
+        received,
+        200,
+        "x-signature: s\r\ntransfer-encoding: chunked\r\n",
+        "4\r\nbody\r\n",
+    )
+}
+
+// Guards against passed-on responses that stay open beyond the deadline while the other node is
+// frozen.
+#[tokio::test]
+async fn a_passed_on_response_ends_at_the_deadline_though_the_other_node_is_frozen() {
+    for kind in [Idempotent, NonIdempotent, RESUMABLE] {
+        let (_peer, node) = start_scripted(|received| {
+            let mut steps = endless_body(received);
+            steps.push(Step::Hang);
+            steps
+        })
+        .await;
+        let cut_off = start_cut_off_among(kind, vec![node]).await;
+        let begun = Instant::now();
+        let answer = cut_off.rig.call("x-deadline-ms: 1000\r\n").await;
+        let elapsed = begun.elapsed();
+        assert!(!answer.complete, "{kind:?}: {answer:?}");
+        assert!(
+            elapsed < Duration::from_millis(1_500),
+            "{kind:?}: {elapsed:?}"
+        );
+    }
+}
+
+// Guards against a node that outlasts its grace time, as another one still sends.
+#[tokio::test]
+async fn a_passed_on_response_ends_with_a_planned_stop() {
+    let (_peer, node) = start_scripted(|received| {
+        let mut steps = endless_body(received);
+        steps.push(Step::Hang);
+        steps
+    })
+    .await;
+    let cut_off = start_cut_off_among(Idempotent, vec![node]).await;
+    let address = cut_off.rig.address;
+    let begun = Instant::now();
+    let call = tokio::spawn(async move { call_at(address, "x-deadline-ms: 3000\r\n").await });
+    sleep(Duration::from_millis(200)).await;
+    cut_off.rig.stop.cancel();
+    let answer = call.await.unwrap();
+    assert!(!answer.complete, "{answer:?}");
+    assert!(
+        begun.elapsed() < Duration::from_millis(1_900),
+        "{:?}",
+        begun.elapsed()
+    );
+}
+
 async fn call_at(address: SocketAddr, headers: &str) -> Answer {
     let mut caller = common::relay_rig::RawCaller::connect(address).await;
     caller.send(headers, "").await;
