Accept at the control port every head that a caller's port accepts

Cause: the control port had a limit of its own of 16 KiB, and the response of its HTTP library was taken for the runner's.

Change: both ports take their limit from one source. A rejection that bears neither a problem document nor a request id or signature is the library's: the next peer is asked for a request that may run twice, and the caller gets 502 for another one.

Why this works: a head that was accepted at the front fits at every peer, with the header that passing on adds, and a kept connection has the same limit after a change of the configuration.

--- a/src/http/problem.rs
+++ b/src/http/problem.rs
@@ -2,11 +2,20 @@
 
 use {
     super::Body,
-    hyper::{Response, StatusCode, header},
+    hyper::{HeaderMap, Response, StatusCode, header},
     serde::Serialize,
     std::time::Duration,
 };
 
+/// The media type of problem documents.
+const PROBLEM_TYPE: &str = "application/problem+json";
+
+/// Returns whether a response with these headers has a problem document.
+pub fn is_problem(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(header::CONTENT_TYPE);
+    content_type.is_some_and(|value| value == PROBLEM_TYPE)
+}
+
 /// Whether a failed request ran.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -97,7 +106,7 @@
         let headers = response.headers_mut();
         headers.insert(
             header::CONTENT_TYPE,
-            header::HeaderValue::from_static("application/problem+json"),
+            header::HeaderValue::from_static(PROBLEM_TYPE),
         );
         if let Some(wait) = self.retry_after {
             let seconds = wait.as_millis().div_ceil(1000) as u64;
--- a/src/node/control_port.rs
+++ b/src/node/control_port.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         http::{Body, ListenerLimits, serve_http, serve_http_with},
-        relay::PASSED_ON,
+        relay::{PASSED_ON, PASSED_ON_HEAD_MAX_BYTES},
         security::{AllowedRoles, Role},
         telemetry::RecentEvents,
     },
@@ -34,14 +34,23 @@
 pub const METRICS_PATH: &str = "/metrics";
 
 /// The connection limits of the control port.
-pub(super) const CONTROL_PORT_LIMITS: ListenerLimits = ListenerLimits {
-    head_max_bytes: 16 * 1024,
+///
+/// A head that callers may send may also be passed on, by kept connections too when a
+/// configuration allows longer heads.
+pub const CONTROL_PORT_LIMITS: ListenerLimits = ListenerLimits {
+    head_max_bytes: PASSED_ON_HEAD_MAX_BYTES,
     head_timeout: Duration::from_secs(5),
     write_timeout: Duration::from_secs(5),
     connections_max: 256,
     stop_max: Duration::from_secs(1),
 };
 
+/// The connection limits of the metrics port.
+const METRICS_PORT_LIMITS: ListenerLimits = ListenerLimits {
+    head_max_bytes: 16 * 1024,
+    ..CONTROL_PORT_LIMITS
+};
+
 /// The HTTP server of the control port.
 #[derive(Debug, Clone)]
 pub struct ControlPort {
@@ -119,7 +128,7 @@
             _ => empty_response(StatusCode::NOT_FOUND),
         })
     };
-    serve_http(listener, CONTROL_PORT_LIMITS, stop, handle).await;
+    serve_http(listener, METRICS_PORT_LIMITS, stop, handle).await;
 }
 
 fn json_response(value: &impl Serialize) -> Response<Body> {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -36,5 +36,5 @@
 };
 pub use {
     event_splitter::*, head::*, pass_on::PASSED_ON, relay::*, relay_counters::RelayCounters,
-    retry_budget::*,
+    retry_budget::*, serve::PASSED_ON_HEAD_MAX_BYTES,
 };
--- a/src/relay/pass_on.rs
+++ b/src/relay/pass_on.rs
@@ -5,7 +5,7 @@
 use {
     super::{Call, CallerResponse, Cutoff, ForwardedCall, Refusal, Relay, peer_reach::PeerReach},
     crate::{
-        http::{Body, BodyError, Exchange, SendError, remove_connection_headers},
+        http::{Body, BodyError, Exchange, SendError, is_problem, remove_connection_headers},
         leader::PeerNode,
         traffic::ServiceId,
     },
@@ -13,7 +13,7 @@
     futures::{StreamExt, stream},
     http_body_util::BodyExt,
     hyper::{
-        HeaderMap, Request, Response,
+        HeaderMap, Request, Response, StatusCode,
         body::Incoming,
         header::{self, HeaderName, HeaderValue},
     },
@@ -50,6 +50,14 @@
             let before = self.progress.record_sending();
             let sent = self.relay.peer_client().send(peer.control_address, request);
             match time::timeout_at(self.call.deadline, sent).await {
+                Ok(Ok(exchange)) if self.is_of_library(&exchange.response) => {
+                    let (name, status) = (&peer.name, exchange.response.status());
+                    log::debug!(peer:% = name; "relay: a peer does not accept a request: {status}");
+                    // A runner may have given such a response too.
+                    if !self.call.is_retryable() {
+                        return Err(Refusal::RunnerFailed);
+                    }
+                }
                 Ok(Ok(exchange)) => {
                     let is_out = exchange.response.headers().contains_key(OUT_OF_REACH);
                     self.relay.record_peer_reach(&peer, &service, !is_out);
@@ -75,6 +83,28 @@
         }
         Err(refusal)
     }
+
+    /// Returns whether the HTTP library of a peer responded, which rejects requests by limits of
+    /// that node, and neither its relay nor a runner.
+    fn is_of_library(&self, response: &Response<Incoming>) -> bool {
+        let is_rejection = matches!(
+            response.status(),
+            StatusCode::BAD_REQUEST
+                | StatusCode::REQUEST_TIMEOUT
+                | StatusCode::PAYLOAD_TOO_LARGE
+                | StatusCode::URI_TOO_LONG
+                | StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
+                | StatusCode::HTTP_VERSION_NOT_SUPPORTED
+        );
+        if !is_rejection || is_problem(response.headers()) {
+            return false;
+        }
+        let (mut parts, ()) = Response::new(()).into_parts();
+        parts.status = response.status();
+        parts.headers = response.headers().clone();
+        let head = self.relay.formats.read_response_head(&parts);
+        head.request_id.is_none() && !head.is_signed && !head.not_executed
+    }
 }
 
 impl Relay {
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -25,6 +25,17 @@
 /// The largest head of a caller's request before any configuration is known, in bytes.
 const DEFAULT_HEAD_MAX_BYTES: usize = 16 * 1024;
 
+/// The largest head that any configuration allows, in bytes; with the slack, callers' connections
+/// accept no longer ones.
+const HEAD_LIMIT_MAX_BYTES: usize = 1 << 20;
+
+/// The bytes that passing a request on adds to its head: one header.
+const PASSED_ON_HEADER_BYTES: usize = 64;
+
+/// The largest head of a request that a peer passes on, in bytes: any that a caller's port accepts.
+pub const PASSED_ON_HEAD_MAX_BYTES: usize =
+    HEAD_LIMIT_MAX_BYTES + HEAD_SLACK_BYTES + PASSED_ON_HEADER_BYTES;
+
 /// The idle timeout of callers' connections before any configuration is known.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -100,7 +111,13 @@
         builder
             .timer(TokioTimer::new())
             .header_read_timeout(idle + IDLE_TIMEOUT_SLACK)
-            .max_buf_size((head_max_bytes + HEAD_SLACK_BYTES).max(HEAD_LIMIT_MIN_BYTES));
+            .max_buf_size(head_buffer_bytes(head_max_bytes));
         builder
     }
 }
+
+/// Returns the buffer of a caller's connection for the configured limit of heads.
+fn head_buffer_bytes(head_max_bytes: usize) -> usize {
+    let limit = head_max_bytes.min(HEAD_LIMIT_MAX_BYTES);
+    (limit + HEAD_SLACK_BYTES).max(HEAD_LIMIT_MIN_BYTES)
+}
--- a/tests/relay_pass_on.rs
+++ b/tests/relay_pass_on.rs
@@ -11,8 +11,9 @@
         relay_rig::{Answer, RESUMABLE, RelayRig, Setup, events, signed, stream_end, with_head},
     },
     greengagetrail::{
-        http::{ListenerLimits, serve_http},
+        http::serve_http,
         leader::PeerNode,
+        node::CONTROL_PORT_LIMITS,
         traffic::RouteKind::{self, Idempotent, NonIdempotent},
     },
     std::{
@@ -30,13 +31,8 @@
 
 const RUNNERS: usize = 4;
 
-const LIMITS: ListenerLimits = ListenerLimits {
-    head_max_bytes: 16 * 1024,
-    head_timeout: Duration::from_secs(5),
-    write_timeout: Duration::from_secs(5),
-    connections_max: 64,
-    stop_max: Duration::from_secs(1),
-};
+/// The limit of request heads in the configuration.
+const HEAD_MAX_BYTES: usize = 65_536;
 
 /// A node that other nodes may pass requests on to.
 struct Node {
@@ -52,9 +48,12 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let control_address = listener.local_addr().unwrap();
         let relay = rig.relay.clone();
-        let serving = serve_http(listener, LIMITS, CancellationToken::new(), move |request| {
-            relay.clone().serve_passed_on(request)
-        });
+        let serving = serve_http(
+            listener,
+            CONTROL_PORT_LIMITS,
+            CancellationToken::new(),
+            move |request| relay.clone().serve_passed_on(request),
+        );
         let peer = PeerNode {
             name: format!("n{}", control_address.port()).as_str().into(),
             gossip_address: control_address,
@@ -71,10 +70,12 @@
 }
 
 fn setup(kind: RouteKind) -> Setup {
-    Setup {
+    let mut setup = Setup {
         runners: RUNNERS,
         ..Setup::new(kind)
-    }
+    };
+    setup.limits.head_max_bytes = HEAD_MAX_BYTES;
+    setup
 }
 
 /// Starts a node that reaches its runners.
@@ -314,6 +315,62 @@
     );
 }
 
+// Guards against proper requests that are denied since their heads are longer than another node's
+// own limit, and against a limit that leaves no room for what passing on adds.
+#[tokio::test]
+async fn requests_with_long_heads_are_passed_on() {
+    for kind in [Idempotent, NonIdempotent] {
+        let near = start_node(kind, ok).await;
+        let cut_off = start_cut_off(kind, &[&near]).await;
+        for length in [1_000, 16_200, 40_000, HEAD_MAX_BYTES - 200] {
+            let header = format!("x-long: {}\r\n", "x".repeat(length));
+            let answer = cut_off.rig.call(&header).await;
+            assert_eq!(answer.parts(), (200, "ok", true), "{length} bytes");
+        }
+    }
+}
+
+/// The response of the HTTP library of a node with a limit of its own.
+fn head_too_long(_: &Received) -> Vec<Step> {
+    let head = "HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\n";
+    vec![
+        Step::send(format!("{head}content-length: 0\r\n\r\n")),
+        Step::Close,
+    ]
+}
+
+// Guards against rejections by a peer's HTTP library, as a node of an earlier version gives for
+// long heads, that are taken for a runner's response.
+#[tokio::test]
+async fn a_rejection_by_the_http_library_of_a_peer_is_no_response() {
+    for kind in [Idempotent, NonIdempotent] {
+        let (_peer, earlier) = start_scripted(head_too_long).await;
+        let cut_off = start_cut_off_among(kind, vec![earlier.clone()]).await;
+        let status = cut_off.rig.call("").await.status;
+        assert_eq!(status, if kind == Idempotent { 503 } else { 502 });
+        // Another node is asked for what may run twice.
+        let near = start_node(kind, ok).await;
+        let cut_off = start_cut_off_among(kind, vec![earlier, near.peer.clone()]).await;
+        for _ in 0..8 {
+            let status = cut_off.rig.call("").await.status;
+            assert!(
+                status == 200 || kind == NonIdempotent && status == 502,
+                "{status}"
+            );
+        }
+    }
+}
+
+// Guards against a runner's own response that is taken for one of the peer's HTTP library.
+#[tokio::test]
+async fn a_runners_own_rejection_is_passed_on() {
+    let near = start_node(Idempotent, |received| signed(received, 431, "", "long")).await;
+    let cut_off = start_cut_off(Idempotent, &[&near]).await;
+    let answer = cut_off.rig.call("").await;
+    assert_eq!(answer.parts(), (431, "long", true));
+    assert!(answer.head.contains("x-signature"));
+}
+
 async fn call_at(address: SocketAddr, headers: &str) -> Answer {
     let mut caller = common::relay_rig::RawCaller::connect(address).await;
     caller.send(headers, "").await;
