Limit what is read before the head of a response

What callers saw: with a runner that answers six requests of one service by interim responses (1xx) without end, requests of other services at the same node waited for more than a second, and the six got 504 at their deadline.

Cause: the HTTP library limits a head to 64 KiB, but reads and drops any number of interim responses before it, for as long as they come, at the cost of a whole core.

Change: HeadGuard counts the bytes that are read between a request and the head of its response, and fails the read after 128 KiB. It is on connections to runners and on those of http::Client (store, peers, orders, reports, the product's own entry and keeper). The attempt fails like one whose connection broke: it counts against the runner's health, and another runner gets what may run twice.

Why this works: the bound holds for all that may come before a head, whatever the library makes of it, and so bounds the processor time too.

Evidence: tests/relay_endless_bytes.rs; three tests failed before (a sound request waited 1.03 s; 504; a call that lasted to its timeout), two more guard the limit from the other side and heads without end.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,7 +1,11 @@
 //! An HTTP/1.1 client that pools connections and sends one request at a time on each.
 
 use {
-    super::{Body, Connection, Liveness, SendError, idle_connections::IdleConnections, liveness},
+    super::{
+        Body, Connection, HeadGuard, Liveness, SendError,
+        idle_connections::{IdleConnection, IdleConnections},
+        liveness,
+    },
     crate::security::Tls,
     hyper::{Request, Response, body::Incoming, client::conn::http1},
     hyper_util::rt::TokioIo,
@@ -9,7 +13,7 @@
     tokio::{
         io::{AsyncRead, AsyncWrite},
         net::TcpStream,
-        time,
+        time::{self, Instant},
     },
 };
 
@@ -106,7 +110,7 @@
 
     async fn checkout_or_connect(&self, address: SocketAddr) -> Result<Connection, SendError> {
         while let Some(idle) = self.idle.checkout(address) {
-            let mut connection = Connection::reuse(address, idle, self.idle.clone());
+            let mut connection = Connection::new(address, idle, self.idle.clone());
             let ready = time::timeout(self.connect_timeout, connection.ready());
             if ready.await == Ok(true) {
                 return Ok(connection);
@@ -144,6 +148,8 @@
         stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
     ) -> Result<Connection, SendError> {
         let not_connected = |cause: String| SendError::NotConnected(cause);
+        let stream = HeadGuard::new(stream);
+        let head = stream.allowance();
         let (sender, driver) = http1::Builder::new()
             .max_buf_size(HEAD_MAX_BYTES)
             .handshake::<_, Body>(TokioIo::new(stream))
@@ -152,8 +158,13 @@
         let task = tokio::spawn(async move {
             let _ = driver.await;
         });
-        let idle = self.idle.clone();
-        Ok(Connection::new(address, sender, task.abort_handle(), idle))
+        let open = IdleConnection {
+            sender,
+            task: task.abort_handle(),
+            head,
+            idle_since: Instant::now(),
+        };
+        Ok(Connection::new(address, open, self.idle.clone()))
     }
 }
 
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -5,13 +5,9 @@
         Body,
         idle_connections::{IdleConnection, IdleConnections},
     },
-    hyper::{
-        Request, Response,
-        body::Incoming,
-        client::conn::{TrySendError, http1::SendRequest},
-    },
+    hyper::{Request, Response, body::Incoming, client::conn::TrySendError},
     std::{net::SocketAddr, sync::Arc},
-    tokio::{task::AbortHandle, time::Instant},
+    tokio::time::Instant,
 };
 
 /// A client connection in use.
@@ -26,25 +22,6 @@
 
 impl Connection {
     pub(super) fn new(
-        address: SocketAddr,
-        sender: SendRequest<Body>,
-        task: AbortHandle,
-        idle: Arc<IdleConnections>,
-    ) -> Self {
-        let idle_since = Instant::now();
-        let open = IdleConnection {
-            sender,
-            task,
-            idle_since,
-        };
-        Self {
-            address,
-            open: Some(open),
-            idle,
-        }
-    }
-
-    pub(super) fn reuse(
         address: SocketAddr,
         open: IdleConnection,
         idle: Arc<IdleConnections>,
@@ -69,7 +46,10 @@
         request: Request<Body>,
     ) -> Option<Result<Response<Incoming>, TrySendError<Request<Body>>>> {
         let open = self.open.as_mut()?;
-        Some(open.sender.try_send_request(request).await)
+        open.head.begin();
+        let sent = open.sender.try_send_request(request).await;
+        open.head.end();
+        Some(sent)
     }
 
     /// Returns the address of the server.
--- a/src/http/idle_connections.rs
+++ b/src/http/idle_connections.rs
@@ -1,7 +1,7 @@
 //! The pool of idle connections of a client, by address.
 
 use {
-    super::Body,
+    super::{Body, HeadAllowance},
     hyper::client::conn::http1::SendRequest,
     std::{
         net::SocketAddr,
@@ -25,6 +25,8 @@
 pub(super) struct IdleConnection {
     pub(super) sender: SendRequest<Body>,
     pub(super) task: AbortHandle,
+    /// The bytes that may be read before the head of a response.
+    pub(super) head: HeadAllowance,
     pub(super) idle_since: Instant,
 }
 
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod compression;
 mod connection;
 mod error;
+mod head_guard;
 mod header;
 mod idle_connections;
 mod listener;
@@ -20,6 +21,7 @@
 
 pub(crate) use {
     acceptor::Acceptor,
+    head_guard::{HeadAllowance, HeadGuard},
     liveness::{set_up as set_up_liveness, set_up_with as set_up_liveness_with},
     stall_guard::StallGuard,
 };
--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -4,7 +4,7 @@
     super::{RequestWrites, RunnerConnection, WriteTracker},
     crate::{
         discovery::{RunnerEntry, RunnerKey},
-        http::{Body, Liveness, set_up_liveness_with},
+        http::{Body, HeadAllowance, HeadGuard, Liveness, set_up_liveness_with},
     },
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
@@ -63,6 +63,8 @@
     pub(super) sender: SendRequest<Body>,
     task: AbortHandle,
     pub(super) writes: RequestWrites,
+    /// The bytes that may be read before the head of a response.
+    pub(super) head: HeadAllowance,
     /// The end of the time in which an idle connection may be reused.
     usable_until: Instant,
     _reservation: Arc<()>,
@@ -239,6 +241,8 @@
     set_up_liveness_with(&stream, Liveness::PROMPT)?;
     let stream = WriteTracker::new(stream);
     let writes = stream.writes();
+    let stream = HeadGuard::new(stream);
+    let head = stream.allowance();
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(RESPONSE_HEAD_MAX_BYTES)
         .handshake::<_, Body>(TokioIo::new(stream))
@@ -250,6 +254,7 @@
         sender,
         task: task.abort_handle(),
         writes,
+        head,
         usable_until: Instant::now(),
         _reservation: reservation,
     })
--- a/src/relay/runner_connection.rs
+++ b/src/relay/runner_connection.rs
@@ -47,7 +47,9 @@
             return Err(SendError::Unsent);
         };
         open.writes.begin(first);
+        open.head.begin();
         let sent = open.sender.try_send_request(request).await;
+        open.head.end();
         sent.map_err(|mut failure| {
             if let Some(cause) = open.writes.withheld() {
                 return SendError::Withheld(cause);
