Let the buffered parts of responses share a budget

What callers saw: nothing yet; a node keeps up to 1 MiB of each stream that is no event so far, and 256 KiB of each plain body, with no bound on their sum, on machines with 160 MB.

Cause: limits of single responses only.

Change: BufferBudget, 32 MiB for all responses of a node. A stream that finds it used up fails like a broken one; a plain body is forwarded without waiting for its end.

Evidence: relay_endless_bytes::begins_of_events_share_a_budget, 64 streams of 900 KB: all held before, at most 40 now, and a stream with events is served meanwhile.

--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -1,7 +1,7 @@
 //! The pool of connections to runners.
 
 use {
-    super::{RequestWrites, RunnerConnection, WriteTracker},
+    super::{BufferBudget, RequestWrites, RunnerConnection, WriteTracker},
     crate::{
         discovery::{RunnerEntry, RunnerKey},
         http::{Body, HeadAllowance, HeadGuard, Liveness, set_up_liveness_with},
@@ -107,7 +107,11 @@
 
 /// The connections of a node to runners; each serves one request at a time.
 #[derive(Debug, Default)]
-pub(super) struct ConnectionPool(Mutex<Vec<RunnerConnections>>);
+pub(super) struct ConnectionPool {
+    runners: Mutex<Vec<RunnerConnections>>,
+    /// The memory of responses on these connections.
+    pub(super) buffers: BufferBudget,
+}
 
 impl ConnectionPool {
     /// Returns a connection to a runner: an idle one if possible and `may_reuse`.
@@ -225,7 +229,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<RunnerConnections>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.runners.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/src/relay/event_splitter.rs
+++ b/src/relay/event_splitter.rs
@@ -1,6 +1,7 @@
 //! Splits a byte stream into complete server-sent events and checks the event ids.
 
 use {
+    super::BufferShare,
     bytes::{Bytes, BytesMut},
     thiserror::Error,
 };
@@ -20,6 +21,9 @@
     /// An event arrived in too many chunks.
     #[error("an event has more than {EVENT_CHUNKS_MAX} chunks")]
     TooManyChunks,
+    /// The memory for the begins of events is used up.
+    #[error("there is no memory for the rest of an event")]
+    NoMemory,
     /// An event id is not the next one.
     #[error("received event id {found}, expected {expected}")]
     Order {
@@ -42,6 +46,8 @@
     last_line: usize,
     /// In how many chunks it has arrived.
     chunks: u32,
+    /// The memory of the begin of an event.
+    memory: BufferShare,
     last_id: Option<u64>,
 }
 
@@ -54,6 +60,11 @@
         }
     }
 
+    /// Uses the memory of a budget that streams share.
+    pub(super) fn with_memory(self, memory: BufferShare) -> Self {
+        Self { memory, ..self }
+    }
+
     /// Returns the id of the last complete event.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
@@ -122,7 +133,11 @@
         if self.partial.len() > EVENT_MAX_BYTES {
             return Some(EventError::TooLarge);
         }
-        (self.chunks > EVENT_CHUNKS_MAX).then_some(EventError::TooManyChunks)
+        if self.chunks > EVENT_CHUNKS_MAX {
+            return Some(EventError::TooManyChunks);
+        }
+        let has_memory = self.memory.resize(self.partial.len());
+        (!has_memory).then_some(EventError::NoMemory)
     }
 
     /// Checks that an event's id, if any, follows the last one.
--- a/src/relay/event_stream.rs
+++ b/src/relay/event_stream.rs
@@ -75,12 +75,13 @@
         let ends_with_connection = response_head::ends_with_connection(&self.response);
         let (mut head, body) = response_head::split(self.response);
         response_head::remove_length(&mut head);
+        let memory = self.connection.pool.buffers.share();
         let live = RunnerStream {
             assignment: self.assignment,
             connection: self.connection,
             keep_alive: self.keep_alive,
             body,
-            splitter: EventSplitter::resume_after(last_id),
+            splitter: EventSplitter::resume_after(last_id).with_memory(memory),
             ends_with_connection,
             has_events: false,
             ready: Bytes::new(),
--- a/src/relay/plain_response.rs
+++ b/src/relay/plain_response.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        Call, Cutoff, KeepAlive, RunnerConnection, RunnerResponse, SentAssignment, response_head,
+        BufferShare, Call, Cutoff, KeepAlive, RunnerConnection, RunnerResponse, SentAssignment,
+        response_head,
     },
     crate::{
         dispatch::AttemptOutcome,
@@ -40,7 +41,8 @@
         outcome: AttemptOutcome,
     ) -> Option<Response<Body>> {
         let (mut head, mut body) = response_head::split(self.response);
-        let start = match read_start(&mut body).await {
+        let memory = self.connection.pool.buffers.share();
+        let start = match read_start(&mut body, memory).await {
             Ok(start) => start,
             Err(cause) => {
                 let runner = &self.assignment.runner.key.id;
@@ -80,8 +82,12 @@
     start.is_complete
 }
 
-/// Reads a body up to its end, or until it is larger than [`BUFFERED_BODY_MAX_BYTES`].
-async fn read_start(body: &mut Incoming) -> Result<BodyStart, hyper::Error> {
+/// Reads a body up to its end, or until it is larger than [`BUFFERED_BODY_MAX_BYTES`] or than the
+/// memory for it.
+async fn read_start(
+    body: &mut Incoming,
+    mut memory: BufferShare,
+) -> Result<BodyStart, hyper::Error> {
     let mut first = Bytes::new();
     let mut joined = BytesMut::new();
     loop {
@@ -107,7 +113,8 @@
             }
             joined.extend_from_slice(&data);
         }
-        if first.len().max(joined.len()) > BUFFERED_BODY_MAX_BYTES {
+        let read = first.len().max(joined.len());
+        if read > BUFFERED_BODY_MAX_BYTES || !memory.resize(read) {
             let bytes = if joined.is_empty() {
                 first
             } else {
--- a/tests/relay_endless_bytes.rs
+++ b/tests/relay_endless_bytes.rs
@@ -8,7 +8,9 @@
 use {
     common::{
         fake_backend::{FakeBackend, Received, Step},
-        relay_rig::{Answer, RawCaller, RelayRig, STREAM_ONCE, Setup, signed},
+        relay_rig::{
+            Answer, RawCaller, RelayRig, STREAM_ONCE, Setup, events, signed, stream_end, with_head,
+        },
     },
     greengagetrail::{
         http::{Body, CallLimits, Client},
@@ -182,6 +184,45 @@
     }
 }
 
+// Guards against the memory that the begins of events take up, each of which is within its limit.
+#[tokio::test]
+async fn begins_of_events_share_a_budget() {
+    const STREAMS: usize = 64;
+    const BEGIN_BYTES: usize = 900_000;
+    let runner = FakeBackend::start(|received| {
+        let head = "x-signature: s\r\n";
+        if received.header("x-request-id") != Some("q") {
+            let mut steps = events(received, 1, 3);
+            steps.push(stream_end());
+            return steps;
+        }
+        let mut steps = with_head(received, 200, head, &"x".repeat(BEGIN_BYTES));
+        steps.push(Step::Hang);
+        steps
+    })
+    .await;
+    let mut setup = Setup::new(STREAM_ONCE);
+    (setup.runners, setup.slots) = (1, 100);
+    let rig = RelayRig::over(setup, Vec::new(), &[runner.address]).await;
+    let mut calls = JoinSet::new();
+    for _ in 0..STREAMS {
+        calls.spawn(call(rig.address));
+    }
+    sleep(ANSWER_MAX).await;
+    // A stream with events of the usual size is served meanwhile.
+    let answer = rig.call_as("other", "").await;
+    assert_eq!((answer.status, answer.complete), (200, true));
+    let mut failed_early = 0;
+    while let Some(done) = calls.join_next().await {
+        let (answer, elapsed) = done.unwrap();
+        assert!(matches!(answer.status, 502..=504), "{}", answer.status);
+        failed_early += usize::from(elapsed < ANSWER_MAX);
+    }
+    // 32 MiB are for all of them.
+    let held = STREAMS - failed_early;
+    assert!((1..=40).contains(&held), "{held} of {STREAMS} are held");
+}
+
 // Guards against calls to the store, peers and runners that keep a node busy until their timeout.
 #[tokio::test]
 async fn a_call_fails_at_interim_responses_without_end() {
