Forward the headers that a caller names in Connection but runners need

Cause: the relay removed all headers that Connection names, before the platform's list of headers that are forwarded all the same was asked.

Change: the relay asks Formats for that list. Responses of runners are not changed.

--- a/src/http/header.rs
+++ b/src/http/header.rs
@@ -42,12 +42,19 @@
 
 /// Removes the headers that apply to a single connection (hop-by-hop headers).
 pub fn remove_connection_headers(headers: &mut HeaderMap) {
+    remove_connection_headers_except(headers, &[]);
+}
+
+/// Removes the headers that apply to a single connection, but none of `kept` for the only reason
+/// that `Connection` names it.
+pub fn remove_connection_headers_except(headers: &mut HeaderMap, kept: &[header::HeaderName]) {
     let named: Vec<String> = headers
         .get_all(header::CONNECTION)
         .iter()
         .filter_map(|value| value.to_str().ok())
         .flat_map(|text| text.split(','))
-        .map(|name| name.trim().to_owned())
+        .map(|name| name.trim().to_ascii_lowercase())
+        .filter(|name| !kept.iter().any(|kept| kept == name.as_str()))
         .collect();
     for name in named {
         headers.remove(name);
--- a/src/node/platform.rs
+++ b/src/node/platform.rs
@@ -8,7 +8,7 @@
         traffic::{AdapterId, ModelId, NodeName, TrafficConfig},
     },
     futures::future::BoxFuture,
-    hyper::{HeaderMap, http},
+    hyper::{HeaderMap, header::HeaderName, http},
     std::{net::SocketAddr, time::Duration},
     thiserror::Error,
 };
@@ -68,6 +68,11 @@
     /// Removes the headers that only the system may set, then sets those given by `forward`.
     fn write_forward_headers(&self, headers: &mut HeaderMap, forward: &ForwardHead);
 
+    /// Returns the headers that reach the runner even if a caller names them in `Connection`.
+    fn end_to_end_headers(&self) -> &[HeaderName] {
+        &[]
+    }
+
     /// Decodes the platform's headers of a runner's response.
     fn read_response_head(&self, head: &http::response::Parts) -> ResponseHead;
 
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -3,7 +3,7 @@
 use {
     super::{Refusal, Relay, RequestHead, pass_on::take_passed_on},
     crate::{
-        http::{ReadError, read_body, remove_connection_headers},
+        http::{ReadError, read_body, remove_connection_headers_except},
         quarantine::RequestDigest,
         routing::stable_hash,
         streams::StreamId,
@@ -13,7 +13,7 @@
     hyper::{
         HeaderMap, Method, Request, Uri,
         body::Incoming,
-        header::{self, HeaderValue},
+        header::{self, HeaderName, HeaderValue},
         http::{request::Parts, uri::PathAndQuery},
     },
     std::time::Duration,
@@ -160,7 +160,7 @@
         Ok(Call {
             method: parts.method,
             uri: Uri::from(path),
-            headers: forwarded_headers(parts.headers),
+            headers: forwarded_headers(parts.headers, self.formats.end_to_end_headers()),
             body,
             head,
             digest,
@@ -264,9 +264,9 @@
 }
 
 /// Removes the headers that concern the caller's connection; the body is framed again.
-fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
+fn forwarded_headers(mut headers: HeaderMap, end_to_end: &[HeaderName]) -> HeaderMap {
     let host = headers.remove(header::HOST);
-    remove_connection_headers(&mut headers);
+    remove_connection_headers_except(&mut headers, end_to_end);
     headers.remove(header::CONTENT_LENGTH);
     if let Some(host) = host {
         headers.insert(header::HOST, host);
--- a/tests/common/relay_rig.rs
+++ b/tests/common/relay_rig.rs
@@ -16,7 +16,7 @@
             ServiceId, ServiceSpec, TrafficConfig,
         },
     },
-    hyper::{HeaderMap, http},
+    hyper::{HeaderMap, header::HeaderName, http},
     std::{
         net::SocketAddr,
         sync::{
@@ -48,6 +48,9 @@
     gap_target_ms: 250,
 };
 
+/// The header that reaches runners even if a caller names it in `Connection`.
+static END_TO_END: [HeaderName; 1] = [HeaderName::from_static("x-request-id")];
+
 /// Runs while the head of a request for a runner is written, right before it is sent.
 pub type ForwardHook = Arc<dyn Fn(&ForwardHead) + Send + Sync>;
 
@@ -100,6 +103,10 @@
         }
     }
 
+    fn end_to_end_headers(&self) -> &[HeaderName] {
+        &END_TO_END
+    }
+
     fn read_response_head(&self, head: &http::response::Parts) -> ResponseHead {
         let id = head.headers.get("x-request-id");
         ResponseHead {
--- a/tests/relay_forward.rs
+++ b/tests/relay_forward.rs
@@ -19,6 +19,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpListener,
+        time::sleep,
     },
 };
 
@@ -124,6 +125,26 @@
     assert!((500..=900).contains(&deadline_ms), "{deadline_ms}");
 }
 
+// Guards against headers that a runner needs and does not get, since the caller names them among
+// those of its connection.
+#[tokio::test]
+async fn a_caller_cannot_keep_the_systems_headers_from_the_runner() {
+    let rig = RelayRig::start(Setup::new(Idempotent), |_, received| {
+        signed(received, 200, "", "ok")
+    })
+    .await;
+    let headers = "connection: X-Request-Id, x-own\r\nx-own: 1\r\nx-other: 1\r\n";
+    let mut caller = rig.caller().await;
+    caller.send(headers, "").await;
+    while rig.received().is_empty() {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let received = &rig.received()[0];
+    assert_eq!(received.header("x-request-id"), Some("q"));
+    assert_eq!(received.header("x-other"), Some("1"));
+    assert_eq!(received.header("x-own"), None);
+}
+
 #[tokio::test]
 async fn a_request_that_did_not_run_goes_to_another_runner() {
     for kind in [Idempotent, NonIdempotent] {
