Limit the idle timeout that a runner states

What callers saw: an answer that is lost, as the task that had it ended.

Cause: a timeout in Keep-Alive that is added to the clock overflows it, which ends the task with a panic (read by the review).

Change: a stated idle timeout counts up to an hour.

Evidence: relay_forward::any_idle_timeout_of_a_runner_is_accepted: no answer with "overflow when adding duration to instant" before, 200 now.

--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -31,6 +31,9 @@
 /// The idle timeout of a connection whose runner states none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The longest idle timeout that counts, whatever a runner states.
+const IDLE_TIMEOUT_MAX: Duration = Duration::from_secs(3_600);
+
 /// The smallest margin before the end of the idle timeout in which a connection is not reused.
 const IDLE_MARGIN_MIN: Duration = Duration::from_millis(300);
 
@@ -156,7 +159,8 @@
             return;
         }
         let now = Instant::now();
-        let idle = limit_s.map_or(DEFAULT_IDLE_TIMEOUT, Duration::from_secs);
+        let stated = limit_s.map(|limit_s| Duration::from_secs(limit_s).min(IDLE_TIMEOUT_MAX));
+        let idle = stated.unwrap_or(DEFAULT_IDLE_TIMEOUT);
         let margin = IDLE_MARGIN_MIN.max(idle / 5);
         open.usable_until = now + idle.saturating_sub(margin);
         let mut runners = self.lock();
--- a/tests/relay_forward.rs
+++ b/tests/relay_forward.rs
@@ -125,6 +125,25 @@
     assert!((500..=900).contains(&deadline_ms), "{deadline_ms}");
 }
 
+// Guards against an idle timeout of a runner that no clock can hold.
+#[tokio::test]
+async fn any_idle_timeout_of_a_runner_is_accepted() {
+    for idle_s in [u64::MAX, u64::MAX / 2, 10_000_000_000] {
+        let rig = RelayRig::start(Setup::new(Idempotent), move |_, received| {
+            signed(received, 200, &format!("x-idle-s: {idle_s}\r\n"), "ok")
+        })
+        .await;
+        for number in 0..3 {
+            let answer = rig.call("").await;
+            assert_eq!(
+                answer.parts(),
+                (200, "ok", true),
+                "{idle_s} s, request {number}"
+            );
+        }
+    }
+}
+
 // Guards against headers that a runner needs and does not get, since the caller names them among
 // those of its connection.
 #[tokio::test]
