Keep the slot of an adapter that is unloaded while requests use it

Cause: the reply 202 to the unload of an adapter was taken as if it were done. By PROTOCOL.md an unload waits for its runs, and an adapter that no request uses is unloaded immediately (200).

Change: at 202 the adapter keeps its slot as Unloading until a report shows it gone; reports are asked for while orders go on.

Why this works: what the runner holds is known from its report and no longer inferred from its reply.

--- a/src/copies/record_progress.rs
+++ b/src/copies/record_progress.rs
@@ -41,6 +41,10 @@
             self.adapters_loaded_at = None;
             self.finish_adapters();
         }
+        if self.adapter_report_at.is_some_and(|due| now >= due) && !self.call_in_progress {
+            self.adapter_report_at = None;
+            self.report_at.get_or_insert(now);
+        }
         if let Some((model, unused_since)) = self.unloading.take() {
             self.advance_unload(model, unused_since, now);
         }
--- a/src/copies/record_replies.rs
+++ b/src/copies/record_replies.rs
@@ -72,7 +72,11 @@
             }
             Order::UnloadModel(model) => self.unloading = Some((model, now)),
             Order::LoadAdapter(..) => self.adapters_loaded_at = Some(now + ADAPTER_LOAD_TIME),
-            Order::UnloadAdapter(model, adapter) => self.state.remove_adapter(&model, &adapter),
+            Order::UnloadAdapter(model, adapter) => {
+                // Requests use the adapter, which keeps its slot until a report shows it gone.
+                self.state.record_adapter_use(&model, &adapter, now);
+                self.adapter_report_at = Some(now + REPORT_DELAY);
+            }
         }
     }
 
--- a/src/copies/record_reports.rs
+++ b/src/copies/record_reports.rs
@@ -2,9 +2,11 @@
 
 use {
     super::{
+        CopyState,
         report_copies::copies_from_report,
         runner_record::{
-            ADAPTER_LOAD_TIME, PROGRESS_REPORT_INTERVAL, RunnerRecord, WRONG_RUNNER_PAUSE,
+            ADAPTER_LOAD_TIME, ADAPTER_REPORT_INTERVAL, PROGRESS_REPORT_INTERVAL, RunnerRecord,
+            WRONG_RUNNER_PAUSE,
         },
     },
     crate::{
@@ -106,6 +108,9 @@
         if !report.loading_adapters.is_empty() {
             self.adapters_loaded_at = Some(now + ADAPTER_LOAD_TIME);
         }
+        let adapters = self.state.models.iter().flat_map(|copy| &copy.adapters);
+        let is_unloading = { adapters }.any(|adapter| adapter.state == CopyState::Unloading);
+        self.adapter_report_at = is_unloading.then(|| now + ADAPTER_REPORT_INTERVAL);
         if self.has_unknown_order || self.loading.is_some() {
             self.report_at = Some(now + PROGRESS_REPORT_INTERVAL);
         }
--- a/src/copies/report_copies.rs
+++ b/src/copies/report_copies.rs
@@ -1,7 +1,10 @@
 //! Builds the copies at a runner from its report.
 
 use {
-    super::{AdapterCopy, CopyState, ModelCopy, residents::loaded_copy},
+    super::{
+        AdapterCopy, CopyState, ModelCopy, residents::loaded_copy,
+        runner_record::ADAPTER_UNLOAD_TIME_MAX,
+    },
     crate::{node::RunnerReport, traffic::ModelId},
     tokio::time::Instant,
 };
@@ -21,7 +24,7 @@
     for held in &report.models {
         let mut copy = loaded_copy(held, now);
         if let Some(before) = previous.iter().find(|before| before.model == copy.model) {
-            carry_over_usage(&mut copy, before);
+            carry_over_usage(&mut copy, before, now);
         }
         if unloading == Some(&copy.model) {
             copy.state = CopyState::Unloading;
@@ -40,7 +43,9 @@
 }
 
 /// Copies the ages and the usage of a previous copy to the one from a report.
-fn carry_over_usage(copy: &mut ModelCopy, before: &ModelCopy) {
+///
+/// An adapter that requests keep from being unloaded is listed until these have ended.
+fn carry_over_usage(copy: &mut ModelCopy, before: &ModelCopy, now: Instant) {
     copy.since = before.since;
     copy.in_flight = before.in_flight;
     for adapter in &mut copy.adapters {
@@ -48,6 +53,10 @@
         if let Some(previous) = previous.find(|other| other.adapter == adapter.adapter) {
             adapter.used_at = previous.used_at;
             adapter.in_flight = previous.in_flight;
+            let unused = now.duration_since(previous.used_at);
+            if previous.state == CopyState::Unloading && unused < ADAPTER_UNLOAD_TIME_MAX {
+                adapter.state = CopyState::Unloading;
+            }
         }
     }
 }
--- a/src/copies/residents.rs
+++ b/src/copies/residents.rs
@@ -91,6 +91,19 @@
         }
     }
 
+    /// Records that requests use an adapter.
+    pub(super) fn record_adapter_use(
+        &mut self,
+        model: &ModelId,
+        adapter: &AdapterId,
+        now: Instant,
+    ) {
+        let adapters = self.adapters(model).into_iter().flatten();
+        for copy in adapters.filter(|copy| copy.adapter == *adapter) {
+            copy.used_at = now;
+        }
+    }
+
     /// Removes an adapter.
     pub(super) fn remove_adapter(&mut self, model: &ModelId, adapter: &AdapterId) {
         if let Some(adapters) = self.adapters(model) {
--- a/src/copies/runner_record.rs
+++ b/src/copies/runner_record.rs
@@ -22,6 +22,10 @@
 pub(super) const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(20);
 /// How long an unloading model must be unused before it counts as unloaded.
 pub(super) const UNLOAD_UNUSED_MIN: Duration = Duration::from_millis(150);
+/// The interval between reports while an adapter is unloaded that requests still use.
+pub(super) const ADAPTER_REPORT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// How long an adapter that is listed counts as being unloaded after its last use.
+pub(super) const ADAPTER_UNLOAD_TIME_MAX: Duration = Duration::from_secs(30);
 /// How long a load may stay pending while room is made for it.
 const PENDING_LOAD_TIME_MAX: Duration = Duration::from_secs(10);
 /// The interval between comparisons of the tracked state with the entry.
@@ -60,6 +64,10 @@
     pub(super) accepted_at: Option<Instant>,
     /// When the adapters that are being loaded count as loaded.
     pub(super) adapters_loaded_at: Option<Instant>,
+    /// When a report is due that shows whether the adapters that are being unloaded are gone.
+    ///
+    /// Orders go on until then, unlike before other reports.
+    pub(super) adapter_report_at: Option<Instant>,
     /// When the pending load is given up.
     pub(super) pending_load_until: Instant,
     /// When the tracked state was last compared with the entry.
@@ -108,6 +116,7 @@
             unloading: None,
             accepted_at: None,
             adapters_loaded_at: None,
+            adapter_report_at: None,
             pending_load_until: now,
             entry_compared_at: now,
             report_applied_at: None,
@@ -212,10 +221,10 @@
             .unloading
             .as_ref()
             .map(|(_, since)| *since + UNLOAD_UNUSED_MIN);
-        [report_at, load_due, unload_due, self.adapters_loaded_at]
-            .into_iter()
-            .flatten()
-            .min()
+        let adapter_report_at = self.adapter_report_at.filter(|_| !report_pending);
+        let by_time = [load_due, unload_due, self.adapters_loaded_at];
+        let reports = [report_at, adapter_report_at];
+        by_time.into_iter().chain(reports).flatten().min()
     }
 
     /// Records that a report is being requested.
--- a/tests/common/fake_fleet.rs
+++ b/tests/common/fake_fleet.rs
@@ -44,6 +44,9 @@
     highest_token: u64,
     in_progress: Option<OrderInProgress>,
     loading_adapters: Vec<(ModelId, AdapterId, Instant)>,
+    /// The adapters that requests use, whose unload waits for the end of these requests.
+    pub adapters_in_use: Vec<AdapterId>,
+    unloading_adapters: Vec<(ModelId, AdapterId)>,
     on_disk: Vec<ModelId>,
     past_reports: Vec<(Instant, RunnerReport)>,
 }
@@ -103,6 +106,8 @@
             highest_token: 0,
             in_progress: None,
             loading_adapters: Vec::new(),
+            adapters_in_use: Vec::new(),
+            unloading_adapters: Vec::new(),
             on_disk: Vec::new(),
             past_reports: Vec::new(),
         };
@@ -145,6 +150,7 @@
         runner.highest_token = 0;
         runner.in_progress = None;
         runner.loading_adapters.clear();
+        runner.unloading_adapters.clear();
         runner.past_reports.clear();
     }
 
@@ -285,6 +291,17 @@
                 held.adapters.sort();
             }
         }
+        let in_use = &self.adapters_in_use;
+        let models = &mut self.models;
+        self.unloading_adapters.retain(|(model, adapter)| {
+            let waits = in_use.contains(adapter);
+            if let Some(held) = models.iter_mut().find(|held| held.model == *model)
+                && !waits
+            {
+                held.adapters.retain(|known| known != adapter);
+            }
+            waits
+        });
         if let Some(in_progress) = self
             .in_progress
             .take_if(|in_progress| in_progress.ends_at <= now)
@@ -355,6 +372,10 @@
                 let loading = (model.clone(), adapter.clone(), ends_at(14));
                 self.loading_adapters.push(loading);
             }
+            Order::UnloadAdapter(model, adapter) if self.adapters_in_use.contains(adapter) => {
+                let unloading = (model.clone(), adapter.clone());
+                self.unloading_adapters.push(unloading);
+            }
             Order::UnloadAdapter(model, adapter) => {
                 let mut models = self.models.iter_mut();
                 if let Some(held) = models.find(|held| held.model == *model) {
--- a/tests/copies_orders.rs
+++ b/tests/copies_orders.rs
@@ -225,6 +225,43 @@
     assert_eq!(later, [OrderReply::Fenced]);
 }
 
+// Guards against a runner that is ordered to load one adapter more than it has slots for, while a
+// request that the leader does not know of keeps an unloaded one in its place.
+#[tokio::test(start_paused = true)]
+async fn an_unloaded_adapter_keeps_its_slot_until_its_requests_end() {
+    let mut engine = small_engine();
+    engine.adapter_slots = 2;
+    let fixture = start(engine, &[&[0, 1]], 1);
+    sleep_ms(3_000).await;
+    let load = async |adapter: &str| {
+        fixture.report_demand(vec![demand(model_id(1), Some(adapter), 1.0, 1)]);
+        sleep_ms(1_000).await;
+        fixture.report_demand(vec![demand(model_id(1), Some(adapter), 0.0, 0)]);
+    };
+    load("a1").await;
+    load("a2").await;
+    fixture.fleet.runners()[0].adapters_in_use = vec!["a1".into(), "a2".into()];
+    for adapter in ["a3", "a4", "a3"] {
+        load(adapter).await;
+        sleep_ms(2_000).await;
+    }
+    fixture.assert_rules_kept();
+    let adapters = || fixture.fleet.runners()[0].models[1].adapters.clone();
+    assert_eq!(adapters(), ["a1".into(), "a2".into()]);
+    // Each unload is ordered once; reports show when its place is free.
+    let is_unload = |order: &Order| matches!(order, Order::UnloadAdapter(..));
+    let observed = fixture.fleet.observed();
+    let orders = observed.orders.iter().map(|(.., order, _)| order);
+    assert!(orders.filter(|order| is_unload(order)).count() <= 2);
+    assert!(observed.reports < 60, "{} reports", observed.reports);
+    drop(observed);
+    fixture.fleet.runners()[0].adapters_in_use.clear();
+    sleep_ms(2_500).await;
+    load("a3").await;
+    fixture.assert_rules_kept();
+    assert!(adapters().contains(&"a3".into()), "{:?}", adapters());
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_unload_is_broadcast_before_it_is_ordered() {
     let sizes = [72_700.0, 72_700.0, 72_700.0, 72_700.0];
