--- a/src/copies/record_reports.rs
+++ b/src/copies/record_reports.rs
@@ -108,8 +108,8 @@
         if !report.loading_adapters.is_empty() {
             self.adapters_loaded_at = Some(now + ADAPTER_LOAD_TIME);
         }
-        let adapters = self.state.models.iter().flat_map(|copy| &copy.adapters);
-        let is_unloading = { adapters }.any(|adapter| adapter.state == CopyState::Unloading);
+        let mut adapters = self.state.models.iter().flat_map(|copy| &copy.adapters);
+        let is_unloading = adapters.any(|adapter| adapter.state == CopyState::Unloading);
         self.adapter_report_at = is_unloading.then(|| now + ADAPTER_REPORT_INTERVAL);
         if self.has_unknown_order || self.loading.is_some() {
             self.report_at = Some(now + PROGRESS_REPORT_INTERVAL);
