--- a/tests/copies_orders.rs
+++ b/tests/copies_orders.rs
@@ -249,12 +249,13 @@
     let adapters = || fixture.fleet.runners()[0].models[1].adapters.clone();
     assert_eq!(adapters(), ["a1".into(), "a2".into()]);
     // Each unload is ordered once; reports show when its place is free.
-    let is_unload = |order: &Order| matches!(order, Order::UnloadAdapter(..));
-    let observed = fixture.fleet.observed();
-    let orders = observed.orders.iter().map(|(.., order, _)| order);
-    assert!(orders.filter(|order| is_unload(order)).count() <= 2);
-    assert!(observed.reports < 60, "{} reports", observed.reports);
-    drop(observed);
+    {
+        let observed = fixture.fleet.observed();
+        let orders = observed.orders.iter().map(|(.., order, _)| order);
+        let unloads = orders.filter(|order| matches!(order, Order::UnloadAdapter(..)));
+        assert!(unloads.count() <= 2);
+        assert!(observed.reports < 60, "{} reports", observed.reports);
+    }
     fixture.fleet.runners()[0].adapters_in_use.clear();
     sleep_ms(2_500).await;
     load("a3").await;
