--- a/tests/common/forgetful_store.rs
+++ b/tests/common/lossy_store.rs
@@ -24,14 +24,14 @@
 /// their response is due.
 ///
 /// The connections of such calls stay open, and the calls get no response after the silence either.
-pub struct ForgetfulStore {
+pub struct LossyStore {
     pub link: MemoryStore,
     pub limits: WatchLimits,
     /// The number of watch calls so far.
     pub watch_calls: Arc<AtomicU32>,
 }
 
-impl ForgetfulStore {
+impl LossyStore {
     pub fn new(link: MemoryStore, limits: WatchLimits) -> Self {
         Self {
             link,
@@ -69,7 +69,7 @@
     }
 }
 
-impl Store for ForgetfulStore {
+impl Store for LossyStore {
     fn range_between<'a>(
         &'a self,
         start: &'a str,
--- a/tests/store_forgotten_calls.rs
+++ b/tests/store_lost_calls.rs
@@ -1,7 +1,7 @@
 //! Watches go on in time after the store lost the calls that waited at it.
 
 mod common {
-    pub mod forgetful_store;
+    pub mod lossy_store;
     pub mod store_writes;
     pub mod traffic_configs;
     pub mod version_formats;
@@ -9,7 +9,7 @@
 
 use {
     common::{
-        forgetful_store::ForgetfulStore,
+        lossy_store::LossyStore,
         store_writes::write,
         version_formats::{KEY, VersionFormats},
     },
@@ -49,9 +49,9 @@
     let store = MemoryStore::new();
     write(&store, KEY, "1").await;
     let link = store.link();
-    let forgetful = ForgetfulStore::new(link.clone(), limits);
-    let watch_calls = forgetful.watch_calls.clone();
-    let monitored = Arc::new(MonitoredStore::new(Arc::new(forgetful)));
+    let lossy = LossyStore::new(link.clone(), limits);
+    let watch_calls = lossy.watch_calls.clone();
+    let monitored = Arc::new(MonitoredStore::new(Arc::new(lossy)));
     Client {
         store,
         link,
