Read the whole refusal of a peer before it is forwarded

Cause: a peer that serves a passed-on request gives up at the same deadline as the node that passed it on. The peer's problem was forwarded in parts, whose guard cut the body at that instant, and the head with it: the caller got a closed connection without a response. Change: problems of peers, which are short, are read before they are forwarded; a problem that is late becomes 504.

--- a/src/relay/pass_on.rs
+++ b/src/relay/pass_on.rs
@@ -5,7 +5,10 @@
 use {
     super::{Call, CallerResponse, Cutoff, ForwardedCall, Refusal, Relay, peer_reach::PeerReach},
     crate::{
-        http::{Body, BodyError, Exchange, SendError, is_problem, remove_connection_headers},
+        http::{
+            Body, BodyError, Exchange, ReadError, SendError, is_problem, read_body,
+            remove_connection_headers,
+        },
         leader::PeerNode,
         traffic::ServiceId,
     },
@@ -33,6 +36,9 @@
 /// The longest wait for a connection to a peer.
 pub(super) const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// The largest problem of a peer that is read.
+const PROBLEM_MAX_BYTES: usize = 16 * 1024;
+
 impl ForwardedCall {
     /// Lets another node serve the request.
     ///
@@ -63,6 +69,9 @@
                     self.relay.record_peer_reach(&peer, &service, !is_out);
                     if !is_out {
                         self.relay.counters.passed_on.count();
+                        if is_problem(exchange.response.headers()) {
+                            return read_problem(exchange, self.call.left()).await;
+                        }
                         let end_requests = &self.relay.end_requests;
                         let cutoff = Cutoff::new(end_requests, self.call.deadline);
                         return Ok(passed_on_response(exchange, cutoff));
@@ -156,6 +165,30 @@
     }
 }
 
+/// Reads the whole problem that a peer responds with.
+///
+/// A peer that gives up does so at the deadline, where a body that is forwarded in parts is cut
+/// and takes the head with it.
+///
+/// # Errors
+///
+/// Returns that the request may have run if the response is lost or too late.
+async fn read_problem(exchange: Exchange, left: Duration) -> Result<CallerResponse, Refusal> {
+    let (mut head, body) = exchange.response.into_parts();
+    match read_body(body, PROBLEM_MAX_BYTES, left).await {
+        Ok(body) => {
+            exchange.connection.recycle();
+            remove_connection_headers(&mut head.headers);
+            head.extensions.clear();
+            head.headers.remove(header::CONTENT_LENGTH);
+            let response = Response::from_parts(head, Body::from(body));
+            Ok(CallerResponse::Plain(response))
+        }
+        Err(ReadError::TooSlow) => Err(Refusal::TimedOut),
+        Err(_) => Err(Refusal::RunnerFailed),
+    }
+}
+
 /// Returns the response of a peer for the caller.
 fn passed_on_response(exchange: Exchange, cutoff: Cutoff) -> CallerResponse {
     let (mut head, body) = exchange.response.into_parts();
