Refuse keys while the configuration may be outdated

Cause: a node that is cut off from the store, or that was frozen, does not know that a version took a key away, and went on to serve the key. A key that was taken away between an attempt's check and its first byte was served too. Change: where a deployment sets bounds.fail_closed and bounds.revoke_ms, a node serves keys only while it has a proof, from the store or through a peer, that no newer version was acknowledged before an instant less than that time ago. The boot clock counts, so that a freeze does. Checked at the arrival, before each attempt and at the first byte, where the key is looked up again too. Nodes that watch the store ask it four times in revoke_ms; the others are told by the peer through which they watch, and ask the store when it falls silent. Off by default; deployments without these bounds make no further call.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod entry;
 pub mod experiment;
 pub mod fleet;
+pub mod freshness;
 pub mod gossip;
 pub mod history;
 pub mod http;
--- a/src/node/control_port.rs
+++ b/src/node/control_port.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        CHANGES_PATH, ChangesEndpoint, ControlAccess, NodeView, PeerEndpoints, STREAMS_PATH,
-        StreamsEndpoint,
+        AgeEndpoint, CHANGES_PATH, CONFIG_AGE_PATH, ChangesEndpoint, ControlAccess, NodeView,
+        PeerEndpoints, STREAMS_PATH, StreamsEndpoint,
     },
     crate::{
         http::{Body, ListenerLimits, serve_http, serve_http_with},
@@ -60,6 +60,8 @@
     pub peer_endpoints: PeerEndpoints,
     /// The endpoint for peers that watch the store through this node.
     pub changes_endpoint: ChangesEndpoint,
+    /// The endpoint that tells peers how old the configuration is.
+    pub age_endpoint: AgeEndpoint,
     /// The rules for connections and for requests that change the node's state.
     pub access: ControlAccess,
 }
@@ -114,6 +116,7 @@
             (_, EVENTS_PATH) => json_response(&RecentEvents::global().newest(usize::MAX)),
             (_, "/healthz") => empty_response(StatusCode::OK),
             (_, METRICS_PATH) => Response::new(Body::from(view.metrics())),
+            (_, CONFIG_AGE_PATH) => self.age_endpoint.respond(uri).await,
             (_, CHANGES_PATH) => self.changes_endpoint.respond(uri).await,
             _ => self.peer_endpoints.respond(uri, request.headers()),
         }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,5 +1,7 @@
 //! The node process: wires the parts of the system together on one VM.
 
+mod age_endpoint;
+mod age_peers;
 mod changes_endpoint;
 mod control_access;
 mod control_port;
@@ -24,8 +26,8 @@
 mod verdict_task;
 
 pub use {
-    changes_endpoint::*, control_access::*, control_port::*, demand_metrics::*, node_parts::*,
-    node_view::*, peer_client::*, peer_config::*, peer_endpoints::*, peer_runners::*, platform::*,
-    response_budget::*, run::*, settings::*, settings_follower::*, status::*, stream_peers::*,
-    upstream_peer::*, verdict_task::*,
+    age_endpoint::*, changes_endpoint::*, control_access::*, control_port::*, demand_metrics::*,
+    node_parts::*, node_view::*, peer_client::*, peer_config::*, peer_endpoints::*,
+    peer_runners::*, platform::*, response_budget::*, run::*, settings::*, settings_follower::*,
+    status::*, stream_peers::*, upstream_peer::*, verdict_task::*,
 };
--- a/src/node/node_view.rs
+++ b/src/node/node_view.rs
@@ -8,6 +8,7 @@
     crate::{
         copies::OrderCounters,
         dispatch::RunnerRegistry,
+        freshness::ConfigAge,
         gossip::Gossip,
         http::Readiness,
         leader::Membership,
@@ -29,6 +30,8 @@
     pub data_centre: ZoneId,
     /// The active configuration.
     pub active_config: Arc<ActiveConfig>,
+    /// The age of the active configuration.
+    pub config_age: Arc<ConfigAge>,
     /// The runners and their load.
     pub registry: Arc<RunnerRegistry>,
     /// The node's membership and its view of the leader.
@@ -121,6 +124,7 @@
         self.registry.send_counters().render(&mut text);
         self.order_counters.render(&mut text);
         self.store.render(&mut text);
+        self.config_age.render(&mut text);
         self.registry.attempt_counters().render(&mut text);
         self.registry.ended_attempts().render(&mut text);
         self.registry.limit_counters().render(&mut text);
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -2,18 +2,20 @@
 
 use {
     super::{
-        Bounds, ChangesEndpoint, ControlAccess, ControlPort, NodeParts, NodeSettings, NodeView,
-        PeerAddresses, PeerConfigFollower, PeerEndpoints, PeerRunnersFollower, ResponseBudget,
-        SettingsFollower, StoredStreams, StreamClient, UpstreamPeer, VerdictTask,
-        follow_nodes::follow_nodes, reach_task::ReachTask, serve_metrics, signals::Signals,
+        AgeEndpoint, Bounds, ChangesEndpoint, ControlAccess, ControlPort, NodeParts, NodeSettings,
+        NodeView, PeerAddresses, PeerConfigFollower, PeerEndpoints, PeerRunnersFollower,
+        ResponseBudget, SettingsFollower, StoredStreams, StreamClient, UpstreamPeer, VerdictTask,
+        age_peers::AgePeers, follow_nodes::follow_nodes, reach_task::ReachTask, serve_metrics,
+        signals::Signals,
     },
     crate::{
         copies::{OrderCounters, OrderTask},
         discovery::{RunnerFollower, RunnerSnapshot},
         dispatch::{Dispatcher, RunnerRegistry},
+        freshness::{AgeBound, AgeTask, ConfigAge},
         gossip::Gossip,
         http::{Readiness, serve_operations},
-        leader::{Membership, PeerNode},
+        leader::{BootClock, Membership, PeerNode},
         relay::Relay,
         security::{KeyRing, Tls, TlsError, reload_tls_on_change},
         store::{MeteredStore, MonitoredStore, StoreHealth, StoreVersion, UpstreamStore},
@@ -71,6 +73,7 @@
     let tls = Tls::load_if_configured(settings.tls.as_ref())?;
     let node = Node::new(settings, parts, tls);
     let runners_version = node.start_platform_followers();
+    node.start_age_task();
     let gossip = node.start_gossip(sockets.gossip);
     let gossip_for_settings = gossip.clone();
     node.start_order_task(gossip.clone());
@@ -87,12 +90,14 @@
     let relay = node.new_relay(timer_lag.clone());
     relay.limit_retries_after_restart();
     relay.use_peer_tls(node.access.tls.clone());
+    relay.use_config_age(node.config_age.clone());
     let readiness = Readiness::default();
     let stopped = CancellationToken::new();
     let view = NodeView {
         node: node.settings.node.clone(),
         data_centre: node.settings.data_centre.clone(),
         active_config: node.active_config.clone(),
+        config_age: node.config_age.clone(),
         registry: node.registry.clone(),
         membership: node.membership.clone(),
         store: node.store.clone(),
@@ -121,6 +126,9 @@
         view,
         peer_endpoints,
         changes_endpoint: node.new_changes_endpoint(),
+        age_endpoint: AgeEndpoint {
+            age: node.config_age.clone(),
+        },
         access,
     };
     tokio::spawn(control.serve(sockets.control, stopped.clone()));
@@ -159,7 +167,9 @@
     store_health: Arc<StoreHealth>,
     /// The store client whose watches go through a peer in large systems.
     watched_store: Arc<UpstreamStore>,
+    upstream: Arc<UpstreamPeer>,
     active_config: Arc<ActiveConfig>,
+    config_age: Arc<ConfigAge>,
     registry: Arc<RunnerRegistry>,
     membership: Arc<Membership>,
     store: Arc<MeteredStore>,
@@ -188,7 +198,10 @@
             own_node(&settings),
             settings.bounds,
         );
-        watched_store.follow(Arc::new(new_upstream(&settings, &membership, tls.clone())));
+        let upstream = Arc::new(new_upstream(&settings, &membership, tls.clone()));
+        watched_store.follow(upstream.clone());
+        let age_bound = AgeBound::of(&settings.bounds);
+        let config_age = ConfigAge::new(active_config.clone(), BootClock::default(), age_bound);
         let (bounds, _) = watch::channel(settings.bounds);
         let peer_responses = ResponseBudget::new(settings.link_mbps);
         Self {
@@ -196,7 +209,9 @@
             parts,
             store_health,
             watched_store,
+            upstream,
             active_config,
+            config_age: Arc::new(config_age),
             registry: Arc::new(registry),
             membership: Arc::new(membership),
             store,
@@ -216,6 +231,7 @@
         let operator_keys = self.access.operator_keys.clone();
         let membership = self.membership.clone();
         let bounds = self.bounds.clone();
+        let config_age = self.config_age.clone();
         let peer_responses = self.peer_responses.clone();
         SettingsFollower::new(path, self.settings.clone(), move |settings| {
             set_log_rules(settings.log_rules());
@@ -225,6 +241,7 @@
             gossip.set_link(settings.link_mbps);
             peer_responses.set_link(settings.link_mbps);
             relay.set_bounds(&settings.bounds);
+            config_age.set_bound(AgeBound::of(&settings.bounds));
             membership.set_bounds(settings.bounds);
             bounds.send_replace(settings.bounds);
         })
@@ -258,6 +275,20 @@
         version
     }
 
+    /// Starts the task that proves that the configuration is the newest one.
+    fn start_age_task(&self) {
+        let tls = self.access.tls.clone();
+        let peers = AgePeers::new(self.upstream.clone(), self.peer_addresses(), tls);
+        let task = AgeTask::new(
+            self.config_age.clone(),
+            self.active_config.clone(),
+            self.parts.store.clone(),
+            self.parts.formats.clone(),
+            Arc::new(peers),
+        );
+        tokio::spawn(task.run());
+    }
+
     fn new_changes_endpoint(&self) -> ChangesEndpoint {
         ChangesEndpoint {
             logs: self.watched_store.logs(),
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -107,6 +107,12 @@
     pub contact_ms: u64,
     /// The shortest lease that the store grants.
     pub lease_min_ms: u64,
+    /// Whether keys are refused by nodes whose configuration may be outdated.
+    #[serde(default)]
+    pub fail_closed: bool,
+    /// The time after which a key that was taken away must not be served, if `fail_closed` is set.
+    #[serde(default)]
+    pub revoke_ms: Option<u64>,
 }
 
 /// The reason why a settings file cannot be used.
--- a/src/node/settings_follower.rs
+++ b/src/node/settings_follower.rs
@@ -16,12 +16,14 @@
 const FILE_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The settings that take effect while a node runs.
-const RUNTIME_FIELDS: [&str; 11] = [
+const RUNTIME_FIELDS: [&str; 13] = [
     "bounds.budget_window_s",
     "bounds.ceiling_window_s",
+    "bounds.fail_closed",
     "bounds.grace_s",
     "bounds.retry_budget_ratio",
     "bounds.retry_budget_slack",
+    "bounds.revoke_ms",
     "gossip_keys",
     "link_mbps",
     "log_format",
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -104,9 +104,10 @@
                 self.progress.is_quarantined = true;
                 return Err(self.progress.final_refusal(None));
             }
-            if !self.call.rules.caller.is_valid(&self.relay.traffic) {
+            let key = self.relay.key_check(&self.call.rules.caller);
+            if let Err(denial) = key.check() {
                 assignment.finish(AttemptOutcome::Withheld);
-                return Err(self.progress.key_refusal());
+                return Err(self.progress.key_refusal(denial));
             }
             let prepared_at = Instant::now();
             let request = self.runner_request(&assignment, last_event_id);
@@ -114,6 +115,7 @@
                 prepared_at,
                 latest_start: self.call.latest_start(),
                 check: assignment.send_check(),
+                key,
             };
             let before = self.progress.record_sending();
             let sent = connection.send(request, first);
@@ -137,6 +139,11 @@
                     self.progress.record_unsent(before);
                     return Err(self.progress.final_refusal(None));
                 }
+                Ok(Err(SendError::Withheld(WithheldCause::Key(denial)))) => {
+                    self.progress.record_unsent(before);
+                    assignment.finish(AttemptOutcome::Withheld);
+                    return Err(self.progress.key_refusal(denial));
+                }
                 Ok(Err(SendError::Withheld(WithheldCause::Denied(_)))) => {
                     self.progress.record_unsent(before);
                     return Ok(self.withdraw(assignment));
--- a/src/relay/attempt_progress.rs
+++ b/src/relay/attempt_progress.rs
@@ -1,7 +1,7 @@
 //! The progress of one request over its attempts.
 
 use {
-    super::Refusal,
+    super::{KeyDenial, Refusal},
     crate::{
         discovery::RunnerKey,
         dispatch::{DispatchRefusal, RefusalCause},
@@ -93,11 +93,12 @@
         }
     }
 
-    /// Returns the refusal for a request whose key was revoked after it arrived.
-    pub(super) fn key_refusal(&self) -> Refusal {
-        match self.may_have_run {
-            true => Refusal::RunnerFailed,
-            false => Refusal::UnknownKey,
+    /// Returns the refusal for a request whose key is no longer served.
+    pub(super) fn key_refusal(&self, denial: KeyDenial) -> Refusal {
+        match (self.may_have_run, denial) {
+            (true, _) => Refusal::RunnerFailed,
+            (false, KeyDenial::Revoked) => Refusal::UnknownKey,
+            (false, KeyDenial::OldConfiguration) => Refusal::OldConfiguration,
         }
     }
 
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -7,7 +7,7 @@
         quarantine::RequestDigest,
         routing::stable_hash,
         streams::StreamId,
-        traffic::{ActiveConfig, CallerLimits, Route, RouteKind, RouteTable, ServiceId},
+        traffic::{CallerLimits, Route, RouteKind, RouteTable, ServiceId},
         workspaces::{AccessKey, Workspace},
     },
     bytes::Bytes,
@@ -89,8 +89,14 @@
     ///
     /// # Errors
     ///
-    /// Fails if the route needs a key and the request has none of a workspace.
-    fn of(map: &RouteTable, route: &Route, head: &RequestHead) -> Result<Self, Refusal> {
+    /// Fails if the route needs a key, and the request has none of a workspace or the configuration
+    /// may be outdated.
+    fn of(
+        relay: &Relay,
+        map: &RouteTable,
+        route: &Route,
+        head: &RequestHead,
+    ) -> Result<Self, Refusal> {
         let workspaces = &map.config().workspaces;
         if workspaces.is_empty() {
             return Ok(Self::Unused);
@@ -98,23 +104,13 @@
         if route.is_anonymous {
             return Ok(Self::Anonymous);
         }
+        let checked = relay.check_config_age();
+        checked.map_err(|_| Refusal::OldConfiguration)?;
         let key = head.key.ok_or(Refusal::UnknownKey)?;
         let workspace = workspaces.find(&key).ok_or(Refusal::UnknownKey)?.clone();
         Ok(Self::Workspace { workspace, key })
     }
 
-    /// Returns whether the configuration in force still has the caller's key.
-    pub(super) fn is_valid(&self, config: &ActiveConfig) -> bool {
-        let Self::Workspace { workspace, key } = self else {
-            return true;
-        };
-        let current = config.current();
-        let found = current
-            .as_ref()
-            .and_then(|map| map.config().workspaces.find(key));
-        found.is_some_and(|found| found.name == workspace.name)
-    }
-
     /// Returns what a runner is told.
     pub(super) fn forwarded(&self) -> ForwardedWorkspace {
         match self {
@@ -211,7 +207,7 @@
         let timeout = Duration::from_millis(timeout_ms);
         let deadline = arrived_at + passed_on.map_or(timeout, |left| left.min(timeout));
         let target_at = arrived_at + Duration::from_millis(route.target_latency_ms);
-        let caller = CallerIdentity::of(&map, route, &head)?;
+        let caller = CallerIdentity::of(self, &map, route, &head)?;
         let rules = call_rules(&map, route, &head, caller);
         let body = read_request_body(body, &limits, deadline).await?;
         let digest = request_digest(&parts, host, &path, &body);
--- a/src/relay/first_write.rs
+++ b/src/relay/first_write.rs
@@ -1,6 +1,7 @@
 //! The check of a request when its first byte is about to be written.
 
 use {
+    super::{KeyCheck, KeyDenial},
     crate::dispatch::{SendCheck, SendDenial},
     std::time::Duration,
     tokio::time::Instant,
@@ -19,6 +20,8 @@
     OldHead,
     /// The runner may not be sent the request any more.
     Denied(SendDenial),
+    /// The key of the request is no longer served.
+    Key(KeyDenial),
 }
 
 /// Decides whether a request that was handed to its connection may be written.
@@ -28,6 +31,7 @@
     /// The latest time at which a runner may still start the request.
     pub(super) latest_start: Instant,
     pub(super) check: Option<SendCheck>,
+    pub(super) key: KeyCheck,
 }
 
 impl FirstWrite {
@@ -40,6 +44,7 @@
         if now >= self.latest_start {
             return Err(WithheldCause::TooLate);
         }
+        self.key.check().map_err(WithheldCause::Key)?;
         let checked = self.check.as_ref().map_or(Ok(()), |check| check.check(now));
         checked.map_err(WithheldCause::Denied)?;
         if now.saturating_duration_since(self.prepared_at) > HEAD_AGE_MAX {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod first_write;
 mod forwarded_call;
 mod head;
+mod key_check;
 mod pass_on;
 mod peer_reach;
 mod plain_response;
@@ -31,7 +32,7 @@
 
 use {
     attempt::*, attempt_progress::*, buffer_budget::*, call::*, connection_pool::*, cutoff::*,
-    end_probe::*, event_stream::*, first_write::*, forwarded_call::*, refusal::*,
+    end_probe::*, event_stream::*, first_write::*, forwarded_call::*, key_check::*, refusal::*,
     relay_counters::CancellationGuard, relay_counters::ResponseOutcome, response_class::*,
     runner_connection::*, sent_assignment::*, write_tracker::*,
 };
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -23,6 +23,8 @@
     NoRoute,
     /// The request has no key of a workspace.
     UnknownKey,
+    /// The configuration may be outdated, so that the key of the request may be revoked.
+    OldConfiguration,
     /// The request is invalid.
     BadRequest(&'static str),
     /// The head of the request is invalid.
@@ -59,6 +61,7 @@
     NoConfiguration,
     NoRoute,
     UnknownKey,
+    OldConfiguration,
     BadRequest,
     BodyTooLarge,
     BodyTooSlow,
@@ -71,10 +74,11 @@
 
 impl Refusal {
     /// The labels of the reasons, in the order of [`RefusalReason`].
-    pub(super) const REASONS: [&'static str; 11] = [
+    pub(super) const REASONS: [&'static str; 12] = [
         "no_configuration",
         "no_route",
         "unknown_key",
+        "old_configuration",
         "bad_request",
         "body_too_large",
         "body_too_slow",
@@ -91,6 +95,7 @@
             Self::NoConfiguration => RefusalReason::NoConfiguration,
             Self::NoRoute => RefusalReason::NoRoute,
             Self::UnknownKey => RefusalReason::UnknownKey,
+            Self::OldConfiguration => RefusalReason::OldConfiguration,
             Self::BadRequest(_) | Self::InvalidHead(_) => RefusalReason::BadRequest,
             Self::BodyTooLarge => RefusalReason::BodyTooLarge,
             Self::BodyTooSlow => RefusalReason::BodyTooSlow,
@@ -131,6 +136,11 @@
                 let detail = "the request has no key of a workspace";
                 Problem::not_run(StatusCode::UNAUTHORIZED, "unknown-key", detail)
             }
+            Self::OldConfiguration => {
+                let detail = "this node's configuration may be outdated";
+                Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "old-configuration", detail)
+                    .retry_after(DEFAULT_RETRY_AFTER)
+            }
             Self::BadRequest(detail) => {
                 Problem::not_run(StatusCode::BAD_REQUEST, "bad-request", *detail)
             }
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        AttemptProgress, Call, CancellationGuard, ConnectionPool, ForwardedCall, ProbedRunners,
-        Refusal, RelayCounters, RetryBudget,
+        AttemptProgress, Call, CallerIdentity, CancellationGuard, ConnectionPool, ForwardedCall,
+        KeyCheck, ProbedRunners, Refusal, RelayCounters, RetryBudget,
         pass_on::{PASSED_ON, PEER_CONNECT_TIMEOUT},
         peer_reach::PeerReach,
         serve::GRACE_RESERVE,
@@ -12,6 +12,7 @@
     crate::{
         discovery::RunnerKey,
         dispatch::Dispatcher,
+        freshness::{ConfigAge, ConfigTooOld},
         http::{Body, Client, Liveness, RetryAfterError},
         leader::PeerNode,
         node::{Bounds, Formats},
@@ -35,6 +36,8 @@
 /// Accepts callers' requests and forwards them to runners.
 pub struct Relay {
     pub(super) traffic: Arc<ActiveConfig>,
+    /// The age of the configuration; without it, a configuration of any age serves keys.
+    config_age: OnceLock<Arc<ConfigAge>>,
     pub(super) dispatcher: Dispatcher,
     pub(super) formats: Arc<dyn Formats>,
     pub(super) peers: watch::Receiver<Vec<PeerNode>>,
@@ -82,6 +85,7 @@
     ) -> Arc<Self> {
         Arc::new(Self {
             traffic,
+            config_age: OnceLock::new(),
             dispatcher,
             formats,
             budget: RetryBudget::new(&bounds),
@@ -106,6 +110,29 @@
         self.drain_started_at.get_or_init(Instant::now);
     }
 
+    /// Refuses keys while the configuration is too old; later calls have no effect.
+    pub fn use_config_age(&self, age: Arc<ConfigAge>) {
+        let _ = self.config_age.set(age);
+    }
+
+    /// Returns the check of a caller's key.
+    pub(super) fn key_check(&self, caller: &CallerIdentity) -> KeyCheck {
+        KeyCheck {
+            caller: caller.clone(),
+            traffic: self.traffic.clone(),
+            age: self.config_age.get().cloned(),
+        }
+    }
+
+    /// Decides whether keys may be served by the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the configuration may be outdated.
+    pub(super) fn check_config_age(&self) -> Result<(), ConfigTooOld> {
+        self.config_age.get().map_or(Ok(()), |age| age.check())
+    }
+
     /// Uses TLS for requests that are passed on to peers; has an effect before the first one only.
     pub fn use_peer_tls(&self, tls: Option<Tls>) {
         self.peer_client.get_or_init(|| new_peer_client(tls));
--- a/src/store/kv.rs
+++ b/src/store/kv.rs
@@ -10,6 +10,9 @@
     std::{fmt, sync::Arc},
 };
 
+/// The largest number of keys that are read for their changes.
+const CHANGED_KEYS_MAX: usize = 100_000;
+
 /// A client of the key-value service that all parts of a process share.
 pub type SharedStore = Arc<dyn Store>;
 
@@ -230,6 +233,30 @@
     /// Fails if the service cannot be reached, refuses the call or does not respond in time.
     fn revoke_lease(&self, id: LeaseId) -> BoxFuture<'_, Result<(), StoreError>>;
 
+    /// Reads the changes to keys that start with `prefix` after `since`, without waiting for any.
+    ///
+    /// All writes that were acknowledged before the call are included. Removals may be left out.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`StoreError::Compacted`] if the service no longer has these changes.
+    fn changes_now<'a>(
+        &'a self,
+        prefix: &'a str,
+        since: StoreVersion,
+    ) -> BoxFuture<'a, Result<Changes, StoreError>> {
+        async move {
+            let range = self.range(prefix, CHANGED_KEYS_MAX).await?;
+            let written = range.entries.into_iter();
+            let written = written.filter(|entry| entry.modified > since);
+            Ok(Changes {
+                changes: written.map(Change::Put).collect(),
+                version: range.version,
+            })
+        }
+        .boxed()
+    }
+
     /// Watches the keys that start with `prefix`, from just after `since`.
     ///
     /// The stream ends after its first error.
--- a/src/store/metered_store.rs
+++ b/src/store/metered_store.rs
@@ -19,13 +19,14 @@
 };
 
 /// The metric labels of the kinds of calls, in the order of [`CallKind`].
-const CALL_KINDS: [&str; 6] = [
+const CALL_KINDS: [&str; 7] = [
     "range",
     "txn",
     "grant_lease",
     "renew_lease",
     "revoke_lease",
     "watch",
+    "changes",
 ];
 
 /// The metric labels of the outcomes of calls.
@@ -47,6 +48,7 @@
     RenewLease,
     RevokeLease,
     Watch,
+    Changes,
 }
 
 /// The time of the last report of a watch.
@@ -198,6 +200,15 @@
             .boxed()
     }
 
+    fn changes_now<'a>(
+        &'a self,
+        prefix: &'a str,
+        since: StoreVersion,
+    ) -> BoxFuture<'a, Result<Changes, StoreError>> {
+        let call = self.store.changes_now(prefix, since);
+        self.measured(CallKind::Changes, call).boxed()
+    }
+
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
--- a/src/store/monitored_store.rs
+++ b/src/store/monitored_store.rs
@@ -176,6 +176,15 @@
         self.inner.revoke_lease(id)
     }
 
+    fn changes_now<'a>(
+        &'a self,
+        prefix: &'a str,
+        since: StoreVersion,
+    ) -> BoxFuture<'a, Result<Changes, StoreError>> {
+        self.monitored(self.inner.changes_now(prefix, since))
+            .boxed()
+    }
+
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
--- a/src/store/upstream_store.rs
+++ b/src/store/upstream_store.rs
@@ -140,6 +140,14 @@
         self.inner.revoke_lease(id)
     }
 
+    fn changes_now<'a>(
+        &'a self,
+        prefix: &'a str,
+        since: StoreVersion,
+    ) -> BoxFuture<'a, Result<Changes, StoreError>> {
+        self.inner.changes_now(prefix, since)
+    }
+
     fn watch<'a>(
         &'a self,
         prefix: &'a str,
--- a/tests/relay_workspaces.rs
+++ b/tests/relay_workspaces.rs
@@ -1,21 +1,41 @@
 //! Requests with keys of workspaces: who is served, and what runners are told.
 
 mod common {
+    pub mod bounds;
     pub mod fake_backend;
     pub mod relay_rig;
 }
 
 use {
     common::{
+        bounds::bounds,
         fake_backend::Received,
         relay_rig::{RelayRig, Setup, signed},
     },
     greengagetrail::{
+        freshness::{AgeBound, ConfigAge},
+        http::serve_http,
+        leader::{BootClock, PeerNode},
+        node::{Bounds, CONTROL_PORT_LIMITS},
         traffic::{ConfigVersion, RouteKind::Idempotent, RouteTable},
         workspaces::{AccessKey, Workspace, WorkspaceDirectory},
     },
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpSocket},
+        sync::watch,
+    },
+    tokio_util::sync::CancellationToken,
 };
 
+const KEY: &str = "x-key: k1\r\n";
+
 fn workspace(name: &str, keys: &[&str]) -> Workspace {
     Workspace {
         name: name.into(),
@@ -87,3 +107,110 @@
     assert_eq!(rig.call("x-key: k1\r\n").await.status, 401);
     assert_eq!(rig.received().len(), 3);
 }
+
+/// Bounds the age of a node's configuration; returns the age and its clock, in seconds.
+fn bound_age(rig: &RelayRig) -> (Arc<ConfigAge>, Arc<AtomicU64>) {
+    let now_s = Arc::new(AtomicU64::new(100));
+    let read = now_s.clone();
+    let clock = BootClock::new(move || Duration::from_secs(read.load(Ordering::SeqCst)));
+    let bound = AgeBound::of(&Bounds {
+        fail_closed: true,
+        revoke_ms: Some(5_000),
+        ..bounds()
+    });
+    let age = Arc::new(ConfigAge::new(rig.traffic.clone(), clock, bound));
+    rig.relay.use_config_age(age.clone());
+    (age, now_s)
+}
+
+fn publish_without_key(rig: &RelayRig) {
+    let mut config = rig.traffic.current().unwrap().config().clone();
+    config.version = ConfigVersion(2);
+    config.workspaces = directory(vec![workspace("north", &["k2"])]);
+    rig.traffic
+        .activate_if_newer(RouteTable::new(config, bytes::Bytes::new()));
+}
+
+#[tokio::test]
+async fn keys_get_503_while_the_configuration_may_be_outdated() {
+    let rig = rig(directory(vec![workspace("north", &["k1"])])).await;
+    let (age, now_s) = bound_age(&rig);
+    assert_eq!(rig.call(KEY).await.status, 503, "no proof yet");
+    age.record(age.now());
+    assert_eq!(rig.call(KEY).await.status, 200);
+    now_s.fetch_add(4, Ordering::SeqCst);
+    assert_eq!(rig.call(KEY).await.status, 200);
+    now_s.fetch_add(1, Ordering::SeqCst);
+    for headers in [KEY, "x-key: k9\r\n", ""] {
+        let refused = rig.call(headers).await;
+        assert_eq!(refused.status, 503, "{headers}");
+        assert!(refused.head.contains("x-retry-after-ms"), "{headers}");
+    }
+    assert_eq!(rig.received().len(), 2);
+    age.record(age.now());
+    assert_eq!(rig.call(KEY).await.status, 200);
+}
+
+#[tokio::test]
+async fn routes_without_keys_are_served_by_a_configuration_of_any_age() {
+    let rig = rig(WorkspaceDirectory::default()).await;
+    bound_age(&rig);
+    assert_eq!(rig.call("").await.status, 200);
+}
+
+// Guards against a process that is frozen, and a key that is taken away, after the last check of a
+// request and before its first byte.
+#[tokio::test]
+async fn no_byte_of_a_request_is_sent_after_a_freeze_or_a_revocation() {
+    let frozen = rig(directory(vec![workspace("north", &["k1"])])).await;
+    let (age, now_s) = bound_age(&frozen);
+    age.record(age.now());
+    frozen.before_sending(move |_| {
+        now_s.fetch_add(10, Ordering::SeqCst);
+    });
+    assert_eq!(frozen.call(KEY).await.status, 503);
+    assert!(frozen.received().is_empty());
+
+    let revoked = Arc::new(rig(directory(vec![workspace("north", &["k1"])])).await);
+    let (age, _) = bound_age(&revoked);
+    age.record(age.now());
+    let publishing = revoked.clone();
+    revoked.before_sending(move |_| publish_without_key(&publishing));
+    assert_eq!(revoked.call(KEY).await.status, 401);
+    assert!(revoked.received().is_empty());
+}
+
+#[tokio::test]
+async fn a_node_checks_the_keys_of_requests_that_are_passed_on_to_it() {
+    let near = rig(directory(vec![workspace("north", &["k1"])])).await;
+    let (age, _) = bound_age(&near);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let peer = PeerNode {
+        name: "near".into(),
+        gossip_address: address,
+        control_address: address,
+        zone: "z".into(),
+    };
+    let (relay, limits) = (near.relay.clone(), CONTROL_PORT_LIMITS);
+    let serving = serve_http(listener, limits, CancellationToken::new(), move |request| {
+        relay.clone().serve_passed_on(request)
+    });
+    tokio::spawn(serving);
+    // Connections to a port that is bound but does not listen are refused.
+    let closed = TcpSocket::new_v4().unwrap();
+    closed.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let at = [closed.local_addr().unwrap()];
+    let mut setup = Setup::new(Idempotent);
+    setup.workspaces = directory(vec![workspace("north", &["k1"])]);
+    let peers = watch::Sender::new(vec![peer]).subscribe();
+    let far = RelayRig::among(setup, Vec::new(), &at, peers).await;
+
+    assert_eq!(far.call(KEY).await.status, 503, "the peer has no proof");
+    age.record(age.now());
+    assert_eq!(far.call(KEY).await.status, 200);
+    assert_eq!(told(&near.received()[0]), (Some("north"), None));
+    publish_without_key(&near);
+    assert_eq!(far.call(KEY).await.status, 401);
+    assert_eq!(near.received().len(), 1);
+}
