Learn how fast each runner is from the gaps of its streams

Cause: on services whose runners differ in speed, a prompt holds up all streams of a slow runner for longer than their callers expect. The cost of a runner was reckoned with constants. The slowness in runner_health.rs takes one sample for each complete response and decays within 4 s, so that at 66 nodes and 60 runners it hardly leaves 1.

Change: src/capacity, pure, learns a usual slowness and a present deviation of each runner from the gaps between the events of all streams that pass through a node, apart from the pace of the models. Where the runners of a service differ, the choice of a runner and its budget of prompts follow the slowness, a prompt costs what it takes from the streams at the runner, and a random part spreads nodes of the same knowledge. Every 150 ms such a node tells four peers what it saw lately, in datagrams of their own: a node of an earlier build cannot decode them and drops them whole. Other services are served as before.

--- a/src/dispatch/assignment.rs
+++ b/src/dispatch/assignment.rs
@@ -3,6 +3,7 @@
 use {
     super::{AttemptOutcome, RequestLoad, SendCheck, registry_shared::RegistryShared},
     crate::{
+        capacity::StreamPace,
         discovery::RunnerEntry,
         quarantine::{HARMLESS_AFTER, RequestFingerprint},
         traffic::{ServiceId, SoftwareVersion},
@@ -25,6 +26,7 @@
     pub(super) started_at: Instant,
     pub(super) first_event_at: Option<Instant>,
     pub(super) last_event_at: Option<Instant>,
+    pub(super) pace: StreamPace,
     /// Whether a response that was cut short can't be told from a complete one.
     pub(super) ends_with_connection: bool,
     /// What the request is compared by if its runner ends.
@@ -50,6 +52,12 @@
                 registry.record_first_event(self, at);
             }
         }
+        if let Some(variant) = &self.load.variant
+            && let Some(usual_gap) = self.pace.record_event(at)
+        {
+            let (registry, key) = (&self.registry, &self.runner.key);
+            registry.record_pace(&self.service, key, &variant.model, usual_gap, at);
+        }
     }
 
     /// Records that the end of the connection is the end of the response, so that one that was cut
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -27,6 +27,7 @@
 mod registry;
 mod registry_demand;
 mod registry_limits;
+mod registry_pace;
 mod registry_quarantine;
 mod registry_reach;
 mod registry_shared;
@@ -44,13 +45,14 @@
 mod summed_usage;
 mod tracked_runner;
 mod types;
+mod uneven_choice;
 mod urgent_waits;
 mod wait_decision;
 mod wait_queue;
 
 pub use {
     assignment::*, attempt_counters::*, choice::*, decaying_count::*, dispatcher::*, load::*,
-    load_sum::*, node_list::*, prefix_cache_estimate::*, registry::*, registry_sums::*,
-    residency::*, runner_health::*, runner_limit::*, send_check::*, send_counters::*,
-    send_gate::SendDenial, types::*,
+    load_sum::*, node_list::*, prefix_cache_estimate::*, registry::*, registry_pace::SpeedReport,
+    registry_sums::*, residency::*, runner_health::*, runner_limit::*, send_check::*,
+    send_counters::*, send_gate::SendDenial, types::*, uneven_choice::*,
 };
--- a/src/dispatch/queue_assignment.rs
+++ b/src/dispatch/queue_assignment.rs
@@ -7,7 +7,7 @@
         service_runners::{Selection, ServiceRunners},
         wait_queue::RequestProfile,
     },
-    crate::traffic::SoftwareVersion,
+    crate::{capacity::StreamPace, traffic::SoftwareVersion},
     std::sync::Arc,
     tokio::time::Instant,
 };
@@ -107,6 +107,7 @@
             started_at: now,
             first_event_at: None,
             last_event_at: None,
+            pace: StreamPace::default(),
             ends_with_connection: false,
             fingerprint: profile.fingerprint.clone(),
             software: profile.software.clone(),
--- a/src/dispatch/service_runners.rs
+++ b/src/dispatch/service_runners.rs
@@ -2,15 +2,17 @@
 
 use {
     super::{
-        AttemptOutcome, PassOn, SendDenial, Variant, cost_ms,
+        AttemptOutcome, Candidate, PassOn, SendDenial, Variant, cost_ms,
         demand_meter::DemandMeter,
         pace_budget::PaceBudget,
         service_reach::ServiceReach,
         tracked_runner::TrackedRunner,
+        uneven_cost_ms,
         urgent_waits::UrgentWaits,
         wait_queue::{RequestProfile, WaitQueue},
     },
     crate::{
+        capacity::{ModelPaces, SpeedSpread},
         discovery::RunnerKey,
         traffic::{ModelId, ServiceId, SoftwareVersion, ZoneId},
     },
@@ -45,6 +47,9 @@
     pub(super) is_brittle: bool,
     /// The first and the further attempts at runners that name a limit.
     pub(super) limited_attempts: (u64, u64),
+    /// Whether the runners differ in speed, by the events of streams.
+    pub(super) speed_spread: SpeedSpread,
+    model_paces: ModelPaces,
     mean_times_s: Vec<(Option<ModelId>, f64)>,
     mean_response_time_s: f64,
 }
@@ -80,6 +85,8 @@
             reach: ServiceReach::default(),
             is_brittle: false,
             limited_attempts: (0, 0),
+            speed_spread: SpeedSpread::default(),
+            model_paces: ModelPaces::default(),
             mean_times_s: Vec::new(),
             mean_response_time_s: 0.0,
         }
@@ -136,6 +143,7 @@
         let mut is_limited = false;
         let mut pause_end: Option<Instant> = None;
         let mut rng = rand::rng();
+        let is_uneven = self.speed_spread.is_uneven() && profile.needs.kv_capacity_tokens.is_some();
         for (position, runner) in self.runners.iter().enumerate() {
             let is_eligible = runner.gate.is_staying(now)
                 && runner.may_resume(profile.software.as_ref(), now)
@@ -171,9 +179,17 @@
                 retry_at = retry_at.into_iter().chain([now + YIELD_RETRY_DELAY]).min();
                 continue;
             }
-            let Some(cost) = cost_ms(&profile.needs, &candidate) else {
+            if is_uneven {
+                candidate.slowness = runner.speed.slowness(now);
+            }
+            let drawn = rng.random_range(0.0..1.0);
+            let cost_of = |candidate: &Candidate| match is_uneven {
+                true => uneven_cost_ms(&profile.needs, candidate, drawn),
+                false => cost_ms(&profile.needs, candidate),
+            };
+            let Some(cost) = cost_of(&candidate) else {
                 candidate.recent_prompt_tokens = 0;
-                if cost_ms(&profile.needs, &candidate).is_some() {
+                if cost_of(&candidate).is_some() {
                     retry_at = retry_at.into_iter().chain([now + YIELD_RETRY_DELAY]).min();
                 }
                 continue;
@@ -258,6 +274,24 @@
         }
     }
 
+    /// Records the usual gap between the events of a stream; returns whether the runners now differ
+    /// in speed and did not before, or the other way round.
+    pub(super) fn record_pace(
+        &mut self,
+        key: &RunnerKey,
+        model: &ModelId,
+        usual_gap: Duration,
+        now: Instant,
+    ) -> bool {
+        let Ok(position) = self.position(key) else {
+            return false;
+        };
+        let speed = &mut self.runners[position].speed;
+        self.model_paces.record(model, speed, usual_gap, now);
+        let speeds = self.runners.iter().map(|runner| &runner.speed);
+        self.speed_spread.update(speeds, now)
+    }
+
     /// Records the time from an assignment to the first event of the response.
     pub(super) fn record_response_time(&mut self, time: Duration) {
         self.mean_response_time_s +=
--- a/src/dispatch/tracked_runner.rs
+++ b/src/dispatch/tracked_runner.rs
@@ -11,6 +11,7 @@
         wait_queue::RequestProfile,
     },
     crate::{
+        capacity::RunnerSpeed,
         discovery::{RunnerEntry, RunnerState},
         traffic::{AdapterId, ModelId, NodeName, SoftwareVersion, ZoneId},
     },
@@ -45,6 +46,8 @@
     /// Decides whether the runner may be sent a request.
     pub(super) gate: SendGate,
     pub(super) own_load: NodeLoad,
+    /// How fast the runner sends the events of streams.
+    pub(super) speed: RunnerSpeed,
     pending_changes: ResidencyOverlay,
     peer_loads: PeerLoads,
     /// The requests of all other nodes by variant, where an aggregator reports them.
@@ -75,6 +78,7 @@
             in_new_list: true,
             gate: SendGate::listed(is_draining),
             own_load: NodeLoad::default(),
+            speed: RunnerSpeed::default(),
             pending_changes: ResidencyOverlay::default(),
             peer_loads: PeerLoads::default(),
             summed_usage: SummedUsage::default(),
--- a/src/gossip/gossip.rs
+++ b/src/gossip/gossip.rs
@@ -5,7 +5,7 @@
         AggregationProtocol, DATAGRAM_BYTES_MAX, Datagram, DatagramCounts, DatagramError,
         DatagramKind, DatagramPurpose, Event, Item, Sender, append_mac, decode, encode,
         gossip_counters::GossipCounters, residency_outbox::ResidencyOutbox,
-        sender_table::SenderTable, verify_mac,
+        sender_table::SenderTable, speed_rounds::speed_reports, verify_mac,
     },
     crate::{
         copies::ResidencyBroadcaster,
@@ -63,8 +63,8 @@
 /// The exchange of state between a node and its peers over UDP.
 #[derive(Debug)]
 pub struct Gossip {
-    node: NodeName,
-    start: u64,
+    pub(super) node: NodeName,
+    pub(super) start: u64,
     pub(super) peers: watch::Receiver<Vec<PeerNode>>,
     seeds: Vec<SocketAddr>,
     pub(super) registry: Arc<RunnerRegistry>,
@@ -158,6 +158,7 @@
     pub async fn run(self: Arc<Self>) {
         tokio::join!(
             self.send_rounds(),
+            self.send_speeds(),
             self.receive_datagrams(),
             self.log_traffic()
         );
@@ -334,6 +335,11 @@
     async fn process_datagram(&self, mut datagram: Datagram, address: SocketAddr) {
         let sender = datagram.sender.clone();
         lock(&self.senders).record(&sender, address, Instant::now());
+        let speeds = speed_reports(&datagram.items);
+        if !speeds.is_empty() {
+            self.registry.apply_speed_reports(&speeds);
+            return;
+        }
         if datagram.kind == DatagramKind::Direct {
             let (urgent_events, direct_items) = datagram
                 .items
--- a/src/gossip/gossip_counters.rs
+++ b/src/gossip/gossip_counters.rs
@@ -19,10 +19,12 @@
     Broadcast,
     /// A probe or its response.
     Probe,
+    /// How slow runners are now, for some peers.
+    Speed,
 }
 
 /// The labels of the purposes, in their order.
-const PURPOSE_LABELS: [&str; 7] = [
+const PURPOSE_LABELS: [&str; 8] = [
     "direct",
     "report",
     "digest",
@@ -30,6 +32,7 @@
     "event",
     "broadcast",
     "probe",
+    "speed",
 ];
 
 /// Datagrams and bytes of a node, without IP and UDP headers.
--- a/src/gossip/item.rs
+++ b/src/gossip/item.rs
@@ -5,7 +5,7 @@
         discovery::RunnerKey,
         dispatch::{
             LimitReport, LoadSum, ModelDemand, NodeLoad, PEER_SUSPICION, ResidencyChange,
-            RunnerHash, RunnerUsage,
+            RunnerHash, RunnerUsage, SpeedReport,
         },
         quarantine::QuarantineMessage,
         traffic::NodeName,
@@ -45,6 +45,8 @@
     Limit(LimitReport),
     /// A runner whose response said that it leaves.
     StatedLeaving(RunnerKey),
+    /// How slow a runner is now; sent in datagrams of its own.
+    Speed(SpeedReport),
 }
 
 /// An urgent event, which each node delivers once.
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -35,6 +35,7 @@
 mod send_budget;
 mod sender_table;
 mod sequence_window;
+mod speed_rounds;
 
 pub use {
     aggregation::*,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! settings and call into it.
 
 pub mod admission;
+pub mod capacity;
 pub mod cli;
 pub mod config;
 pub mod copies;
--- a/src/node/node_view.rs
+++ b/src/node/node_view.rs
@@ -6,6 +6,7 @@
         WatchStatus, render_demand,
     },
     crate::{
+        capacity::render_speeds,
         copies::OrderCounters,
         dispatch::RunnerRegistry,
         gossip::Gossip,
@@ -126,6 +127,7 @@
         self.registry.limit_counters().render(&mut text);
         self.relay.counters().render(&mut text);
         self.status().render(&mut text);
+        render_speeds(&self.registry.speeds(), &mut text);
         render_demand(&self.registry.demand(), &mut text);
         text.finish()
     }
--- a/tests/gossip_datagrams.rs
+++ b/tests/gossip_datagrams.rs
@@ -8,7 +8,8 @@
         copies::ResidencyBroadcaster,
         discovery::RunnerKey,
         dispatch::{
-            AggregatorReport, LoadSum, ModelDemand, NodeLoad, RunnerHash, RunnerUsage, Variant,
+            AggregatorReport, LoadSum, ModelDemand, NodeLoad, RunnerHash, RunnerUsage, SpeedReport,
+            Variant,
         },
         gossip::{
             AggregationContext, AggregationProtocol, DATAGRAM_BYTES_MAX, Datagram, DatagramError,
@@ -93,6 +94,22 @@
     }
 }
 
+#[test]
+fn reports_of_speeds_keep_their_runner_and_their_sign() {
+    let key = RunnerKey {
+        id: "r".into(),
+        born_unix_ms: 1,
+    };
+    let reports = [-1.8, -0.5, 0.0, 0.5, 1.8].map(|log_slowness| {
+        let report = SpeedReport::new(RunnerHash::of(&key), log_slowness);
+        assert!((report.log_slowness() - log_slowness).abs() < 0.01);
+        Item::Speed(report)
+    });
+    let datagrams = encode(&sender(), reports.clone());
+    let read = datagrams.iter().flat_map(|d| decode(d).unwrap().items);
+    assert_eq!(read.collect::<Vec<_>>(), reports);
+}
+
 #[test]
 fn an_oversized_item_gets_a_datagram_of_its_own() {
     let mut all = items(2);
