Keep the quotas of workspaces over all nodes

Change: three home nodes a workspace, by rendezvous over the registered nodes, each hold a token bucket with a third of the quota. A node asks them for the allowance of each attempt by datagram on a port of its own, before the request waits. 429 with the time until the amount is expected; 503 if no home answers. Spare allowance, bounded over all nodes and ended after 2 s, saves questions. Buckets begin empty, homes grant only while their lease holds. Ruled out: equal parts (1.5 requests a window and node for a small quota), sums by gossip (0.2 to 1 s old, forget what killed nodes spent), one home. Off where the configuration has no quotas.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod placement;
 pub mod proto;
 pub mod quarantine;
+pub mod quotas;
 pub mod relay;
 pub mod routing;
 pub mod security;
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -14,6 +14,7 @@
         gossip::Gossip,
         http::{Readiness, serve_operations},
         leader::{Membership, PeerNode},
+        quotas::{QuotaExchange, QuotaLink},
         relay::Relay,
         security::{KeyRing, Tls, TlsError, reload_tls_on_change},
         store::{MeteredStore, MonitoredStore, StoreHealth, StoreVersion, UpstreamStore},
@@ -87,6 +88,7 @@
     let relay = node.new_relay(timer_lag.clone());
     relay.limit_retries_after_restart();
     relay.use_peer_tls(node.access.tls.clone());
+    relay.use_quotas(node.start_quotas(sockets.quotas, gossip.keys().clone()));
     let readiness = Readiness::default();
     let stopped = CancellationToken::new();
     let view = NodeView {
@@ -360,6 +362,23 @@
         tokio::spawn(follower.run());
     }
 
+    /// Starts the exchange that keeps the quotas of workspaces over all nodes.
+    fn start_quotas(&self, socket: Option<UdpSocket>, keys: KeyRing) -> Arc<QuotaExchange> {
+        let port = self.settings.quota_port;
+        let link = socket.map(|socket| QuotaLink { socket, port, keys });
+        let membership = self.membership.clone();
+        let exchange = QuotaExchange::new(
+            self.settings.node.clone(),
+            self.active_config.clone(),
+            self.membership.peers.clone(),
+            self.settings.bounds.quotas,
+            link,
+            move || membership.has_read_nodes() && membership.holds_lease(),
+        );
+        tokio::spawn(exchange.clone().run());
+        exchange
+    }
+
     fn new_relay(&self, timer_lag: Arc<TimerLag>) -> Arc<Relay> {
         Relay::new(
             self.active_config.clone(),
@@ -396,6 +415,8 @@
     /// `None` if the port is not configured or cannot be bound.
     metrics: Option<TcpListener>,
     gossip: UdpSocket,
+    /// `None` if nodes do not share quotas.
+    quotas: Option<UdpSocket>,
 }
 
 impl Sockets {
@@ -409,10 +430,20 @@
             gossip: UdpSocket::bind(gossip)
                 .await
                 .map_err(io_error("gossip_port"))?,
+            quotas: bind_quotas(settings).await?,
         })
     }
 }
 
+async fn bind_quotas(settings: &NodeSettings) -> Result<Option<UdpSocket>, NodeError> {
+    if settings.quota_port == 0 {
+        return Ok(None);
+    }
+    let address = SocketAddr::new(settings.ip.into(), settings.quota_port);
+    let bound = UdpSocket::bind(address).await;
+    bound.map(Some).map_err(io_error("quota_port"))
+}
+
 /// Binds the metrics port; a failure is logged and does not stop the node.
 async fn bind_metrics(settings: &NodeSettings) -> Option<TcpListener> {
     let address = SocketAddr::new(settings.ip.into(), settings.metrics_port);
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         gossip::{DEFAULT_LINK_MBPS, DIRECT_PEERS_MAX},
+        quotas::QuotaBounds,
         security::{SharedKey, TlsFiles},
         telemetry::{LogFormat, LogLevel, LogRules},
         traffic::{NodeName, ZoneId},
@@ -42,6 +43,10 @@
     pub metrics_port: u16,
     /// The UDP port for gossip, the same on all nodes.
     pub gossip_port: u16,
+    /// The UDP port for the quotas of workspaces, the same on all nodes; 0 if nodes do not share
+    /// quotas, so that each uses an equal part.
+    #[serde(default)]
+    pub quota_port: u16,
     /// The largest number of peers with which nodes exchange their loads directly; with more, a few
     /// nodes of each data centre aggregate the loads.
     #[serde(default = "default_direct_peers_max")]
@@ -107,6 +112,9 @@
     pub contact_ms: u64,
     /// The shortest lease that the store grants.
     pub lease_min_ms: u64,
+    /// By how much all nodes together may exceed the quotas of workspaces.
+    #[serde(flatten)]
+    pub quotas: QuotaBounds,
 }
 
 /// The reason why a settings file cannot be used.
--- a/src/node/settings_follower.rs
+++ b/src/node/settings_follower.rs
@@ -16,10 +16,13 @@
 const FILE_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The settings that take effect while a node runs.
-const RUNTIME_FIELDS: [&str; 11] = [
+const RUNTIME_FIELDS: [&str; 14] = [
     "bounds.budget_window_s",
     "bounds.ceiling_window_s",
     "bounds.grace_s",
+    "bounds.quota_overage",
+    "bounds.quota_slack",
+    "bounds.quota_window_s",
     "bounds.retry_budget_ratio",
     "bounds.retry_budget_slack",
     "gossip_keys",
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -65,6 +65,7 @@
         if Instant::now() >= self.call.latest_start() {
             return Err(self.progress.final_refusal(None));
         }
+        self.acquire_allowance().await?;
         let wanted = self.dispatch_request();
         let assignment = self.relay.dispatcher.assign(&wanted).await;
         let assignment = assignment.map_err(|refused| self.progress.dispatch_refusal(refused))?;
--- a/src/relay/attempt_progress.rs
+++ b/src/relay/attempt_progress.rs
@@ -6,6 +6,7 @@
         discovery::RunnerKey,
         dispatch::{DispatchRefusal, RefusalCause},
         http::Body,
+        quotas::{AllowanceRefusal, SpentAllowance},
     },
     hyper::Response,
 };
@@ -31,6 +32,8 @@
     pub(super) lacks_software: bool,
     /// Whether this node reached no runner for the request.
     pub(super) is_out_of_reach: bool,
+    /// What the request used of its workspace's quota for the present or the last attempt.
+    pub(super) allowance: Option<SpentAllowance>,
     /// A runner's failure response, returned if no other attempt succeeds.
     pub(super) failure_response: Option<Response<Body>>,
 }
@@ -42,6 +45,7 @@
             may_have_run: self.may_have_run,
         };
         self.attempts_sent += 1;
+        self.set_allowance_sent(true);
         self.may_have_run = true;
         self.is_retry_counted = false;
         before
@@ -52,11 +56,13 @@
         self.attempts_sent -= 1;
         self.may_have_run = before.may_have_run;
         self.is_retry_counted = true;
+        self.set_allowance_sent(false);
     }
 
     /// Records the runner's statement that it did not run the request.
     pub(super) fn record_not_run(&mut self, before: BeforeSend) {
         self.may_have_run = before.may_have_run;
+        self.set_allowance_sent(false);
     }
 
     /// Returns the refusal for a request whose deadline passed.
@@ -93,6 +99,28 @@
         }
     }
 
+    /// Returns whether the next attempt needs allowance of the workspace's quota.
+    pub(super) fn lacks_allowance(&self) -> bool {
+        self.allowance.as_ref().is_none_or(SpentAllowance::is_sent)
+    }
+
+    fn set_allowance_sent(&mut self, is_sent: bool) {
+        if let Some(allowance) = &mut self.allowance {
+            allowance.set_sent(is_sent);
+        }
+    }
+
+    /// Returns the refusal for a request whose workspace used up its quota.
+    pub(super) fn quota_refusal(&self, cause: AllowanceRefusal) -> Refusal {
+        match (self.may_have_run, cause) {
+            (true, _) => Refusal::RunnerFailed,
+            (false, AllowanceRefusal::OverQuota(wait)) => Refusal::OverQuota {
+                retry_after_ms: wait.as_millis() as u64,
+            },
+            (false, AllowanceRefusal::NoAnswer) => Refusal::not_run(),
+        }
+    }
+
     /// Returns the refusal for a request whose key was revoked after it arrived.
     pub(super) fn key_refusal(&self) -> Refusal {
         match self.may_have_run {
--- a/src/relay/forwarded_call.rs
+++ b/src/relay/forwarded_call.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        AttemptProgress, AttemptResult, Call, Refusal, Relay, ResponseOutcome, RunnerResponse,
-        RunnerStream, stream_response,
+        AttemptProgress, AttemptResult, Call, CallerIdentity, Refusal, Relay, ResponseOutcome,
+        RunnerResponse, RunnerStream, stream_response,
     },
     crate::{dispatch::AttemptOutcome, http::Body, streams::StreamId, traffic::SoftwareVersion},
     hyper::{Response, StatusCode},
@@ -105,6 +105,32 @@
         );
     }
 
+    /// Gets allowance of the workspace's quota for the next attempt, unless it has some.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the quota is used up.
+    pub(super) async fn acquire_allowance(&mut self) -> Result<(), Refusal> {
+        let Some(quotas) = self.relay.quotas.get() else {
+            return Ok(());
+        };
+        let CallerIdentity::Workspace { workspace, .. } = &self.call.rules.caller else {
+            return Ok(());
+        };
+        // The node that passed a request on has counted its first attempt.
+        let is_counted = self.call.is_passed_on && self.progress.attempts_sent == 0;
+        let Some(quota) = workspace.quota.filter(|_| !is_counted) else {
+            return Ok(());
+        };
+        if self.progress.lacks_allowance() {
+            let amount = quota.unit.amount(self.call.head.stated_tokens);
+            let acquired = quotas.acquire(&workspace.name, amount).await;
+            let acquired = acquired.map_err(|cause| self.progress.quota_refusal(cause))?;
+            self.progress.allowance = Some(acquired);
+        }
+        Ok(())
+    }
+
     /// Requires the software version at which a stream began that the caller resumes.
     ///
     /// # Errors
@@ -156,6 +182,7 @@
     }
 
     async fn first_attempts(&mut self) -> Result<CallerResponse, Refusal> {
+        self.acquire_allowance().await?;
         self.require_software().await?;
         loop {
             match self.attempt(None).await? {
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -36,6 +36,11 @@
         /// How long the caller should wait before it retries, in milliseconds.
         retry_after_ms: u64,
     },
+    /// The request did not run, as its workspace used up its quota.
+    OverQuota {
+        /// How long it takes until the quota allows the request, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// The request did not run, as it, or a part of its prompt, crashed runners.
     Quarantined {
         /// How long it is still quarantined, in milliseconds.
@@ -63,6 +68,7 @@
     BodyTooLarge,
     BodyTooSlow,
     Overloaded,
+    OverQuota,
     Quarantined,
     StreamNotResumable,
     RunnerFailed,
@@ -71,7 +77,7 @@
 
 impl Refusal {
     /// The labels of the reasons, in the order of [`RefusalReason`].
-    pub(super) const REASONS: [&'static str; 11] = [
+    pub(super) const REASONS: [&'static str; 12] = [
         "no_configuration",
         "no_route",
         "unknown_key",
@@ -79,6 +85,7 @@
         "body_too_large",
         "body_too_slow",
         "overloaded",
+        "over_quota",
         "quarantined",
         "stream_not_resumable",
         "runner_failed",
@@ -95,6 +102,7 @@
             Self::BodyTooLarge => RefusalReason::BodyTooLarge,
             Self::BodyTooSlow => RefusalReason::BodyTooSlow,
             Self::NotRun { .. } => RefusalReason::Overloaded,
+            Self::OverQuota { .. } => RefusalReason::OverQuota,
             Self::Quarantined { .. } => RefusalReason::Quarantined,
             Self::StreamNotResumable { .. } => RefusalReason::StreamNotResumable,
             Self::RunnerFailed => RefusalReason::RunnerFailed,
@@ -151,6 +159,12 @@
                 Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "overloaded", detail)
                     .retry_after(retry_after)
             }
+            Self::OverQuota { retry_after_ms } => {
+                let detail = "the workspace has used up its quota";
+                let retry_after = Duration::from_millis(*retry_after_ms);
+                Problem::not_run(StatusCode::TOO_MANY_REQUESTS, "over-quota", detail)
+                    .retry_after(retry_after)
+            }
             Self::Quarantined { retry_after_ms } => {
                 let detail = "runners crashed under this request or a part of its prompt";
                 let retry_after = Duration::from_millis(*retry_after_ms);
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -15,6 +15,7 @@
         http::{Body, Client, Liveness, RetryAfterError},
         leader::PeerNode,
         node::{Bounds, Formats},
+        quotas::QuotaExchange,
         security::Tls,
         telemetry::TimerLag,
         traffic::{ActiveConfig, ServiceId},
@@ -47,6 +48,8 @@
     is_cut_off: AtomicBool,
     pub(super) probed_runners: ProbedRunners,
     pub(super) budget: RetryBudget,
+    /// What workspaces may use; `None` where quotas are not kept.
+    pub(super) quotas: OnceLock<Arc<QuotaExchange>>,
     pub(super) counters: RelayCounters,
     /// How long requests in flight may continue after a planned stop began.
     grace: Mutex<Duration>,
@@ -85,6 +88,7 @@
             dispatcher,
             formats,
             budget: RetryBudget::new(&bounds),
+            quotas: OnceLock::new(),
             counters: RelayCounters::default(),
             grace: Mutex::new(grace_time(&bounds)),
             timer_lag,
@@ -122,6 +126,16 @@
         self.is_cut_off.store(cut_off, Ordering::Relaxed);
     }
 
+    /// Keeps the quotas of workspaces; has an effect the first time only.
+    pub fn use_quotas(&self, quotas: Arc<QuotaExchange>) {
+        self.quotas.get_or_init(|| quotas);
+    }
+
+    /// Returns the exchange that keeps the quotas of workspaces.
+    pub fn quotas(&self) -> Option<&Arc<QuotaExchange>> {
+        self.quotas.get()
+    }
+
     /// Closes the idle connections to the runners of a service.
     pub fn close_idle_connections(&self, service: &ServiceId) {
         for runner in self.dispatcher.runners_of(service) {
@@ -137,6 +151,9 @@
     /// Applies changed bounds; requests in flight continue.
     pub fn set_bounds(&self, bounds: &Bounds) {
         self.budget.set_bounds(bounds);
+        if let Some(quotas) = self.quotas() {
+            quotas.set_bounds(bounds.quotas);
+        }
         *self.grace.lock().unwrap_or_else(PoisonError::into_inner) = grace_time(bounds);
     }
 
--- a/tests/common/bounds.rs
+++ b/tests/common/bounds.rs
@@ -17,5 +17,6 @@
         ceiling_window_s: 5.0,
         contact_ms: 3_000,
         lease_min_ms: 1_000,
+        quotas: Default::default(),
     }
 }
--- a/tests/common/relay_rig.rs
+++ b/tests/common/relay_rig.rs
@@ -386,6 +386,7 @@
         ceiling_window_s: 5.0,
         contact_ms: 3000,
         lease_min_ms: 1000,
+        quotas: Default::default(),
     }
 }
 
--- a/tests/relay_workspaces.rs
+++ b/tests/relay_workspaces.rs
@@ -11,9 +11,12 @@
         relay_rig::{RelayRig, Setup, signed},
     },
     greengagetrail::{
+        quotas::{QuotaBounds, QuotaExchange},
         traffic::{ConfigVersion, RouteKind::Idempotent, RouteTable},
-        workspaces::{AccessKey, Workspace, WorkspaceDirectory},
+        workspaces::{AccessKey, Quota, QuotaUnit, Workspace, WorkspaceDirectory},
     },
+    std::time::Duration,
+    tokio::sync::watch,
 };
 
 fn workspace(name: &str, keys: &[&str]) -> Workspace {
@@ -87,3 +90,56 @@
     assert_eq!(rig.call("x-key: k1\r\n").await.status, 401);
     assert_eq!(rig.received().len(), 3);
 }
+
+/// Starts a relay alone whose workspace may send two requests at once.
+async fn rig_with_quota(statuses: [u16; 2]) -> RelayRig {
+    let mut setup = Setup::new(Idempotent);
+    let quota = Quota {
+        unit: QuotaUnit::Requests,
+        rate_per_s: 4.0,
+        burst: 2.0,
+    };
+    setup.workspaces = directory(vec![Workspace {
+        quota: Some(quota),
+        ..workspace("north", &["k1"])
+    }]);
+    let script = move |attempt: usize, received: &Received| {
+        signed(received, statuses[attempt.min(1)], "", "ok")
+    };
+    let rig = RelayRig::start(setup, script).await;
+    let peers = watch::Sender::new(Vec::new()).subscribe();
+    let bounds = QuotaBounds::default();
+    let traffic = rig.traffic.clone();
+    let quotas = QuotaExchange::new("n".into(), traffic, peers, bounds, None, || true);
+    rig.relay.use_quotas(quotas);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    rig
+}
+
+#[tokio::test]
+async fn requests_over_the_quota_get_429_with_a_wait_and_reach_no_runner() {
+    let rig = rig_with_quota([200, 200]).await;
+    let mut answers = Vec::new();
+    for _ in 0..4 {
+        answers.push(rig.call("x-key: k1\r\n").await);
+    }
+    let statuses: Vec<_> = answers.iter().map(|answer| answer.status).collect();
+    assert_eq!(statuses[..3], [200, 200, 429]);
+    let refused = statuses.iter().filter(|status| **status == 429).count();
+    assert_eq!(rig.received().len() + refused, 4);
+    let wait = answers[2].head.lines();
+    let wait = wait.filter_map(|line| line.strip_prefix("x-retry-after-ms: "));
+    let wait_ms: Vec<u64> = wait.map(|wait| wait.parse().unwrap()).collect();
+    assert!((1..=250).contains(&wait_ms[0]), "{wait_ms:?}");
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    assert_eq!(rig.call("x-key: k1\r\n").await.status, 200);
+}
+
+#[tokio::test]
+async fn a_further_attempt_counts_against_the_quota_too() {
+    let rig = rig_with_quota([500, 200]).await;
+    assert_eq!(rig.call("x-key: k1\r\n").await.status, 200);
+    assert_eq!(rig.received().len(), 2);
+    assert_eq!(rig.call("x-key: k1\r\n").await.status, 429);
+    assert_eq!(rig.received().len(), 2);
+}
