--- a/src/node/node_view.rs
+++ b/src/node/node_view.rs
@@ -130,6 +130,9 @@
         self.registry.ended_attempts().render(&mut text);
         self.registry.limit_counters().render(&mut text);
         self.relay.counters().render(&mut text);
+        if let Some(quotas) = self.relay.quotas() {
+            quotas.render(&mut text);
+        }
         self.status().render(&mut text);
         render_speeds(&self.registry.speeds(), &mut text);
         render_demand(&self.registry.demand(), &mut text);
--- a/tests/common/bounds.rs
+++ b/tests/common/bounds.rs
@@ -19,5 +19,6 @@
         lease_min_ms: 1_000,
         fail_closed: false,
         revoke_ms: None,
+        quotas: Default::default(),
     }
 }
--- a/tests/common/relay_rig.rs
+++ b/tests/common/relay_rig.rs
@@ -388,6 +388,7 @@
         lease_min_ms: 1000,
         fail_closed: false,
         revoke_ms: None,
+        quotas: Default::default(),
     }
 }
 
