Ask the store for the configuration's age from one node of a large system

Cause: each node that watches the store asked it for the age of the configuration four times in revoke_ms: 6 to 8 nodes at 70 VMs. Change: the first node of the ranking in the first data centre asks; the nodes that watch the store ask that node, the others the peer through which they watch. A peer without a response is not asked for 3 s, as for changes, and a node without a young proof asks the store itself. The chain has no circle: each node relies on one that is earlier by data centre and rank, whatever lists of nodes they have.

--- a/src/node/age_peers.rs
+++ b/src/node/age_peers.rs
@@ -30,7 +30,7 @@
 
 /// The peers that tell a node how old the configuration is.
 ///
-/// A node relies on the peer through which it watches the store.
+/// A node relies on the peer through which it watches the store, or on one of those that watch it.
 #[derive(Debug)]
 pub(super) struct AgePeers {
     upstream: Arc<UpstreamPeer>,
@@ -63,7 +63,10 @@
         };
         let response = self.client.call(peer, request, limits).await;
         let response = response
-            .inspect_err(|cause| log::debug!("freshness: the peer at {peer} is not asked: {cause}"))
+            .inspect_err(|cause| {
+                log::debug!("freshness: the peer at {peer} tells no age: {cause}");
+                self.upstream.record_prover_failure(peer);
+            })
             .ok()?;
         match response.status() {
             StatusCode::OK => decode_age(response.body()),
@@ -74,7 +77,7 @@
 
 impl ProofPeers for AgePeers {
     fn followed(&self) -> Option<SocketAddr> {
-        let peer = self.upstream.select_peer()?;
+        let peer = self.upstream.select_prover()?;
         Some(peer.control_address)
     }
 
--- a/src/node/upstream_peer.rs
+++ b/src/node/upstream_peer.rs
@@ -3,7 +3,7 @@
 use {
     super::changes_endpoint::{changes_path, decode_changes},
     crate::{
-        gossip::rank_nodes,
+        gossip::{rank_nodes, sorted_zones},
         http::{Body, CallLimits, Client, Liveness},
         leader::{PeerNode, Term},
         security::Tls,
@@ -13,6 +13,7 @@
     futures::future::{BoxFuture, FutureExt},
     hyper::{Request, StatusCode},
     std::{
+        net::SocketAddr,
         sync::{Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -112,6 +113,36 @@
         healthy.cloned()
     }
 
+    /// Returns the peer to ask for the age of the configuration; `None` if this node asks the store.
+    ///
+    /// That is the peer through which this node watches the store. The nodes that watch it ask one
+    /// of them, so that a large system asks the store as often as a single node would.
+    pub fn select_prover(&self) -> Option<PeerNode> {
+        if let Some(peer) = self.select_peer() {
+            return Some(peer);
+        }
+        let peers = self.peers.borrow();
+        if peers.len() <= self.direct_peers_max {
+            return None;
+        }
+        let zone = sorted_zones(&peers)
+            .into_iter()
+            .chain([&self.own_node.zone]);
+        let nodes = peers.iter().chain([&self.own_node]);
+        let prover = rank_nodes(nodes, zone.min()?).first().copied()?;
+        let is_usable = prover.name != self.own_node.name && !self.has_failed(&prover.name);
+        is_usable.then(|| prover.clone())
+    }
+
+    /// Records that a peer gave no usable response, so that it is not asked for a while.
+    pub(super) fn record_prover_failure(&self, address: SocketAddr) {
+        let peers = self.peers.borrow();
+        let found = peers.iter().find(|peer| peer.control_address == address);
+        if let Some(peer) = found {
+            self.record_failure(peer.name.clone());
+        }
+    }
+
     fn has_failed(&self, peer: &NodeName) -> bool {
         let now = Instant::now();
         let mut failures = self.failures();
--- a/tests/node_upstream.rs
+++ b/tests/node_upstream.rs
@@ -110,6 +110,19 @@
     }
 }
 
+#[test]
+fn one_node_of_a_large_system_asks_the_store_for_the_age_of_the_configuration() {
+    for (nodes, asking) in [(25, 25), (26, 1), (62, 1), (350, 1)] {
+        let all = nodes_in_zones(nodes, 4);
+        let own_provers = all.iter().filter(|node| {
+            let others = all.iter().filter(|other| other.name != node.name);
+            let upstream = upstream((*node).clone(), others.cloned().collect(), 24, None);
+            upstream.select_prover().is_none()
+        });
+        assert_eq!(own_provers.count(), asking, "{nodes} nodes");
+    }
+}
+
 #[test]
 fn the_leader_watches_the_store_itself() {
     let all = nodes_in_zones(62, 4);
