Watch the store through one node of a large system

Cause: at 70 VMs in three data centres six nodes watched the store for the others, and each change answered six watches of the configuration, the runners and the nodes. Change: these nodes watch through the first of them, the first node of the ranking in the first data centre, by the same requests as their own followers. Each node follows one that is earlier by data centre and rank, so that differing lists of nodes make no circle. Weighed: half as many watching nodes (still one watch a data centre, and twice the load of one), all through the leader (busiest, and it changes).

--- a/src/node/upstream_peer.rs
+++ b/src/node/upstream_peer.rs
@@ -44,9 +44,10 @@
 
 /// Watches the store through a peer of the same data centre.
 ///
-/// In each data centre only the first few nodes of a ranking, which all nodes compute alike, watch
-/// the store; the others send changes requests to these. The leader always watches the store
-/// itself, and so does a node whose candidate peers have failed.
+/// In each data centre the first few nodes of a ranking, which all nodes compute alike, watch the
+/// store for the others, which send changes requests to these. They themselves send theirs to the
+/// first node of the first data centre. The leader always watches the store itself, and so does a
+/// node whose candidate peers have failed.
 #[derive(Debug)]
 pub struct UpstreamPeer {
     own_node: PeerNode,
@@ -89,7 +90,7 @@
         }
     }
 
-    /// Returns the peer to use; `None` if the node has to watch the store itself.
+    /// Returns the peer of the data centre to use; `None` for a node that watches for others.
     pub fn select_peer(&self) -> Option<PeerNode> {
         if self.term.borrow().is_some() {
             return None;
@@ -113,6 +114,18 @@
         healthy.cloned()
     }
 
+    /// Returns the peer to ask for changes; `None` if this node has to watch the store itself.
+    ///
+    /// The nodes that watch the store for others do so through the first of them. Each node relies
+    /// on one that is earlier by data centre and rank, so that no two nodes wait for each other,
+    /// whatever nodes they know.
+    pub fn select_source(&self) -> Option<PeerNode> {
+        match *self.term.borrow() {
+            Some(_) => None,
+            None => self.select_prover(),
+        }
+    }
+
     /// Returns the peer to ask for the age of the configuration; `None` if this node asks the store.
     ///
     /// That is the peer through which this node watches the store. The nodes that watch it ask one
@@ -160,7 +173,7 @@
     }
 
     async fn request_changes(&self, prefix: &str, after: StoreVersion) -> Option<Changes> {
-        let peer = self.select_peer()?;
+        let peer = self.select_source()?;
         let request = Request::get(changes_path(prefix, after, self.wait));
         let request = request.body(Body::empty()).ok()?;
         let limits = CallLimits {
--- a/tests/node_upstream.rs
+++ b/tests/node_upstream.rs
@@ -157,10 +157,35 @@
     }
 
     async fn start_with_link(data: &MemoryStore, freshness_max: Duration, link_mbps: f64) -> Self {
+        Self::start_with_source(data, freshness_max, link_mbps, None).await
+    }
+
+    /// Starts a node that watches the store through another one.
+    async fn start_behind(data: &MemoryStore, first: &Self) -> Self {
+        let own_node = node("node-0", "west", unused_address());
+        let source = upstream(
+            own_node,
+            vec![node("node-1", "east", first.control)],
+            0,
+            None,
+        );
+        let freshness_max = Duration::from_secs(1);
+        Self::start_with_source(data, freshness_max, DEFAULT_LINK_MBPS, Some(source)).await
+    }
+
+    async fn start_with_source(
+        data: &MemoryStore,
+        freshness_max: Duration,
+        link_mbps: f64,
+        source: Option<UpstreamPeer>,
+    ) -> Self {
         let link = data.link();
         let monitored = MonitoredStore::new(Arc::new(link.clone()));
         let health = monitored.health();
         let store = Arc::new(UpstreamStore::new(Arc::new(monitored)));
+        if let Some(source) = source {
+            store.follow(Arc::new(source));
+        }
         let endpoint = ChangesEndpoint {
             logs: store.logs(),
             health,
@@ -298,6 +323,56 @@
     );
 }
 
+// Guards against one store watch for each node that watches for others.
+#[tokio::test]
+async fn changes_come_through_two_peers_and_past_the_first_when_it_loses_the_store() {
+    let data = MemoryStore::new();
+    write(&data, "runners/first").await;
+    let first = Watcher::start(&data, Duration::from_secs(1)).await;
+    sleep(Duration::from_millis(100)).await;
+    let second = Watcher::start_behind(&data, &first).await;
+    sleep(Duration::from_millis(100)).await;
+    let mut follower = Follower::start(&data, second.control);
+    sleep(Duration::from_millis(100)).await;
+    second.link.set_faults(KvFaults::WATCH_SILENT);
+    follower.link.set_faults(KvFaults::WATCH_SILENT);
+    for key in ["runners/a", "runners/b", "runners/c"] {
+        write(&data, key).await;
+        follower.wait_for_key(key, PROPAGATION_MAX).await;
+    }
+    second.link.set_faults(KvFaults::NONE);
+    first.link.set_faults(KvFaults::SILENT);
+    write(&data, "runners/d").await;
+    follower.wait_for_key("runners/d", FALLBACK_MAX).await;
+}
+
+#[test]
+fn all_but_one_node_of_a_large_system_and_the_leader_watch_the_store_through_others() {
+    let all = nodes_in_zones(70, 3);
+    let sources: Vec<_> = all
+        .iter()
+        .map(|own_node| {
+            let others = all.iter().filter(|other| other.name != own_node.name);
+            upstream(own_node.clone(), others.cloned().collect(), 24, None).select_source()
+        })
+        .collect();
+    assert_eq!(sources.iter().filter(|source| source.is_none()).count(), 1);
+    let busiest = all.iter().map(|node| {
+        let sources = sources.iter().flatten();
+        sources.filter(|source| source.name == node.name).count()
+    });
+    assert!(busiest.max().unwrap() <= 16 + 6);
+    for start in &all {
+        let mut hops = 0;
+        let mut at = start;
+        while let Some(next) = &sources[all.iter().position(|node| node == at).unwrap()] {
+            at = next;
+            hops += 1;
+        }
+        assert!(hops <= 2, "{} over {hops} hops", start.name);
+    }
+}
+
 #[tokio::test]
 async fn a_peer_without_the_store_is_replaced_by_a_watch_of_the_store() {
     let data = MemoryStore::new();
