Take the first proof from the read of the configuration at the start

Cause: each node read the whole configuration once more at its start, for the first proof of its age: one call to the store for each node. Change: the follower of the configuration records its full reads as proofs, and the task that proves begins half an interval later, when the peers are known.

--- a/src/freshness/age_task.rs
+++ b/src/freshness/age_task.rs
@@ -77,7 +77,13 @@
     }
 
     /// Proves the age and never returns; does nothing while there is no bound.
+    ///
+    /// The first proof comes from the read of the configuration at the start, so that the peers are
+    /// known before the next one is due.
     pub async fn run(mut self) {
+        if let Some(bound) = self.age.bound() {
+            time::sleep(bound.proof_interval() / 2).await;
+        }
         loop {
             let Some(bound) = self.age.bound() else {
                 time::sleep(NO_BOUND_INTERVAL).await;
--- a/src/traffic/config_follower.rs
+++ b/src/traffic/config_follower.rs
@@ -3,6 +3,7 @@
 use {
     super::{ActiveConfig, RouteTable},
     crate::{
+        freshness::ConfigAge,
         membership::Backoff,
         node::Formats,
         store::{Change, Entry, SharedStore, StoreError, StoreVersion, watch_with_timeout},
@@ -24,6 +25,7 @@
     store: SharedStore,
     formats: Arc<dyn Formats>,
     active_config: Arc<ActiveConfig>,
+    age: Option<Arc<ConfigAge>>,
 }
 
 impl ConfigFollower {
@@ -37,6 +39,15 @@
             store,
             formats,
             active_config,
+            age: None,
+        }
+    }
+
+    /// Records that the configuration is the newest one at each full read.
+    pub fn with_age(self, age: Arc<ConfigAge>) -> Self {
+        Self {
+            age: Some(age),
+            ..self
         }
     }
 
@@ -78,10 +89,14 @@
     }
 
     async fn read(&self, key: &str) -> Result<StoreVersion, StoreError> {
+        let age = self.age.as_ref().map(|age| (age, age.now()));
         let range = self.store.range(key, 1).await?;
         for entry in range.entries {
             self.activate(key, &entry);
         }
+        if let Some((age, sent_at)) = age {
+            age.record(sent_at);
+        }
         Ok(range.version)
     }
 
