Send long responses to runners that can end them

The choice of a runner did not look at the end of a response.

Change: where the runners of a service differ in speed, the time of a response is taken as the model's mean time for each token, times the expected tokens, times the runner's usual slowness; what it exceeds the caller's deadline by costs a fifth. So a runner that can end it is chosen, also if it begins later.

Weighed: to refuse what no runner can end. The hints of length are often far off, so that callers would be refused who get their answer; not built.

--- a/src/capacity/mod.rs
+++ b/src/capacity/mod.rs
@@ -4,6 +4,7 @@
 //! relative to the others of its service.
 
 mod disturbance;
+mod late_end;
 mod model_paces;
 mod runner_speed;
 mod speed_metrics;
@@ -11,6 +12,6 @@
 mod stream_pace;
 
 pub use {
-    disturbance::*, model_paces::*, runner_speed::*, speed_metrics::*, speed_spread::*,
-    stream_pace::*,
+    disturbance::*, late_end::*, model_paces::*, runner_speed::*, speed_metrics::*,
+    speed_spread::*, stream_pace::*,
 };
--- a/src/dispatch/service_runners.rs
+++ b/src/dispatch/service_runners.rs
@@ -12,7 +12,7 @@
         wait_queue::{RequestProfile, WaitQueue},
     },
     crate::{
-        capacity::{ModelPaces, SpeedSpread},
+        capacity::{ModelPaces, SpeedSpread, late_end_cost_ms},
         discovery::RunnerKey,
         traffic::{ModelId, ServiceId, SoftwareVersion, ZoneId},
     },
@@ -144,6 +144,7 @@
         let mut pause_end: Option<Instant> = None;
         let mut rng = rand::rng();
         let is_uneven = self.speed_spread.is_uneven() && profile.needs.kv_capacity_tokens.is_some();
+        let expected_s = self.expected_s(profile);
         for (position, runner) in self.runners.iter().enumerate() {
             let is_eligible = runner.gate.is_staying(now)
                 && runner.may_resume(profile.software.as_ref(), now)
@@ -194,6 +195,10 @@
                 }
                 continue;
             };
+            let cost = match is_uneven {
+                true => cost + self.uneven_extra_ms(runner, profile, expected_s, now),
+                false => cost,
+            };
             let affinity_ms = affinity_cost_ms(runner, profile, &mut rng);
             let cost = cost + affinity_ms + rng.random_range(0.0..COST_JITTER_MAX_MS);
             if best.is_none_or(|(_, lowest)| cost < lowest) {
@@ -214,6 +219,30 @@
         }
     }
 
+    /// Returns the cost of a runner of a service whose runners differ in speed, besides its load:
+    /// for a response that it can't end in time.
+    fn uneven_extra_ms(
+        &self,
+        runner: &TrackedRunner,
+        profile: &RequestProfile,
+        expected_s: f64,
+        now: Instant,
+    ) -> f64 {
+        let usual_slowness = runner.speed.usual_log(now).exp();
+        let expected = Duration::try_from_secs_f64(expected_s * usual_slowness);
+        let time_left = profile.caller_deadline.saturating_duration_since(now);
+        late_end_cost_ms(expected.unwrap_or_default(), time_left)
+    }
+
+    /// Returns the time of a response at a runner of the mean speed; 0 if it isn't known.
+    fn expected_s(&self, profile: &RequestProfile) -> f64 {
+        let means = &self.mean_times_s;
+        let found = means.binary_search_by(|(known, _)| known.as_ref().cmp(&profile.model()));
+        let needs = &profile.needs;
+        let output_tokens = needs.kv_tokens.saturating_sub(needs.prompt_tokens);
+        found.map_or(0.0, |position| means[position].1 * output_tokens as f64)
+    }
+
     /// Returns whether all runners have a software version, if one is given.
     fn has_only(&self, software: Option<&SoftwareVersion>) -> bool {
         software.is_none_or(|only| {
