Rank requests by the priority of their workspace first

Cause: only the priority of the route counted, in queues and at runners. Change: the pairs of priorities (workspace, route) of a configuration are numbered in order; the number is the priority in a node's queue and, scaled to 0 to 9, at the runner. Without priorities of workspaces nothing changes. Ruled out: the workspace's priority alone, as routes of one workspace would lose their order at runners.

--- a/src/dispatch/types.rs
+++ b/src/dispatch/types.rs
@@ -23,7 +23,7 @@
     pub software: Option<SoftwareVersion>,
     /// Identifies the request if it comes again.
     pub digest: RequestDigest,
-    /// The priority of the request's route; 0 is the most urgent.
+    /// The rank of the request's priority; 0 is the most urgent.
     pub priority: u8,
     /// The target for the first event of the response.
     pub target_at: Instant,
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -233,7 +233,7 @@
             generation: self.call.head.generation.clone(),
             software: self.software.clone(),
             digest: self.call.digest,
-            priority: rules.priority,
+            priority: rules.priority.queue,
             target_at: self.call.target_at,
             assign_by: self.call.latest_start(),
             caller_deadline: self.call.deadline,
@@ -268,7 +268,7 @@
                 .head
                 .generation
                 .is_some()
-                .then_some(assignment.priority),
+                .then_some(call.rules.priority.runner),
             last_event_id: last_event_id.or(call.head.last_event_id),
             workspace: call.rules.caller.forwarded(),
         };
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -8,7 +8,7 @@
         routing::stable_hash,
         streams::StreamId,
         traffic::{CallerLimits, Route, RouteKind, RouteTable, ServiceId},
-        workspaces::{AccessKey, Workspace},
+        workspaces::{AccessKey, PriorityRank, Workspace},
     },
     bytes::Bytes,
     hyper::{
@@ -63,7 +63,7 @@
     /// The number of connections that one runner accepts from all nodes together.
     pub(super) connections_max: usize,
     pub(super) kind: RouteKind,
-    pub(super) priority: u8,
+    pub(super) priority: PriorityRank,
     pub(super) attempts_max: u32,
     /// How long the caller waits for an event before it abandons the request.
     pub(super) caller_wait: Duration,
@@ -111,6 +111,14 @@
         Ok(Self::Workspace { workspace, key })
     }
 
+    /// Returns the priority of the caller's workspace, if it has one.
+    fn priority(&self) -> Option<u8> {
+        match self {
+            Self::Workspace { workspace, .. } => workspace.priority,
+            Self::Unused | Self::Anonymous => None,
+        }
+    }
+
     /// Returns what a runner is told.
     pub(super) fn forwarded(&self) -> ForwardedWorkspace {
         match self {
@@ -142,7 +150,7 @@
     pub(super) fn restart_wait(&mut self) {
         self.waiting_since = Instant::now();
         self.target_at = self.latest_start();
-        self.rules.priority = 0;
+        self.rules.priority = PriorityRank::default();
     }
 
     /// Returns the latest time at which a runner may still start the request.
@@ -245,7 +253,7 @@
         connections_max: spec.map_or(usize::MAX, |spec| spec.connections_max),
         service,
         kind: route.kind,
-        priority: route.priority,
+        priority: map.priorities().rank(caller.priority(), route.priority),
         attempts_max: route.attempts_max,
         caller_wait: caller_wait(route),
         caller,
--- a/src/relay/sent_assignment.rs
+++ b/src/relay/sent_assignment.rs
@@ -22,7 +22,6 @@
 #[derive(Debug)]
 pub(super) struct SentAssignment {
     pub(super) runner: Arc<RunnerEntry>,
-    pub(super) priority: u8,
     assignment: Option<Assignment>,
     last_progress_at: Instant,
     stall_timeout: Duration,
@@ -33,7 +32,6 @@
     pub(super) fn new(assignment: Assignment, caller_wait: Duration) -> Self {
         Self {
             runner: assignment.runner.clone(),
-            priority: assignment.priority,
             assignment: Some(assignment),
             last_progress_at: Instant::now(),
             stall_timeout: caller_wait * STALL_FRACTION.0 / STALL_FRACTION.1,
--- a/src/traffic/route_table.rs
+++ b/src/traffic/route_table.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Route, TrafficConfig},
-    crate::http::compress,
+    crate::{http::compress, workspaces::PriorityRanks},
     bytes::Bytes,
     std::sync::OnceLock,
 };
@@ -11,6 +11,7 @@
 #[derive(Debug)]
 pub struct RouteTable {
     config: TrafficConfig,
+    priorities: PriorityRanks,
     published_bytes: Bytes,
     /// The same, compressed when a peer first requests it.
     compressed_bytes: OnceLock<Option<Bytes>>,
@@ -22,8 +23,14 @@
         config
             .routes
             .sort_by(|a, b| look_up_key(a).cmp(&look_up_key(b)));
+        let workspaces = config.workspaces.workspaces().iter();
+        let priorities = PriorityRanks::new(
+            workspaces.map(|workspace| workspace.priority),
+            config.routes.iter().map(|route| route.priority),
+        );
         Self {
             config,
+            priorities,
             published_bytes,
             compressed_bytes: OnceLock::new(),
         }
@@ -34,6 +41,11 @@
         &self.config
     }
 
+    /// Returns the order of the priorities of workspaces and routes.
+    pub fn priorities(&self) -> &PriorityRanks {
+        &self.priorities
+    }
+
     /// Returns the configuration as published, which peers can request.
     pub fn published_bytes(&self) -> Bytes {
         self.published_bytes.clone()
--- a/src/workspaces/mod.rs
+++ b/src/workspaces/mod.rs
@@ -2,7 +2,8 @@
 
 mod access_key;
 mod directory;
+mod priority_ranks;
 mod quota;
 mod workspace;
 
-pub use {access_key::*, directory::*, quota::*, workspace::*};
+pub use {access_key::*, directory::*, priority_ranks::*, quota::*, workspace::*};
--- a/tests/relay_workspaces.rs
+++ b/tests/relay_workspaces.rs
@@ -19,7 +19,9 @@
         node::{Bounds, CONTROL_PORT_LIMITS},
         quotas::{QuotaBounds, QuotaExchange},
         traffic::{ConfigVersion, RouteKind::Idempotent, RouteTable},
-        workspaces::{AccessKey, Quota, QuotaUnit, Workspace, WorkspaceDirectory},
+        workspaces::{
+            AccessKey, PriorityRank, PriorityRanks, Quota, QuotaUnit, Workspace, WorkspaceDirectory,
+        },
     },
     std::{
         sync::{
@@ -268,3 +270,57 @@
     assert_eq!(rig.call("x-key: k1\r\n").await.status, 429);
     assert_eq!(rig.received().len(), 2);
 }
+
+#[test]
+fn the_priority_of_a_workspace_goes_before_that_of_the_route() {
+    let ranks = PriorityRanks::new([Some(2), Some(0), Some(2)], [2, 0, 1]);
+    let order = [
+        (Some(0), 0),
+        (Some(0), 1),
+        (Some(0), 2),
+        (None, 1),
+        (Some(2), 0),
+        (Some(2), 1),
+        (Some(2), 2),
+    ];
+    let places: Vec<_> = order
+        .iter()
+        .map(|(workspace, route)| ranks.rank(*workspace, *route))
+        .collect();
+    assert!(places.windows(2).all(|pair| pair[0].queue < pair[1].queue));
+    assert!(
+        places
+            .windows(2)
+            .all(|pair| pair[0].runner < pair[1].runner)
+    );
+    assert_eq!(places[0], PriorityRank::default());
+    assert_eq!(ranks.rank(None, 2), ranks.rank(Some(2), 2));
+}
+
+#[test]
+fn many_priorities_keep_their_order_within_what_runners_tell_apart() {
+    let ranks = PriorityRanks::new((0..16).map(Some), [0, 1, 2]);
+    let pairs = (0..16).flat_map(|workspace| (0..3).map(move |route| (workspace, route)));
+    let places: Vec<_> = pairs
+        .map(|(workspace, route)| ranks.rank(Some(workspace), route))
+        .collect();
+    assert!(places.windows(2).all(|pair| pair[0].queue < pair[1].queue));
+    assert!(
+        places
+            .windows(2)
+            .all(|pair| pair[0].runner <= pair[1].runner)
+    );
+    assert_eq!(places.iter().map(|place| place.runner).max(), Some(9));
+}
+
+#[test]
+fn routes_keep_their_priorities_where_no_workspace_has_one() {
+    for ranks in [
+        PriorityRanks::new([], [0, 5]),
+        PriorityRanks::new([None], [0, 5]),
+    ] {
+        let rank = ranks.rank(None, 5);
+        assert_eq!((rank.queue, rank.runner), (5, 5));
+        assert_eq!(ranks.rank(None, 12).runner, 9);
+    }
+}
