Put what a workspace sends beyond its fair share behind the rest

Cause: a workspace that sends many times its usual, below its quota, takes the places of the others; no node alone sees it. It goes behind the rest of its priority in queues, in reports to other nodes and at runners. A home that lost its lease begins with empty buckets, as others granted meanwhile. Ruled out: queues by workspace at each node, one queue for all nodes. Off where no workspace has a quota.

--- a/src/dispatch/assignment.rs
+++ b/src/dispatch/assignment.rs
@@ -18,8 +18,6 @@
 pub struct Assignment {
     /// The assigned runner.
     pub runner: Arc<RunnerEntry>,
-    /// The priority sent to the runner, from 0, the most urgent, to 9.
-    pub priority: u8,
     pub(super) service: ServiceId,
     pub(super) load: RequestLoad,
     pub(super) output_tokens: u64,
--- a/src/dispatch/queue_assignment.rs
+++ b/src/dispatch/queue_assignment.rs
@@ -97,7 +97,6 @@
         self.report_pending.notify_one();
         Assignment {
             runner: runner.entry.clone(),
-            priority: profile.priority.min(9),
             service: service_name,
             load,
             output_tokens: profile
--- a/src/quotas/home_ledger.rs
+++ b/src/quotas/home_ledger.rs
@@ -1,7 +1,7 @@
 //! The buckets of the workspaces whose home a node is.
 
 use {
-    super::{AllowanceAnswer, AllowanceBucket, HomeList, HomeShare},
+    super::{AllowanceBucket, HomeAnswer, HomeList, HomeShare},
     crate::workspaces::WorkspaceName,
     tokio::time::Instant,
 };
@@ -14,7 +14,7 @@
 #[derive(Debug)]
 pub struct HomeLedger {
     list: HomeList,
-    /// Since when the list is the same; buckets that are not used yet were empty then.
+    /// Since when the list is the same and the node may grant; buckets that are not used yet were empty then.
     listed_at: Instant,
     /// Sorted by workspace.
     buckets: Vec<(WorkspaceName, AllowanceBucket)>,
@@ -43,6 +43,12 @@
         self.listed_at = now;
     }
 
+    /// Empties all buckets, as other nodes may have been homes in place of this one.
+    pub fn forget(&mut self, now: Instant) {
+        self.buckets.clear();
+        self.listed_at = now;
+    }
+
     /// Answers a node that asks for allowance; `None` if this node is no home of the workspace.
     pub fn take(
         &mut self,
@@ -51,7 +57,7 @@
         most: u64,
         share: &HomeShare,
         now: Instant,
-    ) -> Option<AllowanceAnswer> {
+    ) -> Option<HomeAnswer> {
         let found = self
             .buckets
             .binary_search_by(|(name, _)| name.cmp(workspace));
--- a/src/quotas/leased_allowance.rs
+++ b/src/quotas/leased_allowance.rs
@@ -8,6 +8,9 @@
 /// The time over which the demand is averaged.
 const DEMAND_SPAN_S: f64 = 2.0;
 
+/// How long what a home told about the demand is used.
+const SYSTEM_DEMAND_TTL: Duration = Duration::from_secs(3);
+
 /// The time for which spare allowance is wanted.
 const SPARE_S: f64 = 0.7;
 
@@ -39,6 +42,8 @@
     is_refilling: bool,
     denied_until: Option<Instant>,
     expected_at: Option<Instant>,
+    /// The demand at all nodes relative to the quota, with when a home told it.
+    system_demand: Option<(f64, Instant)>,
 }
 
 impl LeasedAllowance {
@@ -51,6 +56,7 @@
             is_refilling: false,
             denied_until: None,
             expected_at: None,
+            system_demand: None,
         }
     }
 
@@ -94,6 +100,17 @@
         self.expected_at = Some(now + wait);
     }
 
+    /// Records the demand at all nodes, as a home told it.
+    pub fn record_system_demand(&mut self, permille: u32, now: Instant) {
+        self.system_demand = Some((f64::from(permille) / 1_000.0, now));
+    }
+
+    /// Returns the demand at all nodes relative to the quota, if a home told it lately.
+    pub fn system_demand(&self, now: Instant) -> Option<f64> {
+        let (demand, at) = self.system_demand?;
+        (now < at + SYSTEM_DEMAND_TTL).then_some(demand)
+    }
+
     /// Takes back what a request did not use; it ends when it would have ended.
     pub fn give_back(&mut self, amount: u64, end: Instant) {
         self.held.push((end, amount));
--- a/src/quotas/mod.rs
+++ b/src/quotas/mod.rs
@@ -4,6 +4,7 @@
 //! allowance of a request before it sends the request to a runner.
 
 mod allowance_bucket;
+mod fair_level;
 mod home_ledger;
 mod home_list;
 mod home_share;
@@ -14,6 +15,7 @@
 mod spent_allowance;
 
 pub use {
-    allowance_bucket::*, home_ledger::*, home_list::*, home_share::*, leased_allowance::*,
-    quota_counters::*, quota_exchange::*, quota_message::*, spent_allowance::*,
+    allowance_bucket::*, fair_level::*, home_ledger::*, home_list::*, home_share::*,
+    leased_allowance::*, quota_counters::*, quota_exchange::*, quota_message::*,
+    spent_allowance::*,
 };
--- a/src/quotas/quota_exchange.rs
+++ b/src/quotas/quota_exchange.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{
-        ANSWER_TTL, AllowanceAnswer, AskOutcome, HomeLedger, HomeList, HomeShare, LeasedAllowance,
-        QuotaBounds, QuotaCounters, QuotaMessage, SpendDecision, SpentAllowance,
+        ANSWER_TTL, AllowanceAnswer, AskOutcome, HomeAnswer, HomeLedger, HomeList, HomeShare,
+        LeasedAllowance, QuotaBounds, QuotaCounters, QuotaMessage, SpendDecision, SpentAllowance,
+        fair_level,
     },
     crate::{
         gossip::{append_mac, verify_mac},
@@ -22,7 +23,7 @@
     tokio::{
         net::UdpSocket,
         sync::{oneshot, watch},
-        time::{self, Instant},
+        time::{self, Instant, MissedTickBehavior},
     },
 };
 
@@ -32,6 +33,9 @@
 /// How long a home that did not answer is not asked.
 const SILENT_SPAN: Duration = Duration::from_millis(250);
 
+/// How often a node checks whether it may grant.
+const STANDING_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The largest message, in bytes.
 const MESSAGE_BYTES_MAX: usize = 1_200;
 
@@ -134,8 +138,15 @@
     pub async fn run(self: Arc<Self>) {
         let mut peers = self.peers.clone();
         let mut buffer = [0; MESSAGE_BYTES_MAX];
+        let mut checks = time::interval(STANDING_INTERVAL);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
+                // Due at once after a freeze, before the questions that arrived meanwhile.
+                biased;
+                _ = checks.tick() => {
+                    self.check_standing();
+                }
                 Ok(()) = peers.changed() => self.update_list(),
                 (length, from) = self.receive(&mut buffer) => {
                     self.accept(&buffer[..length], from).await;
@@ -190,6 +201,20 @@
         }
     }
 
+    /// Returns whether a request is beyond its workspace's fair share, by a `draw` from 0 to 1 that
+    /// stays the same for the request.
+    pub fn is_excess(&self, workspace: &WorkspaceName, draw: f64) -> bool {
+        let now = Instant::now();
+        let state = self.state();
+        let demands = state.leased.iter();
+        let demands = demands.filter_map(|(name, leased)| Some((name, leased.system_demand(now)?)));
+        let demands: Vec<_> = demands.collect();
+        let own = demands.iter().find(|(name, _)| *name == workspace);
+        let own = own.map_or(0.0, |(_, demand)| *demand);
+        let level = fair_level(demands.iter().map(|(_, demand)| *demand).collect());
+        level.is_some_and(|level| own * draw > level)
+    }
+
     /// Takes back the allowance of a request that was not sent.
     pub(super) fn give_back(&self, workspace: &WorkspaceName, amount: u64, end: Instant) {
         let now = Instant::now();
@@ -280,10 +305,16 @@
         least: u64,
         most: u64,
     ) -> Option<AllowanceAnswer> {
-        let answer = self.take_as_home(workspace, least, most)?;
+        let HomeAnswer {
+            answer,
+            demand_permille,
+        } = self.take_as_home(workspace, least, most)?;
+        let now = Instant::now();
+        let mut state = self.state();
+        state
+            .leased(workspace, now)
+            .record_system_demand(demand_permille, now);
         if let AllowanceAnswer::Granted(amount) = answer {
-            let now = Instant::now();
-            let mut state = self.state();
             state
                 .leased(workspace, now)
                 .credit(amount, least, least, now);
@@ -319,19 +350,17 @@
     }
 
     /// Hands out allowance as a home; `None` if this node is no home now.
-    fn take_as_home(
-        &self,
-        workspace: &WorkspaceName,
-        least: u64,
-        most: u64,
-    ) -> Option<AllowanceAnswer> {
-        if self.link.is_some() && !(self.may_grant)() {
+    fn take_as_home(&self, workspace: &WorkspaceName, least: u64, most: u64) -> Option<HomeAnswer> {
+        if !self.check_standing() {
             return None;
         }
         let config = self.traffic.current()?;
         let found = config.config().workspaces.find_by_name(workspace)?;
         let Some(quota) = &found.quota else {
-            return Some(AllowanceAnswer::Granted(least));
+            return Some(HomeAnswer {
+                answer: AllowanceAnswer::Granted(least),
+                demand_permille: 0,
+            });
         };
         let share = self.share_of(quota);
         let now = Instant::now();
@@ -339,6 +368,15 @@
         state.ledger.take(workspace, least, most, &share, now)
     }
 
+    /// Returns whether this node may grant; if not, others may be homes in its place.
+    fn check_standing(&self) -> bool {
+        let may_grant = self.link.is_none() || (self.may_grant)();
+        if !may_grant {
+            self.state().ledger.forget(Instant::now());
+        }
+        may_grant
+    }
+
     fn share_of(&self, quota: &Quota) -> HomeShare {
         let homes = match self.link {
             Some(_) => self.state().ledger.list().home_count(),
@@ -380,28 +418,11 @@
                 least,
                 most,
             }) => {
-                let answer = match self.take_as_home(&workspace, least, most) {
-                    Some(AllowanceAnswer::Granted(amount)) => {
-                        QuotaMessage::Granted { number, amount }
-                    }
-                    Some(AllowanceAnswer::Denied(wait)) => QuotaMessage::Denied {
-                        number,
-                        wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
-                    },
-                    None => QuotaMessage::NoHome { number },
-                };
+                let answer = self.take_as_home(&workspace, least, most);
+                let answer = QuotaMessage::answer(number, answer);
                 self.send(link, &answer, from).await;
             }
-            Some(QuotaMessage::Granted { number, amount }) => {
-                let answer = AllowanceAnswer::Granted(amount);
-                self.state().finish_pending(number, Some(answer));
-            }
-            Some(QuotaMessage::Denied { number, wait_ms }) => {
-                let wait = Duration::from_millis(u64::from(wait_ms));
-                let answer = AllowanceAnswer::Denied(wait);
-                self.state().finish_pending(number, Some(answer));
-            }
-            Some(QuotaMessage::NoHome { number }) => self.state().finish_pending(number, None),
+            Some(answer) => self.state().finish_pending(answer),
             None => log::debug!("quotas: unreadable bytes arrived from {from}"),
         }
     }
@@ -457,13 +478,40 @@
     }
 
     /// Ends a question; what its request no longer waits for is kept for others.
-    fn finish_pending(&mut self, number: u64, answer: Option<AllowanceAnswer>) {
+    fn finish_pending(&mut self, message: QuotaMessage) {
+        let (number, answer) = match message {
+            QuotaMessage::Ask { .. } => return,
+            QuotaMessage::Granted {
+                number,
+                amount,
+                demand_permille,
+            } => (
+                number,
+                Some((AllowanceAnswer::Granted(amount), demand_permille)),
+            ),
+            QuotaMessage::Denied {
+                number,
+                wait_ms,
+                demand_permille,
+            } => {
+                let wait = Duration::from_millis(u64::from(wait_ms));
+                (
+                    number,
+                    Some((AllowanceAnswer::Denied(wait), demand_permille)),
+                )
+            }
+            QuotaMessage::NoHome { number } => (number, None),
+        };
         let found = self
             .pending
             .binary_search_by(|pending| pending.number.cmp(&number));
         let Ok(position) = found else { return };
         let pending = self.pending.remove(position);
-        let Some(answer) = answer else { return };
+        let Some((answer, demand_permille)) = answer else {
+            return;
+        };
+        self.leased(&pending.workspace, pending.asked_at)
+            .record_system_demand(demand_permille, pending.asked_at);
         let is_used = pending.reply.send(answer).is_ok();
         if let AllowanceAnswer::Granted(amount) = answer {
             let (least, asked_at) = (pending.least, pending.asked_at);
--- a/src/quotas/quota_message.rs
+++ b/src/quotas/quota_message.rs
@@ -1,6 +1,7 @@
 //! The messages between a node and the homes of a workspace, a datagram each.
 
 use {
+    super::{AllowanceAnswer, HomeAnswer},
     crate::workspaces::WorkspaceName,
     serde::{Deserialize, Serialize},
 };
@@ -28,6 +29,8 @@
         number: u64,
         /// The amount.
         amount: u64,
+        /// The demand at all nodes, in thousandths of the quota.
+        demand_permille: u32,
     },
     /// A home granted nothing.
     Denied {
@@ -35,6 +38,8 @@
         number: u64,
         /// After which time the amount is expected, in milliseconds.
         wait_ms: u32,
+        /// The demand at all nodes, in thousandths of the quota.
+        demand_permille: u32,
     },
     /// The node that was asked is no home of the workspace, or may not grant now.
     NoHome {
@@ -44,6 +49,29 @@
 }
 
 impl QuotaMessage {
+    /// Returns the answer to a question; `None` from a node that is no home.
+    pub fn answer(number: u64, answer: Option<HomeAnswer>) -> Self {
+        let Some(HomeAnswer {
+            answer,
+            demand_permille,
+        }) = answer
+        else {
+            return Self::NoHome { number };
+        };
+        match answer {
+            AllowanceAnswer::Granted(amount) => Self::Granted {
+                number,
+                amount,
+                demand_permille,
+            },
+            AllowanceAnswer::Denied(wait) => Self::Denied {
+                number,
+                wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+                demand_permille,
+            },
+        }
+    }
+
     /// Returns the bytes of the message.
     pub fn encode(&self) -> Vec<u8> {
         // Encoding into memory does not fail.
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -8,7 +8,7 @@
         routing::stable_hash,
         streams::StreamId,
         traffic::{CallerLimits, Route, RouteKind, RouteTable, ServiceId},
-        workspaces::{AccessKey, PriorityRank, Workspace},
+        workspaces::{AccessKey, FairShare, PriorityRank, Workspace},
     },
     bytes::Bytes,
     hyper::{
@@ -64,6 +64,8 @@
     pub(super) connections_max: usize,
     pub(super) kind: RouteKind,
     pub(super) priority: PriorityRank,
+    /// The priority if the request is beyond its workspace's fair share.
+    pub(super) priority_beyond_share: PriorityRank,
     pub(super) attempts_max: u32,
     /// How long the caller waits for an event before it abandons the request.
     pub(super) caller_wait: Duration,
@@ -248,12 +250,17 @@
         .as_ref()
         .filter(|_| head.last_event_id.is_some());
     let service = pick_target(route, resumes.unwrap_or(&head.request_id));
+    let rank = |share| {
+        map.priorities()
+            .rank(caller.priority(), route.priority, share)
+    };
     let spec = map.config().service(&service);
     CallRules {
         connections_max: spec.map_or(usize::MAX, |spec| spec.connections_max),
         service,
         kind: route.kind,
-        priority: map.priorities().rank(caller.priority(), route.priority),
+        priority: rank(FairShare::Within),
+        priority_beyond_share: rank(FairShare::Beyond),
         attempts_max: route.attempts_max,
         caller_wait: caller_wait(route),
         caller,
--- a/src/relay/forwarded_call.rs
+++ b/src/relay/forwarded_call.rs
@@ -5,7 +5,10 @@
         AttemptProgress, AttemptResult, Call, CallerIdentity, Refusal, Relay, ResponseOutcome,
         RunnerResponse, RunnerStream, stream_response,
     },
-    crate::{dispatch::AttemptOutcome, http::Body, streams::StreamId, traffic::SoftwareVersion},
+    crate::{
+        dispatch::AttemptOutcome, http::Body, routing::stable_hash, streams::StreamId,
+        traffic::SoftwareVersion,
+    },
     hyper::{Response, StatusCode},
     std::sync::Arc,
     tokio::time::{self, Instant},
@@ -127,6 +130,11 @@
             let acquired = quotas.acquire(&workspace.name, amount).await;
             let acquired = acquired.map_err(|cause| self.progress.quota_refusal(cause))?;
             self.progress.allowance = Some(acquired);
+            let request_id = String::from_utf8_lossy(&self.call.head.request_id);
+            let draw = stable_hash(&request_id) as f64 / u64::MAX as f64;
+            if self.progress.attempts_sent == 0 && quotas.is_excess(&workspace.name, draw) {
+                self.call.rules.priority = self.call.rules.priority_beyond_share;
+            }
         }
         Ok(())
     }
--- a/src/traffic/route_table.rs
+++ b/src/traffic/route_table.rs
@@ -4,7 +4,7 @@
     super::{Route, TrafficConfig},
     crate::{http::compress, workspaces::PriorityRanks},
     bytes::Bytes,
-    std::sync::OnceLock,
+    std::sync::{Arc, OnceLock},
 };
 
 /// A configuration whose routes are sorted by host and path prefix for look-up.
@@ -25,7 +25,7 @@
             .sort_by(|a, b| look_up_key(a).cmp(&look_up_key(b)));
         let workspaces = config.workspaces.workspaces().iter();
         let priorities = PriorityRanks::new(
-            workspaces.map(|workspace| workspace.priority),
+            workspaces.map(Arc::as_ref),
             config.routes.iter().map(|route| route.priority),
         );
         Self {
--- a/src/workspaces/priority_ranks.rs
+++ b/src/workspaces/priority_ranks.rs
@@ -1,6 +1,6 @@
 //! The order of requests by the priorities of their workspaces and routes.
 
-use std::collections::BTreeSet;
+use {super::Workspace, std::collections::BTreeSet};
 
 /// The number of priorities that runners tell apart.
 const RUNNER_PRIORITIES: usize = 10;
@@ -14,61 +14,83 @@
     pub runner: u8,
 }
 
-/// The priorities that occur in a configuration, of workspaces first and of routes second.
+/// Whether a request is within its workspace's fair share of what all may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FairShare {
+    /// Within the fair share.
+    Within,
+    /// Beyond it.
+    Beyond,
+}
+
+/// What requests are sorted by: the priority of the workspace, that of the route, the fair share.
+type Place = (u8, u8, FairShare);
+
+/// The places that occur in a configuration.
 ///
-/// Load: callers of several workspaces on routes of several priorities. A runner gets one number,
-/// in which the order of the workspaces goes first and that of the routes is kept.
+/// Load: callers of several workspaces on routes of several priorities, of which one sends many
+/// times its usual. Nodes and runners get one number, in which the priority of the workspace goes
+/// first, that of the route second, and what is beyond a fair share goes behind the rest.
 #[derive(Debug, Default)]
 pub struct PriorityRanks {
-    /// The pairs that occur, sorted; empty if no workspace has a priority.
-    pairs: Vec<(u8, u8)>,
+    /// Sorted; empty if no workspace has a priority or a quota.
+    places: Vec<Place>,
 }
 
 impl PriorityRanks {
-    /// Creates the ranks of a configuration from the priorities of its workspaces and routes.
-    pub fn new(
-        workspaces: impl IntoIterator<Item = Option<u8>>,
+    /// Creates the ranks of a configuration from its workspaces and the priorities of its routes.
+    pub fn new<'a>(
+        workspaces: impl IntoIterator<Item = &'a Workspace>,
         routes: impl IntoIterator<Item = u8>,
     ) -> Self {
-        let workspaces: BTreeSet<_> = workspaces.into_iter().collect();
-        if workspaces.iter().all(Option::is_none) {
+        let mut priorities = BTreeSet::new();
+        let (mut has_priorities, mut has_quotas) = (false, false);
+        for workspace in workspaces {
+            priorities.insert(workspace.priority);
+            has_priorities |= workspace.priority.is_some();
+            has_quotas |= workspace.quota.is_some();
+        }
+        if !has_priorities && !has_quotas {
             return Self::default();
         }
-        let routes: BTreeSet<_> = routes.into_iter().collect();
         // Requests without a workspace are ranked by their route.
-        let workspaces = || workspaces.iter().copied().chain([None]);
-        let pairs = routes
-            .iter()
-            .flat_map(|route| workspaces().map(|workspace| pair(workspace, *route)));
-        let pairs: BTreeSet<_> = pairs.collect();
+        priorities.insert(None);
+        let mut places = BTreeSet::new();
+        for route in routes {
+            for workspace in &priorities {
+                places.insert(place(*workspace, route, FairShare::Within));
+                if has_quotas {
+                    places.insert(place(*workspace, route, FairShare::Beyond));
+                }
+            }
+        }
         Self {
-            pairs: pairs.into_iter().collect(),
+            places: places.into_iter().collect(),
         }
     }
 
-    /// Returns the rank of the requests of a workspace, or of none, on a route.
-    pub fn rank(&self, workspace: Option<u8>, route: u8) -> PriorityRank {
-        if self.pairs.is_empty() {
+    /// Returns the rank of a request of a workspace, or of none, on a route.
+    pub fn rank(&self, workspace: Option<u8>, route: u8, share: FairShare) -> PriorityRank {
+        if self.places.is_empty() {
             return PriorityRank {
                 queue: route,
                 runner: route.min(RUNNER_PRIORITIES as u8 - 1),
             };
         }
-        let pair = pair(workspace, route);
-        let place = self.pairs.partition_point(|known| *known < pair);
-        let count = self.pairs.len();
+        let place = place(workspace, route, share);
+        let position = self.places.partition_point(|known| *known < place);
+        let count = self.places.len();
         let runner = match count <= RUNNER_PRIORITIES {
-            true => place,
-            false => place * RUNNER_PRIORITIES / count,
+            true => position,
+            false => position * RUNNER_PRIORITIES / count,
         };
         PriorityRank {
-            queue: u8::try_from(place).unwrap_or(u8::MAX),
+            queue: u8::try_from(position).unwrap_or(u8::MAX),
             runner: u8::try_from(runner.min(RUNNER_PRIORITIES - 1)).unwrap_or(u8::MAX),
         }
     }
 }
 
-/// Returns what a request is sorted by.
-fn pair(workspace: Option<u8>, route: u8) -> (u8, u8) {
-    (workspace.unwrap_or(route), route)
+fn place(workspace: Option<u8>, route: u8, share: FairShare) -> Place {
+    (workspace.unwrap_or(route), route, share)
 }
--- a/tests/quotas_exchange.rs
+++ b/tests/quotas_exchange.rs
@@ -4,7 +4,8 @@
     greengagetrail::{
         leader::PeerNode,
         quotas::{
-            AllowanceRefusal, QuotaBounds, QuotaExchange, QuotaLink, QuotaMessage, SpentAllowance,
+            AllowanceAnswer, AllowanceRefusal, HomeAnswer, QuotaBounds, QuotaExchange, QuotaLink,
+            QuotaMessage, SpentAllowance,
         },
         security::KeyRing,
         traffic::{ActiveConfig, CallerLimits, ConfigVersion, RouteTable, TrafficConfig},
@@ -133,22 +134,16 @@
     let bytes = message.encode();
     assert_eq!(bytes, *b"ggq\x01\x00\xac\x02\x05north\xdc\x0b\x02");
     assert_eq!(QuotaMessage::decode(&bytes), Some(message));
+    let answer = |answer| HomeAnswer {
+        answer,
+        demand_permille: 3,
+    };
+    let granted = answer(AllowanceAnswer::Granted(2));
+    let denied = answer(AllowanceAnswer::Denied(Duration::from_millis(2)));
     let numbers = [
-        (
-            QuotaMessage::Granted {
-                number: 1,
-                amount: 2,
-            },
-            vec![1, 1, 2],
-        ),
-        (
-            QuotaMessage::Denied {
-                number: 1,
-                wait_ms: 2,
-            },
-            vec![2, 1, 2],
-        ),
-        (QuotaMessage::NoHome { number: 1 }, vec![3, 1]),
+        (QuotaMessage::answer(1, Some(granted)), vec![1, 1, 2, 3]),
+        (QuotaMessage::answer(1, Some(denied)), vec![2, 1, 2, 3]),
+        (QuotaMessage::answer(1, None), vec![3, 1]),
     ];
     for (message, body) in numbers {
         assert_eq!(message.encode()[4..], body);
--- a/tests/quotas_replay.rs
+++ b/tests/quotas_replay.rs
@@ -131,6 +131,10 @@
             && until <= self.now
         {
             node.gone = None;
+            // Others were homes in its place once its lease had ended.
+            if self.now >= node.lost_at + LEASE {
+                node.ledger.forget(self.now);
+            }
             if loss == Loss::Kill {
                 let list = HomeList::new(&node.name, &self.listed);
                 node.ledger = HomeLedger::new(list, self.now);
@@ -198,7 +202,8 @@
             let share = HomeShare::of(&self.quota, &BOUNDS, count);
             let (workspace, now) = (&self.workspace, self.now);
             let home = &mut self.nodes[home].ledger;
-            match home.take(workspace, least, most, &share, now) {
+            let answer = home.take(workspace, least, most, &share, now);
+            match answer.map(|answer| answer.answer) {
                 Some(AllowanceAnswer::Granted(amount)) => {
                     let leased = &mut self.nodes[at].leased;
                     leased.credit(amount, least, least, now);
--- a/tests/relay_workspaces.rs
+++ b/tests/relay_workspaces.rs
@@ -20,7 +20,9 @@
         quotas::{QuotaBounds, QuotaExchange},
         traffic::{ConfigVersion, RouteKind::Idempotent, RouteTable},
         workspaces::{
-            AccessKey, PriorityRank, PriorityRanks, Quota, QuotaUnit, Workspace, WorkspaceDirectory,
+            AccessKey,
+            FairShare::{Beyond, Within},
+            PriorityRank, PriorityRanks, Quota, QuotaUnit, Workspace, WorkspaceDirectory,
         },
     },
     std::{
@@ -271,9 +273,17 @@
     assert_eq!(rig.received().len(), 2);
 }
 
+fn with_priority(priority: Option<u8>) -> Workspace {
+    Workspace {
+        priority,
+        ..workspace("north", &[])
+    }
+}
+
 #[test]
 fn the_priority_of_a_workspace_goes_before_that_of_the_route() {
-    let ranks = PriorityRanks::new([Some(2), Some(0), Some(2)], [2, 0, 1]);
+    let workspaces = [2, 0, 2].map(|priority| with_priority(Some(priority)));
+    let ranks = PriorityRanks::new(&workspaces, [2, 0, 1]);
     let order = [
         (Some(0), 0),
         (Some(0), 1),
@@ -285,7 +295,7 @@
     ];
     let places: Vec<_> = order
         .iter()
-        .map(|(workspace, route)| ranks.rank(*workspace, *route))
+        .map(|(workspace, route)| ranks.rank(*workspace, *route, Within))
         .collect();
     assert!(places.windows(2).all(|pair| pair[0].queue < pair[1].queue));
     assert!(
@@ -294,16 +304,30 @@
             .all(|pair| pair[0].runner < pair[1].runner)
     );
     assert_eq!(places[0], PriorityRank::default());
-    assert_eq!(ranks.rank(None, 2), ranks.rank(Some(2), 2));
+    assert_eq!(ranks.rank(None, 2, Within), ranks.rank(Some(2), 2, Within));
 }
 
 #[test]
-fn many_priorities_keep_their_order_within_what_runners_tell_apart() {
-    let ranks = PriorityRanks::new((0..16).map(Some), [0, 1, 2]);
-    let pairs = (0..16).flat_map(|workspace| (0..3).map(move |route| (workspace, route)));
-    let places: Vec<_> = pairs
-        .map(|(workspace, route)| ranks.rank(Some(workspace), route))
-        .collect();
+fn what_is_beyond_a_fair_share_goes_behind_the_same_priority_only() {
+    let quota = Quota {
+        unit: QuotaUnit::Requests,
+        rate_per_s: 1.0,
+        burst: 1.0,
+    };
+    let workspaces = (0..16).map(|priority| Workspace {
+        quota: Some(quota),
+        ..with_priority(Some(priority))
+    });
+    let workspaces: Vec<_> = workspaces.collect();
+    let ranks = PriorityRanks::new(&workspaces, [0, 1, 2]);
+    let mut places = Vec::new();
+    for workspace in 0..16 {
+        for route in 0..3 {
+            for share in [Within, Beyond] {
+                places.push(ranks.rank(Some(workspace), route, share));
+            }
+        }
+    }
     assert!(places.windows(2).all(|pair| pair[0].queue < pair[1].queue));
     assert!(
         places
@@ -315,12 +339,10 @@
 
 #[test]
 fn routes_keep_their_priorities_where_no_workspace_has_one() {
-    for ranks in [
-        PriorityRanks::new([], [0, 5]),
-        PriorityRanks::new([None], [0, 5]),
-    ] {
-        let rank = ranks.rank(None, 5);
+    for workspaces in [vec![], vec![with_priority(None)]] {
+        let ranks = PriorityRanks::new(&workspaces, [0, 5]);
+        let rank = ranks.rank(None, 5, Within);
         assert_eq!((rank.queue, rank.runner), (5, 5));
-        assert_eq!(ranks.rank(None, 12).runner, 9);
+        assert_eq!(ranks.rank(None, 12, Within).runner, 9);
     }
 }
