--- a/tests/quotas_replay.rs
+++ b/tests/quotas_replay.rs
@@ -297,7 +297,7 @@
 
 #[test]
 fn no_window_exceeds_the_bound_while_nodes_are_killed_cut_and_frozen() {
-    for seed in 0..24 {
+    for seed in 0..60 {
         let rate = [24_000.0, 145_000.0, 390_000.0][seed as usize % 3];
         let mut replay = Replay::new(70, rate, seed);
         let factor = replay.rng.random_range(0.6..7.0);
