Let the fair share go before the priority of the route

Change: the order is the workspace's priority, the fair share, the route's priority. Ruled out: a lower tolerance alone, as the loss came from the order.

--- a/src/workspaces/priority_ranks.rs
+++ b/src/workspaces/priority_ranks.rs
@@ -23,18 +23,22 @@
     Beyond,
 }
 
-/// What requests are sorted by: the priority of the workspace, that of the route, the fair share.
-type Place = (u8, u8, FairShare);
+/// What requests are sorted by: the priority of the workspace, the fair share, the priority of the
+/// route.
+type Place = (u8, FairShare, u8);
 
 /// The places that occur in a configuration.
 ///
 /// Load: callers of several workspaces on routes of several priorities, of which one sends many
 /// times its usual. Nodes and runners get one number, in which the priority of the workspace goes
-/// first, that of the route second, and what is beyond a fair share goes behind the rest.
+/// first. Of the same priority, what is beyond a fair share goes behind the rest, urgent or not, as
+/// the urgent requests of one workspace would else take the places of all others.
 #[derive(Debug, Default)]
 pub struct PriorityRanks {
     /// Sorted; empty if no workspace has a priority or a quota.
     places: Vec<Place>,
+    /// Whether a workspace has a priority; otherwise all have the same.
+    has_priorities: bool,
 }
 
 impl PriorityRanks {
@@ -55,18 +59,21 @@
         }
         // Requests without a workspace are ranked by their route.
         priorities.insert(None);
+        let mut ranks = Self {
+            places: Vec::new(),
+            has_priorities,
+        };
         let mut places = BTreeSet::new();
         for route in routes {
             for workspace in &priorities {
-                places.insert(place(*workspace, route, FairShare::Within));
+                places.insert(ranks.place(*workspace, route, FairShare::Within));
                 if has_quotas {
-                    places.insert(place(*workspace, route, FairShare::Beyond));
+                    places.insert(ranks.place(*workspace, route, FairShare::Beyond));
                 }
             }
         }
-        Self {
-            places: places.into_iter().collect(),
-        }
+        ranks.places = places.into_iter().collect();
+        ranks
     }
 
     /// Returns the rank of a request of a workspace, or of none, on a route.
@@ -77,7 +84,7 @@
                 runner: route.min(RUNNER_PRIORITIES as u8 - 1),
             };
         }
-        let place = place(workspace, route, share);
+        let place = self.place(workspace, route, share);
         let position = self.places.partition_point(|known| *known < place);
         let count = self.places.len();
         let runner = match count <= RUNNER_PRIORITIES {
@@ -89,8 +96,10 @@
             runner: u8::try_from(runner.min(RUNNER_PRIORITIES - 1)).unwrap_or(u8::MAX),
         }
     }
-}
 
-fn place(workspace: Option<u8>, route: u8, share: FairShare) -> Place {
-    (workspace.unwrap_or(route), route, share)
+    /// Returns where a request is sorted; one without a priority of its workspace by its route.
+    fn place(&self, workspace: Option<u8>, route: u8, share: FairShare) -> Place {
+        let without = if self.has_priorities { route } else { 0 };
+        (workspace.unwrap_or(without), share, route)
+    }
 }
--- a/tests/relay_workspaces.rs
+++ b/tests/relay_workspaces.rs
@@ -308,7 +308,7 @@
 }
 
 #[test]
-fn what_is_beyond_a_fair_share_goes_behind_the_same_priority_only() {
+fn what_is_beyond_a_fair_share_goes_behind_the_rest_of_the_same_priority() {
     let quota = Quota {
         unit: QuotaUnit::Requests,
         rate_per_s: 1.0,
@@ -322,8 +322,8 @@
     let ranks = PriorityRanks::new(&workspaces, [0, 1, 2]);
     let mut places = Vec::new();
     for workspace in 0..16 {
-        for route in 0..3 {
-            for share in [Within, Beyond] {
+        for share in [Within, Beyond] {
+            for route in 0..3 {
                 places.push(ranks.rank(Some(workspace), route, share));
             }
         }
