Let the follower of the configuration know nothing of its age

Cause: traffic used freshness, which uses traffic: a circle of folders. Change: the follower tells an observer of its full reads; the age is one.

--- a/src/freshness/config_age.rs
+++ b/src/freshness/config_age.rs
@@ -5,7 +5,7 @@
     crate::{
         leader::BootClock,
         telemetry::{Counter, MetricText},
-        traffic::{ActiveConfig, ConfigVersion},
+        traffic::{ActiveConfig, ConfigVersion, ReadObserver},
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -183,6 +183,16 @@
     }
 }
 
+impl ReadObserver for ConfigAge {
+    fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    fn record_read(&self, sent_at: Duration) {
+        self.record(sent_at);
+    }
+}
+
 /// Returns the milliseconds from `at` to `until`, rounded up; below 0 if `at` is later.
 fn ms_between(at: Duration, until: Duration) -> i64 {
     let nanos = |time: Duration| i64::try_from(time.as_nanos()).unwrap_or(i64::MAX);
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -257,7 +257,7 @@
             formats.clone(),
             self.active_config.clone(),
         );
-        let config = config.with_age(self.config_age.clone());
+        let config = config.with_observer(self.config_age.clone());
         tokio::spawn(config.run());
         let (lists, peer_list) = watch::channel(RunnerSnapshot::default());
         let runners = RunnerFollower::new(
--- a/src/traffic/config_follower.rs
+++ b/src/traffic/config_follower.rs
@@ -3,7 +3,6 @@
 use {
     super::{ActiveConfig, RouteTable},
     crate::{
-        freshness::ConfigAge,
         membership::Backoff,
         node::Formats,
         store::{Change, Entry, SharedStore, StoreError, StoreVersion, watch_with_timeout},
@@ -20,12 +19,21 @@
 /// The longest delay between retries of failed store calls.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(800);
 
+/// Is told when the configuration was read in full.
+pub trait ReadObserver: Send + Sync {
+    /// Returns the present time by the observer's clock.
+    fn now(&self) -> Duration;
+
+    /// Records that what a call read that was sent at `sent_at` is in force.
+    fn record_read(&self, sent_at: Duration);
+}
+
 /// Watches the published configuration in the store and activates newer versions.
 pub struct ConfigFollower {
     store: SharedStore,
     formats: Arc<dyn Formats>,
     active_config: Arc<ActiveConfig>,
-    age: Option<Arc<ConfigAge>>,
+    reads: Option<Arc<dyn ReadObserver>>,
 }
 
 impl ConfigFollower {
@@ -39,14 +47,14 @@
             store,
             formats,
             active_config,
-            age: None,
+            reads: None,
         }
     }
 
-    /// Records that the configuration is the newest one at each full read.
-    pub fn with_age(self, age: Arc<ConfigAge>) -> Self {
+    /// Tells `observer` of each full read.
+    pub fn with_observer(self, observer: Arc<dyn ReadObserver>) -> Self {
         Self {
-            age: Some(age),
+            reads: Some(observer),
             ..self
         }
     }
@@ -89,13 +97,13 @@
     }
 
     async fn read(&self, key: &str) -> Result<StoreVersion, StoreError> {
-        let age = self.age.as_ref().map(|age| (age, age.now()));
+        let reads = self.reads.as_ref().map(|reads| (reads, reads.now()));
         let range = self.store.range(key, 1).await?;
         for entry in range.entries {
             self.activate(key, &entry);
         }
-        if let Some((age, sent_at)) = age {
-            age.record(sent_at);
+        if let Some((reads, sent_at)) = reads {
+            reads.record_read(sent_at);
         }
         Ok(range.version)
     }
--- a/tests/freshness_age.rs
+++ b/tests/freshness_age.rs
@@ -264,7 +264,7 @@
     let node = Node::start(&store, None, CUT);
     let (link, config) = (Arc::new(node.link.clone()), node.config.clone());
     let follower = ConfigFollower::new(link, Arc::new(VersionFormats), config);
-    tokio::spawn(follower.with_age(node.age.clone()).run());
+    tokio::spawn(follower.with_observer(node.age.clone()).run());
     sleep(Duration::from_millis(20)).await;
     assert!(node.serves());
 }
