Limit how many nodes watch the store through the first one

Cause: at 1,000 nodes 60 nodes watch for others; all of them and 16 followers, with four requests each that wait, would need 304 connections of the first one's control port, which takes 256. Change: the nodes that watch for others form a tree of 16 each, in their order by data centre and rank, which keeps the chain free of circles. With up to 17 of them all follow the first, as before.

--- a/src/node/upstream_peer.rs
+++ b/src/node/upstream_peer.rs
@@ -46,7 +46,7 @@
 ///
 /// In each data centre the first few nodes of a ranking, which all nodes compute alike, watch the
 /// store for the others, which send changes requests to these. They themselves send theirs to the
-/// first node of the first data centre. The leader always watches the store itself, and so does a
+/// first of them, or to one that does. The leader always watches the store itself, and so does a
 /// node whose candidate peers have failed.
 #[derive(Debug)]
 pub struct UpstreamPeer {
@@ -100,7 +100,7 @@
             return None;
         }
         let ranked = rank_nodes(peers.iter().chain([&self.own_node]), &self.own_node.zone);
-        let watchers = ranked.len().div_ceil(FOLLOWERS_PER_WATCHER_MAX + 1);
+        let watchers = watchers_among(ranked.len());
         let rank = ranked
             .iter()
             .position(|node| node.name == self.own_node.name)?;
@@ -116,9 +116,9 @@
 
     /// Returns the peer to ask for changes; `None` if this node has to watch the store itself.
     ///
-    /// The nodes that watch the store for others do so through the first of them. Each node relies
-    /// on one that is earlier by data centre and rank, so that no two nodes wait for each other,
-    /// whatever nodes they know.
+    /// The nodes that watch the store for others do so through the first of them, or through one
+    /// that does if they are many. Each node relies on one that is earlier by data centre and rank,
+    /// so that no two nodes wait for each other, whatever nodes they know.
     pub fn select_source(&self) -> Option<PeerNode> {
         match *self.term.borrow() {
             Some(_) => None,
@@ -128,8 +128,7 @@
 
     /// Returns the peer to ask for the age of the configuration; `None` if this node asks the store.
     ///
-    /// That is the peer through which this node watches the store. The nodes that watch it ask one
-    /// of them, so that a large system asks the store as often as a single node would.
+    /// That is the peer through which this node watches the store, also for the leader.
     pub fn select_prover(&self) -> Option<PeerNode> {
         if let Some(peer) = self.select_peer() {
             return Some(peer);
@@ -138,13 +137,18 @@
         if peers.len() <= self.direct_peers_max {
             return None;
         }
-        let zone = sorted_zones(&peers)
-            .into_iter()
-            .chain([&self.own_node.zone]);
-        let nodes = peers.iter().chain([&self.own_node]);
-        let prover = rank_nodes(nodes, zone.min()?).first().copied()?;
-        let is_usable = prover.name != self.own_node.name && !self.has_failed(&prover.name);
-        is_usable.then(|| prover.clone())
+        let mut nodes = peers.clone();
+        nodes.push(self.own_node.clone());
+        let watchers = watching_nodes(&nodes);
+        let position = watchers
+            .iter()
+            .position(|node| node.name == self.own_node.name);
+        let source = match position {
+            Some(0) => return None,
+            Some(position) => watchers[(position - 1) / FOLLOWERS_PER_WATCHER_MAX],
+            None => watchers.first()?,
+        };
+        (!self.has_failed(&source.name)).then(|| source.clone())
     }
 
     /// Records that a peer gave no usable response, so that it is not asked for a while.
@@ -205,6 +209,22 @@
     }
 }
 
+/// Returns how many of a data centre's nodes watch the store for the others.
+fn watchers_among(nodes: usize) -> usize {
+    nodes.div_ceil(FOLLOWERS_PER_WATCHER_MAX + 1)
+}
+
+/// Returns the nodes that watch the store for others, by data centre and rank.
+fn watching_nodes(nodes: &[PeerNode]) -> Vec<&PeerNode> {
+    let zones = sorted_zones(nodes).into_iter();
+    let watching = zones.flat_map(|zone| {
+        let mut ranked = rank_nodes(nodes, zone);
+        ranked.truncate(watchers_among(ranked.len()));
+        ranked
+    });
+    watching.collect()
+}
+
 impl ChangeSource for UpstreamPeer {
     fn changes_after<'a>(
         &'a self,
