Keep the further slots of urgent routes whatever the workspace's priority

Cause: the choice of a runner lets the most urgent requests use an eighth more slots, and knew them by priority 0; with priorities of workspaces in front, the urgent routes of most workspaces have a higher number. Change: a request also counts as most urgent if its route is and it is within its fair share. Without workspaces nothing changes.

--- a/examples/gossip_scale/node.rs
+++ b/examples/gossip_scale/node.rs
@@ -187,6 +187,7 @@
         software: None,
         digest: RequestDigest(rand::random()),
         priority: 1,
+        is_urgent: false,
         target_at: Instant::now() + Duration::from_secs(1),
         assign_by: Instant::now() + Duration::from_secs(10),
         caller_deadline: Instant::now() + Duration::from_secs(10),
--- a/src/dispatch/types.rs
+++ b/src/dispatch/types.rs
@@ -25,6 +25,9 @@
     pub digest: RequestDigest,
     /// The rank of the request's priority; 0 is the most urgent.
     pub priority: u8,
+    /// Whether the route is of the most urgent ones and the request within its fair share, whatever
+    /// the priority of its workspace.
+    pub is_urgent: bool,
     /// The target for the first event of the response.
     pub target_at: Instant,
     /// The latest instant for an assignment; the request is refused by then.
--- a/src/dispatch/wait_queue.rs
+++ b/src/dispatch/wait_queue.rs
@@ -64,7 +64,7 @@
                 kv_tokens: generation.map_or(0, kv_tokens),
                 kv_capacity_tokens: engine.map(|engine| engine.kv_capacity_tokens),
                 pace_budget_tokens,
-                most_urgent: request.priority == 0,
+                most_urgent: request.priority == 0 || request.is_urgent,
             },
             chain: generation.map(PromptChain::of).unwrap_or_default(),
             fingerprint: RequestFingerprint::new(request.digest, generation),
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -234,6 +234,7 @@
             software: self.software.clone(),
             digest: self.call.digest,
             priority: rules.priority.queue,
+            is_urgent: rules.priority.is_urgent,
             target_at: self.call.target_at,
             assign_by: self.call.latest_start(),
             caller_deadline: self.call.deadline,
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -152,7 +152,7 @@
     pub(super) fn restart_wait(&mut self) {
         self.waiting_since = Instant::now();
         self.target_at = self.latest_start();
-        self.rules.priority = PriorityRank::default();
+        self.rules.priority = PriorityRank::FIRST;
     }
 
     /// Returns the latest time at which a runner may still start the request.
--- a/src/workspaces/priority_ranks.rs
+++ b/src/workspaces/priority_ranks.rs
@@ -6,12 +6,23 @@
 const RUNNER_PRIORITIES: usize = 10;
 
 /// The place of a request among all requests of a configuration; 0 goes first.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PriorityRank {
     /// The place in the queues of nodes.
     pub queue: u8,
     /// The place that a runner is told, from 0 to 9.
     pub runner: u8,
+    /// Whether the route is of the most urgent ones and the request within its fair share.
+    pub is_urgent: bool,
+}
+
+impl PriorityRank {
+    /// The rank of what goes before everything else.
+    pub const FIRST: Self = Self {
+        queue: 0,
+        runner: 0,
+        is_urgent: true,
+    };
 }
 
 /// Whether a request is within its workspace's fair share of what all may use.
@@ -78,10 +89,12 @@
 
     /// Returns the rank of a request of a workspace, or of none, on a route.
     pub fn rank(&self, workspace: Option<u8>, route: u8, share: FairShare) -> PriorityRank {
+        let is_urgent = route == 0 && share == FairShare::Within;
         if self.places.is_empty() {
             return PriorityRank {
                 queue: route,
                 runner: route.min(RUNNER_PRIORITIES as u8 - 1),
+                is_urgent,
             };
         }
         let place = self.place(workspace, route, share);
@@ -94,6 +107,7 @@
         PriorityRank {
             queue: u8::try_from(position).unwrap_or(u8::MAX),
             runner: u8::try_from(runner.min(RUNNER_PRIORITIES - 1)).unwrap_or(u8::MAX),
+            is_urgent,
         }
     }
 
--- a/tests/common/registry_rig.rs
+++ b/tests/common/registry_rig.rs
@@ -167,6 +167,7 @@
         software: None,
         digest: next_digest(),
         priority: 1,
+        is_urgent: false,
         target_at: Instant::now() + Duration::from_secs(1),
         assign_by: Instant::now() + Duration::from_secs(10),
         caller_deadline: Instant::now() + Duration::from_secs(10),
--- a/tests/fairness_replay.rs
+++ b/tests/fairness_replay.rs
@@ -67,7 +67,7 @@
             }
         }
         queue.retain(|(_, arrived, ..)| round - arrived < 2);
-        queue.sort_by(|a, b| (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2)));
+        queue.sort_by_key(|waiting| (waiting.0, waiting.1, waiting.2));
         let mut left = usual * room / 10.0;
         let taken = queue.iter().take_while(|request| {
             left -= request.4;
--- a/tests/relay_workspaces.rs
+++ b/tests/relay_workspaces.rs
@@ -303,7 +303,7 @@
             .windows(2)
             .all(|pair| pair[0].runner < pair[1].runner)
     );
-    assert_eq!(places[0], PriorityRank::default());
+    assert_eq!(places[0], PriorityRank::FIRST);
     assert_eq!(ranks.rank(None, 2, Within), ranks.rank(Some(2), 2, Within));
 }
 
