Use a part of the tolerated excess of quotas, and refuse by amount

Each of three homes of a small quota holds a third of its burst, less than one request; and after a denied large request a node refused small ones too, for 30 to 200 ms, without asking. Change: three tenths of the tolerated excess may be saved up beyond the burst; a node refuses without asking only what counts as much as what was denied.

--- a/src/quotas/home_share.rs
+++ b/src/quotas/home_share.rs
@@ -8,6 +8,12 @@
 /// The share of the tolerated excess that may be with nodes as spare allowance at any time.
 const SPARE_SHARE: f64 = 0.3;
 
+/// The part of the tolerated excess that may be saved up beyond the burst, over all homes.
+///
+/// A home holds a third of a small quota, which is less than one request: without it requests
+/// within the quota are refused that the other homes could not serve either.
+const SAVED_SHARE: f64 = 0.3;
+
 /// By how much all nodes together may exceed a quota.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct QuotaBounds {
@@ -61,7 +67,7 @@
         let homes = homes.max(1) as f64;
         Self {
             rate_per_s: quota.rate_per_s / homes,
-            burst: quota.burst / homes,
+            burst: (quota.burst + SAVED_SHARE * bounds.excess(quota)) / homes,
             spare_max: SPARE_SHARE * bounds.excess(quota) / homes,
         }
     }
--- a/src/quotas/leased_allowance.rs
+++ b/src/quotas/leased_allowance.rs
@@ -40,7 +40,8 @@
     demand: f64,
     demand_at: Instant,
     is_refilling: bool,
-    denied_until: Option<Instant>,
+    /// The amount that all homes denied, with until when as much is not asked for.
+    denied: Option<(u64, Instant)>,
     expected_at: Option<Instant>,
     /// The demand at all nodes relative to the quota, with when a home told it.
     system_demand: Option<(f64, Instant)>,
@@ -54,7 +55,7 @@
             demand: 0.0,
             demand_at: now,
             is_refilling: false,
-            denied_until: None,
+            denied: None,
             expected_at: None,
             system_demand: None,
         }
@@ -69,7 +70,8 @@
             self.is_refilling |= refill.is_some();
             return SpendDecision::Spent(end, refill);
         }
-        if self.denied_until.is_some_and(|until| now < until) {
+        let is_denied = |(denied, until): (u64, Instant)| amount >= denied && now < until;
+        if self.denied.is_some_and(is_denied) {
             let expected = self.expected_at.unwrap_or(now);
             return SpendDecision::Refuse(expected.saturating_duration_since(now));
         }
@@ -86,7 +88,7 @@
         let parts = parts.into_iter().filter(|(_, amount)| *amount > 0);
         self.held
             .extend(parts.map(|(ttl, amount)| (asked_at + ttl, amount)));
-        self.denied_until = None;
+        self.denied = None;
     }
 
     /// Records the end of a request for spare allowance.
@@ -94,9 +96,10 @@
         self.is_refilling = false;
     }
 
-    /// Records that no home granted a request, and that the amount is expected after `wait`.
-    pub fn record_denied(&mut self, wait: Duration, now: Instant) {
-        self.denied_until = Some(now + wait.clamp(BACK_OFF.0, BACK_OFF.1));
+    /// Records that no home granted `amount`, which is expected after `wait`.
+    pub fn record_denied(&mut self, amount: u64, wait: Duration, now: Instant) {
+        let until = now + wait.clamp(BACK_OFF.0, BACK_OFF.1);
+        self.denied = Some((amount, until));
         self.expected_at = Some(now + wait);
     }
 
--- a/src/quotas/quota_exchange.rs
+++ b/src/quotas/quota_exchange.rs
@@ -251,7 +251,7 @@
         }
         let wait = shortest_wait.ok_or(AllowanceRefusal::NoAnswer)?;
         let now = Instant::now();
-        self.state().leased(workspace, now).record_denied(wait, now);
+        self.state().leased(workspace, now).record_denied(amount, wait, now);
         Err(AllowanceRefusal::OverQuota(wait))
     }
 
--- a/tests/quotas_replay.rs
+++ b/tests/quotas_replay.rs
@@ -215,7 +215,7 @@
         }
         if let Some(wait) = waits.iter().min() {
             let now = self.now;
-            self.nodes[at].leased.record_denied(*wait, now);
+            self.nodes[at].leased.record_denied(least, *wait, now);
         }
         false
     }
@@ -393,9 +393,10 @@
     assert!(matches!(leased.spend(100, late), SpendDecision::Ask(_)));
     leased.give_back(100, late + Duration::from_millis(1));
     assert!(matches!(leased.spend(100, late), SpendDecision::Spent(..)));
-    leased.record_denied(Duration::from_secs(2), late);
+    leased.record_denied(100, Duration::from_secs(2), late);
     let Some(SpendDecision::Refuse(wait)) = Some(leased.spend(100, late)) else {
         panic!("a request after a refusal is not refused");
     };
     assert_eq!(wait, Duration::from_secs(2));
+    assert!(matches!(leased.spend(99, late), SpendDecision::Ask(_)));
 }
