--- a/src/quotas/quota_exchange.rs
+++ b/src/quotas/quota_exchange.rs
@@ -251,7 +251,9 @@
         }
         let wait = shortest_wait.ok_or(AllowanceRefusal::NoAnswer)?;
         let now = Instant::now();
-        self.state().leased(workspace, now).record_denied(amount, wait, now);
+        self.state()
+            .leased(workspace, now)
+            .record_denied(amount, wait, now);
         Err(AllowanceRefusal::OverQuota(wait))
     }
 
