Follow rarely used runners and reports of peers in the learned speeds

Cause: tests/dispatch_speeds.rs failed in its first run, in two places. A runner three times as slow as the others got 25 of 100 requests: with a sample in several seconds its estimate decayed faster than it was renewed. Reports of peers were applied, but the runners were not compared again, so that a node whose own streams showed no difference used none of them. A scratch copy of the first test showed a third fault: with prompts of 2,000 tokens a single node sent 17 of 20 and then all requests to the first fast runner that it had tried, since the others counted as slower than it.

Change: a sample weighs more in the usual slowness the longer there was none; each report leads to a comparison; a comparison moves the mean of all runners towards 0, the value of a runner that nobody tried.

--- a/src/capacity/model_paces.rs
+++ b/src/capacity/model_paces.rs
@@ -23,6 +23,11 @@
 pub struct ModelPaces(Vec<ModelPace>);
 
 impl ModelPaces {
+    /// Adds to the logarithms of all usual gaps.
+    pub(super) fn shift(&mut self, log: f64) {
+        self.0.iter_mut().for_each(|pace| pace.log_gap += log);
+    }
+
     /// Records the usual gap of a stream's events, for its model and its runner.
     pub fn record(
         &mut self,
--- a/src/capacity/runner_speed.rs
+++ b/src/capacity/runner_speed.rs
@@ -5,6 +5,9 @@
 /// The smallest weight of the newest sample in the usual slowness.
 const USUAL_WEIGHT_MIN: f64 = 0.08;
 
+/// The time constant of the weight of a sample in the usual slowness after a time without any.
+const USUAL_RENEWAL_S: f64 = 5.0;
+
 /// The weight of the newest sample in the present deviation from it.
 const DEVIATION_WEIGHT: f64 = 0.6;
 
@@ -76,11 +79,19 @@
         is_new.then(|| self.log_slowness(now))
     }
 
+    /// Adds to the logarithm of the usual slowness.
+    pub(super) fn shift(&mut self, log: f64, now: Instant) {
+        let decay = (-self.age_s(now) / USUAL_DECAY_S).exp();
+        self.usual_log += log / decay;
+    }
+
     fn record_sample(&mut self, log_slowness: f64, now: Instant) {
         let observed = log_slowness.clamp(-LOG_SLOWNESS_MAX, LOG_SLOWNESS_MAX);
         let deviation = self.log_slowness(now) - self.usual_log(now);
         self.samples = self.samples.saturating_add(1);
-        let weight = (1.0 / f64::from(self.samples + 1)).max(USUAL_WEIGHT_MIN);
+        let for_first = 1.0 / f64::from(self.samples + 1);
+        let for_age = 1.0 - (-self.age_s(now) / USUAL_RENEWAL_S).exp();
+        let weight = USUAL_WEIGHT_MIN.max(for_first).max(for_age);
         self.usual_log = self.usual_log(now) + (observed - self.usual_log(now)) * weight;
         let observed_deviation = observed - self.usual_log;
         self.deviation_log = deviation + (observed_deviation - deviation) * DEVIATION_WEIGHT;
--- a/src/dispatch/registry_pace.rs
+++ b/src/dispatch/registry_pace.rs
@@ -77,11 +77,18 @@
         let mut sorted = reports.to_vec();
         sorted.sort_unstable_by_key(|report| report.runner);
         self.shared.with_state(|state, _| {
-            for runner in state.runners_mut() {
-                let found = sorted.binary_search_by_key(&runner.hash, |report| report.runner);
-                if let Ok(position) = found {
-                    let log_slowness = sorted[position].log_slowness();
-                    runner.speed.record_report(log_slowness, now);
+            for service in state.services() {
+                let mut is_any = false;
+                for runner in &mut service.runners {
+                    let found = sorted.binary_search_by_key(&runner.hash, |report| report.runner);
+                    if let Ok(position) = found {
+                        let log_slowness = sorted[position].log_slowness();
+                        runner.speed.record_report(log_slowness, now);
+                        is_any = true;
+                    }
+                }
+                if is_any {
+                    service.compare_speeds(now);
                 }
             }
         });
--- a/src/dispatch/service_runners.rs
+++ b/src/dispatch/service_runners.rs
@@ -324,8 +324,14 @@
         };
         let speed = &mut self.runners[position].speed;
         self.model_paces.record(model, speed, usual_gap, now);
-        let speeds = self.runners.iter().map(|runner| &runner.speed);
-        self.speed_spread.update(speeds, now)
+        self.compare_speeds(now)
+    }
+
+    /// Compares the runners' speeds; returns whether they now differ and did not before, or the
+    /// other way round.
+    pub(super) fn compare_speeds(&mut self, now: Instant) -> bool {
+        let speeds = self.runners.iter_mut().map(|runner| &mut runner.speed);
+        self.speed_spread.update(speeds, &mut self.model_paces, now)
     }
 
     /// Records the time from an assignment to the first event of the response.
