Give the bodies of requests and responses one budget of memory

The budget of responses counted them only while they arrived, and returned the bytes while the caller had not read them; the settings did not carry the machine's memory.

Change: `request_memory` counts buffers before they grow, for both ways in. A share returns its bytes with the last reference to the body. While the memory is used up, a body that needs more waits unread; the one that is late behind 4 MiB a second, by bytes times lateness, gives way with 503 (not run).

Ruled out: reserving the announced length (as the entry did: a head reserves 4 MiB), refusing the newest, ending the oldest or the one without progress (docs/design/memory-pressure.md).

A runner's own memory needs no new bound: the choice of runners already bounds tokens and slots of all nodes (`has_capacity`).

--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -2,14 +2,15 @@
 
 use {
     super::{
-        BodyMemoryLimit, DemandCounter, EntryMetrics, EntryReport, EntrySettings, Forwarder,
-        IdempotencyKeys, InferenceRequest, LeavingRunners, OpenRequestGuard, OpenRequestLimit,
-        ReservedBodyMemory, RouteCache, ViewReceiver,
+        DemandCounter, EntryMetrics, EntryReport, EntrySettings, Forwarder, IdempotencyKeys,
+        InferenceRequest, LeavingRunners, OpenRequestGuard, OpenRequestLimit, RouteCache,
+        ViewReceiver,
     },
     crate::{
         admission::{AdmissionController, RetryBudget},
         fleet::Demand,
-        http::{Body, Client, Problem, REQUEST_ID, ReadError, read_body},
+        http::{Body, Client, Problem, REQUEST_ID, ReadError},
+        request_memory::{MemoryLimits, MemoryShare, RequestMemory},
         routing::LoadTracker,
         store::SharedStore,
         telemetry::REQUESTS,
@@ -52,7 +53,7 @@
     pub(super) keys: IdempotencyKeys,
     demand: DemandCounter,
     open_requests: OpenRequestLimit,
-    body_memory: BodyMemoryLimit,
+    body_memory: RequestMemory,
     suspects: Mutex<Vec<RunnerName>>,
 }
 
@@ -73,7 +74,7 @@
             metrics: EntryMetrics::new(),
             keys: IdempotencyKeys::new(&settings, parts.store, parts.forwarder),
             demand: DemandCounter::default(),
-            body_memory: BodyMemoryLimit::new(settings.bodies_max_bytes),
+            body_memory: RequestMemory::new(bodies_limits(settings.bodies_max_bytes)),
             open_requests: OpenRequestLimit::new(settings.open_requests_max),
             suspects: Mutex::default(),
             settings,
@@ -128,17 +129,15 @@
             .ok_or_else(entry_full_problem)
     }
 
-    /// Reads the body of a caller's request after reserving the memory for it.
+    /// Reads the body of a caller's request within the memory for bodies.
     pub(super) async fn read_body(&self, body: Incoming) -> Result<ReadBody, Problem> {
         let limit_bytes = self.settings.body_max_bytes;
-        let body_memory = self.body_memory.try_reserve(&body, limit_bytes);
-        let body_memory = body_memory.ok_or_else(entry_full_problem)?;
         let timeout = Duration::from_millis(self.settings.read_timeout_ms);
-        let bytes = read_body(body, limit_bytes, timeout).await;
-        Ok(ReadBody {
-            bytes: bytes.map_err(read_problem)?,
-            body_memory,
-        })
+        let read = self
+            .body_memory
+            .read_body_with_share(body, limit_bytes, timeout);
+        let (bytes, body_memory) = read.await.map_err(read_problem)?;
+        Ok(ReadBody { bytes, body_memory })
     }
 
     /// Updates the demand counts of the model and adapter of a request.
@@ -186,7 +185,16 @@
 /// The body of a caller's request, with the memory reserved for it.
 pub(super) struct ReadBody {
     pub(super) bytes: Bytes,
-    pub(super) body_memory: ReservedBodyMemory,
+    pub(super) body_memory: MemoryShare,
+}
+
+/// Returns the limits of the memory for bodies from the setting.
+fn bodies_limits(bodies_max_bytes: u64) -> MemoryLimits {
+    let bytes = usize::try_from(bodies_max_bytes).unwrap_or(usize::MAX);
+    MemoryLimits {
+        total_bytes: bytes,
+        requests_bytes: bytes,
+    }
 }
 
 fn entry_full_problem() -> Problem {
@@ -200,6 +208,7 @@
     let (status, kind) = match cause {
         ReadError::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
         ReadError::TooSlow => (StatusCode::REQUEST_TIMEOUT, "body-too-slow"),
+        ReadError::NoMemory => return entry_full_problem(),
         ReadError::Cut(_) => (StatusCode::BAD_REQUEST, "body-cut"),
     };
     Problem::not_run(status, kind, cause.to_string())
--- a/src/entry/inference/inference_request.rs
+++ b/src/entry/inference/inference_request.rs
@@ -4,8 +4,9 @@
     crate::{
         admission::ClassTargets,
         config::{Catalog, ServiceTarget},
-        entry::{EventId, ReservedBodyMemory},
+        entry::EventId,
         http::{Body, DEADLINE_MS, LAST_EVENT_ID, PRIORITY, REQUEST_ID},
+        request_memory::MemoryShare,
         routing::stable_hash,
         units::{AdapterName, ModelName, RequestId, ServiceName},
     },
@@ -85,7 +86,7 @@
     /// The time when the request arrived.
     pub arrived: Instant,
     /// The memory reserved for the body.
-    pub body_memory: Option<ReservedBodyMemory>,
+    pub body_memory: Option<MemoryShare>,
 }
 
 impl InferenceRequest {
--- a/src/entry/limits/mod.rs
+++ b/src/entry/limits/mod.rs
@@ -1,6 +1,5 @@
-//! Limits of the open requests of an entry and of the memory for their bodies.
+//! The limit of the open requests of an entry.
 
-mod body_memory_limit;
 mod open_request_limit;
 
-pub use {body_memory_limit::*, open_request_limit::*};
+pub use open_request_limit::*;
--- a/src/http/error.rs
+++ b/src/http/error.rs
@@ -33,6 +33,9 @@
     /// The body did not arrive in time.
     #[error("the body did not arrive in time")]
     TooSlow,
+    /// There is no memory for the body.
+    #[error("there is no memory for the body")]
+    NoMemory,
     /// The body ended before it was complete.
     #[error("the body is incomplete: {0}")]
     Cut(String),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod proto;
 pub mod quarantine;
 pub mod relay;
+pub mod request_memory;
 pub mod routing;
 pub mod security;
 pub mod settings;
--- a/src/node/control_port.rs
+++ b/src/node/control_port.rs
@@ -90,6 +90,7 @@
         if (request.method(), request.uri().path()) == (&Method::POST, STREAMS_PATH) {
             let endpoint = StreamsEndpoint {
                 streams: self.view.registry.streams.clone(),
+                memory: self.view.relay.memory().clone(),
                 only_nodes: self.access.tls.is_some(),
             };
             return endpoint.respond(request).await;
--- a/src/node/node_view.rs
+++ b/src/node/node_view.rs
@@ -125,6 +125,7 @@
         self.registry.ended_attempts().render(&mut text);
         self.registry.limit_counters().render(&mut text);
         self.relay.counters().render(&mut text);
+        self.relay.memory().render(&mut text);
         self.status().render(&mut text);
         render_demand(&self.registry.demand(), &mut text);
         text.finish()
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -15,6 +15,7 @@
         http::{Readiness, serve_operations},
         leader::{Membership, PeerNode},
         relay::Relay,
+        request_memory::MemoryLimits,
         security::{KeyRing, Tls, TlsError, reload_tls_on_change},
         store::{MeteredStore, MonitoredStore, StoreHealth, StoreVersion, UpstreamStore},
         streams::{RecorderChoice, StreamTask, StreamWriter, VersionTask},
@@ -361,14 +362,17 @@
     }
 
     fn new_relay(&self, timer_lag: Arc<TimerLag>) -> Arc<Relay> {
-        Relay::new(
+        let relay = Relay::new(
             self.active_config.clone(),
             Dispatcher::new(self.registry.clone()),
             self.parts.formats.clone(),
             self.settings.bounds,
             self.membership.peers.clone(),
             timer_lag,
-        )
+        );
+        let limits = MemoryLimits::of_machine(self.settings.memory_mb);
+        relay.memory().set_limits(limits);
+        relay
     }
 }
 
--- a/src/node/settings.rs
+++ b/src/node/settings.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         gossip::{DEFAULT_LINK_MBPS, DIRECT_PEERS_MAX},
+        request_memory::DEFAULT_MEMORY_MB,
         security::{SharedKey, TlsFiles},
         telemetry::{LogFormat, LogLevel, LogRules},
         traffic::{NodeName, ZoneId},
@@ -57,6 +58,10 @@
     /// The limit on open file descriptors of the process.
     #[serde(default = "default_descriptors")]
     pub descriptors_max: usize,
+    /// The memory of the VM in MB, which bounds the bodies of requests and responses and the
+    /// callers' connections.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
     /// The TLS files for connections from peers and operators; no TLS without them.
     #[serde(default)]
     pub tls: Option<TlsFiles>,
@@ -197,6 +202,10 @@
     1024
 }
 
+fn default_memory_mb() -> u64 {
+    DEFAULT_MEMORY_MB
+}
+
 fn default_log_level() -> LogLevel {
     LogLevel::Info
 }
--- a/src/node/stream_peers.rs
+++ b/src/node/stream_peers.rs
@@ -3,8 +3,9 @@
 use {
     super::control_port::empty_response,
     crate::{
-        http::{Body, CallLimits, Client, Liveness, read_body},
+        http::{Body, CallLimits, Client, Liveness},
         leader::{Membership, PeerNode},
+        request_memory::RequestMemory,
         security::{Role, Tls},
         store::{SharedStore, StoreError},
         streams::{StreamBatch, StreamSender, StreamSource, StreamVersions, read_streams},
@@ -35,6 +36,8 @@
 pub struct StreamsEndpoint {
     /// The streams that this node knows.
     pub streams: Arc<StreamVersions>,
+    /// The memory for the bodies of requests.
+    pub memory: RequestMemory,
     /// Whether the sender's certificate must be a node's.
     pub only_nodes: bool,
 }
@@ -46,7 +49,11 @@
         if self.only_nodes && request.extensions().get() != Some(&Role::Node) {
             return empty_response(StatusCode::FORBIDDEN);
         }
-        let body = read_body(request.into_body(), STREAMS_MAX_BYTES, BODY_TIMEOUT).await;
+        let body = request.into_body();
+        let body = self
+            .memory
+            .read_body(body, STREAMS_MAX_BYTES, BODY_TIMEOUT)
+            .await;
         let batches = body.ok().and_then(|body| StreamBatch::decode(&body));
         let Some(batches) = batches else {
             return empty_response(StatusCode::BAD_REQUEST);
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -3,7 +3,7 @@
 use {
     super::{ForwardedWorkspace, Refusal, Relay, RequestHead, pass_on::take_passed_on},
     crate::{
-        http::{ReadError, read_body, remove_connection_headers_except},
+        http::{ReadError, remove_connection_headers_except},
         quarantine::RequestDigest,
         routing::stable_hash,
         streams::StreamId,
@@ -213,7 +213,7 @@
         let target_at = arrived_at + Duration::from_millis(route.target_latency_ms);
         let caller = CallerIdentity::of(&map, route, &head)?;
         let rules = call_rules(&map, route, &head, caller);
-        let body = read_request_body(body, &limits, deadline).await?;
+        let body = self.read_request_body(body, &limits, deadline).await?;
         let digest = request_digest(&parts, host, &path, &body);
         Ok(Call {
             method: parts.method,
@@ -230,6 +230,22 @@
             is_passed_on: passed_on.is_some(),
         })
     }
+
+    async fn read_request_body(
+        &self,
+        body: Incoming,
+        limits: &CallerLimits,
+        deadline: Instant,
+    ) -> Result<Bytes, Refusal> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let read = self.memory.read_body(body, limits.body_max_bytes, left);
+        read.await.map_err(|cause| match cause {
+            ReadError::TooLarge { .. } => Refusal::BodyTooLarge,
+            ReadError::TooSlow => Refusal::BodyTooSlow,
+            ReadError::NoMemory => Refusal::NoBodyMemory,
+            ReadError::Cut(_) => Refusal::BadRequest("the body cannot be read"),
+        })
+    }
 }
 
 fn call_rules(
@@ -285,20 +301,6 @@
     first.service.clone()
 }
 
-async fn read_request_body(
-    body: Incoming,
-    limits: &CallerLimits,
-    deadline: Instant,
-) -> Result<Bytes, Refusal> {
-    let left = deadline.saturating_duration_since(Instant::now());
-    let read = read_body(body, limits.body_max_bytes, left).await;
-    read.map_err(|cause| match cause {
-        ReadError::TooLarge { .. } => Refusal::BodyTooLarge,
-        ReadError::TooSlow => Refusal::BodyTooSlow,
-        ReadError::Cut(_) => Refusal::BadRequest("the body cannot be read"),
-    })
-}
-
 /// Returns the digest of a request, in which neither its id nor the time left counts.
 ///
 /// Method and query count, as a crash under one request says nothing about another one.
--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -1,10 +1,11 @@
 //! The pool of connections to runners.
 
 use {
-    super::{BufferBudget, RequestWrites, RunnerConnection, WriteTracker},
+    super::{RequestWrites, RunnerConnection, WriteTracker},
     crate::{
         discovery::{RunnerEntry, RunnerKey},
         http::{Body, HeadAllowance, HeadGuard, Liveness, set_up_liveness_with},
+        request_memory::RequestMemory,
     },
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
@@ -113,10 +114,18 @@
 pub(super) struct ConnectionPool {
     runners: Mutex<Vec<RunnerConnections>>,
     /// The memory of responses on these connections.
-    pub(super) buffers: BufferBudget,
+    pub(super) memory: RequestMemory,
 }
 
 impl ConnectionPool {
+    /// Creates a pool without connections, whose responses use this memory.
+    pub(super) fn new(memory: RequestMemory) -> Arc<Self> {
+        Arc::new(Self {
+            runners: Mutex::default(),
+            memory,
+        })
+    }
+
     /// Returns a connection to a runner: an idle one if possible and `may_reuse`.
     ///
     /// # Errors
--- a/src/relay/event_splitter.rs
+++ b/src/relay/event_splitter.rs
@@ -1,7 +1,7 @@
 //! Splits a byte stream into complete server-sent events and checks the event ids.
 
 use {
-    super::BufferShare,
+    crate::request_memory::MemoryShare,
     bytes::{Bytes, BytesMut},
     thiserror::Error,
 };
@@ -47,7 +47,7 @@
     /// In how many chunks it has arrived.
     chunks: u32,
     /// The memory of the begin of an event.
-    memory: BufferShare,
+    memory: Option<MemoryShare>,
     last_id: Option<u64>,
 }
 
@@ -61,8 +61,11 @@
     }
 
     /// Uses the memory of a budget that streams share.
-    pub(super) fn with_memory(self, memory: BufferShare) -> Self {
-        Self { memory, ..self }
+    pub(super) fn with_memory(self, memory: MemoryShare) -> Self {
+        Self {
+            memory: Some(memory),
+            ..self
+        }
     }
 
     /// Returns the id of the last complete event.
@@ -136,7 +139,10 @@
         if self.chunks > EVENT_CHUNKS_MAX {
             return Some(EventError::TooManyChunks);
         }
-        let has_memory = self.memory.resize(self.partial.len());
+        let has_memory = match &mut self.memory {
+            Some(memory) => memory.try_resize(self.partial.len()),
+            None => true,
+        };
         (!has_memory).then_some(EventError::NoMemory)
     }
 
--- a/src/relay/event_stream.rs
+++ b/src/relay/event_stream.rs
@@ -9,6 +9,7 @@
         discovery::RunnerEntry,
         dispatch::AttemptOutcome,
         http::{Body, BodyError},
+        request_memory::Holder,
     },
     bytes::Bytes,
     futures::{StreamExt, stream},
@@ -75,7 +76,7 @@
         let ends_with_connection = response_head::ends_with_connection(&self.response);
         let (mut head, body) = response_head::split(self.response);
         response_head::remove_length(&mut head);
-        let memory = self.connection.pool.buffers.share();
+        let memory = self.connection.pool.memory.share(Holder::Response);
         let live = RunnerStream {
             assignment: self.assignment,
             connection: self.connection,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -2,7 +2,6 @@
 
 mod attempt;
 mod attempt_progress;
-mod buffer_budget;
 mod call;
 mod connection_pool;
 mod cutoff;
@@ -30,8 +29,8 @@
 mod write_tracker;
 
 use {
-    attempt::*, attempt_progress::*, buffer_budget::*, call::*, connection_pool::*, cutoff::*,
-    end_probe::*, event_stream::*, first_write::*, forwarded_call::*, refusal::*,
+    attempt::*, attempt_progress::*, call::*, connection_pool::*, cutoff::*, end_probe::*,
+    event_stream::*, first_write::*, forwarded_call::*, refusal::*,
     relay_counters::CancellationGuard, relay_counters::ResponseOutcome, response_class::*,
     runner_connection::*, sent_assignment::*, write_tracker::*,
 };
--- a/src/relay/plain_response.rs
+++ b/src/relay/plain_response.rs
@@ -2,12 +2,12 @@
 
 use {
     super::{
-        BufferShare, Call, Cutoff, KeepAlive, RunnerConnection, RunnerResponse, SentAssignment,
-        response_head,
+        Call, Cutoff, KeepAlive, RunnerConnection, RunnerResponse, SentAssignment, response_head,
     },
     crate::{
         dispatch::AttemptOutcome,
         http::{Body, BodyError},
+        request_memory::{Holder, MemoryShare, hold},
     },
     bytes::{Bytes, BytesMut},
     futures::{StreamExt, stream},
@@ -41,7 +41,7 @@
         outcome: AttemptOutcome,
     ) -> Option<Response<Body>> {
         let (mut head, mut body) = response_head::split(self.response);
-        let memory = self.connection.pool.buffers.share();
+        let memory = self.connection.pool.memory.share(Holder::Response);
         let start = match read_start(&mut body, memory).await {
             Ok(start) => start,
             Err(cause) => {
@@ -83,24 +83,16 @@
 }
 
 /// Reads a body up to its end, or until it is larger than [`BUFFERED_BODY_MAX_BYTES`] or than the
-/// memory for it.
+/// memory for it, which is held until the caller has taken the bytes.
 async fn read_start(
     body: &mut Incoming,
-    mut memory: BufferShare,
+    mut memory: MemoryShare,
 ) -> Result<BodyStart, hyper::Error> {
     let mut first = Bytes::new();
     let mut joined = BytesMut::new();
-    loop {
+    let is_complete = loop {
         let Some(frame) = body.frame().await else {
-            let bytes = if joined.is_empty() {
-                first
-            } else {
-                joined.freeze()
-            };
-            return Ok(BodyStart {
-                bytes,
-                is_complete: true,
-            });
+            break true;
         };
         let Ok(data) = frame?.into_data() else {
             continue;
@@ -113,19 +105,16 @@
             }
             joined.extend_from_slice(&data);
         }
-        let read = first.len().max(joined.len());
-        if read > BUFFERED_BODY_MAX_BYTES || !memory.resize(read) {
-            let bytes = if joined.is_empty() {
-                first
-            } else {
-                joined.freeze()
-            };
-            return Ok(BodyStart {
-                bytes,
-                is_complete: false,
-            });
+        let read = first.len().max(joined.capacity());
+        if joined.len() > BUFFERED_BODY_MAX_BYTES || !memory.try_resize(read) {
+            break false;
         }
-    }
+    };
+    let bytes = match joined.is_empty() {
+        true => hold(first, memory),
+        false => hold(joined, memory),
+    };
+    Ok(BodyStart { bytes, is_complete })
 }
 
 type NextChunk = (Result<Bytes, BodyError>, Option<Box<PartialBody>>);
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -14,6 +14,9 @@
 /// the streams that began at them.
 const UNKNOWN_STREAM_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// The retry delay while there is no memory for a body, in which slow ones give way.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The reason why a request gets no response from a runner.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Refusal {
@@ -31,6 +34,8 @@
     BodyTooLarge,
     /// The body of the request did not arrive in time.
     BodyTooSlow,
+    /// There is no memory for the body of the request.
+    NoBodyMemory,
     /// The request did not run.
     NotRun {
         /// How long the caller should wait before it retries, in milliseconds.
@@ -62,6 +67,7 @@
     BadRequest,
     BodyTooLarge,
     BodyTooSlow,
+    NoBodyMemory,
     Overloaded,
     Quarantined,
     StreamNotResumable,
@@ -71,13 +77,14 @@
 
 impl Refusal {
     /// The labels of the reasons, in the order of [`RefusalReason`].
-    pub(super) const REASONS: [&'static str; 11] = [
+    pub(super) const REASONS: [&'static str; 12] = [
         "no_configuration",
         "no_route",
         "unknown_key",
         "bad_request",
         "body_too_large",
         "body_too_slow",
+        "no_body_memory",
         "overloaded",
         "quarantined",
         "stream_not_resumable",
@@ -94,6 +101,7 @@
             Self::BadRequest(_) | Self::InvalidHead(_) => RefusalReason::BadRequest,
             Self::BodyTooLarge => RefusalReason::BodyTooLarge,
             Self::BodyTooSlow => RefusalReason::BodyTooSlow,
+            Self::NoBodyMemory => RefusalReason::NoBodyMemory,
             Self::NotRun { .. } => RefusalReason::Overloaded,
             Self::Quarantined { .. } => RefusalReason::Quarantined,
             Self::StreamNotResumable { .. } => RefusalReason::StreamNotResumable,
@@ -145,6 +153,11 @@
                 let detail = "the body did not arrive in time";
                 Problem::not_run(StatusCode::REQUEST_TIMEOUT, "body-too-slow", detail)
             }
+            Self::NoBodyMemory => {
+                let detail = "this node has no memory for the body";
+                Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-body-memory", detail)
+                    .retry_after(NO_MEMORY_RETRY_AFTER)
+            }
             Self::NotRun { retry_after_ms } => {
                 let detail = "no runner took the request in time";
                 let retry_after = Duration::from_millis(*retry_after_ms);
@@ -177,7 +190,10 @@
 
     /// Returns whether the rest of the request body is unread, so that the connection must close.
     fn leaves_body_unread(&self) -> bool {
-        matches!(self, Self::BodyTooLarge | Self::BodyTooSlow)
+        matches!(
+            self,
+            Self::BodyTooLarge | Self::BodyTooSlow | Self::NoBodyMemory
+        )
     }
 }
 
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -15,6 +15,7 @@
         http::{Body, Client, Liveness, RetryAfterError},
         leader::PeerNode,
         node::{Bounds, Formats},
+        request_memory::RequestMemory,
         security::Tls,
         telemetry::TimerLag,
         traffic::{ActiveConfig, ServiceId},
@@ -50,6 +51,8 @@
     pub(super) counters: RelayCounters,
     /// How long requests in flight may continue after a planned stop began.
     grace: Mutex<Duration>,
+    /// The memory for the bodies of requests and responses.
+    pub(super) memory: RequestMemory,
     /// How late the process reads what arrives.
     timer_lag: Arc<TimerLag>,
     /// How long responses usually take.
@@ -80,6 +83,7 @@
         peers: watch::Receiver<Vec<PeerNode>>,
         timer_lag: Arc<TimerLag>,
     ) -> Arc<Self> {
+        let memory = RequestMemory::default();
         Arc::new(Self {
             traffic,
             dispatcher,
@@ -89,7 +93,8 @@
             grace: Mutex::new(grace_time(&bounds)),
             timer_lag,
             peers,
-            pool: Arc::default(),
+            pool: ConnectionPool::new(memory.clone()),
+            memory,
             peer_client: OnceLock::new(),
             peer_reach: Mutex::default(),
             is_cut_off: AtomicBool::new(false),
@@ -140,6 +145,11 @@
         *self.grace.lock().unwrap_or_else(PoisonError::into_inner) = grace_time(bounds);
     }
 
+    /// Returns the memory for the bodies of requests and responses.
+    pub fn memory(&self) -> &RequestMemory {
+        &self.memory
+    }
+
     /// Returns the counters of callers' requests.
     pub fn counters(&self) -> &RelayCounters {
         &self.counters
--- a/tests/node_streams.rs
+++ b/tests/node_streams.rs
@@ -13,6 +13,7 @@
         http::{ListenerLimits, serve_http},
         leader::PeerNode,
         node::{StreamClient, StreamsEndpoint},
+        request_memory::RequestMemory,
         streams::{StreamBatch, StreamId, StreamSender, StreamVersions},
     },
     std::{sync::Arc, time::Duration},
@@ -43,6 +44,7 @@
         async move {
             let endpoint = StreamsEndpoint {
                 streams,
+                memory: RequestMemory::default(),
                 only_nodes,
             };
             endpoint.respond(request).await
