Bound callers' connections by memory and descriptors

Cause: a node accepted connections without end; 400 unfinished heads took 422 descriptors of 320 set, and the setting `descriptors_max` was read by nothing. Store, peers and runners would find no descriptor.

Change: callers use at most three in eight descriptors, and a third of the memory at 32 KiB each. At the limit the connection without a request in work that was used longest ago closes for the new one, which the caller may repeat, as nothing on it was complete.

Ruled out: accepting no more (the crowd would keep ordinary callers out); three quarters of the descriptors, as each request in work needs one to a runner (240 answers that were not read took 501).

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -3,7 +3,7 @@
 use {
     super::BodyError,
     bytes::Bytes,
-    futures::{Stream, stream::BoxStream},
+    futures::{Stream, StreamExt, stream::BoxStream},
     hyper::body::{Frame, Incoming, SizeHint},
     std::{
         fmt,
@@ -23,6 +23,20 @@
 }
 
 impl Body {
+    /// Returns the body with a guard that is dropped once all of it was handed over.
+    pub(crate) fn guarded(self, guard: impl Send + 'static) -> Self {
+        match self {
+            Self::Stream(stream) => Self::Stream(
+                stream
+                    .inspect(move |_| {
+                        let _ = &guard;
+                    })
+                    .boxed(),
+            ),
+            full => full,
+        }
+    }
+
     /// Creates a body without content.
     pub fn empty() -> Self {
         Self::Full(Bytes::new())
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -12,6 +12,7 @@
 mod idle_connections;
 mod listener;
 mod liveness;
+mod open_connections;
 mod operations;
 mod preface;
 mod problem;
@@ -23,9 +24,22 @@
     acceptor::Acceptor,
     head_guard::{HeadAllowance, HeadGuard},
     liveness::{set_up as set_up_liveness, set_up_with as set_up_liveness_with},
+    open_connections::{OpenConnections, OpenGuard},
     stall_guard::StallGuard,
 };
 pub use {
-    body::*, call::*, client::*, compression::*, connection::*, error::*, header::*, listener::*,
-    liveness::Liveness, operations::*, problem::*, read::*, retry_after::*,
+    body::*,
+    call::*,
+    client::*,
+    compression::*,
+    connection::*,
+    error::*,
+    header::*,
+    listener::*,
+    liveness::Liveness,
+    open_connections::{ConnectionId, ConnectionTable},
+    operations::*,
+    problem::*,
+    read::*,
+    retry_after::*,
 };
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -15,7 +15,7 @@
         http::{Readiness, serve_operations},
         leader::{Membership, PeerNode},
         relay::Relay,
-        request_memory::MemoryLimits,
+        request_memory::{MemoryLimits, callers_connections_max},
         security::{KeyRing, Tls, TlsError, reload_tls_on_change},
         store::{MeteredStore, MonitoredStore, StoreHealth, StoreVersion, UpstreamStore},
         streams::{RecorderChoice, StreamTask, StreamWriter, VersionTask},
@@ -370,8 +370,11 @@
             self.membership.peers.clone(),
             timer_lag,
         );
-        let limits = MemoryLimits::of_machine(self.settings.memory_mb);
-        relay.memory().set_limits(limits);
+        let (memory_mb, descriptors_max) = (self.settings.memory_mb, self.settings.descriptors_max);
+        relay.set_memory_limits(
+            MemoryLimits::of_machine(memory_mb),
+            callers_connections_max(memory_mb, descriptors_max),
+        );
         relay
     }
 }
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -15,7 +15,7 @@
         http::{Body, Client, Liveness, RetryAfterError},
         leader::PeerNode,
         node::{Bounds, Formats},
-        request_memory::RequestMemory,
+        request_memory::{MemoryLimits, RequestMemory},
         security::Tls,
         telemetry::TimerLag,
         traffic::{ActiveConfig, ServiceId},
@@ -25,7 +25,7 @@
         fmt,
         sync::{
             Arc, Mutex, OnceLock, PoisonError,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -53,6 +53,8 @@
     grace: Mutex<Duration>,
     /// The memory for the bodies of requests and responses.
     pub(super) memory: RequestMemory,
+    /// The most connections that callers may have open.
+    callers_connections_max: AtomicUsize,
     /// How late the process reads what arrives.
     timer_lag: Arc<TimerLag>,
     /// How long responses usually take.
@@ -95,6 +97,7 @@
             peers,
             pool: ConnectionPool::new(memory.clone()),
             memory,
+            callers_connections_max: AtomicUsize::new(usize::MAX),
             peer_client: OnceLock::new(),
             peer_reach: Mutex::default(),
             is_cut_off: AtomicBool::new(false),
@@ -145,6 +148,19 @@
         *self.grace.lock().unwrap_or_else(PoisonError::into_inner) = grace_time(bounds);
     }
 
+    /// Sets the limits of the memory for bodies and of callers' connections, the latter before the
+    /// relay serves.
+    pub fn set_memory_limits(&self, limits: MemoryLimits, connections_max: usize) {
+        self.memory.set_limits(limits);
+        self.callers_connections_max
+            .store(connections_max, Ordering::Relaxed);
+    }
+
+    /// Returns the most connections that callers may have open.
+    pub(super) fn callers_connections_max(&self) -> usize {
+        self.callers_connections_max.load(Ordering::Relaxed)
+    }
+
     /// Returns the memory for the bodies of requests and responses.
     pub fn memory(&self) -> &RequestMemory {
         &self.memory
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -2,7 +2,7 @@
 
 use {
     super::Relay,
-    crate::http::{Acceptor, StallGuard, set_up_liveness},
+    crate::http::{Acceptor, OpenConnections, OpenGuard, StallGuard, set_up_liveness},
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::{
         rt::{TokioIo, TokioTimer},
@@ -58,10 +58,14 @@
     /// Returns whether all of them finished within the grace time.
     pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: CancellationToken) -> bool {
         let open = GracefulShutdown::new();
+        let connections = OpenConnections::new(self.callers_connections_max());
         let mut acceptor = Acceptor::new(listener, stop);
         while let Some(stream) = acceptor.next().await {
-            let serving = self.clone().serve_connection(stream, open.watcher());
-            tokio::spawn(serving);
+            // Without a place, the connection closes before anything of it is read.
+            if let Some(connection) = connections.admit() {
+                let serving = self.clone();
+                tokio::spawn(serving.serve_connection(stream, open.watcher(), connection));
+            }
         }
         drop(acceptor);
         self.begin_drain();
@@ -84,19 +88,31 @@
         false
     }
 
-    async fn serve_connection(self: Arc<Self>, stream: TcpStream, open: Watcher) {
+    async fn serve_connection(
+        self: Arc<Self>,
+        stream: TcpStream,
+        open: Watcher,
+        connection: OpenGuard,
+    ) {
         if set_up_liveness(&stream).is_err() {
             return;
         }
         let builder = self.builder();
+        let close = connection.close.clone();
         let service = service_fn(move |request| {
+            let in_work = connection.begin_request();
             let response = self.clone().handle(request);
-            async move { Ok::<_, Infallible>(response.await) }
+            async move {
+                let response = response.await;
+                Ok::<_, Infallible>(response.map(|body| body.guarded(in_work)))
+            }
         });
         let stream = TokioIo::new(StallGuard::new(stream, WRITE_STALL_MAX));
         let connection = builder.serve_connection(stream, service);
-        if let Err(cause) = open.watch(connection).await {
-            log::debug!("relay: a caller's connection ended: {cause}");
+        match close.run_until_cancelled(open.watch(connection)).await {
+            Some(Ok(())) => {}
+            Some(Err(cause)) => log::debug!("relay: a caller's connection ended: {cause}"),
+            None => log::debug!("relay: a caller's connection closed for another"),
         }
     }
 
--- a/src/request_memory/memory_limits.rs
+++ b/src/request_memory/memory_limits.rs
@@ -13,6 +13,16 @@
 /// are answered.
 const RESPONSES_DIVISOR: usize = 4;
 
+/// The memory that an open connection may use beside the bodies: its buffers, its head, its task
+/// and the first bytes of a body.
+const CONNECTION_BYTES: u64 = 32 * 1024;
+
+/// The part of the machine's memory for connections.
+const CONNECTIONS_DIVISOR: u64 = 3;
+
+/// The least number of connections of callers, whatever the machine's memory and descriptors.
+const CONNECTIONS_MIN: usize = 16;
+
 /// The limits of the bodies of all requests and responses of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemoryLimits {
@@ -44,3 +54,13 @@
         Self::of_machine(DEFAULT_MEMORY_MB)
     }
 }
+
+/// Returns the most connections that callers may have open.
+///
+/// Three in eight descriptors are left for as many connections to runners, and a quarter for peers,
+/// the store and files.
+pub fn callers_connections_max(memory_mb: u64, descriptors_max: usize) -> usize {
+    let by_memory = memory_mb.saturating_mul(1 << 20) / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
+    let by_memory = usize::try_from(by_memory).unwrap_or(usize::MAX);
+    by_memory.min(descriptors_max / 8 * 3).max(CONNECTIONS_MIN)
+}
--- a/tests/request_memory.rs
+++ b/tests/request_memory.rs
@@ -1,11 +1,13 @@
-//! Which bodies get memory under loads of many unfinished ones.
+//! Which bodies get memory, and which connections stay open, under loads of many unfinished ones.
 
 use {
-    greengagetrail::request_memory::{
-        Decision, Holder, Ledger, MemoryLimits, ShareId, UNCOUNTED_BYTES,
+    greengagetrail::{
+        http::ConnectionTable,
+        request_memory::{Decision, Holder, Ledger, MemoryLimits, ShareId, UNCOUNTED_BYTES},
     },
     std::time::Duration,
     tokio::time::Instant,
+    tokio_util::sync::CancellationToken,
 };
 
 const MIB: usize = 1 << 20;
@@ -111,3 +113,36 @@
     }
     assert_eq!(ledger.held_bytes(), 0);
 }
+
+#[test]
+fn a_connection_without_a_request_closes_for_a_new_one() {
+    let start = Instant::now();
+    let mut table = ConnectionTable::new(3);
+    let close: Vec<_> = (0..4).map(|_| CancellationToken::new()).collect();
+    let at = |ms| start + Duration::from_millis(ms);
+    let ids: Vec<_> = (0..3)
+        .map(|number| {
+            table
+                .admit(at(number), close[number as usize].clone())
+                .unwrap()
+        })
+        .collect();
+    table.begin_request(ids[0]);
+    table.begin_request(ids[1]);
+    table.end_request(ids[1], at(10));
+    // The third was not used since it opened; the first has a request in work.
+    assert!(table.admit(at(20), close[3].clone()).is_some());
+    let closed: Vec<_> = close.iter().map(CancellationToken::is_cancelled).collect();
+    assert_eq!(closed, [false, false, true, false]);
+}
+
+#[test]
+fn a_new_connection_is_refused_while_all_have_requests_in_work() {
+    let now = Instant::now();
+    let mut table = ConnectionTable::new(1);
+    let id = table.admit(now, CancellationToken::new()).unwrap();
+    table.begin_request(id);
+    assert!(table.admit(now, CancellationToken::new()).is_none());
+    table.remove(id);
+    assert!(table.admit(now, CancellationToken::new()).is_some());
+}
