Count long heads, and give HTTP/2 smaller windows

Cause: where heads of 1 MiB are allowed (the control port, as requests with such heads may be passed on), 80 unfinished ones took a node to 166 MB, and the HTTP library read up to 1 MiB ahead of those who read a body. An HTTP/2 connection could send 1 MiB ahead and hold 400 KB for each stream whose answer nobody reads.

Change: connections whose head limit is over 32 KiB count what they read of a head in the memory for bodies, read 16 KiB at once, and close without memory. Heads of HTTP/2 requests are counted when they arrive. Streams get 64 KiB, connections 256 KiB.

Ruled out: a smaller limit of heads at the control port, as nodes pass on what callers may send.

--- a/src/entry/entry.rs
+++ b/src/entry/entry.rs
@@ -122,6 +122,11 @@
         self.open_requests.count()
     }
 
+    /// Returns the memory for heads and bodies of requests.
+    pub(super) fn body_memory(&self) -> &RequestMemory {
+        &self.body_memory
+    }
+
     /// Counts another open request, or returns a problem document at the limit.
     pub(super) fn acquire_open_request(&self) -> Result<OpenRequestGuard, Problem> {
         self.open_requests
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -4,7 +4,7 @@
     super::{Entry, EntrySettings},
     crate::{
         fleet::Demand,
-        http::{ListenerLimits, Readiness, serve_http},
+        http::{ListenerLimits, Readiness, serve_http_within},
     },
     std::{sync::Arc, time::Duration},
     tokio::{
@@ -38,7 +38,16 @@
         let limits = limits(&self.settings);
         let entry = self.clone();
         let handle = move |request| entry.clone().handle(request);
-        let served = tokio::spawn(serve_http(listener, limits, closing.clone(), handle));
+        let memory = self.body_memory().clone();
+        let stop_serving = closing.clone();
+        let served = tokio::spawn(serve_http_within(
+            listener,
+            limits,
+            memory,
+            None,
+            stop_serving,
+            handle,
+        ));
         self.wait_for_stop(&readiness, &stop).await;
         log::info!("entry: draining {} open requests", self.open_requests());
         readiness.set(false);
--- a/src/http/listener.rs
+++ b/src/http/listener.rs
@@ -1,9 +1,15 @@
 //! An HTTP server with limits and a graceful stop.
 
 use {
-    super::{Acceptor, Body, liveness, preface::wait_for_preface, stall_guard::StallGuard},
-    crate::security::{Role, TlsServer},
-    hyper::{Request, Response, body::Incoming, service::service_fn},
+    super::{
+        Acceptor, Body, HeadCount, HeadMemory, Problem, liveness, preface::wait_for_preface,
+        share_of_head, stall_guard::StallGuard,
+    },
+    crate::{
+        request_memory::{RequestMemory, UNCOUNTED_BYTES},
+        security::{Role, TlsServer},
+    },
+    hyper::{Request, Response, StatusCode, Version, body::Incoming, service::service_fn},
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
         server::{
@@ -41,6 +47,18 @@
 /// The largest number of concurrent streams of one HTTP/2 connection.
 const HTTP2_STREAMS_MAX: u32 = 1024;
 
+/// The bytes of bodies that may be under way on one HTTP/2 stream.
+const HTTP2_STREAM_WINDOW_BYTES: u32 = 64 * 1024;
+
+/// The bytes of bodies that may be under way on one HTTP/2 connection.
+const HTTP2_CONNECTION_WINDOW_BYTES: u32 = 256 * 1024;
+
+/// The bytes of a response that wait on one HTTP/2 stream until the caller takes them.
+const HTTP2_SEND_BUFFER_BYTES: usize = 64 * 1024;
+
+/// The `Retry-After` of a refusal for lack of memory.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The limits of a listener.
 #[derive(Debug, Clone, Copy)]
 pub struct ListenerLimits {
@@ -82,6 +100,30 @@
     stop: CancellationToken,
     handle: H,
 ) -> bool
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_http_within(
+        listener,
+        limits,
+        RequestMemory::default(),
+        tls,
+        stop,
+        handle,
+    )
+    .await
+}
+
+/// Serves connections like [`serve_http_with`]; the heads of requests use this memory.
+pub async fn serve_http_within<H, F>(
+    listener: TcpListener,
+    limits: ListenerLimits,
+    memory: RequestMemory,
+    tls: Option<TlsServer>,
+    stop: CancellationToken,
+    handle: H,
+) -> bool
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
@@ -92,6 +134,7 @@
     let server = Server {
         builder: connection_builder(limits),
         limits,
+        memory,
         tls,
         cancel_starting: CancellationToken::new(),
     };
@@ -145,6 +188,9 @@
         .keep_alive_interval(HTTP2_PING_INTERVAL)
         .keep_alive_timeout(HTTP2_PING_TIMEOUT)
         .max_concurrent_streams(HTTP2_STREAMS_MAX)
+        .initial_stream_window_size(HTTP2_STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(HTTP2_CONNECTION_WINDOW_BYTES)
+        .max_send_buf_size(HTTP2_SEND_BUFFER_BYTES)
         .max_header_list_size(limits.head_max_bytes as u32);
     builder
 }
@@ -157,6 +203,7 @@
 struct Server {
     builder: auto::Builder<TokioExecutor>,
     limits: ListenerLimits,
+    memory: RequestMemory,
     tls: Option<TlsServer>,
     /// Closes connections that are in the TLS handshake or have not sent the first bytes yet.
     cancel_starting: CancellationToken,
@@ -225,6 +272,10 @@
         F: Future<Output = Response<Body>> + Send + 'static,
     {
         let starting = Mutex::new(Some(starting));
+        let memory = self.memory.clone();
+        let has_long_heads = self.limits.head_max_bytes > 2 * UNCOUNTED_BYTES;
+        let head = has_long_heads.then(|| HeadCount::new(&memory));
+        let count = head.clone();
         let service = service_fn(move |mut request: Request<Incoming>| {
             drop(
                 starting
@@ -235,9 +286,25 @@
             if let Some(role) = role {
                 request.extensions_mut().insert(role);
             }
-            let response = handle(request);
-            async move { Ok::<_, Infallible>(response.await) }
+            let is_http2 = request.version() == Version::HTTP_2;
+            let share = share_of_head(&memory, &request);
+            let response = share.map(|share| (handle(request), share));
+            if let Some(count) = &count {
+                count.begin_request();
+            }
+            let count = count.clone().filter(|_| !is_http2);
+            async move {
+                let response = match response {
+                    Ok((response, _share)) => response.await,
+                    Err(()) => no_memory_response(),
+                };
+                if let Some(count) = count {
+                    count.end_request();
+                }
+                Ok::<_, Infallible>(response)
+            }
         });
+        let stream = HeadMemory::new(stream, head);
         let stream = StallGuard::new(stream, self.limits.write_timeout);
         let connection = self
             .builder
@@ -255,3 +322,10 @@
         matches!(started, Some(Ok(Ok(()))))
     }
 }
+
+fn no_memory_response() -> Response<Body> {
+    let detail = "there is no memory for the head of the request";
+    Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-memory", detail)
+        .retry_after(NO_MEMORY_RETRY_AFTER)
+        .into_response()
+}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod error;
 mod head_guard;
+mod head_memory;
 mod header;
 mod idle_connections;
 mod listener;
@@ -23,6 +24,7 @@
 pub(crate) use {
     acceptor::Acceptor,
     head_guard::{HeadAllowance, HeadGuard},
+    head_memory::{HeadCount, HeadMemory, share_of_head},
     liveness::{set_up as set_up_liveness, set_up_with as set_up_liveness_with},
     open_connections::{OpenConnections, OpenGuard},
     stall_guard::StallGuard,
--- a/src/node/control_port.rs
+++ b/src/node/control_port.rs
@@ -6,7 +6,7 @@
         StreamsEndpoint,
     },
     crate::{
-        http::{Body, ListenerLimits, serve_http, serve_http_with},
+        http::{Body, ListenerLimits, serve_http, serve_http_within},
         relay::{PASSED_ON, PASSED_ON_HEAD_MAX_BYTES},
         security::{AllowedRoles, Role},
         telemetry::RecentEvents,
@@ -69,12 +69,13 @@
     pub async fn serve(self, listener: TcpListener, stop: CancellationToken) {
         let tls = self.access.tls.as_ref();
         let tls = tls.map(|tls| tls.server(AllowedRoles::All));
+        let memory = self.view.relay.memory().clone();
         let port = Arc::new(self);
         let handle = move |request: Request<Incoming>| {
             let port = port.clone();
             async move { port.respond(request).await }
         };
-        serve_http_with(listener, CONTROL_PORT_LIMITS, tls, stop, handle).await;
+        serve_http_within(listener, CONTROL_PORT_LIMITS, memory, tls, stop, handle).await;
     }
 
     /// Serves a caller's request that a peer passed on; with TLS only nodes may do so.
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -2,7 +2,13 @@
 
 use {
     super::Relay,
-    crate::http::{Acceptor, OpenConnections, OpenGuard, StallGuard, set_up_liveness},
+    crate::{
+        http::{
+            Acceptor, HeadCount, HeadMemory, OpenConnections, OpenGuard, StallGuard,
+            set_up_liveness,
+        },
+        request_memory::UNCOUNTED_BYTES,
+    },
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::{
         rt::{TokioIo, TokioTimer},
@@ -98,15 +104,25 @@
             return;
         }
         let builder = self.builder();
+        let has_long_heads = self.head_buffer_bytes() > 2 * UNCOUNTED_BYTES;
+        let head = has_long_heads.then(|| HeadCount::new(&self.memory));
+        let count = head.clone();
         let close = connection.close.clone();
         let service = service_fn(move |request| {
             let in_work = connection.begin_request();
-            let response = self.clone().handle(request);
+            if let Some(count) = &count {
+                count.begin_request();
+            }
+            let (count, response) = (count.clone(), self.clone().handle(request));
             async move {
                 let response = response.await;
+                if let Some(count) = count {
+                    count.end_request();
+                }
                 Ok::<_, Infallible>(response.map(|body| body.guarded(in_work)))
             }
         });
+        let stream = HeadMemory::new(stream, head);
         let stream = TokioIo::new(StallGuard::new(stream, WRITE_STALL_MAX));
         let connection = builder.serve_connection(stream, service);
         match close.run_until_cancelled(open.watch(connection)).await {
@@ -116,9 +132,15 @@
         }
     }
 
+    /// Returns the buffer of a new caller's connection.
+    fn head_buffer_bytes(&self) -> usize {
+        let current = self.traffic.current();
+        let limit = current.map(|map| map.config().limits.head_max_bytes);
+        head_buffer_bytes(limit.unwrap_or(DEFAULT_HEAD_MAX_BYTES))
+    }
+
     fn builder(&self) -> http1::Builder {
         let limits = self.traffic.current().map(|map| map.config().limits);
-        let head_max_bytes = limits.map_or(DEFAULT_HEAD_MAX_BYTES, |limits| limits.head_max_bytes);
         // The HTTP library's head timeout includes the idle time before the head.
         let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
             Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms))
@@ -127,7 +149,7 @@
         builder
             .timer(TokioTimer::new())
             .header_read_timeout(idle + IDLE_TIMEOUT_SLACK)
-            .max_buf_size(head_buffer_bytes(head_max_bytes));
+            .max_buf_size(self.head_buffer_bytes());
         builder
     }
 }
