Keep 32 MiB for bodies where no memory is set

Cause: with 256 MB as the default of `memory_mb`, the begins of events had 64 MiB together instead of the 32 MiB before: `begins_of_events_share_a_budget` failed (64 of 64 streams held, at most 40 allowed).

Change: the default is 128 MB, of which a quarter is the former budget. Ruled out: a budget of their own for responses, as all are on one machine.

--- a/src/request_memory/memory_limits.rs
+++ b/src/request_memory/memory_limits.rs
@@ -1,7 +1,7 @@
 //! How much of a machine's memory the bodies of requests and responses may use.
 
 /// The memory of a machine whose settings name none, in MB.
-pub const DEFAULT_MEMORY_MB: u64 = 256;
+pub const DEFAULT_MEMORY_MB: u64 = 128;
 
 /// The least memory for all bodies, so that a body of the usual limit fits while it grows.
 const TOTAL_MIN_BYTES: usize = 12 << 20;
