Count the buffered start of a response before it grows

Cause: the start of a response was joined first and counted afterwards, so that a refused one held up to twice what was counted, and each connection to a runner read up to 64 KiB ahead of a caller that reads nothing.

Change: the part that finds no memory is forwarded on its own; reads from runners return at most 16 KiB at once, without a cost for the usual short ones, whose buffer is smaller.

Ruled out: smaller shares for all bodies, which would hide the uncounted ones.

--- a/src/http/head_guard.rs
+++ b/src/http/head_guard.rs
@@ -17,6 +17,11 @@
 /// much again for interim responses and what is read ahead of the body.
 const BEFORE_BODY_MAX_BYTES: usize = 128 * 1024;
 
+/// The most bytes of one read.
+///
+/// The HTTP library reads ahead of those who read a body, by twice what the last read returned.
+const READ_MAX_BYTES: usize = 16 * 1024;
+
 /// The bytes that may still be read on a connection, shared with the request that uses it.
 ///
 /// The HTTP library limits each head, but reads and drops any number of interim responses.
@@ -76,7 +81,14 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled_before = buffer.filled().len();
-        ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
+        if buffer.remaining() <= READ_MAX_BYTES {
+            ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
+        } else {
+            let mut part = ReadBuf::new(buffer.initialize_unfilled_to(READ_MAX_BYTES));
+            ready!(Pin::new(&mut self.inner).poll_read(context, &mut part))?;
+            let read = part.filled().len();
+            buffer.advance(read);
+        }
         let read = buffer.filled().len() - filled_before;
         match self.allowance.spend(read) {
             true => Poll::Ready(Ok(())),
--- a/src/relay/plain_response.rs
+++ b/src/relay/plain_response.rs
@@ -9,7 +9,7 @@
         http::{Body, BodyError},
         request_memory::{Holder, MemoryShare, hold},
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     futures::{StreamExt, stream},
     http_body_util::BodyExt,
     hyper::{Method, Response, body::Incoming},
@@ -22,6 +22,8 @@
 /// A large body of which the start is read.
 struct PartialBody {
     start: Bytes,
+    /// What follows the start.
+    next: Bytes,
     body: Incoming,
     assignment: SentAssignment,
     connection: RunnerConnection,
@@ -51,16 +53,17 @@
                 return None;
             }
         };
-        if is_body_complete(&start) {
+        let Some(next) = start.next else {
             self.assignment.finish(outcome);
             self.connection.recycle(self.keep_alive);
             if call.method != Method::HEAD {
                 response_head::remove_length(&mut head);
             }
             return Some(Response::from_parts(head, Body::from(start.bytes)));
-        }
+        };
         let rest = PartialBody {
             start: start.bytes,
+            next,
             body,
             assignment: self.assignment,
             connection: self.connection,
@@ -73,13 +76,22 @@
     }
 }
 
+/// The begin of a body.
 struct BodyStart {
     bytes: Bytes,
-    is_complete: bool,
+    /// What follows and was not joined; `None` if the body is complete.
+    next: Option<Bytes>,
 }
 
-fn is_body_complete(start: &BodyStart) -> bool {
-    start.is_complete
+impl BodyStart {
+    /// Creates a begin that is in one part or joined of several.
+    fn new(first: Bytes, joined: Vec<u8>, memory: MemoryShare, next: Option<Bytes>) -> Self {
+        let bytes = match joined.is_empty() {
+            true => first,
+            false => hold(joined, memory),
+        };
+        Self { bytes, next }
+    }
 }
 
 /// Reads a body up to its end, or until it is larger than [`BUFFERED_BODY_MAX_BYTES`] or than the
@@ -89,32 +101,30 @@
     mut memory: MemoryShare,
 ) -> Result<BodyStart, hyper::Error> {
     let mut first = Bytes::new();
-    let mut joined = BytesMut::new();
-    let is_complete = loop {
+    let mut joined = Vec::new();
+    loop {
         let Some(frame) = body.frame().await else {
-            break true;
+            return Ok(BodyStart::new(first, joined, memory, None));
         };
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        if first.is_empty() {
+        if first.is_empty() && joined.is_empty() {
             first = data;
-        } else {
-            if joined.is_empty() {
-                joined.extend_from_slice(&first);
-            }
-            joined.extend_from_slice(&data);
+            continue;
+        }
+        let needed_bytes = first.len() + joined.len() + data.len();
+        let grown_bytes = needed_bytes.max(2 * joined.capacity());
+        let is_grown = needed_bytes > joined.capacity();
+        if needed_bytes > BUFFERED_BODY_MAX_BYTES || (is_grown && !memory.try_resize(grown_bytes)) {
+            return Ok(BodyStart::new(first, joined, memory, Some(data)));
         }
-        let read = first.len().max(joined.capacity());
-        if joined.len() > BUFFERED_BODY_MAX_BYTES || !memory.try_resize(read) {
-            break false;
+        if is_grown {
+            joined.reserve_exact(grown_bytes - joined.len());
         }
-    };
-    let bytes = match joined.is_empty() {
-        true => hold(first, memory),
-        false => hold(joined, memory),
-    };
-    Ok(BodyStart { bytes, is_complete })
+        joined.extend_from_slice(&std::mem::take(&mut first));
+        joined.extend_from_slice(&data);
+    }
 }
 
 type NextChunk = (Result<Bytes, BodyError>, Option<Box<PartialBody>>);
@@ -124,6 +134,9 @@
     if !rest.start.is_empty() {
         return Some((Ok(std::mem::take(&mut rest.start)), Some(rest)));
     }
+    if !rest.next.is_empty() {
+        return Some((Ok(std::mem::take(&mut rest.next)), Some(rest)));
+    }
     loop {
         match rest.cutoff.next(rest.body.frame()).await {
             Ok(None) => {
