--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod quarantine;
 pub mod quotas;
 pub mod relay;
+pub mod request_memory;
 pub mod routing;
 pub mod security;
 pub mod settings;
--- a/src/node/node_view.rs
+++ b/src/node/node_view.rs
@@ -133,6 +133,7 @@
         if let Some(quotas) = self.relay.quotas() {
             quotas.render(&mut text);
         }
+        self.relay.memory().render(&mut text);
         self.status().render(&mut text);
         render_speeds(&self.registry.speeds(), &mut text);
         render_demand(&self.registry.demand(), &mut text);
--- a/src/node/run.rs
+++ b/src/node/run.rs
@@ -18,6 +18,7 @@
         leader::{BootClock, Membership, PeerNode},
         quotas::{QuotaExchange, QuotaLink},
         relay::Relay,
+        request_memory::{MemoryLimits, callers_connections_max},
         security::{KeyRing, Tls, TlsError, reload_tls_on_change},
         store::{MeteredStore, MonitoredStore, StoreHealth, StoreVersion, UpstreamStore},
         streams::{RecorderChoice, StreamTask, StreamWriter, VersionTask},
@@ -412,14 +413,20 @@
     }
 
     fn new_relay(&self, timer_lag: Arc<TimerLag>) -> Arc<Relay> {
-        Relay::new(
+        let relay = Relay::new(
             self.active_config.clone(),
             Dispatcher::new(self.registry.clone()),
             self.parts.formats.clone(),
             self.settings.bounds,
             self.membership.peers.clone(),
             timer_lag,
-        )
+        );
+        let (memory_mb, descriptors_max) = (self.settings.memory_mb, self.settings.descriptors_max);
+        relay.set_memory_limits(
+            MemoryLimits::of_machine(memory_mb),
+            callers_connections_max(memory_mb, descriptors_max),
+        );
+        relay
     }
 }
 
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -17,6 +17,7 @@
         leader::PeerNode,
         node::{Bounds, Formats},
         quotas::QuotaExchange,
+        request_memory::{MemoryLimits, RequestMemory},
         security::Tls,
         telemetry::TimerLag,
         traffic::{ActiveConfig, ServiceId},
@@ -26,7 +27,7 @@
         fmt,
         sync::{
             Arc, Mutex, OnceLock, PoisonError,
-            atomic::{AtomicBool, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -56,6 +57,10 @@
     pub(super) counters: RelayCounters,
     /// How long requests in flight may continue after a planned stop began.
     grace: Mutex<Duration>,
+    /// The memory for the bodies of requests and responses.
+    pub(super) memory: RequestMemory,
+    /// The most connections that callers may have open.
+    callers_connections_max: AtomicUsize,
     /// How late the process reads what arrives.
     timer_lag: Arc<TimerLag>,
     /// How long responses usually take.
@@ -86,6 +91,7 @@
         peers: watch::Receiver<Vec<PeerNode>>,
         timer_lag: Arc<TimerLag>,
     ) -> Arc<Self> {
+        let memory = RequestMemory::default();
         Arc::new(Self {
             traffic,
             config_age: OnceLock::new(),
@@ -97,7 +103,9 @@
             grace: Mutex::new(grace_time(&bounds)),
             timer_lag,
             peers,
-            pool: Arc::default(),
+            pool: ConnectionPool::new(memory.clone()),
+            memory,
+            callers_connections_max: AtomicUsize::new(usize::MAX),
             peer_client: OnceLock::new(),
             peer_reach: Mutex::default(),
             is_cut_off: AtomicBool::new(false),
@@ -184,6 +192,24 @@
         *self.grace.lock().unwrap_or_else(PoisonError::into_inner) = grace_time(bounds);
     }
 
+    /// Sets the limits of the memory for bodies and of callers' connections, the latter before the
+    /// relay serves.
+    pub fn set_memory_limits(&self, limits: MemoryLimits, connections_max: usize) {
+        self.memory.set_limits(limits);
+        self.callers_connections_max
+            .store(connections_max, Ordering::Relaxed);
+    }
+
+    /// Returns the most connections that callers may have open.
+    pub(super) fn callers_connections_max(&self) -> usize {
+        self.callers_connections_max.load(Ordering::Relaxed)
+    }
+
+    /// Returns the memory for the bodies of requests and responses.
+    pub fn memory(&self) -> &RequestMemory {
+        &self.memory
+    }
+
     /// Returns the counters of callers' requests.
     pub fn counters(&self) -> &RelayCounters {
         &self.counters
--- a/src/relay/serve.rs
+++ b/src/relay/serve.rs
@@ -2,7 +2,13 @@
 
 use {
     super::Relay,
-    crate::http::{Acceptor, StallGuard, set_up_liveness},
+    crate::{
+        http::{
+            Acceptor, HeadCount, HeadMemory, OpenConnections, OpenGuard, StallGuard,
+            set_up_liveness,
+        },
+        request_memory::UNCOUNTED_BYTES,
+    },
     hyper::{server::conn::http1, service::service_fn},
     hyper_util::{
         rt::{TokioIo, TokioTimer},
@@ -58,10 +64,14 @@
     /// Returns whether all of them finished within the grace time.
     pub async fn serve(self: Arc<Self>, listener: TcpListener, stop: CancellationToken) -> bool {
         let open = GracefulShutdown::new();
+        let connections = OpenConnections::new(self.callers_connections_max());
         let mut acceptor = Acceptor::new(listener, stop);
         while let Some(stream) = acceptor.next().await {
-            let serving = self.clone().serve_connection(stream, open.watcher());
-            tokio::spawn(serving);
+            // Without a place, the connection closes before anything of it is read.
+            if let Some(connection) = connections.admit() {
+                let serving = self.clone();
+                tokio::spawn(serving.serve_connection(stream, open.watcher(), connection));
+            }
         }
         drop(acceptor);
         self.begin_drain();
@@ -84,25 +94,53 @@
         false
     }
 
-    async fn serve_connection(self: Arc<Self>, stream: TcpStream, open: Watcher) {
+    async fn serve_connection(
+        self: Arc<Self>,
+        stream: TcpStream,
+        open: Watcher,
+        connection: OpenGuard,
+    ) {
         if set_up_liveness(&stream).is_err() {
             return;
         }
         let builder = self.builder();
+        let has_long_heads = self.head_buffer_bytes() > 2 * UNCOUNTED_BYTES;
+        let head = has_long_heads.then(|| HeadCount::new(&self.memory));
+        let count = head.clone();
+        let close = connection.close.clone();
         let service = service_fn(move |request| {
-            let response = self.clone().handle(request);
-            async move { Ok::<_, Infallible>(response.await) }
+            let in_work = connection.begin_request();
+            if let Some(count) = &count {
+                count.begin_request();
+            }
+            let (count, response) = (count.clone(), self.clone().handle(request));
+            async move {
+                let response = response.await;
+                if let Some(count) = count {
+                    count.end_request();
+                }
+                Ok::<_, Infallible>(response.map(|body| body.guarded(in_work)))
+            }
         });
+        let stream = HeadMemory::new(stream, head);
         let stream = TokioIo::new(StallGuard::new(stream, WRITE_STALL_MAX));
         let connection = builder.serve_connection(stream, service);
-        if let Err(cause) = open.watch(connection).await {
-            log::debug!("relay: a caller's connection ended: {cause}");
+        match close.run_until_cancelled(open.watch(connection)).await {
+            Some(Ok(())) => {}
+            Some(Err(cause)) => log::debug!("relay: a caller's connection ended: {cause}"),
+            None => log::debug!("relay: a caller's connection closed for another"),
         }
     }
 
+    /// Returns the buffer of a new caller's connection.
+    fn head_buffer_bytes(&self) -> usize {
+        let current = self.traffic.current();
+        let limit = current.map(|map| map.config().limits.head_max_bytes);
+        head_buffer_bytes(limit.unwrap_or(DEFAULT_HEAD_MAX_BYTES))
+    }
+
     fn builder(&self) -> http1::Builder {
         let limits = self.traffic.current().map(|map| map.config().limits);
-        let head_max_bytes = limits.map_or(DEFAULT_HEAD_MAX_BYTES, |limits| limits.head_max_bytes);
         // The HTTP library's head timeout includes the idle time before the head.
         let idle = limits.map_or(DEFAULT_IDLE_TIMEOUT, |limits| {
             Duration::from_millis(limits.idle_timeout_ms.max(limits.head_timeout_ms))
@@ -111,7 +149,7 @@
         builder
             .timer(TokioTimer::new())
             .header_read_timeout(idle + IDLE_TIMEOUT_SLACK)
-            .max_buf_size(head_buffer_bytes(head_max_bytes));
+            .max_buf_size(self.head_buffer_bytes());
         builder
     }
 }
