Ask nobody for the age of a configuration before there is one

Cause: nodes that start before the first configuration is published have no age; each asked the store every quarter of revoke_ms until it came. Change: proving begins with the first configuration in force.

--- a/src/freshness/age_task.rs
+++ b/src/freshness/age_task.rs
@@ -7,7 +7,7 @@
         store::{Change, Entry, SharedStore, StoreError, StoreVersion},
         traffic::{ActiveConfig, activate_published_config},
     },
-    futures::future::BoxFuture,
+    futures::future::{self, BoxFuture},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::{self, Instant},
 };
@@ -89,6 +89,7 @@
                 time::sleep(NO_BOUND_INTERVAL).await;
                 continue;
             };
+            self.wait_for_config().await;
             let started = Instant::now();
             let pause = match self.prove(bound).await {
                 Round::ByPeer => PEER_PAUSE,
@@ -100,6 +101,14 @@
         }
     }
 
+    /// Waits for the first configuration, as there is nothing to prove before.
+    async fn wait_for_config(&self) {
+        let mut configs = self.active_config.subscribe();
+        if configs.wait_for(Option::is_some).await.is_err() {
+            future::pending::<()>().await;
+        }
+    }
+
     async fn prove(&mut self, bound: AgeBound) -> Round {
         if let Some(peer) = self.peers.followed() {
             let is_told = self.ask_peer(peer, bound.proof_interval()).await;
--- a/tests/freshness_age.rs
+++ b/tests/freshness_age.rs
@@ -127,6 +127,9 @@
             Arc::new(peers),
         );
         tokio::spawn(task.run());
+        let (follower_link, formats) = (Arc::new(link.clone()), Arc::new(VersionFormats));
+        let follower = ConfigFollower::new(follower_link, formats, config.clone());
+        tokio::spawn(follower.with_observer(age.clone()).run());
         Self {
             age,
             config,
@@ -262,13 +265,21 @@
 async fn the_read_of_the_configuration_at_the_start_is_a_proof() {
     let store = store().await;
     let node = Node::start(&store, None, CUT);
-    let (link, config) = (Arc::new(node.link.clone()), node.config.clone());
-    let follower = ConfigFollower::new(link, Arc::new(VersionFormats), config);
-    tokio::spawn(follower.with_observer(node.age.clone()).run());
     sleep(Duration::from_millis(20)).await;
     assert!(node.serves());
 }
 
+#[tokio::test(start_paused = true)]
+async fn the_store_is_not_asked_for_an_age_before_there_is_a_configuration() {
+    let store = MemoryStore::new();
+    let node = Node::start(&store, None, CUT);
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(store.counts().range, 1, "the read at the start");
+    write(&store, KEY, "1").await;
+    sleep(Duration::from_millis(100)).await;
+    assert!(node.serves());
+}
+
 #[test]
 fn a_proof_holds_for_its_version_and_higher_ones() {
     let proof = |version, at_s| Proof {
