--- a/src/request_memory/mod.rs
+++ b/src/request_memory/mod.rs
@@ -8,6 +8,7 @@
 mod ledger;
 mod memory_limits;
 mod memory_share;
+#[allow(clippy::module_inception)]
 mod request_memory;
 
 pub use {held_bytes::*, ledger::*, memory_limits::*, memory_share::*, request_memory::*};
