--- a/tests/quotas_replay.rs
+++ b/tests/quotas_replay.rs
@@ -266,7 +266,7 @@
 fn uneven_demand_over_70_nodes_uses_the_quota_and_not_more() {
     for (seed, rate, skew) in [(1, 390_000.0, 1.0), (2, 390_000.0, 4.0), (3, 24_000.0, 1.0)]
         .into_iter()
-        .chain([(4, 24_000.0, 4.0), (5, 145_000.0, 12.0)])
+        .chain([(4, 24_000.0, 4.0), (5, 145_000.0, 12.0), (6, 8_000.0, 1.0)])
     {
         let mut replay = Replay::new(70, rate, seed);
         for _ in 0..steps(4) {
@@ -298,7 +298,7 @@
 #[test]
 fn no_window_exceeds_the_bound_while_nodes_are_killed_cut_and_frozen() {
     for seed in 0..60 {
-        let rate = [24_000.0, 145_000.0, 390_000.0][seed as usize % 3];
+        let rate = [8_000.0, 24_000.0, 145_000.0, 390_000.0][seed as usize % 4];
         let mut replay = Replay::new(70, rate, seed);
         let factor = replay.rng.random_range(0.6..7.0);
         for second in 0..40 {
@@ -337,7 +337,7 @@
 
 #[test]
 fn all_nodes_are_killed_at_once_and_serve_again_within_the_bound() {
-    for (seed, rate) in [(1, 24_000.0), (2, 390_000.0)] {
+    for (seed, rate) in [(1, 24_000.0), (2, 390_000.0), (3, 8_000.0)] {
         let mut replay = Replay::new(70, rate, seed);
         for second in 0..24 {
             if second == 10 {
