Write a test of thirds as clippy asks

Cause: clippy with -D warnings stopped at tests/capacity_replay.rs, line 126. Change: is_multiple_of in place of the remainder; the same condition.

--- a/tests/capacity_replay.rs
+++ b/tests/capacity_replay.rs
@@ -123,7 +123,7 @@
 
 /// Equal runners, of which the first third slows down at half of its slots.
 fn slow_when_half_full(runner: usize, _at_ms: f64, streams: usize, _seed: u64) -> f64 {
-    if runner % 3 == 0 && streams > 24 {
+    if runner.is_multiple_of(3) && streams > 24 {
         2.5
     } else {
         1.0
