Take a body alone whatever its size

Change: the only body that holds memory gets what it asks for, up to the configured limit of bodies. Ruled out: a budget that follows that limit, as a machine of 120 MB can hold one such body, not a crowd of them.

--- a/src/request_memory/ledger.rs
+++ b/src/request_memory/ledger.rs
@@ -129,7 +129,9 @@
             Holder::Arriving | Holder::Arrived => self.limits.requests_bytes,
         };
         let sum_bytes = self.held_bytes - own_bytes + counted_bytes;
-        if counted_bytes <= own_bytes || sum_bytes <= limit_bytes {
+        // The only body fits whatever its size, as the configuration may allow larger ones.
+        let is_alone = self.held_bytes == own_bytes;
+        if counted_bytes <= own_bytes || sum_bytes <= limit_bytes || is_alone {
             self.entries[at].bytes = counted_bytes;
             self.held_bytes = sum_bytes;
             return Decision::Granted;
--- a/tests/request_memory.rs
+++ b/tests/request_memory.rs
@@ -92,6 +92,17 @@
     assert_eq!(ledger.ask(response, MIB, MIB, now), Decision::Granted);
 }
 
+#[test]
+fn a_body_larger_than_the_memory_is_taken_alone() {
+    let now = Instant::now();
+    let mut ledger = Ledger::new(MemoryLimits::of_bodies(16 * MIB));
+    let large = ledger.open(Holder::Arriving, now);
+    assert_eq!(ledger.ask(large, 32 * MIB, MIB, now), Decision::Granted);
+    ledger.set_holder(large, Holder::Arrived);
+    let other = ledger.open(Holder::Arriving, now);
+    assert_eq!(ledger.ask(other, MIB, 1, now), Decision::Refused);
+}
+
 #[test]
 fn what_is_held_never_exceeds_the_limit_and_all_of_it_comes_back() {
     let start = Instant::now();
