Log and count what plans leave out, and how far datagrams are behind

Change: a plan lists the models and adapters that it leaves out, with the cause; what is left out for 3 s is logged once, and when that ends. New metrics: ggt_plan_adapters_left_out_total, ggt_gossip_send_delay_seconds, ggt_gossip_digest_age_seconds, ggt_gossip_aggregator_changes_total, ggt_gossip_kept_events by kind. Logged: no state of other nodes for 3 s, a round that delays the next ones by 1 s or more. What is ordered and sent is unchanged.

--- a/src/copies/adapter_step.rs
+++ b/src/copies/adapter_step.rs
@@ -1,7 +1,7 @@
 //! Plans the loads and evictions of adapters.
 
 use {
-    super::{AdapterLoad, CopyState, PlannedRunner, plan_draft::PlanDraft},
+    super::{AdapterLoad, CopyState, LeftOut, LeftOutCause, PlannedRunner, plan_draft::PlanDraft},
     crate::traffic::{AdapterId, ModelId},
     std::time::Duration,
 };
@@ -34,12 +34,20 @@
         waiting.then(b.in_flight.total_cmp(&a.in_flight))
     });
     for (model, load) in requested {
-        if draft.adapter_loads_available == 0 {
-            return;
-        }
         let copies = count_copies(draft, model, &load.adapter);
-        if copies < copies_needed(load) || is_overloaded(draft, model, load) {
-            add_copy(draft, model, load);
+        let cause = match draft.adapter_loads_available {
+            0 => Some(LeftOutCause::NoLoadsAvailable),
+            _ if copies < copies_needed(load) || is_overloaded(draft, model, load) => {
+                add_copy(draft, model, load).err()
+            }
+            _ => None,
+        };
+        if let Some(cause) = cause.filter(|_| copies == 0 && load.waiting > 0) {
+            draft.left_out.push(LeftOut {
+                model: model.clone(),
+                adapter: Some(load.adapter.clone()),
+                cause,
+            });
         }
     }
 }
@@ -99,7 +107,15 @@
 
 /// Plans the load of an adapter at the runner with the lowest cost that holds its model, or the
 /// eviction that must come first.
-fn add_copy(draft: &mut PlanDraft<'_>, model: &ModelId, load: &AdapterLoad) {
+///
+/// # Errors
+///
+/// Returns why no order is possible now.
+fn add_copy(
+    draft: &mut PlanDraft<'_>,
+    model: &ModelId,
+    load: &AdapterLoad,
+) -> Result<(), LeftOutCause> {
     let mut best: Option<Candidate> = None;
     for runner in 0..draft.runners.len() {
         let state = &draft.runners[runner];
@@ -135,12 +151,16 @@
         runner, evicted, ..
     }) = best
     else {
-        return;
+        return Err(match draft.count_loaded(model) {
+            0 => LeftOutCause::NoModelCopy,
+            _ => LeftOutCause::NoRunner,
+        });
     };
     match evicted {
         None => draft.load_adapter(runner, model.clone(), load.adapter.clone()),
         Some((model, adapter)) => draft.unload_adapter(runner, model, adapter),
     }
+    Ok(())
 }
 
 /// Returns how many adapters a runner is loading.
--- a/src/copies/mod.rs
+++ b/src/copies/mod.rs
@@ -8,6 +8,7 @@
 mod cold_load_limiter;
 mod evictions;
 mod first_copy;
+mod left_out;
 mod load_balance;
 mod load_estimator;
 mod model_index;
@@ -34,7 +35,16 @@
 mod unanswered_orders;
 
 pub use {
-    cold_load_limiter::*, load_balance::*, load_estimator::*, order_counters::*, order_task::*,
-    plan::*, plan_input::*, plan_pause::*, planned_runner::*, residency_broadcaster::*,
+    cold_load_limiter::*,
+    left_out::{LeftOut, LeftOutCause},
+    load_balance::*,
+    load_estimator::*,
+    order_counters::*,
+    order_task::*,
+    plan::*,
+    plan_input::*,
+    plan_pause::*,
+    planned_runner::*,
+    residency_broadcaster::*,
     unanswered_orders::*,
 };
--- a/src/copies/model_step.rs
+++ b/src/copies/model_step.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        CopyChange, LoadBalance, PlannedRunner, SharedLoad,
+        CopyChange, LeftOut, LeftOutCause, LoadBalance, PlannedRunner, SharedLoad,
         evictions::{EvictionPolicy, choose_evictions},
         first_copy::{choose_first_copy, displacing_policy},
         plan_draft::PlanDraft,
@@ -122,19 +122,30 @@
         }
         return;
     }
-    let mut left_out = 0;
     for spec in wanted {
         match choose_first_copy(draft, spec) {
             Some(candidate) => place_copy(draft, spec, candidate),
-            None => left_out += 1,
+            None => record_left_out(draft, spec),
         }
     }
-    draft.wanted_left_out = left_out;
-    if left_out > 0 {
+    if !draft.left_out.is_empty() {
         draft.cold_loads_available = 0;
     }
 }
 
+/// Records that a model that is asked for gets no copy.
+fn record_left_out(draft: &mut PlanDraft<'_>, spec: &ModelSpec) {
+    let can_load = draft.cold_loads_available > 0 || draft.is_cached(&spec.name);
+    draft.left_out.push(LeftOut {
+        model: spec.name.clone(),
+        adapter: None,
+        cause: match can_load {
+            true => LeftOutCause::NoRunner,
+            false => LeftOutCause::NoLoadsAvailable,
+        },
+    });
+}
+
 /// Plans a copy of a model without demand, if the weight store has capacity to spare.
 fn place_idle_model(draft: &mut PlanDraft<'_>, spec: &ModelSpec) {
     let is_cached = draft.is_cached(&spec.name);
--- a/src/copies/order_controller.rs
+++ b/src/copies/order_controller.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         ColdLoadLimiter, LoadEstimator, OrderTask, PlanInput, PlannedRunner, UnansweredOrders,
+        left_out::AbsenceLog,
         order_calls::{CallResult, Calls},
         order_log::log_order,
         plan::plan_with_left_out,
@@ -207,7 +208,8 @@
         let began_at = Instant::now();
         let (orders, left_out) = plan_with_left_out(&input);
         self.task.counters.plan_times.record(began_at.elapsed());
-        self.task.counters.left_out.add(left_out as u64);
+        self.task.counters.record_left_out(&left_out);
+        self.services[position].absences.record(&left_out, now);
         for planned in orders {
             if planned.is_cold_load {
                 self.services[position].limiter.record_start(now);
@@ -231,6 +233,7 @@
                     service: service.clone(),
                     estimator: LoadEstimator::default(),
                     limiter: ColdLoadLimiter::new(window),
+                    absences: AbsenceLog::default(),
                     token: 0,
                 });
                 self.services.len() - 1
--- a/src/copies/order_counters.rs
+++ b/src/copies/order_counters.rs
@@ -1,8 +1,11 @@
 //! Counts the orders that a node sent to runners.
 
-use crate::{
-    node::{Order, OrderReply, RunnerCallError},
-    telemetry::{Counter, DurationHistogram, MetricText},
+use {
+    super::LeftOut,
+    crate::{
+        node::{Order, OrderReply, RunnerCallError},
+        telemetry::{Counter, DurationHistogram, MetricText},
+    },
 };
 
 /// The values of the metric's label `kind`.
@@ -33,7 +36,10 @@
     /// How long plans took.
     pub(super) plan_times: DurationHistogram,
     /// Models that were asked for, had no copy and could not be loaded, summed over all plans.
-    pub(super) left_out: Counter,
+    left_out: Counter,
+    /// Adapters that requests waited for, had no copy and could not be loaded, summed over all
+    /// plans.
+    adapters_left_out: Counter,
 }
 
 impl OrderCounters {
@@ -48,6 +54,14 @@
         self.orders[kind][outcome(reply)].count();
     }
 
+    /// Counts what a plan left out.
+    pub(super) fn record_left_out(&self, left_out: &[LeftOut]) {
+        let adapters = left_out.iter().filter(|entry| entry.adapter.is_some());
+        let adapters = adapters.count();
+        self.adapters_left_out.add(adapters as u64);
+        self.left_out.add((left_out.len() - adapters) as u64);
+    }
+
     /// Appends the counters to the text of a metrics page.
     pub fn render(&self, text: &mut MetricText) {
         let name = "ggt_orders_total";
@@ -68,6 +82,9 @@
             "Models that were asked for, had no copy and could not be loaded, over all plans.";
         let left_out = self.left_out.get() as f64;
         text.single("ggt_plan_left_out_total", "counter", help, left_out);
+        let name = "ggt_plan_adapters_left_out_total";
+        let help = "Adapters that requests waited for, had no copy and could not be loaded, over all plans.";
+        text.single(name, "counter", help, self.adapters_left_out.get() as f64);
     }
 }
 
--- a/src/copies/plan.rs
+++ b/src/copies/plan.rs
@@ -1,7 +1,7 @@
 //! Plans the next orders to the runners of one service.
 
 use super::{
-    PlanInput, PlannedOrder,
+    LeftOut, PlanInput, PlannedOrder,
     adapter_step::plan_adapters,
     model_step::{
         add_copies, cancel_pending_idle_loads, place_missing_models, resume_pending_loads,
@@ -16,9 +16,9 @@
     plan_with_left_out(input).0
 }
 
-/// Plans the next orders as [`plan`] does; returns also how many models are asked for, have no copy
-/// and can't be loaded now.
-pub(super) fn plan_with_left_out(input: &PlanInput<'_>) -> (Vec<PlannedOrder>, usize) {
+/// Plans the next orders as [`plan`] does; returns also the models and adapters that are asked for,
+/// have no copy and get none, sorted by model and adapter.
+pub fn plan_with_left_out(input: &PlanInput<'_>) -> (Vec<PlannedOrder>, Vec<LeftOut>) {
     let mut draft = PlanDraft::new(input);
     if input.may_move_models {
         cancel_pending_idle_loads(&mut draft);
@@ -29,5 +29,6 @@
     if input.may_move_models && input.may_add_copies {
         add_copies(&mut draft);
     }
-    (draft.orders, draft.wanted_left_out)
+    draft.left_out.sort_by(|a, b| a.key().cmp(&b.key()));
+    (draft.orders, draft.left_out)
 }
--- a/src/copies/plan_draft.rs
+++ b/src/copies/plan_draft.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        AdapterCopy, CopyState, ModelCopy, ModelLoad, PlanInput, PlannedOrder, PlannedRunner,
-        SharedLoad, model_index::ModelIndex,
+        AdapterCopy, CopyState, LeftOut, ModelCopy, ModelLoad, PlanInput, PlannedOrder,
+        PlannedRunner, SharedLoad, model_index::ModelIndex,
     },
     crate::{
         node::Order,
@@ -31,8 +31,8 @@
     pub idle_loads_available: usize,
     /// How many more adapter loads the plan may contain.
     pub adapter_loads_available: usize,
-    /// The models that are asked for, have no copy and can't be loaded now.
-    pub wanted_left_out: usize,
+    /// The models and adapters that are asked for, have no copy and get none.
+    pub left_out: Vec<LeftOut>,
     /// The load and the copies of each model, kept up to date with `runners`.
     pub index: ModelIndex<'a>,
 }
@@ -47,7 +47,7 @@
             cold_loads_available: input.cold_loads_available,
             idle_loads_available: 0,
             adapter_loads_available: input.adapter_loads_available,
-            wanted_left_out: 0,
+            left_out: Vec::new(),
             index: ModelIndex::new(input),
         };
         let runners = draft.runners.iter();
--- a/src/copies/service_state.rs
+++ b/src/copies/service_state.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        ColdLoadLimiter, CopyState, LoadEstimator, PlannedRunner, runner_record::RunnerRecord,
+        ColdLoadLimiter, CopyState, LoadEstimator, PlannedRunner, left_out::AbsenceLog,
+        runner_record::RunnerRecord,
     },
     crate::{
         node::{Order, OrderReply, RunnerCallError},
@@ -16,6 +17,7 @@
     pub service: ServiceId,
     pub estimator: LoadEstimator,
     pub limiter: ColdLoadLimiter,
+    pub absences: AbsenceLog,
     /// The fencing token of the term that the limiter last began.
     pub token: u64,
 }
--- a/src/gossip/aggregation.rs
+++ b/src/gossip/aggregation.rs
@@ -8,6 +8,7 @@
         Datagram, DatagramKind, DatagramPurpose, DigestHead, Event, FailureDetector, GossipPeer,
         Item, LoadDelta, PlanningData, ReportHistory, Sender, UrgentEvent,
         aggregator_table::AggregatorTable,
+        digest_watch::DigestWatch,
         encode_datagram,
         event_outbox::EventOutbox,
         forwarded_events::ForwardedEvents,
@@ -147,6 +148,8 @@
     pub(super) more_requests_wait: bool,
     pub(super) learned_aggregator: Option<(GossipPeer, Instant)>,
     pub(super) budget: SendBudget,
+    pub(super) digest_watch: DigestWatch,
+    pub(super) aggregator_changes: u64,
 }
 
 /// The times at which the periodic sends are next due.
@@ -212,6 +215,8 @@
             more_requests_wait: false,
             learned_aggregator: None,
             budget: SendBudget::new(DEFAULT_LINK_MBPS, now),
+            digest_watch: DigestWatch::new(now),
+            aggregator_changes: 0,
         }
     }
 
@@ -391,6 +396,7 @@
         if !chosen || !(head.full || self.has_full_digest) {
             return;
         }
+        self.digest_watch.record(now);
         if !self.has_full_digest {
             self.has_full_digest = true;
             output.replace_sums = true;
--- a/src/gossip/aggregator_choice.rs
+++ b/src/gossip/aggregator_choice.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         AggregationContext, AggregationProtocol, DatagramKind, DatagramPurpose, GossipPeer,
-        Outgoing, aggregation::AggregatorChoice, encode_datagram, rank_nodes,
+        Outgoing, aggregation::AggregatorChoice, digest_watch::DigestWatch, encode_datagram,
+        rank_nodes,
     },
     tokio::time::Instant,
 };
@@ -33,6 +34,10 @@
         };
         if !same {
             log::debug!("gossip: aggregator changed to {choice:?}");
+            self.aggregator_changes += 1;
+            if self.choice == AggregatorChoice::Unavailable {
+                self.digest_watch = DigestWatch::new(now);
+            }
             self.has_full_digest = false;
             self.due.report = now;
             self.due.planning_data = now;
--- a/src/gossip/digest_rounds.rs
+++ b/src/gossip/digest_rounds.rs
@@ -187,6 +187,7 @@
             return;
         }
         output.replace_sums = true;
+        self.digest_watch.record(context.now);
         self.has_full_digest = true;
         output.renew_received_within = Some(Self::sums_ttl(context.peers.len()));
         let heard = Some(ReceivedRound {
--- a/src/gossip/forwarded_events.rs
+++ b/src/gossip/forwarded_events.rs
@@ -99,6 +99,19 @@
         events.map(Item::News)
     }
 
+    /// Returns the number of events of each kind, sorted by the kind's label.
+    pub(super) fn counts(&self) -> Vec<(&'static str, usize)> {
+        let mut counts: Vec<(&'static str, usize)> = Vec::new();
+        for forwarded in &self.0 {
+            let label = forwarded.event.event.label();
+            match counts.binary_search_by_key(&label, |(known, _)| known) {
+                Ok(position) => counts[position].1 += 1,
+                Err(position) => counts.insert(position, (label, 1)),
+            }
+        }
+        counts
+    }
+
     /// Returns the events that other aggregators should have acknowledged, `timeout` after their
     /// first round, with that round: those that take a runner out of use first.
     pub(super) fn unacknowledged(
--- a/src/gossip/gossip.rs
+++ b/src/gossip/gossip.rs
@@ -152,6 +152,35 @@
     /// Writes the counters of datagrams as metrics.
     pub fn render(&self, text: &mut MetricText) {
         self.counters.render(text);
+        if self.uses_aggregation() {
+            self.render_aggregation(text);
+        }
+    }
+
+    /// Writes how far the exchange through aggregators is behind.
+    fn render_aggregation(&self, text: &mut MetricText) {
+        let (aggregation, now) = (lock(&self.aggregation), Instant::now());
+        let name = "ggt_gossip_send_delay_seconds";
+        let help = "How long the next round of datagrams waits for the link.";
+        let delay_s = aggregation.send_delay(now).as_secs_f64();
+        text.single(name, "gauge", help, delay_s);
+        let name = "ggt_gossip_digest_age_seconds";
+        let help = "The time since the state of other nodes arrived from the aggregator.";
+        let age_s = aggregation.digest_age(now).as_secs_f64();
+        text.single(name, "gauge", help, age_s);
+        let name = "ggt_gossip_aggregator_changes_total";
+        let help = "How often the node has chosen another aggregator.";
+        let changes = aggregation.aggregator_changes() as f64;
+        text.single(name, "counter", help, changes);
+        let name = "ggt_gossip_kept_events";
+        text.begin(
+            name,
+            "gauge",
+            "Urgent events that are kept to be forwarded, by kind.",
+        );
+        for (kind, count) in aggregation.event_counts() {
+            text.value(name, &[("kind", kind)], count as f64);
+        }
     }
 
     /// Sends and receives datagrams until the future is dropped.
--- a/src/gossip/item.rs
+++ b/src/gossip/item.rs
@@ -82,6 +82,21 @@
 }
 
 impl Event {
+    /// Returns the label of the event's kind in metrics.
+    pub(super) fn label(&self) -> &'static str {
+        match self {
+            Self::Leaving(_) => "leaving",
+            Self::Unreachable(_) => "unreachable",
+            Self::Held(_) => "held",
+            Self::Config(_) => "config",
+            Self::Quarantine(QuarantineMessage::Crash(_)) => "crash",
+            Self::Quarantine(QuarantineMessage::Harmless(_)) => "harmless",
+            Self::Quarantine(QuarantineMessage::Verdict(_)) => "verdict",
+            Self::Limit(_) => "limit",
+            Self::StatedLeaving(_) => "stated_leaving",
+        }
+    }
+
     /// Returns how long the event is of use to nodes that receive it.
     pub fn ttl(&self) -> Duration {
         match self {
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -16,6 +16,7 @@
 mod aggregator_table;
 mod datagram;
 mod digest_rounds;
+mod digest_watch;
 mod event_outbox;
 mod failure_detector;
 mod forwarded_events;
--- a/src/gossip/report_rounds.rs
+++ b/src/gossip/report_rounds.rs
@@ -23,6 +23,9 @@
 /// The longest interval between two reports, unless the interval of rounds is longer.
 const REPORT_INTERVAL_MAX: Duration = Duration::from_millis(300);
 
+/// The delay of the next round from which a round is logged.
+const ROUND_DELAY_LOGGED: Duration = Duration::from_secs(1);
+
 /// The shortest interval between two reports with all demand and usage by variant.
 const PLANNING_DATA_INTERVAL_MIN: Duration = Duration::from_millis(1_000);
 
@@ -49,11 +52,50 @@
             self.send_digests_and_sums(own, context, &mut output);
             self.send_unacknowledged_events(context, &mut output);
         }
+        if context.is_large {
+            self.digest_watch.check(now);
+        }
         let sizes = output.datagram_sizes(context.peers.len());
         self.budget.spend(sizes, now);
+        self.log_long_round(&output, context);
         output
     }
 
+    /// Logs a round so large that the next ones are long delayed.
+    fn log_long_round(&self, output: &AggregationOutput, context: &AggregationContext) {
+        let delay = self.send_delay(context.now);
+        if delay >= ROUND_DELAY_LOGGED
+            && !(output.outgoing.is_empty() && output.broadcast.is_empty())
+        {
+            let bytes: usize = output.datagram_sizes(context.peers.len()).sum();
+            log::warn!(
+                bytes = bytes,
+                delay_ms = delay.as_millis() as u64;
+                "gossip: a round delays the next ones."
+            );
+        }
+    }
+
+    /// Returns how long the next round waits for what was sent so far.
+    pub fn send_delay(&self, now: Instant) -> Duration {
+        self.budget.free_at().saturating_duration_since(now)
+    }
+
+    /// Returns the time since the state of other nodes last arrived.
+    pub fn digest_age(&self, now: Instant) -> Duration {
+        self.digest_watch.age(now)
+    }
+
+    /// Returns how often the node has chosen another aggregator.
+    pub fn aggregator_changes(&self) -> u64 {
+        self.aggregator_changes
+    }
+
+    /// Returns the number of events that are kept to be forwarded, with the label of their kind.
+    pub fn event_counts(&self) -> Vec<(&'static str, usize)> {
+        self.forwarded_events.counts()
+    }
+
     /// Returns when the next call of `tick` is due if nothing is received or published before.
     pub fn next_due_at(&self, now: Instant) -> Instant {
         let free_at = self.budget.free_at();
--- a/tests/copies_plan.rs
+++ b/tests/copies_plan.rs
@@ -14,7 +14,10 @@
         plan_fleet::PlanFleet,
     },
     greengagetrail::{
-        copies::{ColdLoadLimiter, CopyState, LoadBalance, ModelCopy, SharedLoad},
+        copies::{
+            ColdLoadLimiter, CopyState, LeftOutCause, LoadBalance, ModelCopy, PlanInput,
+            SharedLoad, plan_with_left_out,
+        },
         discovery::RunnerKey,
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
@@ -263,6 +266,54 @@
     assert!(adapters.any(|copy| copy.adapter.as_str() == "a09"));
 }
 
+#[test]
+fn what_is_asked_for_and_left_out_is_listed_with_its_cause() {
+    let mut fleet = full_fleet(2, 1, 6);
+    fleet.set_loads(&[(0, 4.0), (1, 4.0)]);
+    fleet.set_adapters(0, &[(3, 0.5, 1), (4, 0.5, 0)]);
+    fleet.set_adapters(1, &[(5, 0.5, 2)]);
+    fleet.runners[0].models.remove(1);
+    fleet.runners[0].accepts_orders = false;
+    let input = |adapter_loads_available| PlanInput {
+        engine: &fleet.engine,
+        runners: &fleet.runners,
+        loads: &fleet.loads,
+        mean_request_time_s: 1.0,
+        may_move_models: true,
+        may_add_copies: true,
+        cold_loads_available: 0,
+        idle_loads_available: 0,
+        adapter_loads_available,
+        now: fleet.now,
+    };
+    let causes = |available| {
+        let (_, left_out) = plan_with_left_out(&input(available));
+        let rows = left_out.into_iter().map(|entry| {
+            let adapter = entry.adapter.map(|adapter| adapter.to_string());
+            (entry.model, adapter, entry.cause)
+        });
+        rows.collect::<Vec<_>>()
+    };
+    let no_loads = LeftOutCause::NoLoadsAvailable;
+    let (a03, a05) = (Some("a03".to_owned()), Some("a05".to_owned()));
+    assert_eq!(
+        causes(16),
+        [
+            (model_id(0), a03.clone(), LeftOutCause::NoRunner),
+            (model_id(1), None, no_loads),
+            (model_id(1), a05.clone(), LeftOutCause::NoModelCopy),
+        ]
+    );
+    assert_eq!(
+        causes(0),
+        [
+            (model_id(0), a03, no_loads),
+            (model_id(1), None, no_loads),
+            (model_id(1), a05, no_loads),
+        ]
+    );
+}
+
 #[test]
 fn no_plan_overfills_a_runner_or_unloads_a_last_copy_under_random_demand() {
     let without_disks = (0..60).map(|seed| (seed, false));
--- a/tests/gossip_aggregation.rs
+++ b/tests/gossip_aggregation.rs
@@ -277,6 +277,25 @@
     net.until("the rise is known", ms(250), more).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn the_state_of_others_ages_while_a_node_is_cut_off() {
+    let mut net = converged().await;
+    let cut = net.nodes[7].peer.name.clone();
+    let changes = net.nodes[7].protocol.aggregator_changes();
+    net.is_delivered = Box::new(move |from, to| from.name != cut && to.name != cut);
+    net.run(Duration::from_secs(2)).await;
+    let age = |net: &Net, index: usize| {
+        net.nodes[index]
+            .protocol
+            .digest_age(tokio::time::Instant::now())
+    };
+    assert!(age(&net, 7) >= ms(1_500), "{:?}", age(&net, 7));
+    assert!(age(&net, 8) < ms(1_500), "{:?}", age(&net, 8));
+    assert!(net.nodes[7].protocol.aggregator_changes() > changes);
+    net.publish(7, leaving_event(1));
+    assert_eq!(net.nodes[7].protocol.event_counts(), [("leaving", 1)]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_newer_configuration_becomes_known_to_all() {
     let mut net = converged().await;
