Bound the parts of an aggregator's round, and send urgent events before hints

Cause: a round of an aggregator had no size limit. When events were many, rounds of 0.6 to 1.3 MB on a link of 20 Mbit/s used up the budget of the next 0.8 to 2.2 s. Nodes take an aggregator that is silent for 1.5 s for dead and report to the next one, which sent all recent events to each of them: 3.7 to 4.8 MB, 6 to 8 s of silence, and so on without end. The leader got no whole digest any more: it saw no demand, and ordered nothing with 160 runners that took orders. Residency changes and leaving runners stood behind hints.

Ruled out: a leader without budget or runners (16 of 16 adapter loads and 153 to 160 runners free from 10 s on), copies that reject (no attempts at all for those adapters).

Change: each part of a round has a bound in parts of the budget: new events, repeated ones, nodes and aggregators that are new, events without an acknowledgement, planning data. Events go by urgency: what a rule depends on, what runners hold, crashes, hints. Hints are dropped when they are too old or too many.

Why it works: a round is paid for before its receivers take the sender for dead, so that overload delays hints and nothing else.

--- a/src/gossip/aggregation.rs
+++ b/src/gossip/aggregation.rs
@@ -247,7 +247,8 @@
         if self.seen_events.is_recent_duplicate(&event, now) {
             return;
         }
-        let urgent_event = self.event_outbox.add(&self.sender(config_version), event);
+        let sender = self.sender(config_version);
+        let urgent_event = self.event_outbox.add(&sender, event, now);
         self.seen_events.insert(&urgent_event, now);
         if self.choice != AggregatorChoice::ThisNode {
             self.forwarded_events.add(urgent_event, false, now);
--- a/src/gossip/digest_rounds.rs
+++ b/src/gossip/digest_rounds.rs
@@ -14,6 +14,7 @@
         traffic::NodeName,
     },
     std::{net::SocketAddr, time::Duration},
+    tokio::time::Instant,
 };
 
 /// The interval at which planning data is sent to nodes that plan.
@@ -22,6 +23,29 @@
 /// The shortest interval between two sends of planning data while more requests wait for a copy.
 const URGENT_PLANNING_DATA_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The longest interval between two sends of planning data, within which it must come again before
+/// it is outdated.
+const PLANNING_DATA_INTERVAL_MAX: Duration = Duration::from_millis(1_000);
+
+/// The share of the link's budget that planning data takes.
+const PLANNING_DATA_SHARE: f64 = 0.25;
+
+/// The largest number of events in a round.
+const EVENTS_PER_ROUND_MAX: usize = 24;
+
+/// The part of a round's bytes that new events take, as a divisor.
+const EVENTS_DIVISOR: usize = 2;
+
+/// The part of a round's bytes that repeated recent events take, as a divisor.
+const RECENT_EVENTS_DIVISOR: usize = 4;
+
+/// The part of a round's bytes that is sent to nodes and aggregators that are new here, as a
+/// divisor; the others follow in the next rounds.
+const NEW_RECEIVERS_DIVISOR: usize = 4;
+
+/// The part of a round's bytes that is sent for events without an acknowledgement, as a divisor.
+const UNACKNOWLEDGED_DIVISOR: usize = 2;
+
 /// The number of responsive aggregators in each data centre that receive sums.
 const SUM_TARGETS_PER_ZONE: usize = 2;
 
@@ -42,6 +66,8 @@
     /// Urgent events are forwarded; aggregators that have none to receive still get the
     /// acknowledgement in the head.
     events: bool,
+    /// How many recent events are repeated to a node.
+    recent_events_max: usize,
 }
 
 impl AggregationProtocol {
@@ -75,15 +101,13 @@
         if full {
             self.due.full_digest = now + Self::full_digest_interval(peers);
         }
-        if planning_due {
-            self.due.digest_planning_data = now + PLANNING_DATA_INTERVAL;
-            self.due.urgent_planning_data = now + URGENT_PLANNING_DATA_INTERVAL;
-            self.more_requests_wait = false;
-        }
         self.sum_round = self.sum_round.wrapping_add(1);
         self.digest_round = self.digest_round.wrapping_add(usize::from(sums_due));
+        let targets = self.sum_targets(context);
+        let events_max = self.events_per_round(targets.len());
         let (for_reporting_nodes, for_aggregators) =
-            self.forwarded_events.next_round(self.sum_round, now);
+            self.forwarded_events
+                .next_round(self.sum_round, events_max, now);
         let has_events = !for_reporting_nodes.is_empty();
         let direct = sum_by_runner(self.reporting_nodes.loads());
         let total = sum_by_runner(direct.iter().copied().chain(self.aggregators.loads()));
@@ -92,15 +116,49 @@
             full,
             planning_data: planning_due,
             events: has_events,
+            recent_events_max: self.recent_events_per_node(events_max, peers),
         };
         let lasting = lasting_items(own);
-        self.send_digests(&total, for_reporting_nodes, &lasting, due, context, output);
+        let planning_bytes =
+            self.send_digests(&total, for_reporting_nodes, &lasting, due, context, output);
         if self.choice == AggregatorChoice::ThisNode {
             self.apply_own_digest(own, &total, due, context, output);
         }
-        self.send_sums(&direct, for_aggregators, &lasting, due, context, output);
+        let for_aggregators = (targets, for_aggregators);
+        let planning_bytes = planning_bytes
+            + self.send_sums(&direct, for_aggregators, &lasting, due, context, output);
+        if planning_due {
+            self.planning_data_sent(planning_bytes, now);
+        }
     }
 
+    /// Returns how many events a round may have, each of which goes to all nodes that report here
+    /// and to a number of aggregators.
+    fn events_per_round(&self, aggregators: usize) -> usize {
+        let receivers = self.reporting_nodes.iter().count() + aggregators;
+        let bytes = PACKED_EVENT_BYTES * receivers.max(1);
+        let affordable = self.budget.round_bytes() / EVENTS_DIVISOR / bytes;
+        affordable.clamp(1, EVENTS_PER_ROUND_MAX)
+    }
+
+    /// Returns how many recent events are repeated to each node whose turn it is.
+    fn recent_events_per_node(&self, events_max: usize, peers: usize) -> usize {
+        let turns = Self::rounds_per_full_digest(peers);
+        let nodes = self.reporting_nodes.iter().count().div_ceil(turns.max(1));
+        let bytes = PACKED_EVENT_BYTES * nodes.max(1);
+        (self.budget.round_bytes() / RECENT_EVENTS_DIVISOR / bytes).max(events_max)
+    }
+
+    /// Schedules the next planning data, so that it takes its share of the link's budget.
+    fn planning_data_sent(&mut self, bytes: usize, now: Instant) {
+        let span = self.budget.span(bytes, PLANNING_DATA_SHARE);
+        let span = span.min(PLANNING_DATA_INTERVAL_MAX);
+        self.due.digest_planning_data = now + span.max(PLANNING_DATA_INTERVAL);
+        self.due.urgent_planning_data = now + span.max(URGENT_PLANNING_DATA_INTERVAL);
+        self.more_requests_wait = false;
+    }
+
+    /// Sends digests to the nodes that report here; returns the bytes of planning data in them.
     fn send_digests(
         &mut self,
         total: &LoadsByRunner,
@@ -109,7 +167,7 @@
         due: RoundDue,
         context: &AggregationContext,
         output: &mut AggregationOutput,
-    ) {
+    ) -> usize {
         let sender = self.sender(context.config_version);
         let config = newer_config_item(context);
         let changes = match due.sums {
@@ -124,8 +182,9 @@
             false => Vec::new(),
         };
         let recent = || {
-            let events = self.forwarded_events.recent_events();
-            events.chain(config.clone()).chain(lasting.iter().cloned())
+            let events = self.forwarded_events.recent_events(due.recent_events_max);
+            let events = events.into_iter().chain(config.clone());
+            events.chain(lasting.iter().cloned())
         };
         let whole = encode_bodies(&sender, recent().chain(sum_items(total)));
         let with_recent = encode_bodies(&sender, recent().chain(sum_items(&changes)));
@@ -139,12 +198,17 @@
             .map(|node| self.planning_data_without(node))
             .collect();
         let turns = Self::rounds_per_full_digest(context.peers.len());
+        let mut new_bytes_left = self.budget.round_bytes() / NEW_RECEIVERS_DIVISOR;
+        let mut planning_bytes = 0;
         for (position, reporter) in self.reporting_nodes.iter_mut().enumerate() {
             if reporter.peer.name == self.own_node.name {
                 continue;
             }
-            let is_new = reporter.full_rounds > 0;
-            reporter.full_rounds = reporter.full_rounds.saturating_sub(1);
+            let is_new = reporter.full_rounds > 0 && new_bytes_left > 0;
+            if is_new {
+                reporter.full_rounds -= 1;
+                new_bytes_left = new_bytes_left.saturating_sub(byte_count(&whole));
+            }
             let kind = DatagramKind::Digest(DigestHead {
                 full: due.full || is_new,
                 large: context.is_large,
@@ -159,6 +223,7 @@
                 (false, true) => &with_recent,
                 (false, false) => &changed,
             };
+            planning_bytes += plan.as_deref().map_or(0, byte_count);
             for body in bodies.iter().chain(plan.iter().flatten()) {
                 let address = reporter.peer.address;
                 let bytes = encode_datagram(&sender, &kind, body);
@@ -169,6 +234,7 @@
                 });
             }
         }
+        planning_bytes
     }
 
     /// Applies the sums to this node itself, which reports to its own aggregator.
@@ -209,15 +275,16 @@
         PlanningData::merge(members.chain(self.aggregators.iter().map(|a| &a.planning)))
     }
 
+    /// Sends sums and events to aggregators; returns the bytes of planning data among them.
     fn send_sums(
         &mut self,
         direct: &LoadsByRunner,
-        events: Vec<Item>,
+        (targets, events): (Vec<GossipPeer>, Vec<Item>),
         lasting: &[Item],
         due: RoundDue,
         context: &AggregationContext,
         output: &mut AggregationOutput,
-    ) {
+    ) -> usize {
         let now = context.now;
         let sender = self.sender(context.config_version);
         let changes = match due.sums {
@@ -231,13 +298,10 @@
             true => encode_bodies(&sender, head().chain(sum_items(&changes))),
             false => Vec::new(),
         };
-        let recent = self
-            .forwarded_events
-            .recent_events()
-            .chain(newer_config_item(context))
-            .chain(lasting.iter().cloned());
+        let recent = self.forwarded_events.recent_events(due.recent_events_max);
+        let recent = recent.into_iter().chain(newer_config_item(context));
+        let recent = recent.chain(lasting.iter().cloned());
         let whole = encode_bodies(&sender, recent.chain(sum_items(direct)));
-        let targets = self.sum_targets(context);
         let is_wanted = |node: &NodeName| {
             let aggregator = self.aggregators.get(node);
             due.planning_data && aggregator.is_some_and(|aggregator| aggregator.plan_wanted)
@@ -257,6 +321,8 @@
             .iter()
             .any(|reporter| reporter.plan_wanted);
         self.sums_sent.retain(|(_, at)| now < *at + SENT_SUMS_TTL);
+        let mut new_bytes_left = self.budget.round_bytes() / NEW_RECEIVERS_DIVISOR;
+        let mut planning_bytes = 0;
         for target in targets {
             let known = self.aggregators.get(&target.name);
             let kind = DatagramKind::Sum(SumHead {
@@ -266,11 +332,16 @@
                 heard: known.map(|aggregator| aggregator.received),
             });
             let sent = self.sums_sent.iter().position(|(n, _)| *n == target.name);
-            let bodies = if sent.is_some() { &changed } else { &whole };
+            let is_new = sent.is_none() && new_bytes_left > 0;
+            let bodies = if is_new { &whole } else { &changed };
             if bodies.is_empty() && !is_wanted(&target.name) {
                 continue;
             }
+            if is_new {
+                new_bytes_left = new_bytes_left.saturating_sub(byte_count(&whole));
+            }
             let plan = plan.iter().filter(|_| is_wanted(&target.name));
+            planning_bytes += plan.clone().map(Vec::len).sum::<usize>();
             for body in bodies.iter().chain(plan) {
                 let address = target.address;
                 let bytes = encode_datagram(&sender, &kind, body);
@@ -282,10 +353,12 @@
             }
             match sent {
                 Some(position) => self.sums_sent[position].1 = now,
-                None => self.sums_sent.push((target.name.clone(), now)),
+                None if is_new => self.sums_sent.push((target.name.clone(), now)),
+                None => {}
             }
             self.failure_detector.record_request(&target.name, now);
         }
+        planning_bytes
     }
 
     /// Returns the aggregators that receive sums: the first ones of each data centre's ranking, and
@@ -324,7 +397,7 @@
         }
         let timeout = Self::ack_timeout(context.peers.len());
         let overdue = self.forwarded_events.unacknowledged(timeout, context.now);
-        let mut bytes_left = self.budget.round_bytes();
+        let mut bytes_left = self.budget.round_bytes() / UNACKNOWLEDGED_DIVISOR;
         let mut by_receivers: Vec<(Vec<SocketAddr>, Vec<Item>)> = Vec::new();
         for (round, urgent_event) in overdue {
             // The events that are left follow once the budget is free again.
@@ -384,6 +457,10 @@
     }
 }
 
+fn byte_count(bodies: &[Vec<u8>]) -> usize {
+    bodies.iter().map(Vec::len).sum()
+}
+
 fn sum_items(loads: &LoadsByRunner) -> impl Iterator<Item = Item> {
     loads.iter().map(|&(runner, load)| Item::Sum(runner, load))
 }
--- a/src/gossip/event_outbox.rs
+++ b/src/gossip/event_outbox.rs
@@ -1,7 +1,7 @@
 //! This node's own urgent events until its aggregator acknowledges them.
 
 use {
-    super::{Event, Item, Sender, UrgentEvent},
+    super::{Event, Item, Sender, Urgency, UrgentEvent},
     std::time::Duration,
     tokio::time::Instant,
 };
@@ -20,6 +20,7 @@
 #[derive(Debug)]
 struct UnacknowledgedEvent {
     event: UrgentEvent,
+    added_at: Instant,
     /// The first report that held the event.
     first_report: Option<u32>,
     broadcast_at: Option<Instant>,
@@ -35,7 +36,7 @@
 
 impl EventOutbox {
     /// Numbers an event, adds it and returns it.
-    pub(super) fn add(&mut self, sender: &Sender, event: Event) -> UrgentEvent {
+    pub(super) fn add(&mut self, sender: &Sender, event: Event, now: Instant) -> UrgentEvent {
         self.last_number += 1;
         let urgent_event = UrgentEvent {
             origin: sender.node.clone(),
@@ -45,6 +46,7 @@
         };
         self.events.push(UnacknowledgedEvent {
             event: urgent_event.clone(),
+            added_at: now,
             first_report: None,
             broadcast_at: None,
             broadcasts_left: BROADCASTS_MAX,
@@ -52,6 +54,14 @@
         urgent_event
     }
 
+    /// Removes the hints that are too old to be of use.
+    pub(super) fn expire(&mut self, now: Instant) {
+        self.events.retain(|pending| {
+            let event = &pending.event.event;
+            event.urgency() != Urgency::Hint || now < pending.added_at + event.ttl()
+        });
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.events.is_empty()
     }
@@ -63,16 +73,18 @@
             .any(|pending| pending.first_report.is_none())
     }
 
-    /// Returns the oldest events for a report; those without an acknowledgement after `timeout` are
-    /// broadcast.
+    /// Returns the most urgent events for a report, and of these the oldest; those without an
+    /// acknowledgement after `timeout` are broadcast.
     pub(super) fn events_for_report(
         &mut self,
         round: u32,
         timeout: Duration,
         now: Instant,
     ) -> Vec<Item> {
-        let oldest = self.events.iter_mut().take(EVENTS_PER_REPORT_MAX);
-        let events = oldest.map(|pending| {
+        let mut first: Vec<_> = self.events.iter_mut().collect();
+        first.sort_by_key(|pending| pending.event.event.urgency());
+        let first = first.into_iter().take(EVENTS_PER_REPORT_MAX);
+        let events = first.map(|pending| {
             if pending.first_report.is_none() {
                 pending.first_report = Some(round);
                 pending.broadcast_at = Some(now + timeout);
@@ -92,26 +104,26 @@
         });
     }
 
-    /// Returns the oldest events whose broadcast is due, at most `count_max`; all events are due if
-    /// there is no aggregator.
+    /// Returns the most urgent events whose broadcast is due, and of these the oldest, at most
+    /// `count_max`; all events are due if there is no aggregator.
     pub(super) fn take_due_broadcasts(
         &mut self,
         has_aggregator: bool,
         count_max: usize,
         now: Instant,
     ) -> Vec<Item> {
-        let mut due = Vec::new();
-        for pending in &mut self.events {
-            if due.len() == count_max {
-                break;
-            }
+        let is_due = |pending: &&mut UnacknowledgedEvent| {
             let at = pending.broadcast_at.filter(|_| has_aggregator);
-            if at.map_or(!has_aggregator, |at| now >= at) {
-                pending.broadcasts_left -= 1;
-                pending.broadcast_at = Some(now + BROADCAST_INTERVAL);
-                due.push(Item::News(pending.event.clone()));
-            }
-        }
+            at.map_or(!has_aggregator, |at| now >= at)
+        };
+        let mut due: Vec<_> = self.events.iter_mut().filter(is_due).collect();
+        due.sort_by_key(|pending| pending.event.event.urgency());
+        let due = due.into_iter().take(count_max).map(|pending| {
+            pending.broadcasts_left -= 1;
+            pending.broadcast_at = Some(now + BROADCAST_INTERVAL);
+            Item::News(pending.event.clone())
+        });
+        let due = due.collect();
         self.events.retain(|pending| pending.broadcasts_left > 0);
         due
     }
--- a/src/gossip/forwarded_events.rs
+++ b/src/gossip/forwarded_events.rs
@@ -1,7 +1,7 @@
 //! The urgent events that an aggregator forwards.
 
 use {
-    super::{Event, Item, UrgentEvent},
+    super::{Item, Urgency, UrgentEvent},
     std::time::Duration,
     tokio::time::Instant,
 };
@@ -9,8 +9,11 @@
 /// The number of rounds that repeat an event, since datagrams get lost.
 const FORWARD_ROUNDS: u8 = 5;
 
-/// The largest number of events in a round, which bounds its size.
-const EVENTS_PER_ROUND_MAX: usize = 24;
+/// The number of rounds by which an event precedes one of the next lower urgency.
+const URGENCY_ROUNDS: u8 = 2;
+
+/// The number of kept events beyond which further hints are dropped.
+const EVENTS_MAX: usize = 1_024;
 
 /// An event with the state of its forwarding.
 #[derive(Debug)]
@@ -28,15 +31,15 @@
 }
 
 impl ForwardedEvent {
-    /// Returns the order in which events share a round: new ones first, and of these the ones that
-    /// take a runner out of use.
-    fn rank(&self) -> (u8, bool) {
-        (FORWARD_ROUNDS - self.rounds_left, self.is_lasting())
+    /// Returns the order in which events share a round: urgent ones first, and of these new ones.
+    fn rank(&self) -> (u8, Urgency) {
+        let urgency = self.urgency();
+        let rounds = FORWARD_ROUNDS - self.rounds_left;
+        (rounds + urgency as u8 * URGENCY_ROUNDS, urgency)
     }
 
-    /// Returns whether the event is found out in another way before long.
-    fn is_lasting(&self) -> bool {
-        matches!(self.event.event, Event::Held(_) | Event::Unreachable(_))
+    fn urgency(&self) -> Urgency {
+        self.event.event.urgency()
     }
 }
 
@@ -45,12 +48,16 @@
 pub(super) struct ForwardedEvents(Vec<ForwardedEvent>);
 
 impl ForwardedEvents {
+    /// Adds an event, unless it is a hint and there are too many events.
     pub(super) fn add(
         &mut self,
         urgent_event: UrgentEvent,
         is_from_reporting_node: bool,
         now: Instant,
     ) {
+        if self.0.len() >= EVENTS_MAX && urgent_event.event.urgency() == Urgency::Hint {
+            return;
+        }
         self.0.push(ForwardedEvent {
             event: urgent_event,
             is_from_reporting_node,
@@ -74,13 +81,18 @@
         all.any(|forwarded| forwarded.rounds_left > 0 || !forwarded.is_acknowledgement_checked)
     }
 
-    /// Returns the events of a round: those for the nodes that report here, and those for other
-    /// aggregators.
-    pub(super) fn next_round(&mut self, round: u32, now: Instant) -> (Vec<Item>, Vec<Item>) {
+    /// Returns the events of a round, at most `count_max`: those for the nodes that report here, and
+    /// those for other aggregators.
+    pub(super) fn next_round(
+        &mut self,
+        round: u32,
+        count_max: usize,
+        now: Instant,
+    ) -> (Vec<Item>, Vec<Item>) {
         let left = self.0.iter_mut().filter(|event| event.rounds_left > 0);
         let mut due: Vec<_> = left.collect();
         due.sort_by_key(|event| event.rank());
-        due.truncate(EVENTS_PER_ROUND_MAX);
+        due.truncate(count_max);
         let (mut members, mut aggregators) = (Vec::new(), Vec::new());
         for forwarded in due {
             forwarded.rounds_left -= 1;
@@ -93,10 +105,14 @@
         (members, aggregators)
     }
 
-    /// Returns all recent events, for a node that is new to this aggregator.
-    pub(super) fn recent_events(&self) -> impl Iterator<Item = Item> {
-        let events = self.0.iter().map(|forwarded| forwarded.event.clone());
-        events.map(Item::News)
+    /// Returns the most urgent recent events, at most `count_max` and of these the newest, for a node
+    /// that is new to this aggregator.
+    pub(super) fn recent_events(&self, count_max: usize) -> Vec<Item> {
+        let mut recent: Vec<&ForwardedEvent> = self.0.iter().rev().collect();
+        recent.sort_by_key(|forwarded| forwarded.urgency());
+        recent.truncate(count_max);
+        let events = recent.into_iter().map(|known| known.event.clone());
+        events.map(Item::News).collect()
     }
 
     /// Returns the number of events of each kind, sorted by the kind's label.
@@ -113,7 +129,7 @@
     }
 
     /// Returns the events that other aggregators should have acknowledged, `timeout` after their
-    /// first round, with that round: those that take a runner out of use first.
+    /// first round, with that round: urgent ones first.
     pub(super) fn unacknowledged(
         &self,
         timeout: Duration,
@@ -128,7 +144,7 @@
             (now >= sent_at + timeout).then_some((round, forwarded))
         });
         let mut overdue: Vec<_> = overdue.collect();
-        overdue.sort_by_key(|(_, forwarded)| forwarded.is_lasting());
+        overdue.sort_by_key(|(_, forwarded)| forwarded.urgency());
         let events = overdue.into_iter();
         events
             .map(|(round, forwarded)| (round, forwarded.event.clone()))
--- a/src/gossip/item.rs
+++ b/src/gossip/item.rs
@@ -62,6 +62,19 @@
     pub event: Event,
 }
 
+/// How much depends on an event; the first ones are sent first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Urgency {
+    /// A rule depends on the event: runners and versions that must not be used any more.
+    Binding,
+    /// Requests that could be served are refused until the event is known.
+    Serving,
+    /// The event counts besides others of its kind.
+    Evidence,
+    /// The event is a hint that others repeat.
+    Hint,
+}
+
 /// The content of an urgent event.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Event {
@@ -82,6 +95,20 @@
 }
 
 impl Event {
+    /// Returns how much depends on the event.
+    pub(super) fn urgency(&self) -> Urgency {
+        match self {
+            Self::Leaving(_) | Self::StatedLeaving(_) | Self::Config(_) | Self::Limit(_) => {
+                Urgency::Binding
+            }
+            Self::Held(_) | Self::Quarantine(QuarantineMessage::Verdict(_)) => Urgency::Serving,
+            Self::Quarantine(QuarantineMessage::Crash(_)) => Urgency::Evidence,
+            Self::Unreachable(_) | Self::Quarantine(QuarantineMessage::Harmless(_)) => {
+                Urgency::Hint
+            }
+        }
+    }
+
     /// Returns the label of the event's kind in metrics.
     pub(super) fn label(&self) -> &'static str {
         match self {
--- a/src/gossip/report_rounds.rs
+++ b/src/gossip/report_rounds.rs
@@ -44,6 +44,7 @@
         self.failure_detector.expire(now);
         self.seen_events.expire(now);
         self.forwarded_events.expire(now);
+        self.event_outbox.expire(now);
         self.choose_aggregator(context, &mut output.outgoing);
         self.publish_own_events(own, context);
         self.send_report_if_due(own, context, &mut output);
--- a/src/gossip/send_budget.rs
+++ b/src/gossip/send_budget.rs
@@ -59,6 +59,11 @@
         (self.bytes_per_s * ROUND_SPAN.as_secs_f64()) as usize
     }
 
+    /// Returns how long a share of the budget takes for a number of bytes.
+    pub fn span(&self, bytes: usize, share: f64) -> Duration {
+        Duration::from_secs_f64(bytes as f64 / (self.bytes_per_s * share))
+    }
+
     /// Returns when the next round may be sent.
     pub fn free_at(&self) -> Instant {
         self.free_at
