Announce a harmless content of a crash once, not from each node

Cause: each node that hears of a crash tells all others which prompt parts of it had a response there.

Change: aggregators pass on one announcement of a content a second, and a node that has just heard of it does not announce it for 0.3 s.

Tests: both failed before: 150 announcements kept in place of at most 2 of each kind; a node announced what another one had just cleared.

--- a/src/gossip/seen_events.rs
+++ b/src/gossip/seen_events.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Event, UrgentEvent, sequence_window::SequenceWindow},
-    crate::{dispatch::LimitReport, traffic::NodeName},
+    crate::{dispatch::LimitReport, quarantine::QuarantineMessage, traffic::NodeName},
     std::time::Duration,
     tokio::time::Instant,
 };
@@ -19,6 +19,10 @@
 /// How long a second event about the same limit of a runner is suppressed.
 const DUPLICATE_LIMIT_TTL: Duration = Duration::from_millis(300);
 
+/// How long a second event that clears the same content is suppressed; nodes remember the first one
+/// for longer.
+const DUPLICATE_HARMLESS_TTL: Duration = Duration::from_secs(1);
+
 #[derive(Debug)]
 struct Origin {
     node: NodeName,
@@ -63,12 +67,13 @@
     /// Records the content of an event and returns whether the same content came recently.
     ///
     /// All nodes learn of a runner that leaves or crashed, or of a new configuration, at about the
-    /// same time; the event of one of them is enough.
+    /// same time, and clear the common contents of a crash; the event of one of them is enough.
     pub(super) fn is_recent_duplicate(&mut self, event: &Event, now: Instant) -> bool {
         let suppressed_for = match event {
             Event::Leaving(_) | Event::StatedLeaving(_) | Event::Config(_) => DUPLICATE_CONTENT_TTL,
             Event::Unreachable(_) => event.ttl(),
             Event::Limit(_) => DUPLICATE_LIMIT_TTL,
+            Event::Quarantine(QuarantineMessage::Harmless(_)) => DUPLICATE_HARMLESS_TTL,
             // Each crash counts by itself, and verdicts have versions.
             Event::Held(_) | Event::Quarantine(_) => return false,
         };
--- a/src/quarantine/quarantine.rs
+++ b/src/quarantine/quarantine.rs
@@ -39,7 +39,7 @@
     suspects: Suspects,
     harmless: HarmlessContents,
     verdicts: Verdicts,
-    /// The contents that this node cleared lately.
+    /// The contents that this node or another one cleared lately.
     cleared: Vec<(ContentId, Instant)>,
     /// The ended runners that this node reported lately.
     reported: Vec<(RunnerKey, Instant)>,
@@ -95,6 +95,7 @@
             QuarantineMessage::Harmless(content) => {
                 self.harmless.record(content, now);
                 self.suspects.clear(content);
+                self.try_clear(content, now);
             }
             QuarantineMessage::Verdict(verdict) => self.apply_verdict(verdict, now),
         }
@@ -258,10 +259,18 @@
     }
 
     fn announce_harmless(&mut self, content: ContentId, now: Instant) {
+        if self.try_clear(content, now) {
+            self.outbox.push(QuarantineMessage::Harmless(content));
+        }
+    }
+
+    /// Records that this node or another one clears a content now; returns whether none did lately.
+    fn try_clear(&mut self, content: ContentId, now: Instant) -> bool {
         self.cleared.retain(|(_, at)| now < *at + CLEAR_INTERVAL);
-        if !self.cleared.iter().any(|(known, _)| *known == content) {
+        let is_first = !self.cleared.iter().any(|(known, _)| *known == content);
+        if is_first {
             self.cleared.push((content, now));
-            self.outbox.push(QuarantineMessage::Harmless(content));
         }
+        is_first
     }
 }
--- a/tests/gossip_aggregation.rs
+++ b/tests/gossip_aggregation.rs
@@ -8,7 +8,7 @@
     greengagetrail::{
         dispatch::LimitReport,
         gossip::Event,
-        quarantine::{ContentId, PartId, Verdict},
+        quarantine::{ContentId, PartId, QuarantineMessage, Verdict},
         units::RequestRate,
     },
     std::time::Duration,
@@ -232,6 +232,27 @@
     net.until("a later failure is reported", SOON, again).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_harmless_content_is_not_announced_by_each_node_that_knows_it() {
+    let mut net = converged().await;
+    let harmless =
+        |part| Event::Quarantine(QuarantineMessage::Harmless(ContentId::Part(PartId(part))));
+    for step in 0..10 {
+        for index in (0..net.nodes.len()).step_by(2) {
+            net.publish(index, harmless(step % 2));
+        }
+        net.run(ms(50)).await;
+    }
+    for index in net.aggregators() {
+        let kept = net.nodes[index].protocol.event_counts();
+        assert!(kept.iter().all(|(_, count)| *count <= 2), "{kept:?}");
+    }
+    for node in net.nodes.iter().skip(1).step_by(2) {
+        let received = |part| node.events.contains(&harmless(part));
+        assert!(received(0) && received(1), "{}", node.peer.name);
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn lost_datagrams_only_delay_convergence() {
     for seed in 1..=12 {
--- a/tests/quarantine_detector.rs
+++ b/tests/quarantine_detector.rs
@@ -4,8 +4,8 @@
     greengagetrail::{
         discovery::RunnerKey,
         quarantine::{
-            BrokenRequest, ContentId, CrashDetector, EndedAttempts, HARMLESS_AFTER, PartId,
-            RequestDigest, RequestFingerprint,
+            BrokenRequest, ContentId, CrashDetector, CrashedRequest, EndedAttempts, HARMLESS_AFTER,
+            PartId, Quarantine, QuarantineMessage, RequestDigest, RequestFingerprint, RunnerCrash,
         },
         relay::{GenerationRequest, PromptPart},
     },
@@ -127,3 +127,27 @@
     }
     assert!("request-".parse::<ContentId>().is_err());
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_node_does_not_announce_what_another_one_has_just_cleared() {
+    let crash = QuarantineMessage::Crash(RunnerCrash {
+        runner: key("i-1"),
+        service: "desk".into(),
+        requests: vec![CrashedRequest {
+            digest: RequestDigest(0xe),
+            own: None,
+            shared: vec![PartId(1)],
+            assigned_ms_ago: 300,
+            ended_ms_ago: 100,
+        }],
+    });
+    let cleared = QuarantineMessage::Harmless(ContentId::Part(PartId(1)));
+    let mut node = Quarantine::default();
+    node.record_harmless(&fingerprint(&[1, 2]), Instant::now());
+    node.apply(cleared.clone(), Instant::now());
+    node.apply(crash.clone(), Instant::now());
+    assert_eq!(node.take_messages(), []);
+    advance(Duration::from_millis(400)).await;
+    node.apply(crash, Instant::now());
+    assert_eq!(node.take_messages(), [cleared]);
+}
