Load as many adapters at once as there are runners

Callers saw: from the first late orders to 9 s, 66 to 130 adapters that requests waited for had no copy at a time; requests were refused after their wait.

Cause: at most 16 adapters were loaded at once over all runners, whatever their number. A load whose order has no answer counts until a report shows whether it began, 1 to 1.5 s; with 30 in 100 orders late, 16 to 20 orders had no answer at any time and held all places.

Ruled out: the runners (131 to 160 of 160 took orders in that time).

Change: with more than 16 ready runners, as many adapters as runners may be loaded at once. A runner with an order that has no answer takes no other one, so such orders can no longer use up the places of the rest.

Test: 100 runners, 300 adapters, 30 in 100 orders late: 113 were held after 3 s, now at least 9 in 10.

--- a/src/copies/order_controller.rs
+++ b/src/copies/order_controller.rs
@@ -22,8 +22,11 @@
     tokio::time::Instant,
 };
 
-/// The maximum number of adapters that all runners of a service load at once.
-const ADAPTER_LOADS_MAX: usize = 16;
+/// The number of adapters that all runners of a service may load at once if there are fewer runners.
+///
+/// With more runners, each may load one: a load whose order has no answer counts until a report
+/// shows whether it began, and its runner takes no other order.
+const ADAPTER_LOADS_MIN: usize = 16;
 /// How long no models are moved after the first runners of a term are seen, so that a runner list
 /// that is still incomplete is not mistaken for lost runners.
 const TERM_SETTLE_TIME: Duration = Duration::from_millis(700);
@@ -202,7 +205,8 @@
                 loads_in_progress.cold_models,
                 now,
             ),
-            adapter_loads_available: ADAPTER_LOADS_MAX.saturating_sub(loads_in_progress.adapters),
+            adapter_loads_available: adapter_loads_max(&runners)
+                .saturating_sub(loads_in_progress.adapters),
             now,
         };
         let began_at = Instant::now();
@@ -280,6 +284,12 @@
     }
 }
 
+/// Returns how many adapters the runners of a service may load at once.
+fn adapter_loads_max(runners: &[PlannedRunner]) -> usize {
+    let ready = runners.iter().filter(|runner| runner.is_ready);
+    ready.count().max(ADAPTER_LOADS_MIN)
+}
+
 /// Returns the models and adapters that a runner's entry lists, sorted.
 fn listed_residents(view: &RunnerView) -> Vec<(ModelId, Option<AdapterId>)> {
     let mut residents = Vec::new();
--- a/tests/copies_orders.rs
+++ b/tests/copies_orders.rs
@@ -375,6 +375,34 @@
     }
 }
 
+// Guards against a few orders without an answer that hold all loads of adapters back.
+#[tokio::test(start_paused = true)]
+async fn adapters_are_loaded_soon_in_a_large_fleet_that_answers_orders_late() {
+    const RUNNERS: usize = 100;
+    const ADAPTERS_EACH: usize = 3;
+    let held: Vec<Vec<usize>> = (0..RUNNERS).map(|index| vec![index]).collect();
+    let held: Vec<&[usize]> = held.iter().map(Vec::as_slice).collect();
+    let fixture = start(engine(&[34_300.0; RUNNERS]), &held, 1);
+    sleep_ms(3_000).await;
+    fixture.fleet.set_faults(OrderFaults {
+        late_percent: 30,
+        ..OrderFaults::default()
+    });
+    let all = (0..RUNNERS * ADAPTERS_EACH).map(|number| {
+        let adapter = format!("a{}", 1 + number % ADAPTERS_EACH);
+        demand(model_id(number / ADAPTERS_EACH), Some(&adapter), 1.0, 1)
+    });
+    let all: Vec<_> = all.collect();
+    for _ in 0..6 {
+        fixture.report_demand(all.clone());
+        sleep_ms(500).await;
+    }
+    let views = fixture.registry.runners();
+    let held = views.iter().flat_map(|view| &view.entry.models);
+    let held: usize = held.map(|model| model.adapters.len()).sum();
+    assert!(held * 10 >= all.len() * 9, "{held} of {}", all.len());
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_new_leader_requests_reports_before_it_sends_orders() {
     let fixture = start(small_engine(), &[&[0, 1], &[2, 3], &[]], 1);
