Move the limits of an aggregator's round to a type of their own

Cause: digest_rounds had grown by the limits of the parts of a round.

Change: RoundLimits reckons them from the budget and the receivers; what is sent is the same.

--- a/src/gossip/digest_rounds.rs
+++ b/src/gossip/digest_rounds.rs
@@ -4,8 +4,10 @@
     super::{
         AggregationContext, AggregationOutput, AggregationProtocol, DatagramKind, DatagramPurpose,
         DigestHead, GossipPeer, Item, Outgoing, PlanningData, ReceivedRound, SumHead,
-        aggregation::AggregatorChoice, encode_bodies, encode_datagram, rank_nodes, sorted_zones,
-        sum_by_runner,
+        aggregation::AggregatorChoice,
+        encode_bodies, encode_datagram, rank_nodes,
+        round_limits::{PACKED_EVENT_BYTES, RoundLimits},
+        sorted_zones, sum_by_runner,
     },
     crate::{
         dispatch::{AggregatorReport, LoadSum, RunnerHash},
@@ -30,28 +32,9 @@
 /// The share of the link's budget that planning data takes.
 const PLANNING_DATA_SHARE: f64 = 0.25;
 
-/// The largest number of events in a round.
-const EVENTS_PER_ROUND_MAX: usize = 24;
-
-/// The part of a round's bytes that new events take, as a divisor.
-const EVENTS_DIVISOR: usize = 2;
-
-/// The part of a round's bytes that repeated recent events take, as a divisor.
-const RECENT_EVENTS_DIVISOR: usize = 4;
-
-/// The part of a round's bytes that is sent to nodes and aggregators that are new here, as a
-/// divisor; the others follow in the next rounds.
-const NEW_RECEIVERS_DIVISOR: usize = 4;
-
-/// The part of a round's bytes that is sent for events without an acknowledgement, as a divisor.
-const UNACKNOWLEDGED_DIVISOR: usize = 2;
-
 /// The number of responsive aggregators in each data centre that receive sums.
 const SUM_TARGETS_PER_ZONE: usize = 2;
 
-/// The usual size of an event that shares a datagram with others, in bytes.
-const PACKED_EVENT_BYTES: usize = 100;
-
 /// How long after a send of sums an aggregator gets only changes instead of all sums.
 const SENT_SUMS_TTL: Duration = Duration::from_secs(2);
 
@@ -66,8 +49,7 @@
     /// Urgent events are forwarded; aggregators that have none to receive still get the
     /// acknowledgement in the head.
     events: bool,
-    /// How many recent events are repeated to a node.
-    recent_events_max: usize,
+    limits: RoundLimits,
 }
 
 impl AggregationProtocol {
@@ -104,10 +86,10 @@
         self.sum_round = self.sum_round.wrapping_add(1);
         self.digest_round = self.digest_round.wrapping_add(usize::from(sums_due));
         let targets = self.sum_targets(context);
-        let events_max = self.events_per_round(targets.len());
+        let limits = self.round_limits(targets.len(), peers);
         let (for_reporting_nodes, for_aggregators) =
             self.forwarded_events
-                .next_round(self.sum_round, events_max, now);
+                .next_round(self.sum_round, limits.events_max, now);
         let has_events = !for_reporting_nodes.is_empty();
         let direct = sum_by_runner(self.reporting_nodes.loads());
         let total = sum_by_runner(direct.iter().copied().chain(self.aggregators.loads()));
@@ -116,7 +98,7 @@
             full,
             planning_data: planning_due,
             events: has_events,
-            recent_events_max: self.recent_events_per_node(events_max, peers),
+            limits,
         };
         let lasting = lasting_items(own);
         let planning_bytes =
@@ -132,21 +114,11 @@
         }
     }
 
-    /// Returns how many events a round may have, each of which goes to all nodes that report here
-    /// and to a number of aggregators.
-    fn events_per_round(&self, aggregators: usize) -> usize {
-        let receivers = self.reporting_nodes.iter().count() + aggregators;
-        let bytes = PACKED_EVENT_BYTES * receivers.max(1);
-        let affordable = self.budget.round_bytes() / EVENTS_DIVISOR / bytes;
-        affordable.clamp(1, EVENTS_PER_ROUND_MAX)
-    }
-
-    /// Returns how many recent events are repeated to each node whose turn it is.
-    fn recent_events_per_node(&self, events_max: usize, peers: usize) -> usize {
-        let turns = Self::rounds_per_full_digest(peers);
-        let nodes = self.reporting_nodes.iter().count().div_ceil(turns.max(1));
-        let bytes = PACKED_EVENT_BYTES * nodes.max(1);
-        (self.budget.round_bytes() / RECENT_EVENTS_DIVISOR / bytes).max(events_max)
+    /// Returns the limits of a round that also goes to a number of aggregators.
+    fn round_limits(&self, aggregators: usize, peers: usize) -> RoundLimits {
+        let nodes = self.reporting_nodes.iter().count();
+        let repeated_to = nodes.div_ceil(Self::rounds_per_full_digest(peers).max(1));
+        RoundLimits::new(&self.budget, nodes + aggregators, repeated_to)
     }
 
     /// Schedules the next planning data, so that it takes its share of the link's budget.
@@ -182,7 +154,9 @@
             false => Vec::new(),
         };
         let recent = || {
-            let events = self.forwarded_events.recent_events(due.recent_events_max);
+            let events = self
+                .forwarded_events
+                .recent_events(due.limits.repeated_events_max);
             let events = events.into_iter().chain(config.clone());
             events.chain(lasting.iter().cloned())
         };
@@ -198,7 +172,7 @@
             .map(|node| self.planning_data_without(node))
             .collect();
         let turns = Self::rounds_per_full_digest(context.peers.len());
-        let mut new_bytes_left = self.budget.round_bytes() / NEW_RECEIVERS_DIVISOR;
+        let mut new_bytes_left = due.limits.new_receivers_bytes;
         let mut planning_bytes = 0;
         for (position, reporter) in self.reporting_nodes.iter_mut().enumerate() {
             if reporter.peer.name == self.own_node.name {
@@ -298,7 +272,9 @@
             true => encode_bodies(&sender, head().chain(sum_items(&changes))),
             false => Vec::new(),
         };
-        let recent = self.forwarded_events.recent_events(due.recent_events_max);
+        let recent = self
+            .forwarded_events
+            .recent_events(due.limits.repeated_events_max);
         let recent = recent.into_iter().chain(newer_config_item(context));
         let recent = recent.chain(lasting.iter().cloned());
         let whole = encode_bodies(&sender, recent.chain(sum_items(direct)));
@@ -321,7 +297,7 @@
             .iter()
             .any(|reporter| reporter.plan_wanted);
         self.sums_sent.retain(|(_, at)| now < *at + SENT_SUMS_TTL);
-        let mut new_bytes_left = self.budget.round_bytes() / NEW_RECEIVERS_DIVISOR;
+        let mut new_bytes_left = due.limits.new_receivers_bytes;
         let mut planning_bytes = 0;
         for target in targets {
             let known = self.aggregators.get(&target.name);
@@ -397,7 +373,9 @@
         }
         let timeout = Self::ack_timeout(context.peers.len());
         let overdue = self.forwarded_events.unacknowledged(timeout, context.now);
-        let mut bytes_left = self.budget.round_bytes() / UNACKNOWLEDGED_DIVISOR;
+        let mut bytes_left = self
+            .round_limits(0, context.peers.len())
+            .unacknowledged_bytes;
         let mut by_receivers: Vec<(Vec<SocketAddr>, Vec<Item>)> = Vec::new();
         for (round, urgent_event) in overdue {
             // The events that are left follow once the budget is free again.
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -32,6 +32,7 @@
 mod report_rounds;
 mod reporting_nodes;
 mod residency_outbox;
+mod round_limits;
 mod seen_events;
 mod send_budget;
 mod sender_table;
