Count the wait after a restored store until all nodes have read it

What runners could see: after a store came back from an older copy, the orders of two leaders 2.82 to 2.96 s apart, where 3 s are the least.

Cause: a node counted the wait for the former leader from its own read of the restored store. The leader of the lost history retries its calls at its own pace, up to 0.7 s later, and sends orders until its read. leader_restores does not judge orders in the 3 s after a fault of a link.

Change: while the store's rollback is not settled, the wait counts from a second after the read, or from the write if that is later.

--- a/src/leader/campaign.rs
+++ b/src/leader/campaign.rs
@@ -6,7 +6,7 @@
         election_action::{ElectionAction, put, random_below},
         election_task::ElectionTask,
         held_term::HeldTerm,
-        succession::UNAWARE_WAIT,
+        succession::{RETRY_TIME_MAX, UNAWARE_WAIT},
     },
     crate::store::{Compare, StoreError, StoreVersion, Txn},
     std::time::Duration,
@@ -21,7 +21,7 @@
 const DELAYING_NODES_MAX: u32 = 6;
 /// The extra delay of a node that recently lost the store, so that the last leader, which may have
 /// lost the store as well, can write the key first.
-const RECONNECT_DELAY_MS: u64 = 1_000;
+const RECONNECT_DELAY: Duration = RETRY_TIME_MAX;
 
 impl ElectionTask {
     /// Chooses the next election action from the leader key as last read, and performs it.
@@ -234,8 +234,13 @@
         let lost_store = self
             .last_failure_at
             .is_some_and(|at| at.elapsed() < self.shared.lease_state().timing.lease_ttl);
-        let reconnect_ms = if lost_store { RECONNECT_DELAY_MS } else { 0 };
-        Duration::from_millis(delaying_nodes * CAMPAIGN_DELAY_PER_NODE_MS + reconnect_ms)
+        let reconnect_delay = if lost_store {
+            RECONNECT_DELAY
+        } else {
+            Duration::ZERO
+        };
+        Duration::from_millis(delaying_nodes * CAMPAIGN_DELAY_PER_NODE_MS)
+            + reconnect_delay
             + random_below(CAMPAIGN_DELAY_PER_NODE_MS / 2)
     }
 
--- a/src/leader/succession.rs
+++ b/src/leader/succession.rs
@@ -10,6 +10,9 @@
 /// How long a process that did not follow the store sends no orders as the successor of its VM's
 /// last term: the other nodes write back what the store has lost meanwhile.
 pub(super) const UNAWARE_WAIT: Duration = Duration::from_millis(1_500);
+/// The longest time from the return of the store until all nodes in touch with it have read it, as
+/// each retries its calls at its own pace.
+pub(super) const RETRY_TIME_MAX: Duration = Duration::from_secs(1);
 /// The largest number of writes that a store loses at once, as far as tokens go: one that a runner
 /// rejected is followed by one above all tokens of that many lost writes.
 const LOST_WRITES_MAX: u64 = 1 << 14;
@@ -44,6 +47,11 @@
         let now = Instant::now();
         let records = known.iter().map(|known| known.record.as_ref());
         if !self.is_own_succession(known) {
+            // A leader of the lost history sends orders until it reads the store again.
+            let ended_at = match self.is_settled() {
+                true => ended_at,
+                false => now.max(ended_at + RETRY_TIME_MAX),
+            };
             let waits = records.map(|record| self.handover_wait(record));
             return waits.max().map_or(now, |wait| ended_at + wait);
         }
--- a/tests/leader_restores.rs
+++ b/tests/leader_restores.rs
@@ -35,6 +35,9 @@
 /// Observations after the last fault, within which a node has to lead again.
 const RECOVERY_STEPS: u32 = 260;
 
+/// How often a restore is repeated, as nodes retry their calls after random delays.
+const RETRY_PHASES: usize = 40;
+
 /// What a run showed: all orders of nodes that ran, those under judgement, and whether a node leads
 /// at the end.
 struct Run {
@@ -192,6 +195,43 @@
     }
 }
 
+/// Each node retries its calls at its own pace, and the leader may read the restored store last.
+#[tokio::test(start_paused = true)]
+async fn orders_of_leaders_before_and_after_a_restore_keep_apart() {
+    for leases in [CopiedLeases::Paused, CopiedLeases::Elapsed].repeat(RETRY_PHASES) {
+        let store = MemoryStore::new();
+        store.refuse_future_watches();
+        let (link, former, other) = start_two(&store).await;
+        let mut copy = store.copy_state();
+        let copied_at = Instant::now();
+        link.set_faults(KvFaults::DOWN);
+        sleep_ms(10_000).await;
+        link.set_faults(KvFaults::default());
+        sleep_ms(3_000).await;
+        let token = other.term().unwrap().fencing_token;
+        link.set_faults(KvFaults::DOWN);
+        store.set_faults(KvFaults::DOWN);
+        sleep_ms(1_000).await;
+        if leases == CopiedLeases::Paused {
+            copy.extend_leases(copied_at.elapsed().as_millis() as u64);
+        }
+        store.restore(copy);
+        link.set_faults(KvFaults::default());
+        store.set_faults(KvFaults::default());
+        let restored_at = Instant::now();
+        let [successor, orders] = observe([&former, &other], 20_000).await;
+        let last = orders.iter().rfind(|(_, used)| *used == token);
+        let last = last.map_or(restored_at, |(at, _)| *at);
+        for (at, _) in successor {
+            let gap = at.saturating_duration_since(last);
+            assert!(
+                gap >= Duration::from_millis(LEASE_MS),
+                "{leases:?}: {gap:?}"
+            );
+        }
+    }
+}
+
 /// The copy is older than the first leader, and the node that starts knows of none.
 #[tokio::test(start_paused = true)]
 async fn a_new_process_waits_after_a_restore_to_before_the_first_leader() {
