Draw the choices of dispatch from a seed in tests

Change: the draws of dispatch come from one generator for each thread, which the rig seeds. Nothing else changes; a choice takes one draw to seed a small generator, in place of a borrowed one.

Measured: a_seed_repeats_its_run passes.

--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 mod demand_meter;
 mod demand_sum;
 mod dispatcher;
+mod draws;
 mod idle_connections;
 mod load;
 mod load_sum;
@@ -52,8 +53,8 @@
 mod wait_queue;
 
 pub use {
-    assignment::*, attempt_counters::*, choice::*, decaying_count::*, dispatcher::*, load::*,
-    load_sum::*, node_list::*, prefix_cache_estimate::*, registry::*, registry_pace::SpeedReport,
-    registry_sums::*, residency::*, runner_health::*, runner_limit::*, send_check::*,
-    send_counters::*, send_gate::SendDenial, types::*, uneven_choice::*,
+    assignment::*, attempt_counters::*, choice::*, decaying_count::*, dispatcher::*,
+    draws::seed_draws, load::*, load_sum::*, node_list::*, prefix_cache_estimate::*, registry::*,
+    registry_pace::SpeedReport, registry_sums::*, residency::*, runner_health::*, runner_limit::*,
+    send_check::*, send_counters::*, send_gate::SendDenial, types::*, uneven_choice::*,
 };
--- a/src/dispatch/prompt_pace.rs
+++ b/src/dispatch/prompt_pace.rs
@@ -1,6 +1,7 @@
 //! Pacing of the prompts that a node sends to a runner.
 
 use {
+    super::draws::draws,
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::time::Duration,
     tokio::time::Instant,
@@ -57,7 +58,7 @@
 impl RandomShare {
     pub(super) fn new(now: Instant) -> Self {
         Self {
-            seed: rand::rng().random(),
+            seed: draws().random(),
             since: now,
         }
     }
--- a/src/dispatch/registry_reach.rs
+++ b/src/dispatch/registry_reach.rs
@@ -1,7 +1,7 @@
 //! This node's reach of services, in the shared state.
 
 use {
-    super::{RunnerRegistry, registry_shared::RegistryShared},
+    super::{RunnerRegistry, draws::draws, registry_shared::RegistryShared},
     crate::{discovery::RunnerEntry, traffic::ServiceId},
     rand::seq::SliceRandom,
     std::sync::Arc,
@@ -24,7 +24,7 @@
                 }
                 let staying = service.runners.iter().filter(|r| r.gate.is_staying(now));
                 let mut staying: Vec<_> = staying.map(|r| r.entry.clone()).collect();
-                let (probed, _) = staying.partial_shuffle(&mut rand::rng(), PROBED_RUNNERS);
+                let (probed, _) = staying.partial_shuffle(&mut draws(), PROBED_RUNNERS);
                 probes.extend_from_slice(probed);
             }
             probes
--- a/src/dispatch/service_runners.rs
+++ b/src/dispatch/service_runners.rs
@@ -4,6 +4,7 @@
     super::{
         AttemptOutcome, Candidate, PassOn, SendDenial, Variant, cost_ms,
         demand_meter::DemandMeter,
+        draws::draws,
         pace_budget::PaceBudget,
         service_reach::ServiceReach,
         tracked_runner::TrackedRunner,
@@ -145,7 +146,7 @@
         let mut retry_at: Option<Instant> = None;
         let mut is_limited = false;
         let mut pause_end: Option<Instant> = None;
-        let mut rng = rand::rng();
+        let mut rng = draws();
         let is_uneven = self.speed_spread.is_uneven() && profile.needs.kv_capacity_tokens.is_some();
         let expected_s = self.expected_s(profile);
         for (position, runner) in self.runners.iter().enumerate() {
--- a/src/dispatch/wait_decision.rs
+++ b/src/dispatch/wait_decision.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         DispatchRefusal, RefusalCause,
+        draws::draws,
         service_runners::{Selection, ServiceRunners},
         wait_queue::RequestProfile,
     },
@@ -100,7 +101,7 @@
             return self.wait_until(until);
         }
         let spread = PAUSE_SPREAD_MIN.max(pause.mul_f64(PAUSE_SPREAD_SHARE));
-        let spread = spread.mul_f64(rand::rng().random_range(0.0..1.0));
+        let spread = spread.mul_f64(draws().random_range(0.0..1.0));
         let retry_after = (pause + spread).max(RETRY_AFTER_MIN);
         WaitDecision::Refuse(DispatchRefusal {
             // Rounded up, so that the caller doesn't come back within the pause.
@@ -140,7 +141,7 @@
             .caller_deadline
             .saturating_duration_since(self.now);
         let longest = caller_time_left.mul_f64(RETRY_AFTER_SHARE_MAX);
-        let jitter = rand::rng().random_range(0.85..1.0);
+        let jitter = draws().random_range(0.85..1.0);
         let retry_after = expected.min(longest).mul_f64(jitter).max(RETRY_AFTER_MIN);
         WaitDecision::Refuse(DispatchRefusal {
             retry_after_ms: retry_after.as_millis() as u64,
--- a/tests/common/crash_rig.rs
+++ b/tests/common/crash_rig.rs
@@ -10,6 +10,7 @@
         discovery::{RunnerEntry, RunnerKey},
         dispatch::{
             Assignment, AttemptOutcome, DispatchRefusal, DispatchRequest, NodeList, NodeReport,
+            seed_draws,
         },
         quarantine::{ContentId, PartId, RequestDigest},
         relay::PromptPart,
@@ -176,6 +177,7 @@
 
 impl CrashRig {
     pub fn new(load: Load) -> Self {
+        seed_draws(load.seed);
         let mut rig = Self {
             load,
             random: StdRng::seed_from_u64(load.seed),
--- a/tests/quarantine_crashes.rs
+++ b/tests/quarantine_crashes.rs
@@ -168,3 +168,21 @@
         assert_eq!(rig.quarantined(), ONLY_CRASHING, "seed {seed}");
     }
 }
+
+// Guards against draws that a seed does not repeat.
+#[tokio::test(start_paused = true)]
+async fn a_seed_repeats_its_run() {
+    let mut runs = Vec::new();
+    for _ in 0..2 {
+        let mut rig = CrashRig::new(Load {
+            seed: 7,
+            kills_per_s: 1.0,
+            ..LOAD
+        });
+        rig.run(seconds(15)).await;
+        let crashes = rig.crashes.iter().map(|at| *at - rig.started_at);
+        let crashes: Vec<Duration> = crashes.collect();
+        runs.push((crashes, rig.sound, rig.quarantined()));
+    }
+    assert_eq!(runs[0], runs[1]);
+}
