Weigh what explains all crashes but one before a content is blamed

Cause, from traces: a node that has lost, or not yet got, the report on one crash sees the part that causes them in one crash fewer than a part that all prompts have, or than a request that met the same runners. The rule that a rival delays or weakens the verdict asked for all crashes. For requests it asked other requests only, not parts.

Change: another request, or a part of other prompts, that ended in all crashes of a request, or in all but one and as many, makes the verdict on the request provisional. For a part of four runners and more, a part in all but one is a rival, so that the decision takes five crashes. From five runners on, a part with one runner fewer and at most half the requests goes first.

--- a/src/quarantine/suspects.rs
+++ b/src/quarantine/suspects.rs
@@ -230,6 +230,29 @@
         self.decided_crashes > 0 || is_counted
     }
 
+    /// Returns whether nearly all runners that ended under `other` ended under this content too, with
+    /// at most half as many requests.
+    fn is_narrower_cause(&self, other: &Self) -> bool {
+        other.runners.len() >= CRASHES_WITH_RIVAL
+            && self.requests * 2 <= other.requests
+            && self.covers_all_but_one(other)
+    }
+
+    /// Returns whether all runners but one that ended under `other` ended under this content too;
+    /// the report on the remaining one may be lost.
+    fn covers_all_but_one(&self, other: &Self) -> bool {
+        let runners = other.runners.iter();
+        let missing = runners.filter(|runner| !self.runners.contains(runner));
+        missing.take(2).count() == 1
+    }
+
+    /// Returns whether as many runners ended under this content as under `other`, all or all but one
+    /// of its runners among them.
+    fn may_explain(&self, other: &Self) -> bool {
+        self.covers(other)
+            || (self.runners.len() >= other.runners.len() && self.covers_all_but_one(other))
+    }
+
     /// Returns whether all runners that ended under `other` ended under this content too.
     fn covers(&self, other: &Self) -> bool {
         let mut runners = other.runners.iter();
@@ -402,16 +425,21 @@
             true if crashes >= CRASHES_WITH_RIVAL => Finding::Certain,
             true if is_chance() => Finding::Insufficient,
             true if crashes < CRASHES_CERTAIN => Finding::Provisional,
-            true if self.has_rival_request(suspect) => Finding::Provisional,
+            true if self.has_rival(suspect) => Finding::Provisional,
             true => Finding::Certain,
             false => Finding::Insufficient,
         }
     }
 
-    fn has_rival_request(&self, suspect: &Suspect) -> bool {
-        let requests = self.suspects.iter().filter(|other| other.is_request());
-        let mut others = requests.filter(|other| other.content != suspect.content);
-        others.any(|other| other.covers(suspect))
+    /// Returns whether another request, or a part that a suspected request doesn't have, may explain
+    /// its crashes as well.
+    fn has_rival(&self, suspect: &Suspect) -> bool {
+        let is_own = |content| match content {
+            ContentId::Part(part) => suspect.parts.contains(&part),
+            ContentId::Request(_) => content == suspect.content,
+        };
+        let mut others = self.suspects.iter().filter(|other| !is_own(other.content));
+        others.any(|other| other.may_explain(suspect))
     }
 
     fn part_finding(&self, suspect: &Suspect) -> Finding {
@@ -419,8 +447,15 @@
             let others = self.suspects.iter();
             others.filter(|other| other.content != suspect.content)
         };
-        let is_first = others().all(|other| other.rank() <= suspect.rank());
-        let has_rival = || others().any(|other| other.covers(suspect));
+        let is_first = others().all(|other| match other.is_narrower_cause(suspect) {
+            true => false,
+            false => other.rank() <= suspect.rank() || suspect.is_narrower_cause(other),
+        });
+        let is_nearly_covered = |other: &Suspect| {
+            let is_part = !other.is_request();
+            is_part && suspect.runners.len() >= CRASHES_CERTAIN && other.covers_all_but_one(suspect)
+        };
+        let has_rival = || others().any(|other| other.covers(suspect) || is_nearly_covered(other));
         let is_enough = suspect.evidence.len() >= CRASHES_WITH_RIVAL || !has_rival();
         match is_first && is_enough {
             true => Finding::Certain,
--- a/tests/quarantine_crashes.rs
+++ b/tests/quarantine_crashes.rs
@@ -65,7 +65,7 @@
 // Guards against requests that crash runners at any rate, and while runners end otherwise.
 #[tokio::test(start_paused = true)]
 async fn a_crashing_part_is_found_at_any_rate_amid_other_ends() {
-    for seed in seeds() {
+    for seed in seeds().chain([49, 177]) {
         for (crashing_per_s, kills_per_s) in [(0.3, 0.0), (1.0, 0.5), (10.0, 0.0), (4.0, 1.0)] {
             let mut rig = CrashRig::new(Load {
                 seed,
@@ -110,6 +110,12 @@
     }
 }
 
+// Guards against a common part that is blamed for crashes of a rarer one, as a report is lost.
+#[tokio::test(start_paused = true)]
+async fn a_common_part_is_not_blamed_after_four_crashes() {
+    assert_found_although_responses_end_with_their_connection(956).await;
+}
+
 async fn assert_none_quarantined(seed: u64, middle_parts: u64) {
     let mut rig = CrashRig::new(Load {
         seed,
@@ -167,7 +173,7 @@
 // Guards against a verdict that a node loses when it restarts.
 #[tokio::test(start_paused = true)]
 async fn restarted_nodes_learn_what_is_quarantined() {
-    for seed in seeds().chain([405]) {
+    for seed in seeds().chain([405, 514, 1_209]) {
         let mut rig = CrashRig::new(Load { seed, ..LOAD });
         for node in 0..LOAD.nodes {
             rig.run(seconds(3)).await;
