Expect no verdict on a part after two crashing requests

The check asked for a verdict all the same.

Change: with fewer than three crashing requests nothing may be quarantined; else the part and nothing else, as before.

--- a/tests/quarantine_crashes.rs
+++ b/tests/quarantine_crashes.rs
@@ -29,6 +29,9 @@
     end_with_connection: false,
 };
 
+/// The number of requests whose crashes suffice for a verdict on their part.
+const CRASHES_MIN: usize = 3;
+
 /// The part that crashes runners, and no other content.
 const ONLY_CRASHING: [ContentId; 1] = [ContentId::Part(PartId(CRASHING_PART))];
 
@@ -81,11 +84,11 @@
                 rig.sent_too_late()
             );
             let crashing = &rig.crashing_requests;
-            assert_eq!(
-                rig.quarantined(),
-                ONLY_CRASHING,
-                "{case}, {crashing:?} crash"
-            );
+            let found = match crashing.len() {
+                0..CRASHES_MIN => &ONLY_CRASHING[..0],
+                _ => &ONLY_CRASHING[..],
+            };
+            assert_eq!(rig.quarantined(), found, "{case}, {crashing:?} crash");
         }
     }
 }
