Split the ranking of suspected parts into named decisions

part_finding held three rules in nested closures. They are methods of a suspect now: goes_before, is_narrower_cause, may_explain. No rule changed.

--- a/src/quarantine/suspects.rs
+++ b/src/quarantine/suspects.rs
@@ -230,7 +230,13 @@
         self.decided_crashes > 0 || is_counted
     }
 
-    /// Returns whether nearly all runners that ended under `other` ended under this content too, with
+    /// Returns whether this part is quarantined before `other`, if the evidence suffices for both.
+    fn goes_before(&self, other: &Self) -> bool {
+        let has_higher_rank = self.rank() > other.rank();
+        self.is_narrower_cause(other) || (has_higher_rank && !other.is_narrower_cause(self))
+    }
+
+    /// Returns whether all runners but one that ended under `other` ended under this content too, with
     /// at most half as many requests.
     fn is_narrower_cause(&self, other: &Self) -> bool {
         other.runners.len() >= CRASHES_WITH_RIVAL
@@ -238,21 +244,23 @@
             && self.covers_all_but_one(other)
     }
 
-    /// Returns whether all runners but one that ended under `other` ended under this content too;
-    /// the report on the remaining one may be lost.
+    /// Returns whether this content may explain the crashes of `other`: it covers all of its runners,
+    /// or all but one, on which the report may be lost.
+    fn may_explain(&self, other: &Self) -> bool {
+        let is_nearly_covered = || match (self.content, other.content) {
+            (_, ContentId::Request(_)) => self.runners.len() >= other.runners.len(),
+            (ContentId::Part(_), ContentId::Part(_)) => other.runners.len() >= CRASHES_CERTAIN,
+            (ContentId::Request(_), ContentId::Part(_)) => false,
+        };
+        self.covers(other) || (is_nearly_covered() && self.covers_all_but_one(other))
+    }
+
     fn covers_all_but_one(&self, other: &Self) -> bool {
         let runners = other.runners.iter();
         let missing = runners.filter(|runner| !self.runners.contains(runner));
         missing.take(2).count() == 1
     }
 
-    /// Returns whether as many runners ended under this content as under `other`, all or all but one
-    /// of its runners among them.
-    fn may_explain(&self, other: &Self) -> bool {
-        self.covers(other)
-            || (self.runners.len() >= other.runners.len() && self.covers_all_but_one(other))
-    }
-
     /// Returns whether all runners that ended under `other` ended under this content too.
     fn covers(&self, other: &Self) -> bool {
         let mut runners = other.runners.iter();
@@ -431,32 +439,20 @@
         }
     }
 
-    /// Returns whether another request, or a part that a suspected request doesn't have, may explain
-    /// its crashes as well.
+    /// Returns whether another content may explain a suspect's crashes as well; a part of a suspected
+    /// request itself doesn't count.
     fn has_rival(&self, suspect: &Suspect) -> bool {
-        let is_own = |content| match content {
-            ContentId::Part(part) => suspect.parts.contains(&part),
-            ContentId::Request(_) => content == suspect.content,
-        };
-        let mut others = self.suspects.iter().filter(|other| !is_own(other.content));
-        others.any(|other| other.may_explain(suspect))
+        let mut others = self.suspects.iter().filter(|other| match other.content {
+            ContentId::Part(part) => !suspect.parts.contains(&part),
+            ContentId::Request(_) => true,
+        });
+        others.any(|other| other.content != suspect.content && other.may_explain(suspect))
     }
 
     fn part_finding(&self, suspect: &Suspect) -> Finding {
-        let others = || {
-            let others = self.suspects.iter();
-            others.filter(|other| other.content != suspect.content)
-        };
-        let is_first = others().all(|other| match other.is_narrower_cause(suspect) {
-            true => false,
-            false => other.rank() <= suspect.rank() || suspect.is_narrower_cause(other),
-        });
-        let is_nearly_covered = |other: &Suspect| {
-            let is_part = !other.is_request();
-            is_part && suspect.runners.len() >= CRASHES_CERTAIN && other.covers_all_but_one(suspect)
-        };
-        let has_rival = || others().any(|other| other.covers(suspect) || is_nearly_covered(other));
-        let is_enough = suspect.evidence.len() >= CRASHES_WITH_RIVAL || !has_rival();
+        let mut others = self.suspects.iter();
+        let is_first = others.all(|other| !other.goes_before(suspect));
+        let is_enough = suspect.evidence.len() >= CRASHES_WITH_RIVAL || !self.has_rival(suspect);
         match is_first && is_enough {
             true => Finding::Certain,
             false => Finding::Insufficient,
