Try runners again soon that responded once for another runner

Cause: the first 421 of a runner left it out for 5 s, without a limit on how many runners of a service are left out at once. Traced in a failed run of relay_soak, whose runners answer one attempt in 40 with 421: the four runners gave one each within 71 ms, and no response that was still in flight ended the ejections. The requests after it waited for 2.5 to 3 s.

Change: such an ejection begins with 150 ms and doubles up to 5 s, as for a runner that can't be reached. A response by the runner itself ends it, as before. 421 says that the request has not run, so that a probe costs one more attempt.

--- a/src/dispatch/runner_health.rs
+++ b/src/dispatch/runner_health.rs
@@ -16,14 +16,14 @@
 
 /// The first ejection; each further one takes twice as long.
 const EJECTION_MIN_MS: u64 = 150;
-/// The longest ejection.
+/// The longest ejection of a runner that fails or can't be reached.
 const EJECTION_MAX_MS: u64 = 1_200;
 /// The ejection after a peer's report, and how long an own response outweighs such a report.
 pub const PEER_SUSPICION: Duration = Duration::from_millis(300);
 /// The ejection after a runner refused a request.
 const SHED_EJECTION_MS: u64 = 40;
-/// The ejection after another runner responded at the address.
-const WRONG_RUNNER_EJECTION_MS: u64 = 5_000;
+/// The longest ejection while another runner responds at the address.
+const WRONG_RUNNER_EJECTION_MAX_MS: u64 = 5_000;
 
 /// The health of a runner by this node's attempts and its peers' reports.
 #[derive(Debug, Default)]
@@ -95,10 +95,8 @@
                 self.ejected_until = None;
                 self.record_response(now);
             }
-            AttemptOutcome::Unreachable => self.eject(now),
-            AttemptOutcome::WrongRunner => {
-                self.ejected_until = Some(now + Duration::from_millis(WRONG_RUNNER_EJECTION_MS));
-            }
+            AttemptOutcome::Unreachable => self.eject(EJECTION_MAX_MS, now),
+            AttemptOutcome::WrongRunner => self.eject(WRONG_RUNNER_EJECTION_MAX_MS, now),
             AttemptOutcome::Shed => {
                 self.record_sample(1.0);
                 self.ejected_until = Some(now + Duration::from_millis(SHED_EJECTION_MS));
@@ -143,12 +141,12 @@
     fn eject_if_outlier(&mut self, service_rate: f64, may_eject: bool, now: Instant) {
         let outlier = self.failure_rate > service_rate + FAILURE_RATE_MARGIN;
         if self.attempts >= ATTEMPTS_MIN && outlier && may_eject {
-            self.eject(now);
+            self.eject(EJECTION_MAX_MS, now);
         }
     }
 
-    fn eject(&mut self, now: Instant) {
-        self.ejection_ms = (self.ejection_ms * 2).clamp(EJECTION_MIN_MS, EJECTION_MAX_MS);
+    fn eject(&mut self, max_ms: u64, now: Instant) {
+        self.ejection_ms = (self.ejection_ms * 2).clamp(EJECTION_MIN_MS, max_ms);
         self.ejected_until = Some(now + Duration::from_millis(self.ejection_ms));
     }
 }
--- a/tests/dispatch_registry.rs
+++ b/tests/dispatch_registry.rs
@@ -126,6 +126,35 @@
     assert!(assignments.iter().all(Option::is_some));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_service_serves_on_after_each_runner_responded_once_for_another() {
+    let rig = rig(["a", "b", "c", "d"].map(plain_runner).into());
+    for _ in 0..4 {
+        let assignment = rig.dispatcher.assign(&plain_request()).await.unwrap();
+        assignment.finish(AttemptOutcome::WrongRunner);
+    }
+    let request = plain_request();
+    let next = timeout(Duration::from_secs(1), rig.dispatcher.assign(&request)).await;
+    assert!(next.is_ok_and(|assigned| assigned.is_ok()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_runner_whose_address_belongs_to_another_gets_few_requests() {
+    let rig = rig(["a", "b"].map(plain_runner).into());
+    let mut requests_to_a = 0;
+    for _ in 0..1000 {
+        let assignment = rig.dispatcher.assign(&plain_request()).await.unwrap();
+        let is_a = runner_name(&assignment) == "a";
+        requests_to_a += u32::from(is_a);
+        advance(Duration::from_millis(10)).await;
+        assignment.finish(match is_a {
+            true => AttemptOutcome::WrongRunner,
+            false => AttemptOutcome::Complete,
+        });
+    }
+    assert!((2..10).contains(&requests_to_a), "{requests_to_a}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_restarted_runner_is_tracked_as_another_runner() {
     let rig = rig(vec![runner("a", &[("m1", &[])])]);
