Assert that the publication made while a keeper is frozen was accepted

The test a_keeper_frozen_past_its_lease_resumes_without_overcommitting_memory failed once, as vm-1 did not know the model that was published meanwhile. It ignored the outcome of the publication, so that the failure could not tell a lost publication from one that did not spread. It asserts it now.

--- a/tests/cluster_faults.rs
+++ b/tests/cluster_faults.rs
@@ -235,7 +235,8 @@
         wait_for_epoch(&cluster, "runner-1", epoch, watching).await;
         let objects = extra_model(&cluster, "while-frozen");
         let keeper = cluster.vms[watching].operator_address;
-        operator::publish(keeper, OPERATOR_KEY, &objects, Revision(1), "anna").await;
+        let result = operator::publish(keeper, OPERATOR_KEY, &objects, Revision(1), "anna").await;
+        assert!(matches!(result, PublishResult::Published(_)), "{result:?}");
         sleep(Duration::from_secs(2)).await;
         cluster.vms[owner].keeper.thaw();
         wait_until_listed(&cluster, "while-frozen", Instant::now(), IN_FORCE_MAX).await;
