Log when a service goes out of reach, and for how long

When many runners crash at once, a node may take the whole service for out of reach, as it tries three of the crashed ones in a row. Only its end was logged, so that neither the number nor the length of such verdicts could be told. The verdict logs a line now, its end names the length.

No decision changes.

--- a/src/dispatch/registry_reach.rs
+++ b/src/dispatch/registry_reach.rs
@@ -64,16 +64,17 @@
 impl RegistryShared {
     /// Records that a runner of a service was reached.
     pub(super) fn record_contact(self: &Arc<Self>, service: &ServiceId, now: Instant) {
-        let was_out = self.with_state(|state, grants| {
+        let out_for = self.with_state(|state, grants| {
             let service = state.service(service);
-            let was_out = service.reach.record_contact(now);
-            if was_out {
+            let out_for = service.reach.record_contact(now);
+            if out_for.is_some() {
                 self.assign_queued(service, grants, now);
             }
-            was_out
+            out_for
         });
-        if was_out {
-            log::info!(service:% = service; "dispatch: a service is in reach again.");
+        if let Some(out_for) = out_for {
+            let out_ms = out_for.as_millis() as u64;
+            log::info!(service:% = service, out_ms = out_ms; "dispatch: a service is in reach again.");
         }
     }
 
--- a/src/dispatch/registry_state.rs
+++ b/src/dispatch/registry_state.rs
@@ -195,7 +195,9 @@
         let service = services.find(|service| service.position(key).is_ok());
         if let Some(service) = service {
             let runners_count = service.runners.len();
-            service.reach.record_failure(key, runners_count, now);
+            if service.reach.record_failure(key, runners_count, now) {
+                log::info!(service:% = service.name, runners = runners_count; "dispatch: a service is out of reach.");
+            }
             if let Some(runner) = service.runner_mut(key) {
                 runner.record_unreachable(now);
             }
--- a/src/dispatch/service_reach.rs
+++ b/src/dispatch/service_reach.rs
@@ -29,7 +29,8 @@
     contact_at: Option<Instant>,
     /// The runners that could not be reached since the last contact, sorted.
     failed: Vec<(RunnerKey, Instant)>,
-    is_out: bool,
+    /// Since when the service is out of reach.
+    out_since: Option<Instant>,
     probed_at: Option<Instant>,
     others_out_at: Option<Instant>,
 }
@@ -37,22 +38,34 @@
 impl ServiceReach {
     /// Records that a runner was reached: a new connection, or the head of a response.
     ///
-    /// Returns whether the service was out of reach before.
-    pub(super) fn record_contact(&mut self, now: Instant) -> bool {
+    /// Returns how long the service was out of reach, if it was.
+    pub(super) fn record_contact(&mut self, now: Instant) -> Option<Duration> {
         self.contact_at = Some(now);
         self.failed.clear();
-        std::mem::take(&mut self.is_out)
+        let out_since = self.out_since.take()?;
+        Some(now.saturating_duration_since(out_since))
     }
 
     /// Records that a runner could not be reached, of `runners_count` of the service.
-    pub(super) fn record_failure(&mut self, key: &RunnerKey, runners_count: usize, now: Instant) {
+    ///
+    /// Returns whether the service is out of reach from now on.
+    pub(super) fn record_failure(
+        &mut self,
+        key: &RunnerKey,
+        runners_count: usize,
+        now: Instant,
+    ) -> bool {
         self.failed.retain(|(_, at)| now < *at + FAILURE_TTL);
         match self.failed.binary_search_by(|(known, _)| known.cmp(key)) {
             Ok(position) => self.failed[position].1 = now,
             Err(position) => self.failed.insert(position, (key.clone(), now)),
         }
         let enough = FAILED_RUNNERS_MIN.min(runners_count.max(1));
-        self.is_out |= self.failed.len() >= enough;
+        let begins = self.out_since.is_none() && self.failed.len() >= enough;
+        if begins {
+            self.out_since = Some(now);
+        }
+        begins
     }
 
     /// Records that another node did not reach the service either.
@@ -62,7 +75,7 @@
 
     /// Returns whether this node reaches no runner of the service.
     pub(super) fn is_out(&self) -> bool {
-        self.is_out
+        self.out_since.is_some()
     }
 
     /// Returns whether the node, rather than the runners, is the likely cause of the failures; a
@@ -76,7 +89,7 @@
         let others_out = self
             .others_out_at
             .is_some_and(|at| now < at + OTHERS_OUT_TTL);
-        self.is_out && !others_out
+        self.is_out() && !others_out
     }
 
     /// Returns whether runners of the service are to be probed now, and records the probe.
@@ -87,7 +100,7 @@
         let is_silent = self
             .contact_at
             .is_some_and(|at| now.saturating_duration_since(at) >= SILENCE_MAX);
-        let interval = match self.is_out || !self.failed.is_empty() {
+        let interval = match self.is_out() || !self.failed.is_empty() {
             true => PROBE_INTERVAL,
             false if is_silent && has_requests => SILENCE_PROBE_INTERVAL,
             false => return false,
