--- a/review/standin-2/limit.rs
+++ b/review/standin-2/limit.rs
@@ -29,6 +29,8 @@
 const GARBLED_PERCENT: usize = 3;
 /// How long an adapter takes to load.
 const LOAD: Duration = Duration::from_millis(12);
+/// How long rounds are begun, so that the run ends well before 120 s.
+const ROUNDS_MAX: Duration = Duration::from_secs(40);
 /// The pause between two events of a stream.
 const EVENT: Duration = Duration::from_millis(20);
 
@@ -343,7 +345,11 @@
     let mut nodes = Nodes::start(3, store.address, record)?;
     let runner = runners[0].clone();
     thread::sleep(Duration::from_secs(3));
+    let begin = Instant::now();
     for round in 0..12 {
+        if begin.elapsed() > ROUNDS_MAX {
+            break;
+        }
         let loaded = runner.state.lock().unwrap().adapters.clone();
         let [left, kept] = loaded.as_slice() else {
             thread::sleep(Duration::from_secs(2));
