Review: a late order overfills a runner that restarted under its id

Why: the answer to an order that was sent again ends the reservation for the first one, which got no answer and may still be carried out (UnansweredOrders::remove); after a restart under the same id its precondition can hold again (rule LIMIT).

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod limit;
 mod nodes;
 mod record;
+mod restart;
 mod store;
 
 use std::process::exit;
@@ -20,6 +21,7 @@
     record.line(&format!("scenario {scenario}, trouble {trouble}"));
     let outcome = match scenario.as_str() {
         "limit" => limit::run(&record, trouble),
+        "restart" => restart::run(&record, trouble),
         other => Err(format!("there is no scenario {other:?}")),
     };
     let (text, code) = match outcome {
